--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Two commands do all the set-up on a fresh Debian machine: `make run` and `make test`.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+export CCACHE_BASEDIR ?= $(CURDIR)
+export CCACHE_NOHASHDIR ?= 1
+
+.PHONY: run test build bench check-format lint install-packages
+
+run: build
+	$(BUILD)/turmericshift demo
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+build: install-packages
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+install-packages:
+	./misc/install_packages.sh
+
+check-format:
+	./misc/check_format.sh
+
+lint: build
+	./misc/lint.sh $(BUILD)
--- /dev/null
+++ b/core/error_test.cc
@@ -0,0 +1,29 @@
+#include "core/error.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace turmericshift {
+namespace {
+
+TEST(ErrorTest, TableHasOneRowForEveryKind) {
+  std::set<std::string> names;
+  for (int index = 0; index < kErrorKindCount; ++index) {
+    const auto kind = static_cast<ErrorKind>(index);
+    const ErrorAnswer& answer = AnswerFor(kind);
+    EXPECT_EQ(answer.kind, kind);
+    EXPECT_TRUE(names.insert(answer.name).second) << answer.name;
+    EXPECT_GE(answer.http_status, 400);
+    EXPECT_EQ(ErrorKindFromName(answer.name), kind);
+  }
+}
+
+TEST(ErrorTest, UnknownOutcomeNameNeverReadsAsNotRun) {
+  EXPECT_EQ(OutcomeFromName("not run"), Outcome::kUnknown);
+  EXPECT_EQ(OutcomeFromName(""), Outcome::kUnknown);
+  EXPECT_EQ(OutcomeFromName("not_run"), Outcome::kNotRun);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- /dev/null
+++ b/core/http_client.cc
@@ -0,0 +1,125 @@
+#include "core/http_client.h"
+
+#include <curl/curl.h>
+#include <strings.h>
+
+#include <memory>
+#include <mutex>
+
+#include "core/error.h"
+
+namespace turmericshift {
+namespace {
+
+struct HandleDeleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+};
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+struct Receiver {
+  HttpReply reply;
+  size_t max_bytes = 0;
+  bool too_large = false;
+};
+
+CURL* ThreadHandle() {
+  static std::once_flag once;
+  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_ALL); });
+  thread_local std::unique_ptr<CURL, HandleDeleter> handle(curl_easy_init());
+  if (!handle) throw Error(ErrorKind::kInternal, "libcurl gives no handle");
+  curl_easy_reset(handle.get());
+  return handle.get();
+}
+
+size_t TakeBody(char* bytes, size_t size, size_t count, void* user) {
+  auto* receiver = static_cast<Receiver*>(user);
+  if (receiver->reply.body.size() + size * count > receiver->max_bytes) {
+    receiver->too_large = true;
+    return 0;
+  }
+  receiver->reply.body.append(bytes, size * count);
+  return size * count;
+}
+
+size_t TakeHeader(char* bytes, size_t size, size_t count, void* user) {
+  auto* receiver = static_cast<Receiver*>(user);
+  const std::string line(bytes, size * count);
+  const size_t colon = line.find(':');
+  if (colon == std::string::npos) return size * count;
+  const size_t start = line.find_first_not_of(" \t", colon + 1);
+  const size_t end = line.find_last_not_of(" \t\r\n");
+  if (start != std::string::npos && end >= start) {
+    receiver->reply.headers.push_back({line.substr(0, colon), line.substr(start, end - start + 1)});
+  }
+  return size * count;
+}
+
+[[noreturn]] void ThrowFor(CURLcode code, const HttpCall& call, const Receiver& receiver) {
+  const std::string what = call.method + " " + call.url + ": " + curl_easy_strerror(code);
+  if (receiver.too_large) throw Error(ErrorKind::kAnswerCut, what + " (answer too large)");
+  switch (code) {
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+      throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, what);
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      throw Error(ErrorKind::kInvalidInput, what);
+    case CURLE_OPERATION_TIMEDOUT:
+      throw Error(ErrorKind::kDeadlineExceeded, Outcome::kUnknown, what);
+    case CURLE_PARTIAL_FILE:
+      throw Error(ErrorKind::kAnswerCut, Outcome::kUnknown, what);
+    default:
+      throw Error(ErrorKind::kConnectionLost, Outcome::kUnknown, what);
+  }
+}
+
+}  // namespace
+
+std::string HttpReply::header(const std::string& name) const {
+  for (const HttpHeader& each : headers) {
+    if (strcasecmp(each.name.c_str(), name.c_str()) == 0) return each.value;
+  }
+  return "";
+}
+
+HttpReply PerformHttp(const HttpCall& call) {
+  CURL* handle = ThreadHandle();
+  Receiver receiver;
+  receiver.max_bytes = call.max_answer_bytes;
+  curl_slist* raw_list = nullptr;
+  for (const HttpHeader& header : call.headers) {
+    raw_list = curl_slist_append(raw_list, (header.name + ": " + header.value).c_str());
+  }
+  // Without this, a body of over 1 KiB waits a second for a "100 Continue" that few servers send.
+  raw_list = curl_slist_append(raw_list, "Expect:");
+  const std::unique_ptr<curl_slist, ListDeleter> list(raw_list);
+  const auto timeout_ms =
+      std::max<int64_t>(1, duration_cast<std::chrono::milliseconds>(call.timeout).count());
+  curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, list.get());
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_ms));  // NOLINT
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &TakeBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &receiver);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &TakeHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &receiver);
+  if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call.body.size()));
+  }
+  const CURLcode code = curl_easy_perform(handle);
+  if (code != CURLE_OK) ThrowFor(code, call, receiver);
+  long status = 0;  // NOLINT(google-runtime-int): the library's type
+  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+  receiver.reply.status = static_cast<int>(status);
+  return std::move(receiver.reply);
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/core/http_server.cc
@@ -0,0 +1,196 @@
+#include "core/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <strings.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/logging.h"
+
+namespace turmericshift {
+namespace {
+
+// What a connection's present request has gathered so far.
+struct Exchange {
+  HttpRequest request;
+  bool too_large = false;
+  bool counted = false;
+};
+
+MHD_Result TakeValue(void* user, MHD_ValueKind /*kind*/, const char* key, const char* value) {
+  auto* list = static_cast<std::vector<HttpHeader>*>(user);
+  list->push_back({key, value == nullptr ? "" : value});
+  return MHD_YES;
+}
+
+MHD_Result Send(MHD_Connection* connection, const HttpResponse& response, bool close) {
+  MHD_Response* raw = MHD_create_response_from_buffer(
+      response.body.size(), const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+  if (raw == nullptr) return MHD_NO;
+  for (const HttpHeader& header : response.headers) {
+    MHD_add_response_header(raw, header.name.c_str(), header.value.c_str());
+  }
+  if (close) MHD_add_response_header(raw, "Connection", "close");
+  const MHD_Result result =
+      MHD_queue_response(connection, static_cast<unsigned>(response.status), raw);
+  MHD_destroy_response(raw);
+  return result;
+}
+
+std::string Find(const std::vector<HttpHeader>& list, const std::string& name) {
+  for (const HttpHeader& each : list) {
+    if (strcasecmp(each.name.c_str(), name.c_str()) == 0) return each.value;
+  }
+  return "";
+}
+
+}  // namespace
+
+struct HttpServer::State {
+  HttpServerOptions options;
+  Handler handler;
+  MHD_Daemon* daemon = nullptr;
+  std::atomic<bool> stopping{false};
+  std::mutex mutex;
+  std::condition_variable drained;
+  int in_flight = 0;
+
+  HttpResponse Answer(const Exchange& exchange) const {
+    try {
+      if (exchange.too_large) throw Error(ErrorKind::kTooLarge, "the body is too large");
+      return handler(exchange.request);
+    } catch (const Error& error) {
+      return ProblemResponse(error, "");
+    } catch (const std::exception& error) {
+      LogEvent(LogLevel::kError, "handler_failed", {{"error", error.what()}});
+      return ProblemResponse(Error(ErrorKind::kInternal, "internal error"), "");
+    }
+  }
+
+  void Leave() {
+    const std::lock_guard<std::mutex> lock(mutex);
+    --in_flight;
+    drained.notify_all();
+  }
+
+  static MHD_Result OnAccess(void* self, MHD_Connection* connection, const char* url,
+                             const char* method, const char* /*version*/, const char* data,
+                             size_t* data_size, void** user) {
+    auto* state = static_cast<State*>(self);
+    auto* exchange = static_cast<Exchange*>(*user);
+    if (exchange == nullptr) {
+      exchange = new Exchange;  // freed by OnCompleted
+      *user = exchange;
+      exchange->request.method = method;
+      exchange->request.path = url;
+      MHD_get_connection_values(connection, MHD_HEADER_KIND, &TakeValue,
+                                &exchange->request.headers);
+      MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &TakeValue,
+                                &exchange->request.query);
+      const std::lock_guard<std::mutex> lock(state->mutex);
+      ++state->in_flight;
+      exchange->counted = true;
+      return MHD_YES;
+    }
+    if (*data_size > 0) {
+      std::string& body = exchange->request.body;
+      if (body.size() + *data_size > state->options.max_body_bytes) {
+        exchange->too_large = true;
+        body.clear();
+      } else if (!exchange->too_large) {
+        body.append(data, *data_size);
+      }
+      *data_size = 0;
+      return MHD_YES;
+    }
+    return Send(connection, state->Answer(*exchange), state->stopping.load());
+  }
+
+  static void OnCompleted(void* self, MHD_Connection* /*connection*/, void** user,
+                          MHD_RequestTerminationCode /*code*/) {
+    const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*user));
+    *user = nullptr;
+    if (exchange && exchange->counted) static_cast<State*>(self)->Leave();
+  }
+};
+
+std::string HttpRequest::header(const std::string& name) const { return Find(headers, name); }
+std::string HttpRequest::argument(const std::string& name) const { return Find(query, name); }
+
+HttpResponse ProblemResponse(const Error& error, const std::string& request_id,
+                             Duration retry_after) {
+  const ErrorAnswer& answer = AnswerFor(error.kind());
+  nlohmann::json body = {{"type", std::string("urn:turmericshift:error:") + answer.name},
+                         {"title", answer.name},
+                         {"status", answer.http_status},
+                         {"detail", error.what()},
+                         {"outcome", OutcomeName(error.outcome())},
+                         {"retryable", answer.retryable},
+                         {"advice", answer.advice}};
+  if (!request_id.empty()) body["request_id"] = request_id;
+  HttpResponse response;
+  response.status = answer.http_status;
+  response.headers.push_back({"Content-Type", "application/problem+json"});
+  if (retry_after > Duration::zero()) {
+    body["retry_after_ms"] = duration_cast<std::chrono::milliseconds>(retry_after).count();
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after).count();
+    response.headers.push_back({"Retry-After", std::to_string(seconds)});
+  }
+  response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return response;
+}
+
+HttpResponse JsonResponse(const std::string& json, int status) {
+  return {status, json, {{"Content-Type", "application/json"}}};
+}
+
+HttpServer::HttpServer(const HttpServerOptions& options, Handler handler)
+    : state_(std::make_unique<State>()) {
+  state_->options = options;
+  state_->handler = std::move(handler);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(options.port));
+  if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+    throw Error(ErrorKind::kInvalidInput, options.address + " is not an IPv4 address");
+  }
+  const unsigned flags =
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
+  state_->daemon = MHD_start_daemon(
+      flags, 0, nullptr, nullptr, &State::OnAccess, state_.get(), MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_NOTIFY_COMPLETED, &State::OnCompleted, state_.get(), MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned>(options.max_connections), MHD_OPTION_CONNECTION_TIMEOUT,
+      static_cast<unsigned>(options.idle_timeout.count()), MHD_OPTION_THREAD_STACK_SIZE,
+      options.stack_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (state_->daemon == nullptr) {
+    throw Error(ErrorKind::kUnavailable,
+                "can't listen on " + options.address + ":" + std::to_string(options.port));
+  }
+  port_ = MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+HttpServer::~HttpServer() { MHD_stop_daemon(state_->daemon); }
+
+int HttpServer::in_flight() const {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  return state_->in_flight;
+}
+
+void HttpServer::StopAccepting() {
+  if (state_->stopping.exchange(true)) return;
+  const MHD_socket listener = MHD_quiesce_daemon(state_->daemon);
+  if (listener != MHD_INVALID_SOCKET) close(listener);
+}
+
+bool HttpServer::Drain(Duration limit) {
+  std::unique_lock<std::mutex> lock(state_->mutex);
+  return state_->drained.wait_for(lock, limit, [this] { return state_->in_flight == 0; });
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/core/logging.cc
@@ -0,0 +1,51 @@
+#include "core/logging.h"
+
+#include <glog/logging.h>
+
+#include <mutex>
+
+#include "core/clock.h"
+
+namespace turmericshift {
+namespace {
+
+LogIdentity& Identity() {
+  static LogIdentity identity;
+  return identity;
+}
+
+}  // namespace
+
+void InitLogging(const char* program, const LogIdentity& identity) {
+  Identity() = identity;
+  FLAGS_log_prefix = false;
+  FLAGS_logtostderr = true;
+  static std::once_flag once;
+  std::call_once(once, [program] { google::InitGoogleLogging(program); });
+}
+
+void LogEvent(LogLevel level, const std::string& event, const nlohmann::json& fields) {
+  static constexpr const char* kNames[] = {"info", "warning", "error"};
+  nlohmann::json line = {{"time_ms", DefaultClock().WallMillis()},
+                         {"level", kNames[static_cast<int>(level)]},
+                         {"event", event}};
+  const LogIdentity& identity = Identity();
+  if (!identity.role.empty()) line["role"] = identity.role;
+  if (!identity.process.empty()) line["process"] = identity.process;
+  if (!identity.availability_zone.empty()) line["zone"] = identity.availability_zone;
+  line.update(fields);
+  const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  switch (level) {
+    case LogLevel::kInfo:
+      LOG(INFO) << text;
+      break;
+    case LogLevel::kWarning:
+      LOG(WARNING) << text;
+      break;
+    case LogLevel::kError:
+      LOG(ERROR) << text;
+      break;
+  }
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/main/demo.cc
@@ -0,0 +1,150 @@
+// The demo: one deployment's document, gang jobs, requests, and a zone out and in, in this process.
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "core/http_client.h"
+#include "core/logging.h"
+#include "core/secret.h"
+#include "main/commands.h"
+#include "main/dev_cluster.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr size_t kTokenBytes = 16;
+constexpr Duration kStepLimit = std::chrono::seconds(30);
+constexpr Duration kPollPause = std::chrono::milliseconds(50);
+constexpr const char* kDefaultDocument = "examples/potkocsi/environment.ini";
+
+std::string ReadDocument(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw Error(ErrorKind::kInvalidInput, "can't read " + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+struct Client {
+  std::string url;
+  std::string token;
+
+  nlohmann::json Call(const std::string& method, const std::string& path,
+                      const std::string& body = "") const {
+    HttpCall call;
+    call.method = method;
+    call.url = url + path;
+    call.body = body;
+    call.headers = {{"Authorization", "Bearer " + token}};
+    const HttpReply reply = PerformHttp(call);
+    if (reply.status >= 400) {
+      throw Error(ErrorKind::kUnavailable, method + " " + path + ": " + reply.body);
+    }
+    return nlohmann::json::parse(reply.body, nullptr, false);
+  }
+};
+
+// Waits until `holds` returns true. Throws Error(kDeadlineExceeded) that names `what`.
+template <typename Condition>
+void Await(const std::string& what, Condition holds) {
+  const Time limit = DefaultClock().Now() + kStepLimit;
+  while (!holds()) {
+    if (DefaultClock().Now() > limit) throw Error(ErrorKind::kDeadlineExceeded, what);
+    std::this_thread::sleep_for(kPollPause);
+  }
+}
+
+void SubmitAndAwait(const Client& caller, const std::string& workspace, const std::string& key,
+                    int tasks, int accelerators) {
+  const nlohmann::json job = {{"key", key},         {"workspace", workspace},
+                              {"tasks", tasks},     {"accelerators", accelerators},
+                              {"processors", 2},    {"memory", "4GiB"},
+                              {"payload", "300ms"}, {"declared_run_time", "1s"}};
+  const Time begun = DefaultClock().Now();
+  caller.Call("POST", "/v1/jobs", job.dump());
+  nlohmann::json shown;
+  Await("job " + key + " did not end", [&] {
+    shown = caller.Call("GET", "/v1/jobs/" + key);
+    return shown.at("state") == "done" || shown.at("state") == "failed";
+  });
+  std::printf("  job %-14s %d tasks of %d accelerators: %s in %s after %.2f s\n", key.c_str(),
+              tasks, accelerators, shown.at("state").get<std::string>().c_str(),
+              shown.at("zone").get<std::string>().c_str(), Seconds(DefaultClock().Now() - begun));
+}
+
+// Gives the workspaces of the document tokens known to this run, in place of the ones kept by the
+// deployment's own operators.
+std::string WithDemoToken(const std::string& text, const std::string& workspace,
+                          const std::string& token) {
+  std::istringstream lines(text);
+  std::string line;
+  std::string result;
+  bool inside = false;
+  while (std::getline(lines, line)) {
+    if (line.rfind('[', 0) == 0) inside = line == "[workspace " + workspace + "]";
+    if (inside && line.rfind("token_hashes", 0) == 0) {
+      line = "token_hashes = " + HashToken(token);
+    }
+    result += line + "\n";
+  }
+  return result;
+}
+
+}  // namespace
+
+ExitCode RunDemo(const Words& words) {
+  InitLogging("turmericshift", {"demo", "demo", ""});
+  const std::string path = words.empty() ? kDefaultDocument : words[0];
+  const std::string original = ReadDocument(path);
+  const Environment environment = ParseEnvironment(path, original);
+  const std::string workspace = environment.workspaces.begin()->first;
+  const std::string service = environment.services.begin()->first;
+  const std::string token = RandomHex(kTokenBytes);
+  DevOptions options;
+  options.environment_text = WithDemoToken(original, workspace, token);
+  options.operator_token = RandomHex(kTokenBytes);
+  DevCluster cluster(options);
+  std::printf("%s: %zu entries, %zu agents with a worker and a target each\n",
+              environment.deployment.c_str(), cluster.entries().size(), cluster.agents().size());
+
+  const Client operators{cluster.OperatorUrl(0), options.operator_token};
+  const Client caller{cluster.CallerUrl(1), token};
+  operators.Call("POST", "/v1/config?parent=0&author=demo", options.environment_text);
+  const auto in_force = [&](int64_t version) {
+    for (const DevAgent& agent : cluster.agents()) {
+      if (agent.server->guard().config_version() < version) return false;
+    }
+    return true;
+  };
+  const Time published = DefaultClock().Now();
+  Await("the document did not come into force", [&] { return in_force(1); });
+  std::printf("  document version 1 in force at every agent after %.2f s\n",
+              Seconds(DefaultClock().Now() - published));
+  Await("the entry did not get ready", [&] { return cluster.entries()[1].server->ready(); });
+
+  SubmitAndAwait(caller, workspace, "weekly-boxes", 2, 4);
+  SubmitAndAwait(caller, workspace, "recipe-batch", 2, 8);
+  const std::string answer =
+      PerformHttp({"POST",
+                   caller.url + "/v1/services/" + service + "/plan",
+                   {{"Authorization", "Bearer " + token}, {"Idempotency-Key", "order-1"}},
+                   "which pouch is next?"})
+          .body;
+  std::printf("  request answered: '%s'\n", answer.c_str());
+
+  const std::string zone = cluster.entries()[0].zone;
+  operators.Call("POST", "/v1/zones/" + zone + "/out?author=demo");
+  Await("the zone did not go out", [&] { return in_force(2); });
+  std::printf("  availability zone %s is out\n", zone.c_str());
+  SubmitAndAwait(caller, workspace, "while-out", 1, 8);
+  operators.Call("POST", "/v1/zones/" + zone + "/in?author=demo");
+  Await("the zone did not come in", [&] { return in_force(3); });
+  std::printf("  availability zone %s is in again\n", zone.c_str());
+  SubmitAndAwait(caller, workspace, "after-return", 1, 8);
+  std::printf("all done\n");
+  return ExitCode::kDone;
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/main/dev_cluster.h
@@ -0,0 +1,84 @@
+// A whole system in one process on loopback: log, entries, agents, workers and targets. What a
+// newcomer runs first and what tests drive.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "modules/stand_ins/fake_target.h"
+#include "modules/stand_ins/fake_worker.h"
+#include "modules/stand_ins/log_server.h"
+#include "modules/stand_ins/memory_log.h"
+#include "rpc/gate_listener.h"
+#include "rpc/rpc_entry_connector.h"
+#include "servers/agent/agent_server.h"
+#include "servers/entry/entry_server.h"
+
+namespace turmericshift {
+
+struct DevOptions {
+  // Workers, racks and zones are taken from this document.
+  std::string environment_text;
+  std::string operator_token;
+  std::string placement_policy = "first_fit";
+  // Over HTTP, or handed to the entries directly.
+  bool log_over_http = true;
+};
+
+struct DevEntry {
+  std::string name;
+  std::string zone;
+  std::unique_ptr<LogService> log;
+  std::unique_ptr<EntryServer> server;
+  std::unique_ptr<GateListener> gate;
+};
+
+struct DevAgent {
+  std::string name;
+  std::string zone;
+  std::unique_ptr<FakeWorker> worker;
+  std::unique_ptr<FakeTarget> target;
+  std::unique_ptr<TargetService> target_client;
+  std::unique_ptr<RpcEntryConnector> connector;
+  std::unique_ptr<AgentServer> server;
+};
+
+class DevCluster {
+ public:
+  // Starts one entry for each availability zone and one agent for each worker of the document.
+  explicit DevCluster(const DevOptions& options);
+  ~DevCluster();
+  DevCluster(const DevCluster&) = delete;
+  DevCluster& operator=(const DevCluster&) = delete;
+
+  // Stops the entry at once, as if its machine had gone, or starts it anew.
+  void StopEntry(size_t index);
+  void StartEntry(size_t index);
+  void StopAgent(size_t index);
+  void StartAgent(size_t index);
+
+  MemoryLog& log() { return log_; }
+  std::vector<DevEntry>& entries() { return entries_; }
+  std::vector<DevAgent>& agents() { return agents_; }
+  MetricsRegistry& metrics() { return metrics_; }
+
+  // "http://127.0.0.1:port" of an entry's caller or operator address.
+  std::string CallerUrl(size_t entry) const;
+  std::string OperatorUrl(size_t entry) const;
+
+ private:
+  std::vector<std::string> EntryAddresses() const;
+
+  const DevOptions options_;
+  const Environment environment_;
+  const SharedKeys keys_;
+  MetricsRegistry metrics_;
+  MemoryLog log_;
+  std::unique_ptr<LogServer> log_server_;
+  std::vector<DevEntry> entries_;
+  std::vector<DevAgent> agents_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/main/register_modules.cc
@@ -0,0 +1,17 @@
+#include "main/register_modules.h"
+
+#include "modules/http_log/register_types.h"
+#include "modules/http_target/register_types.h"
+#include "modules/placement/register_types.h"
+#include "modules/routing/register_types.h"
+
+namespace turmericshift {
+
+void RegisterModules() {
+  RegisterHttpLogTypes();
+  RegisterHttpTargetTypes();
+  RegisterPlacementTypes();
+  RegisterRoutingTypes();
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/modules/placement/first_fit.h
@@ -0,0 +1,14 @@
+// The baseline: jobs in order of arrival, each on the first workers that have room; the first job
+// that does not fit holds up the rest.
+#pragma once
+
+#include "servers/planner/placement_policy.h"
+
+namespace turmericshift {
+
+class FirstFit : public PlacementPolicy {
+ public:
+  Plan Decide(const ZoneView& view, Time now) override;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/rpc/agent_service.cc
@@ -0,0 +1,104 @@
+#include "rpc/agent_service.h"
+
+#include "rpc/convert.h"
+#include "rpc/offload.h"
+
+namespace turmericshift {
+namespace {
+
+// How long the control steps may take inside the agent.
+constexpr Duration kStepTimeout = std::chrono::seconds(5);
+
+class AgentService final : public wire::Agent::Server {
+ public:
+  AgentService(AgentPort* agent, AgentPools* pools) : agent_(agent), pools_(pools) {}
+
+  kj::Promise<void> serve(ServeContext context) override {
+    auto request = std::make_shared<ServiceRequest>(Read(context.getParams().getRequest()));
+    context.releaseParams();
+    AgentPort* agent = agent_;
+    return Offload<ServiceAnswer>(&pools_->requests,
+                                  [agent, request] { return agent->Serve(*request); })
+        .then([context](Attempt<ServiceAnswer> attempt) mutable {
+          auto results = context.getResults();
+          if (attempt.error) return Write(*attempt.error, results.initFailure());
+          Write(*attempt.value, results.initAnswer());
+        });
+  }
+
+  kj::Promise<void> cancel(CancelContext context) override {
+    const std::string id = context.getParams().getRequestId().cStr();
+    AgentPort* agent = agent_;
+    return Offload<bool>(&pools_->control,
+                         [agent, id] {
+                           agent->Cancel(id);
+                           return true;
+                         })
+        .ignoreResult();
+  }
+
+  kj::Promise<void> resolve(ResolveContext context) override {
+    const SeenQuestion question = Read(context.getParams().getQuestion());
+    AgentPort* agent = agent_;
+    return Offload<SeenAnswer>(&pools_->control,
+                               [agent, question] { return agent->Resolve(question, kStepTimeout); })
+        .then([context](Attempt<SeenAnswer> attempt) mutable {
+          auto results = context.getResults();
+          if (attempt.error) return Write(*attempt.error, results.initFailure());
+          Write(*attempt.value, results.initAnswer());
+        });
+  }
+
+  kj::Promise<void> reserve(ReserveContext context) override {
+    const GangReserve step = Read(context.getParams().getReserve());
+    AgentPort* agent = agent_;
+    return Step(context, [agent, step] { agent->Reserve(step, kStepTimeout); });
+  }
+
+  kj::Promise<void> start(StartContext context) override {
+    const GangStart step = Read(context.getParams().getStart());
+    AgentPort* agent = agent_;
+    return Step(context, [agent, step] { agent->Start(step, kStepTimeout); });
+  }
+
+  kj::Promise<void> release(ReleaseContext context) override {
+    return Act(context, &AgentPort::Release);
+  }
+  kj::Promise<void> renew(RenewContext context) override { return Act(context, &AgentPort::Renew); }
+  kj::Promise<void> stop(StopContext context) override { return Act(context, &AgentPort::Stop); }
+  kj::Promise<void> forget(ForgetContext context) override {
+    return Act(context, &AgentPort::Forget);
+  }
+
+ private:
+  // A step on the control pool, answered with a failure or nothing.
+  template <typename Context>
+  kj::Promise<void> Step(Context context, std::function<void()> step) {
+    return Offload<bool>(&pools_->control,
+                         [step = std::move(step)] {
+                           step();
+                           return true;
+                         })
+        .then([context](Attempt<bool> attempt) mutable {
+          if (attempt.error) Write(*attempt.error, context.getResults().initFailure());
+        });
+  }
+
+  template <typename Context>
+  kj::Promise<void> Act(Context context, void (AgentPort::*call)(const GangAction&, Duration)) {
+    const GangAction action = Read(context.getParams().getAction());
+    AgentPort* agent = agent_;
+    return Step(context, [agent, call, action] { (agent->*call)(action, kStepTimeout); });
+  }
+
+  AgentPort* const agent_;
+  AgentPools* const pools_;
+};
+
+}  // namespace
+
+wire::Agent::Client MakeAgentService(AgentPort* agent, AgentPools* pools) {
+  return kj::heap<AgentService>(agent, pools);
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/rpc/convert.h
@@ -0,0 +1,46 @@
+// Between the plain messages of servers/ports and their Cap'n Proto forms. Reading checks what a
+// faulty or hostile peer could get wrong and throws Error(kInvalidInput).
+#pragma once
+
+#include <peer.capnp.h>
+
+#include "core/error.h"
+#include "servers/ports/messages.h"
+
+namespace turmericshift {
+
+void Write(const AgentHello& from, wire::AgentHello::Builder to);
+AgentHello Read(wire::AgentHello::Reader from);
+
+void Write(const ServiceRequest& from, wire::ServiceRequest::Builder to);
+ServiceRequest Read(wire::ServiceRequest::Reader from);
+
+void Write(const ServiceAnswer& from, wire::ServiceAnswer::Builder to);
+ServiceAnswer Read(wire::ServiceAnswer::Reader from);
+
+void Write(const SeenQuestion& from, wire::SeenQuestion::Builder to);
+SeenQuestion Read(wire::SeenQuestion::Reader from);
+
+void Write(const SeenAnswer& from, wire::SeenAnswer::Builder to);
+SeenAnswer Read(wire::SeenAnswer::Reader from);
+
+void Write(const GangReserve& from, wire::GangReserve::Builder to);
+GangReserve Read(wire::GangReserve::Reader from);
+
+void Write(const GangStart& from, wire::GangStart::Builder to);
+GangStart Read(wire::GangStart::Reader from);
+
+void Write(const GangAction& from, wire::GangAction::Builder to);
+GangAction Read(wire::GangAction::Reader from);
+
+void Write(const AgentBeat& from, wire::AgentBeat::Builder to);
+AgentBeat Read(wire::AgentBeat::Reader from);
+
+void Write(const EntryBeat& from, wire::EntryBeat::Builder to);
+EntryBeat Read(wire::EntryBeat::Reader from);
+
+void Write(const Error& from, wire::Failure::Builder to);
+// Throws the Error that `from` carries, if it carries one.
+void ThrowIfFailed(wire::Failure::Reader from);
+
+}  // namespace turmericshift
--- /dev/null
+++ b/rpc/gate_listener.cc
@@ -0,0 +1,176 @@
+#include "rpc/gate_listener.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <peer.capnp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "core/error.h"
+#include "core/logging.h"
+#include "core/secret.h"
+#include "rpc/convert.h"
+#include "rpc/offload.h"
+#include "rpc/rpc_agent_port.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr size_t kNonceBytes = 16;
+constexpr int kPollMillis = 100;
+constexpr int kBacklog = 512;
+constexpr int kPoolThreads = 16;
+constexpr Duration kHeartbeatTimeout = std::chrono::seconds(3);
+
+// What an agent calls once it is let in.
+class EntrySessionService final : public wire::EntrySession::Server {
+ public:
+  EntrySessionService(std::shared_ptr<EntryPort> port, ThreadPool* pool)
+      : port_(std::move(port)), pool_(pool) {}
+
+  kj::Promise<void> heartbeat(HeartbeatContext context) override {
+    auto beat = std::make_shared<AgentBeat>(Read(context.getParams().getBeat()));
+    std::shared_ptr<EntryPort> port = port_;
+    return Offload<EntryBeat>(pool_,
+                              [port, beat] { return port->Heartbeat(*beat, kHeartbeatTimeout); })
+        .then([context](Attempt<EntryBeat> attempt) mutable {
+          auto results = context.getResults();
+          if (attempt.error) return Write(*attempt.error, results.initFailure());
+          Write(*attempt.value, results.initBeat());
+        });
+  }
+
+ private:
+  const std::shared_ptr<EntryPort> port_;
+  ThreadPool* const pool_;
+};
+
+class GateService final : public wire::Gate::Server {
+ public:
+  GateService(Session* session, EntryGate* gate, const SharedKeys& keys, ThreadPool* pool)
+      : session_(session), gate_(gate), keys_(keys), pool_(pool) {}
+
+  kj::Promise<void> challenge(ChallengeContext context) override {
+    nonce_ = RandomHex(kNonceBytes);
+    auto results = context.getResults();
+    results.setNonce(nonce_);
+    // The peer's nonce is bound to the role, so that a proof can't be played back at its maker.
+    const std::string peer_nonce = context.getParams().getNonce().cStr();
+    results.setProof(Prove(keys_.keys.front(), "entry:" + peer_nonce));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> openAgent(OpenAgentContext context) override {
+    auto params = context.getParams();
+    auto results = context.getResults();
+    if (!Proved(params.getProof().cStr())) {
+      LogEvent(LogLevel::kWarning, "session_refused", {{"reason", "wrong key"}});
+      Write(Error(ErrorKind::kUnauthenticated, "the proof does not fit any shared key"),
+            results.initFailure());
+      return kj::READY_NOW;
+    }
+    try {
+      auto agent = std::make_shared<RpcAgentPort>(session_->shared_from_this(), params.getAgent());
+      auto port = gate_->OpenAgent(Read(params.getHello()), agent);
+      results.setSession(kj::heap<EntrySessionService>(std::move(port), pool_));
+    } catch (const Error& error) {
+      Write(error, results.initFailure());
+    }
+    return kj::READY_NOW;
+  }
+
+ private:
+  // Each nonce serves one attempt.
+  bool Proved(const std::string& proof) {
+    const std::string nonce = std::exchange(nonce_, "");
+    if (nonce.empty()) return false;
+    return std::any_of(keys_.keys.begin(), keys_.keys.end(), [&](const std::string& key) {
+      return ProofHolds(key, "agent:" + nonce, proof);
+    });
+  }
+
+  Session* const session_;
+  EntryGate* const gate_;
+  const SharedKeys keys_;
+  ThreadPool* const pool_;
+  std::string nonce_;
+};
+
+int Listen(const std::string& text, int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  const bool valid = inet_pton(AF_INET, text.c_str(), &address.sin_addr) == 1;
+  if (!valid || bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+      listen(fd, kBacklog) != 0) {
+    close(fd);
+    throw Error(ErrorKind::kUnavailable, "can't listen on " + text + ":" + std::to_string(port));
+  }
+  return fd;
+}
+
+int BoundPort(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
+}  // namespace
+
+GateListener::GateListener(const GateOptions& options, EntryGate* gate)
+    : options_(options), gate_(gate), pool_("gate", kPoolThreads) {
+  if (options.keys.keys.empty()) throw Error(ErrorKind::kInvalidInput, "no shared key is set");
+  listener_ = Listen(options.address, options.port);
+  port_ = BoundPort(listener_);
+  thread_ = Thread("gate-accept", [this] { Accept(); });
+}
+
+GateListener::~GateListener() {
+  stopping_.store(true);
+  thread_.Join();
+  close(listener_);
+  std::vector<std::weak_ptr<Session>> sessions;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    sessions.swap(sessions_);
+  }
+  for (const auto& weak : sessions) {
+    if (const auto session = weak.lock()) {
+      session->Close();
+      session->WaitClosed();
+    }
+  }
+}
+
+void GateListener::Accept() {
+  while (!stopping_.load()) {
+    pollfd waiting{listener_, POLLIN, 0};
+    if (poll(&waiting, 1, kPollMillis) <= 0) continue;
+    const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (fd >= 0) Admit(fd);
+  }
+}
+
+void GateListener::Admit(int fd) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::erase_if(sessions_, [](const std::weak_ptr<Session>& weak) { return weak.expired(); });
+  if (static_cast<int>(sessions_.size()) >= options_.max_sessions) {
+    LogEvent(LogLevel::kWarning, "session_refused", {{"reason", "too many sessions"}});
+    close(fd);
+    return;
+  }
+  sessions_.push_back(Session::Open(fd, Session::Side::kAccepting, "agent-session",
+                                    [this](Session* session) -> capnp::Capability::Client {
+                                      return kj::heap<GateService>(session, gate_, options_.keys,
+                                                                   &pool_);
+                                    }));
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/rpc/rpc_agent_port.h
@@ -0,0 +1,34 @@
+// An agent behind a session, as the entry calls it.
+#pragma once
+
+#include <peer.capnp.h>
+
+#include <memory>
+
+#include "rpc/session.h"
+#include "servers/ports/agent_port.h"
+
+namespace turmericshift {
+
+class RpcAgentPort : public AgentPort {
+ public:
+  // Made on the session's thread.
+  RpcAgentPort(std::shared_ptr<Session> session, wire::Agent::Client client);
+  ~RpcAgentPort() override;
+
+  ServiceAnswer Serve(const ServiceRequest& request) override;
+  void Cancel(const std::string& request_id) override;
+  SeenAnswer Resolve(const SeenQuestion& question, Duration timeout) override;
+  void Reserve(const GangReserve& reserve, Duration timeout) override;
+  void Start(const GangStart& start, Duration timeout) override;
+  void Release(const GangAction& action, Duration timeout) override;
+  void Renew(const GangAction& action, Duration timeout) override;
+  void Stop(const GangAction& action, Duration timeout) override;
+  void Forget(const GangAction& action, Duration timeout) override;
+
+ private:
+  const std::shared_ptr<Session> session_;
+  std::unique_ptr<wire::Agent::Client> client_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/rpc/rpc_entry_connector.cc
@@ -0,0 +1,156 @@
+#include "rpc/rpc_entry_connector.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/attempt.h"
+#include "core/error.h"
+#include "core/secret.h"
+#include "core/units.h"
+#include "rpc/convert.h"
+#include "rpc/session.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr int kConnectMillis = 2000;
+constexpr Duration kOpenTimeout = std::chrono::seconds(5);
+constexpr size_t kNonceBytes = 16;
+constexpr int kControlThreads = 8;
+
+int ConnectSocket(const PeerAddress& peer) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(peer.port));
+  if (inet_pton(AF_INET, peer.ip.c_str(), &address.sin_addr) != 1) {
+    throw Error(ErrorKind::kInvalidInput, peer.ip + " is not an IPv4 address");
+  }
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int begun = connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (begun != 0) {
+    pollfd waiting{fd, POLLOUT, 0};
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    const bool answered = errno == EINPROGRESS && poll(&waiting, 1, kConnectMillis) == 1 &&
+                          getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) == 0;
+    if (!answered || failure != 0) {
+      close(fd);
+      throw Error(ErrorKind::kUnavailable,
+                  "no entry at " + peer.ip + ":" + std::to_string(peer.port));
+    }
+  }
+  return fd;
+}
+
+class RpcEntryPort final : public EntryPort {
+ public:
+  RpcEntryPort(std::shared_ptr<Session> session, std::unique_ptr<wire::EntrySession::Client> client)
+      : session_(std::move(session)), client_(std::move(client)) {}
+
+  ~RpcEntryPort() override {
+    session_->Release(std::move(client_));
+    session_->Close();
+    session_->WaitClosed();
+  }
+
+  EntryBeat Heartbeat(const AgentBeat& beat, Duration timeout) override {
+    return session_
+        ->Call(
+            [&] {
+              auto call = client_->heartbeatRequest();
+              Write(beat, call.initBeat());
+              return call.send().then([](auto&& response) {
+                return AttemptOf<EntryBeat>([&] {
+                  ThrowIfFailed(response.getFailure());
+                  return Read(response.getBeat());
+                });
+              });
+            },
+            timeout)
+        .Take();
+  }
+
+ private:
+  const std::shared_ptr<Session> session_;
+  std::unique_ptr<wire::EntrySession::Client> client_;
+};
+
+using SessionClient = wire::EntrySession::Client;
+// On the heap, since a capability is made, used and dropped on its own loop's thread.
+using OpenResult = Attempt<std::unique_ptr<SessionClient>>;
+
+OpenResult ReadOpened(wire::Gate::OpenAgentResults::Reader opened) {
+  return AttemptOf<std::unique_ptr<SessionClient>>([&] {
+    ThrowIfFailed(opened.getFailure());
+    return std::make_unique<SessionClient>(opened.getSession());
+  });
+}
+
+bool KnowsKey(const SharedKeys& keys, const std::string& nonce, const std::string& proof) {
+  return std::any_of(keys.keys.begin(), keys.keys.end(), [&](const std::string& key) {
+    return ProofHolds(key, "entry:" + nonce, proof);
+  });
+}
+
+// Both proofs in one go; runs on the session's loop.
+kj::Promise<OpenResult> OpenSession(Session* session, const SharedKeys& keys,
+                                    const AgentHello& hello, wire::Agent::Client agent) {
+  auto gate = session->Bootstrap().castAs<wire::Gate>();
+  const std::string nonce = RandomHex(kNonceBytes);
+  auto challenge = gate.challengeRequest();
+  challenge.setNonce(nonce);
+  return challenge.send().then([gate, nonce, keys, hello,
+                                agent](auto&& answer) mutable -> kj::Promise<OpenResult> {
+    if (!KnowsKey(keys, nonce, answer.getProof().cStr())) {
+      OpenResult refused;
+      refused.error.emplace(ErrorKind::kUnauthenticated, "the entry does not know the shared key");
+      return kj::mv(refused);
+    }
+    auto open = gate.openAgentRequest();
+    open.setProof(Prove(keys.keys.front(), std::string("agent:") + answer.getNonce().cStr()));
+    Write(hello, open.initHello());
+    open.setAgent(kj::mv(agent));
+    return open.send().then([](auto&& opened) { return ReadOpened(opened); });
+  });
+}
+
+}  // namespace
+
+PeerAddress ParsePeerAddress(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    throw Error(ErrorKind::kInvalidInput, "'" + text + "' is not IP:port");
+  }
+  return {text.substr(0, colon), static_cast<int>(ParseInteger(text.substr(colon + 1), 1, 65535))};
+}
+
+RpcEntryConnector::RpcEntryConnector(const SharedKeys& keys, int max_requests)
+    : keys_(keys), pools_{{"request", max_requests}, {"control", kControlThreads}} {
+  if (keys.keys.empty()) throw Error(ErrorKind::kInvalidInput, "no shared key is set");
+}
+
+std::shared_ptr<EntryPort> RpcEntryConnector::Connect(const std::string& address,
+                                                      const AgentHello& hello, AgentPort* agent) {
+  const int fd = ConnectSocket(ParsePeerAddress(address));
+  const std::shared_ptr<Session> session =
+      Session::Open(fd, Session::Side::kConnecting, "entry-session", nullptr);
+  try {
+    OpenResult opened = session->Call(
+        [&] { return OpenSession(session.get(), keys_, hello, MakeAgentService(agent, &pools_)); },
+        kOpenTimeout);
+    return std::make_shared<RpcEntryPort>(session, opened.Take());
+  } catch (...) {
+    session->Close();
+    session->WaitClosed();
+    throw;
+  }
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/rpc/session.cc
@@ -0,0 +1,123 @@
+#include "rpc/session.h"
+
+#include <kj/io.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "core/logging.h"
+#include "core/thread.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr size_t kSessionStackBytes = size_t{256} * 1024;
+
+}  // namespace
+
+Error ErrorFromRpc(const kj::Exception& exception) {
+  const std::string what = exception.getDescription().cStr();
+  switch (exception.getType()) {
+    case kj::Exception::Type::OVERLOADED:
+      return {ErrorKind::kDeadlineExceeded, Outcome::kUnknown, "the peer did not answer: " + what};
+    case kj::Exception::Type::DISCONNECTED:
+      return {ErrorKind::kConnectionLost, Outcome::kUnknown, "the session is lost: " + what};
+    case kj::Exception::Type::UNIMPLEMENTED:
+    case kj::Exception::Type::FAILED:
+      break;
+  }
+  return {ErrorKind::kInternal, Outcome::kUnknown, "the call failed: " + what};
+}
+
+std::shared_ptr<Session> Session::Open(int fd, Side side, const std::string& thread_name,
+                                       const MakeBootstrap& make_bootstrap) {
+  const std::shared_ptr<Session> session(new Session);
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  Thread thread(
+      thread_name, [session, fd, side, make_bootstrap] { session->Run(fd, side, make_bootstrap); },
+      kSessionStackBytes);
+  thread.Detach();
+  std::unique_lock<std::mutex> lock(session->mutex_);
+  session->changed_.wait(lock, [&session] { return session->started_ || session->ended_; });
+  return session;
+}
+
+Session::~Session() = default;
+
+void Session::Run(int fd, Side side, const MakeBootstrap& make_bootstrap) {
+  try {
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    auto stream = io.lowLevelProvider->wrapSocketFd(kj::AutoCloseFd(fd));
+    auto stop = kj::newPromiseAndFulfiller<void>();
+    kj::Maybe<capnp::Capability::Client> bootstrap;
+    if (make_bootstrap) bootstrap = make_bootstrap(this);
+    const auto wire_side = side == Side::kConnecting ? capnp::rpc::twoparty::Side::CLIENT
+                                                     : capnp::rpc::twoparty::Side::SERVER;
+    kj::Own<capnp::TwoPartyClient> client;
+    KJ_IF_MAYBE (capability, bootstrap) {
+      client = kj::heap<capnp::TwoPartyClient>(*stream, kj::mv(*capability), wire_side);
+    } else {
+      client = kj::heap<capnp::TwoPartyClient>(*stream);
+    }
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      executor_ = kj::getCurrentThreadExecutor().addRef();
+      timer_ = &io.provider->getTimer();
+      client_ = client.get();
+      stop_ = stop.fulfiller.get();
+      started_ = true;
+    }
+    changed_.notify_all();
+    client->onDisconnect().exclusiveJoin(kj::mv(stop.promise)).wait(io.waitScope);
+    closed_.store(true);
+  } catch (const kj::Exception& exception) {
+    closed_.store(true);
+    LogEvent(LogLevel::kWarning, "session_failed", {{"error", exception.getDescription().cStr()}});
+  }
+  std::function<void()> callback;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ended_ = true;
+    callback = std::move(on_closed_);
+  }
+  changed_.notify_all();
+  if (callback) callback();
+}
+
+const kj::Executor& Session::executor() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (!started_ || ended_) throw Error(ErrorKind::kConnectionLost, "the session has ended");
+  return *executor_;
+}
+
+capnp::Capability::Client Session::Bootstrap() { return client_->bootstrap(); }
+
+void Session::Close() {
+  if (closed_.exchange(true)) return;
+  try {
+    executor().executeSync([this] { stop_->fulfill(); });
+  } catch (const kj::Exception&) {
+    // The loop has ended by itself meanwhile.
+  } catch (const Error&) {
+    // As above.
+  }
+}
+
+void Session::WaitClosed() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait(lock, [this] { return ended_; });
+}
+
+void Session::OnClosed(std::function<void()> callback) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!ended_) {
+      on_closed_ = std::move(callback);
+      return;
+    }
+  }
+  callback();
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/agent/agent_server.cc
@@ -0,0 +1,196 @@
+#include "servers/agent/agent_server.h"
+
+#include <utility>
+
+#include "core/attempt.h"
+#include "core/digest.h"
+#include "core/error.h"
+#include "core/logging.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
+constexpr Duration kReconnectPause = std::chrono::milliseconds(500);
+constexpr size_t kMaxCancelled = 1000;
+
+}  // namespace
+
+AgentServer::AgentServer(const AgentOptions& options, EntryConnector* connector,
+                         TargetService* target, WorkerService* worker, MetricsRegistry* metrics)
+    : options_(options),
+      connector_(connector),
+      target_(target),
+      served_(&metrics->counter("agent_requests_served")),
+      refused_(&metrics->counter("agent_requests_refused")),
+      limiter_(options.slots, options.connections),
+      guard_(options.hello.zone) {
+  if (worker != nullptr) {
+    gangs_ = std::make_unique<GangHost>(options.hello.worker, worker, &guard_);
+    expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
+  }
+  Learn(options.entries);
+}
+
+AgentServer::~AgentServer() {
+  std::vector<Thread> sessions;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+    sessions.swap(sessions_);
+  }
+  changed_.notify_all();
+  for (Thread& session : sessions) session.Join();
+  expiry_.Join();
+}
+
+ServiceAnswer AgentServer::Serve(const ServiceRequest& request) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (leaving_.load()) throw Error(ErrorKind::kLeaving, "the target is leaving");
+    ++serving_;
+  }
+  Attempt<ServiceAnswer> attempt = AttemptOf<ServiceAnswer>([&] { return Run(request); });
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    --serving_;
+  }
+  changed_.notify_all();
+  (attempt.error ? refused_ : served_)->Add();
+  return attempt.Take();
+}
+
+ServiceAnswer AgentServer::Run(const ServiceRequest& request) {
+  if (target_ == nullptr || request.service != options_.hello.service) {
+    throw Error(ErrorKind::kNotFound, "this agent does not serve '" + request.service + "'");
+  }
+  if (Digest(request.body) != request.body_digest) {
+    throw Error(ErrorKind::kInvalidInput, "the body was damaged on its way here");
+  }
+  const Time deadline = DefaultClock().Now() + request.time_left;
+  const SlotLimiter::Slot slot = limiter_.Acquire(deadline);
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (cancelled_.erase(request.request_id) != 0) {
+      throw Error(ErrorKind::kCancelled, "the caller has gone");
+    }
+  }
+  const bool fenced = !request.idempotency_key.empty();
+  if (fenced) ledger_.Begin(request);
+  ServiceRequest to_target = request;
+  to_target.time_left = deadline - DefaultClock().Now();
+  try {
+    ServiceAnswer answer = target_->Perform(to_target);
+    answer.request_id = request.request_id;
+    if (fenced) ledger_.Finish(request, answer);
+    answer.load = limiter_.load();
+    return answer;
+  } catch (const Error& error) {
+    if (fenced && error.outcome() == Outcome::kNotRun) ledger_.Abandon(request);
+    if (fenced && error.outcome() != Outcome::kNotRun) ledger_.Lose(request);
+    throw;
+  }
+}
+
+void AgentServer::Cancel(const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  // Ids of requests that have ended already are never asked for again; they must not pile up.
+  if (cancelled_.size() >= kMaxCancelled) cancelled_.clear();
+  cancelled_.insert(request_id);
+}
+
+SeenAnswer AgentServer::Resolve(const SeenQuestion& question, Duration /*timeout*/) {
+  return ledger_.Resolve(question);
+}
+
+void AgentServer::Reserve(const GangReserve& reserve, Duration /*timeout*/) {
+  if (leaving_.load()) throw Error(ErrorKind::kLeaving, "the worker is leaving");
+  RequireWorker().Reserve(reserve, DefaultClock().Now());
+}
+
+void AgentServer::Start(const GangStart& start, Duration /*timeout*/) {
+  RequireWorker().Start(start, DefaultClock().Now());
+}
+
+void AgentServer::Release(const GangAction& action, Duration /*timeout*/) {
+  RequireWorker().Release(action, DefaultClock().Now());
+}
+
+void AgentServer::Renew(const GangAction& action, Duration /*timeout*/) {
+  RequireWorker().Renew(action, DefaultClock().Now());
+}
+
+void AgentServer::Stop(const GangAction& action, Duration /*timeout*/) {
+  RequireWorker().Stop(action, DefaultClock().Now());
+}
+
+void AgentServer::Forget(const GangAction& action, Duration /*timeout*/) {
+  RequireWorker().Forget(action, DefaultClock().Now());
+}
+
+bool AgentServer::Leave(Duration limit) {
+  leaving_.store(true);
+  LogEvent(LogLevel::kInfo, "agent_leaving");
+  std::unique_lock<std::mutex> lock(mutex_);
+  return changed_.wait_for(lock, limit, [this] { return serving_ == 0; });
+}
+
+GangHost& AgentServer::RequireWorker() {
+  if (!gangs_) throw Error(ErrorKind::kNotFound, "no worker stands beside this agent");
+  return *gangs_;
+}
+
+void AgentServer::Learn(const std::vector<std::string>& entries) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const std::string& entry : entries) {
+    if (stopping_ || static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
+    if (!known_entries_.insert(entry).second) continue;
+    sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
+  }
+}
+
+void AgentServer::RunSession(const std::string& address) {
+  do {
+    try {
+      const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
+      LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
+      KeepSession(port.get());
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
+    }
+  } while (!Pause(kReconnectPause));
+}
+
+void AgentServer::KeepSession(EntryPort* port) {
+  do {
+    const Time sent = DefaultClock().Now();
+    const EntryBeat beat = port->Heartbeat(MakeBeat(), options_.heartbeat_timeout);
+    guard_.Hear(beat, sent);
+    Learn(beat.entries);
+  } while (!Pause(options_.heartbeat));
+}
+
+AgentBeat AgentServer::MakeBeat() const {
+  AgentBeat beat;
+  beat.load = limiter_.load();
+  beat.config_version = guard_.config_version();
+  beat.leaving = leaving_.load();
+  if (gangs_) {
+    beat.tasks = gangs_->reports();
+    beat.planner_epoch = gangs_->epoch();
+  }
+  return beat;
+}
+
+void AgentServer::RunExpiry() {
+  do {
+    gangs_->Expire(DefaultClock().Now());
+  } while (!Pause(kExpiryPeriod));
+}
+
+bool AgentServer::Pause(Duration duration) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  return changed_.wait_for(lock, duration, [this] { return stopping_; });
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/agent/agent_server.h
@@ -0,0 +1,92 @@
+// The agent: the process beside one target or worker. Serves entries' calls and keeps a session
+// with each entry it knows.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/thread.h"
+#include "servers/agent/gang_host.h"
+#include "servers/agent/request_ledger.h"
+#include "servers/agent/slot_limiter.h"
+#include "servers/agent/start_guard.h"
+#include "servers/platform/target_service.h"
+#include "servers/ports/entry_port.h"
+
+namespace turmericshift {
+
+struct AgentOptions {
+  AgentHello hello;
+  // Entries to begin with, "IP:port"; others are learned from them.
+  std::vector<std::string> entries;
+  int max_sessions = 3;
+  int slots = 8;
+  int connections = 64;
+  Duration heartbeat = std::chrono::milliseconds(1000);
+  Duration heartbeat_timeout = std::chrono::milliseconds(3000);
+};
+
+class AgentServer : public AgentPort {
+ public:
+  // `target` and `worker` may be null when there is none. All must outlive the server.
+  AgentServer(const AgentOptions& options, EntryConnector* connector, TargetService* target,
+              WorkerService* worker, MetricsRegistry* metrics);
+  ~AgentServer() override;
+  AgentServer(const AgentServer&) = delete;
+  AgentServer& operator=(const AgentServer&) = delete;
+
+  ServiceAnswer Serve(const ServiceRequest& request) override;
+  void Cancel(const std::string& request_id) override;
+  SeenAnswer Resolve(const SeenQuestion& question, Duration timeout) override;
+  void Reserve(const GangReserve& reserve, Duration timeout) override;
+  void Start(const GangStart& start, Duration timeout) override;
+  void Release(const GangAction& action, Duration timeout) override;
+  void Renew(const GangAction& action, Duration timeout) override;
+  void Stop(const GangAction& action, Duration timeout) override;
+  void Forget(const GangAction& action, Duration timeout) override;
+
+  // Announces that it leaves, takes no new work, and waits until what runs has ended, at most
+  // `limit`. Returns whether all ended.
+  bool Leave(Duration limit);
+
+  const StartGuard& guard() const { return guard_; }
+
+ private:
+  void RunSession(const std::string& address);
+  void KeepSession(EntryPort* port);
+  void RunExpiry();
+  // Starts a session thread for each entry not yet known, up to the limit.
+  void Learn(const std::vector<std::string>& entries);
+  bool Pause(Duration duration);
+  AgentBeat MakeBeat() const;
+  GangHost& RequireWorker();
+  ServiceAnswer Run(const ServiceRequest& request);
+
+  const AgentOptions options_;
+  EntryConnector* const connector_;
+  TargetService* const target_;
+  Counter* const served_;
+  Counter* const refused_;
+  SlotLimiter limiter_;
+  RequestLedger ledger_;
+  StartGuard guard_;
+  std::unique_ptr<GangHost> gangs_;
+  std::atomic<bool> leaving_{false};
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool stopping_ = false;
+  int serving_ = 0;
+  std::set<std::string> known_entries_;
+  std::set<std::string> cancelled_;
+  std::vector<Thread> sessions_;
+  Thread expiry_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/config/environment.cc
@@ -0,0 +1,203 @@
+#include "servers/config/environment.h"
+
+#include <array>
+#include <sstream>
+
+#include "core/error.h"
+#include "core/ini.h"
+#include "core/units.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr std::array<const char*, kCellLevelCount> kLevelNames = {"accelerator", "pair", "half",
+                                                                  "worker", "rack"};
+constexpr int kMaxWorkersPerZone = 10000;
+constexpr int kMaxCells = 100000;
+
+// "2 worker, 1 half" as counts by level.
+std::vector<CellCount> ParseGuarantee(const std::string& text) {
+  std::vector<CellCount> cells;
+  std::istringstream parts(text);
+  std::string part;
+  while (std::getline(parts, part, ',')) {
+    std::istringstream words(part);
+    std::string count;
+    std::string level;
+    std::string rest;
+    words >> count >> level;
+    if (count.empty() || level.empty() || (words >> rest)) {
+      throw Error(ErrorKind::kInvalidInput,
+                  "'" + text + "' is not a list of cells such as '2 worker, 1 half'");
+    }
+    const int number = static_cast<int>(ParseInteger(count, 0, kMaxCells));
+    cells.push_back({CellLevelFromName(level), number});
+  }
+  return cells;
+}
+
+IniKey IntKey(const std::string& name, bool required, int64_t low, int64_t high, int* target) {
+  return {name, required, [=](const std::string& value) {
+            *target = static_cast<int>(ParseInteger(value, low, high));
+          }};
+}
+
+IniKey ShareKey(const std::string& name, double* target) {
+  return {name, false, [=](const std::string& value) { *target = ParseNumber(value, 0, 1); }};
+}
+
+IniKey DurationKey(const std::string& name, Duration* target) {
+  return {name, false, [=](const std::string& value) { *target = ParseDuration(value); }};
+}
+
+// A space-separated list of "salt$hash".
+IniKey HashesKey(const std::string& name, std::vector<std::string>* target) {
+  return {name, false, [=](const std::string& value) {
+            std::istringstream words(value);
+            std::string word;
+            while (words >> word) {
+              if (word.find('$') == std::string::npos) {
+                throw Error(ErrorKind::kInvalidInput, "expected salted hashes, salt$hash");
+              }
+              target->push_back(word);
+            }
+          }};
+}
+
+void BindEnvironment(const IniSection& section, Environment* environment, IniFile* file) {
+  BindSection(
+      section,
+      {{"deployment", true, [=](const std::string& value) { environment->deployment = value; }},
+       HashesKey("operator_token_hashes", &environment->operator_token_hashes),
+       DurationKey("reclaim_bound", &environment->bounds.reclaim),
+       DurationKey("zone_out_bound", &environment->bounds.zone_out),
+       DurationKey("lease", &environment->bounds.lease)},
+      file);
+}
+
+void BindZone(const IniSection& section, Environment* environment, IniFile* file) {
+  AvailabilityZoneSpec zone;
+  zone.name = section.label;
+  const auto assign_state = [&zone](const std::string& value) {
+    if (value != "in" && value != "out") {
+      throw Error(ErrorKind::kInvalidInput, "'" + value + "' is not in or out");
+    }
+    zone.in = value == "in";
+  };
+  BindSection(
+      section,
+      {{"state", true, assign_state},
+       IntKey("workers", true, 0, kMaxWorkersPerZone, &zone.workers),
+       IntKey("workers_per_rack", true, 1, kMaxWorkersPerZone, &zone.workers_per_rack),
+       IntKey("processors_per_worker", true, 1, 4096, &zone.worker.processors),
+       IntKey("accelerators_per_worker", true, 0, 32, &zone.worker.accelerators),
+       {"memory_per_worker", true,
+        [&zone](const std::string& value) { zone.worker.memory_bytes = ParseBytes(value); }}},
+      file);
+  environment->zones[zone.name] = zone;
+}
+
+void BindWorkspace(const IniSection& section, Environment* environment, IniFile* file) {
+  WorkspaceSpec workspace;
+  workspace.name = section.label;
+  BindSection(
+      section,
+      {HashesKey("token_hashes", &workspace.token_hashes),
+       {"guarantee", true,
+        [&workspace](const std::string& value) { workspace.guarantee = ParseGuarantee(value); }},
+       IntKey("accelerator_cap", true, 0, 1 << 20, &workspace.accelerator_cap),
+       ShareKey("objective_plans_on_time", &workspace.objectives.plans_on_time),
+       ShareKey("objective_requests_answered", &workspace.objectives.requests_answered),
+       ShareKey("objective_starts_within_bound", &workspace.objectives.starts_within_bound)},
+      file);
+  environment->workspaces[workspace.name] = workspace;
+}
+
+void BindService(const IniSection& section, Environment* environment, IniFile* file) {
+  ServiceSpec service;
+  service.name = section.label;
+  BindSection(section,
+              {IntKey("slots", false, 1, 4096, &service.slots),
+               IntKey("connections", false, 1, 65536, &service.connections),
+               {"repeatable", false,
+                [&service](const std::string& value) { service.repeatable = ParseBool(value); }}},
+              file);
+  environment->services[service.name] = service;
+}
+
+void BindAny(const IniSection& section, Environment* environment, IniFile* file) {
+  if (section.kind == "environment") return BindEnvironment(section, environment, file);
+  if (section.label.empty()) {
+    file->problems.push_back({section.line, "[" + section.kind + "]", "section needs a name"});
+    return;
+  }
+  if (section.kind == "availability_zone") return BindZone(section, environment, file);
+  if (section.kind == "workspace") return BindWorkspace(section, environment, file);
+  if (section.kind == "service") return BindService(section, environment, file);
+  RefuseSection(section, "environment, availability_zone, workspace, service", file);
+}
+
+template <typename Spec>
+const Spec* Find(const std::map<std::string, Spec>& specs, const std::string& name) {
+  const auto found = specs.find(name);
+  return found == specs.end() ? nullptr : &found->second;
+}
+
+}  // namespace
+
+const char* CellLevelName(CellLevel level) { return kLevelNames.at(static_cast<size_t>(level)); }
+
+CellLevel CellLevelFromName(const std::string& name) {
+  for (size_t index = 0; index < kLevelNames.size(); ++index) {
+    if (name == kLevelNames[index]) return static_cast<CellLevel>(index);
+  }
+  throw Error(ErrorKind::kInvalidInput,
+              "'" + name + "' is no cell; expected accelerator, pair, half, worker or rack");
+}
+
+const AvailabilityZoneSpec* Environment::FindZone(const std::string& name) const {
+  return Find(zones, name);
+}
+const WorkspaceSpec* Environment::FindWorkspace(const std::string& name) const {
+  return Find(workspaces, name);
+}
+const ServiceSpec* Environment::FindService(const std::string& name) const {
+  return Find(services, name);
+}
+
+Environment ParseEnvironment(const std::string& name, const std::string& text) {
+  IniFile file = ParseIni(name, text);
+  Environment environment;
+  // By index: binding appends problems to the file, never sections.
+  for (size_t index = 0; index < file.sections.size(); ++index) {
+    const IniSection section = file.sections[index];
+    BindAny(section, &environment, &file);
+  }
+  if (environment.deployment.empty()) {
+    file.problems.push_back({0, "[environment] deployment", "missing"});
+  }
+  if (environment.zones.empty()) {
+    file.problems.push_back({0, "[availability_zone …]", "at least one is needed"});
+  }
+  file.ThrowIfProblems();
+  return environment;
+}
+
+std::string WithZoneState(const std::string& text, const std::string& zone, bool in) {
+  std::istringstream lines(text);
+  std::string line;
+  std::string result;
+  bool inside = false;
+  bool found = false;
+  while (std::getline(lines, line)) {
+    if (line.rfind('[', 0) == 0) inside = line.rfind("[availability_zone " + zone + "]", 0) == 0;
+    const bool is_state = inside && line.rfind("state", 0) == 0;
+    if (is_state) line = std::string("state = ") + (in ? "in" : "out");
+    found = found || is_state;
+    result += line + "\n";
+  }
+  if (!found) throw Error(ErrorKind::kNotFound, "no availability zone named '" + zone + "'");
+  return result;
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/agent_directory.cc
@@ -0,0 +1,73 @@
+#include "servers/entry/agent_directory.h"
+
+namespace turmericshift {
+
+void AgentDirectory::Open(const AgentHello& hello, std::shared_ptr<AgentPort> port, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  AgentState& state = agents_[hello.process];
+  const int outstanding = state.outstanding;
+  state = {hello, std::move(port), {}, now, outstanding};
+}
+
+void AgentDirectory::Heard(const AgentHello& hello, const AgentBeat& beat, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(hello.process);
+  if (found == agents_.end() || found->second.hello.incarnation != hello.incarnation) return;
+  found->second.beat = beat;
+  found->second.heard = now;
+}
+
+void AgentDirectory::Answered(const std::string& agent, const TargetLoad& load) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(agent);
+  if (found != agents_.end()) found->second.beat.load = load;
+}
+
+void AgentDirectory::AddOutstanding(const std::string& agent, int change) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(agent);
+  if (found != agents_.end()) found->second.outstanding += change;
+}
+
+std::vector<std::string> AgentDirectory::Sweep(Time now, Duration limit) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<std::string> gone;
+  for (auto agent = agents_.begin(); agent != agents_.end();) {
+    if (now - agent->second.heard <= limit) {
+      ++agent;
+      continue;
+    }
+    gone.push_back(agent->first);
+    agent = agents_.erase(agent);
+  }
+  return gone;
+}
+
+std::vector<TargetCandidate> AgentDirectory::Candidates(const std::string& service, Time now,
+                                                        Duration limit) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<TargetCandidate> result;
+  for (const auto& [name, agent] : agents_) {
+    const bool open = agent.hello.service == service && !agent.beat.leaving;
+    if (!open || now - agent.heard > limit) continue;
+    result.push_back({name, agent.hello.zone, agent.beat.load, agent.outstanding});
+  }
+  return result;
+}
+
+std::vector<AgentState> AgentDirectory::Agents(const std::string& zone) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<AgentState> result;
+  for (const auto& [name, agent] : agents_) {
+    if (zone.empty() || agent.hello.zone == zone) result.push_back(agent);
+  }
+  return result;
+}
+
+AgentState AgentDirectory::Find(const std::string& agent) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(agent);
+  return found == agents_.end() ? AgentState{} : found->second;
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/caller_api.cc
@@ -0,0 +1,170 @@
+#include "servers/entry/caller_api.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "core/digest.h"
+#include "core/error.h"
+#include "core/logging.h"
+#include "core/secret.h"
+#include "core/units.h"
+#include "servers/entry/entry_server.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr const char* kServicesPrefix = "/v1/services/";
+constexpr const char* kJobsPath = "/v1/jobs";
+constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+constexpr Duration kLongestDeadline = std::chrono::minutes(10);
+constexpr Duration kRecordTimeout = std::chrono::seconds(5);
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+constexpr size_t kRequestIdBytes = 8;
+constexpr size_t kMaxKeyBytes = 200;
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.rfind(prefix, 0) == 0;
+}
+
+Duration DeadlineOf(const HttpRequest& request) {
+  const std::string header = request.header("Deadline");
+  if (header.empty()) return kDefaultDeadline;
+  return std::min(ParseDuration(header), kLongestDeadline);
+}
+
+nlohmann::json JobJson(const JobRecord& job, int64_t running_attempt, const std::string& why) {
+  nlohmann::json json = {
+      {"job", job.id},          {"state", JobStateName(job.state)},      {"zone", job.zone},
+      {"attempt", job.attempt}, {"submitted_ms", job.submitted_wall_ms}, {"spec", job.spec}};
+  if (!job.reason.empty()) json["reason"] = job.reason;
+  if (job.ended_wall_ms != 0) json["ended_ms"] = job.ended_wall_ms;
+  if (job.state != JobState::kWaiting) return json;
+  if (running_attempt != 0) {
+    json["state"] = JobStateName(JobState::kRunning);
+    json["attempt"] = running_attempt;
+  } else {
+    json["waiting_for"] = why.empty() ? "its zone's planner has not looked at it yet" : why;
+  }
+  return json;
+}
+
+}  // namespace
+
+HttpResponse CallerApi::Handle(const HttpRequest& request) {
+  if (request.path == "/healthz") return {200, "ok\n", {}};
+  if (request.path == "/readyz") {
+    if (entry_->ready()) return {200, "ready\n", {}};
+    return {503, "not ready\n", {}};
+  }
+  const std::string workspace = entry_->tokens_.RequireWorkspace(request);
+  if (StartsWith(request.path, kServicesPrefix)) return HandleService(request, workspace);
+  if (StartsWith(request.path, kJobsPath)) return HandleJobs(request, workspace);
+  throw Error(ErrorKind::kNotFound, "no such path: " + request.path);
+}
+
+HttpResponse CallerApi::HandleService(const HttpRequest& request, const std::string& workspace) {
+  ServiceRequest service_request;
+  service_request.request_id = RandomHex(kRequestIdBytes);
+  try {
+    if (request.method != "POST") throw Error(ErrorKind::kInvalidInput, "use POST");
+    const std::string rest = request.path.substr(std::string(kServicesPrefix).size());
+    const size_t slash = rest.find('/');
+    service_request.workspace = workspace;
+    service_request.service = rest.substr(0, slash);
+    service_request.path = slash == std::string::npos ? "/" : rest.substr(slash);
+    service_request.content_type = request.header("Content-Type");
+    service_request.body = request.body;
+    service_request.body_digest = Digest(request.body);
+    service_request.time_left = DeadlineOf(request);
+    service_request.idempotency_key = request.header("Idempotency-Key");
+    if (service_request.idempotency_key.size() > kMaxKeyBytes) {
+      throw Error(ErrorKind::kInvalidInput, "the idempotency key is too long");
+    }
+    const ServiceAnswer answer = entry_->router_->Route(service_request);
+    HttpResponse response;
+    response.status = answer.status;
+    response.body = answer.body;
+    response.headers = {{"X-Request-Id", service_request.request_id},
+                        {"X-Body-Digest", answer.body_digest}};
+    if (!answer.content_type.empty()) {
+      response.headers.push_back({"Content-Type", answer.content_type});
+    }
+    return response;
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kInfo, "request_refused",
+             {{"request", service_request.request_id},
+              {"kind", AnswerFor(error.kind()).name},
+              {"outcome", OutcomeName(error.outcome())}});
+    return ProblemResponse(error, service_request.request_id,
+                           AnswerFor(error.kind()).retryable ? kRetryAfter : Duration::zero());
+  }
+}
+
+HttpResponse CallerApi::HandleJobs(const HttpRequest& request, const std::string& workspace) {
+  const std::string key = request.path.size() > std::string(kJobsPath).size()
+                              ? request.path.substr(std::string(kJobsPath).size() + 1)
+                              : "";
+  if (request.method == "POST" && key.empty()) return SubmitJob(request, workspace);
+  if (request.method == "GET" && !key.empty()) return ShowJob(workspace, key);
+  if (request.method == "DELETE" && !key.empty()) return CancelJob(workspace, key);
+  if (request.method == "GET") {
+    nlohmann::json list = nlohmann::json::array();
+    for (const JobRecord& job : entry_->job_fold_.List(workspace)) {
+      list.push_back(JobJson(job, entry_->planner_->RunningAttempt(job.id),
+                             entry_->planner_->WaitReasonFor(job.id)));
+    }
+    return JsonResponse(list.dump());
+  }
+  throw Error(ErrorKind::kInvalidInput, "use POST, GET or DELETE");
+}
+
+HttpResponse CallerApi::SubmitJob(const HttpRequest& request, const std::string& workspace) {
+  JobSubmitted record;
+  record.spec = ParseJobSpec(request.body);
+  if (record.spec.workspace != workspace) {
+    throw Error(ErrorKind::kForbidden, "the token is for workspace " + workspace);
+  }
+  const auto config = entry_->config_fold_.current();
+  record.id = NewRecordId();
+  record.config_version = config->version;
+  record.wall_ms = DefaultClock().WallMillis();
+  // The zone with the fewest open jobs among those allowed and in.
+  size_t fewest = 0;
+  for (const auto& [name, zone] : config->environment->zones) {
+    const std::vector<std::string>& allowed = record.spec.zones;
+    const bool may =
+        allowed.empty() || std::find(allowed.begin(), allowed.end(), name) != allowed.end();
+    if (!zone.in || !may) continue;
+    const size_t open = entry_->job_fold_.OpenJobs(name).size();
+    if (!record.zone.empty() && open >= fewest) continue;
+    record.zone = name;
+    fewest = open;
+  }
+  if (record.zone.empty()) {
+    throw Error(ErrorKind::kUnavailable, "no availability zone that the job allows is in");
+  }
+  const Written written = entry_->job_stream_.Write(record, kRecordTimeout);
+  const std::string id = JobId(workspace, record.spec.key);
+  LogEvent(LogLevel::kInfo, "job_accepted", {{"job", id}, {"zone", record.zone}});
+  const std::optional<JobRecord> job = entry_->job_fold_.Find(id);
+  return JsonResponse(JobJson(*job, 0, "").dump(), written.verdict.accepted ? 201 : 200);
+}
+
+HttpResponse CallerApi::ShowJob(const std::string& workspace, const std::string& key) {
+  const std::optional<JobRecord> job = entry_->job_fold_.Find(JobId(workspace, key));
+  if (!job) throw Error(ErrorKind::kNotFound, "no job '" + key + "' in this workspace");
+  return JsonResponse(JobJson(*job, entry_->planner_->RunningAttempt(job->id),
+                              entry_->planner_->WaitReasonFor(job->id))
+                          .dump());
+}
+
+HttpResponse CallerApi::CancelJob(const std::string& workspace, const std::string& key) {
+  const std::string id = JobId(workspace, key);
+  if (!entry_->job_fold_.Find(id)) {
+    throw Error(ErrorKind::kNotFound, "no job '" + key + "' in this workspace");
+  }
+  entry_->job_stream_.Write(JobCancelled{NewRecordId(), id}, kRecordTimeout);
+  return ShowJob(workspace, key);
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/caller_api.h
@@ -0,0 +1,26 @@
+// What callers may ask over HTTP: requests to services, and jobs of their own workspace.
+#pragma once
+
+#include "core/http_server.h"
+
+namespace turmericshift {
+
+class EntryServer;
+
+class CallerApi {
+ public:
+  explicit CallerApi(EntryServer* entry) : entry_(entry) {}
+  // Throws Error.
+  HttpResponse Handle(const HttpRequest& request);
+
+ private:
+  HttpResponse HandleService(const HttpRequest& request, const std::string& workspace);
+  HttpResponse HandleJobs(const HttpRequest& request, const std::string& workspace);
+  HttpResponse SubmitJob(const HttpRequest& request, const std::string& workspace);
+  HttpResponse ShowJob(const std::string& workspace, const std::string& key);
+  HttpResponse CancelJob(const std::string& workspace, const std::string& key);
+
+  EntryServer* const entry_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/entry_server.h
@@ -0,0 +1,90 @@
+// The entry: HTTP towards callers and operators, sessions with agents, folds of the log, and the
+// planner's duty for its zone.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/http_server.h"
+#include "core/metrics.h"
+#include "servers/entry/agent_directory.h"
+#include "servers/entry/request_router.h"
+#include "servers/entry/token_table.h"
+#include "servers/planner/planner_duty.h"
+#include "servers/ports/entry_port.h"
+#include "servers/state/config_fold.h"
+#include "servers/state/job_fold.h"
+#include "servers/state/member_fold.h"
+#include "servers/state/request_fold.h"
+#include "servers/state/stream_client.h"
+
+namespace turmericshift {
+
+struct EntryOptions {
+  std::string process;
+  std::string zone;
+  HttpServerOptions caller_http;
+  HttpServerOptions operator_http;
+  // Lets operators in before the first document; empty: none.
+  std::string operator_token;
+  std::string routing_policy = "two_choices";
+  std::string placement_policy = "first_fit";
+  uint64_t seed = 1;
+};
+
+class EntryServer : public EntryGate {
+ public:
+  // `log` must outlive the server. Serves when the constructor returns; ready() says whether it
+  // has read the log.
+  EntryServer(const EntryOptions& options, LogService* log, MetricsRegistry* metrics);
+  ~EntryServer() override;
+  EntryServer(const EntryServer&) = delete;
+  EntryServer& operator=(const EntryServer&) = delete;
+
+  std::shared_ptr<EntryPort> OpenAgent(const AgentHello& hello,
+                                       std::shared_ptr<AgentPort> agent) override;
+
+  // Where agents reach this entry; published to other entries and to agents.
+  void AnnounceAddress(const std::string& address);
+
+  int caller_port() const { return caller_http_->port(); }
+  int operator_port() const { return operator_http_->port(); }
+  bool ready() const;
+
+  // Stops gracefully: reports not ready, finishes what is in flight, leaves the members stream.
+  // Returns whether everything in flight ended within `limit`.
+  bool Leave(Duration limit);
+
+ private:
+  friend class CallerApi;
+  friend class OperatorApi;
+  class Port;
+
+  EntryBeat MakeBeat(const AgentBeat& beat) const;
+
+  const EntryOptions options_;
+  MetricsRegistry* const metrics_;
+  const std::string incarnation_;
+  std::atomic<bool> leaving_{false};
+  std::string address_;
+
+  ConfigFold config_fold_;
+  JobFold job_fold_;
+  RequestFold request_fold_;
+  MemberFold member_fold_;
+  StreamClient config_stream_;
+  StreamClient job_stream_;
+  StreamClient request_stream_;
+  StreamClient member_stream_;
+
+  AgentDirectory directory_;
+  TokenTable tokens_;
+  std::unique_ptr<RequestRouter> router_;
+  std::unique_ptr<PlannerDuty> planner_;
+  std::unique_ptr<HttpServer> caller_http_;
+  std::unique_ptr<HttpServer> operator_http_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/token_table.h
@@ -0,0 +1,33 @@
+// Who a bearer token belongs to, by the document's salted hashes.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "core/http_server.h"
+#include "servers/state/config_fold.h"
+
+namespace turmericshift {
+
+class TokenTable {
+ public:
+  explicit TokenTable(const ConfigFold* config);
+
+  // The workspace whose token the request carries. Throws Error(kUnauthenticated), or
+  // Error(kStale) before the first document.
+  std::string RequireWorkspace(const HttpRequest& request);
+  // Throws Error(kUnauthenticated) unless the request carries `bootstrap` or a token of the
+  // document's operators.
+  void RequireOperator(const HttpRequest& request, const std::string& bootstrap) const;
+
+ private:
+  const ConfigFold* const config_;
+  std::mutex mutex_;
+  int64_t cached_version_ = 0;
+  // By digest of the token, so that one hash is enough for a token that was seen before.
+  std::unordered_map<std::string, std::string> cache_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/planner/zone_view.h
@@ -0,0 +1,112 @@
+// What a planner knows about its availability zone, and what it may decide. Plain data: placement
+// policies read a view and return a plan; production and replay apply it in the same way.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "servers/config/environment.h"
+#include "servers/jobs/job.h"
+#include "servers/state/record.h"
+
+namespace turmericshift {
+
+struct WorkerView {
+  std::string name;
+  std::string rack;
+  TaskShape capacity;
+  // What no task holds or reserves. Bit i of the mask: accelerator i is free.
+  int free_processors = 0;
+  int64_t free_memory_bytes = 0;
+  uint32_t free_accelerators = 0;
+  // Reached, not quarantined, not leaving: new tasks may start here.
+  bool usable = true;
+};
+
+struct TaskOnWorker {
+  int task = 0;
+  std::string worker;
+  uint32_t accelerators = 0;
+};
+
+struct WaitingJob {
+  std::string id;
+  JobSpec spec;
+  // Order of arrival.
+  Sequence sequence = kNoSequence;
+  Time waiting_since{};
+  int64_t last_attempt = 0;
+  // Attempts that ended without the job's own fault or success (worker lost, preempted).
+  int restarts = 0;
+  std::string checkpoint;
+};
+
+struct RunningJob {
+  std::string id;
+  JobSpec spec;
+  Sequence sequence = kNoSequence;
+  int64_t attempt = 0;
+  Time started{};
+  // Work since then is lost if the job is stopped now.
+  Time last_checkpoint{};
+  // Runs on room that another workspace's guarantee may claim back.
+  bool borrowed = false;
+  // A stop was asked for; its room is coming free.
+  bool stopping = false;
+  // Least share of work done among its tasks, as last reported.
+  double progress = 0;
+  std::vector<TaskOnWorker> tasks;
+};
+
+struct ZoneView {
+  std::string zone;
+  // False while operators have taken it out.
+  bool in = true;
+  std::shared_ptr<const Environment> environment;
+  std::vector<WorkerView> workers;
+  std::vector<WaitingJob> waiting;
+  std::vector<RunningJob> running;
+};
+
+// Starts a gang; all of `tasks` or none.
+struct StartDecision {
+  std::string job;
+  int64_t attempt = 0;
+  bool borrowed = false;
+  std::vector<TaskOnWorker> tasks;
+};
+
+enum class StopReason { kCancelled, kReclaim, kDefragment, kZoneOut };
+const char* StopReasonName(StopReason reason);
+
+struct StopDecision {
+  std::string job;
+  int64_t attempt = 0;
+  bool checkpoint = false;
+  StopReason reason = StopReason::kReclaim;
+};
+
+// The job can never run here.
+struct RefuseDecision {
+  std::string job;
+  std::string reason;
+};
+
+// Why a job is still waiting, for people.
+struct WaitReason {
+  std::string job;
+  std::string reason;
+};
+
+struct Plan {
+  std::vector<StartDecision> starts;
+  std::vector<StopDecision> stops;
+  std::vector<RefuseDecision> refusals;
+  std::vector<WaitReason> waits;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/ports/messages.h
@@ -0,0 +1,155 @@
+// What the project's own processes say to each other, as plain types. rpc/ carries them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "servers/jobs/job.h"
+#include "servers/platform/worker_service.h"
+#include "servers/state/record.h"
+
+namespace turmericshift {
+
+// Who an agent is and what stands beside it.
+struct AgentHello {
+  // Stable name of the worker or target, from the settings.
+  std::string process;
+  // New at each start of the process; a claim names it, so a restarted agent is told apart.
+  std::string incarnation;
+  std::string zone;
+  std::string rack;
+  // The service that the target beside it offers; empty if none.
+  std::string service;
+  // What the worker beside it has; no processors if there is no worker.
+  TaskShape worker;
+};
+
+struct ServiceRequest {
+  // Chosen by the entry; the answer carries it back.
+  std::string request_id;
+  std::string workspace;
+  std::string service;
+  std::string path;
+  std::string content_type;
+  std::string body;
+  // Digest(body) as computed when the caller's body was read.
+  std::string body_digest;
+  // Time left until the caller's deadline, at the moment of sending.
+  Duration time_left{};
+  // Set for a request that may not be repeated: key, attempt and fence of its claim.
+  std::string idempotency_key;
+  int attempt = 0;
+  Sequence fence = kNoSequence;
+};
+
+// How busy a target is.
+struct TargetLoad {
+  int running = 0;
+  int queued = 0;
+  int slots = 0;
+};
+
+struct ServiceAnswer {
+  std::string request_id;
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  std::string body_digest;
+  TargetLoad load;
+};
+
+// Asks an agent about a key that another process claimed for it.
+struct SeenQuestion {
+  std::string workspace;
+  std::string idempotency_key;
+  int attempt = 0;
+  Sequence fence = kNoSequence;
+};
+
+enum class SeenState {
+  // The agent has not seen it and from now on never runs this attempt.
+  kNeverWillRun,
+  kRunning,
+  kRan,
+  // It ran or may have run, and the answer is no longer there.
+  kUnknown,
+};
+const char* SeenStateName(SeenState state);
+
+struct SeenAnswer {
+  SeenState state = SeenState::kUnknown;
+  // Set for kRan.
+  ServiceAnswer answer;
+};
+
+// One task of a gang on one worker.
+struct TaskPlacement {
+  int task = 0;
+  uint32_t accelerators = 0;
+};
+
+// The part of a gang that one agent is to hold, under a planner's epoch.
+struct GangReserve {
+  Sequence epoch = kNoSequence;
+  std::string job;
+  std::string workspace;
+  int64_t attempt = 0;
+  TaskShape shape;
+  std::vector<TaskPlacement> tasks;
+  // The reservation lapses by itself unless started within this time.
+  Duration hold = std::chrono::seconds(3);
+  bool checkpoints = false;
+  // The workspace's guarantee covers it, so it can't be reclaimed for another.
+  bool guaranteed = false;
+};
+
+struct GangStart {
+  Sequence epoch = kNoSequence;
+  std::string job;
+  int64_t attempt = 0;
+  std::string payload;
+  std::string checkpoint;
+};
+
+// Names one attempt, for release, renewal and stop.
+struct GangAction {
+  Sequence epoch = kNoSequence;
+  std::string job;
+  int64_t attempt = 0;
+  // For release and renewal: all members stop when this passes without another renewal.
+  Duration lease = std::chrono::seconds(10);
+  // For stop: save the work first.
+  bool checkpoint = false;
+};
+
+struct AgentBeat {
+  TargetLoad load;
+  int64_t config_version = 0;
+  bool leaving = false;
+  std::vector<TaskReport> tasks;
+  // Highest planner epoch this agent has obeyed.
+  Sequence planner_epoch = kNoSequence;
+};
+
+// What an entry knows about the log, passed on to agents.
+struct LogFreshness {
+  // Age of the newest read to the head of the config stream; negative: never.
+  Duration age{-1};
+  // The entry itself can't read the log at present.
+  bool failing = false;
+};
+
+struct EntryBeat {
+  int64_t config_version = 0;
+  // The document, only when newer than the agent's.
+  std::string config_text;
+  LogFreshness freshness;
+  // Addresses of entries, "IP:port".
+  std::vector<std::string> entries;
+  // The entry that holds the planner duty of the agent's zone, "" if unknown.
+  std::string planner_address;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/state/job_fold.h
@@ -0,0 +1,64 @@
+// All jobs and the planner epochs, as a fold of the jobs stream.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "servers/state/stream_client.h"
+
+namespace turmericshift {
+
+struct JobRecord {
+  std::string id;
+  JobSpec spec;
+  std::string zone;
+  // Position of the submission; the order of arrival.
+  Sequence sequence = kNoSequence;
+  int64_t config_version = 0;
+  int64_t submitted_wall_ms = 0;
+  bool cancel_asked = false;
+  // kWaiting until an end is recorded; whether it runs is known to agents and planners only.
+  JobState state = JobState::kWaiting;
+  int64_t attempt = 0;
+  std::string reason;
+  int64_t ended_wall_ms = 0;
+  // Left by the planner that the job was moved away from.
+  std::string checkpoint;
+};
+
+struct PlannerEpoch {
+  std::string process;
+  Sequence epoch = kNoSequence;
+};
+
+class JobFold : public Fold {
+ public:
+  FoldVerdict Apply(const Record& record, Sequence sequence) override;
+
+  std::optional<JobRecord> Find(const std::string& id) const;
+  // Jobs of `workspace` ("" for all), in order of arrival.
+  std::vector<JobRecord> List(const std::string& workspace) const;
+  // Jobs of the zone that have not ended.
+  std::vector<JobRecord> OpenJobs(const std::string& zone) const;
+  // The highest epoch claimed for a zone's planner.
+  PlannerEpoch Planner(const std::string& zone) const;
+  // Rises with each accepted record.
+  int64_t changes() const;
+
+ private:
+  FoldVerdict Take(const JobSubmitted& record, Sequence sequence);
+  FoldVerdict Take(const JobCancelled& record, Sequence sequence);
+  FoldVerdict Take(const JobEnded& record, Sequence sequence);
+  FoldVerdict Take(const JobMoved& record, Sequence sequence);
+  FoldVerdict Take(const PlannerClaimed& record, Sequence sequence);
+
+  mutable std::mutex mutex_;
+  int64_t changes_ = 0;
+  std::map<std::string, JobRecord> jobs_;
+  std::map<std::string, PlannerEpoch> planners_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/state/member_fold.h
@@ -0,0 +1,26 @@
+// Entries that have joined, as a fold of the members stream. Liveness is not here: that is heard
+// on sessions.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "servers/state/stream_client.h"
+
+namespace turmericshift {
+
+class MemberFold : public Fold {
+ public:
+  FoldVerdict Apply(const Record& record, Sequence sequence) override;
+
+  // Members that have not left, by process name.
+  std::vector<MemberJoined> members() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, MemberJoined> members_;
+};
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/state/record.h
@@ -0,0 +1,134 @@
+// Records of the project's streams in the platform's log. JSON, so that an operator can read a
+// stream; typed here. docs/DESIGN.md says why not Cap'n Proto.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "servers/jobs/job.h"
+#include "servers/platform/log_service.h"
+
+namespace turmericshift {
+
+// Total order of a stream's records: the entry's offset and the place inside its group.
+using Sequence = int64_t;
+inline constexpr Sequence kNoSequence = -1;
+inline constexpr int kMaxRecordsPerEntry = 4096;
+inline Sequence SequenceOf(Offset offset, int place) {
+  return offset * kMaxRecordsPerEntry + place;
+}
+
+// Every record has an id of its own, chosen by its writer; the first record of an id counts.
+
+struct ConfigPublished {
+  std::string id;
+  int64_t version = 0;
+  int64_t parent = 0;
+  std::string digest;
+  std::string text;
+  std::string author;
+  int64_t wall_ms = 0;
+};
+
+struct RequestClaimed {
+  std::string id;
+  std::string workspace;
+  std::string key;
+  std::string service;
+  std::string body_digest;
+  int attempt = 1;
+  // The target that may run it, and that process's incarnation.
+  std::string agent;
+  std::string incarnation;
+  int64_t wall_ms = 0;
+};
+
+struct RequestEnded {
+  std::string id;
+  std::string workspace;
+  std::string key;
+  int attempt = 1;
+  int status = 0;
+  std::string body;
+  std::string body_digest;
+};
+
+struct JobSubmitted {
+  std::string id;
+  JobSpec spec;
+  // The availability zone whose planner has the job.
+  std::string zone;
+  int64_t config_version = 0;
+  int64_t wall_ms = 0;
+};
+
+struct JobCancelled {
+  std::string id;
+  std::string job;
+};
+
+struct JobEnded {
+  std::string id;
+  std::string job;
+  int64_t attempt = 0;
+  JobState state = JobState::kDone;
+  std::string reason;
+  int64_t wall_ms = 0;
+};
+
+struct JobMoved {
+  std::string id;
+  std::string job;
+  std::string from;
+  std::string to;
+  // Epoch of the planner of `from` that lets go.
+  Sequence epoch = kNoSequence;
+  std::string checkpoint;
+};
+
+// Claims the planner's duty for a zone; the record's sequence is the epoch.
+struct PlannerClaimed {
+  std::string id;
+  std::string zone;
+  std::string process;
+};
+
+struct MemberJoined {
+  std::string id;
+  std::string process;
+  std::string role;
+  std::string zone;
+  // Where its peers reach it, "IP:port".
+  std::string address;
+  std::string incarnation;
+};
+
+struct MemberLeft {
+  std::string id;
+  std::string process;
+  std::string incarnation;
+};
+
+using Record =
+    std::variant<ConfigPublished, RequestClaimed, RequestEnded, JobSubmitted, JobCancelled,
+                 JobEnded, JobMoved, PlannerClaimed, MemberJoined, MemberLeft>;
+
+const std::string& RecordId(const Record& record);
+
+// A fresh id that no other record has.
+std::string NewRecordId();
+
+// One log entry from a group of records, at most kMaxRecordsPerEntry.
+std::string EncodeRecords(const std::vector<Record>& records);
+
+// The records of an entry. A record that can't be read is left out, the same way by every reader,
+// and its place still counts, so that sequences agree.
+struct PlacedRecord {
+  int place = 0;
+  Record record;
+};
+std::vector<PlacedRecord> DecodeRecords(const std::string& bytes);
+
+}  // namespace turmericshift
--- /dev/null
+++ b/tests/whole_path_test.cc
@@ -0,0 +1,17 @@
+// The whole path in one process: document, gang job, request, zone out and in.
+#include <gtest/gtest.h>
+
+#include "main/commands.h"
+#include "main/register_modules.h"
+
+namespace turmericshift {
+namespace {
+
+TEST(WholePathTest, DemoRunsBothDeployments) {
+  RegisterModules();
+  EXPECT_EQ(RunDemo({"examples/potkocsi/environment.ini"}), ExitCode::kDone);
+  EXPECT_EQ(RunDemo({"examples/thistle-and-rind/environment.ini"}), ExitCode::kDone);
+}
+
+}  // namespace
+}  // namespace turmericshift
