Bench: Add benchmark suites as plug-ins and one table of figures

Cause: figures were to come from as many programs as there are measurements, so no change could give before and after from one command. No suite is registered yet.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,10 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
 
+# All suites; the table on standard output, the same figures as JSON in the build folder.
+bench: build
+	$(BUILD)/turmericshift bench --json $(BUILD)/bench.json
+
 build: install-packages
 	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
 	cmake --build $(BUILD) -j $(JOBS)
--- a/main/commands.cc
+++ b/main/commands.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "main/bench.h"
 #include "servers/config/environment.h"
 
 namespace turmericshift {
@@ -24,6 +25,7 @@
       {"demo", "run a whole system in this process and show jobs, requests and a zone out",
        &RunDemo},
       {"config", "check an environment document", &RunConfig},
+      {"bench", "run the benchmarks and print one table of figures", &RunBench},
       {"version", "print the version", &RunVersion},
   };
   return commands;
