Servers: Stop streams side by side

Cause: an entry ended its four streams one after another, each after a long-poll of up to a second. Change: all are told first; the dev cluster stops its processes side by side.

--- a/main/dev_cluster.cc
+++ b/main/dev_cluster.cc
@@ -53,8 +53,17 @@
 }
 
 DevCluster::~DevCluster() {
-  for (DevAgent& agent : agents_) agent.server.reset();
-  for (size_t index = 0; index < entries_.size(); ++index) StopEntry(index);
+  // Side by side, since each waits for what is in flight.
+  {
+    std::vector<Thread> stops;
+    for (DevAgent& agent : agents_) {
+      stops.emplace_back("stop-agent", [&agent] { agent.server.reset(); });
+    }
+  }
+  std::vector<Thread> stops;
+  for (size_t index = 0; index < entries_.size(); ++index) {
+    stops.emplace_back("stop-entry", [this, index] { StopEntry(index); });
+  }
 }
 
 void DevCluster::StopEntry(size_t index) {
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -63,6 +63,9 @@
   caller_http_.reset();
   operator_http_.reset();
   planner_.reset();
+  for (StreamClient* stream : {&config_stream_, &job_stream_, &request_stream_, &member_stream_}) {
+    stream->BeginStop();
+  }
 }
 
 std::shared_ptr<EntryPort> EntryServer::OpenAgent(const AgentHello& hello,
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -39,13 +39,17 @@
 }
 
 StreamClient::~StreamClient() {
+  BeginStop();
+  writer_.Join();
+  reader_.Join();
+}
+
+void StreamClient::BeginStop() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stopping_ = true;
   }
   changed_.notify_all();
-  writer_.Join();
-  reader_.Join();
 }
 
 Written StreamClient::Write(const Record& record, Duration timeout) {
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -64,6 +64,10 @@
   // unknown; Error(kOverloaded) when too many records wait already.
   Written Write(const Record& record, Duration timeout);
 
+  // Tells both threads to end without waiting for them, so that several streams end side by side
+  // and not one long-poll after another.
+  void BeginStop();
+
   StreamView view() const;
   // Waits until the view has been fresh once; returns whether it has.
   bool WaitUntilFresh(Duration limit);
