History: Log what the checks of a history need

Cause: the daemons' lines did not say what ran where, what the caller was told, or when members of a gang began and stopped, so no promise could be checked from a log. Change: request_run, request_ran and request_answered (with outcome, took_ms and the key's tag, never the key), gang_planned, gang_released, gang_stopped, gang_forgotten with worker and zone, job_started with waited_ms, job_stopped with reason, job_ended with took_ms, config_in_force and config_accepted with digest and zones out.

--- a/core/digest.cc
+++ b/core/digest.cc
@@ -17,4 +17,8 @@
   return text.data();
 }
 
+std::string KeyTag(const std::string& workspace, const std::string& key) {
+  return key.empty() ? "" : Digest(workspace + "/" + key);
+}
+
 }  // namespace turmericshift
--- a/core/digest.h
+++ b/core/digest.h
@@ -8,4 +8,7 @@
 
 std::string Digest(std::string_view bytes);
 
+// Names an idempotency key in logs without giving it away; "" for no key.
+std::string KeyTag(const std::string& workspace, const std::string& key);
+
 }  // namespace turmericshift
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -24,9 +24,10 @@
       served_(&metrics->counter("agent_requests_served")),
       refused_(&metrics->counter("agent_requests_refused")),
       limiter_(options.slots, options.connections),
-      guard_(options.hello.zone) {
+      guard_(options.hello.zone, options.hello.process) {
   if (worker != nullptr) {
-    gangs_ = std::make_unique<GangHost>(options.hello.worker, worker, &guard_);
+    gangs_ =
+        std::make_unique<GangHost>(options.hello.worker, worker, &guard_, options.hello.process);
     expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
   }
   Learn(options.entries);
@@ -79,9 +80,19 @@
   if (fenced) ledger_.Begin(request);
   ServiceRequest to_target = request;
   to_target.time_left = deadline - DefaultClock().Now();
+  // History checks rest on these two lines: what ran here, and what it answered.
+  const nlohmann::json run = {{"request", request.request_id},
+                              {"workspace", request.workspace},
+                              {"key_tag", KeyTag(request.workspace, request.idempotency_key)},
+                              {"attempt", request.attempt},
+                              {"agent", options_.hello.process}};
+  LogEvent(LogLevel::kInfo, "request_run", run);
   try {
     ServiceAnswer answer = target_->Perform(to_target);
     answer.request_id = request.request_id;
+    nlohmann::json ran = run;
+    ran["answer_digest"] = answer.body_digest;
+    LogEvent(LogLevel::kInfo, "request_ran", ran);
     if (fenced) ledger_.Finish(request, answer);
     answer.load = limiter_.load();
     return answer;
--- a/servers/agent/gang_host.cc
+++ b/servers/agent/gang_host.cc
@@ -14,8 +14,9 @@
 
 }  // namespace
 
-GangHost::GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard)
-    : capacity_(capacity), worker_(worker), guard_(guard) {}
+GangHost::GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard,
+                   const std::string& name)
+    : capacity_(capacity), worker_(worker), guard_(guard), name_(name) {}
 
 void GangHost::Reserve(const GangReserve& reserve, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -65,7 +66,7 @@
     for (const TaskPlacement& task : part.reserve.tasks) {
       worker_->Release({action.job, action.attempt, task.task});
     }
-    LogEvent(LogLevel::kInfo, "gang_released", {{"job", action.job}, {"attempt", action.attempt}});
+    LogMember("gang_released", action.job, part);
   }
   part.phase = Phase::kRunning;
   part.until = now + action.lease;
@@ -92,6 +93,7 @@
     return;
   }
   StopTasks(action.job, found->second, action.checkpoint);
+  LogMember("gang_stopped", action.job, found->second);
   found->second.phase = Phase::kStopping;
 }
 
@@ -103,6 +105,7 @@
   for (const TaskPlacement& task : found->second.reserve.tasks) {
     worker_->Forget({action.job, action.attempt, task.task});
   }
+  LogMember("gang_forgotten", action.job, found->second);
   parts_.erase(found);
 }
 
@@ -119,11 +122,21 @@
     }
     LogEvent(LogLevel::kWarning, "gang_lease_expired", {{"job", part->first}});
     StopTasks(part->first, part->second, part->second.reserve.checkpoints);
+    LogMember("gang_stopped", part->first, part->second);
     part->second.phase = Phase::kStopping;
     ++part;
   }
 }
 
+void GangHost::LogMember(const char* event, const std::string& job, const Part& part) const {
+  LogEvent(LogLevel::kInfo, event,
+           {{"job", job},
+            {"attempt", part.reserve.attempt},
+            {"worker", name_},
+            {"zone", guard_->zone()},
+            {"tasks", part.reserve.tasks.size()}});
+}
+
 std::vector<TaskReport> GangHost::reports() const { return worker_->Report(); }
 
 Sequence GangHost::epoch() const {
--- a/servers/agent/gang_host.h
+++ b/servers/agent/gang_host.h
@@ -17,7 +17,9 @@
 class GangHost {
  public:
   // `worker` and `guard` must outlive the host.
-  GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard);
+  // `name` is the worker's, for log lines.
+  GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard,
+           const std::string& name = "");
 
   void Reserve(const GangReserve& reserve, Time now);
   void Start(const GangStart& start, Time now);
@@ -47,10 +49,13 @@
   Part& RequirePart(const std::string& job, int64_t attempt);
   void RequireRoom(const GangReserve& reserve) const;
   void StopTasks(const std::string& job, const Part& part, bool checkpoint);
+  // One line of the history of a gang's member.
+  void LogMember(const char* event, const std::string& job, const Part& part) const;
 
   const TaskShape capacity_;
   WorkerService* const worker_;
   const StartGuard* const guard_;
+  const std::string name_;
   mutable std::mutex mutex_;
   Sequence epoch_ = kNoSequence;
   // By job; a job has one attempt here at a time.
--- a/servers/agent/start_guard.cc
+++ b/servers/agent/start_guard.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 
+#include "core/digest.h"
 #include "core/error.h"
 #include "core/logging.h"
 
 namespace turmericshift {
 
-StartGuard::StartGuard(const std::string& zone) : zone_(zone) {}
+StartGuard::StartGuard(const std::string& zone, const std::string& agent)
+    : zone_(zone), agent_(agent) {}
 
 void StartGuard::Hear(const EntryBeat& beat, Time sent) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -17,7 +19,11 @@
       environment_ = std::make_shared<const Environment>(
           ParseEnvironment("version " + std::to_string(beat.config_version), beat.config_text));
       version_ = beat.config_version;
-      LogEvent(LogLevel::kInfo, "config_in_force", {{"version", version_}});
+      LogEvent(LogLevel::kInfo, "config_in_force",
+               {{"version", version_},
+                {"digest", Digest(beat.config_text)},
+                {"agent", agent_},
+                {"zones_out", environment_->ZonesOut()}});
     } catch (const Error& error) {
       LogEvent(LogLevel::kError, "config_unreadable", {{"error", error.what()}});
     }
--- a/servers/agent/start_guard.h
+++ b/servers/agent/start_guard.h
@@ -14,7 +14,8 @@
 
 class StartGuard {
  public:
-  explicit StartGuard(const std::string& zone);
+  // `agent` names this agent in the log lines.
+  explicit StartGuard(const std::string& zone, const std::string& agent = "");
 
   // An entry's answer to a heartbeat that was sent at `sent`. Takes the document over if it is
   // newer. A document that can't be read is refused and logged.
@@ -23,6 +24,7 @@
   // Throws Error(kStale) or Error(kLeaving), outcome not_run, when nothing may start at `now`.
   void RequireStart(Time now) const;
 
+  const std::string& zone() const { return zone_; }
   int64_t config_version() const;
   // Null before the first document.
   std::shared_ptr<const Environment> environment() const;
@@ -31,6 +33,7 @@
 
  private:
   const std::string zone_;
+  const std::string agent_;
   mutable std::mutex mutex_;
   int64_t version_ = 0;
   std::shared_ptr<const Environment> environment_;
--- a/servers/config/environment.cc
+++ b/servers/config/environment.cc
@@ -165,6 +165,14 @@
   return Find(services, name);
 }
 
+std::vector<std::string> Environment::ZonesOut() const {
+  std::vector<std::string> out;
+  for (const auto& [name, zone] : zones) {
+    if (!zone.in) out.push_back(name);
+  }
+  return out;
+}
+
 Environment ParseEnvironment(const std::string& name, const std::string& text) {
   IniFile file = ParseIni(name, text);
   Environment environment;
--- a/servers/config/environment.h
+++ b/servers/config/environment.h
@@ -79,6 +79,8 @@
   const AvailabilityZoneSpec* FindZone(const std::string& name) const;
   const WorkspaceSpec* FindWorkspace(const std::string& name) const;
   const ServiceSpec* FindService(const std::string& name) const;
+  // Names of the zones that operators have taken out.
+  std::vector<std::string> ZonesOut() const;
 };
 
 // Throws Error(kInvalidInput) listing every problem with file, line and key.
--- a/servers/entry/caller_api.cc
+++ b/servers/entry/caller_api.cc
@@ -48,6 +48,15 @@
   return json;
 }
 
+// What the caller was told; history checks hold it against what the agents ran.
+void LogAnswered(const ServiceRequest& request, Time begun, nlohmann::json fields) {
+  fields["request"] = request.request_id;
+  fields["workspace"] = request.workspace;
+  fields["key_tag"] = KeyTag(request.workspace, request.idempotency_key);
+  fields["took_ms"] = 1000 * Seconds(DefaultClock().Now() - begun);
+  LogEvent(LogLevel::kInfo, "request_answered", fields);
+}
+
 }  // namespace
 
 HttpResponse CallerApi::Handle(const HttpRequest& request) {
@@ -65,11 +74,12 @@
 HttpResponse CallerApi::HandleService(const HttpRequest& request, const std::string& workspace) {
   ServiceRequest service_request;
   service_request.request_id = RandomHex(kRequestIdBytes);
+  service_request.workspace = workspace;
+  const Time begun = DefaultClock().Now();
   try {
     if (request.method != "POST") throw Error(ErrorKind::kInvalidInput, "use POST");
     const std::string rest = request.path.substr(std::string(kServicesPrefix).size());
     const size_t slash = rest.find('/');
-    service_request.workspace = workspace;
     service_request.service = rest.substr(0, slash);
     service_request.path = slash == std::string::npos ? "/" : rest.substr(slash);
     service_request.content_type = request.header("Content-Type");
@@ -81,6 +91,10 @@
       throw Error(ErrorKind::kInvalidInput, "the idempotency key is too long");
     }
     const ServiceAnswer answer = entry_->router_->Route(service_request);
+    LogAnswered(service_request, begun,
+                {{"outcome", OutcomeName(Outcome::kRan)},
+                 {"status", answer.status},
+                 {"answer_digest", answer.body_digest}});
     HttpResponse response;
     response.status = answer.status;
     response.body = answer.body;
@@ -91,10 +105,10 @@
     }
     return response;
   } catch (const Error& error) {
-    LogEvent(LogLevel::kInfo, "request_refused",
-             {{"request", service_request.request_id},
-              {"kind", AnswerFor(error.kind()).name},
-              {"outcome", OutcomeName(error.outcome())}});
+    LogAnswered(service_request, begun,
+                {{"outcome", OutcomeName(error.outcome())},
+                 {"status", AnswerFor(error.kind()).http_status},
+                 {"kind", AnswerFor(error.kind()).name}});
     return ProblemResponse(error, service_request.request_id,
                            AnswerFor(error.kind()).retryable ? kRetryAfter : Duration::zero());
   }
@@ -145,7 +159,8 @@
   }
   const Written written = entry_->job_stream_.Write(record, kRecordTimeout);
   const std::string id = JobId(workspace, record.spec.key);
-  LogEvent(LogLevel::kInfo, "job_accepted", {{"job", id}, {"zone", record.zone}});
+  LogEvent(LogLevel::kInfo, "job_accepted",
+           {{"job", id}, {"zone", record.zone}, {"workspace", workspace}});
   const std::optional<JobRecord> job = entry_->job_fold_.Find(id);
   return JsonResponse(JobJson(*job, 0, "").dump(), written.verdict.accepted ? 201 : 200);
 }
--- a/servers/entry/operator_api.cc
+++ b/servers/entry/operator_api.cc
@@ -87,7 +87,10 @@
   const Written written = entry_->config_stream_.Write(record, kRecordTimeout);
   if (!written.verdict.accepted) throw Error(ErrorKind::kConflict, written.verdict.reason);
   LogEvent(LogLevel::kInfo, "config_accepted",
-           {{"version", record.version}, {"digest", record.digest}, {"author", author}});
+           {{"version", record.version},
+            {"digest", record.digest},
+            {"author", author},
+            {"zones_out", ParseEnvironment("document", text).ZonesOut()}});
   return JsonResponse(
       nlohmann::json({{"version", record.version}, {"digest", record.digest}}).dump(), 201);
 }
--- a/servers/planner/planner_duty.cc
+++ b/servers/planner/planner_duty.cc
@@ -17,6 +17,10 @@
   return view.environment ? view.environment->bounds.lease : Bounds{}.lease;
 }
 
+int64_t Milliseconds(Duration duration) {
+  return duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 }  // namespace
 
 PlannerDuty::PlannerDuty(const PlannerOptions& options, AgentDirectory* directory,
@@ -200,7 +204,12 @@
       JobEnded{NewRecordId(), job.id, job.attempt, state, reason, DefaultClock().WallMillis()},
       kRecordTimeout);
   LogEvent(LogLevel::kInfo, "job_ended",
-           {{"job", job.id}, {"attempt", job.attempt}, {"state", JobStateName(state)}});
+           {{"job", job.id},
+            {"workspace", job.spec.workspace},
+            {"attempt", job.attempt},
+            {"state", JobStateName(state)},
+            {"declared_ms", Milliseconds(job.spec.declared_run_time)},
+            {"took_ms", MillisSinceSubmitted(job.id)}});
   runner_.Forget(job, epoch_);
   const std::lock_guard<std::mutex> lock(mutex_);
   planner_->AttemptEnded(job.id, job.attempt,
@@ -225,6 +234,11 @@
     if (stop.reason == StopReason::kCancelled) {
       End(*job, JobState::kCancelled, "cancelled by the caller", now);
     } else {
+      LogEvent(LogLevel::kInfo, "job_stopped",
+               {{"job", job->id},
+                {"workspace", job->spec.workspace},
+                {"attempt", job->attempt},
+                {"reason", StopReasonName(stop.reason)}});
       runner_.Stop(*job, epoch_, stop.checkpoint);
     }
   }
@@ -232,10 +246,20 @@
     const auto job = find(start.job);
     const std::optional<JobRecord> record = job_fold_->Find(start.job);
     if (job == running.end() || !record) continue;
+    LogEvent(LogLevel::kInfo, "gang_planned",
+             {{"job", job->id},
+              {"attempt", job->attempt},
+              {"tasks", job->tasks.size()},
+              {"zone", options_.zone}});
     try {
       runner_.Start(start, job->spec, job->id, record->checkpoint, epoch_, lease);
       LogEvent(LogLevel::kInfo, "job_started",
-               {{"job", job->id}, {"attempt", job->attempt}, {"tasks", job->tasks.size()}});
+               {{"job", job->id},
+                {"workspace", job->spec.workspace},
+                {"attempt", job->attempt},
+                {"tasks", job->tasks.size()},
+                {"borrowed", job->borrowed},
+                {"waited_ms", MillisSinceSubmitted(job->id)}});
     } catch (const Error& error) {
       LogEvent(LogLevel::kWarning, "job_not_started", {{"job", job->id}, {"error", error.what()}});
       const std::lock_guard<std::mutex> lock(mutex_);
@@ -249,6 +273,11 @@
   }
 }
 
+int64_t PlannerDuty::MillisSinceSubmitted(const std::string& job) const {
+  const std::optional<JobRecord> record = job_fold_->Find(job);
+  return record ? DefaultClock().WallMillis() - record->submitted_wall_ms : 0;
+}
+
 void PlannerDuty::RenewAll(Time now) {
   std::vector<RunningJob> running;
   Duration lease;
--- a/servers/planner/planner_duty.h
+++ b/servers/planner/planner_duty.h
@@ -54,6 +54,8 @@
   void End(const RunningJob& job, JobState state, const std::string& reason, Time now);
   void CarryOut(const Plan& plan, Time now);
   void RenewAll(Time now);
+  // By wall time, for log lines only.
+  int64_t MillisSinceSubmitted(const std::string& job) const;
 
   const PlannerOptions options_;
   AgentDirectory* const directory_;
