State: Fence job records by planner epoch

A planner that was paused and replaced could still end or move a job, two entries that claimed a zone at once both took effect, and nothing in the log said that a job which may not be repeated had begun. Claims now name the epoch that they follow, ends and moves the epoch that says so, and job_starting / job_not_started bound a job that may run once. Reports carry what an agent needs to know its tasks again after a restart; beats carry the planner's epoch and silence.

--- a/modules/stand_ins/fake_worker.cc
+++ b/modules/stand_ins/fake_worker.cc
@@ -22,6 +22,8 @@
   return phase == TaskPhase::kRunning || phase == TaskPhase::kThrottled;
 }
 
+bool Live(TaskPhase phase) { return Advances(phase) || phase == TaskPhase::kHeld; }
+
 }  // namespace
 
 void FakeWorker::Start(const TaskStart& start) {
@@ -75,7 +77,7 @@
   if (faults_.ignores_stop) return;
   Task& task = RequireTask(id);
   Advance(&task, clock_->Now());
-  if (Advances(task.phase) || task.phase == TaskPhase::kHeld) task.phase = TaskPhase::kStopped;
+  if (Live(task.phase)) task.phase = TaskPhase::kStopped;
 }
 
 std::vector<TaskReport> FakeWorker::Report() {
@@ -91,6 +93,11 @@
     report.shape = task.start.shape;
     report.progress = std::min(1.0, Seconds(task.done_before) / Seconds(task.run_time));
     report.checkpoint = task.checkpoint;
+    report.epoch = task.start.epoch;
+    report.workspace = task.start.workspace;
+    report.guaranteed = task.start.guaranteed;
+    report.checkpoints = task.start.checkpoints;
+    if (Live(task.phase)) report.lease_left = task.lease_until - clock_->Now();
     reports.push_back(report);
   }
   return reports;
@@ -126,8 +133,7 @@
     task->since = until;
     if (task->done_before >= task->run_time) task->phase = TaskPhase::kDone;
   }
-  const bool live = Advances(task->phase) || task->phase == TaskPhase::kHeld;
-  if (lease_over && live) task->phase = TaskPhase::kStopped;
+  if (lease_over && Live(task->phase)) task->phase = TaskPhase::kStopped;
 }
 
 }  // namespace turmericshift
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -44,6 +44,11 @@
   Write(from.shape, to.initShape());
   to.setProgress(from.progress);
   to.setCheckpoint(from.checkpoint);
+  to.setEpoch(from.epoch);
+  to.setWorkspace(from.workspace);
+  to.setGuaranteed(from.guaranteed);
+  to.setCheckpoints(from.checkpoints);
+  to.setLeaseLeftNanos(from.lease_left.count());
 }
 
 TaskReport Read(wire::TaskReport::Reader from) {
@@ -57,6 +62,11 @@
   report.shape = Read(from.getShape());
   report.progress = from.getProgress();
   report.checkpoint = Text(from.getCheckpoint());
+  report.epoch = from.getEpoch();
+  report.workspace = Text(from.getWorkspace());
+  report.guaranteed = from.getGuaranteed();
+  report.checkpoints = from.getCheckpoints();
+  report.lease_left = Duration(from.getLeaseLeftNanos());
   return report;
 }
 
@@ -216,6 +226,7 @@
   to.setConfigVersion(from.config_version);
   to.setLeaving(from.leaving);
   to.setPlannerEpoch(from.planner_epoch);
+  to.setPlannerSilenceNanos(from.planner_silence.count());
   auto tasks = to.initTasks(static_cast<unsigned>(from.tasks.size()));
   for (unsigned index = 0; index < tasks.size(); ++index) Write(from.tasks[index], tasks[index]);
 }
@@ -226,6 +237,7 @@
   beat.config_version = from.getConfigVersion();
   beat.leaving = from.getLeaving();
   beat.planner_epoch = from.getPlannerEpoch();
+  beat.planner_silence = Duration(from.getPlannerSilenceNanos());
   for (const auto task : from.getTasks()) beat.tasks.push_back(Read(task));
   return beat;
 }
@@ -238,6 +250,10 @@
   auto entries = to.initEntries(static_cast<unsigned>(from.entries.size()));
   for (unsigned index = 0; index < entries.size(); ++index) entries.set(index, from.entries[index]);
   to.setPlannerAddress(from.planner_address);
+  to.setPlannerEpoch(from.planner_epoch);
+  to.setPlannerActive(from.planner_active);
+  to.setJobsAgeNanos(from.jobs_freshness.age.count());
+  to.setJobsFailing(from.jobs_freshness.failing);
 }
 
 EntryBeat Read(wire::EntryBeat::Reader from) {
@@ -248,6 +264,10 @@
   beat.freshness.failing = from.getLogFailing();
   for (const auto entry : from.getEntries()) beat.entries.push_back(Text(entry));
   beat.planner_address = Text(from.getPlannerAddress());
+  beat.planner_epoch = from.getPlannerEpoch();
+  beat.planner_active = from.getPlannerActive();
+  beat.jobs_freshness.age = Duration(from.getJobsAgeNanos());
+  beat.jobs_freshness.failing = from.getJobsFailing();
   return beat;
 }
 
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -111,6 +111,11 @@
   shape @5 :Shape;
   progress @6 :Float64;
   checkpoint @7 :Text;
+  epoch @8 :Int64 = -1;
+  workspace @9 :Text;
+  guaranteed @10 :Bool;
+  checkpoints @11 :Bool;
+  leaseLeftNanos @12 :Int64;
 }
 
 struct AgentBeat {
@@ -119,6 +124,7 @@
   leaving @2 :Bool;
   tasks @3 :List(TaskReport);
   plannerEpoch @4 :Int64;
+  plannerSilenceNanos @5 :Int64 = -1;
 }
 
 struct EntryBeat {
@@ -128,6 +134,10 @@
   logFailing @3 :Bool;
   entries @4 :List(Text);
   plannerAddress @5 :Text;
+  plannerEpoch @6 :Int64 = -1;
+  plannerActive @7 :Bool;
+  jobsAgeNanos @8 :Int64 = -1;
+  jobsFailing @9 :Bool;
 }
 
 # What an entry calls on an agent.
--- a/servers/planner/planner_duty.cc
+++ b/servers/planner/planner_duty.cc
@@ -80,7 +80,8 @@
   if (!current.process.empty() && current.process != options_.process) return false;
   // Nobody has the duty, or an earlier incarnation of this entry had it.
   const Written written =
-      jobs_->Write(PlannerClaimed{NewRecordId(), options_.zone, options_.process}, kRecordTimeout);
+      jobs_->Write(PlannerClaimed{NewRecordId(), options_.zone, options_.process, current.epoch},
+                   kRecordTimeout);
   epoch_ = written.sequence;
   LogEvent(LogLevel::kInfo, "planner_duty_taken", {{"zone", options_.zone}, {"epoch", epoch_}});
   return job_fold_->Planner(options_.zone).epoch == epoch_;
--- a/servers/platform/worker_service.h
+++ b/servers/platform/worker_service.h
@@ -38,6 +38,12 @@
   std::string checkpoint;
   // Handed to the task as it is.
   std::string payload;
+  // Kept by the worker and reported back, so that an agent that restarts knows what runs: the
+  // planner epoch that it was started under, whose work it is, and how it may be stopped.
+  int64_t epoch = -1;
+  std::string workspace;
+  bool guaranteed = false;
+  bool checkpoints = false;
 };
 
 struct TaskReport {
@@ -49,6 +55,13 @@
   double progress = 0;
   // Newest checkpoint; empty if none.
   std::string checkpoint;
+  // As they were given at the start.
+  int64_t epoch = -1;
+  std::string workspace;
+  bool guaranteed = false;
+  bool checkpoints = false;
+  // Until the worker stops the task by itself; zero once it has ended.
+  Duration lease_left{};
 };
 
 // Every call may throw Error(kUnavailable), with outcome unknown if it may have taken effect. All
--- a/servers/ports/messages.h
+++ b/servers/ports/messages.h
@@ -129,8 +129,11 @@
   int64_t config_version = 0;
   bool leaving = false;
   std::vector<TaskReport> tasks;
-  // Highest planner epoch this agent has obeyed.
+  // Highest planner epoch this agent has heard of. `tasks` were read after it, so they hold all
+  // that was ever started here under a lower one.
   Sequence planner_epoch = kNoSequence;
+  // How long ago the zone's planner was last heard; negative: never.
+  Duration planner_silence{-1};
 };
 
 // What an entry knows about the log, passed on to agents.
@@ -150,6 +153,12 @@
   std::vector<std::string> entries;
   // The entry that holds the planner duty of the agent's zone, "" if unknown.
   std::string planner_address;
+  // Highest planner epoch of the agent's zone in this entry's fold of the jobs stream.
+  Sequence planner_epoch = kNoSequence;
+  // This entry holds that epoch and its planner is at work.
+  bool planner_active = false;
+  // How current that fold is.
+  LogFreshness jobs_freshness;
 };
 
 }  // namespace turmericshift
--- a/servers/state/job_fold.cc
+++ b/servers/state/job_fold.cc
@@ -45,6 +45,11 @@
   const auto found = jobs_.find(record.job);
   if (found == jobs_.end()) return {false, "no such job"};
   if (found->second.state != JobState::kWaiting) return {false, "the job has ended"};
+  // A planner that was replaced may have taken a lost worker for the end of a job that its
+  // successor found running.
+  if (record.epoch != kNoSequence && planners_[found->second.zone].epoch != record.epoch) {
+    return {false, "a newer planner has the zone"};
+  }
   found->second.state = record.state;
   found->second.attempt = record.attempt;
   found->second.reason = record.reason;
@@ -59,16 +64,62 @@
   if (job.state != JobState::kWaiting) return {false, "the job has ended"};
   if (job.zone != record.from) return {false, "the job is with another planner"};
   if (planners_[record.from].epoch != record.epoch) return {false, "a newer planner has the zone"};
+  if (job.starting_attempt != 0 && record.checkpoint.empty()) {
+    return {false, "it is not known whether the job ran"};
+  }
   job.zone = record.to;
   job.checkpoint = record.checkpoint;
   return {};
 }
 
+FoldVerdict JobFold::Take(const JobStarting& record, Sequence /*sequence*/) {
+  const auto found = jobs_.find(record.job);
+  if (found == jobs_.end()) return {false, "no such job"};
+  JobRecord& job = found->second;
+  const std::string why = WhyVoid(job, record.epoch);
+  if (!why.empty()) return {false, why};
+  if (job.cancel_asked) return {false, "the job was cancelled"};
+  if (job.starting_attempt != 0 && !record.resumes) {
+    return {false, "it is not known whether the job ran"};
+  }
+  job.starting_attempt = record.attempt;
+  return {};
+}
+
+FoldVerdict JobFold::Take(const JobNotStarted& record, Sequence /*sequence*/) {
+  const auto found = jobs_.find(record.job);
+  if (found == jobs_.end()) return {false, "no such job"};
+  const std::string why = WhyVoid(found->second, record.epoch);
+  if (!why.empty()) return {false, why};
+  if (found->second.starting_attempt != record.attempt) return {false, "another attempt starts"};
+  found->second.starting_attempt = 0;
+  return {};
+}
+
 FoldVerdict JobFold::Take(const PlannerClaimed& record, Sequence sequence) {
-  planners_[record.zone] = {record.process, sequence};
+  PlannerEpoch& planner = planners_[record.zone];
+  if (planner.epoch != record.after) return {false, "another entry has taken the zone"};
+  planner = {record.process, sequence};
+  return {};
+}
+
+FoldVerdict JobFold::Take(const PlannerReleased& record, Sequence /*sequence*/) {
+  PlannerEpoch& planner = planners_[record.zone];
+  if (planner.epoch != record.epoch) return {false, "a newer planner has the zone"};
+  // The epoch stays: the next one must be above it.
+  planner.process.clear();
   return {};
 }
 
+std::string JobFold::WhyVoid(const JobRecord& job, Sequence epoch) const {
+  if (job.state != JobState::kWaiting) return "the job has ended";
+  const auto planner = planners_.find(job.zone);
+  if (planner == planners_.end() || planner->second.epoch != epoch) {
+    return "a newer planner has the zone";
+  }
+  return "";
+}
+
 std::optional<JobRecord> JobFold::Find(const std::string& id) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = jobs_.find(id);
--- a/servers/state/job_fold.h
+++ b/servers/state/job_fold.h
@@ -27,9 +27,12 @@
   int64_t ended_wall_ms = 0;
   // Left by the planner that the job was moved away from.
   std::string checkpoint;
+  // Of a job that may not be repeated: the attempt that may have been released; 0 if none.
+  int64_t starting_attempt = 0;
 };
 
 struct PlannerEpoch {
+  // Empty after a clean hand-over.
   std::string process;
   Sequence epoch = kNoSequence;
 };
@@ -53,7 +56,12 @@
   FoldVerdict Take(const JobCancelled& record, Sequence sequence);
   FoldVerdict Take(const JobEnded& record, Sequence sequence);
   FoldVerdict Take(const JobMoved& record, Sequence sequence);
+  FoldVerdict Take(const JobStarting& record, Sequence sequence);
+  FoldVerdict Take(const JobNotStarted& record, Sequence sequence);
   FoldVerdict Take(const PlannerClaimed& record, Sequence sequence);
+  FoldVerdict Take(const PlannerReleased& record, Sequence sequence);
+  // Why a record of the planner at `epoch` about `job` is void; "" if it is not.
+  std::string WhyVoid(const JobRecord& job, Sequence epoch) const;
 
   mutable std::mutex mutex_;
   int64_t changes_ = 0;
--- a/servers/state/record.cc
+++ b/servers/state/record.cc
@@ -17,15 +17,20 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobSubmitted, id, spec, zone, config_version, wall_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobCancelled, id, job)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobMoved, id, job, from, to, epoch, checkpoint)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannerClaimed, id, zone, process)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MemberJoined, id, process, role, zone, address, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PlannerClaimed, id, zone, process, after)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannerReleased, id, zone, epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobStarting, id, job, attempt, epoch, resumes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobNotStarted, id, job, attempt, epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MemberJoined, id, process, role, zone, address,
+                                                incarnation, caller_address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MemberLeft, id, process, incarnation)
 
 // By hand, for the state's name.
 static void to_json(nlohmann::json& json, const JobEnded& record) {  // NOLINT: the library's name
   json = {{"id", record.id},           {"job", record.job},
           {"attempt", record.attempt}, {"state", JobStateName(record.state)},
-          {"reason", record.reason},   {"wall_ms", record.wall_ms}};
+          {"reason", record.reason},   {"wall_ms", record.wall_ms},
+          {"epoch", record.epoch}};
 }
 
 static void from_json(const nlohmann::json& json, JobEnded& record) {  // NOLINT: the library's name
@@ -35,6 +40,7 @@
   record.state = JobStateFromName(json.at("state").get<std::string>());
   json.at("reason").get_to(record.reason);
   json.at("wall_ms").get_to(record.wall_ms);
+  record.epoch = json.value("epoch", kNoSequence);
 }
 
 namespace {
@@ -43,7 +49,8 @@
 // In the order of the variant's alternatives.
 constexpr std::array<const char*, std::variant_size_v<Record>> kTypeNames = {
     "config_published", "request_claimed", "request_ended",   "job_submitted", "job_cancelled",
-    "job_ended",        "job_moved",       "planner_claimed", "member_joined", "member_left"};
+    "job_ended",        "job_moved",       "planner_claimed", "member_joined", "member_left",
+    "job_starting",     "job_not_started", "planner_released"};
 
 template <size_t kIndex = 0>
 Record DecodeAs(const std::string& type, const nlohmann::json& json) {
--- a/servers/state/record.h
+++ b/servers/state/record.h
@@ -76,6 +76,27 @@
   JobState state = JobState::kDone;
   std::string reason;
   int64_t wall_ms = 0;
+  // Of the planner that says so; void unless it still has the job's zone. kNoSequence: not bound
+  // to a planner.
+  Sequence epoch = kNoSequence;
+};
+
+// A job that may not be repeated is about to be released; written and read back before.
+struct JobStarting {
+  std::string id;
+  std::string job;
+  int64_t attempt = 0;
+  Sequence epoch = kNoSequence;
+  // Goes on from a checkpoint of the attempt before, so it repeats nothing.
+  bool resumes = false;
+};
+
+// Proof that the attempt of a JobStarting was released nowhere and never will be.
+struct JobNotStarted {
+  std::string id;
+  std::string job;
+  int64_t attempt = 0;
+  Sequence epoch = kNoSequence;
 };
 
 struct JobMoved {
@@ -93,6 +114,15 @@
   std::string id;
   std::string zone;
   std::string process;
+  // The epoch that it takes over from, so that of two claims at once only the first counts.
+  Sequence after = kNoSequence;
+};
+
+// Clean hand-over: the holder of `epoch` has stopped planning the zone.
+struct PlannerReleased {
+  std::string id;
+  std::string zone;
+  Sequence epoch = kNoSequence;
 };
 
 struct MemberJoined {
@@ -103,6 +133,8 @@
   // Where its peers reach it, "IP:port".
   std::string address;
   std::string incarnation;
+  // Where callers reach an entry, "IP:port"; empty for other roles.
+  std::string caller_address{};
 };
 
 struct MemberLeft {
@@ -111,9 +143,9 @@
   std::string incarnation;
 };
 
-using Record =
-    std::variant<ConfigPublished, RequestClaimed, RequestEnded, JobSubmitted, JobCancelled,
-                 JobEnded, JobMoved, PlannerClaimed, MemberJoined, MemberLeft>;
+using Record = std::variant<ConfigPublished, RequestClaimed, RequestEnded, JobSubmitted,
+                            JobCancelled, JobEnded, JobMoved, PlannerClaimed, MemberJoined,
+                            MemberLeft, JobStarting, JobNotStarted, PlannerReleased>;
 
 const std::string& RecordId(const Record& record);
 
