History: Check the daemons' own logs against the promises

Cause: nothing could say whether a run, in a test or in production, kept the promises. Change: servers/history reads the JSON lines of the daemons into typed events (from files, or from the log of the test's own process through a sink), and ten checks look for a contradiction each; a check whose lines are missing says not_checked rather than held. 'turmericshift check-history FILE...' exits 0, 1 with the lines that contradict each other, or 2. Each check has a planted fault that it must find.

--- a/main/bench.cc
+++ b/main/bench.cc
@@ -1,10 +1,11 @@
 #include "main/bench.h"
 
 #include <cstdio>
-#include <cxxopts.hpp>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
+#include "main/option_parser.h"
+
 namespace turmericshift {
 namespace {
 
@@ -21,21 +22,12 @@
   parser.add_options()("suites", "", cxxopts::value<std::vector<std::string>>())(
       "json", "", cxxopts::value<std::string>())("seed", "", cxxopts::value<uint64_t>())(
       "repeats", "", cxxopts::value<int>())("list", "");
-  parser.parse_positional("suites");
-  std::vector<const char*> argv = {"bench"};
-  for (const std::string& word : words) argv.push_back(word.c_str());
-  try {
-    const auto parsed = parser.parse(static_cast<int>(argv.size()), argv.data());
-    if (parsed.count("suites") != 0) {
-      arguments.suites = parsed["suites"].as<std::vector<std::string>>();
-    }
-    if (parsed.count("json") != 0) arguments.json_file = parsed["json"].as<std::string>();
-    if (parsed.count("seed") != 0) arguments.options.seed = parsed["seed"].as<uint64_t>();
-    if (parsed.count("repeats") != 0) arguments.options.repeats = parsed["repeats"].as<int>();
-    arguments.list = parsed.count("list") != 0;
-  } catch (const std::exception& error) {
-    throw Error(ErrorKind::kInvalidInput, error.what());
-  }
+  const cxxopts::ParseResult parsed = ParseOptions(&parser, words, "suites");
+  arguments.suites = ListOf(parsed, "suites");
+  arguments.json_file = TextOf(parsed, "json");
+  if (parsed.count("seed") != 0) arguments.options.seed = parsed["seed"].as<uint64_t>();
+  if (parsed.count("repeats") != 0) arguments.options.repeats = parsed["repeats"].as<int>();
+  arguments.list = parsed.count("list") != 0;
   if (arguments.options.repeats < 1) {
     throw Error(ErrorKind::kInvalidInput, "--repeats must be at least 1");
   }
--- a/main/commands.cc
+++ b/main/commands.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "main/bench.h"
+#include "main/history_command.h"
 #include "servers/config/environment.h"
 
 namespace turmericshift {
@@ -25,6 +26,7 @@
       {"demo", "run a whole system in this process and show jobs, requests and a zone out",
        &RunDemo},
       {"config", "check an environment document", &RunConfig},
+      {"check-history", "check the daemons' logs against the promises", &RunCheckHistory},
       {"bench", "run the benchmarks and print one table of figures", &RunBench},
       {"version", "print the version", &RunVersion},
   };
