Replay: Run traces against the decision code and check their outcomes

Change: servers/replay reads a trace (JSON lines), drives the folds, the zone choice and the zone planners in the trace's own time, writes what happened as the daemons' log lines, and checks the stated outcomes: the promises through the history checks, the measures (job completion time, fragmentation, work share, also through zone changes) and facts about single jobs. The zone choice moves out of the caller API into a pure function that both use.

--- a/main/commands.cc
+++ b/main/commands.cc
@@ -6,6 +6,7 @@
 
 #include "main/bench.h"
 #include "main/history_command.h"
+#include "main/replay_command.h"
 #include "servers/config/environment.h"
 
 namespace turmericshift {
@@ -26,6 +27,7 @@
       {"demo", "run a whole system in this process and show jobs, requests and a zone out",
        &RunDemo},
       {"config", "check an environment document", &RunConfig},
+      {"replay", "run traces against the decision code and check their outcomes", &RunReplay},
       {"check-history", "check the daemons' logs against the promises", &RunCheckHistory},
       {"bench", "run the benchmarks and print one table of figures", &RunBench},
       {"version", "print the version", &RunVersion},
--- a/servers/entry/caller_api.cc
+++ b/servers/entry/caller_api.cc
@@ -9,6 +9,7 @@
 #include "core/secret.h"
 #include "core/units.h"
 #include "servers/entry/entry_server.h"
+#include "servers/planner/zone_choice.h"
 
 namespace turmericshift {
 namespace {
@@ -142,18 +143,11 @@
   record.id = NewRecordId();
   record.config_version = config->version;
   record.wall_ms = DefaultClock().WallMillis();
-  // The zone with the fewest open jobs among those allowed and in.
-  size_t fewest = 0;
+  std::map<std::string, size_t> open_jobs;
   for (const auto& [name, zone] : config->environment->zones) {
-    const std::vector<std::string>& allowed = record.spec.zones;
-    const bool may =
-        allowed.empty() || std::find(allowed.begin(), allowed.end(), name) != allowed.end();
-    if (!zone.in || !may) continue;
-    const size_t open = entry_->job_fold_.OpenJobs(name).size();
-    if (!record.zone.empty() && open >= fewest) continue;
-    record.zone = name;
-    fewest = open;
+    open_jobs[name] = entry_->job_fold_.OpenJobs(name).size();
   }
+  record.zone = ChooseZone(*config->environment, record.spec, open_jobs);
   if (record.zone.empty()) {
     throw Error(ErrorKind::kUnavailable, "no availability zone that the job allows is in");
   }
--- a/servers/history/history_check.cc
+++ b/servers/history/history_check.cc
@@ -49,6 +49,12 @@
   return results;
 }
 
+std::vector<std::string> HistoryCheckNames() {
+  std::vector<std::string> names;
+  for (const auto& check : AllChecks()) names.emplace_back(check->name());
+  return names;
+}
+
 bool AllHeld(const std::vector<CheckResult>& results) {
   return std::none_of(results.begin(), results.end(), [](const CheckResult& result) {
     return result.verdict == CheckVerdict::kViolated;
--- a/servers/history/history_check.h
+++ b/servers/history/history_check.h
@@ -63,6 +63,9 @@
 std::vector<CheckResult> CheckHistory(const History& history, const HistoryBounds& bounds,
                                       const std::vector<std::string>& names = {});
 
+// Names of all checks.
+std::vector<std::string> HistoryCheckNames();
+
 // No result says kViolated.
 bool AllHeld(const std::vector<CheckResult>& results);
 
--- /dev/null
+++ b/servers/replay/replay_step.cc
@@ -0,0 +1,190 @@
+// The steps of one zone's planning in a replay, in the order of PlannerDuty::Step.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "core/units.h"
+#include "servers/replay/guarantee_oracle.h"
+#include "servers/replay/replayer.h"
+
+namespace turmericshift {
+namespace {
+
+using Kind = HistoryEventKind;
+
+// Policies may act on time alone, such as aging, so a zone where nothing happens decides too.
+constexpr Duration kIdlePeriod = std::chrono::seconds(30);
+constexpr Duration kProgressPeriod = std::chrono::seconds(30);
+
+}  // namespace
+
+void Replayer::Adopt(const std::string& name, Zone* zone) {
+  zone->planner =
+      std::make_unique<ZonePlanner>(name, PlacementPolicyRegistry::Instance().Create(policy_));
+  zone->planner->SetEnvironment(config_.current()->environment);
+  const Sequence epoch = next_sequence_;
+  Record(PlannerClaimed{FreshId(), name, "entry-" + std::to_string(epoch), zone->epoch});
+  zone->epoch = epoch;
+  for (const auto& [worker_name, worker] : platform_->workers()) {
+    if (worker.zone != name || !worker.up) continue;
+    zone->planner->WorkerUp(worker.name, worker.rack, worker.capacity);
+  }
+  for (const JobRecord& job : job_fold_.OpenJobs(name)) {
+    zone->planner->JobAccepted(job, now_);
+    if (job.cancel_asked) zone->planner->CancelAsked(job.id);
+  }
+  for (const auto& [key, attempt] : platform_->attempts()) {
+    if (attempt.zone != name || attempt.ends <= now_) continue;
+    zone->planner->FoundRunning(*job_fold_.Find(key.job), key.attempt, attempt.tasks,
+                                attempt.borrowed, now_);
+  }
+  zone->dirty = true;
+}
+
+void Replayer::Step(const std::string& name, Zone* zone) {
+  if (!HasPlanner(*zone)) return;
+  FollowAttempts(name, zone);
+  if (!zone->dirty && now_ < zone->next_decision) return;
+  EndCancelled(name, zone);
+  ReportProgress(zone);
+  const Plan plan = zone->planner->Decide(now_);
+  zone->dirty = !plan.starts.empty() || !plan.stops.empty();
+  zone->next_decision = now_ + kIdlePeriod;
+  CarryOut(name, plan, zone);
+  UpdateClaims(name, zone);
+}
+
+void Replayer::FollowAttempts(const std::string& name, Zone* zone) {
+  for (const ReplayAttempt& attempt : platform_->TakeEnded(name, now_ - trace_.report_lag)) {
+    recorder_.WriteMembers(
+        attempt.end == AttemptEnd::kDone ? Kind::kGangForgotten : Kind::kGangStopped, attempt,
+        attempt.ends);
+    FollowEnd(attempt, zone);
+    zone->dirty = true;
+  }
+}
+
+void Replayer::FollowEnd(const ReplayAttempt& attempt, Zone* zone) {
+  if (attempt.end == AttemptEnd::kStopped && !attempt.saves) {
+    const double lost = attempt.accelerators() * Seconds(attempt.ends - attempt.started);
+    jobs_.at(attempt.job).lost += lost;
+    integrals_.Lost(lost);
+  }
+  // The planner gave the attempt up when it lost the worker.
+  if (attempt.end == AttemptEnd::kWorkerLost) return;
+  if (attempt.end == AttemptEnd::kDone) {
+    EndJob(attempt.zone, attempt.job, attempt.attempt, JobState::kDone, "");
+  } else if (attempt.end == AttemptEnd::kFailed) {
+    EndJob(attempt.zone, attempt.job, attempt.attempt, JobState::kFailed, "a task failed");
+  } else if (job_fold_.Find(attempt.job)->cancel_asked) {
+    EndJob(attempt.zone, attempt.job, attempt.attempt, JobState::kCancelled, "by the caller");
+    zone->planner->AttemptEnded(attempt.job, attempt.attempt, AttemptEnd::kFailed, now_);
+    return;
+  }
+  if (attempt.saves) {
+    zone->planner->Checkpointed(attempt.job, FormatDuration(platform_->Kept(attempt.job)), now_);
+  }
+  zone->planner->AttemptEnded(attempt.job, attempt.attempt, attempt.end, now_);
+}
+
+void Replayer::ReportProgress(Zone* zone) {
+  if (now_ < zone->next_progress) return;
+  zone->next_progress = now_ + kProgressPeriod;
+  const std::vector<RunningJob> running = zone->planner->view().running;
+  for (const RunningJob& job : running) {
+    const ReplayAttempt* attempt = platform_->Attempt({job.id, job.attempt});
+    if (attempt == nullptr) continue;
+    zone->planner->Progress(job.id, platform_->ProgressOf(*attempt, now_ - trace_.report_lag),
+                            now_);
+  }
+}
+
+void Replayer::EndCancelled(const std::string& name, Zone* zone) {
+  if (log_down_) return;
+  const std::vector<WaitingJob> waiting = zone->planner->view().waiting;
+  for (const WaitingJob& job : waiting) {
+    if (!job_fold_.Find(job.id)->cancel_asked) continue;
+    EndJob(name, job.id, job.last_attempt, JobState::kCancelled, "by the caller");
+    zone->planner->JobGone(job.id);
+  }
+}
+
+void Replayer::CarryOut(const std::string& name, const Plan& plan, Zone* zone) {
+  for (const StopDecision& stop : plan.stops) Stop(stop, name);
+  for (const StartDecision& start : plan.starts) Start(name, start, zone);
+  for (const RefuseDecision& refusal : plan.refusals) {
+    EndJob(name, refusal.job, 0, JobState::kImpossible, refusal.reason);
+    zone->planner->JobGone(refusal.job);
+  }
+}
+
+void Replayer::Stop(const StopDecision& stop, const std::string& zone) {
+  const ReplayAttempt* attempt = platform_->Attempt({stop.job, stop.attempt});
+  if (attempt == nullptr) return;
+  ++stops_[stop.reason];
+  recorder_.Write(Kind::kJobStopped,
+                  {{"job", stop.job},
+                   {"workspace", attempt->spec.workspace},
+                   {"attempt", stop.attempt},
+                   {"zone", zone},
+                   {"reason", StopReasonName(stop.reason)}},
+                  now_);
+  const bool saves = stop.checkpoint && attempt->spec.checkpoints;
+  platform_->StopBy({stop.job, stop.attempt}, now_ + trace_.stop_time, AttemptEnd::kStopped, saves);
+}
+
+void Replayer::Start(const std::string& name, const StartDecision& start, Zone* zone) {
+  ReplayJob& job = jobs_.at(start.job);
+  const std::string refusal = platform_->RefusalOf(start, job.job.spec);
+  if (!refusal.empty()) {
+    ++refused_starts_;
+    zone->planner->AttemptEnded(start.job, start.attempt, AttemptEnd::kNotStarted, now_);
+    return;
+  }
+  recorder_.Write(Kind::kGangPlanned,
+                  {{"job", start.job},
+                   {"attempt", start.attempt},
+                   {"tasks", job.job.spec.tasks},
+                   {"zone", name}},
+                  now_);
+  platform_->Start(name, start, job.job, now_);
+  ++job.attempts;
+  if (!job.started) job.started = SinceStart();
+  recorder_.WriteMembers(Kind::kGangReleased, *platform_->Attempt({start.job, start.attempt}),
+                         now_);
+  recorder_.Write(Kind::kJobStarted,
+                  {{"job", start.job},
+                   {"workspace", job.job.spec.workspace},
+                   {"attempt", start.attempt},
+                   {"zone", name},
+                   {"tasks", start.tasks.size()},
+                   {"borrowed", start.borrowed},
+                   {"waited_ms", 1000 * Seconds(SinceStart() - job.asked)}},
+                  now_);
+}
+
+void Replayer::UpdateClaims(const std::string& name, Zone* zone) {
+  const ZoneView& view = zone->planner->view();
+  std::set<std::string> covered;
+  // With a worker short the zone may not hold all that it promised; nobody can be blamed then.
+  if (AllWorkersUp(name)) {
+    for (const auto& [workspace, spec] : view.environment->workspaces) {
+      covered.merge(CoveredJobs(view, workspace, HostedCells(name, workspace)));
+    }
+  }
+  for (const std::string& job : covered) {
+    if (zone->claims.count(job) != 0) continue;
+    recorder_.Write(Kind::kGuaranteeClaimed, {{"job", job}, {"zone", name}}, now_);
+  }
+  for (const std::string& job : zone->claims) {
+    if (covered.count(job) != 0) continue;
+    recorder_.Write(Kind::kGuaranteeWithdrawn, {{"job", job}, {"zone", name}}, now_);
+  }
+  zone->claims = std::move(covered);
+}
+
+std::vector<CellCount> Replayer::HostedCells(const std::string& /*zone*/,
+                                             const std::string& /*workspace*/) const {
+  return {};
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/replay/replay_test.cc
@@ -0,0 +1,254 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "core/error.h"
+#include "servers/replay/expectation_check.h"
+#include "servers/replay/guarantee_oracle.h"
+#include "servers/replay/replayer.h"
+#include "servers/replay/trace_generator.h"
+
+namespace turmericshift {
+namespace {
+
+// One zone of two workers with four accelerators each.
+constexpr const char* kHeader =
+    R"({"trace":1,"until":"1h","document_text":"[environment]\ndeployment = small\n[availability_zone z]\nstate = in\nworkers = 2\nworkers_per_rack = 2\nprocessors_per_worker = 8\nmemory_per_worker = 8GiB\naccelerators_per_worker = 4\n[workspace w]\nguarantee = 1 worker\naccelerator_cap = 8\n"})"
+    "\n";
+
+std::string Submit(const std::string& at, const std::string& key, int tasks,
+                   const std::string& runs) {
+  return R"({"event":"submit","at":")" + at + R"(","runs":")" + runs + R"(","job":{"key":")" + key +
+         R"(","workspace":"w","accelerators":4,"tasks":)" + std::to_string(tasks) + "}}\n";
+}
+
+// Starts each waiting job as the test says.
+class ScriptedPolicy : public PlacementPolicy {
+ public:
+  using Script = std::function<std::vector<TaskOnWorker>(const WaitingJob&, const ZoneView&)>;
+  explicit ScriptedPolicy(Script script) : script_(std::move(script)) {}
+
+  Plan Decide(const ZoneView& view, Time /*now*/) override {
+    Plan plan;
+    for (const WaitingJob& job : view.waiting) {
+      const std::vector<TaskOnWorker> tasks = script_(job, view);
+      if (!tasks.empty()) plan.starts.push_back({job.id, job.last_attempt + 1, false, tasks});
+    }
+    return plan;
+  }
+
+ private:
+  const Script script_;
+};
+
+std::string Register(const std::string& name, const ScriptedPolicy::Script& script) {
+  PlacementPolicyRegistry::Instance().Register(
+      name, [script] { return std::make_unique<ScriptedPolicy>(script); });
+  return name;
+}
+
+// The first waiting job, a task on each worker that is quite free.
+std::string FirstFreeWorker() {
+  return Register("test_first_free", [](const WaitingJob& job, const ZoneView& view) {
+    std::vector<TaskOnWorker> tasks;
+    if (job.id != view.waiting.front().id) return tasks;
+    for (const WorkerView& worker : view.workers) {
+      if (worker.free_accelerators != 15 || static_cast<int>(tasks.size()) == job.spec.tasks) {
+        continue;
+      }
+      tasks.push_back({static_cast<int>(tasks.size()), worker.name, 15});
+    }
+    if (static_cast<int>(tasks.size()) < job.spec.tasks) tasks.clear();
+    return tasks;
+  });
+}
+
+ReplayResult ReplayOf(const std::string& text, const std::string& policy) {
+  return Replayer(ParseTrace("test", text), policy).Run();
+}
+
+bool Holds(const std::string& text, const std::string& policy) {
+  const Trace trace = ParseTrace("test", text);
+  const ReplayResult result = Replayer(trace, policy).Run();
+  return CheckExpectations(trace, result).front().holds;
+}
+
+std::string ErrorOf(const std::string& text) {
+  try {
+    ParseTrace("test", text);
+    return "";
+  } catch (const Error& error) {
+    return error.what();
+  }
+}
+
+TEST(TraceTest, BadLinesAreNamed) {
+  const std::string header = kHeader;
+  EXPECT_EQ(ErrorOf(header), "");
+  EXPECT_NE(ErrorOf("").find("test:1: the header"), std::string::npos);
+  EXPECT_NE(ErrorOf(header + "{\"event\":").find("test:2:"), std::string::npos);
+  EXPECT_NE(ErrorOf(header + "\n{\"event\":\"log_out\",\"at\":\"1s\"}").find("test:3:"),
+            std::string::npos);
+  EXPECT_NE(ErrorOf(header + R"({"event":"log_down","at":"1s","zone":"z"})").find("unknown field"),
+            std::string::npos);
+  EXPECT_NE(ErrorOf(header + R"({"event":"log_down"})").find("'at' is missing"), std::string::npos);
+  EXPECT_NE(ErrorOf(header + R"({"event":"log_down","at":"soon"})").find("test:2:"),
+            std::string::npos);
+}
+
+TEST(TraceTest, TimesAreSumsOfTheirParts) {
+  const Trace trace =
+      ParseTrace("test", std::string(kHeader) + R"({"event":"log_down","at":"1h30min5s"})");
+  EXPECT_EQ(trace.events.front().at, std::chrono::seconds(5405));
+}
+
+// A recorded day is generated from a seed. If the machine's library chose the numbers, a trace
+// that passes here would fail elsewhere.
+TEST(TraceTest, GeneratedNumbersAreTheSameEverywhere) {
+  TraceRandom random(1);
+  EXPECT_DOUBLE_EQ(random.Share(), 0.5665615751722809);
+  EXPECT_DOUBLE_EQ(random.Share(), 0.7457817572627011);
+}
+
+TEST(ReplayTest, JobsRunForTheirTrueTimeInTheRoomThereIs) {
+  const ReplayResult result = ReplayOf(
+      kHeader + Submit("1s", "a", 2, "10min") + Submit("2s", "b", 1, "5min"), FirstFreeWorker());
+  const ReplayJob& first = result.jobs.at("w/a");
+  const ReplayJob& second = result.jobs.at("w/b");
+  EXPECT_EQ(first.state, JobState::kDone);
+  EXPECT_EQ(*first.ended, std::chrono::seconds(602));
+  EXPECT_GE(*second.started, *first.ended);
+  EXPECT_EQ(second.state, JobState::kDone);
+}
+
+TEST(ReplayTest, TwoRunsGiveTheSameLines) {
+  const std::string text =
+      std::string(kHeader) +
+      R"({"event":"generate","at":"0s","until":"40min","count":30,"prefix":"g","runs":["1min","9min"],"off_by":4,"job":{"workspace":"w","accelerators":4}})";
+  EXPECT_EQ(ReplayOf(text, FirstFreeWorker()).lines, ReplayOf(text, FirstFreeWorker()).lines);
+}
+
+// The log is away for ten minutes. Whoever submits meanwhile is told "not run" and comes back; what
+// ends meanwhile is recorded later, and nothing is lost.
+TEST(ReplayTest, WorkGoesOnThroughALogOutage) {
+  const ReplayResult result =
+      ReplayOf(kHeader + Submit("1s", "a", 2, "5min") + Submit("6min", "b", 1, "1min") +
+                   R"({"event":"log_down","at":"1min"}
+{"event":"log_up","at":"11min"})",
+               FirstFreeWorker());
+  EXPECT_EQ(result.jobs.at("w/a").state, JobState::kDone);
+  EXPECT_EQ(*result.jobs.at("w/a").ended, std::chrono::minutes(11));
+  EXPECT_EQ(result.jobs.at("w/b").state, JobState::kDone);
+  EXPECT_GE(*result.jobs.at("w/b").started, std::chrono::minutes(11));
+}
+
+// An entry dies and another takes its zone over. The job that runs must be found, not started
+// again.
+TEST(ReplayTest, ASuccessorFindsWhatRuns) {
+  const ReplayResult result = ReplayOf(
+      kHeader + Submit("1s", "a", 1, "5min") + R"({"event":"entry_lost","at":"1min","zone":"z"})",
+      FirstFreeWorker());
+  EXPECT_EQ(result.jobs.at("w/a").attempts, 1);
+  EXPECT_EQ(result.jobs.at("w/a").state, JobState::kDone);
+}
+
+TEST(ReplayTest, AWorkerThatFailsEverythingFailsItsJobs) {
+  const ReplayResult result =
+      ReplayOf(std::string(kHeader) + R"({"event":"worker_fails_all","at":"0s","worker":"z-0"})" +
+                   "\n" + Submit("1s", "a", 1, "5min"),
+               FirstFreeWorker());
+  EXPECT_EQ(result.jobs.at("w/a").state, JobState::kFailed);
+}
+
+TEST(ReplayTest, CancelledJobsEndWaitingOrRunning) {
+  const ReplayResult result =
+      ReplayOf(kHeader + Submit("1s", "a", 2, "5min") + Submit("2s", "b", 1, "5min") +
+                   R"({"event":"cancel_wave","at":"1min","prefix":"w/"})",
+               FirstFreeWorker());
+  EXPECT_EQ(result.jobs.at("w/a").state, JobState::kCancelled);
+  EXPECT_EQ(result.jobs.at("w/b").state, JobState::kCancelled);
+}
+
+// A policy starts one member of two. The job computes nothing and holds its room for ever.
+TEST(ReplayTest, APolicyThatStartsPartOfAGangIsCaught) {
+  const std::string part = Register("test_part", [](const WaitingJob&, const ZoneView&) {
+    return std::vector<TaskOnWorker>{{0, "z-0", 15}};
+  });
+  const std::string text =
+      kHeader + Submit("1s", "a", 2, "50min") + R"({"expect":"no_partial_gang"})";
+  EXPECT_TRUE(Holds(text, FirstFreeWorker()));
+  EXPECT_FALSE(Holds(text, part));
+}
+
+// A policy that never comes to some job looks good on every mean.
+TEST(ReplayTest, APolicyThatForgetsAJobIsCaught) {
+  const std::string idle = Register(
+      "test_idle", [](const WaitingJob&, const ZoneView&) { return std::vector<TaskOnWorker>(); });
+  const std::string job = kHeader + Submit("1s", "a", 1, "5min");
+  const std::string done = R"({"expect":"job","job":"w/a","state":"done","ended_before":"6min"})";
+  const std::string open = R"({"expect":"jobs_open","below":1})";
+  EXPECT_TRUE(Holds(job + done, FirstFreeWorker()));
+  EXPECT_TRUE(Holds(job + open, FirstFreeWorker()));
+  EXPECT_FALSE(Holds(job + done, idle));
+  EXPECT_FALSE(Holds(job + open, idle));
+}
+
+// A policy gives the same accelerators to two jobs. The agent refuses the second, so no promise
+// breaks, but the report must show it.
+TEST(ReplayTest, RoomGivenTwiceIsRefusedAndCounted) {
+  const std::string twice = Register("test_twice", [](const WaitingJob&, const ZoneView&) {
+    return std::vector<TaskOnWorker>{{0, "z-0", 15}};
+  });
+  const std::string text = kHeader + Submit("1s", "a", 1, "5min") + Submit("1s", "b", 1, "5min") +
+                           R"({"expect":"refused_starts","below":1})";
+  EXPECT_TRUE(Holds(text, FirstFreeWorker()));
+  EXPECT_FALSE(Holds(text, twice));
+}
+
+TEST(GuaranteeOracleTest, CoversJobsInOrderWhileTheCellsLast) {
+  const Trace trace = ParseTrace("test", kHeader);
+  ZoneView view;
+  view.zone = "z";
+  view.environment = std::make_shared<const Environment>(ParseEnvironment("test", trace.document));
+  WaitingJob job;
+  job.spec.workspace = "w";
+  job.spec.shape = {1, 1 << 20, 2};
+  for (const char* id : {"a", "b", "c"}) {
+    job.id = id;
+    view.waiting.push_back(job);
+    ++job.sequence;
+  }
+  const std::vector<CellCount> cells = {{CellLevel::kWorker, 1}};
+  EXPECT_EQ(CoveredJobs(view, "w", cells), (std::set<std::string>{"a", "b"}));
+  RunningJob running;
+  running.spec = job.spec;
+  view.running.push_back(running);
+  EXPECT_EQ(CoveredJobs(view, "w", cells), (std::set<std::string>{"a"}));
+  // More than the guarantee runs: nothing is left to claim.
+  view.running.push_back(running);
+  view.running.push_back(running);
+  EXPECT_TRUE(CoveredJobs(view, "w", cells).empty());
+}
+
+TEST(FreeRoomTest, RoomCountsAsUsableForAWaitingJobOrAWholeWorker) {
+  ZoneView view;
+  WorkerView worker;
+  worker.name = "a";
+  worker.capacity = {8, 8, 4};
+  worker.free_processors = 8;
+  worker.free_memory_bytes = 8;
+  worker.free_accelerators = 15;
+  view.workers.push_back(worker);
+  worker.name = "b";
+  worker.free_accelerators = 3;
+  view.workers.push_back(worker);
+  EXPECT_EQ(FreeRoomOf(view).free, 6);
+  EXPECT_EQ(FreeRoomOf(view).unusable, 2);
+  WaitingJob job;
+  job.spec.shape = {1, 1, 2};
+  view.waiting.push_back(job);
+  EXPECT_EQ(FreeRoomOf(view).unusable, 0);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/replay/replayer.h
@@ -0,0 +1,115 @@
+// Runs a trace against the decision code of production: the folds of the log, the zone choice and
+// the planner of each zone, all in the trace's own time. Two runs give the same lines.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "servers/planner/zone_planner.h"
+#include "servers/replay/replay_measures.h"
+#include "servers/replay/replay_platform.h"
+#include "servers/replay/replay_recorder.h"
+#include "servers/replay/trace.h"
+#include "servers/state/config_fold.h"
+#include "servers/state/job_fold.h"
+
+namespace turmericshift {
+
+struct ReplayResult {
+  std::map<std::string, ReplayJob> jobs;
+  std::vector<Measure> measures;
+  Bounds bounds;
+  // The history, as log lines and read back.
+  std::vector<std::string> lines;
+  History history;
+};
+
+class Replayer {
+ public:
+  // `policy` is a placement policy's name.
+  Replayer(const Trace& trace, const std::string& policy);
+
+  // Throws Error(kInvalidInput) for an event that does not fit the document.
+  ReplayResult Run();
+
+ private:
+  // One zone's planning.
+  struct Zone {
+    std::unique_ptr<ZonePlanner> planner;
+    Sequence epoch = kNoSequence;
+    // The time from which it has a planner.
+    Time planned_from{};
+    // Something changed since the last decision.
+    bool dirty = true;
+    Time next_decision{};
+    Time next_progress{};
+    // Jobs whose guarantee was claimed.
+    std::set<std::string> claims;
+  };
+
+  void Apply(const TraceEvent& event);
+  void Submit(const TracedJob& job, Duration asked);
+  void Cancel(const std::string& job);
+  void CancelWave(const TraceEvent& event);
+  void LoseWorker(const std::string& worker);
+  void LoseEntry(const std::string& zone);
+  void SetZone(const std::string& zone, bool in);
+  void Publish(const std::string& text);
+  // Events that need the log wait until it is back.
+  bool NeedsLog(const TraceEvent& event) const;
+
+  FoldVerdict Record(const Record& record);
+  void EndJob(const std::string& zone, const std::string& job, int64_t attempt, JobState state,
+              const std::string& reason);
+  void RecordEnd(const JobEnded& ended);
+
+  Zone& RequireZone(const std::string& name);
+  bool HasPlanner(const Zone& zone) const { return now_ >= zone.planned_from; }
+  void Adopt(const std::string& name, Zone* zone);
+  void Step(const std::string& name, Zone* zone);
+  void FollowAttempts(const std::string& name, Zone* zone);
+  void FollowEnd(const ReplayAttempt& attempt, Zone* zone);
+  void ReportProgress(Zone* zone);
+  void EndCancelled(const std::string& name, Zone* zone);
+  void CarryOut(const std::string& name, const Plan& plan, Zone* zone);
+  void Start(const std::string& name, const StartDecision& start, Zone* zone);
+  void Stop(const StopDecision& stop, const std::string& zone);
+  void UpdateClaims(const std::string& name, Zone* zone);
+  // The guaranteed cells of the workspace that the zone hosts.
+  std::vector<CellCount> HostedCells(const std::string& zone, const std::string& workspace) const;
+  bool AllWorkersUp(const std::string& zone) const;
+
+  Time NextTime() const;
+  void Integrate(Time until);
+  Duration SinceStart() const { return now_ - start_; }
+  std::string FreshId() { return "r" + std::to_string(next_sequence_); }
+
+  const Trace trace_;
+  const std::string policy_;
+  const Time start_;
+  Time now_;
+  ConfigFold config_;
+  JobFold job_fold_;
+  Sequence next_sequence_ = 1;
+  bool log_down_ = false;
+  std::deque<TraceEvent> events_;
+  // Held back while the log is down.
+  std::vector<TraceEvent> waiting_events_;
+  std::vector<JobEnded> unrecorded_;
+  std::unique_ptr<ReplayPlatform> platform_;
+  ReplayRecorder recorder_;
+  TimeIntegrals integrals_;
+  std::map<std::string, Zone> zones_;
+  std::map<std::string, ReplayJob> jobs_;
+  // Of jobs that have not ended: how many each zone has, and what they ask for.
+  std::map<std::string, size_t> open_jobs_;
+  int wanted_accelerators_ = 0;
+  int refused_starts_ = 0;
+  std::map<StopReason, int> stops_;
+};
+
+}  // namespace turmericshift
