--- a/main/commands/commands.cc
+++ b/main/commands.cc
@@ -1,7 +1,10 @@
-#include "main/commands/commands.h"
+#include "main/commands.h"
 
 #include <cstdio>
 
+#include "main/bench.h"
+#include "main/history_command.h"
+
 namespace turmericshift {
 
 const std::vector<Command>& Commands() {
@@ -16,6 +19,8 @@
       {"config", "check, publish, promote and show environment documents", &RunConfig},
       {"zone", "take an availability zone out or in, show zones", &RunZone},
       {"status", "show what an entry knows", &RunStatus},
+      {"check-history", "check the daemons' logs against the promises", &RunCheckHistory},
+      {"bench", "run the benchmarks and print one table of figures", &RunBench},
       {"token", "make a token and its salted hash", &RunToken},
       {"version", "print the version", &RunVersion},
   };
--- a/main/commands/config_command.cc
+++ b/main/commands/config_command.cc
@@ -4,8 +4,8 @@
 
 #include "core/digest.h"
 #include "core/units.h"
+#include "main/commands.h"
 #include "main/commands/api_client.h"
-#include "main/commands/commands.h"
 #include "servers/config/environment.h"
 
 namespace turmericshift {
--- a/main/commands/demo_command.cc
+++ b/main/commands/demo_command.cc
@@ -6,7 +6,7 @@
 #include "core/http_client.h"
 #include "core/logging.h"
 #include "core/secret.h"
-#include "main/commands/commands.h"
+#include "main/commands.h"
 #include "main/dev_cluster.h"
 #include "main/dev_document.h"
 
--- a/main/commands/dev_command.cc
+++ b/main/commands/dev_command.cc
@@ -5,7 +5,7 @@
 #include "core/logging.h"
 #include "core/secret.h"
 #include "core/shutdown.h"
-#include "main/commands/commands.h"
+#include "main/commands.h"
 #include "main/dev_cluster.h"
 #include "main/dev_document.h"
 
--- a/main/commands/job_command.cc
+++ b/main/commands/job_command.cc
@@ -1,8 +1,8 @@
 // turmericshift job submit|show|list|cancel
 #include <cstdio>
 
+#include "main/commands.h"
 #include "main/commands/api_client.h"
-#include "main/commands/commands.h"
 #include "servers/jobs/job.h"
 
 namespace turmericshift {
--- a/main/commands/operator_commands.cc
+++ b/main/commands/operator_commands.cc
@@ -2,8 +2,8 @@
 #include <cstdio>
 
 #include "core/secret.h"
+#include "main/commands.h"
 #include "main/commands/api_client.h"
-#include "main/commands/commands.h"
 #include "servers/config/environment.h"
 
 namespace turmericshift {
--- a/main/commands/process_commands.cc
+++ b/main/commands/process_commands.cc
@@ -5,7 +5,7 @@
 #include "core/secret.h"
 #include "core/shutdown.h"
 #include "core/units.h"
-#include "main/commands/commands.h"
+#include "main/commands.h"
 #include "main/settings/process_settings.h"
 #include "modules/stand_ins/fake_target.h"
 #include "modules/stand_ins/fake_worker.h"
--- a/main/commands/request_command.cc
+++ b/main/commands/request_command.cc
@@ -3,8 +3,8 @@
 
 #include "core/http_client.h"
 #include "core/units.h"
+#include "main/commands.h"
 #include "main/commands/api_client.h"
-#include "main/commands/commands.h"
 
 namespace turmericshift {
 
--- a/main/main.cc
+++ b/main/main.cc
@@ -2,7 +2,7 @@
 #include <exception>
 
 #include "core/error.h"
-#include "main/commands/commands.h"
+#include "main/commands.h"
 #include "main/register_modules.h"
 
 int main(int argc, char** argv) {
