Agent: Obey only a planner that no unheard one can have replaced

A restarted agent forgot what ran and gave its accelerators out again; a renewal that came late prolonged a lease the planner had counted out; an agent cut off together with an old planner obeyed it for ever; a task that would not stop gave its room back when its planner asked to forget it. A changed task phase sends the beat at once.

--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -214,11 +214,13 @@
   to.setAttempt(from.attempt);
   to.setLeaseNanos(from.lease.count());
   to.setCheckpoint(from.checkpoint);
+  to.setBeatSentAt(from.beat_sent_at);
 }
 
 GangAction Read(wire::GangAction::Reader from) {
-  return {from.getEpoch(), Text(from.getJob()), from.getAttempt(), Duration(from.getLeaseNanos()),
-          from.getCheckpoint()};
+  return {from.getEpoch(),      Text(from.getJob()),
+          from.getAttempt(),    Duration(from.getLeaseNanos()),
+          from.getCheckpoint(), from.getBeatSentAt()};
 }
 
 void Write(const AgentBeat& from, wire::AgentBeat::Builder to) {
@@ -227,6 +229,8 @@
   to.setLeaving(from.leaving);
   to.setPlannerEpoch(from.planner_epoch);
   to.setPlannerSilenceNanos(from.planner_silence.count());
+  to.setSentAt(from.sent_at);
+  to.setReportAgeNanos(from.report_age.count());
   auto tasks = to.initTasks(static_cast<unsigned>(from.tasks.size()));
   for (unsigned index = 0; index < tasks.size(); ++index) Write(from.tasks[index], tasks[index]);
 }
@@ -238,6 +242,8 @@
   beat.leaving = from.getLeaving();
   beat.planner_epoch = from.getPlannerEpoch();
   beat.planner_silence = Duration(from.getPlannerSilenceNanos());
+  beat.sent_at = from.getSentAt();
+  beat.report_age = Duration(from.getReportAgeNanos());
   for (const auto task : from.getTasks()) beat.tasks.push_back(Read(task));
   return beat;
 }
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -99,6 +99,7 @@
   attempt @2 :Int64;
   leaseNanos @3 :Int64;
   checkpoint @4 :Bool;
+  beatSentAt @5 :Int64 = -1;
 }
 
 struct TaskReport {
@@ -125,6 +126,8 @@
   tasks @3 :List(TaskReport);
   plannerEpoch @4 :Int64;
   plannerSilenceNanos @5 :Int64 = -1;
+  sentAt @6 :Int64 = -1;
+  reportAgeNanos @7 :Int64;
 }
 
 struct EntryBeat {
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -143,31 +143,45 @@
 void AgentServer::Learn(const std::vector<std::string>& entries) {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const std::string& entry : entries) {
-    if (stopping_ || static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
-    if (!known_entries_.insert(entry).second) continue;
-    sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
+    if (static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
+    OpenSessionLocked(entry);
   }
 }
 
+void AgentServer::OpenSession(const std::string& entry) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  OpenSessionLocked(entry);
+}
+
+void AgentServer::OpenSessionLocked(const std::string& entry) {
+  if (stopping_ || !known_entries_.insert(entry).second) return;
+  sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
+}
+
 void AgentServer::RunSession(const std::string& address) {
   do {
     try {
       const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
       LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
-      KeepSession(port.get());
+      KeepSession(address, port.get());
     } catch (const Error& error) {
       LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
     }
   } while (!Pause(kReconnectPause));
 }
 
-void AgentServer::KeepSession(EntryPort* port) {
+void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
+  int64_t changes = 0;
   do {
+    changes = task_changes_.load();
     const Time sent = DefaultClock().Now();
     const EntryBeat beat = port->Heartbeat(MakeBeat(), options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
+    if (gangs_) gangs_->Hear(address, beat, sent);
     Learn(beat.entries);
-  } while (!Pause(options_.heartbeat));
+    // The planner must hear every agent of its zone, whatever other entries this one knows.
+    if (gangs_ && !beat.planner_address.empty()) OpenSession(beat.planner_address);
+  } while (!PauseUntilChange(options_.heartbeat, changes));
 }
 
 AgentBeat AgentServer::MakeBeat() const {
@@ -176,15 +190,16 @@
   beat.config_version = guard_.config_version();
   beat.leaving = leaving_.load();
   if (gangs_) {
-    beat.tasks = gangs_->reports();
-    beat.planner_epoch = gangs_->epoch();
+    gangs_->FillBeat(&beat, DefaultClock().Now());
   }
   return beat;
 }
 
 void AgentServer::RunExpiry() {
   do {
-    gangs_->Expire(DefaultClock().Now());
+    // An end that is told at once ends the job a heartbeat earlier.
+    if (gangs_->Expire(DefaultClock().Now())) ++task_changes_;
+    changed_.notify_all();
   } while (!Pause(kExpiryPeriod));
 }
 
@@ -193,4 +208,10 @@
   return changed_.wait_for(lock, duration, [this] { return stopping_; });
 }
 
+bool AgentServer::PauseUntilChange(Duration duration, int64_t changes) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait_for(lock, duration, [&] { return stopping_ || task_changes_.load() != changes; });
+  return stopping_;
+}
+
 }  // namespace turmericshift
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -59,11 +59,15 @@
 
  private:
   void RunSession(const std::string& address);
-  void KeepSession(EntryPort* port);
+  void KeepSession(const std::string& address, EntryPort* port);
   void RunExpiry();
   // Starts a session thread for each entry not yet known, up to the limit.
   void Learn(const std::vector<std::string>& entries);
+  void OpenSession(const std::string& entry);
+  void OpenSessionLocked(const std::string& entry);
   bool Pause(Duration duration);
+  // Returns early when a task has changed its phase; returns whether the server stops.
+  bool PauseUntilChange(Duration duration, int64_t changes);
   AgentBeat MakeBeat() const;
   GangHost& RequireWorker();
   ServiceAnswer Run(const ServiceRequest& request);
@@ -78,6 +82,8 @@
   StartGuard guard_;
   std::unique_ptr<GangHost> gangs_;
   std::atomic<bool> leaving_{false};
+  // Rises with each change of a task's phase.
+  std::atomic<int64_t> task_changes_{0};
 
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -23,7 +23,7 @@
 
   EntryBeat Heartbeat(const AgentBeat& beat, Duration /*timeout*/) override {
     entry_->directory_.Heard(hello_, beat, DefaultClock().Now());
-    return entry_->MakeBeat(beat);
+    return entry_->MakeBeat(hello_, beat);
   }
 
  private:
@@ -105,7 +105,7 @@
   return drained;
 }
 
-EntryBeat EntryServer::MakeBeat(const AgentBeat& beat) const {
+EntryBeat EntryServer::MakeBeat(const AgentHello& hello, const AgentBeat& beat) const {
   EntryBeat answer;
   const StreamView view = config_stream_.view();
   if (view.ever_fresh) answer.freshness.age = DefaultClock().Now() - view.fresh_at;
@@ -116,8 +116,16 @@
     answer.config_version = current->version;
     if (current->version > beat.config_version) answer.config_text = current->text;
   }
+  // The freshness is read before the epoch, so that the epoch is at least as new.
+  const StreamView jobs = job_stream_.view();
+  if (jobs.ever_fresh) answer.jobs_freshness.age = DefaultClock().Now() - jobs.fresh_at;
+  answer.jobs_freshness.failing = jobs.failing;
+  const PlannerEpoch epoch = job_fold_.Planner(hello.zone);
+  answer.planner_epoch = epoch.epoch;
+  answer.planner_active = epoch.process == options_.process;
   for (const MemberJoined& member : member_fold_.members()) {
     answer.entries.push_back(member.address);
+    if (member.process == epoch.process) answer.planner_address = member.address;
   }
   return answer;
 }
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -62,7 +62,7 @@
   friend class OperatorApi;
   class Port;
 
-  EntryBeat MakeBeat(const AgentBeat& beat) const;
+  EntryBeat MakeBeat(const AgentHello& hello, const AgentBeat& beat) const;
 
   const EntryOptions options_;
   MetricsRegistry* const metrics_;
--- a/servers/ports/agent_port.h
+++ b/servers/ports/agent_port.h
@@ -23,6 +23,8 @@
   virtual void Start(const GangStart& start, Duration timeout) = 0;
   virtual void Release(const GangAction& action, Duration timeout) = 0;
   virtual void Renew(const GangAction& action, Duration timeout) = 0;
+  // Returns only when no task of the attempt is live here and none can become so; throws
+  // Error(kConflict) while they are still stopping. Call it again until it returns.
   virtual void Stop(const GangAction& action, Duration timeout) = 0;
   // The end of this job's attempt is recorded; its reports may be dropped.
   virtual void Forget(const GangAction& action, Duration timeout) = 0;
--- a/servers/ports/messages.h
+++ b/servers/ports/messages.h
@@ -122,6 +122,10 @@
   Duration lease = std::chrono::seconds(10);
   // For stop: save the work first.
   bool checkpoint = false;
+  // AgentBeat::sent_at of the agent's beat that moved the planner to this. A renewal counts its
+  // lease from there, so that one which arrives late can't outlive the planner's own reckoning.
+  // Negative: counted from the arrival.
+  int64_t beat_sent_at = -1;
 };
 
 struct AgentBeat {
@@ -134,6 +138,10 @@
   Sequence planner_epoch = kNoSequence;
   // How long ago the zone's planner was last heard; negative: never.
   Duration planner_silence{-1};
+  // This agent's own clock, for GangAction::beat_sent_at. Means nothing to any other process.
+  int64_t sent_at = -1;
+  // How old `tasks` is; rises while the worker does not answer.
+  Duration report_age{};
 };
 
 // What an entry knows about the log, passed on to agents.
