--- a/servers/agent/gang_host.cc
+++ b/servers/agent/gang_host.cc
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-GangHost::GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard)
-    : capacity_(capacity), worker_(worker), guard_(guard) {}
+GangHost::GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard,
+                   const std::string& name)
+    : capacity_(capacity), worker_(worker), guard_(guard), name_(name) {}
 
 void GangHost::Hear(const std::string& entry, const EntryBeat& beat, Time sent) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -94,7 +95,7 @@
     worker_->Renew(id, action.lease);
     worker_->Release(id);
   }
-  LogEvent(LogLevel::kInfo, "gang_released", {{"job", action.job}, {"attempt", action.attempt}});
+  LogMember("gang_released", action.job, part);
 }
 
 void GangHost::Renew(const GangAction& action, Time now) {
@@ -148,6 +149,7 @@
     worker_->Forget(id);
     reports_.erase(id);
   }
+  LogMember("gang_forgotten", action.job, found->second);
   parts_.erase(found);
 }
 
@@ -198,6 +200,15 @@
                      [this](const auto& each) { return Ended(each.second); });
 }
 
+void GangHost::LogMember(const char* event, const std::string& job, const Part& part) const {
+  LogEvent(LogLevel::kInfo, event,
+           {{"job", job},
+            {"attempt", part.reserve.attempt},
+            {"worker", name_},
+            {"zone", guard_->zone()},
+            {"tasks", part.reserve.tasks.size()}});
+}
+
 void GangHost::RequireKnown() const {
   // An agent that has just started doesn't know yet which accelerators are taken; giving one out
   // would run two tasks on it.
@@ -335,6 +346,7 @@
 void GangHost::BeginStop(Part* part, bool checkpoint) {
   part->phase = Phase::kStopping;
   part->stop_round = round_;
+  LogMember("gang_stopped", part->reserve.job, *part);
   StopTasks(*part, checkpoint);
 }
 
--- a/servers/agent/gang_host.h
+++ b/servers/agent/gang_host.h
@@ -19,8 +19,9 @@
 class GangHost {
  public:
   // `worker` and `guard` must outlive the host. Refuses everything until Expire has found out what
-  // runs at the worker.
-  GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard);
+  // runs at the worker. `name` is the worker's, for log lines.
+  GangHost(const TaskShape& capacity, WorkerService* worker, const StartGuard* guard,
+           const std::string& name = "");
 
   void Hear(const std::string& entry, const EntryBeat& beat, Time sent);
 
@@ -74,10 +75,13 @@
   void BeginStop(Part* part, bool checkpoint);
   // Asks the worker to stop what still runs; faults are left to the next round.
   void StopTasks(const Part& part, bool checkpoint);
+  // One line of the history of a gang's member.
+  void LogMember(const char* event, const std::string& job, const Part& part) const;
 
   const TaskShape capacity_;
   WorkerService* const worker_;
   const StartGuard* const guard_;
+  const std::string name_;
 
   mutable std::mutex mutex_;
   PlannerWatch watch_;
