--- a/main/bench.cc
+++ b/main/bench.cc
@@ -4,35 +4,14 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-#include "main/option_parser.h"
+#include "core/units.h"
+#include "main/commands/options.h"
 
 namespace turmericshift {
 namespace {
 
-struct BenchArguments {
-  std::vector<std::string> suites;
-  std::string json_file;
-  bool list = false;
-  BenchOptions options;
-};
-
-BenchArguments ParseArguments(const Words& words) {
-  cxxopts::Options parser("turmericshift bench");
-  BenchArguments arguments;
-  parser.add_options()("suites", "", cxxopts::value<std::vector<std::string>>())(
-      "json", "", cxxopts::value<std::string>())("seed", "", cxxopts::value<uint64_t>())(
-      "repeats", "", cxxopts::value<int>())("list", "");
-  const cxxopts::ParseResult parsed = ParseOptions(&parser, words, "suites");
-  arguments.suites = ListOf(parsed, "suites");
-  arguments.json_file = TextOf(parsed, "json");
-  if (parsed.count("seed") != 0) arguments.options.seed = parsed["seed"].as<uint64_t>();
-  if (parsed.count("repeats") != 0) arguments.options.repeats = parsed["repeats"].as<int>();
-  arguments.list = parsed.count("list") != 0;
-  if (arguments.options.repeats < 1) {
-    throw Error(ErrorKind::kInvalidInput, "--repeats must be at least 1");
-  }
-  return arguments;
-}
+constexpr size_t kMaxSuites = 1000;
+constexpr int kMaxRepeats = 1000;
 
 BenchResult RunSuite(const std::string& name, const BenchOptions& options) {
   BenchResult result;
@@ -122,23 +101,32 @@
 }
 
 ExitCode RunBench(const Words& words) {
-  const BenchArguments arguments = ParseArguments(words);
-  if (arguments.list) {
+  CommandOptions options("bench", "runs the benchmarks", "[SUITE…]",
+                         "turmericshift bench placement --json figures.json");
+  options.Flag("list", "list the suites")
+      .Value("json", "write the figures to this file")
+      .Value("seed", "of the generated work", "1")
+      .Value("repeats", "runs of each machine figure", "5");
+  if (!options.Parse(words, 0, kMaxSuites)) return ExitCode::kDone;
+  if (options.flag("list")) {
     PrintSuites();
     return ExitCode::kDone;
   }
-  std::vector<std::string> suites = arguments.suites;
+  BenchOptions bench;
+  bench.seed = static_cast<uint64_t>(ParseInteger(options.value("seed"), 0, INT64_MAX));
+  bench.repeats = static_cast<int>(ParseInteger(options.value("repeats"), 1, kMaxRepeats));
+  std::vector<std::string> suites = options.operands();
   if (suites.empty()) suites = BenchSuiteRegistry::Instance().names();
   std::vector<BenchResult> results;
   bool failed = false;
   for (const std::string& suite : suites) {
     std::fprintf(stderr, "bench: %s\n", suite.c_str());
-    results.push_back(RunSuite(suite, arguments.options));
+    results.push_back(RunSuite(suite, bench));
     failed = failed || !results.back().failure.empty();
   }
   std::fputs(BenchTable(results).c_str(), stdout);
-  if (!arguments.json_file.empty()) {
-    std::ofstream(arguments.json_file) << BenchJson(results).dump(2) << "\n";
+  if (!options.value("json").empty()) {
+    std::ofstream(options.value("json")) << BenchJson(results).dump(2) << "\n";
   }
   return failed ? ExitCode::kFailed : ExitCode::kDone;
 }
--- a/main/replay_command.cc
+++ b/main/replay_command.cc
@@ -1,18 +1,18 @@
 #include "main/replay_command.h"
 
 #include <cstdio>
-#include <cxxopts.hpp>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
-#include "main/option_parser.h"
+#include "main/commands/options.h"
 #include "servers/entry/entry_server.h"
 #include "servers/replay/expectation_check.h"
 
 namespace turmericshift {
 namespace {
 
+constexpr size_t kMaxFiles = 10000;
+
 // What one trace came to.
 struct ReplayReport {
   Trace trace;
@@ -27,17 +27,9 @@
   }
 };
 
-std::string ReadTraceFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) throw Error(ErrorKind::kInvalidInput, "can't read " + path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 ReplayReport ReplayFile(const std::string& path, const std::string& policy) {
   ReplayReport report;
-  report.trace = ParseTrace(path, ReadTraceFile(path));
+  report.trace = ParseTrace(path, ReadFileText(path));
   report.result = Replayer(report.trace, policy).Run();
   report.checks = CheckExpectations(report.trace, report.result);
   return report;
@@ -81,30 +73,30 @@
 }  // namespace
 
 ExitCode RunReplay(const Words& words) {
-  cxxopts::Options options("turmericshift replay");
-  options.add_options()("files", "", cxxopts::value<std::vector<std::string>>())("json", "")(
-      "policy", "", cxxopts::value<std::string>())("record", "", cxxopts::value<std::string>());
-  const cxxopts::ParseResult parsed = ParseOptions(&options, words, "files");
-  std::string policy = TextOf(parsed, "policy");
-  if (policy.empty()) policy = EntryOptions().placement_policy;
-  const std::string record = TextOf(parsed, "record");
-  const std::vector<std::string> files = RequireFiles(parsed, "files");
+  CommandOptions options("replay", "runs traces against the decision code", "FILE…",
+                         "turmericshift replay --policy first_fit tests/traces/potkocsi-day.jsonl");
+  options.Flag("json", "print the outcome as JSON")
+      .Value("policy", "placement policy", EntryOptions().placement_policy)
+      .Value("record", "write the history of the one trace to this file, as log lines");
+  if (!options.Parse(words, 1, kMaxFiles)) return ExitCode::kDone;
+  const std::string record = options.value("record");
+  const std::vector<std::string>& files = options.operands();
   if (!record.empty() && files.size() != 1) {
     throw Error(ErrorKind::kInvalidInput, "--record takes one trace");
   }
   bool all_hold = true;
   nlohmann::json json = nlohmann::json::array();
   for (const std::string& file : files) {
-    const ReplayReport report = ReplayFile(file, policy);
+    const ReplayReport report = ReplayFile(file, options.value("policy"));
     all_hold = all_hold && report.AllHold();
-    if (parsed.count("json") != 0) {
+    if (options.flag("json")) {
       json.push_back(ReportJson(report));
     } else {
       PrintReport(report);
     }
     if (!record.empty()) WriteLines(report.result.lines, record);
   }
-  if (parsed.count("json") != 0) std::printf("%s\n", json.dump(2).c_str());
+  if (options.flag("json")) std::printf("%s\n", json.dump(2).c_str());
   return all_hold ? ExitCode::kDone : ExitCode::kFailed;
 }
 
--- a/servers/replay/replay_step.cc
+++ b/servers/replay/replay_step.cc
@@ -168,7 +168,7 @@
   // With a worker short the zone may not hold all that it promised; nobody can be blamed then.
   if (AllWorkersUp(name)) {
     for (const auto& [workspace, spec] : view.environment->workspaces) {
-      covered.merge(CoveredJobs(view, workspace, HostedCells(name, workspace)));
+      covered.merge(CoveredJobs(view, workspace, view.split->Share(name, workspace).cells));
     }
   }
   for (const std::string& job : covered) {
@@ -182,9 +182,4 @@
   zone->claims = std::move(covered);
 }
 
-std::vector<CellCount> Replayer::HostedCells(const std::string& /*zone*/,
-                                             const std::string& /*workspace*/) const {
-  return {};
-}
-
 }  // namespace turmericshift
--- a/servers/replay/replay_test.cc
+++ b/servers/replay/replay_test.cc
@@ -102,8 +102,8 @@
   EXPECT_EQ(trace.events.front().at, std::chrono::seconds(5405));
 }
 
-// A recorded day is generated from a seed. If the machine's library chose the numbers, a trace
-// that passes here would fail elsewhere.
+// The figures come from a second implementation. A day is generated from a seed. If the machine's
+// library chose the numbers, a trace that passes here would fail elsewhere.
 TEST(TraceTest, GeneratedNumbersAreTheSameEverywhere) {
   TraceRandom random(1);
   EXPECT_DOUBLE_EQ(random.Share(), 0.5665615751722809);
@@ -121,6 +121,16 @@
   EXPECT_EQ(second.state, JobState::kDone);
 }
 
+TEST(ReplayTest, EventsThatDoNotFitTheDocumentAreNamed) {
+  try {
+    ReplayOf(std::string(kHeader) + R"({"event":"worker_down","at":"1s","worker":"z-9"})",
+             FirstFreeWorker());
+    FAIL() << "the worker is not in the document";
+  } catch (const Error& error) {
+    EXPECT_STREQ(error.what(), "test:2: the document has no worker 'z-9'");
+  }
+}
+
 TEST(ReplayTest, TwoRunsGiveTheSameLines) {
   const std::string text =
       std::string(kHeader) +
--- a/servers/replay/replayer.cc
+++ b/servers/replay/replayer.cc
@@ -46,7 +46,7 @@
       if (NeedsLog(event)) {
         waiting_events_.push_back(event);
       } else {
-        Apply(event);
+        ApplyNamed(event);
       }
     }
     for (auto& [name, zone] : zones_) Step(name, &zone);
@@ -96,6 +96,14 @@
   return log_down_ && IsLogEvent(event.kind);
 }
 
+void Replayer::ApplyNamed(const TraceEvent& event) {
+  try {
+    Apply(event);
+  } catch (const Error& error) {
+    throw Error(error.kind(), trace_.name + ":" + std::to_string(event.line) + ": " + error.what());
+  }
+}
+
 void Replayer::Apply(const TraceEvent& event) {
   switch (event.kind) {
     case TraceEventKind::kSubmit:
--- a/servers/replay/replayer.h
+++ b/servers/replay/replayer.h
@@ -51,6 +51,8 @@
     std::set<std::string> claims;
   };
 
+  // Applies it; errors name the trace's line.
+  void ApplyNamed(const TraceEvent& event);
   void Apply(const TraceEvent& event);
   void Submit(const TracedJob& job, Duration asked);
   void Cancel(const std::string& job);
@@ -79,8 +81,6 @@
   void Start(const std::string& name, const StartDecision& start, Zone* zone);
   void Stop(const StopDecision& stop, const std::string& zone);
   void UpdateClaims(const std::string& name, Zone* zone);
-  // The guaranteed cells of the workspace that the zone hosts.
-  std::vector<CellCount> HostedCells(const std::string& zone, const std::string& workspace) const;
   bool AllWorkersUp(const std::string& zone) const;
 
   Time NextTime() const;
--- a/servers/replay/trace.cc
+++ b/servers/replay/trace.cc
@@ -249,11 +249,15 @@
   void ReadEvents(Fields* fields) {
     const auto name = fields->Get<std::string>("event");
     if (name != "generate") {
-      trace_.events.push_back(ReadEvent(name, fields));
+      Add(ReadEvent(name, fields));
       return;
     }
-    const std::vector<TraceEvent> generated = Generate(ReadRule(fields), &random_);
-    trace_.events.insert(trace_.events.end(), generated.begin(), generated.end());
+    for (const TraceEvent& event : Generate(ReadRule(fields), &random_)) Add(event);
+  }
+
+  void Add(TraceEvent event) {
+    event.line = number_;
+    trace_.events.push_back(std::move(event));
   }
 
   std::istringstream lines_;
--- a/servers/replay/trace.h
+++ b/servers/replay/trace.h
@@ -41,6 +41,8 @@
   // Since the trace's start.
   Duration at{};
   TraceEventKind kind = TraceEventKind::kSubmit;
+  // Where it was read.
+  int line = 0;
   // Set for kSubmit.
   TracedJob job;
   // Job id, prefix of job ids, worker, zone, or the text of a document.
