Planner: Hold out workers that fail everything, measure decision time

Change: WorkerHealth judges worker and job apart; ZonePlanner gains AttemptFailedOn (additive) and keeps held-out workers from starts; a task remembers where its worker stands in the view; the decision_time suite measures ZonePlanner::Decide by size.

--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -221,7 +221,7 @@
       const RunningJob& job = view_.running[index];
       const double remaining = estimator_.Remaining(job, now_);
       for (const TaskOnWorker& task : job.tasks) {
-        const int worker = room_.WorkerIndex(task.worker);
+        const int worker = room_.WorkerIndex(task);
         if (worker < 0) continue;
         drain_seconds_[worker] = std::max(drain_seconds_[worker], remaining);
         tasks_on_[worker].push_back(static_cast<int>(index));
--- a/modules/placement/register_types.cc
+++ b/modules/placement/register_types.cc
@@ -1,7 +1,9 @@
 #include "modules/placement/register_types.h"
 
+#include "core/bench_suite.h"
 #include "modules/placement/best_fit.h"
 #include "modules/placement/cell_policy.h"
+#include "modules/placement/decision_time_suite.h"
 #include "modules/placement/first_fit.h"
 
 namespace turmericshift {
@@ -13,6 +15,8 @@
                                                [] { return std::make_unique<BestFit>(); });
   PlacementPolicyRegistry::Instance().Register("cells",
                                                [] { return std::make_unique<CellPolicy>(); });
+  BenchSuiteRegistry::Instance().Register("decision_time",
+                                          [] { return std::make_unique<DecisionTimeSuite>(); });
 }
 
 }  // namespace turmericshift
--- a/modules/placement/task_placer.cc
+++ b/modules/placement/task_placer.cc
@@ -72,7 +72,8 @@
   for (int index = 0; index < count; ++index) {
     const uint32_t mask = ChooseBits(room.sizes(), free, spec.shape.accelerators);
     free &= ~mask;
-    tasks->push_back({static_cast<int>(tasks->size()), std::string(target.name), mask});
+    tasks->push_back(
+        {static_cast<int>(tasks->size()), std::string(target.name), mask, std::nullopt, worker});
   }
 }
 
@@ -254,7 +255,8 @@
       const uint32_t chosen = CheapestBits(site.worker, *mask);
       *mask &= ~chosen;
       tasks->push_back({static_cast<int>(tasks->size()),
-                        std::string(room_->workers()[site.worker].name), chosen, site.level});
+                        std::string(room_->workers()[site.worker].name), chosen, site.level,
+                        site.worker});
     }
   }
 
@@ -282,7 +284,7 @@
                            const std::map<int, TaskShape>& needed) const {
     std::set<int> victims;
     for (const TaskOnWorker& task : tasks) {
-      const int worker = room_->WorkerIndex(task.worker);
+      const int worker = room_->WorkerIndex(task);
       for (const LentTask& lent : room_->workers()[worker].lent) {
         if ((lent.mask & task.accelerators) != 0) victims.insert(lent.job);
       }
--- a/servers/planner/zone_planner.cc
+++ b/servers/planner/zone_planner.cc
@@ -8,6 +8,8 @@
 namespace turmericshift {
 namespace {
 
+constexpr double kLeastPart = 0.1;
+
 uint32_t AllAccelerators(const TaskShape& capacity) {
   return (uint32_t{1} << capacity.accelerators) - 1;
 }
@@ -39,7 +41,7 @@
 void ZonePlanner::WorkerUp(const std::string& name, const std::string& rack,
                            const TaskShape& capacity) {
   if (WorkerView* known = FindWorker(name)) {
-    known->usable = true;
+    known->reachable = true;
     return;
   }
   WorkerView worker;
@@ -54,7 +56,10 @@
 }
 
 void ZonePlanner::WorkerUsable(const std::string& name, bool usable) {
-  if (WorkerView* worker = FindWorker(name)) worker->usable = usable;
+  WorkerView* worker = FindWorker(name);
+  if (worker == nullptr) return;
+  worker->reachable = usable;
+  worker->usable = worker->usable && usable;
 }
 
 void ZonePlanner::WorkerLost(const std::string& name, Time now) {
@@ -68,10 +73,12 @@
     AttemptEnded(job, attempt, AttemptEnd::kWorkerLost, now);
   }
   std::erase_if(view_.workers, [&](const WorkerView& worker) { return worker.name == name; });
+  health_.ForgetWorker(name);
   worker_index_.clear();
   for (size_t index = 0; index < view_.workers.size(); ++index) {
     worker_index_[view_.workers[index].name] = index;
   }
+  for (RunningJob& job : view_.running) NotePositions(&job.tasks);
 }
 
 void ZonePlanner::JobAccepted(const JobRecord& job, Time now) {
@@ -96,6 +103,7 @@
 void ZonePlanner::JobGone(const std::string& job) {
   if (waiting_ids_.erase(job) != 0) view_.waiting.erase(FindById(&view_.waiting, job));
   cancel_asked_.erase(job);
+  health_.ForgetJob(job);
   checked_.erase(job);
   refused_.erase(job);
   checkpoints_.erase(job);
@@ -117,6 +125,7 @@
   running.borrowed = borrowed;
   running.tasks = tasks;
   for (const TaskOnWorker& task : tasks) Take(job.spec.shape, task);
+  NotePositions(&running.tasks);
   running_index_[job.id] = view_.running.size();
   view_.running.push_back(running);
   rebind_ = true;
@@ -141,7 +150,14 @@
   view_.running.erase(view_.running.begin() + (found - view_.running.data()));
   running_index_stale_ = true;
   for (const TaskOnWorker& task : ended.tasks) GiveBack(ended.spec.shape, task);
-  if (end == AttemptEnd::kDone) policy_->Learn(ended.spec, now - ended.started, now);
+  if (end == AttemptEnd::kDone) {
+    // Of work that went on from a checkpoint, this attempt ran only a part.
+    const double part = std::max(kLeastPart, 1 - ended.started_progress);
+    policy_->Learn(ended.spec, FromSeconds(Seconds(now - ended.started) / part), now);
+    std::vector<std::string> workers;
+    for (const TaskOnWorker& task : ended.tasks) workers.push_back(task.worker);
+    health_.AttemptDone(job, workers);
+  }
   if (end == AttemptEnd::kDone || end == AttemptEnd::kFailed) return JobGone(job);
   WaitingJob waiting;
   waiting.id = job;
@@ -160,6 +176,7 @@
 
 Plan ZonePlanner::Decide(Time now) {
   Plan plan;
+  HoldOutWorkers(now);
   if (rebind_) Rebind();
   BindBorrowed();
   if (view_.environment) {
@@ -178,6 +195,20 @@
   return plan;
 }
 
+FailureVerdict ZonePlanner::AttemptFailedOn(const std::string& job,
+                                            const std::vector<std::string>& workers, Time now) {
+  const FailureVerdict verdict = health_.AttemptFailed(job, workers, view_.workers.size(), now);
+  const RunningJob* running = FindRunning(job);
+  const bool may_repeat = running != nullptr && running->spec.repeatable;
+  return may_repeat ? verdict : FailureVerdict::kJobAtFault;
+}
+
+void ZonePlanner::HoldOutWorkers(Time now) {
+  for (WorkerView& worker : view_.workers) {
+    worker.usable = worker.reachable && !health_.HeldOut(worker.name, now);
+  }
+}
+
 void ZonePlanner::CheckFeasibility(Plan* plan) {
   for (WaitingJob& job : view_.waiting) {
     if (checked_.insert(job.id).second) {
@@ -225,6 +256,13 @@
   }
 }
 
+void ZonePlanner::NotePositions(std::vector<TaskOnWorker>* tasks) const {
+  for (TaskOnWorker& task : *tasks) {
+    const auto found = worker_index_.find(task.worker);
+    task.position = found == worker_index_.end() ? -1 : static_cast<int>(found->second);
+  }
+}
+
 void ZonePlanner::Rebind() {
   rebind_ = false;
   if (!view_.environment) return;
@@ -300,6 +338,7 @@
   view_.waiting.erase(found);
   waiting_ids_.erase(start.job);
   checked_.erase(start.job);
+  NotePositions(&running.tasks);
   running_index_[start.job] = view_.running.size();
   view_.running.push_back(running);
 }
--- a/servers/planner/zone_planner.h
+++ b/servers/planner/zone_planner.h
@@ -11,6 +11,7 @@
 
 #include "servers/planner/feasibility.h"
 #include "servers/planner/placement_policy.h"
+#include "servers/planner/worker_health.h"
 #include "servers/planner/zone_view.h"
 #include "servers/state/job_fold.h"
 
@@ -43,6 +44,12 @@
   // Frees its room. The job waits again unless it is done, failed or cancelled.
   void AttemptEnded(const std::string& job, int64_t attempt, AttemptEnd end, Time now);
 
+  // To be asked before AttemptEnded when tasks failed on `workers`: whether the job is at fault
+  // (kFailed) or should be tried on other workers (kStopped). Work that may not be repeated is at
+  // fault at once.
+  FailureVerdict AttemptFailedOn(const std::string& job, const std::vector<std::string>& workers,
+                                 Time now);
+
   // Whether a start that a policy planned may go ahead is checked here once more, whatever the
   // policy: zone in, room free, cap kept, every guarantee still within reach. One that may not is
   // dropped and logged. Work beyond its workspace's cells is marked as borrowed.
@@ -60,8 +67,10 @@
   RunningJob* FindRunning(const std::string& job);
   void Take(const TaskShape& shape, const TaskOnWorker& task);
   void GiveBack(const TaskShape& shape, const TaskOnWorker& task);
+  void NotePositions(std::vector<TaskOnWorker>* tasks) const;
   // Binds what runs to the cells of the present document; work that no longer has one is borrowed.
   void Rebind();
+  void HoldOutWorkers(Time now);
   // Notes which waiting jobs can't run here, and refuses those that can't run anywhere.
   void CheckFeasibility(Plan* plan);
   void AddWaitReasons(const Plan& plan);
@@ -72,6 +81,7 @@
   void ApplyCancels(Plan* plan);
 
   ZoneView view_;
+  WorkerHealth health_;
   bool rebind_ = false;
   std::unique_ptr<Feasibility> feasibility_;
   // Waiting jobs that were checked against the present document.
--- a/servers/planner/zone_room.cc
+++ b/servers/planner/zone_room.cc
@@ -85,7 +85,7 @@
     const int workspace = WorkspaceIndex(job.spec.workspace);
     shares_[workspace].used += job.spec.shape.accelerators * static_cast<int>(job.tasks.size());
     for (TaskOnWorker task : job.tasks) {
-      const int worker = WorkerIndex(task.worker);
+      const int worker = WorkerIndex(task);
       if (worker < 0) continue;
       if (job.borrowed) {
         workers_[worker].lent.push_back({static_cast<int>(index), task.accelerators});
@@ -103,8 +103,11 @@
   }
 }
 
-int ZoneRoom::WorkerIndex(const std::string& name) const {
-  const auto found = worker_index_.find(name);
+int ZoneRoom::WorkerIndex(const TaskOnWorker& task) const {
+  const bool known = task.position >= 0 && task.position < static_cast<int>(workers_.size()) &&
+                     workers_[task.position].name == task.worker;
+  if (known) return task.position;
+  const auto found = worker_index_.find(task.worker);
   return found == worker_index_.end() ? -1 : found->second;
 }
 
@@ -211,7 +214,7 @@
 }
 
 bool ZoneRoom::Bind(int workspace, const TaskShape& shape, TaskOnWorker* task, Journal* journal) {
-  const int worker = WorkerIndex(task->worker);
+  const int worker = WorkerIndex(*task);
   if (worker < 0) return false;
   if (Join(workspace, shape, worker, task, journal)) return true;
   const std::optional<CellLevel> least = sizes_.LevelFor(shape);
@@ -292,7 +295,7 @@
   // Of each worker, what these tasks take together.
   std::map<int, RoomWorker> left;
   for (const TaskOnWorker& task : tasks) {
-    const int index = WorkerIndex(task.worker);
+    const int index = WorkerIndex(task);
     if (index < 0 || !workers_[index].usable) return false;
     RoomWorker& room = left.emplace(index, workers_[index]).first->second;
     const bool enough = room.free_processors >= spec.shape.processors &&
@@ -309,7 +312,7 @@
 
 void ZoneRoom::TakeFree(const JobSpec& spec, const std::vector<TaskOnWorker>& tasks) {
   for (const TaskOnWorker& task : tasks) {
-    const int index = WorkerIndex(task.worker);
+    const int index = WorkerIndex(task);
     if (index < 0) continue;
     RoomWorker& room = workers_[index];
     room.free_processors -= spec.shape.processors;
--- a/servers/planner/zone_room.h
+++ b/servers/planner/zone_room.h
@@ -65,8 +65,8 @@
   // Indices of the workers of each rack.
   const std::vector<std::vector<int>>& racks() const { return racks_; }
 
-  // -1 for a name that the view does not have.
-  int WorkerIndex(const std::string& name) const;
+  // -1 for a worker that the view does not have.
+  int WorkerIndex(const TaskOnWorker& task) const;
   // A small number for the workspace, the same until the room is gone.
   int WorkspaceIndex(const std::string& name);
   // Cells of `level` that the workspace has not bound yet.
--- a/servers/planner/zone_view.h
+++ b/servers/planner/zone_view.h
@@ -26,8 +26,10 @@
   int free_processors = 0;
   int64_t free_memory_bytes = 0;
   uint32_t free_accelerators = 0;
-  // Reached, not quarantined, not leaving: new tasks may start here.
+  // Reached, not held out, not leaving: new tasks may start here.
   bool usable = true;
+  // As `usable`, but for being held out after failures.
+  bool reachable = true;
 };
 
 struct TaskOnWorker {
@@ -36,6 +38,9 @@
   uint32_t accelerators = 0;
   // The guaranteed cell that the task is bound to; none on borrowed room.
   std::optional<CellLevel> cell = std::nullopt;
+  // Where the worker stands in ZoneView::workers, if known; only a hint that saves looking up its
+  // name.
+  int position = -1;
 };
 
 struct WaitingJob {
