--- a/modules/placement/decision_time_suite.h
+++ b/modules/placement/decision_time_suite.h
@@ -1,5 +1,5 @@
-// How long one decision of a zone's planner takes, at today's size and at the long-run size, under a
-// steady change of jobs.
+// How long one decision of a zone's planner takes, at today's size and at the long-run size, under
+// a steady change of jobs.
 #pragma once
 
 #include "core/bench_suite.h"
