--- a/modules/placement/decision_time_suite.cc
+++ b/modules/placement/decision_time_suite.cc
@@ -149,6 +149,7 @@
   std::vector<BenchFigure> figures;
   for (const ZoneSize& size : kSizes) {
     std::vector<double> tails;
+    tails.reserve(static_cast<size_t>(options.repeats));
     for (int repeat = 0; repeat < options.repeats; ++repeat) {
       tails.push_back(TailOf(Churn(size, options.seed).Measure()) / kMillisecond);
     }
