--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -211,6 +211,26 @@
           from.getCheckpoint()};
 }
 
+void Write(const EntryMember& from, wire::EntryMember::Builder to) {
+  to.setProcess(from.process);
+  to.setZone(from.zone);
+  to.setAddress(from.address);
+}
+
+EntryMember Read(wire::EntryMember::Reader from) {
+  return {Text(from.getProcess()), Text(from.getZone()), Text(from.getAddress())};
+}
+
+void Write(const HeardEntry& from, wire::HeardEntry::Builder to) {
+  Write(from.entry, to.initEntry());
+  to.setConfigVersion(from.config_version);
+  to.setAgeNanos(from.age.count());
+}
+
+HeardEntry Read(wire::HeardEntry::Reader from) {
+  return {Read(from.getEntry()), from.getConfigVersion(), Duration(from.getAgeNanos())};
+}
+
 void Write(const AgentBeat& from, wire::AgentBeat::Builder to) {
   Write(from.load, to.initLoad());
   to.setConfigVersion(from.config_version);
@@ -218,6 +238,9 @@
   to.setPlannerEpoch(from.planner_epoch);
   auto tasks = to.initTasks(static_cast<unsigned>(from.tasks.size()));
   for (unsigned index = 0; index < tasks.size(); ++index) Write(from.tasks[index], tasks[index]);
+  auto heard = to.initHeard(static_cast<unsigned>(from.heard.size()));
+  for (unsigned index = 0; index < heard.size(); ++index) Write(from.heard[index], heard[index]);
+  to.setMembersDigest(from.members_digest);
 }
 
 AgentBeat Read(wire::AgentBeat::Reader from) {
@@ -227,6 +250,8 @@
   beat.leaving = from.getLeaving();
   beat.planner_epoch = from.getPlannerEpoch();
   for (const auto task : from.getTasks()) beat.tasks.push_back(Read(task));
+  for (const auto heard : from.getHeard()) beat.heard.push_back(Read(heard));
+  beat.members_digest = from.getMembersDigest();
   return beat;
 }
 
@@ -238,6 +263,13 @@
   auto entries = to.initEntries(static_cast<unsigned>(from.entries.size()));
   for (unsigned index = 0; index < entries.size(); ++index) entries.set(index, from.entries[index]);
   to.setPlannerAddress(from.planner_address);
+  Write(from.self, to.initSelf());
+  to.setEnvironment(from.environment);
+  to.setConfigDigest(from.config_digest);
+  auto members = to.initMembers(static_cast<unsigned>(from.members.size()));
+  for (unsigned index = 0; index < members.size(); ++index) {
+    Write(from.members[index], members[index]);
+  }
 }
 
 EntryBeat Read(wire::EntryBeat::Reader from) {
@@ -248,6 +280,10 @@
   beat.freshness.failing = from.getLogFailing();
   for (const auto entry : from.getEntries()) beat.entries.push_back(Text(entry));
   beat.planner_address = Text(from.getPlannerAddress());
+  beat.self = Read(from.getSelf());
+  beat.environment = Text(from.getEnvironment());
+  beat.config_digest = Text(from.getConfigDigest());
+  for (const auto member : from.getMembers()) beat.members.push_back(Read(member));
   return beat;
 }
 
--- a/rpc/convert.h
+++ b/rpc/convert.h
@@ -33,6 +33,12 @@
 void Write(const GangAction& from, wire::GangAction::Builder to);
 GangAction Read(wire::GangAction::Reader from);
 
+void Write(const EntryMember& from, wire::EntryMember::Builder to);
+EntryMember Read(wire::EntryMember::Reader from);
+
+void Write(const HeardEntry& from, wire::HeardEntry::Builder to);
+HeardEntry Read(wire::HeardEntry::Reader from);
+
 void Write(const AgentBeat& from, wire::AgentBeat::Builder to);
 AgentBeat Read(wire::AgentBeat::Reader from);
 
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -113,12 +113,26 @@
   checkpoint @7 :Text;
 }
 
+struct EntryMember {
+  process @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;
+}
+
+struct HeardEntry {
+  entry @0 :EntryMember;
+  configVersion @1 :Int64;
+  ageNanos @2 :Int64;
+}
+
 struct AgentBeat {
   load @0 :TargetLoad;
   configVersion @1 :Int64;
   leaving @2 :Bool;
   tasks @3 :List(TaskReport);
   plannerEpoch @4 :Int64;
+  heard @5 :List(HeardEntry);
+  membersDigest @6 :Int64;
 }
 
 struct EntryBeat {
@@ -128,6 +142,10 @@
   logFailing @3 :Bool;
   entries @4 :List(Text);
   plannerAddress @5 :Text;
+  self @6 :EntryMember;
+  environment @7 :Text;
+  configDigest @8 :Text;
+  members @9 :List(EntryMember);
 }
 
 # What an entry calls on an agent.
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -1,5 +1,6 @@
 #include "servers/agent/agent_server.h"
 
+#include <functional>
 #include <utility>
 
 #include "core/attempt.h"
@@ -11,7 +12,10 @@
 namespace {
 
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
-constexpr Duration kReconnectPause = std::chrono::milliseconds(500);
+// How often an idle session thread asks the plan for something to do.
+constexpr Duration kChoosePause = std::chrono::milliseconds(100);
+// What is known of other entries goes with every so many heartbeats, to spare bytes.
+constexpr int kBeatsPerHeard = 2;
 constexpr size_t kMaxCancelled = 1000;
 
 }  // namespace
@@ -24,12 +28,17 @@
       served_(&metrics->counter("agent_requests_served")),
       refused_(&metrics->counter("agent_requests_refused")),
       limiter_(options.slots, options.connections),
-      guard_(options.hello.zone) {
+      guard_(options.hello.zone),
+      plan_(options.hello.zone, options.max_sessions, options.entries,
+            std::hash<std::string>{}(options.hello.process + options.hello.incarnation)) {
   if (worker != nullptr) {
     gangs_ = std::make_unique<GangHost>(options.hello.worker, worker, &guard_);
     expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
   }
-  Learn(options.entries);
+  // One more than sessions are kept: a better one is opened before the least one ends.
+  for (int index = 0; index <= options.max_sessions; ++index) {
+    sessions_.emplace_back("agent-beat", [this] { RunSessions(); });
+  }
 }
 
 AgentServer::~AgentServer() {
@@ -140,34 +149,37 @@
   return *gangs_;
 }
 
-void AgentServer::Learn(const std::vector<std::string>& entries) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  for (const std::string& entry : entries) {
-    if (stopping_ || static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
-    if (!known_entries_.insert(entry).second) continue;
-    sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
-  }
+void AgentServer::RunSessions() {
+  do {
+    const std::string address = plan_.Choose(DefaultClock().Now());
+    if (!address.empty()) RunSession(address);
+  } while (!Pause(kChoosePause));
 }
 
 void AgentServer::RunSession(const std::string& address) {
-  do {
-    try {
-      const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
-      LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
-      KeepSession(port.get());
-    } catch (const Error& error) {
-      LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
-    }
-  } while (!Pause(kReconnectPause));
+  try {
+    const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
+    plan_.Opened(address);
+    LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
+    KeepSession(address, port.get());
+    plan_.Released(address);
+  } catch (const Error& error) {
+    plan_.Lost(address, DefaultClock().Now());
+    LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
+  }
 }
 
-void AgentServer::KeepSession(EntryPort* port) {
+void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
+  int beats = 0;
   do {
     const Time sent = DefaultClock().Now();
-    const EntryBeat beat = port->Heartbeat(MakeBeat(), options_.heartbeat_timeout);
+    AgentBeat own = MakeBeat();
+    own.members_digest = plan_.members_digest();
+    if (beats++ % kBeatsPerHeard == 0) own.heard = guard_.heard(sent);
+    const EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
-    Learn(beat.entries);
-  } while (!Pause(options_.heartbeat));
+    plan_.Learn(beat.members, beat.planner_address);
+  } while (!Pause(options_.heartbeat) && plan_.StillWanted(address));
 }
 
 AgentBeat AgentServer::MakeBeat() const {
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -14,6 +14,7 @@
 #include "core/thread.h"
 #include "servers/agent/gang_host.h"
 #include "servers/agent/request_ledger.h"
+#include "servers/agent/session_plan.h"
 #include "servers/agent/slot_limiter.h"
 #include "servers/agent/start_guard.h"
 #include "servers/platform/target_service.h"
@@ -58,11 +59,13 @@
   const StartGuard& guard() const { return guard_; }
 
  private:
+  // One of the session threads: opens a session where the plan says, keeps it, and starts over.
+  void RunSessions();
   void RunSession(const std::string& address);
-  void KeepSession(EntryPort* port);
+  // Returns when the session is not wanted any more or the agent stops. Throws when it is lost.
+  void KeepSession(const std::string& address, EntryPort* port);
   void RunExpiry();
-  // Starts a session thread for each entry not yet known, up to the limit.
-  void Learn(const std::vector<std::string>& entries);
+  // Returns whether the agent stops.
   bool Pause(Duration duration);
   AgentBeat MakeBeat() const;
   GangHost& RequireWorker();
@@ -76,6 +79,7 @@
   SlotLimiter limiter_;
   RequestLedger ledger_;
   StartGuard guard_;
+  SessionPlan plan_;
   std::unique_ptr<GangHost> gangs_;
   std::atomic<bool> leaving_{false};
 
@@ -83,7 +87,6 @@
   std::condition_variable changed_;
   bool stopping_ = false;
   int serving_ = 0;
-  std::set<std::string> known_entries_;
   std::set<std::string> cancelled_;
   std::vector<Thread> sessions_;
   Thread expiry_;
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -1,5 +1,6 @@
 #include "servers/entry/entry_server.h"
 
+#include <set>
 #include <utility>
 
 #include "core/error.h"
@@ -13,6 +14,12 @@
 
 constexpr size_t kIncarnationBytes = 8;
 constexpr Duration kRecordTimeout = std::chrono::seconds(3);
+constexpr Duration kUpkeepPeriod = std::chrono::seconds(1);
+// An entry of which no agent has heard for so long is gone. Long enough for a partition to heal:
+// an entry that comes back finds itself missing and joins again.
+constexpr Duration kMemberSilence = std::chrono::seconds(60);
+// Word of entries spreads with the heartbeats; a peer that was heard so lately is passed on.
+constexpr Duration kPeerSilence = std::chrono::seconds(30);
 
 }  // namespace
 
@@ -22,8 +29,10 @@
   Port(EntryServer* entry, AgentHello hello) : entry_(entry), hello_(std::move(hello)) {}
 
   EntryBeat Heartbeat(const AgentBeat& beat, Duration /*timeout*/) override {
-    entry_->directory_.Heard(hello_, beat, DefaultClock().Now());
-    return entry_->MakeBeat(beat);
+    const Time now = DefaultClock().Now();
+    entry_->directory_.Heard(hello_, beat, now);
+    entry_->peers_.Hear(beat, now);
+    return entry_->MakeBeat(beat, hello_.zone);
   }
 
  private:
@@ -35,10 +44,12 @@
     : options_(options),
       metrics_(metrics),
       incarnation_(RandomHex(kIncarnationBytes)),
-      config_stream_(Stream::kConfig, log, &config_fold_, metrics),
-      job_stream_(Stream::kJobs, log, &job_fold_, metrics),
-      request_stream_(Stream::kRequests, log, &request_fold_, metrics),
-      member_stream_(Stream::kMembers, log, &member_fold_, metrics),
+      budget_(options.appends_per_second),
+      config_stream_(Stream::kConfig, log, &config_fold_, metrics, OptionsFor(Stream::kConfig)),
+      job_stream_(Stream::kJobs, log, &job_fold_, metrics, OptionsFor(Stream::kJobs)),
+      request_stream_(Stream::kRequests, log, &request_fold_, metrics,
+                      OptionsFor(Stream::kRequests)),
+      member_stream_(Stream::kMembers, log, &member_fold_, metrics, OptionsFor(Stream::kMembers)),
       tokens_(&config_fold_) {
   RouterOptions router;
   router.own_zone = options.zone;
@@ -57,9 +68,16 @@
   operator_http_ = std::make_unique<HttpServer>(
       options.operator_http,
       [this](const HttpRequest& request) { return OperatorApi(this).Handle(request); });
+  upkeep_ = Thread("entry-upkeep", [this] { RunUpkeep(); });
 }
 
 EntryServer::~EntryServer() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  stop_.notify_all();
+  upkeep_.Join();
   caller_http_.reset();
   operator_http_.reset();
   planner_.reset();
@@ -73,17 +91,96 @@
   return std::make_shared<Port>(this, hello);
 }
 
+StreamOptions EntryServer::OptionsFor(Stream stream) {
+  StreamOptions options;
+  options.budget = &budget_;
+  options.snapshot_period = options_.snapshot_period;
+  if (stream == Stream::kConfig) {
+    // A read that hangs must count as failed before the bound on zone changes has passed.
+    options.read_wait = std::chrono::milliseconds(500);
+    options.read_timeout = std::chrono::milliseconds(1500);
+  }
+  return options;
+}
+
 void EntryServer::AnnounceAddress(const std::string& address) {
-  address_ = address;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    address_ = address;
+  }
   try {
-    member_stream_.Write(MemberJoined{NewRecordId(), options_.process, "entry", options_.zone,
-                                      address, incarnation_},
-                         kRecordTimeout);
+    JoinIfMissing();
   } catch (const Error& error) {
+    // The upkeep tries again.
     LogEvent(LogLevel::kWarning, "member_not_recorded", {{"error", error.what()}});
   }
 }
 
+void EntryServer::JoinIfMissing() {
+  std::string address;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    address = address_;
+  }
+  if (address.empty() || leaving_.load()) return;
+  for (const MemberJoined& member : member_fold_.members()) {
+    if (member.process != options_.process) continue;
+    if (member.incarnation == incarnation_ && member.address == address) return;
+  }
+  member_stream_.Write(MemberJoined{NewRecordId(), options_.process, "entry", options_.zone,
+                                    address, incarnation_},
+                       kRecordTimeout);
+}
+
+void EntryServer::DropSilentMembers(Time now) {
+  std::set<std::string> heard;
+  for (const PeerState& peer : peers_.Heard(now, kMemberSilence)) {
+    heard.insert(peer.entry.process);
+  }
+  // Without agents this entry hears of nobody and can tell nothing about others.
+  if (heard.count(options_.process) == 0) {
+    missed_since_.clear();
+    return;
+  }
+  for (const MemberJoined& member : member_fold_.members()) {
+    if (heard.count(member.process) != 0) {
+      missed_since_.erase(member.process);
+      continue;
+    }
+    const Time since = missed_since_.try_emplace(member.process, now).first->second;
+    if (now - since < kMemberSilence) continue;
+    missed_since_.erase(member.process);
+    member_stream_.Write(MemberLeft{NewRecordId(), member.process, member.incarnation},
+                         kRecordTimeout);
+    LogEvent(LogLevel::kWarning, "member_dropped", {{"entry", member.process}});
+  }
+}
+
+void EntryServer::RunUpkeep() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stop_.wait_for(lock, kUpkeepPeriod, [this] { return stopping_; })) {
+    lock.unlock();
+    Upkeep(DefaultClock().Now());
+    lock.lock();
+  }
+}
+
+void EntryServer::Upkeep(Time now) {
+  const int64_t wall_ms = DefaultClock().WallMillis();
+  try {
+    if (member_stream_.view().ever_fresh && !member_stream_.view().failing) {
+      JoinIfMissing();
+      DropSilentMembers(now);
+    }
+    for (StreamClient* stream :
+         {&config_stream_, &request_stream_, &job_stream_, &member_stream_}) {
+      stream->KeepSnapshot(now, wall_ms);
+    }
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kWarning, "upkeep_failed", {{"error", error.what()}});
+  }
+}
+
 bool EntryServer::ready() const {
   return !leaving_.load() && config_fold_.current() != nullptr && job_stream_.view().ever_fresh &&
          request_stream_.view().ever_fresh;
@@ -102,21 +199,52 @@
   return drained;
 }
 
-EntryBeat EntryServer::MakeBeat(const AgentBeat& beat) const {
+EntryBeat EntryServer::MakeBeat(const AgentBeat& beat, const std::string& zone) const {
   EntryBeat answer;
+  const Time now = DefaultClock().Now();
   const StreamView view = config_stream_.view();
-  if (view.ever_fresh) answer.freshness.age = DefaultClock().Now() - view.fresh_at;
+  if (view.ever_fresh) answer.freshness.age = now - view.fresh_at;
   answer.freshness.failing = view.failing;
   // Read after the freshness, so that the document is at least as new as the freshness says.
   const auto current = config_fold_.current();
   if (current) {
     answer.config_version = current->version;
+    answer.config_digest = current->digest;
     if (current->version > beat.config_version) answer.config_text = current->text;
   }
-  for (const MemberJoined& member : member_fold_.members()) {
-    answer.entries.push_back(member.address);
+  // An agent may have a version from an entry that could read it and has gone since. Naming it
+  // without its text tells other agents that what this entry has is not the newest.
+  if (peers_.highest_version() > answer.config_version) {
+    answer.config_version = peers_.highest_version();
+    answer.config_digest.clear();
+    answer.config_text.clear();
+  }
+  answer.environment = config_fold_.environment_name();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    answer.self = {options_.process, options_.zone, address_};
   }
+  std::vector<EntryMember> members = KnownEntries(now);
+  const std::string planner = job_fold_.Planner(zone).process;
+  for (const EntryMember& member : members) {
+    if (member.process == planner) answer.planner_address = member.address;
+  }
+  if (DigestMembers(members) != beat.members_digest) answer.members = std::move(members);
   return answer;
 }
 
+std::vector<EntryMember> EntryServer::KnownEntries(Time now) const {
+  std::map<std::string, EntryMember> known;
+  for (const MemberJoined& member : member_fold_.members()) {
+    known[member.process] = {member.process, member.zone, member.address};
+  }
+  // The newer word wins: while the log is down, agents know of entries that could not join.
+  for (const PeerState& peer : peers_.Heard(now, kPeerSilence)) {
+    if (!peer.entry.address.empty()) known[peer.entry.process] = peer.entry;
+  }
+  std::vector<EntryMember> result;
+  for (const auto& [process, member] : known) result.push_back(member);
+  return result;
+}
+
 }  // namespace turmericshift
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -3,13 +3,18 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
 #include "core/http_server.h"
 #include "core/metrics.h"
+#include "core/thread.h"
 #include "servers/entry/agent_directory.h"
+#include "servers/entry/peer_view.h"
 #include "servers/entry/request_router.h"
 #include "servers/entry/token_table.h"
 #include "servers/planner/planner_duty.h"
@@ -25,6 +30,15 @@
 struct EntryOptions {
   std::string process;
   std::string zone;
+  // Name of the environment whose log this is, such as "trial"; empty: any.
+  std::string environment;
+  // With a key, a document is published only if another environment that knows the key states that
+  // it had the same bytes in force. Empty: documents are published directly.
+  std::string promotion_key;
+  // This process's part of what the log takes.
+  double appends_per_second = 60;
+  // Well inside the log's retention.
+  Duration snapshot_period = std::chrono::minutes(10);
   HttpServerOptions caller_http;
   HttpServerOptions operator_http;
   // Lets operators in before the first document; empty: none.
@@ -59,32 +73,51 @@
 
  private:
   friend class CallerApi;
+  friend class ConfigApi;
   friend class OperatorApi;
   class Port;
 
-  EntryBeat MakeBeat(const AgentBeat& beat) const;
+  StreamOptions OptionsFor(Stream stream);
+  EntryBeat MakeBeat(const AgentBeat& beat, const std::string& zone) const;
+  std::vector<EntryMember> KnownEntries(Time now) const;
+  // Records this entry as a member, and again when it finds itself missing.
+  void JoinIfMissing();
+  // Records that entries have gone of which nothing was heard for long.
+  void DropSilentMembers(Time now);
+  void RunUpkeep();
+  // Whatever must be done every second or so; failures wait for the next round.
+  void Upkeep(Time now);
 
   const EntryOptions options_;
   MetricsRegistry* const metrics_;
   const std::string incarnation_;
   std::atomic<bool> leaving_{false};
-  std::string address_;
 
   ConfigFold config_fold_;
   JobFold job_fold_;
   RequestFold request_fold_;
   MemberFold member_fold_;
+  AppendBudget budget_;
   StreamClient config_stream_;
   StreamClient job_stream_;
   StreamClient request_stream_;
   StreamClient member_stream_;
 
   AgentDirectory directory_;
+  PeerView peers_;
   TokenTable tokens_;
   std::unique_ptr<RequestRouter> router_;
   std::unique_ptr<PlannerDuty> planner_;
   std::unique_ptr<HttpServer> caller_http_;
   std::unique_ptr<HttpServer> operator_http_;
+
+  mutable std::mutex mutex_;
+  std::condition_variable stop_;
+  bool stopping_ = false;
+  std::string address_;
+  // When this entry first missed another, by process name.
+  std::map<std::string, Time> missed_since_;
+  Thread upkeep_;
 };
 
 }  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/in_force.cc
@@ -0,0 +1,53 @@
+#include "servers/entry/in_force.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace turmericshift {
+
+bool InForceReport::complete() const {
+  return !zones.empty() && std::all_of(zones.begin(), zones.end(), [](const auto& zone) {
+    return zone.second.behind.empty();
+  });
+}
+
+std::string InForceReport::ToJson() const {
+  nlohmann::json list = nlohmann::json::object();
+  for (const auto& [name, zone] : zones) {
+    list[name] = {{"agents_in_force", zone.agents},
+                  {"entries_in_force", zone.entries},
+                  {"behind", zone.behind}};
+  }
+  return nlohmann::json({{"version", version}, {"complete", complete()}, {"zones", list}}).dump();
+}
+
+InForceReport ReportInForce(int64_t version, const std::vector<AgentState>& agents,
+                            const std::vector<MemberJoined>& members,
+                            const std::vector<PeerState>& peers, Time now) {
+  InForceReport report;
+  report.version = version;
+  for (const AgentState& agent : agents) {
+    ZoneInForce& zone = report.zones[agent.hello.zone];
+    const bool has = agent.beat.config_version >= version && now - agent.heard <= kInForceSilence;
+    if (has) {
+      ++zone.agents;
+    } else {
+      zone.behind.push_back(agent.hello.process);
+    }
+  }
+  for (const MemberJoined& member : members) {
+    ZoneInForce& zone = report.zones[member.zone];
+    const bool has = std::any_of(peers.begin(), peers.end(), [&](const PeerState& peer) {
+      return peer.entry.process == member.process && peer.config_version >= version &&
+             now - peer.heard <= kInForceSilence;
+    });
+    if (has) {
+      ++zone.entries;
+    } else {
+      zone.behind.push_back(member.process);
+    }
+  }
+  return report;
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/in_force.h
@@ -0,0 +1,37 @@
+// Who has a version of the document in force and who has not, by availability zone.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "servers/entry/agent_directory.h"
+#include "servers/entry/peer_view.h"
+#include "servers/state/record.h"
+
+namespace turmericshift {
+
+struct ZoneInForce {
+  int agents = 0;
+  int entries = 0;
+  // Process names of agents and entries that run an older version, or were not heard of late.
+  std::vector<std::string> behind;
+};
+
+struct InForceReport {
+  int64_t version = 0;
+  std::map<std::string, ZoneInForce> zones;
+
+  // Nobody known is behind, and at least one process has it.
+  bool complete() const;
+  std::string ToJson() const;
+};
+
+// An agent or entry counts as behind unless it was heard within kInForceSilence.
+inline constexpr Duration kInForceSilence = std::chrono::seconds(5);
+
+InForceReport ReportInForce(int64_t version, const std::vector<AgentState>& agents,
+                            const std::vector<MemberJoined>& members,
+                            const std::vector<PeerState>& peers, Time now);
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/entry/peer_view.cc
@@ -0,0 +1,41 @@
+#include "servers/entry/peer_view.h"
+
+#include <algorithm>
+
+namespace turmericshift {
+namespace {
+
+// Far more than any fleet has entries; keeps a confused agent from filling this process's memory.
+constexpr size_t kMaxPeers = 256;
+
+}  // namespace
+
+void PeerView::Hear(const AgentBeat& beat, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  highest_version_ = std::max(highest_version_, beat.config_version);
+  for (const HeardEntry& heard : beat.heard) {
+    const std::string& process = heard.entry.process;
+    if (peers_.size() >= kMaxPeers && peers_.count(process) == 0) continue;
+    PeerState& peer = peers_[process];
+    const Time when = now - heard.age;
+    if (when >= peer.heard) peer.entry = heard.entry;
+    peer.heard = std::max(peer.heard, when);
+    peer.config_version = std::max(peer.config_version, heard.config_version);
+  }
+}
+
+std::vector<PeerState> PeerView::Heard(Time now, Duration limit) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<PeerState> result;
+  for (const auto& [process, peer] : peers_) {
+    if (now - peer.heard <= limit) result.push_back(peer);
+  }
+  return result;
+}
+
+int64_t PeerView::highest_version() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return highest_version_;
+}
+
+}  // namespace turmericshift
--- a/servers/entry/request_router.h
+++ b/servers/entry/request_router.h
@@ -10,6 +10,7 @@
 #include "servers/entry/agent_directory.h"
 #include "servers/entry/routing_policy.h"
 #include "servers/state/request_fold.h"
+#include "servers/state/stream_client.h"
 
 namespace turmericshift {
 
--- a/servers/planner/planner_duty.h
+++ b/servers/planner/planner_duty.h
@@ -15,6 +15,7 @@
 #include "servers/planner/zone_planner.h"
 #include "servers/state/config_fold.h"
 #include "servers/state/job_fold.h"
+#include "servers/state/stream_client.h"
 
 namespace turmericshift {
 
--- a/servers/ports/messages.cc
+++ b/servers/ports/messages.cc
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "core/digest.h"
+
 namespace turmericshift {
 
 const char* SeenStateName(SeenState state) {
@@ -10,4 +12,14 @@
   return kNames.at(static_cast<size_t>(state));
 }
 
+int64_t DigestMembers(const std::vector<EntryMember>& members) {
+  constexpr size_t kDigits = 15;
+  int64_t result = 0;
+  for (const EntryMember& member : members) {
+    const std::string digest = Digest(member.process + " " + member.zone + " " + member.address);
+    result ^= static_cast<int64_t>(std::stoull(digest.substr(0, kDigits), nullptr, 16));
+  }
+  return result;
+}
+
 }  // namespace turmericshift
--- a/servers/ports/messages.h
+++ b/servers/ports/messages.h
@@ -124,6 +124,23 @@
   bool checkpoint = false;
 };
 
+// An entry as others reach it.
+struct EntryMember {
+  std::string process;
+  std::string zone;
+  // "IP:port".
+  std::string address;
+};
+
+// What an agent last heard from one of its entries; carries word of entries from one to another
+// while the log is down.
+struct HeardEntry {
+  EntryMember entry;
+  int64_t config_version = 0;
+  // Since the heartbeat that the entry answered was sent.
+  Duration age{};
+};
+
 struct AgentBeat {
   TargetLoad load;
   int64_t config_version = 0;
@@ -131,6 +148,10 @@
   std::vector<TaskReport> tasks;
   // Highest planner epoch this agent has obeyed.
   Sequence planner_epoch = kNoSequence;
+  // Sent with some of the heartbeats only, to spare bytes.
+  std::vector<HeardEntry> heard;
+  // DigestMembers of the entries this agent knows, so that an unchanged list is not sent again.
+  int64_t members_digest = 0;
 };
 
 // What an entry knows about the log, passed on to agents.
@@ -146,10 +167,21 @@
   // The document, only when newer than the agent's.
   std::string config_text;
   LogFreshness freshness;
-  // Addresses of entries, "IP:port".
+  // Not set any more: `members` took its place.
   std::vector<std::string> entries;
   // The entry that holds the planner duty of the agent's zone, "" if unknown.
   std::string planner_address;
+  // Who answers.
+  EntryMember self;
+  // Environment of the config stream, such as "trial"; "" before the first document.
+  std::string environment;
+  // Digest of the document of `config_version`.
+  std::string config_digest;
+  // All entries known here; empty when the agent knows the same ones.
+  std::vector<EntryMember> members;
 };
 
+// Equal for equal lists of members, in any order.
+int64_t DigestMembers(const std::vector<EntryMember>& members);
+
 }  // namespace turmericshift
--- a/servers/state/config_fold.cc
+++ b/servers/state/config_fold.cc
@@ -1,5 +1,8 @@
 #include "servers/state/config_fold.h"
 
+#include <nlohmann/json.hpp>
+#include <utility>
+
 #include "core/digest.h"
 #include "core/error.h"
 
@@ -8,33 +11,132 @@
 
 constexpr size_t kMaxHistory = 64;
 
+// "" or the name of a zone whose state differs between the two.
+std::string ChangedZone(const Environment& from, const Environment& to) {
+  for (const auto& [name, zone] : to.zones) {
+    const AvailabilityZoneSpec* before = from.FindZone(name);
+    if (before != nullptr && before->in != zone.in) return name;
+  }
+  return "";
+}
+
 }  // namespace
 
-FoldVerdict ConfigFold::Apply(const Record& record, Sequence /*sequence*/) {
-  const auto* published = std::get_if<ConfigPublished>(&record);
-  if (published == nullptr) return {false, "not a config record"};
+FoldVerdict ConfigFold::Apply(const Record& record, Sequence sequence) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  const int64_t newest = history_.empty() ? 0 : history_.back()->version;
-  if (published->parent != newest || published->version != newest + 1) {
-    return {false, "version " + std::to_string(newest) + " came first"};
-  }
-  if (Digest(published->text) != published->digest) return {false, "the digest does not match"};
-  auto version = std::make_shared<ConfigVersion>();
   try {
-    version->environment = std::make_shared<const Environment>(
-        ParseEnvironment("version " + std::to_string(published->version), published->text));
+    if (const auto* published = std::get_if<ConfigPublished>(&record)) {
+      return Take(*published, sequence);
+    }
+    if (const auto* change = std::get_if<ZoneChanged>(&record)) return Take(*change, sequence);
   } catch (const Error& error) {
     return {false, error.what()};
   }
-  version->version = published->version;
-  version->digest = published->digest;
-  version->author = published->author;
-  version->wall_ms = published->wall_ms;
-  version->text = published->text;
-  history_.push_back(version);
+  return {false, "not a config record"};
+}
+
+FoldVerdict ConfigFold::Take(const ConfigPublished& published, Sequence sequence) {
+  const std::string foreign = Foreign(published.environment);
+  if (!foreign.empty()) return {false, foreign};
+  const ConfigVersion* before = newest();
+  const int64_t newest_version = before == nullptr ? 0 : before->version;
+  if (published.parent != newest_version || published.version != newest_version + 1) {
+    const std::string by = before == nullptr ? "" : " by '" + before->author + "'";
+    return {false, "version " + std::to_string(newest_version) + by + " came first"};
+  }
+  if (Digest(published.text) != published.digest) return {false, "the digest does not match"};
+  ConfigVersion version;
+  version.version = published.version;
+  version.author = published.author;
+  version.wall_ms = published.wall_ms;
+  version.text = published.text;
+  version.sequence = sequence;
+  version.environment = std::make_shared<const Environment>(
+      ParseEnvironment("version " + std::to_string(published.version), published.text));
+  if (before != nullptr) {
+    if (version.environment->deployment != before->environment->deployment) {
+      return {false, "the document is one of deployment " + version.environment->deployment +
+                         ", this environment one of " + before->environment->deployment};
+    }
+    const std::string zone = ChangedZone(*before->environment, *version.environment);
+    if (!zone.empty() && !published.sets_zones) {
+      return {false, "the document would change the state of availability zone " + zone};
+    }
+  }
+  if (environment_name_.empty()) environment_name_ = published.environment;
+  Append(std::move(version));
+  return {};
+}
+
+FoldVerdict ConfigFold::Take(const ZoneChanged& change, Sequence sequence) {
+  const std::string foreign = Foreign(change.environment);
+  if (!foreign.empty()) return {false, foreign};
+  const ConfigVersion* before = newest();
+  if (before == nullptr) return {false, "no configuration was published yet"};
+  const AvailabilityZoneSpec* zone = before->environment->FindZone(change.zone);
+  if (zone == nullptr) return {false, "no availability zone named '" + change.zone + "'"};
+  if (zone->in == change.in) {
+    return {false, "the availability zone is " + std::string(change.in ? "in" : "out") +
+                       " already, since version " + std::to_string(before->version)};
+  }
+  ConfigVersion version;
+  version.version = before->version + 1;
+  version.author = change.author;
+  version.wall_ms = change.wall_ms;
+  version.text = WithZoneState(before->text, change.zone, change.in);
+  version.sequence = sequence;
+  Append(std::move(version));
+  return {};
+}
+
+std::string ConfigFold::Foreign(const std::string& environment) const {
+  if (environment.empty() || environment_name_.empty() || environment == environment_name_) {
+    return "";
+  }
+  return "this is the log of environment " + environment_name_ + ", not of " + environment;
+}
+
+void ConfigFold::Append(ConfigVersion version) {
+  if (!version.environment) {
+    version.environment = std::make_shared<const Environment>(
+        ParseEnvironment("version " + std::to_string(version.version), version.text));
+  }
+  version.digest = Digest(version.text);
+  history_.push_back(std::make_shared<const ConfigVersion>(std::move(version)));
   if (history_.size() > kMaxHistory) history_.erase(history_.begin());
   changed_.notify_all();
-  return {};
+}
+
+const ConfigVersion* ConfigFold::newest() const {
+  return history_.empty() ? nullptr : history_.back().get();
+}
+
+nlohmann::json ConfigFold::Snapshot() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json versions = nlohmann::json::array();
+  for (const auto& version : history_) {
+    versions.push_back({{"version", version->version},
+                        {"author", version->author},
+                        {"wall_ms", version->wall_ms},
+                        {"sequence", version->sequence},
+                        {"text", version->text}});
+  }
+  return {{"environment", environment_name_}, {"versions", versions}};
+}
+
+void ConfigFold::Restore(const nlohmann::json& state) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  history_.clear();
+  environment_name_ = state.at("environment").get<std::string>();
+  for (const nlohmann::json& each : state.at("versions")) {
+    ConfigVersion version;
+    version.version = each.at("version").get<int64_t>();
+    version.author = each.at("author").get<std::string>();
+    version.wall_ms = each.at("wall_ms").get<int64_t>();
+    version.sequence = each.at("sequence").get<Sequence>();
+    version.text = each.at("text").get<std::string>();
+    Append(std::move(version));
+  }
 }
 
 std::shared_ptr<const ConfigVersion> ConfigFold::current() const {
@@ -47,6 +149,19 @@
   return history_;
 }
 
+std::shared_ptr<const ConfigVersion> ConfigFold::Find(int64_t version) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& each : history_) {
+    if (each->version == version) return each;
+  }
+  return nullptr;
+}
+
+std::string ConfigFold::environment_name() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return environment_name_;
+}
+
 bool ConfigFold::WaitFor(int64_t version, Duration limit) const {
   std::unique_lock<std::mutex> lock(mutex_);
   return changed_.wait_for(
--- a/servers/state/config_fold.h
+++ b/servers/state/config_fold.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "servers/config/environment.h"
-#include "servers/state/stream_client.h"
+#include "servers/state/fold.h"
 
 namespace turmericshift {
 
@@ -18,6 +18,8 @@
   std::string author;
   int64_t wall_ms = 0;
   std::string text;
+  // Of the record that made this version.
+  Sequence sequence = kNoSequence;
   // Never null once a version was accepted.
   std::shared_ptr<const Environment> environment;
 };
@@ -25,17 +27,32 @@
 class ConfigFold : public Fold {
  public:
   FoldVerdict Apply(const Record& record, Sequence sequence) override;
+  nlohmann::json Snapshot() const override;
+  void Restore(const nlohmann::json& state) override;
 
   // Null before the first accepted document.
   std::shared_ptr<const ConfigVersion> current() const;
-  // Oldest first.
+  // The newest versions, oldest first.
   std::vector<std::shared_ptr<const ConfigVersion>> history() const;
+  // Null when the version is not in the history.
+  std::shared_ptr<const ConfigVersion> Find(int64_t version) const;
+  // Name of the environment whose documents this stream holds; "" while none was given.
+  std::string environment_name() const;
   // Waits until a version of at least `version` is in force here; returns whether it is.
   bool WaitFor(int64_t version, Duration limit) const;
 
  private:
+  FoldVerdict Take(const ConfigPublished& published, Sequence sequence);
+  FoldVerdict Take(const ZoneChanged& change, Sequence sequence);
+  // "" or why a record of that environment does not belong here.
+  std::string Foreign(const std::string& environment) const;
+  // Throws Error(kInvalidInput) for a text that is no document.
+  void Append(ConfigVersion version);
+  const ConfigVersion* newest() const;
+
   mutable std::mutex mutex_;
   mutable std::condition_variable changed_;
+  std::string environment_name_;
   std::vector<std::shared_ptr<const ConfigVersion>> history_;
 };
 
--- /dev/null
+++ b/servers/state/fold_host.cc
@@ -0,0 +1,64 @@
+#include "servers/state/fold_host.h"
+
+#include <nlohmann/json.hpp>
+
+#include "core/error.h"
+
+namespace turmericshift {
+
+std::vector<AppliedRecord> FoldHost::Apply(const LogEntry& entry) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<AppliedRecord> applied;
+  for (const PlacedRecord& placed : DecodeRecords(entry.bytes)) {
+    const std::string& id = RecordId(placed.record);
+    if (!window_.Add(id)) continue;
+    const Sequence sequence = SequenceOf(entry.offset, placed.place);
+    if (const auto* part = std::get_if<SnapshotPart>(&placed.record)) {
+      if (const auto whole = assembler_.Add(*part)) {
+        newest_snapshot_ = {whole->covers, whole->wall_ms, ""};
+      }
+      applied.push_back({id, {sequence, {}}});
+      continue;
+    }
+    applied.push_back({id, {sequence, fold_->Apply(placed.record, sequence)}});
+  }
+  next_ = entry.offset + 1;
+  return applied;
+}
+
+SnapshotState FoldHost::TakeSnapshot(int64_t wall_ms) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const nlohmann::json state = {{"fold", fold_->Snapshot()}, {"window", window_.Snapshot()}};
+  return {next_, wall_ms, state.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+void FoldHost::Restore(const SnapshotState& snapshot) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  try {
+    const nlohmann::json state = nlohmann::json::parse(snapshot.bytes);
+    fold_->Restore(state.at("fold"));
+    window_.Restore(state.at("window"));
+  } catch (const std::exception& error) {
+    throw Error(ErrorKind::kInvalidInput,
+                "snapshot of stream " + stream_ + " is unreadable: " + error.what());
+  }
+  next_ = snapshot.covers;
+  newest_snapshot_ = {snapshot.covers, snapshot.wall_ms, ""};
+}
+
+Offset FoldHost::next() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return next_;
+}
+
+void FoldHost::StartAt(Offset offset) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  next_ = offset;
+}
+
+SnapshotState FoldHost::newest_snapshot() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return newest_snapshot_;
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/state/fold_host.h
@@ -0,0 +1,60 @@
+// A fold with what every stream needs around it: each record counts once, snapshots go in and out.
+// No threads and no log here, so that tests can cut a stream anywhere.
+#pragma once
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "servers/platform/log_service.h"
+#include "servers/state/fold.h"
+#include "servers/state/record_window.h"
+#include "servers/state/snapshot.h"
+
+namespace turmericshift {
+
+// Where a record ended up.
+struct Written {
+  Sequence sequence = kNoSequence;
+  FoldVerdict verdict;
+};
+
+struct AppliedRecord {
+  std::string id;
+  Written written;
+};
+
+class FoldHost {
+ public:
+  // `fold` must outlive the host.
+  FoldHost(const std::string& stream, Fold* fold) : stream_(stream), fold_(fold) {}
+
+  // The entry must be the one at next(). Returns its records, without repeated ones.
+  std::vector<AppliedRecord> Apply(const LogEntry& entry);
+
+  // The state after every entry before next().
+  SnapshotState TakeSnapshot(int64_t wall_ms) const;
+  // Throws Error(kInvalidInput) for what TakeSnapshot never made.
+  void Restore(const SnapshotState& snapshot);
+
+  // The entry to apply next.
+  Offset next() const;
+  // Starts at an offset that needs no earlier entries: the stream's very first.
+  void StartAt(Offset offset);
+
+  // The newest whole snapshot that passed by, without its bytes; none yet: covers is kNoOffset.
+  SnapshotState newest_snapshot() const;
+
+ private:
+  const std::string stream_;
+  Fold* const fold_;
+  // Held while the fold changes, so that a snapshot belongs to one offset.
+  mutable std::mutex mutex_;
+  Offset next_ = 0;
+  RecordWindow window_;
+  SnapshotAssembler assembler_;
+  SnapshotState newest_snapshot_;
+};
+
+}  // namespace turmericshift
--- a/servers/state/job_fold.cc
+++ b/servers/state/job_fold.cc
@@ -1,6 +1,7 @@
 #include "servers/state/job_fold.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace turmericshift {
 
@@ -58,7 +59,11 @@
   JobRecord& job = found->second;
   if (job.state != JobState::kWaiting) return {false, "the job has ended"};
   if (job.zone != record.from) return {false, "the job is with another planner"};
-  if (planners_[record.from].epoch != record.epoch) return {false, "a newer planner has the zone"};
+  // A void record must not leave a trace, hence no operator[].
+  const auto planner = planners_.find(record.from);
+  if (planner == planners_.end() || planner->second.epoch != record.epoch) {
+    return {false, "a newer planner has the zone"};
+  }
   job.zone = record.to;
   job.checkpoint = record.checkpoint;
   return {};
@@ -69,6 +74,57 @@
   return {};
 }
 
+nlohmann::json JobFold::Snapshot() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json jobs = nlohmann::json::array();
+  for (const auto& [id, job] : jobs_) {
+    jobs.push_back({{"id", job.id},
+                    {"spec", job.spec},
+                    {"zone", job.zone},
+                    {"sequence", job.sequence},
+                    {"config_version", job.config_version},
+                    {"submitted_wall_ms", job.submitted_wall_ms},
+                    {"cancel_asked", job.cancel_asked},
+                    {"state", JobStateName(job.state)},
+                    {"attempt", job.attempt},
+                    {"reason", job.reason},
+                    {"ended_wall_ms", job.ended_wall_ms},
+                    {"checkpoint", job.checkpoint}});
+  }
+  nlohmann::json planners = nlohmann::json::object();
+  for (const auto& [zone, planner] : planners_) {
+    planners[zone] = {{"process", planner.process}, {"epoch", planner.epoch}};
+  }
+  return {{"changes", changes_}, {"jobs", jobs}, {"planners", planners}};
+}
+
+void JobFold::Restore(const nlohmann::json& state) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  jobs_.clear();
+  planners_.clear();
+  changes_ = state.at("changes").get<int64_t>();
+  for (const nlohmann::json& json : state.at("jobs")) {
+    JobRecord job;
+    json.at("id").get_to(job.id);
+    json.at("spec").get_to(job.spec);
+    json.at("zone").get_to(job.zone);
+    json.at("sequence").get_to(job.sequence);
+    json.at("config_version").get_to(job.config_version);
+    json.at("submitted_wall_ms").get_to(job.submitted_wall_ms);
+    json.at("cancel_asked").get_to(job.cancel_asked);
+    job.state = JobStateFromName(json.at("state").get<std::string>());
+    json.at("attempt").get_to(job.attempt);
+    json.at("reason").get_to(job.reason);
+    json.at("ended_wall_ms").get_to(job.ended_wall_ms);
+    json.at("checkpoint").get_to(job.checkpoint);
+    jobs_[job.id] = std::move(job);
+  }
+  for (const auto& [zone, planner] : state.at("planners").items()) {
+    planners_[zone] = {planner.at("process").get<std::string>(),
+                       planner.at("epoch").get<Sequence>()};
+  }
+}
+
 std::optional<JobRecord> JobFold::Find(const std::string& id) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = jobs_.find(id);
--- a/servers/state/job_fold.h
+++ b/servers/state/job_fold.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "servers/state/stream_client.h"
+#include "servers/state/fold.h"
 
 namespace turmericshift {
 
@@ -37,6 +37,8 @@
 class JobFold : public Fold {
  public:
   FoldVerdict Apply(const Record& record, Sequence sequence) override;
+  nlohmann::json Snapshot() const override;
+  void Restore(const nlohmann::json& state) override;
 
   std::optional<JobRecord> Find(const std::string& id) const;
   // Jobs of `workspace` ("" for all), in order of arrival.
--- a/servers/state/member_fold.cc
+++ b/servers/state/member_fold.cc
@@ -1,5 +1,7 @@
 #include "servers/state/member_fold.h"
 
+#include <nlohmann/json.hpp>
+
 namespace turmericshift {
 
 FoldVerdict MemberFold::Apply(const Record& record, Sequence /*sequence*/) {
@@ -19,6 +21,21 @@
   return {};
 }
 
+nlohmann::json MemberFold::Snapshot() const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const MemberJoined& member : members()) list.push_back(RecordToJson(member));
+  return list;
+}
+
+void MemberFold::Restore(const nlohmann::json& state) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  members_.clear();
+  for (const nlohmann::json& json : state) {
+    const auto member = std::get<MemberJoined>(RecordFromJson(json));
+    members_[member.process] = member;
+  }
+}
+
 std::vector<MemberJoined> MemberFold::members() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<MemberJoined> result;
--- a/servers/state/member_fold.h
+++ b/servers/state/member_fold.h
@@ -7,13 +7,15 @@
 #include <string>
 #include <vector>
 
-#include "servers/state/stream_client.h"
+#include "servers/state/fold.h"
 
 namespace turmericshift {
 
 class MemberFold : public Fold {
  public:
   FoldVerdict Apply(const Record& record, Sequence sequence) override;
+  nlohmann::json Snapshot() const override;
+  void Restore(const nlohmann::json& state) override;
 
   // Members that have not left, by process name.
   std::vector<MemberJoined> members() const;
--- a/servers/state/record.cc
+++ b/servers/state/record.cc
@@ -8,8 +8,10 @@
 
 namespace turmericshift {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigPublished, id, version, parent, digest, text, author,
-                                   wall_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigPublished, id, version, parent, digest, text,
+                                                author, wall_ms, environment, sets_zones)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneChanged, id, zone, in, author, wall_ms, environment)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SnapshotPart, id, covers, part, parts, digest, bytes, wall_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestClaimed, id, workspace, key, service, body_digest,
                                    attempt, agent, incarnation, wall_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestEnded, id, workspace, key, attempt, status, body,
@@ -43,7 +45,8 @@
 // In the order of the variant's alternatives.
 constexpr std::array<const char*, std::variant_size_v<Record>> kTypeNames = {
     "config_published", "request_claimed", "request_ended",   "job_submitted", "job_cancelled",
-    "job_ended",        "job_moved",       "planner_claimed", "member_joined", "member_left"};
+    "job_ended",        "job_moved",       "planner_claimed", "member_joined", "member_left",
+    "zone_changed",     "snapshot_part"};
 
 template <size_t kIndex = 0>
 Record DecodeAs(const std::string& type, const nlohmann::json& json) {
@@ -63,14 +66,34 @@
 
 std::string NewRecordId() { return RandomHex(kIdBytes); }
 
-std::string EncodeRecords(const std::vector<Record>& records) {
-  nlohmann::json group = nlohmann::json::array();
-  for (const Record& record : records) {
-    nlohmann::json json = std::visit([](const auto& each) { return nlohmann::json(each); }, record);
-    json["type"] = kTypeNames.at(record.index());
-    group.push_back(std::move(json));
+nlohmann::json RecordToJson(const Record& record) {
+  nlohmann::json json = std::visit([](const auto& each) { return nlohmann::json(each); }, record);
+  json["type"] = kTypeNames.at(record.index());
+  return json;
+}
+
+Record RecordFromJson(const nlohmann::json& json) {
+  return DecodeAs(json.at("type").get<std::string>(), json);
+}
+
+std::string EncodeRecord(const Record& record) {
+  return RecordToJson(record).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string JoinEncoded(const std::vector<std::string>& records) {
+  std::string entry = "[";
+  for (const std::string& record : records) {
+    if (entry.size() > 1) entry += ',';
+    entry += record;
   }
-  return group.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return entry + "]";
+}
+
+std::string EncodeRecords(const std::vector<Record>& records) {
+  std::vector<std::string> encoded;
+  encoded.reserve(records.size());
+  for (const Record& record : records) encoded.push_back(EncodeRecord(record));
+  return JoinEncoded(encoded);
 }
 
 std::vector<PlacedRecord> DecodeRecords(const std::string& bytes) {
@@ -84,7 +107,7 @@
   for (const nlohmann::json& json : group) {
     const int here = place++;
     try {
-      records.push_back({here, DecodeAs(json.at("type").get<std::string>(), json)});
+      records.push_back({here, RecordFromJson(json)});
     } catch (const std::exception& error) {
       LogEvent(LogLevel::kError, "log_record_unreadable", {{"error", error.what()}});
     }
--- a/servers/state/record.h
+++ b/servers/state/record.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <variant>
 #include <vector>
@@ -30,6 +31,35 @@
   std::string text;
   std::string author;
   int64_t wall_ms = 0;
+  // Name of the environment that this log belongs to, such as "trial".
+  std::string environment;
+  // The document may bring zones in or take them out; otherwise one that would is void, so that an
+  // old file does not bring a zone back by accident.
+  bool sets_zones = false;
+};
+
+// Takes a zone in or out on whatever document is newest when the log gets to it, so that it can't
+// lose against an unrelated change.
+struct ZoneChanged {
+  std::string id;
+  std::string zone;
+  bool in = true;
+  std::string author;
+  int64_t wall_ms = 0;
+  std::string environment;
+};
+
+// One part of a fold's state after every entry before `covers`. Parts of one `covers` are the same
+// whoever wrote them, so that several writers do no harm.
+struct SnapshotPart {
+  std::string id;
+  int64_t covers = 0;
+  int part = 0;
+  int parts = 1;
+  // Of the whole state.
+  std::string digest;
+  std::string bytes;
+  int64_t wall_ms = 0;
 };
 
 struct RequestClaimed {
@@ -113,16 +143,26 @@
 
 using Record =
     std::variant<ConfigPublished, RequestClaimed, RequestEnded, JobSubmitted, JobCancelled,
-                 JobEnded, JobMoved, PlannerClaimed, MemberJoined, MemberLeft>;
+                 JobEnded, JobMoved, PlannerClaimed, MemberJoined, MemberLeft, ZoneChanged,
+                 SnapshotPart>;
 
 const std::string& RecordId(const Record& record);
 
 // A fresh id that no other record has.
 std::string NewRecordId();
 
+// One record and its type, as snapshots keep it.
+nlohmann::json RecordToJson(const Record& record);
+// Throws Error or the JSON library's exceptions for what is no record.
+Record RecordFromJson(const nlohmann::json& json);
+
 // One log entry from a group of records, at most kMaxRecordsPerEntry.
 std::string EncodeRecords(const std::vector<Record>& records);
 
+// The same in two steps: the bytes of one record, and an entry of several such.
+std::string EncodeRecord(const Record& record);
+std::string JoinEncoded(const std::vector<std::string>& records);
+
 // The records of an entry. A record that can't be read is left out, the same way by every reader,
 // and its place still counts, so that sequences agree.
 struct PlacedRecord {
--- a/servers/state/request_fold.cc
+++ b/servers/state/request_fold.cc
@@ -1,5 +1,7 @@
 #include "servers/state/request_fold.h"
 
+#include <nlohmann/json.hpp>
+
 namespace turmericshift {
 namespace {
 
@@ -42,6 +44,31 @@
   return {};
 }
 
+nlohmann::json RequestFold::Snapshot() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& [key, state] : requests_) {
+    nlohmann::json json = {{"claim", RecordToJson(state.claim)}, {"fence", state.fence}};
+    if (state.ended) json["ended"] = RecordToJson(*state.ended);
+    list.push_back(std::move(json));
+  }
+  return list;
+}
+
+void RequestFold::Restore(const nlohmann::json& state) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  requests_.clear();
+  for (const nlohmann::json& json : state) {
+    RequestState request;
+    request.claim = std::get<RequestClaimed>(RecordFromJson(json.at("claim")));
+    request.fence = json.at("fence").get<Sequence>();
+    if (json.contains("ended")) {
+      request.ended = std::get<RequestEnded>(RecordFromJson(json.at("ended")));
+    }
+    requests_[FullKey(request.claim.workspace, request.claim.key)] = std::move(request);
+  }
+}
+
 std::optional<RequestState> RequestFold::Find(const std::string& workspace,
                                               const std::string& key) const {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/servers/state/request_fold.h
+++ b/servers/state/request_fold.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "servers/state/stream_client.h"
+#include "servers/state/fold.h"
 
 namespace turmericshift {
 
@@ -22,6 +22,8 @@
 class RequestFold : public Fold {
  public:
   FoldVerdict Apply(const Record& record, Sequence sequence) override;
+  nlohmann::json Snapshot() const override;
+  void Restore(const nlohmann::json& state) override;
 
   std::optional<RequestState> Find(const std::string& workspace, const std::string& key) const;
 
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -15,30 +17,12 @@
 #include "core/metrics.h"
 #include "core/thread.h"
 #include "servers/platform/log_service.h"
+#include "servers/state/append_budget.h"
+#include "servers/state/fold_host.h"
 #include "servers/state/record.h"
 
 namespace turmericshift {
 
-// What a fold made of a record.
-struct FoldVerdict {
-  bool accepted = true;
-  // Why it is void, for the writer; the same for every reader.
-  std::string reason;
-};
-
-// State built from a stream's records in order. Apply must depend on nothing but the records.
-class Fold {
- public:
-  virtual ~Fold() = default;
-  virtual FoldVerdict Apply(const Record& record, Sequence sequence) = 0;
-};
-
-// Where a record ended up.
-struct Written {
-  Sequence sequence = kNoSequence;
-  FoldVerdict verdict;
-};
-
 // How current this process's view of a stream is.
 struct StreamView {
   // A read that was begun at this time reached the head; nothing accepted earlier is missing.
@@ -50,11 +34,28 @@
   Offset next = 0;
 };
 
+struct StreamOptions {
+  // A read at the head waits this long for news. Shorter makes a failing log known earlier.
+  Duration read_wait = std::chrono::milliseconds(1000);
+  // Beyond the wait.
+  Duration read_timeout = std::chrono::milliseconds(3000);
+  Duration append_timeout = std::chrono::milliseconds(3000);
+  // Null: appends are not limited.
+  AppendBudget* budget = nullptr;
+  // A snapshot is written after so many entries or so long a time, whichever comes first. Both must
+  // be well inside the log's retention.
+  int64_t snapshot_entries = 5000;
+  Duration snapshot_period = std::chrono::minutes(10);
+  // Processes wait a random part of this before they write one, and skip it if another was quicker.
+  Duration snapshot_spread = std::chrono::seconds(20);
+};
+
 class StreamClient {
  public:
   // `service` and `fold` must outlive the client. The fold is called on the reader's thread.
-  StreamClient(Stream stream, LogService* service, Fold* fold, MetricsRegistry* metrics);
-  // Stops both threads; records still waiting fail with outcome unknown.
+  StreamClient(Stream stream, LogService* service, Fold* fold, MetricsRegistry* metrics,
+               const StreamOptions& options = {});
+  // Stops all threads; records still waiting fail with outcome unknown.
   ~StreamClient();
   StreamClient(const StreamClient&) = delete;
   StreamClient& operator=(const StreamClient&) = delete;
@@ -63,6 +64,15 @@
   // Throws Error(kLogUnavailable): outcome not_run when it was surely not appended, otherwise
   // unknown; Error(kOverloaded) when too many records wait already.
   Written Write(const Record& record, Duration timeout);
+  // As Write, for records that travel together; they share one append if they fit. On an error,
+  // outcome unknown means that any of them may have been appended.
+  std::vector<Written> WriteAll(const std::vector<Record>& records, Duration timeout);
+
+  // Writes what is due of a snapshot at `now`; for a thread that calls it every second or so.
+  // Returns whether a whole one was written. Throws as Write.
+  bool KeepSnapshot(Time now, int64_t wall_ms);
+  // The state after the entries before its offset, to compare processes at equal offsets.
+  SnapshotState TakeSnapshot() const { return host_.TakeSnapshot(0); }
 
   StreamView view() const;
   // Waits until the view has been fresh once; returns whether it has.
@@ -70,33 +80,53 @@
 
  private:
   struct Waiter;
+  using Group = std::vector<std::shared_ptr<Waiter>>;
 
   void RunWriter();
+  Group TakeGroup();
+  void AppendGroup(const Group& group);
   void RunReader();
   // One read and its application; returns false after a failure.
-  bool ReadOnce(Offset* next);
+  bool ReadOnce();
+  void ApplyBatch(const LogBatch& batch);
   void ApplyEntry(const LogEntry& entry);
-  void AppendGroup(const std::vector<std::shared_ptr<Waiter>>& group);
-  // Sleeps unless the client stops meanwhile.
+  // Finds the offset to read from, restoring the newest snapshot if the stream's begin is gone.
+  void Locate();
+  std::optional<SnapshotState> ScanForSnapshot(Offset from, Offset head);
+  bool SnapshotIsDue(Time now, int64_t wall_ms);
+  // Sleeps unless the client stops meanwhile. With backoff: doubles with `failures`, random.
   void Pause(Duration duration);
+  void BackOff(int failures);
 
   const Stream stream_;
+  const std::string name_;
+  const StreamOptions options_;
   LogService* const service_;
-  Fold* const fold_;
+  FoldHost host_;
   Counter* const appends_;
   Counter* const append_failures_;
   Counter* const read_failures_;
+  Counter* const read_bytes_;
+  Counter* const voids_;
+  Gauge* const queued_;
   Distribution* const group_size_;
+  Distribution* const write_seconds_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   bool stopping_ = false;
+  std::minstd_rand random_;
   std::deque<std::shared_ptr<Waiter>> queue_;
   // Records sent or about to be, by id, until read back or given up.
   std::map<std::string, std::shared_ptr<Waiter>> waiting_;
   StreamView view_;
+  bool located_ = false;
+  int append_failures_in_row_ = 0;
+  // Used by KeepSnapshot's one caller only.
+  std::vector<SnapshotPart> snapshot_parts_;
+  Time snapshot_due_at_{};
 
-  Thread writer_;
+  std::vector<Thread> writers_;
   Thread reader_;
 };
 
