--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -44,6 +44,11 @@
   Write(from.shape, to.initShape());
   to.setProgress(from.progress);
   to.setCheckpoint(from.checkpoint);
+  to.setEpoch(from.epoch);
+  to.setWorkspace(from.workspace);
+  to.setGuaranteed(from.guaranteed);
+  to.setCheckpoints(from.checkpoints);
+  to.setLeaseLeftNanos(from.lease_left.count());
 }
 
 TaskReport Read(wire::TaskReport::Reader from) {
@@ -57,6 +62,11 @@
   report.shape = Read(from.getShape());
   report.progress = from.getProgress();
   report.checkpoint = Text(from.getCheckpoint());
+  report.epoch = from.getEpoch();
+  report.workspace = Text(from.getWorkspace());
+  report.guaranteed = from.getGuaranteed();
+  report.checkpoints = from.getCheckpoints();
+  report.lease_left = Duration(from.getLeaseLeftNanos());
   return report;
 }
 
@@ -236,6 +246,7 @@
   to.setConfigVersion(from.config_version);
   to.setLeaving(from.leaving);
   to.setPlannerEpoch(from.planner_epoch);
+  to.setPlannerSilenceNanos(from.planner_silence.count());
   auto tasks = to.initTasks(static_cast<unsigned>(from.tasks.size()));
   for (unsigned index = 0; index < tasks.size(); ++index) Write(from.tasks[index], tasks[index]);
   auto heard = to.initHeard(static_cast<unsigned>(from.heard.size()));
@@ -249,6 +260,7 @@
   beat.config_version = from.getConfigVersion();
   beat.leaving = from.getLeaving();
   beat.planner_epoch = from.getPlannerEpoch();
+  beat.planner_silence = Duration(from.getPlannerSilenceNanos());
   for (const auto task : from.getTasks()) beat.tasks.push_back(Read(task));
   for (const auto heard : from.getHeard()) beat.heard.push_back(Read(heard));
   beat.members_digest = from.getMembersDigest();
@@ -270,6 +282,10 @@
   for (unsigned index = 0; index < members.size(); ++index) {
     Write(from.members[index], members[index]);
   }
+  to.setPlannerEpoch(from.planner_epoch);
+  to.setPlannerActive(from.planner_active);
+  to.setJobsAgeNanos(from.jobs_freshness.age.count());
+  to.setJobsFailing(from.jobs_freshness.failing);
 }
 
 EntryBeat Read(wire::EntryBeat::Reader from) {
@@ -284,6 +300,10 @@
   beat.environment = Text(from.getEnvironment());
   beat.config_digest = Text(from.getConfigDigest());
   for (const auto member : from.getMembers()) beat.members.push_back(Read(member));
+  beat.planner_epoch = from.getPlannerEpoch();
+  beat.planner_active = from.getPlannerActive();
+  beat.jobs_freshness.age = Duration(from.getJobsAgeNanos());
+  beat.jobs_freshness.failing = from.getJobsFailing();
   return beat;
 }
 
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -111,6 +111,11 @@
   shape @5 :Shape;
   progress @6 :Float64;
   checkpoint @7 :Text;
+  epoch @8 :Int64 = -1;
+  workspace @9 :Text;
+  guaranteed @10 :Bool;
+  checkpoints @11 :Bool;
+  leaseLeftNanos @12 :Int64;
 }
 
 struct EntryMember {
@@ -131,8 +136,9 @@
   leaving @2 :Bool;
   tasks @3 :List(TaskReport);
   plannerEpoch @4 :Int64;
-  heard @5 :List(HeardEntry);
-  membersDigest @6 :Int64;
+  plannerSilenceNanos @5 :Int64 = -1;
+  heard @6 :List(HeardEntry);
+  membersDigest @7 :Int64;
 }
 
 struct EntryBeat {
@@ -142,10 +148,14 @@
   logFailing @3 :Bool;
   entries @4 :List(Text);
   plannerAddress @5 :Text;
-  self @6 :EntryMember;
-  environment @7 :Text;
-  configDigest @8 :Text;
-  members @9 :List(EntryMember);
+  plannerEpoch @6 :Int64 = -1;
+  plannerActive @7 :Bool;
+  jobsAgeNanos @8 :Int64 = -1;
+  jobsFailing @9 :Bool;
+  self @10 :EntryMember;
+  environment @11 :Text;
+  configDigest @12 :Text;
+  members @13 :List(EntryMember);
 }
 
 # What an entry calls on an agent.
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -77,10 +77,13 @@
     stopping_ = true;
   }
   stop_.notify_all();
-  upkeep_.Join();
   caller_http_.reset();
   operator_http_.reset();
   planner_.reset();
+  for (StreamClient* stream : {&config_stream_, &job_stream_, &request_stream_, &member_stream_}) {
+    stream->BeginStop();
+  }
+  upkeep_.Join();
 }
 
 std::shared_ptr<EntryPort> EntryServer::OpenAgent(const AgentHello& hello,
--- a/servers/ports/messages.h
+++ b/servers/ports/messages.h
@@ -146,12 +146,15 @@
   int64_t config_version = 0;
   bool leaving = false;
   std::vector<TaskReport> tasks;
-  // Highest planner epoch this agent has obeyed.
+  // Highest planner epoch this agent has heard of. `tasks` were read after it, so they hold all
+  // that was ever started here under a lower one.
   Sequence planner_epoch = kNoSequence;
   // Sent with some of the heartbeats only, to spare bytes.
   std::vector<HeardEntry> heard;
   // DigestMembers of the entries this agent knows, so that an unchanged list is not sent again.
   int64_t members_digest = 0;
+  // How long ago the zone's planner was last heard; negative: never.
+  Duration planner_silence{-1};
 };
 
 // What an entry knows about the log, passed on to agents.
@@ -179,6 +182,12 @@
   std::string config_digest;
   // All entries known here; empty when the agent knows the same ones.
   std::vector<EntryMember> members;
+  // Highest planner epoch of the agent's zone in this entry's fold of the jobs stream.
+  Sequence planner_epoch = kNoSequence;
+  // This entry holds that epoch and its planner is at work.
+  bool planner_active = false;
+  // How current that fold is.
+  LogFreshness jobs_freshness;
 };
 
 // Equal for equal lists of members, in any order.
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -74,6 +74,10 @@
   // The state after the entries before its offset, to compare processes at equal offsets.
   SnapshotState TakeSnapshot() const { return host_.TakeSnapshot(0); }
 
+  // Tells both threads to end without waiting for them, so that several streams end side by side
+  // and not one long-poll after another.
+  void BeginStop();
+
   StreamView view() const;
   // Waits until the view has been fresh once; returns whether it has.
   bool WaitUntilFresh(Duration limit);
