--- /dev/null
+++ b/servers/entry/config_api.cc
@@ -0,0 +1,214 @@
+#include "servers/entry/config_api.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "core/digest.h"
+#include "core/error.h"
+#include "core/logging.h"
+#include "core/secret.h"
+#include "core/units.h"
+#include "servers/entry/entry_server.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr Duration kRecordTimeout = std::chrono::seconds(5);
+constexpr Duration kLookPause = std::chrono::milliseconds(20);
+constexpr int64_t kLongestWaitMs = 60000;
+// An operator who takes a zone out wants to know that it is out.
+constexpr int64_t kZoneWaitMs = 5000;
+constexpr const char* kConfigPath = "/v1/config";
+constexpr const char* kVersionsPath = "/v1/config/versions/";
+constexpr const char* kZonesPath = "/v1/zones/";
+
+nlohmann::json VersionJson(const ConfigVersion& version) {
+  return {{"version", version.version},
+          {"digest", version.digest},
+          {"author", version.author},
+          {"published_ms", version.wall_ms}};
+}
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.rfind(prefix, 0) == 0;
+}
+
+int64_t RequiredNumber(const HttpRequest& request, const std::string& name) {
+  const std::string text = request.argument(name);
+  if (text.empty()) throw Error(ErrorKind::kInvalidInput, "name the version: ?" + name + "=N");
+  return ParseInteger(text, 0, INT64_MAX);
+}
+
+}  // namespace
+
+std::string PromotionProof(const std::string& key, const std::string& environment, int64_t version,
+                           const std::string& digest) {
+  return Prove(key, "promotion:" + environment + ":" + std::to_string(version) + ":" + digest);
+}
+
+bool ConfigApi::Handles(const std::string& path) {
+  return StartsWith(path, kConfigPath) || StartsWith(path, kZonesPath);
+}
+
+HttpResponse ConfigApi::Handle(const HttpRequest& request) {
+  const bool reads = request.method == "GET";
+  if (request.path == kConfigPath && reads) return ShowVersion(Current()->version);
+  if (request.path == kConfigPath) return Publish(request);
+  if (request.path == "/v1/config/history" && reads) return ShowHistory();
+  if (request.path == "/v1/config/in-force" && reads) return ShowInForce(request);
+  if (request.path == "/v1/config/statement" && reads) return State(request);
+  if (StartsWith(request.path, kVersionsPath) && reads) {
+    const std::string number = request.path.substr(std::string(kVersionsPath).size());
+    return ShowVersion(ParseInteger(number, 1, INT64_MAX));
+  }
+  if (StartsWith(request.path, kZonesPath) && !reads) return SetZone(request);
+  throw Error(ErrorKind::kNotFound, "no such path: " + request.path);
+}
+
+std::shared_ptr<const ConfigVersion> ConfigApi::Current() const {
+  auto current = entry_->config_fold_.current();
+  if (!current) throw Error(ErrorKind::kNotFound, "no configuration was published yet");
+  return current;
+}
+
+HttpResponse ConfigApi::ShowVersion(int64_t version) const {
+  const auto found = entry_->config_fold_.Find(version);
+  if (!found) {
+    throw Error(ErrorKind::kNotFound,
+                "version " + std::to_string(version) + " is not in the history");
+  }
+  nlohmann::json json = VersionJson(*found);
+  json["environment"] = entry_->config_fold_.environment_name();
+  json["text"] = found->text;
+  return JsonResponse(json.dump());
+}
+
+HttpResponse ConfigApi::ShowHistory() const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& version : entry_->config_fold_.history()) list.push_back(VersionJson(*version));
+  return JsonResponse(list.dump());
+}
+
+InForceReport ConfigApi::Report(int64_t version) const {
+  const Time now = DefaultClock().Now();
+  std::vector<PeerState> peers = entry_->peers_.Heard(now, kInForceSilence);
+  // Nobody needs to tell this entry what it has itself.
+  const auto current = entry_->config_fold_.current();
+  const EntryMember self{entry_->options_.process, entry_->options_.zone, ""};
+  peers.push_back({self, current ? current->version : 0, now});
+  return ReportInForce(version, entry_->directory_.Agents(""), entry_->member_fold_.members(),
+                       peers, now);
+}
+
+HttpResponse ConfigApi::ShowInForce(const HttpRequest& request) const {
+  return JsonResponse(Report(RequiredNumber(request, "version")).ToJson());
+}
+
+HttpResponse ConfigApi::State(const HttpRequest& request) const {
+  const EntryOptions& options = entry_->options_;
+  if (options.promotion_key.empty() || options.environment.empty()) {
+    throw Error(ErrorKind::kConflict, "this entry has no promotion key or no environment's name");
+  }
+  const auto current = Current();
+  if (RequiredNumber(request, "version") != current->version) {
+    throw Error(ErrorKind::kConflict, "only the newest version can be stated; it is " +
+                                          std::to_string(current->version));
+  }
+  const InForceReport report = Report(current->version);
+  const bool has_agents = std::any_of(report.zones.begin(), report.zones.end(),
+                                      [](const auto& zone) { return zone.second.agents > 0; });
+  if (!report.complete() || !has_agents) {
+    throw Error(ErrorKind::kConflict, "the version is not in force everywhere: " + report.ToJson());
+  }
+  return JsonResponse(
+      nlohmann::json({{"environment", options.environment},
+                      {"version", current->version},
+                      {"digest", current->digest},
+                      {"proof", PromotionProof(options.promotion_key, options.environment,
+                                               current->version, current->digest)}})
+          .dump());
+}
+
+void ConfigApi::RequireTrial(const HttpRequest& request, const std::string& digest) const {
+  const EntryOptions& options = entry_->options_;
+  if (options.promotion_key.empty()) return;
+  const std::string environment = request.argument("trial_environment");
+  if (environment.empty()) {
+    throw Error(ErrorKind::kForbidden, "this environment takes promoted documents only");
+  }
+  const std::string expected = PromotionProof(options.promotion_key, environment,
+                                              RequiredNumber(request, "trial_version"), digest);
+  // The environment's own statement would let it promote to itself what no trial had.
+  const bool holds = environment != options.environment &&
+                     ProofHolds("promotion", request.argument("trial_proof"),
+                                Prove("promotion", expected));
+  if (!holds) throw Error(ErrorKind::kForbidden, "no trial had these bytes in force");
+}
+
+HttpResponse ConfigApi::Publish(const HttpRequest& request) {
+  ParseEnvironment("document", request.body);
+  ConfigPublished record;
+  record.id = NewRecordId();
+  record.parent = RequiredNumber(request, "parent");
+  record.version = record.parent + 1;
+  record.text = request.body;
+  record.digest = Digest(record.text);
+  record.author = request.argument("author");
+  record.wall_ms = DefaultClock().WallMillis();
+  record.environment = entry_->options_.environment;
+  record.sets_zones = request.argument("zone_states") == "replace";
+  RequireTrial(request, record.digest);
+  return AnswerAccepted(request, *Accept(record), 0);
+}
+
+HttpResponse ConfigApi::SetZone(const HttpRequest& request) {
+  const std::string rest = request.path.substr(std::string(kZonesPath).size());
+  const size_t slash = rest.find('/');
+  const std::string state = slash == std::string::npos ? "" : rest.substr(slash + 1);
+  if (state != "in" && state != "out") {
+    throw Error(ErrorKind::kInvalidInput, "use /v1/zones/NAME/in or /v1/zones/NAME/out");
+  }
+  ZoneChanged record{NewRecordId(),
+                     rest.substr(0, slash),
+                     state == "in",
+                     request.argument("author"),
+                     DefaultClock().WallMillis(),
+                     entry_->options_.environment};
+  if (Current()->environment->FindZone(record.zone) == nullptr) {
+    throw Error(ErrorKind::kNotFound, "no availability zone named '" + record.zone + "'");
+  }
+  return AnswerAccepted(request, *Accept(record), kZoneWaitMs);
+}
+
+std::shared_ptr<const ConfigVersion> ConfigApi::Accept(const Record& record) {
+  const Written written = entry_->config_stream_.Write(record, kRecordTimeout);
+  if (!written.verdict.accepted) throw Error(ErrorKind::kConflict, written.verdict.reason);
+  std::shared_ptr<const ConfigVersion> accepted = Current();
+  for (const auto& version : entry_->config_fold_.history()) {
+    if (version->sequence == written.sequence) accepted = version;
+  }
+  LogEvent(LogLevel::kInfo, "config_accepted",
+           {{"version", accepted->version},
+            {"digest", accepted->digest},
+            {"author", accepted->author},
+            {"zones_out", accepted->environment->ZonesOut()}});
+  return accepted;
+}
+
+HttpResponse ConfigApi::AnswerAccepted(const HttpRequest& request, const ConfigVersion& version,
+                                       int64_t default_wait_ms) const {
+  const std::string wait = request.argument("wait_ms");
+  const int64_t wait_ms = wait.empty() ? default_wait_ms : ParseInteger(wait, 0, kLongestWaitMs);
+  const Time limit = DefaultClock().Now() + std::chrono::milliseconds(wait_ms);
+  InForceReport report = Report(version.version);
+  while (!report.complete() && DefaultClock().Now() < limit) {
+    std::this_thread::sleep_for(kLookPause);
+    report = Report(version.version);
+  }
+  nlohmann::json json = {{"version", version.version}, {"digest", version.digest}};
+  json["in_force"] = nlohmann::json::parse(report.ToJson());
+  return JsonResponse(json.dump(), 201);
+}
+
+}  // namespace turmericshift
--- a/servers/entry/operator_api.cc
+++ b/servers/entry/operator_api.cc
@@ -4,23 +4,10 @@
 
 #include "core/digest.h"
 #include "core/error.h"
-#include "core/logging.h"
-#include "core/units.h"
+#include "servers/entry/config_api.h"
 #include "servers/entry/entry_server.h"
 
 namespace turmericshift {
-namespace {
-
-constexpr Duration kRecordTimeout = std::chrono::seconds(5);
-
-nlohmann::json VersionJson(const ConfigVersion& version) {
-  return {{"version", version.version},
-          {"digest", version.digest},
-          {"author", version.author},
-          {"published_ms", version.wall_ms}};
-}
-
-}  // namespace
 
 HttpResponse OperatorApi::Handle(const HttpRequest& request) {
   if (request.path == "/healthz") return {200, "ok\n", {}};
@@ -33,65 +20,10 @@
     return {200, entry_->metrics_->Expose(), {{"Content-Type", "text/plain; version=0.0.4"}}};
   }
   if (request.path == "/v1/status") return ShowStatus();
-  if (request.path == "/v1/config/history") return ShowHistory();
-  if (request.path == "/v1/config" && request.method == "GET") return ShowConfig();
-  if (request.path == "/v1/config" && request.method == "POST") return PublishConfig(request);
-  if (request.path.rfind("/v1/zones/", 0) == 0 && request.method == "POST") return SetZone(request);
+  if (ConfigApi::Handles(request.path)) return ConfigApi(entry_).Handle(request);
   throw Error(ErrorKind::kNotFound, "no such path: " + request.path);
 }
 
-HttpResponse OperatorApi::ShowConfig() const {
-  const auto current = entry_->config_fold_.current();
-  if (!current) throw Error(ErrorKind::kNotFound, "no configuration was published yet");
-  nlohmann::json json = VersionJson(*current);
-  json["text"] = current->text;
-  return JsonResponse(json.dump());
-}
-
-HttpResponse OperatorApi::ShowHistory() const {
-  nlohmann::json list = nlohmann::json::array();
-  for (const auto& version : entry_->config_fold_.history()) list.push_back(VersionJson(*version));
-  return JsonResponse(list.dump());
-}
-
-HttpResponse OperatorApi::PublishConfig(const HttpRequest& request) {
-  ParseEnvironment("document", request.body);
-  const std::string parent = request.argument("parent");
-  if (parent.empty()) throw Error(ErrorKind::kInvalidInput, "name the parent version: ?parent=N");
-  return Publish(request.body, ParseInteger(parent, 0, INT64_MAX), request.argument("author"));
-}
-
-HttpResponse OperatorApi::SetZone(const HttpRequest& request) {
-  const std::string rest = request.path.substr(std::string("/v1/zones/").size());
-  const size_t slash = rest.find('/');
-  const std::string state = slash == std::string::npos ? "" : rest.substr(slash + 1);
-  if (state != "in" && state != "out") {
-    throw Error(ErrorKind::kInvalidInput, "use /v1/zones/NAME/in or /v1/zones/NAME/out");
-  }
-  const auto current = entry_->config_fold_.current();
-  if (!current) throw Error(ErrorKind::kNotFound, "no configuration was published yet");
-  const std::string text = WithZoneState(current->text, rest.substr(0, slash), state == "in");
-  return Publish(text, current->version, request.argument("author"));
-}
-
-HttpResponse OperatorApi::Publish(const std::string& text, int64_t parent,
-                                  const std::string& author) {
-  ConfigPublished record;
-  record.id = NewRecordId();
-  record.parent = parent;
-  record.version = parent + 1;
-  record.text = text;
-  record.digest = Digest(text);
-  record.author = author;
-  record.wall_ms = DefaultClock().WallMillis();
-  const Written written = entry_->config_stream_.Write(record, kRecordTimeout);
-  if (!written.verdict.accepted) throw Error(ErrorKind::kConflict, written.verdict.reason);
-  LogEvent(LogLevel::kInfo, "config_accepted",
-           {{"version", record.version}, {"digest", record.digest}, {"author", author}});
-  return JsonResponse(
-      nlohmann::json({{"version", record.version}, {"digest", record.digest}}).dump(), 201);
-}
-
 HttpResponse OperatorApi::ShowStatus() const {
   nlohmann::json agents = nlohmann::json::array();
   for (const AgentState& agent : entry_->directory_.Agents("")) {
@@ -103,6 +35,13 @@
                       {"tasks", agent.beat.tasks.size()},
                       {"leaving", agent.beat.leaving}});
   }
+  nlohmann::json streams = nlohmann::json::object();
+  for (const StreamClient* stream : {&entry_->config_stream_, &entry_->request_stream_,
+                                     &entry_->job_stream_, &entry_->member_stream_}) {
+    // Equal digests at equal offsets, or two entries' folds disagree.
+    const SnapshotState state = stream->TakeSnapshot();
+    streams[stream->name()] = {{"next", state.covers}, {"digest", Digest(state.bytes)}};
+  }
   const auto current = entry_->config_fold_.current();
   const StreamView view = entry_->config_stream_.view();
   const nlohmann::json status = {{"process", entry_->options_.process},
@@ -111,6 +50,8 @@
                                  {"config_version", current ? current->version : 0},
                                  {"log_failing", view.failing},
                                  {"planner_duty", entry_->planner_->holds_duty()},
+                                 {"environment", entry_->config_fold_.environment_name()},
+                                 {"streams", streams},
                                  {"agents", agents}};
   return JsonResponse(status.dump());
 }
--- a/servers/entry/operator_api.h
+++ b/servers/entry/operator_api.h
@@ -1,4 +1,11 @@
-// What operators may ask over HTTP: configuration, zones, status, metrics.
+// What operators may ask over HTTP, on a listen address of their own. Needs an operator's token,
+// but for the two health paths.
+//
+//   GET /healthz    200 while the process lives
+//   GET /readyz     200 once this entry has read the log and is not leaving, else 503
+//   GET /metrics    metrics in the text format that monitoring systems scrape
+//   GET /v1/status  this entry's view: agents, versions, log, and a digest of each stream's state
+//   /v1/config…, /v1/zones…   see config_api.h
 #pragma once
 
 #include "core/http_server.h"
@@ -14,11 +21,6 @@
   HttpResponse Handle(const HttpRequest& request);
 
  private:
-  HttpResponse ShowConfig() const;
-  HttpResponse ShowHistory() const;
-  HttpResponse PublishConfig(const HttpRequest& request);
-  HttpResponse SetZone(const HttpRequest& request);
-  HttpResponse Publish(const std::string& text, int64_t parent, const std::string& author);
   HttpResponse ShowStatus() const;
 
   EntryServer* const entry_;
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -78,6 +78,7 @@
   // and not one long-poll after another.
   void BeginStop();
 
+  const std::string& name() const { return name_; }
   StreamView view() const;
   // Waits until the view has been fresh once; returns whether it has.
   bool WaitUntilFresh(Duration limit);
