--- a/servers/agent/start_guard.cc
+++ b/servers/agent/start_guard.cc
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-StartGuard::StartGuard(const std::string& zone) : zone_(zone) {}
+StartGuard::StartGuard(const std::string& zone, const std::string& agent)
+    : zone_(zone), agent_(agent) {}
 
 void StartGuard::Hear(const EntryBeat& beat, Time sent) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -64,7 +65,11 @@
         ParseEnvironment("version " + std::to_string(beat.config_version), beat.config_text));
     version_ = beat.config_version;
     digest_ = digest;
-    LogEvent(LogLevel::kInfo, "config_in_force", {{"version", version_}, {"digest", digest_}});
+    LogEvent(LogLevel::kInfo, "config_in_force",
+             {{"version", version_},
+              {"digest", digest_},
+              {"agent", agent_},
+              {"zones_out", environment_->ZonesOut()}});
   } catch (const Error& error) {
     LogEvent(LogLevel::kError, "config_unreadable", {{"error", error.what()}});
   }
--- a/servers/agent/start_guard.h
+++ b/servers/agent/start_guard.h
@@ -15,7 +15,8 @@
 
 class StartGuard {
  public:
-  explicit StartGuard(const std::string& zone);
+  // `agent` names this agent in the log lines.
+  explicit StartGuard(const std::string& zone, const std::string& agent = "");
 
   // An entry's answer to a heartbeat that was sent at `sent`. Takes the document over if it is
   // newer; versions never fall. A document that can't be read, is damaged or belongs to another
@@ -25,6 +26,7 @@
   // Throws Error(kStale) or Error(kLeaving), outcome not_run, when nothing may start at `now`.
   void RequireStart(Time now) const;
 
+  const std::string& zone() const { return zone_; }
   int64_t config_version() const;
   // Null before the first document.
   std::shared_ptr<const Environment> environment() const;
@@ -51,6 +53,7 @@
   bool LogIsDown(Time now) const;
 
   const std::string zone_;
+  const std::string agent_;
   mutable std::mutex mutex_;
   std::string environment_name_;
   int64_t version_ = 0;
