--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -246,6 +246,7 @@
     if (!peer.entry.address.empty()) known[peer.entry.process] = peer.entry;
   }
   std::vector<EntryMember> result;
+  result.reserve(known.size());
   for (const auto& [process, member] : known) result.push_back(member);
   return result;
 }
--- a/servers/state/stream_client_test.cc
+++ b/servers/state/stream_client_test.cc
@@ -152,8 +152,10 @@
   AppendBudget budget(10);
   const Time start = Time{} + std::chrono::hours(1);
   Time now = start;
+  constexpr size_t kJobs = 40;
   std::vector<AppendBudget::Ticket> jobs;
-  for (int index = 0; index < 40; ++index) jobs.push_back(budget.Enter(Stream::kJobs, now));
+  jobs.reserve(kJobs);
+  for (size_t index = 0; index < kJobs; ++index) jobs.push_back(budget.Enter(Stream::kJobs, now));
   size_t went = 0;
   while (went < jobs.size() && budget.TryGo(jobs[went], now)) ++went;
   EXPECT_EQ(went, 11U);
