--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -99,6 +99,7 @@
   attempt @2 :Int64;
   leaseNanos @3 :Int64;
   checkpoint @4 :Bool;
+  beatSentAt @5 :Int64 = -1;
 }
 
 struct TaskReport {
@@ -137,8 +138,10 @@
   tasks @3 :List(TaskReport);
   plannerEpoch @4 :Int64;
   plannerSilenceNanos @5 :Int64 = -1;
-  heard @6 :List(HeardEntry);
-  membersDigest @7 :Int64;
+  sentAt @6 :Int64 = -1;
+  reportAgeNanos @7 :Int64;
+  heard @8 :List(HeardEntry);
+  membersDigest @9 :Int64;
 }
 
 struct EntryBeat {
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -182,15 +182,19 @@
 
 void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
   int beats = 0;
+  int64_t changes = 0;
   do {
+    changes = task_changes_.load();
     const Time sent = DefaultClock().Now();
     AgentBeat own = MakeBeat();
     own.members_digest = plan_.members_digest();
     if (beats++ % kBeatsPerHeard == 0) own.heard = guard_.heard(sent);
-    const EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
+    EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
     plan_.Learn(beat.members, beat.planner_address);
-  } while (!Pause(options_.heartbeat) && plan_.StillWanted(address));
+    beat.entries = plan_.addresses();
+    if (gangs_) gangs_->Hear(address, beat, sent);
+  } while (!PauseUntilChange(options_.heartbeat, changes) && plan_.StillWanted(address));
 }
 
 AgentBeat AgentServer::MakeBeat() const {
@@ -199,15 +203,16 @@
   beat.config_version = guard_.config_version();
   beat.leaving = leaving_.load();
   if (gangs_) {
-    beat.tasks = gangs_->reports();
-    beat.planner_epoch = gangs_->epoch();
+    gangs_->FillBeat(&beat, DefaultClock().Now());
   }
   return beat;
 }
 
 void AgentServer::RunExpiry() {
   do {
-    gangs_->Expire(DefaultClock().Now());
+    // An end that is told at once ends the job a heartbeat earlier.
+    if (gangs_->Expire(DefaultClock().Now())) ++task_changes_;
+    changed_.notify_all();
   } while (!Pause(kExpiryPeriod));
 }
 
@@ -216,4 +221,10 @@
   return changed_.wait_for(lock, duration, [this] { return stopping_; });
 }
 
+bool AgentServer::PauseUntilChange(Duration duration, int64_t changes) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait_for(lock, duration, [&] { return stopping_ || task_changes_.load() != changes; });
+  return stopping_;
+}
+
 }  // namespace turmericshift
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -67,6 +67,8 @@
   void RunExpiry();
   // Returns whether the agent stops.
   bool Pause(Duration duration);
+  // Returns early when a task has changed its phase; returns whether the server stops.
+  bool PauseUntilChange(Duration duration, int64_t changes);
   AgentBeat MakeBeat() const;
   GangHost& RequireWorker();
   ServiceAnswer Run(const ServiceRequest& request);
@@ -82,6 +84,8 @@
   SessionPlan plan_;
   std::unique_ptr<GangHost> gangs_;
   std::atomic<bool> leaving_{false};
+  // Rises with each change of a task's phase.
+  std::atomic<int64_t> task_changes_{0};
 
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/servers/agent/session_plan.cc
+++ b/servers/agent/session_plan.cc
@@ -151,9 +151,13 @@
   return DigestMembers(members_);
 }
 
-size_t SessionPlan::known() const {
+std::vector<std::string> SessionPlan::addresses() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return entries_.size();
+  std::vector<std::string> result;
+  for (const auto& [address, entry] : entries_) {
+    if (entry.listed || members_.empty()) result.push_back(address);
+  }
+  return result;
 }
 
 }  // namespace turmericshift
--- a/servers/agent/session_plan.h
+++ b/servers/agent/session_plan.h
@@ -37,7 +37,8 @@
   void Released(const std::string& address);
 
   int64_t members_digest() const;
-  size_t known() const;
+  // Of the members last learned; before that, the configured ones.
+  std::vector<std::string> addresses() const;
 
  private:
   struct Entry {
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -32,7 +32,7 @@
     const Time now = DefaultClock().Now();
     entry_->directory_.Heard(hello_, beat, now);
     entry_->peers_.Hear(beat, now);
-    return entry_->MakeBeat(beat, hello_.zone);
+    return entry_->MakeBeat(hello_, beat);
   }
 
  private:
@@ -202,7 +202,7 @@
   return drained;
 }
 
-EntryBeat EntryServer::MakeBeat(const AgentBeat& beat, const std::string& zone) const {
+EntryBeat EntryServer::MakeBeat(const AgentHello& hello, const AgentBeat& beat) const {
   EntryBeat answer;
   const Time now = DefaultClock().Now();
   const StreamView view = config_stream_.view();
@@ -215,6 +215,13 @@
     answer.config_digest = current->digest;
     if (current->version > beat.config_version) answer.config_text = current->text;
   }
+  // The freshness is read before the epoch, so that the epoch is at least as new.
+  const StreamView jobs = job_stream_.view();
+  if (jobs.ever_fresh) answer.jobs_freshness.age = now - jobs.fresh_at;
+  answer.jobs_freshness.failing = jobs.failing;
+  const PlannerEpoch epoch = job_fold_.Planner(hello.zone);
+  answer.planner_epoch = epoch.epoch;
+  answer.planner_active = epoch.process == options_.process;
   // An agent may have a version from an entry that could read it and has gone since. Naming it
   // without its text tells other agents that what this entry has is not the newest.
   if (peers_.highest_version() > answer.config_version) {
@@ -228,9 +235,8 @@
     answer.self = {options_.process, options_.zone, address_};
   }
   std::vector<EntryMember> members = KnownEntries(now);
-  const std::string planner = job_fold_.Planner(zone).process;
   for (const EntryMember& member : members) {
-    if (member.process == planner) answer.planner_address = member.address;
+    if (member.process == epoch.process) answer.planner_address = member.address;
   }
   if (DigestMembers(members) != beat.members_digest) answer.members = std::move(members);
   return answer;
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -78,7 +78,7 @@
   class Port;
 
   StreamOptions OptionsFor(Stream stream);
-  EntryBeat MakeBeat(const AgentBeat& beat, const std::string& zone) const;
+  EntryBeat MakeBeat(const AgentHello& hello, const AgentBeat& beat) const;
   std::vector<EntryMember> KnownEntries(Time now) const;
   // Records this entry as a member, and again when it finds itself missing.
   void JoinIfMissing();
