--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -19,6 +19,7 @@
 // What a connection's present request has gathered so far.
 struct Exchange {
   HttpRequest request;
+  Time begun{};
   bool too_large = false;
   bool counted = false;
 };
@@ -87,6 +88,7 @@
     if (exchange == nullptr) {
       exchange = new Exchange;  // freed by OnCompleted
       *user = exchange;
+      exchange->begun = DefaultClock().Now();
       exchange->request.method = method;
       exchange->request.path = url;
       MHD_get_connection_values(connection, MHD_HEADER_KIND, &TakeValue,
@@ -99,6 +101,7 @@
       return MHD_YES;
     }
     if (*data_size > 0) {
+      if (DefaultClock().Now() - exchange->begun > state->options.receive_limit) return MHD_NO;
       std::string& body = exchange->request.body;
       if (body.size() + *data_size > state->options.max_body_bytes) {
         exchange->too_large = true;
--- a/core/http_server.h
+++ b/core/http_server.h
@@ -48,6 +48,9 @@
   int max_connections = 1024;
   // A connection on which nothing arrives or leaves for this long is closed.
   std::chrono::seconds idle_timeout = std::chrono::seconds(60);
+  // A request whose body has not arrived whole within this time is cut, however steadily it
+  // trickles.
+  Duration receive_limit = std::chrono::seconds(60);
   size_t stack_bytes = size_t{256} * 1024;
 };
 
--- /dev/null
+++ b/core/http_server_test.cc
@@ -0,0 +1,104 @@
+#include "core/http_server.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/digest.h"
+#include "core/error.h"
+#include "core/http_client.h"
+
+namespace turmericshift {
+namespace {
+
+HttpResponse Echo(const HttpRequest& request) {
+  if (request.path == "/refuse") throw Error(ErrorKind::kOverloaded, "too busy");
+  return {200, request.body, {}};
+}
+
+HttpCall CallTo(const HttpServer& server, const std::string& path) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://127.0.0.1:" + std::to_string(server.port()) + path;
+  return call;
+}
+
+// Sends raw bytes on a connection of its own and reads until the server closes it.
+std::string SendRaw(int port, const std::string& bytes) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+  std::string answer;
+  char buffer[4096];
+  for (ssize_t got = 1; got > 0;) {
+    got = recv(fd, buffer, sizeof(buffer), 0);
+    if (got > 0) answer.append(buffer, static_cast<size_t>(got));
+  }
+  close(fd);
+  return answer;
+}
+
+TEST(HttpServerTest, CarriesEightMebibytesEachWayWhole) {
+  const HttpServer server({}, &Echo);
+  HttpCall call = CallTo(server, "/");
+  call.body = std::string(size_t{8} << 20, 'x') + "end";
+  const HttpReply reply = PerformHttp(call);
+  EXPECT_EQ(reply.status, 200);
+  EXPECT_EQ(Digest(reply.body), Digest(call.body));
+}
+
+TEST(HttpServerTest, ErrorsBecomeProblemsByTheTable) {
+  const HttpServer server({}, &Echo);
+  const HttpReply reply = PerformHttp(CallTo(server, "/refuse"));
+  EXPECT_EQ(reply.status, 429);
+  EXPECT_EQ(reply.header("content-type"), "application/problem+json");
+  EXPECT_NE(reply.body.find("\"outcome\":\"not_run\""), std::string::npos);
+}
+
+TEST(HttpServerTest, BodiesOverTheLimitAreRefusedAndTheServerGoesOn) {
+  HttpServerOptions options;
+  options.max_body_bytes = 1000;
+  const HttpServer server(options, &Echo);
+  HttpCall call = CallTo(server, "/");
+  call.body = std::string(1001, 'x');
+  EXPECT_EQ(PerformHttp(call).status, 413);
+  call.body.pop_back();
+  EXPECT_EQ(PerformHttp(call).status, 200);
+}
+
+// A caller opens a connection and sends half a request, then nothing. Without a limit on idleness
+// such connections would pile up until no other caller gets in.
+TEST(HttpServerTest, SendersThatStallAreCutOff) {
+  HttpServerOptions options;
+  options.idle_timeout = std::chrono::seconds(1);
+  const HttpServer server(options, &Echo);
+  const std::string answer =
+      SendRaw(server.port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf");
+  EXPECT_EQ(answer.find("200"), std::string::npos);
+  EXPECT_EQ(PerformHttp(CallTo(server, "/")).status, 200);
+}
+
+// A sender that trickles a byte now and then is never idle and would hold its connection for ever.
+TEST(HttpServerTest, SendersThatTrickleAreCutOff) {
+  HttpServerOptions options;
+  options.receive_limit = Duration::zero();
+  const HttpServer server(options, &Echo);
+  EXPECT_EQ(SendRaw(server.port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"), "");
+}
+
+TEST(HttpServerTest, NonsenseIsRefusedAndTheServerGoesOn) {
+  const HttpServer server({}, &Echo);
+  SendRaw(server.port(), "GET\r\n\r\n");
+  SendRaw(server.port(), "POST / HTTP/1.1\r\nContent-Length: -5\r\nConnection: close\r\n\r\n");
+  SendRaw(server.port(), std::string(100000, 'A') + "\r\n\r\n");
+  EXPECT_EQ(PerformHttp(CallTo(server, "/")).status, 200);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- /dev/null
+++ b/misc/turmericshift-config.cmake
@@ -0,0 +1,13 @@
+# For find_package(turmericshift): what the exported libraries need, then the libraries.
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(CURL)
+find_dependency(glog)
+find_dependency(nlohmann_json)
+find_dependency(Boost)
+find_dependency(PkgConfig)
+pkg_check_modules(CAPNP REQUIRED IMPORTED_TARGET capnp-rpc)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+include("${CMAKE_CURRENT_LIST_DIR}/turmericshift_targets.cmake")
--- /dev/null
+++ b/tests/fuzz/fuzz_test.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Builds the parsers with libFuzzer and AddressSanitizer and runs a fixed number of inputs from a
+# fixed seed, so that the verdict is the same every time. For a longer hunt: fuzz_test.sh SOURCE
+# RUNS SEED.
+set -euo pipefail
+source=$1
+runs=${2:-20000}
+seed=${3:-1}
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+cd "$source"
+units=(tests/fuzz/parsers_fuzz.cc core/error.cc core/ini.cc core/ini_keys.cc core/units.cc
+  core/logging.cc core/clock.cc core/secret.cc core/digest.cc servers/config/environment.cc
+  servers/jobs/job.cc servers/state/record.cc servers/platform/log_service.cc)
+# The parsers' own files only; what else they come to need is added here.
+printf '%s\n' "${units[@]}" | xargs -P 4 -I{} bash -c '
+  clang++ -std=c++20 -O1 -g -fsanitize=fuzzer-no-link,address -I. -c {} \
+    -o "$0/$(echo {} | tr / _).o"' "$work"
+clang++ -fsanitize=fuzzer,address "$work"/*.o -lglog -linih -lsodium -lpthread -o "$work/fuzz"
+cp -r tests/fuzz/seeds "$work/corpus"
+"$work/fuzz" -runs="$runs" -seed="$seed" -timeout=10 -rss_limit_mb=1024 -max_len=8192 \
+  -artifact_prefix="$work/" "$work"/corpus/* 2>&1 | grep -v '^{' | tail -n 5
+test "${PIPESTATUS[0]}" -eq 0
