--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -14,6 +14,7 @@
 #include "core/thread.h"
 #include "servers/agent/gang_host.h"
 #include "servers/agent/request_ledger.h"
+#include "servers/agent/session_plan.h"
 #include "servers/agent/slot_limiter.h"
 #include "servers/agent/start_guard.h"
 #include "servers/platform/target_service.h"
@@ -58,13 +59,13 @@
   const StartGuard& guard() const { return guard_; }
 
  private:
+  // One of the session threads: opens a session where the plan says, keeps it, and starts over.
+  void RunSessions();
   void RunSession(const std::string& address);
+  // Returns when the session is not wanted any more or the agent stops. Throws when it is lost.
   void KeepSession(const std::string& address, EntryPort* port);
   void RunExpiry();
-  // Starts a session thread for each entry not yet known, up to the limit.
-  void Learn(const std::vector<std::string>& entries);
-  void OpenSession(const std::string& entry);
-  void OpenSessionLocked(const std::string& entry);
+  // Returns whether the agent stops.
   bool Pause(Duration duration);
   // Returns early when a task has changed its phase; returns whether the server stops.
   bool PauseUntilChange(Duration duration, int64_t changes);
@@ -80,6 +81,7 @@
   SlotLimiter limiter_;
   RequestLedger ledger_;
   StartGuard guard_;
+  SessionPlan plan_;
   std::unique_ptr<GangHost> gangs_;
   std::atomic<bool> leaving_{false};
   // Rises with each change of a task's phase.
@@ -89,7 +91,6 @@
   std::condition_variable changed_;
   bool stopping_ = false;
   int serving_ = 0;
-  std::set<std::string> known_entries_;
   std::set<std::string> cancelled_;
   std::vector<Thread> sessions_;
   Thread expiry_;
