--- a/servers/state/job_fold.cc
+++ b/servers/state/job_fold.cc
@@ -1,6 +1,7 @@
 #include "servers/state/job_fold.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace turmericshift {
 
@@ -120,6 +121,59 @@
   return "";
 }
 
+nlohmann::json JobFold::Snapshot() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json jobs = nlohmann::json::array();
+  for (const auto& [id, job] : jobs_) {
+    jobs.push_back({{"id", job.id},
+                    {"spec", job.spec},
+                    {"zone", job.zone},
+                    {"sequence", job.sequence},
+                    {"config_version", job.config_version},
+                    {"submitted_wall_ms", job.submitted_wall_ms},
+                    {"cancel_asked", job.cancel_asked},
+                    {"state", JobStateName(job.state)},
+                    {"attempt", job.attempt},
+                    {"reason", job.reason},
+                    {"ended_wall_ms", job.ended_wall_ms},
+                    {"checkpoint", job.checkpoint},
+                    {"starting_attempt", job.starting_attempt}});
+  }
+  nlohmann::json planners = nlohmann::json::object();
+  for (const auto& [zone, planner] : planners_) {
+    planners[zone] = {{"process", planner.process}, {"epoch", planner.epoch}};
+  }
+  return {{"changes", changes_}, {"jobs", jobs}, {"planners", planners}};
+}
+
+void JobFold::Restore(const nlohmann::json& state) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  jobs_.clear();
+  planners_.clear();
+  changes_ = state.at("changes").get<int64_t>();
+  for (const nlohmann::json& json : state.at("jobs")) {
+    JobRecord job;
+    json.at("id").get_to(job.id);
+    json.at("spec").get_to(job.spec);
+    json.at("zone").get_to(job.zone);
+    json.at("sequence").get_to(job.sequence);
+    json.at("config_version").get_to(job.config_version);
+    json.at("submitted_wall_ms").get_to(job.submitted_wall_ms);
+    json.at("cancel_asked").get_to(job.cancel_asked);
+    job.state = JobStateFromName(json.at("state").get<std::string>());
+    json.at("attempt").get_to(job.attempt);
+    json.at("reason").get_to(job.reason);
+    json.at("ended_wall_ms").get_to(job.ended_wall_ms);
+    json.at("checkpoint").get_to(job.checkpoint);
+    json.at("starting_attempt").get_to(job.starting_attempt);
+    jobs_[job.id] = std::move(job);
+  }
+  for (const auto& [zone, planner] : state.at("planners").items()) {
+    planners_[zone] = {planner.at("process").get<std::string>(),
+                       planner.at("epoch").get<Sequence>()};
+  }
+}
+
 std::optional<JobRecord> JobFold::Find(const std::string& id) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = jobs_.find(id);
