--- a/main/commands/api_client.cc
+++ b/main/commands/api_client.cc
@@ -1,14 +1,18 @@
 #include "main/commands/api_client.h"
 
+#include <cstdio>
 #include <cstdlib>
 #include <sstream>
 
 #include "core/error.h"
 #include "core/http_client.h"
+#include "core/units.h"
 
 namespace turmericshift {
 namespace {
 
+// Longer than any wait that the API allows.
+constexpr Duration kLongestAnswer = std::chrono::seconds(90);
 constexpr int kFirstErrorStatus = 400;
 
 std::string OptionOrVariable(const CommandOptions& options, const std::string& option,
@@ -37,12 +41,42 @@
       .Flag("json", "print JSON");
 }
 
-ApiClient::ApiClient(const CommandOptions& options) {
-  std::istringstream words(OptionOrVariable(options, "entries", "TURMERICSHIFT_ENTRIES"));
+void AddWaitOption(CommandOptions* options) {
+  options->Value("wait", "wait until it is in force everywhere, at most so long", "0s");
+}
+
+std::string WaitArgument(const CommandOptions& options) {
+  const auto wait = duration_cast<std::chrono::milliseconds>(ParseDuration(options.value("wait")));
+  return "&wait_ms=" + std::to_string(wait.count());
+}
+
+ExitCode PrintInForce(const CommandOptions& options, const nlohmann::json& answer) {
+  const nlohmann::json in_force = answer.value("in_force", nlohmann::json::object());
+  const bool complete = in_force.value("complete", false);
+  if (!options.flag("json")) {
+    const nlohmann::json zones = in_force.value("zones", nlohmann::json::object());
+    for (const auto& [name, zone] : zones.items()) {
+      std::printf("  %-20s in force at %d agents and %d entries", name.c_str(),
+                  zone.value("agents", 0), zone.value("entries", 0));
+      for (const nlohmann::json& behind : zone.value("behind", nlohmann::json::array())) {
+        std::printf(", not at %s", behind.get<std::string>().c_str());
+      }
+      std::printf("\n");
+    }
+  }
+  const bool waited = ParseDuration(options.value("wait")) > Duration::zero();
+  return waited && !complete ? ExitCode::kFailed : ExitCode::kDone;
+}
+
+ApiClient::ApiClient(const CommandOptions& options)
+    : ApiClient(OptionOrVariable(options, "entries", "TURMERICSHIFT_ENTRIES"),
+                OptionOrVariable(options, "token-file", "TURMERICSHIFT_TOKEN_FILE")) {}
+
+ApiClient::ApiClient(const std::string& entries, const std::string& token_file) {
+  std::istringstream words(entries);
   std::string word;
   while (words >> word) entries_.push_back(word);
-  const std::vector<std::string> lines =
-      ReadFileLines(OptionOrVariable(options, "token-file", "TURMERICSHIFT_TOKEN_FILE"));
+  const std::vector<std::string> lines = ReadFileLines(token_file);
   if (lines.empty()) throw Error(ErrorKind::kInvalidInput, "the token file is empty");
   token_ = lines.front();
 }
@@ -52,6 +86,7 @@
   HttpCall call;
   call.method = method;
   call.body = body;
+  call.timeout = kLongestAnswer;
   nlohmann::json json = nlohmann::json::parse(Perform(call, path).body, nullptr, false);
   if (json.is_discarded()) throw Error(ErrorKind::kInternal, "the entry's answer is no JSON");
   return json;
--- a/main/commands/api_client.h
+++ b/main/commands/api_client.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/error.h"
 #include "core/http_client.h"
 #include "main/commands/options.h"
 
@@ -14,12 +15,23 @@
 // Adds the options that say where to ask and as whom.
 void AddApiOptions(CommandOptions* options);
 
+// Adds the option `wait` of commands that change the configuration.
+void AddWaitOption(CommandOptions* options);
+// What `wait` adds to a query: "&wait_ms=…".
+std::string WaitArgument(const CommandOptions& options);
+
+// Prints who has a version in force by zone, and who has not, from an answer's `in_force`.
+// Returns kFailed when the command was to wait and somebody is behind.
+ExitCode PrintInForce(const CommandOptions& options, const nlohmann::json& answer);
+
 class ApiClient {
  public:
   // From the options, or from the environment variables TURMERICSHIFT_ENTRIES (space-separated
   // "IP:port") and TURMERICSHIFT_TOKEN_FILE where an option is empty.
   // Throws Error(kInvalidInput) when neither says.
   explicit ApiClient(const CommandOptions& options);
+  // The entries and the token of another environment, named outright.
+  ApiClient(const std::string& entries, const std::string& token_file);
 
   // The answer's JSON. Throws the Error that the entry answered with, kUnavailable with outcome
   // not_run when no entry could be reached.
--- a/main/commands/config_command.cc
+++ b/main/commands/config_command.cc
@@ -52,24 +52,67 @@
   }
 }
 
+// The query of a publication, from the options that `publish` and `promote` share.
+std::string PublishQuery(const CommandOptions& options, const ApiClient& client) {
+  const std::string parent = options.value("parent").empty()
+                                 ? std::to_string(PresentVersion(client))
+                                 : options.value("parent");
+  std::string query = "?parent=" + UrlEscape(parent) +
+                      "&author=" + UrlEscape(options.value("author")) + WaitArgument(options);
+  if (!options.value("zone-states").empty()) {
+    query += "&zone_states=" + UrlEscape(options.value("zone-states"));
+  }
+  return query;
+}
+
+ExitCode Send(const CommandOptions& options, const ApiClient& client, const std::string& query,
+              const std::string& text) {
+  const nlohmann::json answer = client.Call("POST", kConfigPath + query, text);
+  Print(options, answer);
+  return PrintInForce(options, answer);
+}
+
 ExitCode Publish(const Words& words) {
   CommandOptions options("config publish", "publish a document as the next version", "FILE",
                          "turmericshift config publish --author ilona environment.ini");
   AddApiOptions(&options);
   options.Value("author", "who publishes", "operator")
       .Value("parent", "version that the document was made from; default: the present one");
+  options.Value("zone-states", "replace: the document may change zones' states; keep: it may not");
+  AddWaitOption(&options);
   if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
   const std::string text = ReadFileText(options.operands()[0]);
   ParseEnvironment(options.operands()[0], text);
   const ApiClient client(options);
-  const std::string parent = options.value("parent").empty()
-                                 ? std::to_string(PresentVersion(client))
-                                 : options.value("parent");
-  Print(options, client.Call("POST",
-                             std::string(kConfigPath) + "?parent=" + UrlEscape(parent) +
-                                 "&author=" + UrlEscape(options.value("author")),
-                             text));
-  return ExitCode::kDone;
+  return Send(options, client, PublishQuery(options, client), text);
+}
+
+ExitCode Promote(const Words& words) {
+  CommandOptions options("config promote",
+                         "publish in one environment what another has in force, byte for byte", "",
+                         "turmericshift config promote --from-entries 10.1.0.5:8081 "
+                         "--from-token-file trial.token --entries 10.2.0.5:8081 "
+                         "--token-file production.token --author ilona");
+  AddApiOptions(&options);
+  options.Value("author", "who promotes", "operator")
+      .Value("parent", "version that it follows; default: the present one")
+      .Value("from-entries", "entries of the environment to promote from")
+      .Value("from-token-file", "file that holds that environment's operator token");
+  options.Value("zone-states", "replace: the document may change zones' states; keep: it may not",
+                "keep");
+  AddWaitOption(&options);
+  if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
+  const ApiClient trial(options.value("from-entries"), options.value("from-token-file"));
+  const nlohmann::json shown = trial.Call("GET", kConfigPath);
+  const std::string version = std::to_string(shown.value("version", int64_t{0}));
+  const nlohmann::json statement =
+      trial.Call("GET", std::string(kConfigPath) + "/statement?version=" + version);
+  const ApiClient client(options);
+  const std::string query = PublishQuery(options, client) +
+                            "&trial_environment=" + UrlEscape(statement.value("environment", "")) +
+                            "&trial_version=" + version +
+                            "&trial_proof=" + UrlEscape(statement.value("proof", ""));
+  return Send(options, client, query, shown.value("text", ""));
 }
 
 ExitCode Show(const Words& words) {
@@ -100,6 +143,7 @@
 ExitCode RunConfig(const Words& words) {
   static const std::vector<Command> commands = {{"check", "check documents", &Check},
                                                 {"publish", "publish a document", &Publish},
+                                                {"promote", "publish what a trial had", &Promote},
                                                 {"show", "print the document in force", &Show},
                                                 {"history", "list the versions", &History}};
   return Dispatch("turmericshift config", commands, words);
--- a/main/commands/operator_commands.cc
+++ b/main/commands/operator_commands.cc
@@ -17,18 +17,19 @@
                          "turmericshift zone " + state + " --author ilona buda-a");
   AddApiOptions(&options);
   options.Value("author", "who asks for it", "operator");
+  AddWaitOption(&options);
   if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
   const std::string& zone = options.operands()[0];
-  const nlohmann::json answer =
-      ApiClient(options).Call("POST", "/v1/zones/" + UrlEscape(zone) + "/" + state +
-                                          "?author=" + UrlEscape(options.value("author")));
+  const nlohmann::json answer = ApiClient(options).Call(
+      "POST", "/v1/zones/" + UrlEscape(zone) + "/" + state +
+                  "?author=" + UrlEscape(options.value("author")) + WaitArgument(options));
   if (options.flag("json")) {
     std::printf("%s\n", answer.dump(2).c_str());
   } else {
     std::printf("availability zone %s is %s as of version %d\n", zone.c_str(), state.c_str(),
                 answer.value("version", 0));
   }
-  return ExitCode::kDone;
+  return PrintInForce(options, answer);
 }
 
 ExitCode ZoneOut(const Words& words) { return SetZone("out", words); }
--- a/tests/processes_test.sh
+++ b/tests/processes_test.sh
@@ -27,9 +27,9 @@
 operators="127.0.0.1:$(port entry-a operators) 127.0.0.1:$(port entry-b operators)"
 callers="127.0.0.1:$(port entry-a callers) 127.0.0.1:$(port entry-b callers)"
 document a b >"$work/environment.ini"
-as_operator config publish "$work/environment.ini"
-in_force() { [ "$(grep -l "config_in_force.*\"version\":$1[,}]" "$work"/agent-*.log | wc -l)" -eq 2 ]; }
-await in_force 1
+agents_known() { as_operator status --json | grep -c '"agent": ' | grep -qx 2; }
+await agents_known
+as_operator config publish --wait 20s "$work/environment.ini"
 
 job_is() { as_caller job show "$1" | grep -q " $2 "; }
 submit() {
@@ -43,12 +43,10 @@
 answer() { as_caller request --key "$1" --body-file "$work/body" planner /plan | cmp - "$work/body"; }
 await answer order-1
 
-as_operator zone out a
-await in_force 2
+as_operator zone out --wait 20s a
 submit while-out
 as_caller job show while-out --json | grep -q '"zone": "b"'
-as_operator zone in a
-await in_force 3
+as_operator zone in --wait 20s a
 
 # Requests that run for a second when their entry is told to stop are answered in full.
 in_flight=()
