Burn: Report how fast service-level budgets are used up

Cause: nothing said whether a workspace's objectives hold, how long its budget lasts and what uses it up. Change: servers/burn counts plans on time, requests answered and starts within the bound from the daemons' own lines, by workspace; burn rates over the pairs 5min/1h, 30min/6h and 6h/3d, the budget left and the causes, as text, JSON and one HTML page with SVG plots. 'turmericshift report burn' fails when an objective burns fast.

--- a/main/commands.cc
+++ b/main/commands.cc
@@ -3,6 +3,7 @@
 #include <cstdio>
 
 #include "main/bench.h"
+#include "main/burn_command.h"
 #include "main/history_command.h"
 #include "main/replay_command.h"
 
@@ -20,6 +21,7 @@
       {"config", "check, publish, promote and show environment documents", &RunConfig},
       {"zone", "take an availability zone out or in, show zones", &RunZone},
       {"status", "show what an entry knows", &RunStatus},
+      {"report", "report burn: how fast service-level budgets are used up", &RunReport},
       {"replay", "run traces against the decision code and check their outcomes", &RunReplay},
       {"check-history", "check the daemons' logs against the promises", &RunCheckHistory},
       {"bench", "run the benchmarks and print one table of figures", &RunBench},
--- a/servers/replay/replayer.cc
+++ b/servers/replay/replayer.cc
@@ -227,7 +227,11 @@
 void Replayer::SetZone(const std::string& zone, bool in) {
   RequireZone(zone);
   integrals_.ZoneChanged(now_);
-  Publish(WithZoneState(config_.current()->text, zone, in));
+  ZoneChanged record;
+  record.id = FreshId();
+  record.zone = zone;
+  record.in = in;
+  ApplyConfig(record);
 }
 
 void Replayer::Publish(const std::string& text) {
@@ -237,16 +241,20 @@
   record.version = record.parent + 1;
   record.text = text;
   record.digest = Digest(text);
+  ApplyConfig(record);
+}
+
+void Replayer::ApplyConfig(const turmericshift::Record& record) {
   const FoldVerdict verdict = config_.Apply(record, next_sequence_++);
   if (!verdict.accepted) throw Error(ErrorKind::kInvalidInput, verdict.reason);
-  const auto environment = config_.current()->environment;
+  const std::shared_ptr<const ConfigVersion> current = config_.current();
   recorder_.Write(Kind::kConfigAccepted,
-                  {{"version", record.version},
-                   {"digest", record.digest},
-                   {"zones_out", environment->ZonesOut()}},
+                  {{"version", current->version},
+                   {"digest", current->digest},
+                   {"zones_out", current->environment->ZonesOut()}},
                   now_);
   for (auto& [name, zone] : zones_) {
-    if (zone.planner) zone.planner->SetEnvironment(environment);
+    if (zone.planner) zone.planner->SetEnvironment(current->environment);
     zone.dirty = true;
   }
   // Submissions that no zone would take may find one now.
--- a/servers/replay/replayer.h
+++ b/servers/replay/replayer.h
@@ -61,10 +61,12 @@
   void LoseEntry(const std::string& zone);
   void SetZone(const std::string& zone, bool in);
   void Publish(const std::string& text);
+  // A document or a zone change; throws Error(kInvalidInput) if the fold refuses it.
+  void ApplyConfig(const turmericshift::Record& record);
   // Events that need the log wait until it is back.
   bool NeedsLog(const TraceEvent& event) const;
 
-  FoldVerdict Record(const Record& record);
+  FoldVerdict Record(const turmericshift::Record& record);
   void EndJob(const std::string& zone, const std::string& job, int64_t attempt, JobState state,
               const std::string& reason);
   void RecordEnd(const JobEnded& ended);
