--- a/main/commands/api_client.cc
+++ b/main/commands/api_client.cc
@@ -57,7 +57,7 @@
     const nlohmann::json zones = in_force.value("zones", nlohmann::json::object());
     for (const auto& [name, zone] : zones.items()) {
       std::printf("  %-20s in force at %d agents and %d entries", name.c_str(),
-                  zone.value("agents", 0), zone.value("entries", 0));
+                  zone.value("agents_in_force", 0), zone.value("entries_in_force", 0));
       for (const nlohmann::json& behind : zone.value("behind", nlohmann::json::array())) {
         std::printf(", not at %s", behind.get<std::string>().c_str());
       }
--- a/main/commands/process_commands.cc
+++ b/main/commands/process_commands.cc
@@ -5,6 +5,7 @@
 #include "core/secret.h"
 #include "core/shutdown.h"
 #include "core/units.h"
+#include "main/agent_operator_api.h"
 #include "main/commands.h"
 #include "main/settings/process_settings.h"
 #include "modules/stand_ins/fake_target.h"
@@ -26,6 +27,14 @@
   return keys;
 }
 
+// The first line of the file; "" for an empty path.
+std::string ReadSecret(const std::string& path) {
+  if (path.empty()) return "";
+  const std::vector<std::string> lines = ReadFileLines(path);
+  if (lines.empty()) throw Error(ErrorKind::kInvalidInput, path + " holds nothing");
+  return lines.front();
+}
+
 HttpServerOptions HttpOptions(const ListenSettings& listen, const EntrySettings& settings) {
   HttpServerOptions options;
   options.address = listen.address;
@@ -42,13 +51,9 @@
   options.zone = settings.availability_zone;
   options.caller_http = HttpOptions(settings.callers, settings);
   options.operator_http = HttpOptions(settings.operators, settings);
-  if (!settings.operator_token_file.empty()) {
-    const std::vector<std::string> lines = ReadFileLines(settings.operator_token_file);
-    if (lines.empty()) {
-      throw Error(ErrorKind::kInvalidInput, settings.operator_token_file + " holds no token");
-    }
-    options.operator_token = lines.front();
-  }
+  options.environment = settings.environment;
+  options.promotion_key = ReadSecret(settings.promotion_key_file);
+  options.operator_token = ReadSecret(settings.operator_token_file);
   if (!settings.routing_policy.empty()) options.routing_policy = settings.routing_policy;
   if (!settings.placement_policy.empty()) options.placement_policy = settings.placement_policy;
   return options;
@@ -166,7 +171,18 @@
   }
   RpcEntryConnector connector(ReadKeys(settings.shared_keys_file), settings.connections);
   AgentServer server(MakeAgentOptions(settings), &connector, target.get(), worker.get(), &metrics);
-  LogEvent(LogLevel::kInfo, "agent_started", {{"entries", settings.entries}});
+  const AgentOperatorApi operators(&server, &metrics, ReadSecret(settings.operator_token_file));
+  std::unique_ptr<HttpServer> operator_http;
+  if (!settings.operators.address.empty()) {
+    HttpServerOptions http;
+    http.address = settings.operators.address;
+    http.port = settings.operators.port;
+    operator_http = std::make_unique<HttpServer>(
+        http, [&operators](const HttpRequest& request) { return operators.Handle(request); });
+  }
+  LogEvent(
+      LogLevel::kInfo, "agent_started",
+      {{"entries", settings.entries}, {"operators", operator_http ? operator_http->port() : 0}});
   return ServeUntilSignal(&signal, &server, settings.stop_limit);
 }
 
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -31,6 +31,12 @@
   std::string shared_keys_file;
   // Lets operators in before the first document names some.
   std::string operator_token_file;
+  // Name of the environment whose log this is, such as "trial"; empty: any.
+  std::string environment;
+  // Environment that must have had a document in force before it is published here.
+  std::string trial;
+  // Key that signs and checks statements of what was in force.
+  std::string promotion_key_file;
   std::string routing_policy;
   std::string placement_policy;
   int64_t max_body_bytes = int64_t{16} << 20;
@@ -59,6 +65,9 @@
   int connections = 64;
   Duration heartbeat = std::chrono::seconds(1);
   Duration heartbeat_timeout = std::chrono::seconds(3);
+  // Where metrics and health are served; an empty address: nowhere.
+  ListenSettings operators = {"", 0};
+  std::string operator_token_file;
   Duration stop_limit = std::chrono::seconds(60);
 };
 
