Control: Cut unproven connections, promote by statement, check histories

Cause: a connection without a proof held a thread for ever and could send 64 MB messages; production took any document; a promotion while a zone is out would have brought it in; there was no history of operators, entries and agents under faults. Change: admission limits in time, count and bytes; statements of trial signed by the promotion key; rollback without a trial; zone_states=keep; history test with faulty ways to the log, lost answers and entry restarts.

--- a/rpc/gate_listener.cc
+++ b/rpc/gate_listener.cc
@@ -75,6 +75,7 @@
     try {
       auto agent = std::make_shared<RpcAgentPort>(session_->shared_from_this(), params.getAgent());
       auto port = gate_->OpenAgent(Read(params.getHello()), agent);
+      session_->Admit();
       results.setSession(kj::heap<EntrySessionService>(std::move(port), pool_));
     } catch (const Error& error) {
       Write(error, results.initFailure());
@@ -136,13 +137,13 @@
   stopping_.store(true);
   thread_.Join();
   close(listener_);
-  std::vector<std::weak_ptr<Session>> sessions;
+  std::vector<Accepted> sessions;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     sessions.swap(sessions_);
   }
-  for (const auto& weak : sessions) {
-    if (const auto session = weak.lock()) {
+  for (const Accepted& accepted : sessions) {
+    if (const auto session = accepted.session.lock()) {
       session->Close();
       session->WaitClosed();
     }
@@ -152,25 +153,49 @@
 void GateListener::Accept() {
   while (!stopping_.load()) {
     pollfd waiting{listener_, POLLIN, 0};
-    if (poll(&waiting, 1, kPollMillis) <= 0) continue;
+    const bool connected = poll(&waiting, 1, kPollMillis) > 0;
+    const Time now = DefaultClock().Now();
+    Sweep(now);
+    if (!connected) continue;
     const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    if (fd >= 0) Admit(fd);
+    if (fd >= 0) Admit(fd, now);
   }
 }
 
-void GateListener::Admit(int fd) {
+void GateListener::Sweep(Time now) {
+  std::vector<std::shared_ptr<Session>> late;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::erase_if(sessions_, [](const Accepted& each) { return each.session.expired(); });
+    for (const Accepted& each : sessions_) {
+      if (now - each.since <= options_.admission_limit) continue;
+      auto session = each.session.lock();
+      if (session && !session->admitted() && !session->closed()) late.push_back(session);
+    }
+  }
+  for (const auto& session : late) {
+    LogEvent(LogLevel::kWarning, "session_refused", {{"reason", "no proof in time"}});
+    session->Close();
+  }
+}
+
+void GateListener::Admit(int fd, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::erase_if(sessions_, [](const std::weak_ptr<Session>& weak) { return weak.expired(); });
-  if (static_cast<int>(sessions_.size()) >= options_.max_sessions) {
+  const auto unadmitted = std::count_if(sessions_.begin(), sessions_.end(), [](const auto& each) {
+    const auto session = each.session.lock();
+    return session && !session->admitted();
+  });
+  if (static_cast<int>(sessions_.size()) >= options_.max_sessions ||
+      unadmitted >= options_.max_unadmitted) {
     LogEvent(LogLevel::kWarning, "session_refused", {{"reason", "too many sessions"}});
     close(fd);
     return;
   }
-  sessions_.push_back(Session::Open(fd, Session::Side::kAccepting, "agent-session",
-                                    [this](Session* session) -> capnp::Capability::Client {
-                                      return kj::heap<GateService>(session, gate_, options_.keys,
-                                                                   &pool_);
-                                    }));
+  const auto make_gate = [this](Session* session) -> capnp::Capability::Client {
+    return kj::heap<GateService>(session, gate_, options_.keys, &pool_);
+  };
+  sessions_.push_back(
+      {Session::Open(fd, Session::Side::kAccepting, "agent-session", make_gate), now});
 }
 
 }  // namespace turmericshift
--- a/rpc/gate_listener.h
+++ b/rpc/gate_listener.h
@@ -26,6 +26,11 @@
   int port = 0;
   SharedKeys keys;
   int max_sessions = 800;
+  // A connection that has not proved itself for so long is cut.
+  Duration admission_limit = std::chrono::seconds(5);
+  // More connections than this without a proof are not accepted; the fleet's own come in within
+  // milliseconds each.
+  int max_unadmitted = 64;
 };
 
 class GateListener {
@@ -40,8 +45,15 @@
   int port() const { return port_; }
 
  private:
+  struct Accepted {
+    std::weak_ptr<Session> session;
+    Time since{};
+  };
+
   void Accept();
-  void Admit(int fd);
+  void Admit(int fd, Time now);
+  // Cuts those that have not proved themselves in time, forgets those that have ended.
+  void Sweep(Time now);
 
   const GateOptions options_;
   EntryGate* const gate_;
@@ -50,7 +62,7 @@
   int port_ = 0;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
-  std::vector<std::weak_ptr<Session>> sessions_;
+  std::vector<Accepted> sessions_;
   Thread thread_;
 };
 
--- a/rpc/session.cc
+++ b/rpc/session.cc
@@ -7,6 +7,7 @@
 
 #include "core/logging.h"
 #include "core/thread.h"
+#include "rpc/admission_stream.h"
 
 namespace turmericshift {
 namespace {
@@ -48,7 +49,10 @@
 void Session::Run(int fd, Side side, const MakeBootstrap& make_bootstrap) {
   try {
     kj::AsyncIoContext io = kj::setupAsyncIo();
-    auto stream = io.lowLevelProvider->wrapSocketFd(kj::AutoCloseFd(fd));
+    auto socket = io.lowLevelProvider->wrapSocketFd(kj::AutoCloseFd(fd));
+    // The connecting side chose whom to talk to.
+    if (side == Side::kConnecting) Admit();
+    auto stream = kj::heap<AdmissionStream>(socket.get(), &admitted_);
     auto stop = kj::newPromiseAndFulfiller<void>();
     kj::Maybe<capnp::Capability::Client> bootstrap;
     if (make_bootstrap) bootstrap = make_bootstrap(this);
--- a/rpc/session.h
+++ b/rpc/session.h
@@ -56,6 +56,10 @@
   // Ends the connection; calls in flight fail. Safe from any thread, more than once.
   void Close();
   bool closed() const { return closed_.load(); }
+  // The peer has proved that it belongs here. Until then an accepting session reads only what a
+  // proof needs.
+  void Admit() { admitted_.store(true); }
+  bool admitted() const { return admitted_.load(); }
   // Waits until the session's thread has ended.
   void WaitClosed();
   // Called once on the session's thread when the connection has ended.
@@ -67,6 +71,7 @@
   const kj::Executor& executor() const;
 
   std::atomic<bool> closed_{false};
+  std::atomic<bool> admitted_{false};
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   bool started_ = false;
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -57,6 +57,7 @@
   bool Leave(Duration limit);
 
   const StartGuard& guard() const { return guard_; }
+  const std::string& zone() const { return options_.hello.zone; }
 
  private:
   // One of the session threads: opens a session where the plan says, keeps it, and starts over.
--- /dev/null
+++ b/servers/agent/session_plan_test.cc
@@ -0,0 +1,111 @@
+#include "servers/agent/session_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace turmericshift {
+namespace {
+
+using std::chrono::seconds;
+
+std::vector<EntryMember> Members(int per_zone) {
+  std::vector<EntryMember> members;
+  for (const std::string zone : {"a", "b", "c"}) {
+    for (int index = 0; index < per_zone; ++index) {
+      const std::string name = zone + std::to_string(index);
+      members.push_back({name, zone, name + ":1"});
+    }
+  }
+  return members;
+}
+
+class SessionPlanTest : public testing::Test {
+ protected:
+  // Opens sessions until the plan wants no more; returns them.
+  std::set<std::string> OpenAll(SessionPlan* plan) {
+    std::set<std::string> open;
+    for (std::string next = plan->Choose(now_); !next.empty(); next = plan->Choose(now_)) {
+      plan->Opened(next);
+      open.insert(next);
+      for (auto each = open.begin(); each != open.end();) {
+        const bool wanted = plan->StillWanted(*each);
+        if (!wanted) plan->Released(*each);
+        each = wanted ? std::next(each) : open.erase(each);
+      }
+    }
+    return open;
+  }
+
+  Time now_ = Time{} + std::chrono::hours(1);
+};
+
+// All sessions in one zone would go silent with it, and with them the agent's starts.
+TEST_F(SessionPlanTest, SessionsStandInDifferentZones) {
+  SessionPlan plan("b", 3, {"a0:1", "a1:1", "a2:1"}, 7);
+  EXPECT_EQ(OpenAll(&plan).size(), 3U);
+  plan.Learn(Members(3), "");
+  std::set<char> zones;
+  for (const std::string& address : OpenAll(&plan)) zones.insert(address[0]);
+  plan.Learn(Members(3), "");
+  SessionPlan fresh("b", 3, {}, 8);
+  fresh.Learn(Members(3), "");
+  zones.clear();
+  for (const std::string& address : OpenAll(&fresh)) zones.insert(address[0]);
+  EXPECT_EQ(zones.size(), 3U);
+}
+
+// The zone's planner moves to another entry: the agent goes there without giving up a session
+// before the new one stands.
+TEST_F(SessionPlanTest, ThePlannerIsAlwaysAmongTheSessions) {
+  SessionPlan plan("b", 3, {}, 9);
+  plan.Learn(Members(2), "");
+  const std::set<std::string> before = OpenAll(&plan);
+  ASSERT_EQ(before.size(), 3U);
+  std::string planner;
+  for (const EntryMember& member : Members(2)) {
+    if (before.count(member.address) == 0) planner = member.address;
+  }
+  plan.Learn(Members(2), planner);
+  EXPECT_EQ(plan.Choose(now_), planner);
+  for (const std::string& address : before) EXPECT_TRUE(plan.StillWanted(address));
+  plan.Opened(planner);
+  EXPECT_TRUE(plan.StillWanted(planner));
+  EXPECT_EQ(std::count_if(before.begin(), before.end(),
+                          [&](const auto& each) { return plan.StillWanted(each); }),
+            2);
+}
+
+// An entry comes back after an outage and all agents want it again; they must not arrive at once.
+TEST_F(SessionPlanTest, AFleetReturnsSpreadOut) {
+  std::set<int64_t> moments;
+  constexpr int kAgents = 200;
+  for (int agent = 0; agent < kAgents; ++agent) {
+    SessionPlan plan("a", 3, {"a0:1"}, static_cast<uint64_t>(agent) + 1);
+    for (int failures = 0; failures < 8; ++failures) {
+      Time now = now_ + seconds(10 * failures);
+      ASSERT_EQ(plan.Choose(now), "a0:1");
+      plan.Lost("a0:1", now);
+    }
+    Time now = now_ + seconds(70);
+    EXPECT_EQ(plan.Choose(now + seconds(1)), "");
+    int64_t hundredths = 100;
+    while (plan.Choose(now + std::chrono::milliseconds(10 * hundredths)).empty()) ++hundredths;
+    EXPECT_LE(hundredths, 500);
+    moments.insert(hundredths / 10);
+  }
+  // Over some four seconds, in steps of a tenth.
+  EXPECT_GT(moments.size(), 30U);
+}
+
+TEST_F(SessionPlanTest, EntriesThatAreGoneAreForgotten) {
+  SessionPlan plan("a", 3, {"a0:1"}, 3);
+  plan.Learn(Members(1), "");
+  EXPECT_EQ(plan.addresses().size(), 3U);
+  plan.Learn({{"a0", "a", "a0:1"}}, "");
+  EXPECT_EQ(plan.addresses().size(), 1U);
+  EXPECT_EQ(plan.members_digest(), DigestMembers({{"a0", "a", "a0:1"}}));
+}
+
+}  // namespace
+}  // namespace turmericshift
--- a/servers/entry/config_api.cc
+++ b/servers/entry/config_api.cc
@@ -132,18 +132,23 @@
 
 void ConfigApi::RequireTrial(const HttpRequest& request, const std::string& digest) const {
   const EntryOptions& options = entry_->options_;
-  if (options.promotion_key.empty()) return;
-  const std::string environment = request.argument("trial_environment");
-  if (environment.empty()) {
-    throw Error(ErrorKind::kForbidden, "this environment takes promoted documents only");
+  if (options.trial.empty()) return;
+  // A rollback: these bytes were promoted before, and haste must not depend on the trial.
+  for (const auto& version : entry_->config_fold_.history()) {
+    if (version->digest == digest) return;
+  }
+  const std::string proof = request.argument("trial_proof");
+  if (proof.empty()) {
+    throw Error(ErrorKind::kForbidden,
+                "this environment takes only documents that " + options.trial + " had in force");
   }
-  const std::string expected = PromotionProof(options.promotion_key, environment,
+  const std::string expected = PromotionProof(options.promotion_key, options.trial,
                                               RequiredNumber(request, "trial_version"), digest);
-  // The environment's own statement would let it promote to itself what no trial had.
-  const bool holds =
-      environment != options.environment &&
-      ProofHolds("promotion", request.argument("trial_proof"), Prove("promotion", expected));
-  if (!holds) throw Error(ErrorKind::kForbidden, "no trial had these bytes in force");
+  // Compared by a keyed hash of both, in constant time.
+  if (options.promotion_key.empty() ||
+      !ProofHolds("promotion", proof, Prove("promotion", expected))) {
+    throw Error(ErrorKind::kForbidden, options.trial + " never had these bytes in force");
+  }
 }
 
 HttpResponse ConfigApi::Publish(const HttpRequest& request) {
@@ -158,6 +163,7 @@
   record.wall_ms = DefaultClock().WallMillis();
   record.environment = entry_->options_.environment;
   record.sets_zones = request.argument("zone_states") == "replace";
+  record.keeps_zones = request.argument("zone_states") == "keep";
   RequireTrial(request, record.digest);
   return AnswerAccepted(request, *Accept(record), 0);
 }
--- a/servers/entry/config_api.h
+++ b/servers/entry/config_api.h
@@ -7,7 +7,8 @@
 //   POST /v1/config?parent=N            publishes the body as version N+1
 //        &author=NAME                   who asks; shown in the history
 //        &zone_states=replace           lets the document change the state of zones
-//        &trial_environment=&trial_version=&trial_proof=   a trial's statement, see below
+//        &zone_states=keep              zones stay in or out as they are, whatever it says
+//        &trial_version=&trial_proof=   the trial's statement, where promotion asks for one
 //        &wait_ms=M                     answers once all have it in force, at most after M
 //   GET  /v1/config/statement?version=N says, provably, that all of this environment has N in force
 //   POST /v1/zones/NAME/out             takes the zone out on whatever document is newest
@@ -25,7 +26,8 @@
 
 class EntryServer;
 
-// Proof for `digest` that the environment had it in force as `version`, under a key that both
+// Made by the trial's entries, checked by production's; the operator's command carries it over. A
+// proof for `digest` that the environment had it in force as `version`, under a key that both
 // environments' entries know.
 std::string PromotionProof(const std::string& key, const std::string& environment, int64_t version,
                            const std::string& digest);
--- /dev/null
+++ b/servers/entry/config_api_test.cc
@@ -0,0 +1,149 @@
+#include "servers/entry/config_api.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "core/http_client.h"
+#include "main/register_modules.h"
+#include "modules/stand_ins/faulty_log.h"
+#include "servers/entry/entry_server.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr const char* kToken = "operator-token-1234";
+constexpr const char* kPromotionKey = "promotion-key-5678";
+
+std::string Document(const std::string& comment = "") {
+  return "[environment]\ndeployment = test\n[availability_zone a]\nstate = in\nworkers = 1\n"
+         "workers_per_rack = 1\nprocessors_per_worker = 4\naccelerators_per_worker = 8\n"
+         "memory_per_worker = 1GiB\n" +
+         comment;
+}
+
+struct Answer {
+  int status = 0;
+  nlohmann::json json;
+};
+
+// One entry of an environment, with its own way to the environment's log.
+struct TestEntry {
+  TestEntry(LogService* log, const std::string& environment, const std::string& process)
+      : way(log) {
+    RegisterModules();
+    EntryOptions options;
+    options.process = process;
+    options.zone = "a";
+    options.environment = environment;
+    options.promotion_key = kPromotionKey;
+    if (environment == "production") options.trial = "trial";
+    options.operator_token = kToken;
+    server = std::make_unique<EntryServer>(options, &way, &metrics);
+    server->AnnounceAddress(process + ":1");
+  }
+
+  Answer Call(const std::string& method, const std::string& path,
+              const std::string& body = "") const {
+    HttpCall call;
+    call.method = method;
+    call.url = "http://127.0.0.1:" + std::to_string(server->operator_port()) + path;
+    call.headers = {{"Authorization", std::string("Bearer ") + kToken}};
+    call.body = body;
+    const HttpReply reply = PerformHttp(call);
+    return {reply.status, nlohmann::json::parse(reply.body, nullptr, false)};
+  }
+
+  // One heartbeat of an agent of zone a that has `version` in force.
+  void Beat(int64_t version) {
+    const AgentHello hello{"worker-1", "i", "a", "r", "", {}};
+    if (!port) port = server->OpenAgent(hello, nullptr);
+    AgentBeat beat;
+    beat.config_version = version;
+    port->Heartbeat(beat, {});
+  }
+
+  FaultyLog way;
+  MetricsRegistry metrics;
+  std::unique_ptr<EntryServer> server;
+  std::shared_ptr<EntryPort> port;
+};
+
+// Two operators publish at two entries at once: one of them is told that the other came first.
+TEST(ConfigApiTest, OfTwoOperatorsTheSecondIsToldWhoCameFirst) {
+  MemoryLog log;
+  TestEntry one(&log, "", "one");
+  TestEntry two(&log, "", "two");
+  ASSERT_EQ(one.Call("POST", "/v1/config?parent=0&author=kati", Document()).status, 201);
+  const Answer second = two.Call("POST", "/v1/config?parent=0&author=angus", Document("# other\n"));
+  EXPECT_EQ(second.status, 409);
+  EXPECT_EQ(second.json.at("detail"), "version 1 by 'kati' came first");
+  EXPECT_EQ(second.json.at("outcome"), "not_run");
+  EXPECT_EQ(two.Call("GET", "/v1/config").json.at("author"), "kati");
+}
+
+// The log takes the operator's record and loses every answer; the command still learns the truth.
+TEST(ConfigApiTest, AZoneOutWhoseAnswerIsLostIsFoundByReading) {
+  MemoryLog log;
+  TestEntry entry(&log, "", "one");
+  entry.Call("POST", "/v1/config?parent=0", Document());
+  entry.way.SetFaults({.append_answers_lost = true});
+  const Answer out = entry.Call("POST", "/v1/zones/a/out?author=kati&wait_ms=0");
+  EXPECT_EQ(out.status, 201);
+  EXPECT_EQ(out.json.at("version"), 2);
+  EXPECT_EQ(entry.Call("POST", "/v1/zones/a/out").status, 409);
+  EXPECT_EQ(entry.Call("POST", "/v1/zones/b/out").status, 404);
+}
+
+// The record lands while no entry can read: the operator must not be told that nothing happened.
+TEST(ConfigApiTest, AnUnreadZoneOutIsUnknownAndComesIntoForceLater) {
+  MemoryLog log;
+  TestEntry entry(&log, "", "one");
+  entry.Call("POST", "/v1/config?parent=0", Document());
+  entry.way.SetFaults({.reads_fail = true});
+  const Answer out = entry.Call("POST", "/v1/zones/a/out");
+  EXPECT_EQ(out.status, 503);
+  EXPECT_EQ(out.json.at("outcome"), "unknown");
+  entry.way.SetFaults({});
+  const Answer again = entry.Call("POST", "/v1/zones/a/in?wait_ms=0");
+  EXPECT_EQ(again.status, 201);
+  EXPECT_EQ(again.json.at("version"), 3);
+}
+
+TEST(ConfigApiTest, InForceNamesWhoIsBehind) {
+  MemoryLog log;
+  TestEntry entry(&log, "", "one");
+  entry.Beat(0);
+  entry.Call("POST", "/v1/config?parent=0", Document());
+  const nlohmann::json before = entry.Call("GET", "/v1/config/in-force?version=1").json;
+  EXPECT_FALSE(before.at("complete").get<bool>());
+  EXPECT_EQ(before.at("zones").at("a").at("behind"), nlohmann::json({"worker-1"}));
+  entry.Beat(1);
+  const nlohmann::json after = entry.Call("GET", "/v1/config/in-force?version=1").json;
+  EXPECT_TRUE(after.at("complete").get<bool>());
+  EXPECT_EQ(after.at("zones").at("a").at("entries_in_force"), 1);
+}
+
+// A document that no trial ran must not reach production, whatever an operator types.
+TEST(ConfigApiTest, ProductionTakesOnlyWhatTheTrialHadInForce) {
+  MemoryLog trial_log;
+  MemoryLog production_log;
+  TestEntry trial(&trial_log, "trial", "one");
+  TestEntry production(&production_log, "production", "two");
+  const std::string publish = "/v1/config?parent=0";
+  EXPECT_EQ(production.Call("POST", publish, Document()).status, 403);
+  ASSERT_EQ(trial.Call("POST", publish, Document()).status, 201);
+  trial.Beat(0);
+  EXPECT_EQ(trial.Call("GET", "/v1/config/statement?version=1").status, 409);
+  trial.Beat(1);
+  const nlohmann::json statement = trial.Call("GET", "/v1/config/statement?version=1").json;
+  const std::string promotion =
+      "&trial_version=1&trial_proof=" + statement.at("proof").get<std::string>();
+  EXPECT_EQ(production.Call("POST", publish + promotion, Document("# x\n")).status, 403);
+  EXPECT_EQ(production.Call("POST", publish + promotion, Document()).status, 201);
+  // A rollback needs no trial: the bytes were in force here before.
+  EXPECT_EQ(production.Call("POST", "/v1/config?parent=1", Document()).status, 201);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -32,9 +32,11 @@
   std::string zone;
   // Name of the environment whose log this is, such as "trial"; empty: any.
   std::string environment;
-  // With a key, a document is published only if another environment that knows the key states that
-  // it had the same bytes in force. Empty: documents are published directly.
+  // Signs statements of what is in force here, and checks those of `trial`.
   std::string promotion_key;
+  // Name of the environment that must have had a document in force before it is published here;
+  // empty: documents are published directly.
+  std::string trial;
   // This process's part of what the log takes.
   double appends_per_second = 60;
   // Well inside the log's retention.
--- a/servers/state/config_fold.cc
+++ b/servers/state/config_fold.cc
@@ -20,6 +20,18 @@
   return "";
 }
 
+// Gives the zones of `version` the states they have in `present`.
+void KeepZones(const Environment& present, ConfigVersion* version) {
+  for (const auto& [name, zone] : present.zones) {
+    const AvailabilityZoneSpec* named = version->environment->FindZone(name);
+    if (named != nullptr && named->in != zone.in) {
+      version->text = WithZoneState(version->text, name, zone.in);
+    }
+  }
+  version->environment = std::make_shared<const Environment>(
+      ParseEnvironment("version " + std::to_string(version->version), version->text));
+}
+
 }  // namespace
 
 FoldVerdict ConfigFold::Apply(const Record& record, Sequence sequence) {
@@ -54,6 +66,7 @@
   version.environment = std::make_shared<const Environment>(
       ParseEnvironment("version " + std::to_string(published.version), published.text));
   if (before != nullptr) {
+    if (published.keeps_zones) KeepZones(*before->environment, &version);
     if (version.environment->deployment != before->environment->deployment) {
       return {false, "the document is one of deployment " + version.environment->deployment +
                          ", this environment one of " + before->environment->deployment};
--- a/servers/state/config_fold_test.cc
+++ b/servers/state/config_fold_test.cc
@@ -56,6 +56,17 @@
   EXPECT_FALSE(fold.Apply(Zone(true), 6).accepted);
 }
 
+// A document is promoted while production has a zone out: the zone stays out.
+TEST(ConfigFoldTest, APromotedDocumentMayKeepTheZonesAsTheyAre) {
+  ConfigFold fold;
+  fold.Apply(Publish(0, Document("in")), 0);
+  fold.Apply(Zone(false), 1);
+  ConfigPublished promoted = Publish(2, Document("in") + "# new\n");
+  promoted.keeps_zones = true;
+  EXPECT_TRUE(fold.Apply(promoted, 2).accepted);
+  EXPECT_EQ(fold.current()->text, Document("out") + "# new\n");
+}
+
 TEST(ConfigFoldTest, RefusesDocumentsOfOtherEnvironmentsAndDeployments) {
   ConfigFold fold;
   ConfigPublished first = Publish(0, Document("in"));
--- a/servers/state/record.cc
+++ b/servers/state/record.cc
@@ -9,7 +9,8 @@
 namespace turmericshift {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigPublished, id, version, parent, digest, text,
-                                                author, wall_ms, environment, sets_zones)
+                                                author, wall_ms, environment, sets_zones,
+                                                keeps_zones)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneChanged, id, zone, in, author, wall_ms, environment)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SnapshotPart, id, covers, part, parts, digest, bytes, wall_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RequestClaimed, id, workspace, key, service, body_digest,
--- a/servers/state/record.h
+++ b/servers/state/record.h
@@ -36,6 +36,8 @@
   // The document may bring zones in or take them out; otherwise one that would is void, so that an
   // old file does not bring a zone back by accident.
   bool sets_zones = false;
+  // Zones keep their present state instead, whatever the document says of them.
+  bool keeps_zones = false;
 };
 
 // Takes a zone in or out on whatever document is newest when the log gets to it, so that it can't
--- /dev/null
+++ b/tests/control_history_test.cc
@@ -0,0 +1,227 @@
+// Histories of operators, entries and agents under faults: versions never fall anywhere, and no
+// start follows a zone's exit by more than the bound.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <random>
+
+#include "core/digest.h"
+#include "core/http_client.h"
+#include "core/secret.h"
+#include "core/thread.h"
+#include "main/register_modules.h"
+#include "modules/stand_ins/direct_connector.h"
+#include "modules/stand_ins/faulty_log.h"
+#include "servers/agent/agent_server.h"
+#include "servers/entry/entry_server.h"
+
+namespace turmericshift {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kBound = milliseconds(1000);
+constexpr int kAgentsPerZone = 2;
+constexpr Duration kLength = std::chrono::seconds(8);
+
+std::string Zone(const std::string& name) {
+  return "[availability_zone " + name +
+         "]\nstate = in\nworkers = 1\nworkers_per_rack = 1\nprocessors_per_worker = 4\n"
+         "accelerators_per_worker = 8\nmemory_per_worker = 1GiB\n";
+}
+
+// When zone "a" was out for sure: from an operator's answer to the next order to bring it in.
+struct Exit {
+  Time answered{};
+  Time in_ordered = Time::max();
+};
+
+class ControlHistoryTest : public testing::Test {
+ protected:
+  struct Entry {
+    std::string zone;
+    std::unique_ptr<FaultyLog> way;
+    std::unique_ptr<EntryServer> server;
+  };
+
+  ControlHistoryTest() {
+    RegisterModules();
+    for (const std::string zone : {"a", "b", "c"}) {
+      entries_.push_back({zone, std::make_unique<FaultyLog>(&log_), nullptr});
+      StartEntry(entries_.size() - 1);
+    }
+    ConfigPublished first;
+    first.id = NewRecordId();
+    first.version = 1;
+    first.text = "[environment]\ndeployment = test\nzone_out_bound = 1s\n" + Zone("a") + Zone("b") +
+                 Zone("c");
+    first.digest = Digest(first.text);
+    log_.Append("config", EncodeRecords({first}), {});
+    for (const std::string zone : {"a", "b", "c"}) {
+      for (int index = 0; index < kAgentsPerZone; ++index) StartAgent(zone, index);
+    }
+  }
+
+  ~ControlHistoryTest() override {
+    agents_.clear();
+    for (size_t index = 0; index < entries_.size(); ++index) StopEntry(index);
+  }
+
+  static std::string Address(const Entry& entry) { return "entry-" + entry.zone + ":1"; }
+
+  void StartEntry(size_t index) {
+    Entry& entry = entries_[index];
+    EntryOptions options;
+    options.process = "entry-" + entry.zone;
+    options.zone = entry.zone;
+    options.operator_token = "token";
+    entry.server = std::make_unique<EntryServer>(options, entry.way.get(), &metrics_);
+    connector_.Attach(Address(entry), entry.server.get());
+    entry.server->AnnounceAddress(Address(entry));
+  }
+
+  void StopEntry(size_t index) {
+    connector_.Detach(Address(entries_[index]));
+    entries_[index].server.reset();
+  }
+
+  void StartAgent(const std::string& zone, int index) {
+    AgentOptions options;
+    options.hello = {"agent-" + zone + std::to_string(index), RandomHex(4), zone, "r", "", {}};
+    for (const Entry& entry : entries_) options.entries.push_back(Address(entry));
+    options.heartbeat = milliseconds(50);
+    agents_.push_back(
+        std::make_unique<AgentServer>(options, &connector_, nullptr, nullptr, &metrics_));
+  }
+
+  // Orders a change of zone "a" at any entry; returns whether it was accepted for sure.
+  bool Order(size_t entry, bool in) {
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(entries_[entry].server->operator_port()) +
+               "/v1/zones/a/" + (in ? "in" : "out") + "?wait_ms=0";
+    call.headers = {{"Authorization", "Bearer token"}};
+    try {
+      return PerformHttp(call).status == 201;
+    } catch (const Error&) {
+      return false;
+    }
+  }
+
+  // Two operators who know nothing of each other, at changing entries. Orders go out in turns of
+  // their own; only what both know to hold counts as an exit.
+  void Operate(uint64_t seed) {
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed));
+    while (!done_.load()) {
+      const size_t entry = random() % entries_.size();
+      const bool in = random() % 2 == 0;
+      std::unique_lock<std::mutex> lock(orders_);
+      if (in) {
+        const Time now = DefaultClock().Now();
+        for (Exit& exit : exits_) exit.in_ordered = std::min(exit.in_ordered, now);
+      }
+      const bool accepted = Order(entry, in);
+      if (accepted && !in) exits_.push_back({DefaultClock().Now(), Time::max()});
+      lock.unlock();
+      Rest(milliseconds(random() % 1500));
+    }
+  }
+
+  // Outages, lost answers, slow ways and partial blindness, each for a while, each entry its own.
+  void Disturb() {
+    std::minstd_rand random(11);
+    while (!done_.load()) {
+      for (Entry& entry : entries_) {
+        LogFaults faults;
+        faults.reads_fail = random() % 3 == 0;
+        faults.appends_fail = random() % 4 == 0;
+        faults.append_answers_lost = random() % 3 == 0;
+        entry.way->SetFaults(faults);
+      }
+      Rest(milliseconds(random() % 800));
+      for (Entry& entry : entries_) entry.way->SetFaults({});
+      if (random() % 4 == 0) {
+        const std::lock_guard<std::mutex> lock(orders_);
+        const size_t index = random() % entries_.size();
+        StopEntry(index);
+        StartEntry(index);
+      }
+      Rest(milliseconds(random() % 400));
+    }
+  }
+
+  // One agent's scheduler: asks the guard all the time, as gangs do, and notes every start.
+  void Start(const AgentServer* agent) {
+    int64_t version = 0;
+    const bool counts = agent->zone() == "a";
+    while (!done_.load()) {
+      const int64_t present = agent->guard().config_version();
+      if (present < version) fell_.store(true);
+      version = present;
+      const Time now = DefaultClock().Now();
+      try {
+        agent->guard().RequireStart(now);
+        if (!counts) continue;
+        const std::lock_guard<std::mutex> lock(starts_mutex_);
+        starts_.push_back(now);
+      } catch (const Error&) {
+        // Nothing may start now.
+      }
+      Rest(milliseconds(5));
+    }
+  }
+
+  void Rest(Duration duration) {
+    std::unique_lock<std::mutex> lock(rest_mutex_);
+    rest_.wait_for(lock, duration, [this] { return done_.load(); });
+  }
+
+  void Finish() {
+    {
+      const std::lock_guard<std::mutex> lock(rest_mutex_);
+      done_.store(true);
+    }
+    rest_.notify_all();
+  }
+
+  MemoryLog log_;
+  MetricsRegistry metrics_;
+  DirectConnector connector_;
+  std::vector<Entry> entries_;
+  std::vector<std::unique_ptr<AgentServer>> agents_;
+  std::mutex orders_;
+  std::vector<Exit> exits_;
+  std::mutex starts_mutex_;
+  std::vector<Time> starts_;
+  std::atomic<bool> fell_{false};
+  std::mutex rest_mutex_;
+  std::condition_variable rest_;
+  std::atomic<bool> done_{false};
+};
+
+// Operators change a zone back and forth while entries lose their ways to the log one by one and
+// together, and restart. A task that starts long after the exit would run into the maintenance.
+TEST_F(ControlHistoryTest, NoStartLongAfterAnExitAndNoVersionFalls) {
+  {
+    std::vector<Thread> threads;
+    threads.emplace_back("operator", [this] { Operate(1); });
+    threads.emplace_back("operator", [this] { Operate(2); });
+    threads.emplace_back("faults", [this] { Disturb(); });
+    for (const auto& agent : agents_) {
+      const AgentServer* raw = agent.get();
+      threads.emplace_back("starts", [this, raw] { Start(raw); });
+    }
+    Rest(kLength);
+    Finish();
+  }
+  EXPECT_FALSE(fell_.load());
+  for (const Exit& exit : exits_) {
+    for (const Time start : starts_) {
+      const bool late = start > exit.answered + kBound && start < exit.in_ordered;
+      EXPECT_FALSE(late) << "a start " << Seconds(start - exit.answered) << " s after the exit";
+    }
+  }
+}
+
+}  // namespace
+}  // namespace turmericshift
