--- a/main/history_command.cc
+++ b/main/history_command.cc
@@ -1,16 +1,17 @@
 #include "main/history_command.h"
 
 #include <cstdio>
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/units.h"
-#include "main/option_parser.h"
+#include "main/commands/options.h"
 #include "servers/history/history_check.h"
 
 namespace turmericshift {
 namespace {
 
+constexpr size_t kMaxFiles = 10000;
+
 nlohmann::json ResultJson(const CheckResult& result) {
   nlohmann::json evidence = nlohmann::json::array();
   for (const HistoryEvent& event : result.evidence) {
@@ -22,28 +23,31 @@
           {"evidence", evidence}};
 }
 
-Duration DurationOr(const cxxopts::ParseResult& parsed, const char* option, Duration otherwise) {
-  return parsed.count(option) == 0 ? otherwise : ParseDuration(parsed[option].as<std::string>());
+// The option's duration, or `otherwise` if it was not given.
+Duration DurationOr(const CommandOptions& options, const char* name, Duration otherwise) {
+  const std::string text = options.value(name);
+  return text.empty() ? otherwise : ParseDuration(text);
 }
 
 }  // namespace
 
 ExitCode RunCheckHistory(const Words& words) {
-  cxxopts::Options options("turmericshift check-history");
-  options.add_options()("files", "", cxxopts::value<std::vector<std::string>>())("json", "")(
-      "zone-out", "", cxxopts::value<std::string>())("partial-gang", "",
-                                                     cxxopts::value<std::string>())(
-      "reclaim", "", cxxopts::value<std::string>())("job-silence", "",
-                                                    cxxopts::value<std::string>());
-  const cxxopts::ParseResult parsed = ParseOptions(&options, words, "files");
+  CommandOptions options("check-history", "checks the daemons' logs against the promises", "FILE…",
+                         "turmericshift check-history entry.log agent-*.log");
+  options.Flag("json", "print the results as JSON")
+      .Value("zone-out", "longest time to a start after a zone was taken out (3s)")
+      .Value("partial-gang", "longest time that part of a gang may run (10s)")
+      .Value("reclaim", "longest wait for guaranteed room (30s)")
+      .Value("job-silence", "an open job is forgotten after this long without a word (24h)");
+  if (!options.Parse(words, 1, kMaxFiles)) return ExitCode::kDone;
   HistoryBounds bounds;
-  bounds.zone_out = DurationOr(parsed, "zone-out", bounds.zone_out);
-  bounds.partial_gang = DurationOr(parsed, "partial-gang", bounds.partial_gang);
-  bounds.reclaim = DurationOr(parsed, "reclaim", bounds.reclaim);
-  bounds.job_silence = DurationOr(parsed, "job-silence", bounds.job_silence);
-  const History history = ReadHistoryFiles(RequireFiles(parsed, "files"));
+  bounds.zone_out = DurationOr(options, "zone-out", bounds.zone_out);
+  bounds.partial_gang = DurationOr(options, "partial-gang", bounds.partial_gang);
+  bounds.reclaim = DurationOr(options, "reclaim", bounds.reclaim);
+  bounds.job_silence = DurationOr(options, "job-silence", bounds.job_silence);
+  const History history = ReadHistoryFiles(options.operands());
   const std::vector<CheckResult> results = CheckHistory(history, bounds);
-  if (parsed.count("json") != 0) {
+  if (options.flag("json")) {
     nlohmann::json list = nlohmann::json::array();
     for (const CheckResult& result : results) list.push_back(ResultJson(result));
     std::printf("%s\n", list.dump(2).c_str());
