--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -1,5 +1,7 @@
 #include "main/register_modules.h"
 
+#include "main/capacity_bench.h"
+#include "main/replay_bench.h"
 #include "modules/http_log/register_types.h"
 #include "modules/http_target/register_types.h"
 #include "modules/placement/register_types.h"
@@ -14,6 +16,8 @@
   RegisterPlacementTypes();
   RegisterRoutingTypes();
   RegisterStandInTypes();
+  RegisterCapacityBench();
+  RegisterReplayBench();
 }
 
 }  // namespace turmericshift
--- a/main/register_modules_test.cc
+++ b/main/register_modules_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "core/bench_suite.h"
 #include "servers/entry/routing_policy.h"
 #include "servers/planner/placement_policy.h"
 #include "servers/platform/log_service.h"
@@ -28,6 +29,8 @@
   EXPECT_TRUE(Has<WorkerServiceRegistry>("stand_in"));
   EXPECT_TRUE(Has<PlacementPolicyRegistry>("first_fit"));
   EXPECT_TRUE(Has<RoutingPolicyRegistry>("two_choices"));
+  EXPECT_TRUE(Has<BenchSuiteRegistry>("capacity"));
+  EXPECT_TRUE(Has<BenchSuiteRegistry>("replay"));
 }
 
 TEST(RegisterModulesTest, UnknownPluginIsRefusedWithTheKnownOnes) {
--- a/servers/replay/trace.cc
+++ b/servers/replay/trace.cc
@@ -12,6 +12,7 @@
 #include "core/error.h"
 #include "core/units.h"
 #include "servers/config/environment.h"
+#include "servers/replay/synthetic_document.h"
 #include "servers/replay/trace_generator.h"
 
 namespace turmericshift {
@@ -91,7 +92,24 @@
 
 Duration Fields::Time(const char* field) { return ParseOffset(Get<std::string>(field)); }
 
+std::string ReadDocumentSize(const nlohmann::json& json) {
+  Fields fields(json);
+  DocumentSize size;
+  size.zones = fields.Get<int>("zones");
+  size.workers_per_zone = fields.Get<int>("workers_per_zone");
+  size.workers_per_rack = fields.Get<int>("workers_per_rack", size.workers_per_rack);
+  size.processors = fields.Get<int>("processors", size.processors);
+  size.memory = fields.Get<std::string>("memory", size.memory);
+  size.accelerators = fields.Get<int>("accelerators", size.accelerators);
+  size.workspaces = fields.Get<int>("workspaces");
+  size.guarantee = fields.Get<std::string>("guarantee", size.guarantee);
+  size.accelerator_cap = fields.Get<int>("accelerator_cap");
+  fields.RequireAllKnown();
+  return SyntheticDocument(size);
+}
+
 std::string ReadDocument(Fields* fields) {
+  if (fields->Has("document_size")) return ReadDocumentSize(fields->Object("document_size"));
   if (fields->Has("document_text")) return fields->Get<std::string>("document_text");
   const auto path = fields->Get<std::string>("document");
   std::ifstream file(path);
