Entry: Get ready only once agents have come

Cause: a replaced entry said it was ready before any agent had found it, and the balancer sent it callers whom it could only refuse. Change: not ready until an agent has come or 10 s have passed.

--- a/main/main.cc
+++ b/main/main.cc
@@ -2,6 +2,7 @@
 #include <exception>
 
 #include "core/error.h"
+#include "core/logging.h"
 #include "main/commands.h"
 #include "main/register_modules.h"
 
@@ -12,6 +13,8 @@
   using turmericshift::ErrorKind;
   using turmericshift::Words;
   try {
+    // Roles that serve replace the identity with their own.
+    turmericshift::InitLogging("turmericshift", {"command", "", ""});
     turmericshift::RegisterModules();
     const Words words(argv + 1, argv + argc);
     return static_cast<int>(Dispatch("turmericshift", Commands(), words));
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -12,6 +12,7 @@
 namespace turmericshift {
 namespace {
 
+constexpr Duration kSettleTime = std::chrono::seconds(10);
 constexpr size_t kIncarnationBytes = 8;
 constexpr Duration kRecordTimeout = std::chrono::seconds(3);
 constexpr Duration kUpkeepPeriod = std::chrono::seconds(1);
@@ -185,6 +186,10 @@
 }
 
 bool EntryServer::ready() const {
+  // An entry that has just started knows no target until agents find it, and would turn callers
+  // away whom the other entries could serve. Where no agent comes at all it must still take jobs.
+  const bool settled = DefaultClock().Now() - started_ > kSettleTime;
+  if (!settled && directory_.Agents("").empty()) return false;
   return !leaving_.load() && config_fold_.current() != nullptr && job_stream_.view().ever_fresh &&
          request_stream_.view().ever_fresh;
 }
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -93,6 +93,7 @@
   const EntryOptions options_;
   MetricsRegistry* const metrics_;
   const std::string incarnation_;
+  const Time started_ = DefaultClock().Now();
   std::atomic<bool> leaving_{false};
 
   ConfigFold config_fold_;
