Planner: Take zones over by epochs and prove attempts over

Cause: each entry planned only its own zone, a planner that died was never replaced, a successor knew nothing of what ran, one slow agent stalled the whole zone, a lost worker's job was started again at once while its old members might run on, and a job that may not be repeated could be.

Change: one PlannerDuty for every zone of the document on every entry. An entry claims when most agents of the zone have not heard the planner for 3 s (own zone first, then by name), by a record that names the epoch it follows. It first hears every agent under its epoch, or waits two leases out, finds what runs, and numbers attempts by epoch and counter. Gang steps run side by side off the planning thread; an attempt is over only when each member has answered so or its lease has run out on any clock. Jobs that may not be repeated are recorded before their release. Zones are handed over on a planned stop, waiting jobs of a zone that is out move, and job show asks the planner's entry.

--- a/servers/entry/caller_api.cc
+++ b/servers/entry/caller_api.cc
@@ -5,10 +5,12 @@
 
 #include "core/digest.h"
 #include "core/error.h"
+#include "core/http_client.h"
 #include "core/logging.h"
 #include "core/secret.h"
 #include "core/units.h"
 #include "servers/entry/entry_server.h"
+#include "servers/planner/zone_choice.h"
 
 namespace turmericshift {
 namespace {
@@ -21,6 +23,9 @@
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 constexpr size_t kRequestIdBytes = 8;
 constexpr size_t kMaxKeyBytes = 200;
+// Names the entry that passes a question on to the zone's planner.
+constexpr const char* kAskedByHeader = "X-Asked-By";
+constexpr Duration kAskPlannerTimeout = std::chrono::seconds(1);
 
 bool StartsWith(const std::string& text, const std::string& prefix) {
   return text.rfind(prefix, 0) == 0;
@@ -57,6 +62,13 @@
   LogEvent(LogLevel::kInfo, "request_answered", fields);
 }
 
+// Why this entry can't say what a job waits for.
+std::string WhyUnheard(const PlannerEpoch& planner, const std::string& zone) {
+  if (planner.process.empty()) return "no entry plans availability zone " + zone + " at present";
+  return "entry " + planner.process + " plans availability zone " + zone +
+         " and can't be asked at present";
+}
+
 }  // namespace
 
 HttpResponse CallerApi::Handle(const HttpRequest& request) {
@@ -119,13 +131,13 @@
                               ? request.path.substr(std::string(kJobsPath).size() + 1)
                               : "";
   if (request.method == "POST" && key.empty()) return SubmitJob(request, workspace);
-  if (request.method == "GET" && !key.empty()) return ShowJob(workspace, key);
-  if (request.method == "DELETE" && !key.empty()) return CancelJob(workspace, key);
+  if (request.method == "GET" && !key.empty()) return ShowJob(request, workspace, key);
+  if (request.method == "DELETE" && !key.empty()) return CancelJob(request, workspace, key);
   if (request.method == "GET") {
     nlohmann::json list = nlohmann::json::array();
     for (const JobRecord& job : entry_->job_fold_.List(workspace)) {
-      list.push_back(JobJson(job, entry_->planner_->RunningAttempt(job.id),
-                             entry_->planner_->WaitReasonFor(job.id)));
+      list.push_back(JobJson(job, entry_->planners_->RunningAttempt(job),
+                             entry_->planners_->WaitReasonFor(job)));
     }
     return JsonResponse(list.dump());
   }
@@ -142,18 +154,7 @@
   record.id = NewRecordId();
   record.config_version = config->version;
   record.wall_ms = DefaultClock().WallMillis();
-  // The zone with the fewest open jobs among those allowed and in.
-  size_t fewest = 0;
-  for (const auto& [name, zone] : config->environment->zones) {
-    const std::vector<std::string>& allowed = record.spec.zones;
-    const bool may =
-        allowed.empty() || std::find(allowed.begin(), allowed.end(), name) != allowed.end();
-    if (!zone.in || !may) continue;
-    const size_t open = entry_->job_fold_.OpenJobs(name).size();
-    if (!record.zone.empty() && open >= fewest) continue;
-    record.zone = name;
-    fewest = open;
-  }
+  record.zone = ChooseZone(record.spec, *config->environment, entry_->job_fold_);
   if (record.zone.empty()) {
     throw Error(ErrorKind::kUnavailable, "no availability zone that the job allows is in");
   }
@@ -165,21 +166,48 @@
   return JsonResponse(JobJson(*job, 0, "").dump(), written.verdict.accepted ? 201 : 200);
 }
 
-HttpResponse CallerApi::ShowJob(const std::string& workspace, const std::string& key) {
+HttpResponse CallerApi::ShowJob(const HttpRequest& request, const std::string& workspace,
+                                const std::string& key) {
   const std::optional<JobRecord> job = entry_->job_fold_.Find(JobId(workspace, key));
   if (!job) throw Error(ErrorKind::kNotFound, "no job '" + key + "' in this workspace");
-  return JsonResponse(JobJson(*job, entry_->planner_->RunningAttempt(job->id),
-                              entry_->planner_->WaitReasonFor(job->id))
-                          .dump());
+  const std::string asked = AskPlanner(request, *job);
+  if (!asked.empty()) return JsonResponse(asked);
+  std::string why = entry_->planners_->WaitReasonFor(*job);
+  if (why.empty()) why = WhyUnheard(entry_->job_fold_.Planner(job->zone), job->zone);
+  return JsonResponse(JobJson(*job, entry_->planners_->RunningAttempt(*job), why).dump());
+}
+
+std::string CallerApi::AskPlanner(const HttpRequest& request, const JobRecord& job) {
+  const PlannerEpoch planner = entry_->job_fold_.Planner(job.zone);
+  const bool here = planner.process.empty() || planner.process == entry_->options_.process;
+  // Asked once only, so that two entries with different views don't ask each other for ever.
+  if (job.state != JobState::kWaiting || here || !request.header(kAskedByHeader).empty()) return "";
+  for (const MemberJoined& member : entry_->member_fold_.members()) {
+    if (member.process != planner.process || member.caller_address.empty()) continue;
+    HttpCall call;
+    call.url = "http://" + member.caller_address + kJobsPath + "/" + job.spec.key;
+    call.headers = {{"Authorization", request.header("Authorization")},
+                    {kAskedByHeader, entry_->options_.process}};
+    call.timeout = kAskPlannerTimeout;
+    try {
+      const HttpReply reply = PerformHttp(call);
+      if (reply.status == 200) return reply.body;
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kWarning, "planner_not_asked",
+               {{"planner", planner.process}, {"error", error.what()}});
+    }
+  }
+  return "";
 }
 
-HttpResponse CallerApi::CancelJob(const std::string& workspace, const std::string& key) {
+HttpResponse CallerApi::CancelJob(const HttpRequest& request, const std::string& workspace,
+                                  const std::string& key) {
   const std::string id = JobId(workspace, key);
   if (!entry_->job_fold_.Find(id)) {
     throw Error(ErrorKind::kNotFound, "no job '" + key + "' in this workspace");
   }
   entry_->job_stream_.Write(JobCancelled{NewRecordId(), id}, kRecordTimeout);
-  return ShowJob(workspace, key);
+  return ShowJob(request, workspace, key);
 }
 
 }  // namespace turmericshift
--- a/servers/entry/caller_api.h
+++ b/servers/entry/caller_api.h
@@ -1,11 +1,14 @@
 // What callers may ask over HTTP: requests to services, and jobs of their own workspace.
 #pragma once
 
+#include <string>
+
 #include "core/http_server.h"
 
 namespace turmericshift {
 
 class EntryServer;
+struct JobRecord;
 
 class CallerApi {
  public:
@@ -17,8 +20,12 @@
   HttpResponse HandleService(const HttpRequest& request, const std::string& workspace);
   HttpResponse HandleJobs(const HttpRequest& request, const std::string& workspace);
   HttpResponse SubmitJob(const HttpRequest& request, const std::string& workspace);
-  HttpResponse ShowJob(const std::string& workspace, const std::string& key);
-  HttpResponse CancelJob(const std::string& workspace, const std::string& key);
+  HttpResponse ShowJob(const HttpRequest& request, const std::string& workspace,
+                       const std::string& key);
+  // What the entry that plans the job's zone says; empty if it can't be asked.
+  std::string AskPlanner(const HttpRequest& request, const JobRecord& job);
+  HttpResponse CancelJob(const HttpRequest& request, const std::string& workspace,
+                         const std::string& key);
 
   EntryServer* const entry_;
 };
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -13,6 +13,7 @@
 
 constexpr size_t kIncarnationBytes = 8;
 constexpr Duration kRecordTimeout = std::chrono::seconds(3);
+constexpr Duration kHandOverLimit = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -45,12 +46,12 @@
   router_ = std::make_unique<RequestRouter>(
       router, RoutingPolicyRegistry::Instance().Create(options.routing_policy, options.seed),
       &directory_, &request_stream_, &request_fold_, metrics);
-  PlannerOptions planner;
-  planner.zone = options.zone;
-  planner.process = options.process;
-  planner.policy = options.placement_policy;
-  planner_ = std::make_unique<PlannerDuty>(planner, &directory_, &job_stream_, &job_fold_,
-                                           &config_fold_, metrics);
+  PlannerDutiesOptions planners;
+  planners.process = options.process;
+  planners.own_zone = options.zone;
+  planners.policy = options.placement_policy;
+  planners_ = std::make_unique<PlannerDuties>(planners, &directory_, &job_stream_, &job_fold_,
+                                              &config_fold_, metrics);
   caller_http_ = std::make_unique<HttpServer>(
       options.caller_http,
       [this](const HttpRequest& request) { return CallerApi(this).Handle(request); });
@@ -62,7 +63,7 @@
 EntryServer::~EntryServer() {
   caller_http_.reset();
   operator_http_.reset();
-  planner_.reset();
+  planners_.reset();
   for (StreamClient* stream : {&config_stream_, &job_stream_, &request_stream_, &member_stream_}) {
     stream->BeginStop();
   }
@@ -80,13 +81,18 @@
   address_ = address;
   try {
     member_stream_.Write(MemberJoined{NewRecordId(), options_.process, "entry", options_.zone,
-                                      address, incarnation_},
+                                      address, incarnation_, CallerAddress(address)},
                          kRecordTimeout);
   } catch (const Error& error) {
     LogEvent(LogLevel::kWarning, "member_not_recorded", {{"error", error.what()}});
   }
 }
 
+std::string EntryServer::CallerAddress(const std::string& peer_address) const {
+  // The same machine as its peers reach; the caller port is another.
+  return peer_address.substr(0, peer_address.rfind(':')) + ":" + std::to_string(caller_port());
+}
+
 bool EntryServer::ready() const {
   return !leaving_.load() && config_fold_.current() != nullptr && job_stream_.view().ever_fresh &&
          request_stream_.view().ever_fresh;
@@ -97,6 +103,8 @@
   LogEvent(LogLevel::kInfo, "entry_leaving");
   caller_http_->StopAccepting();
   const bool drained = caller_http_->Drain(limit);
+  // So that the next planner need not wait until this one is missed.
+  planners_->Leave(kHandOverLimit);
   try {
     member_stream_.Write(MemberLeft{NewRecordId(), options_.process, incarnation_}, kRecordTimeout);
   } catch (const Error& error) {
@@ -122,7 +130,7 @@
   answer.jobs_freshness.failing = jobs.failing;
   const PlannerEpoch epoch = job_fold_.Planner(hello.zone);
   answer.planner_epoch = epoch.epoch;
-  answer.planner_active = epoch.process == options_.process;
+  answer.planner_active = epoch.process == options_.process && planners_->Active(hello.zone);
   for (const MemberJoined& member : member_fold_.members()) {
     answer.entries.push_back(member.address);
     if (member.process == epoch.process) answer.planner_address = member.address;
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -12,7 +12,7 @@
 #include "servers/entry/agent_directory.h"
 #include "servers/entry/request_router.h"
 #include "servers/entry/token_table.h"
-#include "servers/planner/planner_duty.h"
+#include "servers/planner/planner_duties.h"
 #include "servers/ports/entry_port.h"
 #include "servers/state/config_fold.h"
 #include "servers/state/job_fold.h"
@@ -62,6 +62,7 @@
   friend class OperatorApi;
   class Port;
 
+  std::string CallerAddress(const std::string& peer_address) const;
   EntryBeat MakeBeat(const AgentHello& hello, const AgentBeat& beat) const;
 
   const EntryOptions options_;
@@ -82,7 +83,7 @@
   AgentDirectory directory_;
   TokenTable tokens_;
   std::unique_ptr<RequestRouter> router_;
-  std::unique_ptr<PlannerDuty> planner_;
+  std::unique_ptr<PlannerDuties> planners_;
   std::unique_ptr<HttpServer> caller_http_;
   std::unique_ptr<HttpServer> operator_http_;
 };
--- a/servers/entry/operator_api.cc
+++ b/servers/entry/operator_api.cc
@@ -113,7 +113,7 @@
                                  {"ready", entry_->ready()},
                                  {"config_version", current ? current->version : 0},
                                  {"log_failing", view.failing},
-                                 {"planner_duty", entry_->planner_->holds_duty()},
+                                 {"planner_duty", entry_->planners_->Active(entry_->options_.zone)},
                                  {"agents", agents}};
   return JsonResponse(status.dump());
 }
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -16,6 +16,7 @@
 #include "core/thread.h"
 #include "servers/platform/log_service.h"
 #include "servers/state/record.h"
+#include "servers/state/record_writer.h"
 
 namespace turmericshift {
 
@@ -50,19 +51,16 @@
   Offset next = 0;
 };
 
-class StreamClient {
+class StreamClient : public RecordWriter {
  public:
   // `service` and `fold` must outlive the client. The fold is called on the reader's thread.
   StreamClient(Stream stream, LogService* service, Fold* fold, MetricsRegistry* metrics);
   // Stops both threads; records still waiting fail with outcome unknown.
-  ~StreamClient();
+  ~StreamClient() override;
   StreamClient(const StreamClient&) = delete;
   StreamClient& operator=(const StreamClient&) = delete;
 
-  // Appends `record` and waits until the fold has it.
-  // Throws Error(kLogUnavailable): outcome not_run when it was surely not appended, otherwise
-  // unknown; Error(kOverloaded) when too many records wait already.
-  Written Write(const Record& record, Duration timeout);
+  Written Write(const Record& record, Duration timeout) override;
 
   // Tells both threads to end without waiting for them, so that several streams end side by side
   // and not one long-poll after another.
