--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -119,6 +119,18 @@
   leaseLeftNanos @12 :Int64;
 }
 
+struct EntryMember {
+  process @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;
+}
+
+struct HeardEntry {
+  entry @0 :EntryMember;
+  configVersion @1 :Int64;
+  ageNanos @2 :Int64;
+}
+
 struct AgentBeat {
   load @0 :TargetLoad;
   configVersion @1 :Int64;
@@ -128,6 +140,8 @@
   plannerSilenceNanos @5 :Int64 = -1;
   sentAt @6 :Int64 = -1;
   reportAgeNanos @7 :Int64;
+  heard @8 :List(HeardEntry);
+  membersDigest @9 :Int64;
 }
 
 struct EntryBeat {
@@ -141,6 +155,10 @@
   plannerActive @7 :Bool;
   jobsAgeNanos @8 :Int64 = -1;
   jobsFailing @9 :Bool;
+  self @10 :EntryMember;
+  environment @11 :Text;
+  configDigest @12 :Text;
+  members @13 :List(EntryMember);
 }
 
 # What an entry calls on an agent.
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -1,5 +1,6 @@
 #include "servers/agent/agent_server.h"
 
+#include <functional>
 #include <utility>
 
 #include "core/attempt.h"
@@ -11,7 +12,10 @@
 namespace {
 
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
-constexpr Duration kReconnectPause = std::chrono::milliseconds(500);
+// How often an idle session thread asks the plan for something to do.
+constexpr Duration kChoosePause = std::chrono::milliseconds(100);
+// What is known of other entries goes with every so many heartbeats, to spare bytes.
+constexpr int kBeatsPerHeard = 2;
 constexpr size_t kMaxCancelled = 1000;
 
 }  // namespace
@@ -24,13 +28,18 @@
       served_(&metrics->counter("agent_requests_served")),
       refused_(&metrics->counter("agent_requests_refused")),
       limiter_(options.slots, options.connections),
-      guard_(options.hello.zone, options.hello.process) {
+      guard_(options.hello.zone, options.hello.process),
+      plan_(options.hello.zone, options.max_sessions, options.entries,
+            std::hash<std::string>{}(options.hello.process + options.hello.incarnation)) {
   if (worker != nullptr) {
     gangs_ =
         std::make_unique<GangHost>(options.hello.worker, worker, &guard_, options.hello.process);
     expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
   }
-  Learn(options.entries);
+  // One more than sessions are kept: a better one is opened before the least one ends.
+  for (int index = 0; index <= options.max_sessions; ++index) {
+    sessions_.emplace_back("agent-beat", [this] { RunSessions(); });
+  }
 }
 
 AgentServer::~AgentServer() {
@@ -151,48 +160,41 @@
   return *gangs_;
 }
 
-void AgentServer::Learn(const std::vector<std::string>& entries) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  for (const std::string& entry : entries) {
-    if (static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
-    OpenSessionLocked(entry);
-  }
-}
-
-void AgentServer::OpenSession(const std::string& entry) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  OpenSessionLocked(entry);
-}
-
-void AgentServer::OpenSessionLocked(const std::string& entry) {
-  if (stopping_ || !known_entries_.insert(entry).second) return;
-  sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
+void AgentServer::RunSessions() {
+  do {
+    const std::string address = plan_.Choose(DefaultClock().Now());
+    if (!address.empty()) RunSession(address);
+  } while (!Pause(kChoosePause));
 }
 
 void AgentServer::RunSession(const std::string& address) {
-  do {
-    try {
-      const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
-      LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
-      KeepSession(address, port.get());
-    } catch (const Error& error) {
-      LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
-    }
-  } while (!Pause(kReconnectPause));
+  try {
+    const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
+    plan_.Opened(address);
+    LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
+    KeepSession(address, port.get());
+    plan_.Released(address);
+  } catch (const Error& error) {
+    plan_.Lost(address, DefaultClock().Now());
+    LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
+  }
 }
 
 void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
+  int beats = 0;
   int64_t changes = 0;
   do {
     changes = task_changes_.load();
     const Time sent = DefaultClock().Now();
-    const EntryBeat beat = port->Heartbeat(MakeBeat(), options_.heartbeat_timeout);
+    AgentBeat own = MakeBeat();
+    own.members_digest = plan_.members_digest();
+    if (beats++ % kBeatsPerHeard == 0) own.heard = guard_.heard(sent);
+    EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
+    plan_.Learn(beat.members, beat.planner_address);
+    beat.entries = plan_.addresses();
     if (gangs_) gangs_->Hear(address, beat, sent);
-    Learn(beat.entries);
-    // The planner must hear every agent of its zone, whatever other entries this one knows.
-    if (gangs_ && !beat.planner_address.empty()) OpenSession(beat.planner_address);
-  } while (!PauseUntilChange(options_.heartbeat, changes));
+  } while (!PauseUntilChange(options_.heartbeat, changes) && plan_.StillWanted(address));
 }
 
 AgentBeat AgentServer::MakeBeat() const {
--- a/servers/entry/caller_api.cc
+++ b/servers/entry/caller_api.cc
@@ -154,7 +154,7 @@
   record.id = NewRecordId();
   record.config_version = config->version;
   record.wall_ms = DefaultClock().WallMillis();
-  record.zone = ChooseZone(record.spec, *config->environment, entry_->job_fold_);
+  record.zone = ChooseZone(*config->environment, record.spec, entry_->job_fold_.OpenJobCounts());
   if (record.zone.empty()) {
     throw Error(ErrorKind::kUnavailable, "no availability zone that the job allows is in");
   }
--- a/servers/planner/planner_duty.cc
+++ b/servers/planner/planner_duty.cc
@@ -430,10 +430,11 @@
 void PlannerDuty::MoveAway(Time /*now*/) {
   if (planner_->view().in) return;
   size_t moves = 0;
-  std::vector<WaitingJob> waiting = planner_->view().waiting;
+  const std::map<std::string, size_t> open_jobs = job_fold_->OpenJobCounts();
+  const std::vector<WaitingJob> waiting = planner_->view().waiting;
   for (const WaitingJob& job : waiting) {
     if (attempts_.count(job.id) != 0 || recordings_.count(job.id) != 0) continue;
-    const std::string to = ChooseZone(job.spec, *planner_->view().environment, *job_fold_);
+    const std::string to = ChooseZone(*planner_->view().environment, job.spec, open_jobs);
     if (to.empty() || to == options_.zone) continue;
     const auto saved = checkpoints_.find(job.id);
     const std::string checkpoint = saved == checkpoints_.end() ? job.checkpoint : saved->second;
--- a/servers/planner/planner_simulation_test.cc
+++ b/servers/planner/planner_simulation_test.cc
@@ -35,7 +35,9 @@
 
 ConfigPublished Published(int64_t version, bool zone_in) {
   const std::string text = Document(zone_in);
-  return {NewRecordId(), version, version - 1, Digest(text), text, "test", 0};
+  ConfigPublished record{NewRecordId(), version, version - 1, Digest(text), text, "test", 0, ""};
+  record.sets_zones = true;
+  return record;
 }
 
 AgentHello HelloOf(const std::string& agent) {
@@ -155,7 +157,8 @@
     if (world_->faults_ && world_->Chance(0.02)) ticks = world_->random_() % 300;
     if (ticks == 0) return;
     ++world_->nested_;
-    entry_->paused_until = world_->clock_.Now() + kTick * ticks;
+    // It wakes before it has read on in the log.
+    entry_->paused_until = world_->clock_.Now() + kTick * (ticks + 1);
     for (int64_t tick = 0; tick < ticks; ++tick) world_->Tick(false);
     --world_->nested_;
   }
--- a/servers/state/job_fold.h
+++ b/servers/state/job_fold.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "servers/state/stream_client.h"
+#include "servers/state/fold.h"
 
 namespace turmericshift {
 
@@ -40,12 +40,16 @@
 class JobFold : public Fold {
  public:
   FoldVerdict Apply(const Record& record, Sequence sequence) override;
+  nlohmann::json Snapshot() const override;
+  void Restore(const nlohmann::json& state) override;
 
   std::optional<JobRecord> Find(const std::string& id) const;
   // Jobs of `workspace` ("" for all), in order of arrival.
   std::vector<JobRecord> List(const std::string& workspace) const;
   // Jobs of the zone that have not ended.
   std::vector<JobRecord> OpenJobs(const std::string& zone) const;
+  // How many jobs that have not ended each zone has.
+  std::map<std::string, size_t> OpenJobCounts() const;
   // The highest epoch claimed for a zone's planner.
   PlannerEpoch Planner(const std::string& zone) const;
   // Rises with each accepted record.
--- /dev/null
+++ b/tests/processes_test.sh
@@ -0,0 +1,73 @@
+#!/usr/bin/env bash
+# The whole path as separate processes on loopback: a log, two targets, two entries, two agents.
+# A document is published, a gang job runs, a request is answered, a zone goes out and in; then an
+# entry is stopped by SIGTERM and the other serves on.
+set -euo pipefail
+source "$(dirname "$0")/process_lib.sh"
+
+start log stand-in log
+start target stand-in target --delay 1s
+await listening log
+await listening target
+log_url="http://127.0.0.1:$(port log callers)"
+target_url="http://127.0.0.1:$(port target callers)"
+
+for zone in a b; do
+  entry_settings $zone >"$work/entry-$zone.ini"
+  start entry-$zone entry "$work/entry-$zone.ini"
+done
+await listening entry-a
+await listening entry-b
+sessions="127.0.0.1:$(port entry-a sessions) 127.0.0.1:$(port entry-b sessions)"
+for zone in a b; do
+  agent_settings $zone "$sessions" >"$work/agent-$zone.ini"
+  start agent-$zone agent "$work/agent-$zone.ini"
+done
+
+operators="127.0.0.1:$(port entry-a operators) 127.0.0.1:$(port entry-b operators)"
+callers="127.0.0.1:$(port entry-a callers) 127.0.0.1:$(port entry-b callers)"
+document a b >"$work/environment.ini"
+as_operator config publish "$work/environment.ini"
+in_force() { [ "$(grep -l "config_in_force.*\"version\":$1[,}]" "$work"/agent-*.log | wc -l)" -eq 2 ]; }
+await in_force 1
+
+job_is() { as_caller job show "$1" | grep -q " $2 "; }
+submit() {
+  echo "{\"key\":\"$1\",\"workspace\":\"boxes\",\"tasks\":2,\"accelerators\":4,\"processors\":2,\"memory\":\"1GiB\",\"payload\":\"200ms\"}" >"$work/job.json"
+  await as_caller job submit "$work/job.json"
+  await job_is "$1" "done"
+}
+submit first
+
+echo "which jar is next?" >"$work/body"
+answer() { as_caller request --key "$1" --body-file "$work/body" planner /plan | cmp - "$work/body"; }
+await answer order-1
+
+as_operator zone out a
+await in_force 2
+submit while-out
+as_caller job show while-out --json | grep -q '"zone": "b"'
+as_operator zone in a
+await in_force 3
+
+# Requests that run for a second when their entry is told to stop are answered in full.
+in_flight=()
+for number in $(seq 6); do
+  "$binary" request --entries "127.0.0.1:$(port entry-a callers)" --token-file "$work/token" \
+    --body-file "$work/body" planner /plan >"$work/answer-$number" &
+  in_flight+=($!)
+done
+running() {
+  as_operator status --json | grep -o '"running": [0-9]*' | awk '{n += $2} END {exit n < 6}'
+}
+await running
+kill -TERM "$(cat "$work/entry-a.pid")"
+for number in $(seq 6); do
+  wait "${in_flight[$((number - 1))]}"
+  cmp "$work/answer-$number" "$work/body"
+done
+wait "$(cat "$work/entry-a.pid")"
+
+# The other entry serves on.
+await answer order-2
+echo "1 passed, 0 failed"
