--- a/servers/state/job_fold.h
+++ b/servers/state/job_fold.h
@@ -48,6 +48,8 @@
   std::vector<JobRecord> List(const std::string& workspace) const;
   // Jobs of the zone that have not ended.
   std::vector<JobRecord> OpenJobs(const std::string& zone) const;
+  // How many jobs that have not ended each zone has.
+  std::map<std::string, size_t> OpenJobCounts() const;
   // The highest epoch claimed for a zone's planner.
   PlannerEpoch Planner(const std::string& zone) const;
   // Rises with each accepted record.
