--- a/main/commands/api_client.cc
+++ b/main/commands/api_client.cc
@@ -41,8 +41,8 @@
       .Flag("json", "print JSON");
 }
 
-void AddWaitOption(CommandOptions* options) {
-  options->Value("wait", "wait until it is in force everywhere, at most so long", "0s");
+void AddWaitOption(CommandOptions* options, const std::string& default_wait) {
+  options->Value("wait", "wait until it is in force everywhere, at most so long", default_wait);
 }
 
 std::string WaitArgument(const CommandOptions& options) {
--- a/main/commands/api_client.h
+++ b/main/commands/api_client.h
@@ -16,7 +16,7 @@
 void AddApiOptions(CommandOptions* options);
 
 // Adds the option `wait` of commands that change the configuration.
-void AddWaitOption(CommandOptions* options);
+void AddWaitOption(CommandOptions* options, const std::string& default_wait = "0s");
 // What `wait` adds to a query: "&wait_ms=…".
 std::string WaitArgument(const CommandOptions& options);
 
--- a/main/commands/config_command.cc
+++ b/main/commands/config_command.cc
@@ -108,9 +108,7 @@
   const nlohmann::json statement =
       trial.Call("GET", std::string(kConfigPath) + "/statement?version=" + version);
   const ApiClient client(options);
-  const std::string query = PublishQuery(options, client) +
-                            "&trial_environment=" + UrlEscape(statement.value("environment", "")) +
-                            "&trial_version=" + version +
+  const std::string query = PublishQuery(options, client) + "&trial_version=" + version +
                             "&trial_proof=" + UrlEscape(statement.value("proof", ""));
   return Send(options, client, query, shown.value("text", ""));
 }
@@ -119,8 +117,11 @@
   CommandOptions options("config show", "print the document in force", "",
                          "turmericshift config show > environment.ini");
   AddApiOptions(&options);
+  options.Value("version", "an earlier version; default: the one in force");
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
-  const nlohmann::json answer = ApiClient(options).Call("GET", kConfigPath);
+  const std::string version = options.value("version");
+  const std::string path = version.empty() ? "" : "/versions/" + UrlEscape(version);
+  const nlohmann::json answer = ApiClient(options).Call("GET", kConfigPath + path);
   if (options.flag("json")) {
     Print(options, answer);
   } else {
--- a/main/commands/operator_commands.cc
+++ b/main/commands/operator_commands.cc
@@ -17,7 +17,7 @@
                          "turmericshift zone " + state + " --author ilona buda-a");
   AddApiOptions(&options);
   options.Value("author", "who asks for it", "operator");
-  AddWaitOption(&options);
+  AddWaitOption(&options, "5s");
   if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
   const std::string& zone = options.operands()[0];
   const nlohmann::json answer = ApiClient(options).Call(
--- a/main/commands/process_commands.cc
+++ b/main/commands/process_commands.cc
@@ -53,6 +53,7 @@
   options.operator_http = HttpOptions(settings.operators, settings);
   options.environment = settings.environment;
   options.promotion_key = ReadSecret(settings.promotion_key_file);
+  options.trial = settings.trial;
   options.operator_token = ReadSecret(settings.operator_token_file);
   if (!settings.routing_policy.empty()) options.routing_policy = settings.routing_policy;
   if (!settings.placement_policy.empty()) options.placement_policy = settings.placement_policy;
--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -1,5 +1,6 @@
 #include "main/register_modules.h"
 
+#include "main/bench_control.h"
 #include "modules/http_log/register_types.h"
 #include "modules/http_target/register_types.h"
 #include "modules/placement/register_types.h"
@@ -9,6 +10,7 @@
 namespace turmericshift {
 
 void RegisterModules() {
+  RegisterControlBench();
   RegisterHttpLogTypes();
   RegisterHttpTargetTypes();
   RegisterPlacementTypes();
--- a/rpc/admission_stream.h
+++ b/rpc/admission_stream.h
@@ -7,6 +7,8 @@
 
 #include <atomic>
 
+#include "rpc/traffic.h"
+
 namespace turmericshift {
 
 // Two calls with a nonce, a proof and who the agent is; anything longer is none of ours.
@@ -25,14 +27,19 @@
     }
     return inner_->tryRead(buffer, min_bytes, max_bytes).then([this](size_t bytes) {
       read_ += bytes;
+      ProcessTraffic().read += static_cast<int64_t>(bytes);
       return bytes;
     });
   }
 
   kj::Promise<void> write(const void* buffer, size_t size) override {
+    ProcessTraffic().written += static_cast<int64_t>(size);
     return inner_->write(buffer, size);
   }
   kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override {
+    for (const auto& piece : pieces) {
+      ProcessTraffic().written += static_cast<int64_t>(piece.size());
+    }
     return inner_->write(pieces);
   }
   kj::Promise<void> whenWriteDisconnected() override { return inner_->whenWriteDisconnected(); }
--- a/servers/entry/config_api.cc
+++ b/servers/entry/config_api.cc
@@ -212,7 +212,7 @@
     std::this_thread::sleep_for(kLookPause);
     report = Report(version.version);
   }
-  nlohmann::json json = {{"version", version.version}, {"digest", version.digest}};
+  nlohmann::json json = VersionJson(version);
   json["in_force"] = nlohmann::json::parse(report.ToJson());
   return JsonResponse(json.dump(), 201);
 }
