--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -20,6 +20,7 @@
 #include "servers/state/append_budget.h"
 #include "servers/state/fold_host.h"
 #include "servers/state/record.h"
+#include "servers/state/record_writer.h"
 
 namespace turmericshift {
 
@@ -50,20 +51,17 @@
   Duration snapshot_spread = std::chrono::seconds(20);
 };
 
-class StreamClient {
+class StreamClient : public RecordWriter {
  public:
   // `service` and `fold` must outlive the client. The fold is called on the reader's thread.
   StreamClient(Stream stream, LogService* service, Fold* fold, MetricsRegistry* metrics,
                const StreamOptions& options = {});
   // Stops all threads; records still waiting fail with outcome unknown.
-  ~StreamClient();
+  ~StreamClient() override;
   StreamClient(const StreamClient&) = delete;
   StreamClient& operator=(const StreamClient&) = delete;
 
-  // Appends `record` and waits until the fold has it.
-  // Throws Error(kLogUnavailable): outcome not_run when it was surely not appended, otherwise
-  // unknown; Error(kOverloaded) when too many records wait already.
-  Written Write(const Record& record, Duration timeout);
+  Written Write(const Record& record, Duration timeout) override;
   // As Write, for records that travel together; they share one append if they fit. On an error,
   // outcome unknown means that any of them may have been appended.
   std::vector<Written> WriteAll(const std::vector<Record>& records, Duration timeout);
