--- a/servers/state/job_fold.cc
+++ b/servers/state/job_fold.cc
@@ -217,6 +217,15 @@
   return result;
 }
 
+std::map<std::string, size_t> JobFold::OpenJobCounts() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::map<std::string, size_t> counts;
+  for (const auto& [id, job] : jobs_) {
+    if (job.state == JobState::kWaiting) ++counts[job.zone];
+  }
+  return counts;
+}
+
 PlannerEpoch JobFold::Planner(const std::string& zone) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = planners_.find(zone);
