--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -1,5 +1,6 @@
 #include "main/register_modules.h"
 
+#include "main/bench_control.h"
 #include "main/capacity_bench.h"
 #include "main/replay_bench.h"
 #include "modules/http_log/register_types.h"
@@ -11,6 +12,7 @@
 namespace turmericshift {
 
 void RegisterModules() {
+  RegisterControlBench();
   RegisterHttpLogTypes();
   RegisterHttpTargetTypes();
   RegisterPlacementTypes();
