--- a/core/http_client.cc
+++ b/core/http_client.cc
@@ -103,6 +103,7 @@
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
   curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_ms));  // NOLINT
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &TakeBody);
--- a/core/http_client.h
+++ b/core/http_client.h
@@ -21,6 +21,9 @@
   std::string body;
   Duration timeout = std::chrono::seconds(10);
   size_t max_answer_bytes = size_t{16} << 20;
+  // Never reuses a connection. libcurl sends a request again by itself, also a POST, when a reused
+  // connection ends before the first byte of the answer, and so might run it twice.
+  bool fresh_connection = false;
 };
 
 struct HttpReply {
--- a/modules/http_target/http_target_service.cc
+++ b/modules/http_target/http_target_service.cc
@@ -20,6 +20,7 @@
   }
   if (!request.idempotency_key.empty()) {
     call.headers.push_back({"Idempotency-Key", request.idempotency_key});
+    call.fresh_connection = true;
   }
   HttpReply reply = PerformHttp(call);
   ServiceAnswer answer;
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -88,6 +88,7 @@
   to.setIdempotencyKey(from.idempotency_key);
   to.setAttempt(from.attempt);
   to.setFence(from.fence);
+  to.setIncarnation(from.incarnation);
 }
 
 ServiceRequest Read(wire::ServiceRequest::Reader from) {
@@ -103,6 +104,7 @@
   request.idempotency_key = Text(from.getIdempotencyKey());
   request.attempt = from.getAttempt();
   request.fence = from.getFence();
+  request.incarnation = Text(from.getIncarnation());
   return request;
 }
 
@@ -131,11 +133,16 @@
   to.setIdempotencyKey(from.idempotency_key);
   to.setAttempt(from.attempt);
   to.setFence(from.fence);
+  to.setRequestId(from.request_id);
+  to.setIncarnation(from.incarnation);
+  to.setAgeNanos(from.age.count());
 }
 
 SeenQuestion Read(wire::SeenQuestion::Reader from) {
-  return {Text(from.getWorkspace()), Text(from.getIdempotencyKey()), from.getAttempt(),
-          from.getFence()};
+  return {Text(from.getWorkspace()),   Text(from.getIdempotencyKey()),
+          from.getAttempt(),           from.getFence(),
+          Text(from.getRequestId()),   Text(from.getIncarnation()),
+          Duration(from.getAgeNanos())};
 }
 
 void Write(const SeenAnswer& from, wire::SeenAnswer::Builder to) {
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -38,6 +38,7 @@
   idempotencyKey @8 :Text;
   attempt @9 :Int32;
   fence @10 :Int64;
+  incarnation @11 :Text;
 }
 
 struct TargetLoad {
@@ -60,6 +61,9 @@
   idempotencyKey @1 :Text;
   attempt @2 :Int32;
   fence @3 :Int64;
+  requestId @4 :Text;
+  incarnation @5 :Text;
+  ageNanos @6 :Int64;
 }
 
 struct SeenAnswer {
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -45,54 +45,66 @@
 }
 
 ServiceAnswer AgentServer::Serve(const ServiceRequest& request) {
+  Attempt<ServiceAnswer> attempt = AttemptOf<ServiceAnswer>([&] { return Admit(request); });
+  (attempt.error ? refused_ : served_)->Add();
+  return attempt.Take();
+}
+
+ServiceAnswer AgentServer::Admit(const ServiceRequest& request) {
+  const Time now = DefaultClock().Now();
+  if (!request.incarnation.empty() && request.incarnation != options_.hello.incarnation) {
+    // A copy of this message may have reached the predecessor, which can't be asked any more.
+    throw Error(ErrorKind::kFenced, Outcome::kUnknown, "meant for an earlier start of this agent");
+  }
+  ledger_.Begin(request, now);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (leaving_.load()) throw Error(ErrorKind::kLeaving, "the target is leaving");
     ++serving_;
   }
-  Attempt<ServiceAnswer> attempt = AttemptOf<ServiceAnswer>([&] { return Run(request); });
+  Attempt<ServiceAnswer> attempt =
+      AttemptOf<ServiceAnswer>([&] { return Run(request, now + request.time_left); });
+  // Before the refusal is told, so that no late copy of the message makes it untrue.
+  if (attempt.error && attempt.error->outcome() == Outcome::kNotRun) ledger_.Refuse(request);
+  if (attempt.error && attempt.error->outcome() != Outcome::kNotRun) ledger_.Lose(request);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     --serving_;
   }
   changed_.notify_all();
-  (attempt.error ? refused_ : served_)->Add();
   return attempt.Take();
 }
 
-ServiceAnswer AgentServer::Run(const ServiceRequest& request) {
+ServiceAnswer AgentServer::Run(const ServiceRequest& request, Time deadline) {
+  if (leaving_.load()) throw Error(ErrorKind::kLeaving, "the target is leaving");
   if (target_ == nullptr || request.service != options_.hello.service) {
     throw Error(ErrorKind::kNotFound, "this agent does not serve '" + request.service + "'");
   }
   if (Digest(request.body) != request.body_digest) {
     throw Error(ErrorKind::kInvalidInput, "the body was damaged on its way here");
   }
-  const Time deadline = DefaultClock().Now() + request.time_left;
-  const SlotLimiter::Slot slot = limiter_.Acquire(deadline);
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (cancelled_.erase(request.request_id) != 0) {
-      throw Error(ErrorKind::kCancelled, "the caller has gone");
-    }
-  }
-  const bool fenced = !request.idempotency_key.empty();
-  if (fenced) ledger_.Begin(request);
+  const SlotLimiter::Slot slot =
+      limiter_.Acquire(request.workspace, request.request_id, DefaultClock().Now(), deadline);
+  RequireWanted(request);
   ServiceRequest to_target = request;
   to_target.time_left = deadline - DefaultClock().Now();
-  try {
-    ServiceAnswer answer = target_->Perform(to_target);
-    answer.request_id = request.request_id;
-    if (fenced) ledger_.Finish(request, answer);
-    answer.load = limiter_.load();
-    return answer;
-  } catch (const Error& error) {
-    if (fenced && error.outcome() == Outcome::kNotRun) ledger_.Abandon(request);
-    if (fenced && error.outcome() != Outcome::kNotRun) ledger_.Lose(request);
-    throw;
+  if (to_target.time_left <= Duration::zero()) {
+    throw Error(ErrorKind::kDeadlineExceeded, Outcome::kNotRun, "its deadline passed in the queue");
   }
+  ServiceAnswer answer = target_->Perform(to_target);
+  answer.request_id = request.request_id;
+  ledger_.Finish(request, answer);
+  answer.load = limiter_.load();
+  return answer;
+}
+
+void AgentServer::RequireWanted(const ServiceRequest& request) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (cancelled_.erase(request.request_id) == 0) return;
+  throw Error(ErrorKind::kCancelled, "the caller has gone");
 }
 
 void AgentServer::Cancel(const std::string& request_id) {
+  if (limiter_.CancelWaiting(request_id)) return;
   const std::lock_guard<std::mutex> lock(mutex_);
   // Ids of requests that have ended already are never asked for again; they must not pile up.
   if (cancelled_.size() >= kMaxCancelled) cancelled_.clear();
@@ -100,7 +112,10 @@
 }
 
 SeenAnswer AgentServer::Resolve(const SeenQuestion& question, Duration /*timeout*/) {
-  return ledger_.Resolve(question);
+  if (!question.incarnation.empty() && question.incarnation != options_.hello.incarnation) {
+    return {SeenState::kUnknown, {}};
+  }
+  return ledger_.Resolve(question, DefaultClock().Now());
 }
 
 void AgentServer::Reserve(const GangReserve& reserve, Duration /*timeout*/) {
@@ -130,7 +145,10 @@
 
 bool AgentServer::Leave(Duration limit) {
   leaving_.store(true);
+  // Those that wait here are told so at once: their entries take them to another target.
+  limiter_.Close();
   LogEvent(LogLevel::kInfo, "agent_leaving");
+  WakeBeats();
   std::unique_lock<std::mutex> lock(mutex_);
   return changed_.wait_for(lock, limit, [this] { return serving_ == 0; });
 }
@@ -166,6 +184,7 @@
     const Time sent = DefaultClock().Now();
     const EntryBeat beat = port->Heartbeat(MakeBeat(), options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
+    ApplyLimits();
     Learn(beat.entries);
   } while (!Pause(options_.heartbeat));
 }
@@ -188,9 +207,26 @@
   } while (!Pause(kExpiryPeriod));
 }
 
+void AgentServer::WakeBeats() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++beat_wakes_;
+  }
+  changed_.notify_all();
+}
+
+void AgentServer::ApplyLimits() {
+  const std::shared_ptr<const Environment> environment = guard_.environment();
+  if (!environment) return;
+  const ServiceSpec* service = environment->FindService(options_.hello.service);
+  if (service != nullptr) limiter_.SetLimits(service->slots, service->connections);
+}
+
 bool AgentServer::Pause(Duration duration) {
   std::unique_lock<std::mutex> lock(mutex_);
-  return changed_.wait_for(lock, duration, [this] { return stopping_; });
+  const int64_t wakes = beat_wakes_;
+  changed_.wait_for(lock, duration, [&] { return stopping_ || beat_wakes_ != wakes; });
+  return stopping_;
 }
 
 }  // namespace turmericshift
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -66,7 +66,15 @@
   bool Pause(Duration duration);
   AgentBeat MakeBeat() const;
   GangHost& RequireWorker();
-  ServiceAnswer Run(const ServiceRequest& request);
+  // Serve after and before the counting: the ledger's part, then the target's.
+  ServiceAnswer Admit(const ServiceRequest& request);
+  ServiceAnswer Run(const ServiceRequest& request, Time deadline);
+  // Throws Error(kCancelled) when the request's caller has gone.
+  void RequireWanted(const ServiceRequest& request);
+  // Takes over slots and connections of the document in force.
+  void ApplyLimits();
+  // Has every session send its next heartbeat now.
+  void WakeBeats();
 
   const AgentOptions options_;
   EntryConnector* const connector_;
@@ -83,6 +91,7 @@
   std::condition_variable changed_;
   bool stopping_ = false;
   int serving_ = 0;
+  int64_t beat_wakes_ = 0;
   std::set<std::string> known_entries_;
   std::set<std::string> cancelled_;
   std::vector<Thread> sessions_;
--- /dev/null
+++ b/servers/agent/request_ledger_test.cc
@@ -0,0 +1,102 @@
+#include "servers/agent/request_ledger.h"
+
+#include <gtest/gtest.h>
+
+#include "core/error.h"
+
+namespace turmericshift {
+namespace {
+
+ServiceRequest Keyed(const std::string& key, int attempt, Sequence fence) {
+  ServiceRequest request;
+  request.request_id = "request-" + key;
+  request.workspace = "weekly-boxes";
+  request.idempotency_key = key;
+  request.attempt = attempt;
+  request.fence = fence;
+  return request;
+}
+
+SeenQuestion About(const ServiceRequest& request) {
+  SeenQuestion question;
+  question.workspace = request.workspace;
+  question.idempotency_key = request.idempotency_key;
+  question.attempt = request.attempt;
+  question.fence = request.fence;
+  question.request_id = request.request_id;
+  return question;
+}
+
+Outcome OutcomeOfBegin(RequestLedger* ledger, const ServiceRequest& request) {
+  try {
+    ledger->Begin(request, Time{} + std::chrono::hours(1));
+  } catch (const Error& error) {
+    EXPECT_EQ(error.kind(), ErrorKind::kFenced);
+    return error.outcome();
+  }
+  return Outcome::kRan;
+}
+
+// An entry claims a key and pauses before it forwards. Another entry finds the claim, asks, and
+// runs the order elsewhere; then the first one wakes up. Without the fence the family gets two
+// boxes.
+TEST(RequestLedgerTest, AnAttemptThatWasAskedAboutNeverRuns) {
+  RequestLedger ledger;
+  const ServiceRequest late = Keyed("order-1", 1, 10);
+  EXPECT_EQ(ledger.Resolve(About(late), Time{}).state, SeenState::kNeverWillRun);
+  EXPECT_EQ(OutcomeOfBegin(&ledger, late), Outcome::kNotRun);
+  EXPECT_EQ(OutcomeOfBegin(&ledger, Keyed("order-1", 2, 20)), Outcome::kRan);
+  EXPECT_EQ(OutcomeOfBegin(&ledger, late), Outcome::kUnknown);
+}
+
+// A message is delivered twice, the second copy after the first was refused for want of a slot.
+// The caller was told "not run", so the copy must not run either.
+TEST(RequestLedgerTest, ACopyOfARefusedRequestIsRefused) {
+  RequestLedger ledger;
+  ServiceRequest request;
+  request.request_id = "request-1.1";
+  EXPECT_EQ(OutcomeOfBegin(&ledger, request), Outcome::kRan);
+  ledger.Refuse(request);
+  EXPECT_EQ(OutcomeOfBegin(&ledger, request), Outcome::kNotRun);
+}
+
+// An agent serves so many orders that it forgets the oldest ones. A question or a late copy of a
+// forgotten one must not read as new.
+TEST(RequestLedgerTest, WhatIsForgottenIsUnknownAndDoesNotRun) {
+  LedgerLimits limits;
+  limits.max_rows = 4;
+  RequestLedger ledger(limits);
+  for (int order = 1; order <= 8; ++order) {
+    const ServiceRequest request = Keyed("order-" + std::to_string(order), 1, order);
+    ASSERT_EQ(OutcomeOfBegin(&ledger, request), Outcome::kRan);
+    ledger.Finish(request, ServiceAnswer{});
+  }
+  EXPECT_EQ(ledger.rows(), 4U);
+  const ServiceRequest forgotten = Keyed("order-2", 1, 2);
+  EXPECT_EQ(ledger.Resolve(About(forgotten), Time{}).state, SeenState::kUnknown);
+  EXPECT_EQ(OutcomeOfBegin(&ledger, forgotten), Outcome::kUnknown);
+}
+
+TEST(RequestLedgerTest, ForgottenRequestsWithoutAKeyAreUnknownByTheirAge) {
+  LedgerLimits limits;
+  limits.max_rows = 1;
+  RequestLedger ledger(limits);
+  const Time now = Time{} + std::chrono::hours(1);
+  ServiceRequest request;
+  for (const char* id : {"a", "b"}) {
+    request.request_id = id;
+    ledger.Begin(request, now);
+    ledger.Finish(request, ServiceAnswer{});
+  }
+  SeenQuestion question;
+  question.request_id = "a";
+  question.age = std::chrono::seconds(30);
+  EXPECT_EQ(ledger.Resolve(question, now + std::chrono::seconds(30)).state, SeenState::kUnknown);
+  question.request_id = "never-sent-before";
+  question.age = std::chrono::seconds(1);
+  EXPECT_EQ(ledger.Resolve(question, now + std::chrono::seconds(30)).state,
+            SeenState::kNeverWillRun);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- a/servers/agent/slot_limiter.cc
+++ b/servers/agent/slot_limiter.cc
@@ -1,46 +1,157 @@
 #include "servers/agent/slot_limiter.h"
 
+#include <algorithm>
+
 #include "core/error.h"
 
 namespace turmericshift {
+namespace {
+
+// Weight of the newest sample in the average hold: 1 / this.
+constexpr int kHoldWeight = 8;
+
+int CountOf(const std::map<std::string, int>& counts, const std::string& workspace) {
+  const auto found = counts.find(workspace);
+  return found == counts.end() ? 0 : found->second;
+}
+
+void Decrement(std::map<std::string, int>* counts, const std::string& workspace) {
+  const auto found = counts->find(workspace);
+  if (found != counts->end() && --found->second == 0) counts->erase(found);
+}
+
+}  // namespace
 
 SlotLimiter::SlotLimiter(int slots, int connections) : slots_(slots), connections_(connections) {}
 
 SlotLimiter::Slot::~Slot() {
-  if (limiter_ != nullptr) limiter_->Free();
+  if (limiter_ != nullptr) limiter_->Free(workspace_, DefaultClock().Now() - begun_);
 }
 
-SlotLimiter::Slot SlotLimiter::Acquire(Time deadline) {
+SlotLimiter::Slot SlotLimiter::Acquire(const std::string& workspace, const std::string& request_id,
+                                       Time now, Time deadline) {
   std::unique_lock<std::mutex> lock(mutex_);
-  if (running_ + queued_ >= connections_) {
-    throw Error(ErrorKind::kOverloaded, "the target's connections are all in use");
-  }
-  ++queued_;
-  const bool came_free = freed_.wait_until(lock, deadline, [this] { return running_ < slots_; });
-  --queued_;
-  if (!came_free) {
+  RequireRoom(workspace, now, deadline);
+  Waiter waiter{workspace, request_id, WaitState::kWaiting};
+  const auto place = queue_.insert(queue_.end(), &waiter);
+  ++waiting_of_[workspace];
+  Grant();
+  const auto settled = [&waiter] { return waiter.state != WaitState::kWaiting; };
+  if (!changed_.wait_until(lock, deadline, settled)) {
+    queue_.erase(place);
+    Decrement(&waiting_of_, workspace);
     throw Error(ErrorKind::kDeadlineExceeded, Outcome::kNotRun, "no slot came free in time");
   }
-  ++running_;
-  return Slot(this);
+  if (waiter.state != WaitState::kGranted) ThrowFor(waiter.state);
+  return {this, workspace, DefaultClock().Now()};
+}
+
+void SlotLimiter::RequireRoom(const std::string& workspace, Time now, Time deadline) {
+  if (closed_) ThrowFor(WaitState::kClosed);
+  const int waiting = static_cast<int>(queue_.size());
+  // A request that would only be refused later is better refused now, while its caller can still
+  // go elsewhere. Under fair sharing its own workspace's queue is what it waits behind.
+  const Duration wait = typical_hold_ * (waiting + 1 + std::max(0, running_ - slots_)) / slots_;
+  const bool must_wait = running_ >= slots_;
+  const bool in_vain = must_wait && now + wait > deadline;
+  if (!in_vain && running_ + waiting < connections_) return;
+  if (!ShedFor(workspace)) {
+    throw Error(ErrorKind::kOverloaded, "the target has all the requests that it can take");
+  }
+}
+
+bool SlotLimiter::ShedFor(const std::string& workspace) {
+  const int own = Held(workspace);
+  auto victim = queue_.end();
+  int most = own + 1;
+  for (auto each = queue_.begin(); each != queue_.end(); ++each) {
+    const int held = Held((*each)->workspace);
+    if (held < most || (*each)->workspace == workspace) continue;
+    // The newest of the workspace that holds the most; later ones win ties.
+    most = held;
+    victim = each;
+  }
+  if (victim == queue_.end() || most <= own + 1) return false;
+  (*victim)->state = WaitState::kShed;
+  Decrement(&waiting_of_, (*victim)->workspace);
+  queue_.erase(victim);
+  changed_.notify_all();
+  return true;
+}
+
+int SlotLimiter::Held(const std::string& workspace) const {
+  return CountOf(running_of_, workspace) + CountOf(waiting_of_, workspace);
+}
+
+SlotLimiter::Queue::iterator SlotLimiter::NextToRun() {
+  return std::min_element(queue_.begin(), queue_.end(), [this](const Waiter* a, const Waiter* b) {
+    return CountOf(running_of_, a->workspace) < CountOf(running_of_, b->workspace);
+  });
+}
+
+void SlotLimiter::Grant() {
+  bool any = false;
+  while (running_ < slots_ && !queue_.empty()) {
+    const auto next = NextToRun();
+    Waiter* waiter = *next;
+    queue_.erase(next);
+    waiter->state = WaitState::kGranted;
+    Decrement(&waiting_of_, waiter->workspace);
+    ++running_of_[waiter->workspace];
+    ++running_;
+    any = true;
+  }
+  if (any) changed_.notify_all();
+}
+
+bool SlotLimiter::CancelWaiting(const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = std::find_if(queue_.begin(), queue_.end(), [&](const Waiter* waiter) {
+    return waiter->request_id == request_id;
+  });
+  if (found == queue_.end()) return false;
+  (*found)->state = WaitState::kCancelled;
+  Decrement(&waiting_of_, (*found)->workspace);
+  queue_.erase(found);
+  changed_.notify_all();
+  return true;
+}
+
+void SlotLimiter::Close() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  closed_ = true;
+  for (Waiter* waiter : queue_) waiter->state = WaitState::kClosed;
+  queue_.clear();
+  waiting_of_.clear();
+  changed_.notify_all();
 }
 
 void SlotLimiter::SetLimits(int slots, int connections) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  slots_ = slots;
-  connections_ = connections;
-  freed_.notify_all();
+  slots_ = std::max(1, slots);
+  connections_ = std::max(slots_, connections);
+  Grant();
 }
 
 TargetLoad SlotLimiter::load() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return {running_, queued_, slots_};
+  return {running_, static_cast<int>(queue_.size()), slots_};
 }
 
-void SlotLimiter::Free() {
+void SlotLimiter::Free(const std::string& workspace, Duration held) {
   const std::lock_guard<std::mutex> lock(mutex_);
   --running_;
-  freed_.notify_one();
+  Decrement(&running_of_, workspace);
+  typical_hold_ = typical_hold_ == Duration::zero()
+                      ? held
+                      : typical_hold_ + (held - typical_hold_) / kHoldWeight;
+  Grant();
+}
+
+void SlotLimiter::ThrowFor(WaitState state) {
+  if (state == WaitState::kCancelled) throw Error(ErrorKind::kCancelled, "the caller has gone");
+  if (state == WaitState::kClosed) throw Error(ErrorKind::kLeaving, "the target is leaving");
+  throw Error(ErrorKind::kOverloaded, "gave way to a workspace that holds less");
 }
 
 }  // namespace turmericshift
--- a/servers/entry/agent_directory.cc
+++ b/servers/entry/agent_directory.cc
@@ -3,10 +3,17 @@
 namespace turmericshift {
 
 void AgentDirectory::Open(const AgentHello& hello, std::shared_ptr<AgentPort> port, Time now) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  AgentState& state = agents_[hello.process];
-  const int outstanding = state.outstanding;
-  state = {hello, std::move(port), {}, now, outstanding};
+  std::shared_ptr<AgentPort> replaced;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    AgentState& state = agents_[hello.process];
+    const bool same_start = state.hello.incarnation == hello.incarnation;
+    replaced = state.port;
+    const int outstanding = state.outstanding;
+    const bool leaving = same_start && state.leaving;
+    state = {hello, std::move(port), {}, now, outstanding, leaving, false};
+  }
+  if (replaced) replaced->Drop();
 }
 
 void AgentDirectory::Heard(const AgentHello& hello, const AgentBeat& beat, Time now) {
@@ -15,6 +22,27 @@
   if (found == agents_.end() || found->second.hello.incarnation != hello.incarnation) return;
   found->second.beat = beat;
   found->second.heard = now;
+  found->second.leaving = found->second.leaving || beat.leaving;
+}
+
+void AgentDirectory::MarkLeaving(const std::string& agent, const std::string& incarnation) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = agents_.find(agent);
+  if (found == agents_.end() || found->second.hello.incarnation != incarnation) return;
+  found->second.leaving = true;
+}
+
+void AgentDirectory::DropSilent(Time now, Duration limit) {
+  std::vector<std::shared_ptr<AgentPort>> silent;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& [name, agent] : agents_) {
+      if (agent.dropped || now - agent.heard <= limit) continue;
+      agent.dropped = true;
+      silent.push_back(agent.port);
+    }
+  }
+  for (const auto& port : silent) port->Drop();
 }
 
 void AgentDirectory::Answered(const std::string& agent, const TargetLoad& load) {
@@ -48,7 +76,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<TargetCandidate> result;
   for (const auto& [name, agent] : agents_) {
-    const bool open = agent.hello.service == service && !agent.beat.leaving;
+    const bool open = agent.hello.service == service && !agent.leaving;
     if (!open || now - agent.heard > limit) continue;
     result.push_back({name, agent.hello.zone, agent.beat.load, agent.outstanding});
   }
--- a/servers/entry/caller_api.cc
+++ b/servers/entry/caller_api.cc
@@ -1,6 +1,7 @@
 #include "servers/entry/caller_api.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "core/digest.h"
@@ -18,7 +19,8 @@
 constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
 constexpr Duration kLongestDeadline = std::chrono::minutes(10);
 constexpr Duration kRecordTimeout = std::chrono::seconds(5);
-constexpr Duration kRetryAfter = std::chrono::seconds(1);
+constexpr size_t kUuidBytes = 36;
+constexpr size_t kUuidVersionPlace = 14;
 constexpr size_t kRequestIdBytes = 8;
 constexpr size_t kMaxKeyBytes = 200;
 
@@ -32,6 +34,21 @@
   return std::min(ParseDuration(header), kLongestDeadline);
 }
 
+// When the caller first used its key: from the header "Idempotency-Key-Time" (milliseconds since
+// 1970), or from the key itself if it is a UUID of version 7 (RFC 9562), which begins with that
+// time. 0 when neither is there.
+int64_t KeySince(const HttpRequest& request) {
+  const std::string header = request.header("Idempotency-Key-Time");
+  if (!header.empty()) return ParseInteger(header, 1, std::numeric_limits<int64_t>::max());
+  std::string key = request.header("Idempotency-Key");
+  const bool uuid7 = key.size() == kUuidBytes && key[8] == '-' && key[13] == '-' &&
+                     key[kUuidVersionPlace] == '7' && key[18] == '-' && key[23] == '-';
+  if (!uuid7) return 0;
+  key = key.substr(0, 8) + key.substr(9, 4);
+  const bool hexadecimal = key.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+  return hexadecimal ? std::stoll(key, nullptr, 16) : 0;
+}
+
 nlohmann::json JobJson(const JobRecord& job, int64_t running_attempt, const std::string& why) {
   nlohmann::json json = {
       {"job", job.id},          {"state", JobStateName(job.state)},      {"zone", job.zone},
@@ -80,7 +97,7 @@
     if (service_request.idempotency_key.size() > kMaxKeyBytes) {
       throw Error(ErrorKind::kInvalidInput, "the idempotency key is too long");
     }
-    const ServiceAnswer answer = entry_->router_->Route(service_request);
+    const ServiceAnswer answer = entry_->router_->Route(service_request, KeySince(request));
     HttpResponse response;
     response.status = answer.status;
     response.body = answer.body;
@@ -96,7 +113,7 @@
               {"kind", AnswerFor(error.kind()).name},
               {"outcome", OutcomeName(error.outcome())}});
     return ProblemResponse(error, service_request.request_id,
-                           AnswerFor(error.kind()).retryable ? kRetryAfter : Duration::zero());
+                           entry_->router_->RetryAfter(service_request.service, error));
   }
 }
 
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -41,10 +41,10 @@
       member_stream_(Stream::kMembers, log, &member_fold_, metrics),
       tokens_(&config_fold_) {
   RouterOptions router;
-  router.own_zone = options.zone;
+  router.sender.own_zone = options.zone;
   router_ = std::make_unique<RequestRouter>(
       router, RoutingPolicyRegistry::Instance().Create(options.routing_policy, options.seed),
-      &directory_, &request_stream_, &request_fold_, metrics);
+      &directory_, &request_stream_, &request_fold_, &config_fold_, metrics);
   PlannerOptions planner;
   planner.zone = options.zone;
   planner.process = options.process;
--- a/servers/entry/request_router.h
+++ b/servers/entry/request_router.h
@@ -1,52 +1,53 @@
-// Carries one caller's request to a target and its answer back: chooses, claims where the request
-// may not be repeated, sends again only what is provably not run.
+// Carries one caller's request to a target and its answer back; sends again only what is provably
+// not run, or what its service declares repeatable.
 #pragma once
 
 #include <memory>
-#include <mutex>
 #include <string>
 
 #include "core/metrics.h"
-#include "servers/entry/agent_directory.h"
-#include "servers/entry/routing_policy.h"
-#include "servers/state/request_fold.h"
+#include "servers/requests/idempotent_router.h"
+#include "servers/requests/retry_budget.h"
+#include "servers/requests/target_sender.h"
+#include "servers/state/config_fold.h"
 
 namespace turmericshift {
 
 struct RouterOptions {
-  std::string own_zone;
-  // An agent not heard for this long gets no new requests.
-  Duration silence = std::chrono::seconds(3);
+  SenderOptions sender;
+  RetryBudgetOptions budget;
   int max_attempts = 3;
 };
 
 class RequestRouter {
  public:
-  // All pointers must outlive the router.
+  // `config` may be null: then every service counts as not repeatable. All others must outlive
+  // the router.
   RequestRouter(const RouterOptions& options, std::unique_ptr<RoutingPolicy> policy,
                 AgentDirectory* directory, StreamClient* requests, const RequestFold* fold,
-                MetricsRegistry* metrics);
+                const ConfigFold* config, MetricsRegistry* metrics);
 
-  // Throws Error whose outcome is the truth about the work. `request.time_left` is the caller's
-  // deadline; a set idempotency key makes it run at most once.
-  ServiceAnswer Route(const ServiceRequest& request);
+  // Throws Error whose outcome is the truth about this request. `request.time_left` is the
+  // caller's deadline; a set idempotency key makes it run at most once. `key_since_ms` is when the
+  // caller first used the key (milliseconds since 1970), 0 if it did not say.
+  ServiceAnswer Route(const ServiceRequest& request, int64_t key_since_ms = 0);
+
+  // When a caller refused with `error` should come back; zero when that is of no use.
+  Duration RetryAfter(const std::string& service, const Error& error) const;
 
  private:
   ServiceAnswer RouteRepeatable(const ServiceRequest& request, Time deadline);
-  ServiceAnswer RouteOnce(ServiceRequest request, Time deadline);
-  // The answer or error of a key that another attempt owns.
-  ServiceAnswer FollowClaim(const ServiceRequest& request, Time deadline);
-  ServiceAnswer SendTo(const AgentState& agent, ServiceRequest request, Time deadline);
-  AgentState Choose(const std::string& service);
-  void RecordEnd(const ServiceRequest& request, const ServiceAnswer& answer);
+  // Whether `error` allows another attempt; takes it from the budget and pauses before it.
+  bool PrepareRetry(const std::string& service, const Error& error, int attempt, Time deadline);
+  bool Repeatable(const std::string& service) const;
 
   const RouterOptions options_;
-  const std::unique_ptr<RoutingPolicy> policy_;
-  AgentDirectory* const directory_;
-  StreamClient* const requests_;
-  const RequestFold* const fold_;
+  const ConfigFold* const config_;
   Counter* const retries_;
   Distribution* const latency_;
+  RetryBudget budget_;
+  TargetSender sender_;
+  IdempotentRouter idempotent_;
 };
 
 }  // namespace turmericshift
--- a/servers/ports/agent_port.h
+++ b/servers/ports/agent_port.h
@@ -16,6 +16,9 @@
   // Best effort: the caller of that request has gone.
   virtual void Cancel(const std::string& request_id) = 0;
   virtual SeenAnswer Resolve(const SeenQuestion& question, Duration timeout) = 0;
+  // The session is given up: calls in flight fail with outcome unknown instead of waiting for an
+  // answer that a silent connection will never carry.
+  virtual void Drop() {}
 
   // Gang steps. Throw Error(kFenced) below the highest epoch seen, Error(kConflict) when the room
   // is taken, Error(kStale) when the agent may not start work at present.
--- a/servers/ports/messages.h
+++ b/servers/ports/messages.h
@@ -42,6 +42,8 @@
   std::string idempotency_key;
   int attempt = 0;
   Sequence fence = kNoSequence;
+  // The agent's incarnation that it is meant for; any other refuses it.
+  std::string incarnation;
 };
 
 // How busy a target is.
@@ -60,12 +62,17 @@
   TargetLoad load;
 };
 
-// Asks an agent about a key that another process claimed for it.
+// Asks an agent what became of one attempt: by its key where it has one, else by its request id.
 struct SeenQuestion {
   std::string workspace;
   std::string idempotency_key;
   int attempt = 0;
   Sequence fence = kNoSequence;
+  std::string request_id;
+  // The agent's incarnation that the request was sent to.
+  std::string incarnation;
+  // Time since the request was sent, for an agent that has forgotten its oldest requests.
+  Duration age{};
 };
 
 enum class SeenState {
@@ -73,14 +80,14 @@
   kNeverWillRun,
   kRunning,
   kRan,
-  // It ran or may have run, and the answer is no longer there.
+  // It may have run; nobody can tell.
   kUnknown,
 };
 const char* SeenStateName(SeenState state);
 
 struct SeenAnswer {
   SeenState state = SeenState::kUnknown;
-  // Set for kRan.
+  // Set for kRan; status 0 when the answer is no longer kept.
   ServiceAnswer answer;
 };
 
--- /dev/null
+++ b/servers/requests/idempotent_router.cc
@@ -0,0 +1,206 @@
+#include "servers/requests/idempotent_router.h"
+
+#include <algorithm>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "core/digest.h"
+#include "core/error.h"
+#include "core/logging.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr Duration kClaimTimeout = std::chrono::seconds(3);
+// Claims are made only while the view is this fresh; RequestFold relies on it when it judges
+// claims near the start of a trimmed stream.
+constexpr Duration kViewLimit = std::chrono::seconds(10);
+constexpr Duration kKeepRecording = std::chrono::seconds(60);
+// The owner of a fresh claim gets this long to forward it before a follower asks the agent, since
+// asking ends an attempt that has not arrived.
+constexpr Duration kForwardGrace = std::chrono::milliseconds(100);
+constexpr Duration kGracePoll = std::chrono::milliseconds(5);
+constexpr int kMaxRounds = 16;
+// Larger answers are not kept with the outcome; a repeated key is then told that it ran.
+constexpr size_t kMaxRecordedBody = size_t{16} * 1024;
+
+// Covers all that makes two requests the same, so that a key reused for another is noticed.
+std::string IdentityOf(const ServiceRequest& request) {
+  return Digest(request.path + "\n" + request.content_type + "\n" + request.body_digest);
+}
+
+void RequireSame(const ServiceRequest& request, const RequestClaimed& claim) {
+  if (claim.body_digest == IdentityOf(request) && claim.service == request.service) return;
+  throw Error(ErrorKind::kConflict, Outcome::kNotRun,
+              "the idempotency key was used for another request");
+}
+
+ServiceAnswer AnswerFromRecord(const ServiceRequest& request, const RequestEnded& ended) {
+  if (Digest(ended.body) != ended.body_digest) {
+    throw Error(ErrorKind::kConflict, Outcome::kRan,
+                "the request has run; its answer is no longer kept");
+  }
+  ServiceAnswer answer;
+  answer.request_id = request.request_id;
+  answer.status = ended.status;
+  answer.body = ended.body;
+  answer.body_digest = ended.body_digest;
+  return answer;
+}
+
+[[noreturn]] void ThrowExpired() {
+  throw Error(ErrorKind::kKeyExpired, Outcome::kUnknown,
+              "the key is older than what the log keeps; it is not run again");
+}
+
+}  // namespace
+
+IdempotentRouter::IdempotentRouter(TargetSender* sender, RetryBudget* budget,
+                                   StreamClient* requests, const RequestFold* fold,
+                                   MetricsRegistry* metrics)
+    : sender_(sender),
+      budget_(budget),
+      requests_(requests),
+      fold_(fold),
+      claims_(&metrics->counter("router_claims")),
+      followed_(&metrics->counter("router_claims_followed")) {}
+
+ServiceAnswer IdempotentRouter::Route(const ServiceRequest& request, int64_t key_since_ms,
+                                      Time deadline) {
+  for (int round = 0; round < kMaxRounds; ++round) {
+    const Time now = DefaultClock().Now();
+    RequireTimeLeft(deadline, now, Outcome::kNotRun);
+    const std::optional<RequestState> state = FindSettled(request, deadline);
+    int attempt = 1;
+    if (state) {
+      if (state->expired) ThrowExpired();
+      RequireSame(request, state->claim);
+      if (state->ended) return AnswerFromRecord(request, *state->ended);
+      if (!state->never_ran) {
+        if (auto answer = Follow(request, *state, deadline)) return std::move(*answer);
+      }
+      attempt = state->claim.attempt + 1;
+    } else {
+      RequireKept(key_since_ms);
+    }
+    RequireFreshView(DefaultClock().Now());
+    if (auto answer = ClaimAndDeliver(request, attempt, deadline)) return std::move(*answer);
+  }
+  // Every round ended with the proof that its attempt never runs, or with another's claim.
+  throw Error(ErrorKind::kUnavailable, Outcome::kUnknown, "other requests keep claiming this key");
+}
+
+std::optional<RequestState> IdempotentRouter::FindSettled(const ServiceRequest& request,
+                                                          Time deadline) const {
+  std::optional<RequestState> state = fold_->Find(request.workspace, request.idempotency_key);
+  const Time limit = std::min(deadline, DefaultClock().Now() + kForwardGrace);
+  while (state && !state->ended && !state->never_ran && !state->expired &&
+         DefaultClock().Now() < limit) {
+    std::this_thread::sleep_for(kGracePoll);
+    state = fold_->Find(request.workspace, request.idempotency_key);
+  }
+  return state;
+}
+
+std::optional<ServiceAnswer> IdempotentRouter::Follow(const ServiceRequest& request,
+                                                      const RequestState& state, Time deadline) {
+  followed_->Add();
+  ServiceRequest owner = request;
+  owner.attempt = state.claim.attempt;
+  owner.fence = state.fence;
+  owner.incarnation = state.claim.incarnation;
+  try {
+    const Time now = DefaultClock().Now();
+    ServiceAnswer answer = sender_->Settle(state.claim.agent, QuestionAbout(owner), now, deadline);
+    RecordEnd(state.claim, answer);
+    answer.request_id = request.request_id;
+    return answer;
+  } catch (const Error& error) {
+    if (error.outcome() != Outcome::kNotRun) throw;
+    return std::nullopt;
+  }
+}
+
+std::optional<ServiceAnswer> IdempotentRouter::ClaimAndDeliver(const ServiceRequest& request,
+                                                               int attempt, Time deadline) {
+  const AgentState agent = sender_->Choose(request.service, {}, false);
+  RequestClaimed claim;
+  claim.id = NewRecordId();
+  claim.workspace = request.workspace;
+  claim.key = request.idempotency_key;
+  claim.service = request.service;
+  claim.body_digest = IdentityOf(request);
+  claim.attempt = attempt;
+  claim.agent = agent.hello.process;
+  claim.incarnation = agent.hello.incarnation;
+  claim.wall_ms = DefaultClock().WallMillis();
+  Written written;
+  try {
+    claims_->Add();
+    const Duration left = deadline - DefaultClock().Now();
+    written = requests_->Write(claim, std::min<Duration>(kClaimTimeout, left));
+  } catch (const Error& error) {
+    // Only the writer of a claim forwards it, and this one has just given up, so this request does
+    // not run even if the claim lands later. Who finds that claim asks the agent, which has not
+    // seen it and then never runs it; so the key can still be used.
+    throw Error(error.kind(), Outcome::kNotRun, error.what());
+  }
+  if (!written.verdict.accepted) return std::nullopt;
+  ServiceRequest message = request;
+  message.attempt = attempt;
+  message.fence = written.sequence;
+  try {
+    RequireTimeLeft(deadline, DefaultClock().Now(), Outcome::kNotRun);
+    ServiceAnswer answer = sender_->Deliver(agent, message, deadline);
+    RecordEnd(claim, answer);
+    return answer;
+  } catch (const Error& error) {
+    // A follower may have ended this attempt by its question and be running the next one.
+    if (error.kind() == ErrorKind::kFenced) return std::nullopt;
+    if (error.outcome() != Outcome::kNotRun) throw;
+    const auto state = fold_->Find(request.workspace, request.idempotency_key);
+    if (state && state->claim.attempt != attempt) return std::nullopt;
+    RecordNeverRan(claim);
+    const bool again = AnswerFor(error.kind()).retryable && budget_->Spend();
+    if (!again) throw;
+    return std::nullopt;
+  }
+}
+
+void IdempotentRouter::RequireFreshView(Time now) const {
+  const StreamView view = requests_->view();
+  if (view.ever_fresh && now - view.fresh_at <= kViewLimit) return;
+  throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun,
+              "the platform's log can't be read, so claims of this key may be missing here");
+}
+
+void IdempotentRouter::RequireKept(int64_t key_since_ms) const {
+  if (key_since_ms != 0 && key_since_ms < fold_->keeps_since_ms()) ThrowExpired();
+}
+
+void IdempotentRouter::RecordEnd(const RequestClaimed& claim, const ServiceAnswer& answer) {
+  RequestEnded ended;
+  ended.id = NewRecordId();
+  ended.workspace = claim.workspace;
+  ended.key = claim.key;
+  ended.attempt = claim.attempt;
+  ended.status = answer.status;
+  ended.body_digest = answer.body_digest;
+  if (answer.body.size() <= kMaxRecordedBody) ended.body = answer.body;
+  // The caller does not wait for the record: until it is there, a repeat asks the agent instead.
+  if (requests_->Post(ended, kKeepRecording)) return;
+  LogEvent(LogLevel::kWarning, "outcome_not_recorded", {{"key", claim.key}});
+}
+
+void IdempotentRouter::RecordNeverRan(const RequestClaimed& claim) {
+  RequestEnded ended;
+  ended.id = NewRecordId();
+  ended.workspace = claim.workspace;
+  ended.key = claim.key;
+  ended.attempt = claim.attempt;
+  ended.status = kNeverRanStatus;
+  requests_->Post(ended, kKeepRecording);
+}
+
+}  // namespace turmericshift
--- a/servers/state/record.h
+++ b/servers/state/record.h
@@ -45,6 +45,9 @@
   int64_t wall_ms = 0;
 };
 
+// RequestEnded::status of an attempt that surely never ran and never will.
+inline constexpr int kNeverRanStatus = 0;
+
 struct RequestEnded {
   std::string id;
   std::string workspace;
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -1,6 +1,7 @@
 #include "servers/state/stream_client.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "core/error.h"
 #include "core/logging.h"
@@ -12,6 +13,7 @@
 constexpr size_t kMaxGroup = 512;
 constexpr Duration kReadWait = std::chrono::milliseconds(1000);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(3000);
+constexpr Duration kAppendInterval = std::chrono::milliseconds(12);
 constexpr Duration kFirstPause = std::chrono::milliseconds(50);
 constexpr Duration kLongestPause = std::chrono::milliseconds(2000);
 
@@ -24,6 +26,8 @@
   bool done = false;
   bool abandoned = false;
   Written written;
+  // Set for a posted record: it is given up by itself.
+  std::optional<Time> give_up;
 };
 
 StreamClient::StreamClient(Stream stream, LogService* service, Fold* fold, MetricsRegistry* metrics)
@@ -68,6 +72,17 @@
               std::string("the log did not take a record of stream ") + StreamName(stream_));
 }
 
+bool StreamClient::Post(const Record& record, Duration keep_trying) {
+  auto waiter = std::make_shared<Waiter>();
+  waiter->record = record;
+  waiter->give_up = DefaultClock().Now() + keep_trying;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (queue_.size() >= kMaxQueued) return false;
+  queue_.push_back(waiter);
+  changed_.notify_all();
+  return true;
+}
+
 StreamView StreamClient::view() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return view_;
@@ -85,8 +100,16 @@
 }
 
 void StreamClient::RunWriter() {
+  Time last_append{};
   while (true) {
     std::vector<std::shared_ptr<Waiter>> group;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      changed_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+    }
+    // The first record after a quiet time goes at once; under load the pause gathers a group, as
+    // the log takes several hundred appends a second from all processes together.
+    Pause(last_append + kAppendInterval - DefaultClock().Now());
     {
       std::unique_lock<std::mutex> lock(mutex_);
       changed_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
@@ -99,6 +122,7 @@
         group.push_back(waiter);
       }
     }
+    last_append = DefaultClock().Now();
     if (!group.empty()) AppendGroup(group);
   }
 }
@@ -119,6 +143,7 @@
     // Sent again until its writer gives up: a second copy is void in every fold.
     for (const auto& waiter : group) {
       if (surely_not) waiter->sent = false;
+      if (waiter->give_up && DefaultClock().Now() > *waiter->give_up) continue;
       if (!waiter->abandoned && !waiter->done) queue_.push_back(waiter);
     }
   }
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -64,6 +64,11 @@
   // unknown; Error(kOverloaded) when too many records wait already.
   Written Write(const Record& record, Duration timeout);
 
+  // Sends `record` in the background, again and again until it is read back or `keep_trying` is
+  // over. For records whose loss costs a question later, never a promise. Returns false when too
+  // many records wait already.
+  bool Post(const Record& record, Duration keep_trying);
+
   StreamView view() const;
   // Waits until the view has been fresh once; returns whether it has.
   bool WaitUntilFresh(Duration limit);
