--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -24,9 +24,10 @@
       served_(&metrics->counter("agent_requests_served")),
       refused_(&metrics->counter("agent_requests_refused")),
       limiter_(options.slots, options.connections),
-      guard_(options.hello.zone) {
+      guard_(options.hello.zone, options.hello.process) {
   if (worker != nullptr) {
-    gangs_ = std::make_unique<GangHost>(options.hello.worker, worker, &guard_);
+    gangs_ =
+        std::make_unique<GangHost>(options.hello.worker, worker, &guard_, options.hello.process);
     expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
   }
   Learn(options.entries);
@@ -90,8 +91,17 @@
   if (to_target.time_left <= Duration::zero()) {
     throw Error(ErrorKind::kDeadlineExceeded, Outcome::kNotRun, "its deadline passed in the queue");
   }
+  // History checks rest on these two lines: what ran here, and what it answered.
+  nlohmann::json run = {{"request", CallerRequestId(request.request_id)},
+                        {"workspace", request.workspace},
+                        {"key_tag", KeyTag(request.workspace, request.idempotency_key)},
+                        {"attempt", request.attempt},
+                        {"agent", options_.hello.process}};
+  LogEvent(LogLevel::kInfo, "request_run", run);
   ServiceAnswer answer = target_->Perform(to_target);
   answer.request_id = request.request_id;
+  run["answer_digest"] = answer.body_digest;
+  LogEvent(LogLevel::kInfo, "request_ran", run);
   ledger_.Finish(request, answer);
   answer.load = limiter_.load();
   return answer;
--- a/servers/entry/request_router.cc
+++ b/servers/entry/request_router.cc
@@ -64,8 +64,7 @@
       const AgentState agent = sender_.Choose(request.service, tried, true);
       tried.insert(agent.hello.process);
       ServiceRequest message = request;
-      // Agents refuse an id for good once they have refused it.
-      message.request_id += "." + std::to_string(attempt);
+      message.request_id = SendingId(request.request_id, attempt);
       return sender_.Deliver(agent, message, deadline);
     } catch (const Error& error) {
       if (error.outcome() != Outcome::kNotRun) worst = error.outcome();
--- a/servers/ports/messages.h
+++ b/servers/ports/messages.h
@@ -46,6 +46,12 @@
   std::string incarnation;
 };
 
+// The id of one sending of the caller's request: agents refuse for good an id that they refused
+// once, so each sending of a request without a key has its own.
+std::string SendingId(const std::string& request_id, int sending);
+// The id that the caller was told, from a sending's.
+std::string CallerRequestId(const std::string& sending_id);
+
 // How busy a target is.
 struct TargetLoad {
   int running = 0;
@@ -136,8 +142,11 @@
   int64_t config_version = 0;
   bool leaving = false;
   std::vector<TaskReport> tasks;
-  // Highest planner epoch this agent has obeyed.
+  // Highest planner epoch this agent has heard of. `tasks` were read after it, so they hold all
+  // that was ever started here under a lower one.
   Sequence planner_epoch = kNoSequence;
+  // How long ago the zone's planner was last heard; negative: never.
+  Duration planner_silence{-1};
 };
 
 // What an entry knows about the log, passed on to agents.
@@ -157,6 +166,12 @@
   std::vector<std::string> entries;
   // The entry that holds the planner duty of the agent's zone, "" if unknown.
   std::string planner_address;
+  // Highest planner epoch of the agent's zone in this entry's fold of the jobs stream.
+  Sequence planner_epoch = kNoSequence;
+  // This entry holds that epoch and its planner is at work.
+  bool planner_active = false;
+  // How current that fold is.
+  LogFreshness jobs_freshness;
 };
 
 }  // namespace turmericshift
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -69,6 +69,10 @@
   // many records wait already.
   bool Post(const Record& record, Duration keep_trying);
 
+  // Tells both threads to end without waiting for them, so that several streams end side by side
+  // and not one long-poll after another.
+  void BeginStop();
+
   StreamView view() const;
   // Waits until the view has been fresh once; returns whether it has.
   bool WaitUntilFresh(Duration limit);
