--- a/servers/state/request_fold.h
+++ b/servers/state/request_fold.h
@@ -34,8 +34,7 @@
 
 class RequestFold : public Fold {
  public:
-  RequestFold() = default;
-  explicit RequestFold(const RequestFoldLimits& limits) : limits_(limits) {}
+  explicit RequestFold(const RequestFoldLimits& limits = {}) : limits_(limits) {}
 
   FoldVerdict Apply(const Record& record, Sequence sequence) override;
 
