--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -180,12 +180,21 @@
 void AgentServer::Learn(const std::vector<std::string>& entries) {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const std::string& entry : entries) {
-    if (stopping_ || static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
-    if (!known_entries_.insert(entry).second) continue;
-    sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
+    if (static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
+    OpenSessionLocked(entry);
   }
 }
 
+void AgentServer::OpenSession(const std::string& entry) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  OpenSessionLocked(entry);
+}
+
+void AgentServer::OpenSessionLocked(const std::string& entry) {
+  if (stopping_ || !known_entries_.insert(entry).second) return;
+  sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
+}
+
 void AgentServer::RunSession(const std::string& address) {
   do {
     try {
@@ -206,19 +215,20 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     connected_.insert(address);
   }
+  int64_t changes = 0;
   do {
+    changes = task_changes_.load();
     const Time sent = DefaultClock().Now();
     const AgentBeat own = MakeBeat();
     const EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
     ApplyLimits();
+    if (gangs_) gangs_->Hear(address, beat, sent);
     Learn(beat.entries);
-    if (own.leaving) {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      told_leaving_.insert(address);
-      changed_.notify_all();
-    }
-  } while (!Pause(options_.heartbeat));
+    // The planner must hear every agent of its zone, whatever other entries this one knows.
+    if (gangs_ && !beat.planner_address.empty()) OpenSession(beat.planner_address);
+    if (own.leaving) MarkTold(address);
+  } while (!PauseUntilChange(options_.heartbeat, changes));
 }
 
 AgentBeat AgentServer::MakeBeat() const {
@@ -227,26 +237,33 @@
   beat.config_version = guard_.config_version();
   beat.leaving = leaving_.load();
   if (gangs_) {
-    beat.tasks = gangs_->reports();
-    beat.planner_epoch = gangs_->epoch();
+    gangs_->FillBeat(&beat, DefaultClock().Now());
   }
   return beat;
 }
 
 void AgentServer::RunExpiry() {
   do {
-    gangs_->Expire(DefaultClock().Now());
+    // An end that is told at once ends the job a heartbeat earlier.
+    if (gangs_->Expire(DefaultClock().Now())) ++task_changes_;
+    changed_.notify_all();
   } while (!Pause(kExpiryPeriod));
 }
 
 void AgentServer::WakeBeats() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    ++beat_wakes_;
+    task_changes_.fetch_add(1);
   }
   changed_.notify_all();
 }
 
+void AgentServer::MarkTold(const std::string& address) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  told_leaving_.insert(address);
+  changed_.notify_all();
+}
+
 void AgentServer::ApplyLimits() {
   const std::shared_ptr<const Environment> environment = guard_.environment();
   if (!environment) return;
@@ -256,8 +273,12 @@
 
 bool AgentServer::Pause(Duration duration) {
   std::unique_lock<std::mutex> lock(mutex_);
-  const int64_t wakes = beat_wakes_;
-  changed_.wait_for(lock, duration, [&] { return stopping_ || beat_wakes_ != wakes; });
+  return changed_.wait_for(lock, duration, [this] { return stopping_; });
+}
+
+bool AgentServer::PauseUntilChange(Duration duration, int64_t changes) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait_for(lock, duration, [&] { return stopping_ || task_changes_.load() != changes; });
   return stopping_;
 }
 
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -67,7 +67,11 @@
   void RunExpiry();
   // Starts a session thread for each entry not yet known, up to the limit.
   void Learn(const std::vector<std::string>& entries);
+  void OpenSession(const std::string& entry);
+  void OpenSessionLocked(const std::string& entry);
   bool Pause(Duration duration);
+  // Returns early when a task has changed its phase; returns whether the server stops.
+  bool PauseUntilChange(Duration duration, int64_t changes);
   AgentBeat MakeBeat() const;
   GangHost& RequireWorker();
   // Serve after and before the counting: the ledger's part, then the target's.
@@ -77,6 +81,8 @@
   void RequireWanted(const ServiceRequest& request);
   // Takes over slots and connections of the document in force.
   void ApplyLimits();
+  // The entry has heard that this agent leaves.
+  void MarkTold(const std::string& address);
   // Every connected entry has heard that this agent leaves.
   bool AllTold() const;
   // Has every session send its next heartbeat now.
@@ -92,12 +98,13 @@
   StartGuard guard_;
   std::unique_ptr<GangHost> gangs_;
   std::atomic<bool> leaving_{false};
+  // Rises with each change of a task's phase.
+  std::atomic<int64_t> task_changes_{0};
 
   std::mutex mutex_;
   std::condition_variable changed_;
   bool stopping_ = false;
   int serving_ = 0;
-  int64_t beat_wakes_ = 0;
   std::set<std::string> known_entries_;
   // Entries with a session, and those among them that have heard that this agent leaves.
   std::set<std::string> connected_;
