--- a/tests/request_history_test.cc
+++ b/tests/request_history_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kCallers = 6;
+constexpr size_t kMostCallers = 20;
 constexpr int kRequestsPerCaller = 30;
 constexpr int kTriesPerRequest = 6;
 constexpr Duration kCallLimit = std::chrono::milliseconds(800);
@@ -36,6 +37,7 @@
 // Two callers send the same key at once, as an impatient parent's app does.
 void RunCallers(RequestCluster* cluster) {
   std::vector<Thread> callers;
+  callers.reserve(kMostCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back("caller", [cluster, caller] {
       for (int number = 0; number < kRequestsPerCaller; ++number) {
@@ -135,6 +137,7 @@
   // The balancer sends nothing to an entry that says it leaves or is not ready.
   std::atomic<size_t> out{cluster.entries()};
   std::vector<Thread> callers;
+  callers.reserve(kMostCallers);
   for (int caller = 0; caller < 4; ++caller) {
     callers.emplace_back("caller", [&, caller] {
       for (int number = 0; !rolled.load(); ++number) {
--- a/tests/request_windows_test.cc
+++ b/tests/request_windows_test.cc
@@ -238,6 +238,7 @@
   constexpr int kRequests = 20;
   std::vector<AnswerEvent> events(kRequests);
   std::vector<Thread> callers;
+  callers.reserve(kRequests);
   for (AnswerEvent& event : events) {
     callers.emplace_back("caller", [&] { event = cluster_.Call(0, "", "plan", kLimit); });
   }
