--- a/main/dev_cluster.cc
+++ b/main/dev_cluster.cc
@@ -7,7 +7,9 @@
 
 constexpr size_t kKeyBytes = 16;
 constexpr size_t kIncarnationBytes = 8;
-constexpr int kMaxRequests = 64;
+// Above the connections of every service, so that the limiter refuses at once and nothing queues
+// unseen.
+constexpr int kMaxRequests = 160;
 constexpr const char* kLoopback = "127.0.0.1";
 
 // Hands calls on to a log that someone else owns.
@@ -85,6 +87,8 @@
   options.zone = entry.zone;
   options.operator_token = options_.operator_token;
   options.placement_policy = options_.placement_policy;
+  options.routing_policy = options_.routing_policy;
+  options.eject_outliers = options_.eject_outliers;
   options.seed = index + 1;
   entry.server = std::make_unique<EntryServer>(options, entry.log.get(), &metrics_);
   GateOptions gate;
--- a/main/dev_cluster.h
+++ b/main/dev_cluster.h
@@ -25,6 +25,8 @@
   std::string environment_text;
   std::string operator_token;
   std::string placement_policy = "first_fit";
+  std::string routing_policy = "two_choices";
+  bool eject_outliers = true;
   // Over HTTP, or handed to the entries directly.
   bool log_over_http = true;
 };
--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -1,5 +1,6 @@
 #include "main/register_modules.h"
 
+#include "main/bench_requests.h"
 #include "modules/http_log/register_types.h"
 #include "modules/http_target/register_types.h"
 #include "modules/placement/register_types.h"
@@ -14,6 +15,7 @@
   RegisterPlacementTypes();
   RegisterRoutingTypes();
   RegisterStandInTypes();
+  RegisterRequestBench();
 }
 
 }  // namespace turmericshift
--- a/servers/agent/slot_limiter.cc
+++ b/servers/agent/slot_limiter.cc
@@ -25,17 +25,17 @@
 SlotLimiter::SlotLimiter(int slots, int connections) : slots_(slots), connections_(connections) {}
 
 SlotLimiter::Slot::~Slot() {
-  if (limiter_ != nullptr) limiter_->Free(workspace_, DefaultClock().Now() - begun_);
+  if (limiter_ != nullptr) limiter_->Free(workspace_, begun_, DefaultClock().Now());
 }
 
 SlotLimiter::Slot SlotLimiter::Acquire(const std::string& workspace, const std::string& request_id,
                                        Time now, Time deadline) {
   std::unique_lock<std::mutex> lock(mutex_);
   RequireRoom(workspace, now, deadline);
-  Waiter waiter{workspace, request_id, WaitState::kWaiting};
+  Waiter waiter{workspace, request_id, deadline, WaitState::kWaiting};
   const auto place = queue_.insert(queue_.end(), &waiter);
   ++waiting_of_[workspace];
-  Grant();
+  Grant(now);
   const auto settled = [&waiter] { return waiter.state != WaitState::kWaiting; };
   if (!changed_.wait_until(lock, deadline, settled)) {
     queue_.erase(place);
@@ -53,7 +53,7 @@
   // go elsewhere. Under fair sharing its own workspace's queue is what it waits behind.
   const Duration wait = typical_hold_ * (waiting + 1 + std::max(0, running_ - slots_)) / slots_;
   const bool must_wait = running_ >= slots_;
-  const bool in_vain = must_wait && now + wait > deadline;
+  const bool in_vain = must_wait && now + wait + typical_hold_ > deadline;
   if (!in_vain && running_ + waiting < connections_) return;
   if (!ShedFor(workspace)) {
     throw Error(ErrorKind::kOverloaded, "the target has all the requests that it can take");
@@ -89,17 +89,23 @@
   });
 }
 
-void SlotLimiter::Grant() {
+void SlotLimiter::Grant(Time now) {
   bool any = false;
   while (running_ < slots_ && !queue_.empty()) {
     const auto next = NextToRun();
     Waiter* waiter = *next;
     queue_.erase(next);
-    waiter->state = WaitState::kGranted;
     Decrement(&waiting_of_, waiter->workspace);
+    any = true;
+    // Under overload the slot must not go to one whose answer would come after its deadline, or
+    // every slot is busy with work that nobody waits for.
+    if (!queue_.empty() && now + typical_hold_ > waiter->deadline) {
+      waiter->state = WaitState::kShed;
+      continue;
+    }
+    waiter->state = WaitState::kGranted;
     ++running_of_[waiter->workspace];
     ++running_;
-    any = true;
   }
   if (any) changed_.notify_all();
 }
@@ -130,7 +136,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   slots_ = std::max(1, slots);
   connections_ = std::max(slots_, connections);
-  Grant();
+  Grant(DefaultClock().Now());
 }
 
 TargetLoad SlotLimiter::load() const {
@@ -138,20 +144,21 @@
   return {running_, static_cast<int>(queue_.size()), slots_};
 }
 
-void SlotLimiter::Free(const std::string& workspace, Duration held) {
+void SlotLimiter::Free(const std::string& workspace, Time begun, Time now) {
+  const Duration held = now - begun;
   const std::lock_guard<std::mutex> lock(mutex_);
   --running_;
   Decrement(&running_of_, workspace);
   typical_hold_ = typical_hold_ == Duration::zero()
                       ? held
                       : typical_hold_ + (held - typical_hold_) / kHoldWeight;
-  Grant();
+  Grant(now);
 }
 
 void SlotLimiter::ThrowFor(WaitState state) {
   if (state == WaitState::kCancelled) throw Error(ErrorKind::kCancelled, "the caller has gone");
   if (state == WaitState::kClosed) throw Error(ErrorKind::kLeaving, "the target is leaving");
-  throw Error(ErrorKind::kOverloaded, "gave way to a workspace that holds less");
+  throw Error(ErrorKind::kOverloaded, "the target has more requests than it can answer in time");
 }
 
 }  // namespace turmericshift
--- a/servers/agent/slot_limiter.h
+++ b/servers/agent/slot_limiter.h
@@ -56,13 +56,14 @@
   struct Waiter {
     std::string workspace;
     std::string request_id;
+    Time deadline;
     WaitState state = WaitState::kWaiting;
   };
   using Queue = std::list<Waiter*>;
 
-  void Free(const std::string& workspace, Duration held);
+  void Free(const std::string& workspace, Time begun, Time now);
   // Gives free slots to those who wait.
-  void Grant();
+  void Grant(Time now);
   Queue::iterator NextToRun();
   // Makes room for `workspace` by shedding the newest waiter of one that has more; whether it did.
   bool ShedFor(const std::string& workspace);
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -30,6 +30,7 @@
   // Lets operators in before the first document; empty: none.
   std::string operator_token;
   std::string routing_policy = "two_choices";
+  bool eject_outliers = true;
   std::string placement_policy = "first_fit";
   uint64_t seed = 1;
 };
--- /dev/null
+++ b/servers/entry/routing_policy.cc
@@ -0,0 +1,13 @@
+#include "servers/entry/routing_policy.h"
+
+#include <algorithm>
+
+namespace turmericshift {
+
+double BusyShare(const TargetCandidate& candidate) {
+  const int said = candidate.load.running + candidate.load.queued;
+  const int slots = std::max(1, candidate.load.slots);
+  return static_cast<double>(std::max(said, candidate.outstanding)) / slots;
+}
+
+}  // namespace turmericshift
--- a/servers/entry/routing_policy.h
+++ b/servers/entry/routing_policy.h
@@ -20,6 +20,10 @@
   int outstanding = 0;
 };
 
+// Requests there for each of its slots: what the target last said, or what this entry knows it has
+// sent if that is more.
+double BusyShare(const TargetCandidate& candidate);
+
 class RoutingPolicy {
  public:
   virtual ~RoutingPolicy() = default;
--- a/servers/requests/target_judge.cc
+++ b/servers/requests/target_judge.cc
@@ -12,6 +12,7 @@
 }  // namespace
 
 void TargetJudge::Observe(const std::string& agent, Duration latency, bool well, Time now) {
+  if (!options_.enabled) return;
   const std::lock_guard<std::mutex> lock(mutex_);
   Opinion& opinion = opinions_[agent];
   if (!well) {
--- a/servers/requests/target_judge.h
+++ b/servers/requests/target_judge.h
@@ -15,6 +15,8 @@
 namespace turmericshift {
 
 struct JudgeOptions {
+  // Off for a baseline to measure against.
+  bool enabled = true;
   // Out after this many failures in a row.
   int failures = 3;
   // Out when slower than the median of the others by this factor, after `samples` answers.
