Agent: Keep a silent session beside its successor

Cause: a session whose heartbeat went unanswered was closed before the next one was tried, so a slow entry lost every request in flight to its own agents' impatience.

Change: the agent opens another connection beside the suspect one and drops that only when the new one stands; the entry then settles what was in flight by asking over the new one. A relay in the test loses track of a real session's connection while a request runs.

--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
+constexpr Duration kSuspectPause = std::chrono::milliseconds(10);
 constexpr size_t kMaxCancelled = 1000;
 
 }  // namespace
@@ -196,18 +197,24 @@
 }
 
 void AgentServer::RunSession(const std::string& address) {
+  // A session that has gone silent may only be slow, so it stays until another one stands beside
+  // it; then the entry settles over the new one what was in flight on the old one.
+  std::shared_ptr<EntryPort> suspect;
   do {
+    std::shared_ptr<EntryPort> port;
     try {
-      const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
+      port = connector_->Connect(address, options_.hello, this);
       LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
+      suspect.reset();
       KeepSession(address, port.get());
     } catch (const Error& error) {
       LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
+      if (error.kind() == ErrorKind::kDeadlineExceeded && port) suspect = std::move(port);
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     connected_.erase(address);
     changed_.notify_all();
-  } while (!Pause(options_.reconnect_pause));
+  } while (!Pause(suspect ? kSuspectPause : options_.reconnect_pause));
 }
 
 void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -29,7 +29,8 @@
   int slots = 8;
   int connections = 64;
   Duration heartbeat = std::chrono::milliseconds(1000);
-  Duration heartbeat_timeout = std::chrono::milliseconds(3000);
+  // A session whose heartbeat is not answered for this long is suspect.
+  Duration heartbeat_timeout = std::chrono::milliseconds(2000);
   Duration reconnect_pause = std::chrono::milliseconds(500);
   // After every entry has heard that this agent leaves, requests that they had sent just before
   // may still arrive; they are refused for this long, so that none is met by a closed connection.
--- /dev/null
+++ b/tests/silent_connection_test.cc
@@ -0,0 +1,92 @@
+// A real session whose connection goes silent for good, with a request in flight on it.
+#include <gtest/gtest.h>
+
+#include "core/attempt.h"
+#include "core/digest.h"
+#include "rpc/gate_listener.h"
+#include "rpc/rpc_entry_connector.h"
+#include "tests/stand_ins/request_cluster.h"
+#include "tests/stand_ins/tcp_relay.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr int kMaxRequests = 16;
+
+// Lets agents into a test entry.
+class TestGate : public EntryGate {
+ public:
+  explicit TestGate(std::shared_ptr<TestEntry> entry) : entry_(std::move(entry)) {}
+  std::shared_ptr<EntryPort> OpenAgent(const AgentHello& hello,
+                                       std::shared_ptr<AgentPort> agent) override {
+    entry_->directory.Open(hello, std::move(agent), DefaultClock().Now());
+    return std::make_shared<BeatPort>(entry_, hello);
+  }
+
+ private:
+  const std::shared_ptr<TestEntry> entry_;
+};
+
+// Something between entry and agent loses track of their connection: it stays open and carries
+// nothing, while new ones work. The caller must get the answer of the work that its target did,
+// long before the deadline, and the work must not be done twice.
+TEST(SilentConnectionTest, ARequestInFlightIsSettledOverAnotherConnection) {
+  MemoryLog log;
+  RequestHistory history;
+  Dice dice(1);
+  CountingTarget target("worker-0", &history, &dice);
+  const auto entry = std::make_shared<TestEntry>(&log);
+  TestGate gate(entry);
+  const SharedKeys keys{{"shared-key"}};
+  GateOptions gate_options;
+  gate_options.keys = keys;
+  GateListener listener(gate_options, &gate);
+  TcpRelay relay(listener.port());
+  RpcEntryConnector connector(keys, kMaxRequests);
+  AgentOptions options;
+  options.hello.process = "worker-0";
+  options.hello.incarnation = "first";
+  options.hello.service = kTestService;
+  options.entries = {"127.0.0.1:" + std::to_string(relay.port())};
+  options.heartbeat = std::chrono::milliseconds(20);
+  options.heartbeat_timeout = std::chrono::milliseconds(300);
+  options.reconnect_pause = std::chrono::milliseconds(20);
+  MetricsRegistry metrics;
+  AgentServer agent(options, &connector, &target, nullptr, &metrics);
+  const auto known = [&] {
+    return !entry->directory
+                .Candidates(kTestService, DefaultClock().Now(), std::chrono::seconds(10))
+                .empty();
+  };
+  Await("the agent did not connect", known);
+  Await("the log was not read", [&] { return entry->stream.view().ever_fresh; });
+
+  for (const char* key : {"order-1", ""}) {
+    target.Hold(true);
+    ServiceRequest request;
+    request.request_id = std::string("request-") + key;
+    request.workspace = "workspace";
+    request.service = kTestService;
+    request.path = "/plan";
+    request.body = "six pouches";
+    request.body_digest = Digest(request.body);
+    request.idempotency_key = key;
+    request.time_left = std::chrono::minutes(5);
+    Attempt<ServiceAnswer> attempt;
+    Thread caller("caller", [&] {
+      attempt = AttemptOf<ServiceAnswer>([&] { return entry->router.Route(request); });
+    });
+    Await("the request did not start", [&] { return target.running() == 1; });
+    const int connections = relay.connections();
+    relay.Silence();
+    target.Hold(false);
+    Await("no second connection came", [&] { return relay.connections() > connections; });
+    caller.Join();
+    ASSERT_TRUE(attempt.value) << attempt.error->what();
+    EXPECT_EQ(attempt.value->body, AnswerTo(request.body));
+  }
+  EXPECT_EQ(history.Violations(), std::vector<std::string>{});
+}
+
+}  // namespace
+}  // namespace turmericshift
--- a/tests/stand_ins/request_cluster.cc
+++ b/tests/stand_ins/request_cluster.cc
@@ -24,23 +24,6 @@
   return options;
 }
 
-// One agent's session with one entry.
-class BeatPort : public EntryPort {
- public:
-  BeatPort(std::shared_ptr<TestEntry> entry, AgentHello hello)
-      : entry_(std::move(entry)), hello_(std::move(hello)) {}
-
-  EntryBeat Heartbeat(const AgentBeat& beat, Duration /*timeout*/) override {
-    if (entry_->gone.load()) throw Error(ErrorKind::kConnectionLost, "the entry has gone");
-    entry_->directory.Heard(hello_, beat, DefaultClock().Now());
-    return {};
-  }
-
- private:
-  const std::shared_ptr<TestEntry> entry_;
-  const AgentHello hello_;
-};
-
 // Connects one agent to entries by their index.
 class DirectConnector : public EntryConnector {
  public:
@@ -63,6 +46,12 @@
 
 }  // namespace
 
+EntryBeat BeatPort::Heartbeat(const AgentBeat& beat, Duration /*timeout*/) {
+  if (entry_->gone.load()) throw Error(ErrorKind::kConnectionLost, "the entry has gone");
+  entry_->directory.Heard(hello_, beat, DefaultClock().Now());
+  return {};
+}
+
 void Await(const std::string& what, const std::function<bool()>& holds) {
   const Time limit = DefaultClock().Now() + kAwaitLimit;
   while (!holds()) {
--- a/tests/stand_ins/request_cluster.h
+++ b/tests/stand_ins/request_cluster.h
@@ -32,6 +32,18 @@
   std::atomic<bool> gone{false};
 };
 
+// One agent's session with such an entry.
+class BeatPort : public EntryPort {
+ public:
+  BeatPort(std::shared_ptr<TestEntry> entry, AgentHello hello)
+      : entry_(std::move(entry)), hello_(std::move(hello)) {}
+  EntryBeat Heartbeat(const AgentBeat& beat, Duration timeout) override;
+
+ private:
+  const std::shared_ptr<TestEntry> entry_;
+  const AgentHello hello_;
+};
+
 struct TestAgent {
   std::string name;
   std::unique_ptr<CountingTarget> target;
--- /dev/null
+++ b/tests/stand_ins/tcp_relay.cc
@@ -0,0 +1,106 @@
+#include "tests/stand_ins/tcp_relay.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
+#include "core/error.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr int kPollMillis = 20;
+constexpr size_t kChunkBytes = 4096;
+
+sockaddr_in Loopback(int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  return address;
+}
+
+// One chunk from one end to the other; false once the sending end has closed.
+bool Pass(int from, int to) {
+  std::array<char, kChunkBytes> chunk{};
+  const ssize_t size = recv(from, chunk.data(), chunk.size(), 0);
+  if (size <= 0) return false;
+  return send(to, chunk.data(), static_cast<size_t>(size), MSG_NOSIGNAL) == size;
+}
+
+}  // namespace
+
+struct TcpRelay::Pair {
+  int near = -1;
+  int far = -1;
+  std::atomic<bool> silent{false};
+  Thread thread;
+};
+
+TcpRelay::TcpRelay(int to) : to_(to) {
+  listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = Loopback(0);
+  socklen_t size = sizeof(address);
+  const bool bound = bind(listener_, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+                     listen(listener_, SOMAXCONN) == 0 &&
+                     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  if (!bound) throw Error(ErrorKind::kUnavailable, "the relay can't listen");
+  port_ = ntohs(address.sin_port);
+  thread_ = Thread("relay", [this] { Accept(); });
+}
+
+TcpRelay::~TcpRelay() {
+  stopping_.store(true);
+  thread_.Join();
+  close(listener_);
+  for (const auto& pair : pairs_) pair->thread.Join();
+}
+
+void TcpRelay::Silence() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& pair : pairs_) pair->silent.store(true);
+}
+
+void TcpRelay::Accept() {
+  while (!stopping_.load()) {
+    pollfd waiting{listener_, POLLIN, 0};
+    if (poll(&waiting, 1, kPollMillis) <= 0) continue;
+    auto pair = std::make_unique<Pair>();
+    pair->near = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    pair->far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(to_);
+    if (connect(pair->far, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+      close(pair->near);
+      close(pair->far);
+      continue;
+    }
+    connections_.fetch_add(1);
+    Pair* raw = pair.get();
+    pair->thread = Thread("relay-pair", [this, raw] { Carry(raw); });
+    const std::lock_guard<std::mutex> lock(mutex_);
+    pairs_.push_back(std::move(pair));
+  }
+}
+
+void TcpRelay::Carry(Pair* pair) const {
+  bool open = true;
+  while (open && !stopping_.load()) {
+    std::array<pollfd, 2> ends{{{pair->near, POLLIN, 0}, {pair->far, POLLIN, 0}}};
+    // A silent pair is not read from, so that neither end learns anything.
+    if (pair->silent.load()) ends[0].events = ends[1].events = 0;
+    if (poll(ends.data(), ends.size(), kPollMillis) <= 0 || pair->silent.load()) {
+      if (pair->silent.load()) usleep(kPollMillis * 1000);
+      continue;
+    }
+    if (ends[0].revents != 0) open = Pass(pair->near, pair->far);
+    if (open && ends[1].revents != 0) open = Pass(pair->far, pair->near);
+  }
+  close(pair->near);
+  close(pair->far);
+}
+
+}  // namespace turmericshift
