--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -1,6 +1,7 @@
 #include "servers/agent/agent_server.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "core/attempt.h"
@@ -12,7 +13,10 @@
 namespace {
 
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(200);
-constexpr Duration kSuspectPause = std::chrono::milliseconds(10);
+// How often an idle session thread asks the plan for something to do.
+constexpr Duration kChoosePause = std::chrono::milliseconds(100);
+// What is known of other entries goes with every so many heartbeats, to spare bytes.
+constexpr int kBeatsPerHeard = 2;
 constexpr size_t kMaxCancelled = 1000;
 
 }  // namespace
@@ -25,13 +29,18 @@
       served_(&metrics->counter("agent_requests_served")),
       refused_(&metrics->counter("agent_requests_refused")),
       limiter_(options.slots, options.connections),
-      guard_(options.hello.zone, options.hello.process) {
+      guard_(options.hello.zone, options.hello.process),
+      plan_(options.hello.zone, options.max_sessions, options.entries,
+            std::hash<std::string>{}(options.hello.process + options.hello.incarnation)) {
   if (worker != nullptr) {
     gangs_ =
         std::make_unique<GangHost>(options.hello.worker, worker, &guard_, options.hello.process);
     expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
   }
-  Learn(options.entries);
+  // One more than sessions are kept: a better one is opened before the least one ends.
+  for (int index = 0; index <= options.max_sessions; ++index) {
+    sessions_.emplace_back("agent-beat", [this] { RunSessions(); });
+  }
 }
 
 AgentServer::~AgentServer() {
@@ -178,43 +187,36 @@
   return *gangs_;
 }
 
-void AgentServer::Learn(const std::vector<std::string>& entries) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  for (const std::string& entry : entries) {
-    if (static_cast<int>(known_entries_.size()) >= options_.max_sessions) return;
-    OpenSessionLocked(entry);
-  }
-}
-
-void AgentServer::OpenSession(const std::string& entry) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  OpenSessionLocked(entry);
-}
-
-void AgentServer::OpenSessionLocked(const std::string& entry) {
-  if (stopping_ || !known_entries_.insert(entry).second) return;
-  sessions_.emplace_back("agent-beat", [this, entry] { RunSession(entry); });
+void AgentServer::RunSessions() {
+  do {
+    const std::string address = plan_.Choose(DefaultClock().Now());
+    if (!address.empty()) RunSession(address);
+  } while (!Pause(kChoosePause));
 }
 
 void AgentServer::RunSession(const std::string& address) {
   // A session that has gone silent may only be slow, so it stays until another one stands beside
   // it; then the entry settles over the new one what was in flight on the old one.
   std::shared_ptr<EntryPort> suspect;
-  do {
+  bool again = true;
+  while (again) {
     std::shared_ptr<EntryPort> port;
     try {
       port = connector_->Connect(address, options_.hello, this);
+      plan_.Opened(address);
       LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
       suspect.reset();
       KeepSession(address, port.get());
+      plan_.Released(address);
+      again = false;
     } catch (const Error& error) {
       LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
-      if (error.kind() == ErrorKind::kDeadlineExceeded && port) suspect = std::move(port);
+      again = error.kind() == ErrorKind::kDeadlineExceeded && port;
+      if (!again) plan_.Lost(address, DefaultClock().Now());
+      suspect = std::move(port);
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
-    connected_.erase(address);
-    changed_.notify_all();
-  } while (!Pause(suspect ? kSuspectPause : options_.reconnect_pause));
+    MarkClosed(address);
+  }
 }
 
 void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
@@ -222,20 +224,22 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     connected_.insert(address);
   }
+  int beats = 0;
   int64_t changes = 0;
   do {
     changes = task_changes_.load();
     const Time sent = DefaultClock().Now();
-    const AgentBeat own = MakeBeat();
-    const EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
+    AgentBeat own = MakeBeat();
+    own.members_digest = plan_.members_digest();
+    if (beats++ % kBeatsPerHeard == 0) own.heard = guard_.heard(sent);
+    EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
     ApplyLimits();
+    plan_.Learn(beat.members, beat.planner_address);
+    beat.entries = plan_.addresses();
     if (gangs_) gangs_->Hear(address, beat, sent);
-    Learn(beat.entries);
-    // The planner must hear every agent of its zone, whatever other entries this one knows.
-    if (gangs_ && !beat.planner_address.empty()) OpenSession(beat.planner_address);
     if (own.leaving) MarkTold(address);
-  } while (!PauseUntilChange(options_.heartbeat, changes));
+  } while (!PauseUntilChange(options_.heartbeat, changes) && plan_.StillWanted(address));
 }
 
 AgentBeat AgentServer::MakeBeat() const {
@@ -265,6 +269,12 @@
   changed_.notify_all();
 }
 
+void AgentServer::MarkClosed(const std::string& address) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  connected_.erase(address);
+  changed_.notify_all();
+}
+
 void AgentServer::MarkTold(const std::string& address) {
   const std::lock_guard<std::mutex> lock(mutex_);
   told_leaving_.insert(address);
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -14,6 +14,7 @@
 #include "core/thread.h"
 #include "servers/agent/gang_host.h"
 #include "servers/agent/request_ledger.h"
+#include "servers/agent/session_plan.h"
 #include "servers/agent/slot_limiter.h"
 #include "servers/agent/start_guard.h"
 #include "servers/platform/target_service.h"
@@ -31,7 +32,6 @@
   Duration heartbeat = std::chrono::milliseconds(1000);
   // A session whose heartbeat is not answered for this long is suspect.
   Duration heartbeat_timeout = std::chrono::milliseconds(2000);
-  Duration reconnect_pause = std::chrono::milliseconds(500);
   // After every entry has heard that this agent leaves, requests that they had sent just before
   // may still arrive; they are refused for this long, so that none is met by a closed connection.
   Duration leave_linger = std::chrono::milliseconds(300);
@@ -63,13 +63,13 @@
   const StartGuard& guard() const { return guard_; }
 
  private:
+  // One of the session threads: opens a session where the plan says, keeps it, and starts over.
+  void RunSessions();
   void RunSession(const std::string& address);
+  // Returns when the session is not wanted any more or the agent stops. Throws when it is lost.
   void KeepSession(const std::string& address, EntryPort* port);
   void RunExpiry();
-  // Starts a session thread for each entry not yet known, up to the limit.
-  void Learn(const std::vector<std::string>& entries);
-  void OpenSession(const std::string& entry);
-  void OpenSessionLocked(const std::string& entry);
+  // Returns whether the agent stops.
   bool Pause(Duration duration);
   // Returns early when a task has changed its phase; returns whether the server stops.
   bool PauseUntilChange(Duration duration, int64_t changes);
@@ -82,6 +82,8 @@
   void RequireWanted(const ServiceRequest& request);
   // Takes over slots and connections of the document in force.
   void ApplyLimits();
+  // The session with the entry has ended.
+  void MarkClosed(const std::string& address);
   // The entry has heard that this agent leaves.
   void MarkTold(const std::string& address);
   // Every connected entry has heard that this agent leaves.
@@ -97,6 +99,7 @@
   SlotLimiter limiter_;
   RequestLedger ledger_;
   StartGuard guard_;
+  SessionPlan plan_;
   std::unique_ptr<GangHost> gangs_;
   std::atomic<bool> leaving_{false};
   // Rises with each change of a task's phase.
@@ -106,7 +109,6 @@
   std::condition_variable changed_;
   bool stopping_ = false;
   int serving_ = 0;
-  std::set<std::string> known_entries_;
   // Entries with a session, and those among them that have heard that this agent leaves.
   std::set<std::string> connected_;
   std::set<std::string> told_leaving_;
--- a/servers/requests/idempotent_router.cc
+++ b/servers/requests/idempotent_router.cc
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr Duration kClaimTimeout = std::chrono::seconds(3);
-// Claims are made only while the view is this fresh; RequestFold relies on it when it judges
-// claims near the start of a trimmed stream.
+// With an older view, claims that other entries made meanwhile may be missing; a claim could still
+// be written and lose against them, but the caller learns sooner that the log is down.
 constexpr Duration kViewLimit = std::chrono::seconds(10);
 constexpr Duration kKeepRecording = std::chrono::seconds(60);
 // The owner of a fresh claim gets this long to forward it before a follower asks the agent, since
@@ -176,7 +176,7 @@
 }
 
 void IdempotentRouter::RequireKept(int64_t key_since_ms) const {
-  if (key_since_ms != 0 && key_since_ms < fold_->keeps_since_ms()) ThrowExpired();
+  if (key_since_ms != 0 && key_since_ms <= fold_->forgotten_until_ms()) ThrowExpired();
 }
 
 void IdempotentRouter::RecordEnd(const RequestClaimed& claim, const ServiceAnswer& answer) {
--- a/servers/state/request_fold.cc
+++ b/servers/state/request_fold.cc
@@ -1,15 +1,19 @@
 #include "servers/state/request_fold.h"
 
-#include <functional>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "core/digest.h"
 
 namespace turmericshift {
 namespace {
 
-// Two claims of one key cross only while both writers' views are fresh (the router requires that)
-// and an append takes effect within its timeout, so they lie far closer together than this.
-constexpr int64_t kCrossingMillis = 60'000;
-// At the stream's very first entry nothing can have been trimmed.
-constexpr Sequence kFirstSequences = kMaxRecordsPerEntry;
+constexpr size_t kHashDigits = 16;
+
+// The same in every process and version, since snapshots carry it.
+uint64_t HashOf(const std::string& full_key) {
+  return std::stoull(Digest(full_key).substr(0, kHashDigits), nullptr, 16);
+}
 
 std::string FullKey(const std::string& workspace, const std::string& key) {
   return workspace + "/" + key;
@@ -19,40 +23,22 @@
 
 FoldVerdict RequestFold::Apply(const Record& record, Sequence sequence) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  NoteStart(record, sequence);
   if (const auto* claim = std::get_if<RequestClaimed>(&record)) return Take(*claim, sequence);
   if (const auto* ended = std::get_if<RequestEnded>(&record)) return Take(*ended);
   return {false, "not a request record"};
 }
 
-void RequestFold::NoteStart(const Record& record, Sequence sequence) {
-  if (!begun_) {
-    begun_ = true;
-    trimmed_ = sequence >= kFirstSequences;
-  }
-  const auto* claim = std::get_if<RequestClaimed>(&record);
-  if (trimmed_ && first_wall_ms_ == 0 && claim != nullptr) first_wall_ms_ = claim->wall_ms;
-}
-
-bool RequestFold::NearTrimmedStart(const RequestClaimed& claim) const {
-  return trimmed_ && claim.wall_ms < first_wall_ms_ + kCrossingMillis;
-}
-
 FoldVerdict RequestFold::Take(const RequestClaimed& claim, Sequence sequence) {
   const std::string full_key = FullKey(claim.workspace, claim.key);
-  if (expired_.contains(std::hash<std::string>{}(full_key))) {
+  if (expired_.contains(HashOf(full_key))) {
     return {false, "the key is older than what is kept"};
   }
   const auto [slot, fresh] = requests_.try_emplace(full_key);
   RequestState& state = slot->second;
-  if (fresh && (claim.attempt != 1 || NearTrimmedStart(claim))) {
-    // An earlier claim may have been trimmed away, and this one may have lost against it. Taking
-    // it for the owner would have its agent swear "never ran" while the other's target ran it.
-    state.claim = claim;
-    state.expired = true;
-    return {false, "an earlier claim of this key is no longer kept"};
+  if (fresh && claim.attempt != 1) {
+    requests_.erase(slot);
+    return {false, "the first attempt is unknown"};
   }
-  if (!fresh && state.expired) return {false, "the key is older than what is kept"};
   if (!fresh && state.ended) return {false, "the request has ended"};
   if (!fresh && claim.attempt != state.claim.attempt + 1) {
     return {false, "another attempt owns the key"};
@@ -66,12 +52,8 @@
 FoldVerdict RequestFold::Take(const RequestEnded& ended) {
   const std::string full_key = FullKey(ended.workspace, ended.key);
   const auto found = requests_.find(full_key);
-  if (found == requests_.end()) {
-    if (trimmed_) Expire(full_key);
-    return {false, "no such claim"};
-  }
+  if (found == requests_.end()) return {false, "no such claim"};
   RequestState& state = found->second;
-  if (state.expired) return {false, "the key is older than what is kept"};
   if (state.ended) return {false, "the request has ended"};
   if (state.claim.attempt != ended.attempt) return {false, "another attempt owns the key"};
   if (ended.status == kNeverRanStatus) {
@@ -99,35 +81,83 @@
     ended_order_.pop_front();
     const auto found = requests_.find(oldest);
     body_bytes_ -= found->second.ended->body.size();
+    Expire({HashOf(oldest), found->second.claim.wall_ms});
     requests_.erase(found);
-    Expire(oldest);
   }
 }
 
-void RequestFold::Expire(const std::string& full_key) {
-  const size_t hash = std::hash<std::string>{}(full_key);
-  if (!expired_.insert(hash).second) return;
-  expired_order_.push_back(hash);
+void RequestFold::Expire(const ExpiredKey& key) {
+  if (!expired_.insert(key.hash).second) return;
+  expired_order_.push_back(key);
   if (expired_order_.size() <= limits_.max_expired) return;
-  expired_.erase(expired_order_.front());
+  const ExpiredKey& oldest = expired_order_.front();
+  forgotten_wall_ms_ = std::max(forgotten_wall_ms_, oldest.claimed_wall_ms);
+  expired_.erase(oldest.hash);
   expired_order_.pop_front();
 }
 
+nlohmann::json RequestFold::Snapshot() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& [key, state] : requests_) {
+    nlohmann::json json = {{"claim", RecordToJson(state.claim)}, {"fence", state.fence}};
+    if (state.ended) json["ended"] = RecordToJson(*state.ended);
+    if (state.never_ran) json["never_ran"] = true;
+    list.push_back(std::move(json));
+  }
+  nlohmann::json expired = nlohmann::json::array();
+  for (const ExpiredKey& key : expired_order_) {
+    expired.push_back({{"hash", key.hash}, {"claimed_ms", key.claimed_wall_ms}});
+  }
+  return {{"requests", std::move(list)},
+          {"ended_order", ended_order_},
+          {"expired", std::move(expired)},
+          {"forgotten_until_ms", forgotten_wall_ms_}};
+}
+
+void RequestFold::Restore(const nlohmann::json& state) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  requests_.clear();
+  with_body_.clear();
+  expired_.clear();
+  expired_order_.clear();
+  body_bytes_ = 0;
+  forgotten_wall_ms_ = state.at("forgotten_until_ms").get<int64_t>();
+  for (const nlohmann::json& json : state.at("requests")) {
+    RequestState request;
+    request.claim = std::get<RequestClaimed>(RecordFromJson(json.at("claim")));
+    request.fence = json.at("fence").get<Sequence>();
+    if (json.contains("ended")) {
+      request.ended = std::get<RequestEnded>(RecordFromJson(json.at("ended")));
+      body_bytes_ += request.ended->body.size();
+    }
+    request.never_ran = json.contains("never_ran");
+    requests_[FullKey(request.claim.workspace, request.claim.key)] = std::move(request);
+  }
+  ended_order_ = state.at("ended_order").get<std::deque<std::string>>();
+  for (const std::string& key : ended_order_) {
+    if (!requests_.at(key).ended->body.empty()) with_body_.push_back(key);
+  }
+  for (const nlohmann::json& json : state.at("expired")) {
+    Expire({json.at("hash").get<uint64_t>(), json.at("claimed_ms").get<int64_t>()});
+  }
+}
+
 std::optional<RequestState> RequestFold::Find(const std::string& workspace,
                                               const std::string& key) const {
   const std::string full_key = FullKey(workspace, key);
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = requests_.find(full_key);
   if (found != requests_.end()) return found->second;
-  if (!expired_.contains(std::hash<std::string>{}(full_key))) return std::nullopt;
+  if (!expired_.contains(HashOf(full_key))) return std::nullopt;
   RequestState state;
   state.expired = true;
   return state;
 }
 
-int64_t RequestFold::keeps_since_ms() const {
+int64_t RequestFold::forgotten_until_ms() const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return trimmed_ ? first_wall_ms_ + kCrossingMillis : 0;
+  return forgotten_wall_ms_;
 }
 
 }  // namespace turmericshift
--- a/servers/state/request_fold.h
+++ b/servers/state/request_fold.h
@@ -1,6 +1,7 @@
 // Claims and outcomes of requests that may not be repeated, as a fold of the requests stream.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -8,7 +9,7 @@
 #include <string>
 #include <unordered_set>
 
-#include "servers/state/stream_client.h"
+#include "servers/state/fold.h"
 
 namespace turmericshift {
 
@@ -21,14 +22,15 @@
   std::optional<RequestEnded> ended;
   // The owning attempt's writer has recorded that it never ran, so the next one may be claimed.
   bool never_ran = false;
-  // The key was used, but its history is not whole here: it must never run again.
+  // The key was used, but what became of it is no longer kept: it must never run again.
   bool expired = false;
 };
 
-// How much a fold keeps. What falls out is remembered as expired for `max_expired` keys more.
+// How much a fold keeps; the same in every process, or their folds would differ. What falls out is
+// remembered as expired for `max_expired` keys more.
 struct RequestFoldLimits {
   size_t max_ended = 20000;
-  size_t max_body_bytes = size_t{8} << 20;
+  size_t max_body_bytes = size_t{4} << 20;
   size_t max_expired = 100000;
 };
 
@@ -37,35 +39,35 @@
   explicit RequestFold(const RequestFoldLimits& limits = {}) : limits_(limits) {}
 
   FoldVerdict Apply(const Record& record, Sequence sequence) override;
+  nlohmann::json Snapshot() const override;
+  void Restore(const nlohmann::json& state) override;
 
   std::optional<RequestState> Find(const std::string& workspace, const std::string& key) const;
-  // Keys first used before this time (milliseconds since 1970) may be missing here; 0 while the
-  // stream has been read from its very first record.
-  int64_t keeps_since_ms() const;
+  // Keys first used up to this time (milliseconds since 1970) may have been forgotten altogether; 0
+  // while none was.
+  int64_t forgotten_until_ms() const;
 
  private:
   FoldVerdict Take(const RequestClaimed& claim, Sequence sequence);
   FoldVerdict Take(const RequestEnded& ended);
-  void NoteStart(const Record& record, Sequence sequence);
-  // The stream was trimmed and `claim` is so close to its start that an earlier claim of the same
-  // key may be among what was trimmed.
-  bool NearTrimmedStart(const RequestClaimed& claim) const;
   void Shrink();
-  void Expire(const std::string& full_key);
+  struct ExpiredKey {
+    uint64_t hash = 0;
+    int64_t claimed_wall_ms = 0;
+  };
+  void Expire(const ExpiredKey& key);
 
   const RequestFoldLimits limits_;
   mutable std::mutex mutex_;
-  bool begun_ = false;
-  bool trimmed_ = false;
-  int64_t first_wall_ms_ = 0;
+  int64_t forgotten_wall_ms_ = 0;
   size_t body_bytes_ = 0;
   std::map<std::string, RequestState> requests_;
   // Keys of ended requests, oldest first: those that still have a body, and all.
   std::deque<std::string> with_body_;
   std::deque<std::string> ended_order_;
-  // Hashes of keys whose rows were dropped.
-  std::unordered_set<size_t> expired_;
-  std::deque<size_t> expired_order_;
+  // Keys whose rows were dropped, by hash, and in the order of dropping.
+  std::unordered_set<uint64_t> expired_;
+  std::deque<ExpiredKey> expired_order_;
 };
 
 }  // namespace turmericshift
--- a/tests/stand_ins/request_cluster.h
+++ b/tests/stand_ins/request_cluster.h
@@ -22,6 +22,8 @@
 // The part of an entry that carries requests.
 struct TestEntry {
   explicit TestEntry(LogService* log);
+  // Small, so that a test can outlive them.
+  static constexpr size_t kKeptKeys = 64;
 
   MetricsRegistry metrics;
   RequestFold fold;
