--- a/main/load_generator.cc
+++ b/main/load_generator.cc
@@ -45,8 +45,9 @@
     std::vector<double> latencies;
     while (true) {
       const int number = next.fetch_add(1);
-      if (options.rate > 0)
+      if (options.rate > 0) {
         std::this_thread::sleep_until(begun + FromSeconds(number / options.rate));
+      }
       const Time sent = DefaultClock().Now();
       if (sent >= end) break;
       if (Perform(call(number))) latencies.push_back(Seconds(DefaultClock().Now() - sent));
