--- a/main/commands.cc
+++ b/main/commands.cc
@@ -3,7 +3,9 @@
 #include <cstdio>
 
 #include "main/bench.h"
+#include "main/burn_command.h"
 #include "main/history_command.h"
+#include "main/replay_command.h"
 
 namespace turmericshift {
 
@@ -19,6 +21,8 @@
       {"config", "check, publish, promote and show environment documents", &RunConfig},
       {"zone", "take an availability zone out or in, show zones", &RunZone},
       {"status", "show what an entry knows", &RunStatus},
+      {"report", "report burn: how fast service-level budgets are used up", &RunReport},
+      {"replay", "run traces against the decision code and check their outcomes", &RunReplay},
       {"check-history", "check the daemons' logs against the promises", &RunCheckHistory},
       {"bench", "run the benchmarks and print one table of figures", &RunBench},
       {"token", "make a token and its salted hash", &RunToken},
