--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -12,8 +12,10 @@
 namespace turmericshift {
 namespace {
 
+constexpr Duration kSettleTime = std::chrono::seconds(10);
 constexpr size_t kIncarnationBytes = 8;
 constexpr Duration kRecordTimeout = std::chrono::seconds(3);
+constexpr Duration kHandOverLimit = std::chrono::seconds(5);
 constexpr Duration kUpkeepPeriod = std::chrono::seconds(1);
 // An entry of which no agent has heard for so long is gone. Long enough for a partition to heal:
 // an entry that comes back finds itself missing and joins again.
@@ -57,12 +59,12 @@
   router_ = std::make_unique<RequestRouter>(
       router, RoutingPolicyRegistry::Instance().Create(options.routing_policy, options.seed),
       &directory_, &request_stream_, &request_fold_, &config_fold_, metrics);
-  PlannerOptions planner;
-  planner.zone = options.zone;
-  planner.process = options.process;
-  planner.policy = options.placement_policy;
-  planner_ = std::make_unique<PlannerDuty>(planner, &directory_, &job_stream_, &job_fold_,
-                                           &config_fold_, metrics);
+  PlannerDutiesOptions planners;
+  planners.process = options.process;
+  planners.own_zone = options.zone;
+  planners.policy = options.placement_policy;
+  planners_ = std::make_unique<PlannerDuties>(planners, &directory_, &job_stream_, &job_fold_,
+                                              &config_fold_, metrics);
   caller_http_ = std::make_unique<HttpServer>(
       options.caller_http,
       [this](const HttpRequest& request) { return CallerApi(this).Handle(request); });
@@ -80,7 +82,7 @@
   stop_.notify_all();
   caller_http_.reset();
   operator_http_.reset();
-  planner_.reset();
+  planners_.reset();
   for (StreamClient* stream : {&config_stream_, &job_stream_, &request_stream_, &member_stream_}) {
     stream->BeginStop();
   }
@@ -120,6 +122,11 @@
   }
 }
 
+std::string EntryServer::CallerAddress(const std::string& peer_address) const {
+  // The same machine as its peers reach; the caller port is another.
+  return peer_address.substr(0, peer_address.rfind(':')) + ":" + std::to_string(caller_port());
+}
+
 void EntryServer::JoinIfMissing() {
   std::string address;
   {
@@ -131,9 +138,9 @@
     if (member.process != options_.process) continue;
     if (member.incarnation == incarnation_ && member.address == address) return;
   }
-  member_stream_.Write(
-      MemberJoined{NewRecordId(), options_.process, "entry", options_.zone, address, incarnation_},
-      kRecordTimeout);
+  member_stream_.Write(MemberJoined{NewRecordId(), options_.process, "entry", options_.zone,
+                                    address, incarnation_, CallerAddress(address)},
+                       kRecordTimeout);
 }
 
 void EntryServer::DropSilentMembers(Time now) {
@@ -186,6 +193,10 @@
 }
 
 bool EntryServer::ready() const {
+  // An entry that has just started knows no target until agents find it, and would turn callers
+  // away whom the other entries could serve. Where no agent comes at all it must still take jobs.
+  const bool settled = DefaultClock().Now() - started_ > kSettleTime;
+  if (!settled && directory_.Agents("").empty()) return false;
   return !leaving_.load() && config_fold_.current() != nullptr && job_stream_.view().ever_fresh &&
          request_stream_.view().ever_fresh;
 }
@@ -195,6 +206,8 @@
   LogEvent(LogLevel::kInfo, "entry_leaving");
   caller_http_->StopAccepting();
   const bool drained = caller_http_->Drain(limit);
+  // So that the next planner need not wait until this one is missed.
+  planners_->Leave(kHandOverLimit);
   try {
     member_stream_.Write(MemberLeft{NewRecordId(), options_.process, incarnation_}, kRecordTimeout);
   } catch (const Error& error) {
@@ -222,7 +235,7 @@
   answer.jobs_freshness.failing = jobs.failing;
   const PlannerEpoch epoch = job_fold_.Planner(hello.zone);
   answer.planner_epoch = epoch.epoch;
-  answer.planner_active = epoch.process == options_.process;
+  answer.planner_active = epoch.process == options_.process && planners_->Active(hello.zone);
   // An agent may have a version from an entry that could read it and has gone since. Naming it
   // without its text tells other agents that what this entry has is not the newest.
   if (peers_.highest_version() > answer.config_version) {
