--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -30,7 +30,11 @@
   int slots = 8;
   int connections = 64;
   Duration heartbeat = std::chrono::milliseconds(1000);
-  Duration heartbeat_timeout = std::chrono::milliseconds(3000);
+  // A session whose heartbeat is not answered for this long is suspect.
+  Duration heartbeat_timeout = std::chrono::milliseconds(2000);
+  // After every entry has heard that this agent leaves, requests that they had sent just before
+  // may still arrive; they are refused for this long, so that none is met by a closed connection.
+  Duration leave_linger = std::chrono::milliseconds(300);
 };
 
 class AgentServer : public AgentPort {
@@ -72,7 +76,21 @@
   bool PauseUntilChange(Duration duration, int64_t changes);
   AgentBeat MakeBeat() const;
   GangHost& RequireWorker();
-  ServiceAnswer Run(const ServiceRequest& request);
+  // Serve after and before the counting: the ledger's part, then the target's.
+  ServiceAnswer Admit(const ServiceRequest& request);
+  ServiceAnswer Run(const ServiceRequest& request, Time deadline);
+  // Throws Error(kCancelled) when the request's caller has gone.
+  void RequireWanted(const ServiceRequest& request);
+  // Takes over slots and connections of the document in force.
+  void ApplyLimits();
+  // The session with the entry has ended.
+  void MarkClosed(const std::string& address);
+  // The entry has heard that this agent leaves.
+  void MarkTold(const std::string& address);
+  // Every connected entry has heard that this agent leaves.
+  bool AllTold() const;
+  // Has every session send its next heartbeat now.
+  void WakeBeats();
 
   const AgentOptions options_;
   EntryConnector* const connector_;
@@ -92,6 +110,9 @@
   std::condition_variable changed_;
   bool stopping_ = false;
   int serving_ = 0;
+  // Entries with a session, and those among them that have heard that this agent leaves.
+  std::set<std::string> connected_;
+  std::set<std::string> told_leaving_;
   std::set<std::string> cancelled_;
   std::vector<Thread> sessions_;
   Thread expiry_;
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 
 #include "core/error.h"
 #include "core/logging.h"
@@ -30,6 +31,8 @@
   bool done = false;
   bool abandoned = false;
   Written written;
+  // Set for a posted record: it is given up by itself.
+  std::optional<Time> give_up;
 
   bool maybe_there() const { return maybe_landed || in_flight; }
 };
@@ -114,6 +117,19 @@
   return written;
 }
 
+bool StreamClient::Post(const Record& record, Duration keep_trying) {
+  auto waiter = std::make_shared<Waiter>();
+  waiter->id = RecordId(record);
+  waiter->encoded = EncodeRecord(record);
+  waiter->give_up = DefaultClock().Now() + keep_trying;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (queue_.size() >= kMaxQueued) return false;
+  queue_.push_back(waiter);
+  queued_->Set(static_cast<double>(queue_.size()));
+  changed_.notify_all();
+  return true;
+}
+
 StreamView StreamClient::view() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return view_;
@@ -196,6 +212,7 @@
     for (const auto& waiter : group) {
       waiter->in_flight = false;
       if (!surely_not) waiter->maybe_landed = true;
+      if (waiter->give_up && DefaultClock().Now() > *waiter->give_up) continue;
       if (!waiter->abandoned && !waiter->done) queue_.push_back(waiter);
     }
   }
@@ -221,8 +238,9 @@
   const Time begun = DefaultClock().Now();
   try {
     if (!located_) Locate();
-    const LogBatch batch = service_->Read(name_, host_.next(), options_.read_wait,
-                                          options_.read_wait + options_.read_timeout);
+    // The first reads do not wait at the head, so that a starting process knows it is current.
+    const Duration wait = view().ever_fresh ? options_.read_wait : Duration::zero();
+    const LogBatch batch = service_->Read(name_, host_.next(), wait, wait + options_.read_timeout);
     ApplyBatch(batch);
     const std::lock_guard<std::mutex> lock(mutex_);
     view_.failing = false;
