--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -1,7 +1,7 @@
 #include "servers/entry/entry_server.h"
 
-#include <set>
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/error.h"
