--- /dev/null
+++ b/servers/entry/peer_view_test.cc
@@ -0,0 +1,45 @@
+#include "servers/entry/peer_view.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericshift {
+namespace {
+
+using std::chrono::seconds;
+
+AgentBeat BeatAbout(const std::string& process, const std::string& address, Duration age,
+                    int64_t version) {
+  AgentBeat beat;
+  beat.config_version = version;
+  beat.heard.push_back({{process, "a", address}, version, age});
+  return beat;
+}
+
+// While the log is down an entry is replaced and can't join the members: agents carry word of its
+// new address, and old word from a slow agent does not undo that.
+TEST(PeerViewTest, TheNewestWordOfAnEntryCounts) {
+  PeerView peers;
+  const Time now = Time{} + std::chrono::hours(1);
+  peers.Hear(BeatAbout("entry-1", "10.0.0.2:1", seconds(1), 3), now);
+  peers.Hear(BeatAbout("entry-1", "10.0.0.1:1", seconds(20), 2), now);
+  const std::vector<PeerState> heard = peers.Heard(now, seconds(5));
+  ASSERT_EQ(heard.size(), 1U);
+  EXPECT_EQ(heard[0].entry.address, "10.0.0.2:1");
+  EXPECT_EQ(heard[0].config_version, 3);
+  EXPECT_EQ(peers.highest_version(), 3);
+  EXPECT_TRUE(peers.Heard(now + seconds(10), seconds(5)).empty());
+}
+
+// An agent that invents entries must not fill this process's memory.
+TEST(PeerViewTest, TheNumberOfPeersIsBounded) {
+  PeerView peers;
+  const Time now = Time{} + std::chrono::hours(1);
+  constexpr int kMany = 1000;
+  for (int index = 0; index < kMany; ++index) {
+    peers.Hear(BeatAbout("entry-" + std::to_string(index), "10.0.0.1:1", {}, 1), now);
+  }
+  EXPECT_LE(peers.Heard(now, seconds(5)).size(), 256U);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- a/servers/state/snapshot_test.cc
+++ b/servers/state/snapshot_test.cc
@@ -68,6 +68,8 @@
   std::vector<std::unique_ptr<Fold>> folds;
   folds.push_back(std::make_unique<ConfigFold>());
   folds.push_back(std::make_unique<RequestFold>());
+  // So small that keys expire and are forgotten within a few records.
+  folds.push_back(std::make_unique<RequestFold>(RequestFoldLimits{2, 8, 2}));
   folds.push_back(std::make_unique<JobFold>());
   folds.push_back(std::make_unique<MemberFold>());
   return folds;
