--- a/tests/process_lib.sh
+++ b/tests/process_lib.sh
@@ -120,3 +120,10 @@
   for zone in "${zones[@]}"; do list+=("127.0.0.1:$(port "entry-$zone" "$1")"); done
   echo "${list[*]}"
 }
+
+# How often the target has run each idempotency key, as JSON.
+target_runs() {
+  exec 3<>"/dev/tcp/127.0.0.1/$(port target callers)"
+  printf 'GET /runs HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n' >&3
+  tail -n 1 <&3
+}
--- a/tests/rolling_test.sh
+++ b/tests/rolling_test.sh
@@ -97,9 +97,7 @@
 for pid in "${callers_pids[@]}"; do wait "$pid"; done
 
 orders=$(cat "$work"/orders-* | awk '{n += $1} END {print n}')
-exec 3<>"/dev/tcp/127.0.0.1/$(port target callers)"
-printf 'GET /runs HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n' >&3
-runs=$(tail -n 1 <&3)
+runs=$(target_runs)
 once=$(grep -o '"order-[0-9-]*":1[,}]' <<<"$runs" | wc -l)
 more=$(grep -o '"order-[0-9-]*":[0-9]*' <<<"$runs" | grep -vc ':1$' || true)
 echo "orders $orders, run once $once, run more than once $more"
