--- a/servers/burn/burn_report_test.cc
+++ b/servers/burn/burn_report_test.cc
@@ -110,6 +110,21 @@
   EXPECT_EQ(report.rows[1].bad, 1);
 }
 
+// A workspace waits for its own work, which fills its guarantee. That is no broken promise.
+TEST(BurnReportTest, WaitingForOnesOwnWorkDoesNotBurn) {
+  const std::string own =
+      R"({"event":"job_ended","job":"w/a","workspace":"w","time_ms":90000,"state":"cancelled"}
+{"event":"job_started","job":"w/b","workspace":"w","time_ms":95000,"waited_ms":90000,"borrowed":false}
+)";
+  EXPECT_EQ(Report(own).rows.front().bad, 0);
+  const std::string claimed =
+      R"({"event":"guarantee_claimed","job":"w/c","time_ms":100000}
+{"event":"job_ended","job":"w/d","workspace":"w","time_ms":150000,"state":"cancelled"}
+{"event":"job_started","job":"w/c","workspace":"w","time_ms":151000,"waited_ms":60000,"borrowed":true}
+)";
+  EXPECT_EQ(Report(own + claimed).rows.front().bad, 1);
+}
+
 TEST(BurnReportTest, ThePageStandsAloneAndEscapesNames) {
   const std::string html = BurnHtml(Report(Answered(1, "ran", "") + Answered(9, "ran", "")));
   EXPECT_NE(html.find("small &lt;test&gt;"), std::string::npos);
--- a/servers/burn/burn_samples.cc
+++ b/servers/burn/burn_samples.cc
@@ -1,4 +1,4 @@
-#include <set>
+#include <algorithm>
 
 #include "core/error.h"
 #include "servers/burn/burn_report.h"
@@ -39,10 +39,14 @@
       case Kind::kRequestAnswered:
         return TakeAnswer(event);
       case Kind::kGuaranteeClaimed:
-        claimed_.insert(event.job);
+        claimed_[event.job] = event.time_ms;
+        return;
+      case Kind::kGuaranteeWithdrawn:
+        claimed_.erase(event.job);
         return;
       case Kind::kJobStopped:
         jobs_[event.job].stops += 1;
+        freed_[event.workspace] = event.time_ms;
         return;
       case Kind::kJobStarted:
         return TakeStart(event);
@@ -79,15 +83,28 @@
     if (job.started) return;
     job.started = true;
     job.waited_ms = event.waited_ms;
+    const auto claim = claimed_.find(event.job);
     // Nobody promised borrowed room.
-    if (event.borrowed && claimed_.count(event.job) == 0) return;
-    Add(event, Objective::kStartsWithinBound, event.waited_ms <= reclaim_ms_,
-        "waited_for_guaranteed_room");
+    if (event.borrowed && claim == claimed_.end()) return;
+    const double since =
+        claim == claimed_.end() ? CoveredSince(event) : static_cast<double>(claim->second);
+    Add(event, Objective::kStartsWithinBound,
+        static_cast<double>(event.time_ms) - since <= reclaim_ms_, "waited_for_guaranteed_room");
+  }
+
+  // When the guarantee can first have covered the job, for logs without claims: not before its
+  // workspace's own work last gave room back.
+  double CoveredSince(const HistoryEvent& start) const {
+    const double submitted = static_cast<double>(start.time_ms) - start.waited_ms;
+    const auto freed = freed_.find(start.workspace);
+    return freed == freed_.end() ? submitted
+                                 : std::max(submitted, static_cast<double>(freed->second));
   }
 
   void TakeEnd(const HistoryEvent& event) {
     const JobState job = jobs_[event.job];
     jobs_.erase(event.job);
+    freed_[event.workspace] = event.time_ms;
     claimed_.erase(event.job);
     if (event.state == "failed") return Add(event, Objective::kPlansOnTime, false, "failed");
     if (event.state != "done") return;
@@ -105,7 +122,10 @@
   const double reclaim_ms_;
   const BurnOptions options_;
   std::map<std::string, JobState> jobs_;
-  std::set<std::string> claimed_;
+  // When each job's guarantee was claimed.
+  std::map<std::string, int64_t> claimed_;
+  // When a workspace's own work last ended or stopped.
+  std::map<std::string, int64_t> freed_;
 };
 
 }  // namespace
