Planner: Try a failed job elsewhere before it counts as failed

ZonePlanner tells workers at fault from jobs at fault, but neither the planner's duty nor replay asked it. A test with the planner's simulation breaks a worker and expects all jobs done.

--- a/servers/planner/planner_duty_test.cc
+++ b/servers/planner/planner_duty_test.cc
@@ -118,6 +118,21 @@
   EXPECT_FALSE(world.Runs(running));
 }
 
+// One worker fails all that it starts. It looks idle, so plan after plan would go there and be told
+// failed; they are tried elsewhere instead, and what may not be repeated is not.
+TEST_F(PlannerDutyTest, AWorkerThatFailsEverythingDoesNotFailItsJobs) {
+  PlannerSimulation world(1, {});
+  world.BreakFirstWorker();
+  std::vector<std::string> jobs;
+  for (int number = 0; number < 6; ++number) {
+    jobs.push_back(world.Submit(Spec("plan-" + std::to_string(number), 1, "2s")));
+    world.Run(seconds(3), false);
+  }
+  world.Run(seconds(20), false);
+  for (const std::string& job : jobs) EXPECT_EQ(StateOf(world, job), JobState::kDone) << job;
+  EXPECT_EQ(First(world), "");
+}
+
 struct SeedResult {
   std::string violation;
   int unfinished = 0;
--- a/servers/planner/planner_simulation.h
+++ b/servers/planner/planner_simulation.h
@@ -45,6 +45,8 @@
   std::string planner() const;
   void KillEntry(const std::string& name);
   void SetLogDown(bool down);
+  // The first agent's worker fails all that it starts from now on.
+  void BreakFirstWorker();
   // The agent and these entries don't reach each other until then.
   void CutAgent(const std::string& agent, const std::set<std::string>& entries, Duration time);
   // The entry that makes the next call stands still first, for so long.
--- a/servers/planner/planner_simulation_test.cc
+++ b/servers/planner/planner_simulation_test.cc
@@ -255,6 +255,12 @@
   }
 }
 
+void PlannerSimulation::BreakFirstWorker() {
+  WorkerFaults faults;
+  faults.fails_everything = true;
+  agents_.front()->worker->SetFaults(faults);
+}
+
 void PlannerSimulation::SetLogDown(bool down) {
   log_down_ = down;
   LogFaults faults;
--- a/servers/planner/report_table.h
+++ b/servers/planner/report_table.h
@@ -30,6 +30,8 @@
   // Tasks that are done, failed or stopped.
   int ended() const;
   bool guaranteed() const;
+  // Workers at which a task failed, each once.
+  std::vector<std::string> FailedOn() const;
   // Least progress among its tasks.
   double progress() const;
   // The checkpoint of the task that got least far; empty unless every task has one.
