--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -1,5 +1,6 @@
 #include "servers/agent/agent_server.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -55,64 +56,75 @@
 }
 
 ServiceAnswer AgentServer::Serve(const ServiceRequest& request) {
+  Attempt<ServiceAnswer> attempt = AttemptOf<ServiceAnswer>([&] { return Admit(request); });
+  (attempt.error ? refused_ : served_)->Add();
+  return attempt.Take();
+}
+
+ServiceAnswer AgentServer::Admit(const ServiceRequest& request) {
+  const Time now = DefaultClock().Now();
+  if (!request.incarnation.empty() && request.incarnation != options_.hello.incarnation) {
+    // A copy of this message may have reached the predecessor, which can't be asked any more.
+    throw Error(ErrorKind::kFenced, Outcome::kUnknown, "meant for an earlier start of this agent");
+  }
+  ledger_.Begin(request, now);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (leaving_.load()) throw Error(ErrorKind::kLeaving, "the target is leaving");
     ++serving_;
   }
-  Attempt<ServiceAnswer> attempt = AttemptOf<ServiceAnswer>([&] { return Run(request); });
+  Attempt<ServiceAnswer> attempt =
+      AttemptOf<ServiceAnswer>([&] { return Run(request, now + request.time_left); });
+  // Before the refusal is told, so that no late copy of the message makes it untrue.
+  if (attempt.error && attempt.error->outcome() == Outcome::kNotRun) ledger_.Refuse(request);
+  if (attempt.error && attempt.error->outcome() != Outcome::kNotRun) ledger_.Lose(request);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     --serving_;
   }
   changed_.notify_all();
-  (attempt.error ? refused_ : served_)->Add();
   return attempt.Take();
 }
 
-ServiceAnswer AgentServer::Run(const ServiceRequest& request) {
+ServiceAnswer AgentServer::Run(const ServiceRequest& request, Time deadline) {
+  if (leaving_.load()) throw Error(ErrorKind::kLeaving, "the target is leaving");
   if (target_ == nullptr || request.service != options_.hello.service) {
     throw Error(ErrorKind::kNotFound, "this agent does not serve '" + request.service + "'");
   }
   if (Digest(request.body) != request.body_digest) {
     throw Error(ErrorKind::kInvalidInput, "the body was damaged on its way here");
   }
-  const Time deadline = DefaultClock().Now() + request.time_left;
-  const SlotLimiter::Slot slot = limiter_.Acquire(deadline);
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (cancelled_.erase(request.request_id) != 0) {
-      throw Error(ErrorKind::kCancelled, "the caller has gone");
-    }
-  }
-  const bool fenced = !request.idempotency_key.empty();
-  if (fenced) ledger_.Begin(request);
+  const SlotLimiter::Slot slot =
+      limiter_.Acquire(request.workspace, request.request_id, DefaultClock().Now(), deadline);
+  RequireWanted(request);
   ServiceRequest to_target = request;
   to_target.time_left = deadline - DefaultClock().Now();
+  if (to_target.time_left <= Duration::zero()) {
+    throw Error(ErrorKind::kDeadlineExceeded, Outcome::kNotRun, "its deadline passed in the queue");
+  }
   // History checks rest on these two lines: what ran here, and what it answered.
-  const nlohmann::json run = {{"request", request.request_id},
-                              {"workspace", request.workspace},
-                              {"key_tag", KeyTag(request.workspace, request.idempotency_key)},
-                              {"attempt", request.attempt},
-                              {"agent", options_.hello.process}};
+  nlohmann::json run = {{"request", CallerRequestId(request.request_id)},
+                        {"workspace", request.workspace},
+                        {"key_tag", KeyTag(request.workspace, request.idempotency_key)},
+                        {"attempt", request.attempt},
+                        {"agent", options_.hello.process}};
   LogEvent(LogLevel::kInfo, "request_run", run);
-  try {
-    ServiceAnswer answer = target_->Perform(to_target);
-    answer.request_id = request.request_id;
-    nlohmann::json ran = run;
-    ran["answer_digest"] = answer.body_digest;
-    LogEvent(LogLevel::kInfo, "request_ran", ran);
-    if (fenced) ledger_.Finish(request, answer);
-    answer.load = limiter_.load();
-    return answer;
-  } catch (const Error& error) {
-    if (fenced && error.outcome() == Outcome::kNotRun) ledger_.Abandon(request);
-    if (fenced && error.outcome() != Outcome::kNotRun) ledger_.Lose(request);
-    throw;
-  }
+  ServiceAnswer answer = target_->Perform(to_target);
+  answer.request_id = request.request_id;
+  run["answer_digest"] = answer.body_digest;
+  LogEvent(LogLevel::kInfo, "request_ran", run);
+  ledger_.Finish(request, answer);
+  answer.load = limiter_.load();
+  return answer;
+}
+
+void AgentServer::RequireWanted(const ServiceRequest& request) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (cancelled_.erase(request.request_id) == 0) return;
+  throw Error(ErrorKind::kCancelled, "the caller has gone");
 }
 
 void AgentServer::Cancel(const std::string& request_id) {
+  if (limiter_.CancelWaiting(request_id)) return;
   const std::lock_guard<std::mutex> lock(mutex_);
   // Ids of requests that have ended already are never asked for again; they must not pile up.
   if (cancelled_.size() >= kMaxCancelled) cancelled_.clear();
@@ -120,7 +132,10 @@
 }
 
 SeenAnswer AgentServer::Resolve(const SeenQuestion& question, Duration /*timeout*/) {
-  return ledger_.Resolve(question);
+  if (!question.incarnation.empty() && question.incarnation != options_.hello.incarnation) {
+    return {SeenState::kUnknown, {}};
+  }
+  return ledger_.Resolve(question, DefaultClock().Now());
 }
 
 void AgentServer::Reserve(const GangReserve& reserve, Duration /*timeout*/) {
@@ -150,9 +165,21 @@
 
 bool AgentServer::Leave(Duration limit) {
   leaving_.store(true);
+  // Those that wait here are told so at once: their entries take them to another target.
+  limiter_.Close();
   LogEvent(LogLevel::kInfo, "agent_leaving");
+  WakeBeats();
+  const Time give_up = DefaultClock().Now() + limit;
   std::unique_lock<std::mutex> lock(mutex_);
-  return changed_.wait_for(lock, limit, [this] { return serving_ == 0; });
+  changed_.wait_until(lock, give_up, [this] { return AllTold(); });
+  changed_.wait_until(lock, std::min(give_up, DefaultClock().Now() + options_.leave_linger),
+                      [this] { return stopping_; });
+  return changed_.wait_until(lock, give_up, [this] { return serving_ == 0; });
+}
+
+bool AgentServer::AllTold() const {
+  return std::includes(told_leaving_.begin(), told_leaving_.end(), connected_.begin(),
+                       connected_.end());
 }
 
 GangHost& AgentServer::RequireWorker() {
@@ -168,19 +195,35 @@
 }
 
 void AgentServer::RunSession(const std::string& address) {
-  try {
-    const std::shared_ptr<EntryPort> port = connector_->Connect(address, options_.hello, this);
-    plan_.Opened(address);
-    LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
-    KeepSession(address, port.get());
-    plan_.Released(address);
-  } catch (const Error& error) {
-    plan_.Lost(address, DefaultClock().Now());
-    LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
+  // A session that has gone silent may only be slow, so it stays until another one stands beside
+  // it; then the entry settles over the new one what was in flight on the old one.
+  std::shared_ptr<EntryPort> suspect;
+  bool again = true;
+  while (again) {
+    std::shared_ptr<EntryPort> port;
+    try {
+      port = connector_->Connect(address, options_.hello, this);
+      plan_.Opened(address);
+      LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
+      suspect.reset();
+      KeepSession(address, port.get());
+      plan_.Released(address);
+      again = false;
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
+      again = error.kind() == ErrorKind::kDeadlineExceeded && port;
+      if (!again) plan_.Lost(address, DefaultClock().Now());
+      suspect = std::move(port);
+    }
+    MarkClosed(address);
   }
 }
 
 void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    connected_.insert(address);
+  }
   int beats = 0;
   int64_t changes = 0;
   do {
@@ -191,9 +234,11 @@
     if (beats++ % kBeatsPerHeard == 0) own.heard = guard_.heard(sent);
     EntryBeat beat = port->Heartbeat(own, options_.heartbeat_timeout);
     guard_.Hear(beat, sent);
+    ApplyLimits();
     plan_.Learn(beat.members, beat.planner_address);
     beat.entries = plan_.addresses();
     if (gangs_) gangs_->Hear(address, beat, sent);
+    if (own.leaving) MarkTold(address);
   } while (!PauseUntilChange(options_.heartbeat, changes) && plan_.StillWanted(address));
 }
 
@@ -216,6 +261,33 @@
   } while (!Pause(kExpiryPeriod));
 }
 
+void AgentServer::WakeBeats() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    task_changes_.fetch_add(1);
+  }
+  changed_.notify_all();
+}
+
+void AgentServer::MarkClosed(const std::string& address) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  connected_.erase(address);
+  changed_.notify_all();
+}
+
+void AgentServer::MarkTold(const std::string& address) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  told_leaving_.insert(address);
+  changed_.notify_all();
+}
+
+void AgentServer::ApplyLimits() {
+  const std::shared_ptr<const Environment> environment = guard_.environment();
+  if (!environment) return;
+  const ServiceSpec* service = environment->FindService(options_.hello.service);
+  if (service != nullptr) limiter_.SetLimits(service->slots, service->connections);
+}
+
 bool AgentServer::Pause(Duration duration) {
   std::unique_lock<std::mutex> lock(mutex_);
   return changed_.wait_for(lock, duration, [this] { return stopping_; });
--- a/servers/planner/planner_duty_test.cc
+++ b/servers/planner/planner_duty_test.cc
@@ -5,6 +5,7 @@
 
 #include "modules/placement/register_types.h"
 #include "servers/planner/planner_simulation.h"
+#include "servers/planner/report_table.h"
 
 namespace turmericshift {
 namespace {
@@ -118,19 +119,19 @@
   EXPECT_FALSE(world.Runs(running));
 }
 
-// One worker fails all that it starts. It looks idle, so plan after plan would go there and be told
-// failed; they are tried elsewhere instead, and what may not be repeated is not.
-TEST_F(PlannerDutyTest, AWorkerThatFailsEverythingDoesNotFailItsJobs) {
-  PlannerSimulation world(1, {});
-  world.BreakFirstWorker();
-  std::vector<std::string> jobs;
-  for (int number = 0; number < 6; ++number) {
-    jobs.push_back(world.Submit(Spec("plan-" + std::to_string(number), 1, "2s")));
-    world.Run(seconds(3), false);
-  }
-  world.Run(seconds(20), false);
-  for (const std::string& job : jobs) EXPECT_EQ(StateOf(world, job), JobState::kDone) << job;
-  EXPECT_EQ(First(world), "");
+// A gang lost two tasks at one worker. Only that worker is to blame, and once.
+TEST(ReportTableTest, FailedOnNamesEachWorkerOnce) {
+  ReportedAttempt attempt;
+  const auto add = [&attempt](const std::string& worker, TaskPhase phase) {
+    ReportedTask task;
+    task.worker = worker;
+    task.report.phase = phase;
+    attempt.tasks.push_back(task);
+  };
+  add("b", TaskPhase::kFailed);
+  add("a", TaskPhase::kRunning);
+  add("b", TaskPhase::kFailed);
+  EXPECT_EQ(attempt.FailedOn(), std::vector<std::string>{"b"});
 }
 
 struct SeedResult {
--- a/servers/ports/messages.cc
+++ b/servers/ports/messages.cc
@@ -6,6 +6,14 @@
 
 namespace turmericshift {
 
+std::string SendingId(const std::string& request_id, int sending) {
+  return request_id + "." + std::to_string(sending);
+}
+
+std::string CallerRequestId(const std::string& sending_id) {
+  return sending_id.substr(0, sending_id.find('.'));
+}
+
 const char* SeenStateName(SeenState state) {
   static constexpr std::array<const char*, 4> kNames = {"never_will_run", "running", "ran",
                                                         "unknown"};
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -66,6 +66,11 @@
   // outcome unknown means that any of them may have been appended.
   std::vector<Written> WriteAll(const std::vector<Record>& records, Duration timeout);
 
+  // Sends `record` in the background, again and again until the log has taken it or `keep_trying`
+  // is over. For records whose loss costs a question later, never a promise. Returns false when too
+  // many records wait already.
+  bool Post(const Record& record, Duration keep_trying);
+
   // Writes what is due of a snapshot at `now`; for a thread that calls it every second or so.
   // Returns whether a whole one was written. Throws as Write.
   bool KeepSnapshot(Time now, int64_t wall_ms);
