--- a/servers/planner/planner_duty_endings.cc
+++ b/servers/planner/planner_duty_endings.cc
@@ -95,6 +95,11 @@
       return BeginEnding(attempt, AttemptEnd::kDone, now);
     }
     if (found->Count(TaskPhase::kFailed) > 0) {
+      // A worker that fails everything must not cost every job that it draws.
+      if (planner_->AttemptFailedOn(attempt->order.job, found->FailedOn(), now) ==
+          FailureVerdict::kTryElsewhere) {
+        return BeginEnding(attempt, AttemptEnd::kStopped, now);
+      }
       attempt->final_state = JobState::kFailed;
       attempt->reason = "a task failed";
       return BeginEnding(attempt, AttemptEnd::kFailed, now);
