--- a/servers/planner/planner_duty_test.cc
+++ b/servers/planner/planner_duty_test.cc
@@ -5,6 +5,7 @@
 
 #include "modules/placement/register_types.h"
 #include "servers/planner/planner_simulation.h"
+#include "servers/planner/report_table.h"
 
 namespace turmericshift {
 namespace {
@@ -118,6 +119,21 @@
   EXPECT_FALSE(world.Runs(running));
 }
 
+// A gang lost two tasks at one worker. Only that worker is to blame, and once.
+TEST(ReportTableTest, FailedOnNamesEachWorkerOnce) {
+  ReportedAttempt attempt;
+  const auto add = [&attempt](const std::string& worker, TaskPhase phase) {
+    ReportedTask task;
+    task.worker = worker;
+    task.report.phase = phase;
+    attempt.tasks.push_back(task);
+  };
+  add("b", TaskPhase::kFailed);
+  add("a", TaskPhase::kRunning);
+  add("b", TaskPhase::kFailed);
+  EXPECT_EQ(attempt.FailedOn(), std::vector<std::string>{"b"});
+}
+
 struct SeedResult {
   std::string violation;
   int unfinished = 0;
--- a/servers/planner/report_table.cc
+++ b/servers/planner/report_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace turmericshift {
 
@@ -24,6 +25,14 @@
                      [](const ReportedTask& task) { return task.report.guaranteed; });
 }
 
+std::vector<std::string> ReportedAttempt::FailedOn() const {
+  std::set<std::string> workers;
+  for (const ReportedTask& task : tasks) {
+    if (task.report.phase == TaskPhase::kFailed) workers.insert(task.worker);
+  }
+  return {workers.begin(), workers.end()};
+}
+
 double ReportedAttempt::progress() const {
   double least = 1;
   for (const ReportedTask& task : tasks) least = std::min(least, task.report.progress);
--- a/servers/replay/replay_platform.cc
+++ b/servers/replay/replay_platform.cc
@@ -90,6 +90,11 @@
     if (!Worker(task.worker).fails_all) continue;
     attempt.ends = std::min(attempt.ends, now + fails_after_);
     attempt.end = AttemptEnd::kFailed;
+    attempt.failed_on.push_back(task.worker);
+  }
+  // A job at fault fails wherever it runs.
+  if (attempt.failed_on.empty() && job.fails) {
+    attempt.failed_on.push_back(start.tasks.front().worker);
   }
   runs_[start.job] = job.runs;
   attempts_[{start.job, start.attempt}] = attempt;
@@ -104,7 +109,7 @@
                   [&worker](const TaskOnWorker& task) { return task.worker == worker; });
     if (attempt.tasks.size() == before.tasks.size()) continue;
     hit.push_back(before);
-    attempt.ends = attempt.tasks.empty() ? now : std::min(attempt.ends, now + lease);
+    attempt.ends = now + lease;
     attempt.end = AttemptEnd::kWorkerLost;
     attempt.saves = false;
   }
--- a/servers/replay/replay_platform.h
+++ b/servers/replay/replay_platform.h
@@ -45,6 +45,8 @@
   AttemptEnd end = AttemptEnd::kDone;
   // The work is saved at its end.
   bool saves = false;
+  // Workers at which a task fails, for kFailed.
+  std::vector<std::string> failed_on;
 
   int accelerators() const { return spec.shape.accelerators * static_cast<int>(tasks.size()); }
 };
@@ -66,7 +68,8 @@
   void Start(const std::string& zone, const StartDecision& start, const TracedJob& job, Time now);
   // The attempt ends at `at` at the latest, as `end`; its work is saved if `saves`.
   void StopBy(const AttemptKey& key, Time at, AttemptEnd end, bool saves);
-  // What ran there is gone; the other members of its gangs stop when their `lease` runs out.
+  // What ran there is gone. Whether it still runs can't be known before its `lease` has run out, so
+  // its gangs end then.
   // Returns the attempts that lost a member, as they were.
   std::vector<ReplayAttempt> LoseWorker(const std::string& worker, Duration lease, Time now);
   // Attempts of the zone that have ended by `now`, removed, in order of job.
--- a/servers/replay/replayer.cc
+++ b/servers/replay/replayer.cc
@@ -214,7 +214,9 @@
     integrals_.Lost(lost);
   }
   Zone& zone = RequireZone(state.zone);
-  zone.planner->WorkerLost(worker, now_);
+  // Its attempts are ended with proof before the worker is given up.
+  zone.planner->WorkerUsable(worker, false);
+  ForgetLostWorkers(&zone);
   zone.dirty = true;
 }
 
