Agent: Count an entry that fell silent though others read once more

Cause: any newer read by another entry made the agent forget one that it could no longer hear. If the others then lost the log, all that the agent heard said that the log was down, and it started work although operators had taken its zone out at the forgotten entry. Change: a silent entry that last read the log counts until others have read it a minute later.

--- a/modules/stand_ins/direct_connector.cc
+++ b/modules/stand_ins/direct_connector.cc
@@ -39,7 +39,8 @@
   if (!way) throw Error(ErrorKind::kUnavailable, "no entry at " + address);
   const std::shared_lock<std::shared_mutex> lock(way->mutex);
   if (way->gate == nullptr) throw Error(ErrorKind::kUnavailable, "no entry at " + address);
-  // The agent outlives its sessions, so the entry's pointer owns nothing.
+  // Owns nothing: the agent must outlive the entries that it was opened at, which drop the port
+  // of an agent that fell silent.
   const std::shared_ptr<AgentPort> unowned(std::shared_ptr<void>(), agent);
   return std::make_shared<Port>(way, way->gate->OpenAgent(hello, unowned));
 }
--- a/servers/agent/start_guard.cc
+++ b/servers/agent/start_guard.cc
@@ -10,8 +10,9 @@
 namespace turmericshift {
 namespace {
 
-// An entry that said it can't read the log and then fell silent counts no longer after this time;
-// otherwise one lost machine would stop all starts for as long as the log is down.
+// A silent entry counts no longer after this time, if it said that it can't read the log or if the
+// log was read by others since; otherwise one lost machine would stop all starts for as long as the
+// log is down.
 constexpr Duration kForgetSilent = std::chrono::seconds(60);
 // One zone's entries may share one broken path to the log.
 constexpr size_t kZonesThatAgree = 2;
@@ -79,8 +80,10 @@
   if (ever_fresh_ && time <= fresh_at_) return;
   fresh_at_ = time;
   ever_fresh_ = true;
-  // Entries that have gone for good leave by this way too.
-  std::erase_if(statements_, [&](const auto& each) { return each.second.sent < time; });
+  // An entry that fell silent a moment ago may only be out of this agent's reach and read on, so
+  // others' reads don't end what it may accept; one silent for long while the log was read has gone.
+  std::erase_if(statements_,
+                [&](const auto& each) { return each.second.sent < time - kForgetSilent; });
 }
 
 bool StartGuard::LogIsDown(Time now) const {
--- a/servers/agent/start_guard_test.cc
+++ b/servers/agent/start_guard_test.cc
@@ -93,6 +93,19 @@
   EXPECT_TRUE(MayStart(again));
 }
 
+// The way to one entry breaks while it goes on reading the log; just afterwards the other entries,
+// whose last read is newer than its last word, lose the log. Operators can still take the zone out
+// at the first, and shops would see work start in a zone that is under maintenance.
+TEST_F(StartGuardTest, AReaderThatFellSilentCountsThoughOthersReadOnceMore) {
+  for (const char* zone : {"a", "b", "c"}) guard_.Hear(Beat(zone, 1, Duration{}, false), now_);
+  for (const char* zone : {"a", "b"}) {
+    guard_.Hear(Beat(zone, 1, Duration{}, false), now_ + seconds(1));
+  }
+  const Time later = now_ + seconds(10);
+  for (const char* zone : {"a", "b"}) guard_.Hear(Beat(zone, 1, seconds(9), true), later);
+  EXPECT_FALSE(MayStart(later));
+}
+
 // An entry restarted during the outage knows nothing of what it accepted before.
 TEST_F(StartGuardTest, ARestartedEntryDoesNotVouch) {
   for (const char* zone : {"a", "b"}) guard_.Hear(Beat(zone, 1, Duration{}, false), now_);
--- a/tests/control_history_test.cc
+++ b/tests/control_history_test.cc
@@ -64,8 +64,9 @@
   }
 
   ~ControlHistoryTest() override {
-    agents_.clear();
+    // Entries first: they drop agents that fell silent, and their pointers own nothing here.
     for (size_t index = 0; index < entries_.size(); ++index) StopEntry(index);
+    agents_.clear();
   }
 
   static std::string Address(const Entry& entry) { return "entry-" + entry.zone + ":1"; }
