--- a/modules/placement/register_types.cc
+++ b/modules/placement/register_types.cc
@@ -5,6 +5,7 @@
 #include "modules/placement/cell_policy.h"
 #include "modules/placement/decision_time_suite.h"
 #include "modules/placement/first_fit.h"
+#include "modules/placement/placement_suite.h"
 
 namespace turmericshift {
 
@@ -17,6 +18,8 @@
                                                [] { return std::make_unique<CellPolicy>(); });
   BenchSuiteRegistry::Instance().Register("decision_time",
                                           [] { return std::make_unique<DecisionTimeSuite>(); });
+  BenchSuiteRegistry::Instance().Register("placement",
+                                          [] { return std::make_unique<PlacementSuite>(); });
 }
 
 }  // namespace turmericshift
--- a/servers/entry/caller_api.cc
+++ b/servers/entry/caller_api.cc
@@ -143,11 +143,15 @@
   record.id = NewRecordId();
   record.config_version = config->version;
   record.wall_ms = DefaultClock().WallMillis();
-  std::map<std::string, size_t> open_jobs;
+  const Feasibility feasibility(config->environment);
+  if (const auto refusal = feasibility.Anywhere(record.spec)) {
+    throw Error(ErrorKind::kImpossible, "the job can never run: " + refusal->Text());
+  }
+  ZoneLoads loads;
   for (const auto& [name, zone] : config->environment->zones) {
-    open_jobs[name] = entry_->job_fold_.OpenJobs(name).size();
+    for (const JobRecord& job : entry_->job_fold_.OpenJobs(name)) loads[name].Add(job.spec);
   }
-  record.zone = ChooseZone(*config->environment, record.spec, open_jobs);
+  record.zone = ChooseZone(*config->environment, feasibility, record.spec, loads);
   if (record.zone.empty()) {
     throw Error(ErrorKind::kUnavailable, "no availability zone that the job allows is in");
   }
--- a/servers/planner/feasibility.cc
+++ b/servers/planner/feasibility.cc
@@ -92,6 +92,18 @@
   return nearest;
 }
 
+int Feasibility::GuaranteedAccelerators(const std::string& zone,
+                                        const std::string& workspace) const {
+  const AvailabilityZoneSpec* known = environment_->FindZone(zone);
+  if (known == nullptr) return 0;
+  const CellSizes sizes = SizesOf(*known);
+  int total = 0;
+  for (const CellCount& cell : split_.Share(zone, workspace).cells) {
+    total += cell.count * sizes.Accelerators(cell.level);
+  }
+  return total;
+}
+
 std::optional<Refusal> Feasibility::Check(const std::string& name, const JobSpec& spec,
                                           const GuaranteeSplit& split) const {
   const AvailabilityZoneSpec* zone = environment_->FindZone(name);
--- a/servers/planner/feasibility.h
+++ b/servers/planner/feasibility.h
@@ -27,6 +27,8 @@
   std::optional<Refusal> InZone(const std::string& zone, const JobSpec& spec) const;
   // None if some zone that the job allows can run it, now or when every zone is back in.
   std::optional<Refusal> Anywhere(const JobSpec& spec) const;
+  // Of the cells that the zone hosts for the workspace at present.
+  int GuaranteedAccelerators(const std::string& zone, const std::string& workspace) const;
 
  private:
   std::optional<Refusal> Check(const std::string& zone, const JobSpec& spec,
--- a/servers/planner/zone_choice.cc
+++ b/servers/planner/zone_choice.cc
@@ -1,30 +1,73 @@
 #include "servers/planner/zone_choice.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
 
 namespace turmericshift {
 namespace {
 
-bool Allows(const JobSpec& spec, const std::string& zone) {
-  return spec.zones.empty() ||
-         std::find(spec.zones.begin(), spec.zones.end(), zone) != spec.zones.end();
+// A waiting job moves only if that evens the loads out by more than this, in shares of a zone.
+constexpr double kWorthMoving = 0.1;
+
+int AcceleratorsOf(const JobSpec& spec) { return spec.shape.accelerators * spec.tasks; }
+
+const ZoneLoad& LoadOf(const ZoneLoads& loads, const std::string& zone) {
+  static const ZoneLoad kNone;
+  const auto found = loads.find(zone);
+  return found == loads.end() ? kNone : found->second;
+}
+
+// Accelerators asked of the zone for each that it has.
+double Pressure(const AvailabilityZoneSpec& zone, int accelerators) {
+  return static_cast<double>(accelerators) / std::max(1, AcceleratorsOf(zone));
 }
 
 }  // namespace
 
-std::string ChooseZone(const Environment& environment, const JobSpec& spec,
-                       const std::map<std::string, size_t>& open_jobs) {
+void ZoneLoad::Add(const JobSpec& spec) {
+  ++jobs;
+  accelerators += AcceleratorsOf(spec);
+  workspace_accelerators[spec.workspace] += AcceleratorsOf(spec);
+}
+
+void ZoneLoad::Remove(const JobSpec& spec) {
+  --jobs;
+  accelerators -= AcceleratorsOf(spec);
+  workspace_accelerators[spec.workspace] -= AcceleratorsOf(spec);
+}
+
+std::string ChooseZone(const Environment& environment, const Feasibility& feasibility,
+                       const JobSpec& spec, const ZoneLoads& loads) {
   std::string chosen;
-  size_t fewest = 0;
+  std::tuple<bool, double, int> least;
   for (const auto& [name, zone] : environment.zones) {
-    if (!zone.in || !Allows(spec, name)) continue;
-    const auto found = open_jobs.find(name);
-    const size_t open = found == open_jobs.end() ? 0 : found->second;
-    if (!chosen.empty() && open >= fewest) continue;
+    if (!zone.in || feasibility.InZone(name, spec)) continue;
+    const ZoneLoad& load = LoadOf(loads, name);
+    const auto used = load.workspace_accelerators.find(spec.workspace);
+    const int wanted =
+        AcceleratorsOf(spec) + (used == load.workspace_accelerators.end() ? 0 : used->second);
+    const bool guaranteed = wanted <= feasibility.GuaranteedAccelerators(name, spec.workspace);
+    const std::tuple<bool, double, int> rank = {
+        !guaranteed, Pressure(zone, load.accelerators + AcceleratorsOf(spec)), load.jobs};
+    if (!chosen.empty() && rank >= least) continue;
     chosen = name;
-    fewest = open;
+    least = rank;
   }
   return chosen;
 }
 
+std::string BetterZone(const Environment& environment, const Feasibility& feasibility,
+                       const JobSpec& spec, const std::string& from, const ZoneLoads& loads) {
+  ZoneLoads without = loads;
+  without[from].Remove(spec);
+  const std::string to = ChooseZone(environment, feasibility, spec, without);
+  if (to.empty() || to == from) return "";
+  const AvailabilityZoneSpec* old_zone = environment.FindZone(from);
+  if (old_zone == nullptr || !old_zone->in || feasibility.InZone(from, spec)) return to;
+  const double here = Pressure(*old_zone, LoadOf(loads, from).accelerators);
+  const int there = LoadOf(loads, to).accelerators + AcceleratorsOf(spec);
+  return here - Pressure(*environment.FindZone(to), there) > kWorthMoving ? to : "";
+}
+
 }  // namespace turmericshift
--- a/servers/replay/replay_step.cc
+++ b/servers/replay/replay_step.cc
@@ -14,6 +14,9 @@
 // Policies may act on time alone, such as aging, so a zone where nothing happens decides too.
 constexpr Duration kIdlePeriod = std::chrono::seconds(30);
 constexpr Duration kProgressPeriod = std::chrono::seconds(30);
+// As planners do it: so few at a time that a zone that comes back is filled step by step.
+constexpr Duration kMovePeriod = std::chrono::seconds(5);
+constexpr int kMaxMovesAtOnce = 4;
 
 }  // namespace
 
@@ -50,6 +53,7 @@
   zone->dirty = !plan.starts.empty() || !plan.stops.empty();
   zone->next_decision = now_ + kIdlePeriod;
   CarryOut(name, plan, zone);
+  MoveWaiting(name, zone);
   UpdateClaims(name, zone);
 }
 
@@ -108,6 +112,30 @@
   }
 }
 
+void Replayer::MoveWaiting(const std::string& name, Zone* zone) {
+  if (log_down_ || now_ < zone->next_move) return;
+  zone->next_move = now_ + kMovePeriod;
+  const auto environment = config_.current()->environment;
+  const Feasibility feasibility(environment);
+  int moves = 0;
+  const std::vector<WaitingJob> waiting = zone->planner->view().waiting;
+  for (const WaitingJob& job : waiting) {
+    const std::string to = BetterZone(*environment, feasibility, job.spec, name, loads_);
+    if (to.empty() || job.cancel_asked) continue;
+    if (!Record(JobMoved{FreshId(), job.id, name, to, zone->epoch, job.checkpoint}).accepted) {
+      continue;
+    }
+    loads_[name].Remove(job.spec);
+    loads_[to].Add(job.spec);
+    jobs_.at(job.id).zone = to;
+    zone->planner->JobGone(job.id);
+    Zone& next = RequireZone(to);
+    next.planner->JobAccepted(*job_fold_.Find(job.id), now_);
+    next.dirty = true;
+    if (++moves >= kMaxMovesAtOnce) return;
+  }
+}
+
 void Replayer::CarryOut(const std::string& name, const Plan& plan, Zone* zone) {
   for (const StopDecision& stop : plan.stops) Stop(stop, name);
   for (const StartDecision& start : plan.starts) Start(name, start, zone);
--- a/servers/replay/replayer.cc
+++ b/servers/replay/replayer.cc
@@ -160,7 +160,8 @@
   record.wall_ms = duration_cast<std::chrono::milliseconds>(SinceStart()).count();
   const std::shared_ptr<const ConfigVersion> config = config_.current();
   record.config_version = config->version;
-  record.zone = ChooseZone(*config->environment, job.spec, open_jobs_);
+  record.zone =
+      ChooseZone(*config->environment, Feasibility(config->environment), job.spec, loads_);
   if (record.zone.empty()) {
     // Refused as not run; the caller comes back.
     TraceEvent again;
@@ -175,7 +176,7 @@
   replay_job.job = job;
   replay_job.zone = record.zone;
   replay_job.asked = asked;
-  ++open_jobs_[record.zone];
+  loads_[record.zone].Add(job.spec);
   wanted_accelerators_ += replay_job.accelerators();
   recorder_.Write(Kind::kJobAccepted,
                   {{"job", id}, {"workspace", job.spec.workspace}, {"zone", record.zone}}, now_);
@@ -275,7 +276,7 @@
   ReplayJob& job = jobs_.at(ended.job);
   job.state = ended.state;
   job.ended = SinceStart();
-  --open_jobs_[job.zone];
+  loads_[job.zone].Remove(job.job.spec);
   wanted_accelerators_ -= job.accelerators();
   recorder_.Write(Kind::kJobEnded,
                   {{"job", ended.job},
--- a/servers/replay/replayer.h
+++ b/servers/replay/replayer.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "servers/planner/zone_choice.h"
 #include "servers/planner/zone_planner.h"
 #include "servers/replay/replay_measures.h"
 #include "servers/replay/replay_platform.h"
@@ -47,6 +48,7 @@
     bool dirty = true;
     Time next_decision{};
     Time next_progress{};
+    Time next_move{};
     // Jobs whose guarantee was claimed.
     std::set<std::string> claims;
   };
@@ -77,6 +79,8 @@
   void FollowEnd(const ReplayAttempt& attempt, Zone* zone);
   void ReportProgress(Zone* zone);
   void EndCancelled(const std::string& name, Zone* zone);
+  // Hands waiting jobs over to zones that are better for them, some at a time.
+  void MoveWaiting(const std::string& name, Zone* zone);
   void CarryOut(const std::string& name, const Plan& plan, Zone* zone);
   void Start(const std::string& name, const StartDecision& start, Zone* zone);
   void Stop(const StopDecision& stop, const std::string& zone);
@@ -105,8 +109,8 @@
   TimeIntegrals integrals_;
   std::map<std::string, Zone> zones_;
   std::map<std::string, ReplayJob> jobs_;
-  // Of jobs that have not ended: how many each zone has, and what they ask for.
-  std::map<std::string, size_t> open_jobs_;
+  // Of jobs that have not ended: those of each zone, and what all ask for.
+  ZoneLoads loads_;
   int wanted_accelerators_ = 0;
   int refused_starts_ = 0;
   std::map<StopReason, int> stops_;
