--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -4,6 +4,7 @@
 #include <bit>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <tuple>
 
 namespace turmericshift {
@@ -13,6 +14,9 @@
 constexpr int kLargeGang = 8;
 constexpr double kReserveAfterSeconds = 60;
 constexpr size_t kMaxReservations = 4;
+// Other work may use reserved workers if it is expected to end within this share of the time until
+// they are free: estimates are often far off.
+constexpr double kBackfillShare = 0.5;
 // What stopping with a checkpoint and starting again costs each accelerator.
 constexpr double kCheckpointSeconds = 60;
 // Work that was started this recently goes last, so that it is not stopped again and again.
@@ -45,15 +49,18 @@
 // One pass over the waiting jobs.
 class Pass {
  public:
-  Pass(const ZoneView& view, const RunTimeEstimator& estimator, Time now)
-      : view_(view), estimator_(estimator), now_(now), room_(view) {
+  Pass(const ZoneView& view, const RunTimeEstimator& estimator, Time now,
+       Reservations* reservations)
+      : view_(view), estimator_(estimator), now_(now), room_(view), reservations_(*reservations) {
     reserved_until_.assign(view.workers.size(), kNever);
+    gatherer_.assign(view.workers.size(), nullptr);
     stopped_.assign(view.running.size(), false);
     cost_ = [this](int job) { return StopCostOf(job); };
   }
 
   Plan Run() {
     const std::vector<Candidate> candidates = Candidates();
+    KeepReservations(candidates);
     std::vector<const Candidate*> others;
     // Every guarantee is served before any room is lent.
     for (const Candidate& candidate : candidates) {
@@ -148,7 +155,7 @@
     if (StartLent(candidate)) return;
     if (AcceleratorsOf(job.spec) >= kLargeGang) Gather(candidate);
     // What short work may use of reserved workers depends on its length, so it is not remembered.
-    if (reservations_ == 0) failed_.emplace(kind, AdmitRefusalText(AdmitRefusal::kNoRoom));
+    if (reservations_.empty()) failed_.emplace(kind, AdmitRefusalText(AdmitRefusal::kNoRoom));
     Wait(job, AdmitRefusalText(AdmitRefusal::kNoRoom));
   }
 
@@ -172,7 +179,8 @@
   bool StartLent(const Candidate& candidate) {
     const JobSpec& spec = candidate.job->spec;
     const auto tasks = PlaceTight(room_, spec, [&](int worker) {
-      return candidate.remaining <= reserved_until_[worker] || reserved_until_[worker] == kNever;
+      return gatherer_[worker] == nullptr || *gatherer_[worker] == candidate.job->id ||
+             candidate.remaining <= kBackfillShare * reserved_until_[worker];
     });
     if (!tasks) return false;
     StartDecision start{candidate.job->id, candidate.job->last_attempt + 1, true, *tasks};
@@ -200,18 +208,60 @@
     return cost;
   }
 
-  // Reserves for a large gang the workers that are expected to be free first.
+  // Reservations of jobs that still wait, on workers that are still there.
+  void KeepReservations(const std::vector<Candidate>& candidates) {
+    std::set<std::string> waiting;
+    for (const Candidate& candidate : candidates) waiting.insert(candidate.job->id);
+    std::erase_if(reservations_,
+                  [&](const auto& entry) { return waiting.count(entry.first) == 0; });
+    if (reservations_.empty()) return;
+    ComputeDrains();
+    for (auto& [job, names] : reservations_) {
+      std::vector<int> workers;
+      for (const std::string& name : names) workers.push_back(room_.WorkerIndex({0, name}));
+      const bool gone = std::any_of(workers.begin(), workers.end(), [this](int worker) {
+        return worker < 0 || !room_.workers()[worker].usable;
+      });
+      if (gone) {
+        names.clear();
+      } else {
+        MarkReserved(job, workers);
+      }
+    }
+    std::erase_if(reservations_, [](const auto& entry) { return entry.second.empty(); });
+  }
+
+  double MarkReserved(const std::string& job, const std::vector<int>& workers) {
+    const auto entry = reservations_.find(job);
+    double ready = 0;
+    for (const int worker : workers) ready = std::max(ready, drain_seconds_[worker]);
+    for (const int worker : workers) {
+      reserved_until_[worker] = ready;
+      gatherer_[worker] = &entry->first;
+      room_.MarkGathered(worker);
+    }
+    return ready;
+  }
+
+  // Reserves for a large gang the workers that are expected to be free first, and keeps them.
   void Gather(const Candidate& candidate) {
     const WaitingJob& job = *candidate.job;
-    if (reservations_ >= kMaxReservations) return;
-    if (!job.spec.urgent && Seconds(now_ - job.waiting_since) < kReserveAfterSeconds) return;
-    ++reservations_;
+    const double waited = Seconds(now_ - job.accepted);
     if (drain_seconds_.empty()) ComputeDrains();
-    const std::vector<int> chosen = SoonestFree(job.spec);
-    double ready = 0;
-    for (const int worker : chosen) ready = std::max(ready, drain_seconds_[worker]);
-    for (const int worker : chosen) reserved_until_[worker] = ready;
-    if (!chosen.empty()) Defragment(candidate, chosen, ready);
+    const auto kept = reservations_.find(job.id);
+    std::vector<int> workers;
+    if (kept != reservations_.end()) {
+      for (const std::string& name : kept->second) workers.push_back(room_.WorkerIndex({0, name}));
+    } else {
+      if (reservations_.size() >= kMaxReservations) return;
+      if (!job.spec.urgent && waited < kReserveAfterSeconds) return;
+      workers = SoonestFree(job.spec);
+      if (workers.empty()) return;
+      std::vector<std::string>& names = reservations_[job.id];
+      for (const int worker : workers) names.emplace_back(room_.workers()[worker].name);
+    }
+    const double ready = MarkReserved(job.id, workers);
+    Defragment(candidate, workers, ready, waited);
   }
 
   void ComputeDrains() {
@@ -267,7 +317,8 @@
 
   // Stops checkpointable lent work on the gang's workers when that costs less than the wait it
   // saves; the moved work goes on elsewhere, on workers that are broken already.
-  void Defragment(const Candidate& candidate, const std::vector<int>& workers, double ready) {
+  void Defragment(const Candidate& candidate, const std::vector<int>& workers, double ready,
+                  double waited) {
     double cost = 0;
     int moved = 0;
     std::set<int> victims;
@@ -290,7 +341,8 @@
     }
     const int gang = AcceleratorsOf(candidate.job->spec);
     // What is moved must find room beside the gang, or the gang merely takes its place.
-    if (free < gang || moved > gang) return;
+    const bool starving = waited >= candidate.remaining;
+    if (!starving && (free < gang || moved > gang)) return;
     const double gain = ready * gang;
     if (cost > gain * kDefragmentShare) return;
     for (const int victim : victims) Stop(victim, StopReason::kDefragment);
@@ -313,7 +365,9 @@
   StopCost cost_;
   std::map<Kind, std::string> failed_;
   std::vector<bool> stopped_;
-  size_t reservations_ = 0;
+  Reservations& reservations_;
+  // The job that gathers each worker, if any.
+  std::vector<const std::string*> gatherer_;
   // Work may be put on the worker only if it is gone by then, in seconds from now.
   std::vector<double> reserved_until_;
   std::vector<double> drain_seconds_;
@@ -334,7 +388,7 @@
 
 Plan CellPolicy::Decide(const ZoneView& view, Time now) {
   if (!view.in) return LeaveZone(view);
-  return Pass(view, estimator_, now).Run();
+  return Pass(view, estimator_, now, &reservations_).Run();
 }
 
 void CellPolicy::Learn(const JobSpec& spec, Duration run_time, Time /*now*/) {
--- a/modules/placement/cell_policy.h
+++ b/modules/placement/cell_policy.h
@@ -4,7 +4,7 @@
 // meanwhile only if it is expected to be gone in time.
 #pragma once
 
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -14,6 +14,8 @@
 
 namespace turmericshift {
 
+using Reservations = std::map<std::string, std::vector<std::string>>;
+
 class CellPolicy : public PlacementPolicy {
  public:
   Plan Decide(const ZoneView& view, Time now) override;
@@ -21,6 +23,8 @@
 
  private:
   RunTimeEstimator estimator_;
+  // Workers that a waiting large gang gathers, by its id.
+  Reservations reservations_;
 };
 
 }  // namespace turmericshift
--- a/modules/placement/task_placer.cc
+++ b/modules/placement/task_placer.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kMaxAccelerators = 32;
+// Less than any stop, so that it only decides between free sites.
+constexpr double kGatheredCost = 1;
 
 uint32_t LowestBits(uint32_t mask, int count) {
   uint32_t chosen = 0;
@@ -184,6 +186,7 @@
     for (const LentTask& lent : worker.lent) {
       if ((lent.mask & site.mask) != 0) site.cost += Cost(lent.job);
     }
+    if (worker.gathered) site.cost += kGatheredCost;
     if (!site.bound) {
       for (const CellLevel level : {CellLevel::kPair, CellLevel::kHalf, CellLevel::kWorker}) {
         for (const uint32_t block : room_->sizes().Blocks(level)) {
--- a/servers/planner/feasibility.h
+++ b/servers/planner/feasibility.h
@@ -29,6 +29,10 @@
   std::optional<Refusal> Anywhere(const JobSpec& spec) const;
   // Of the cells that the zone hosts for the workspace at present.
   int GuaranteedAccelerators(const std::string& zone, const std::string& workspace) const;
+  // Of the workspace in the zone at present.
+  int AcceleratorCap(const std::string& zone, const std::string& workspace) const {
+    return split_.Share(zone, workspace).accelerator_cap;
+  }
 
  private:
   std::optional<Refusal> Check(const std::string& zone, const JobSpec& spec,
--- a/servers/planner/zone_choice.cc
+++ b/servers/planner/zone_choice.cc
@@ -18,9 +18,20 @@
   return found == loads.end() ? kNone : found->second;
 }
 
-// Accelerators asked of the zone for each that it has.
-double Pressure(const AvailabilityZoneSpec& zone, int accelerators) {
-  return static_cast<double>(accelerators) / std::max(1, AcceleratorsOf(zone));
+int OwnLoad(const ZoneLoad& load, const std::string& workspace) {
+  const auto found = load.workspace_accelerators.find(workspace);
+  return found == load.workspace_accelerators.end() ? 0 : found->second;
+}
+
+// Accelerators asked of the zone for each that it has, or of the workspace's cap there if that is
+// tighter, with `more` of the workspace's own.
+double Pressure(const AvailabilityZoneSpec& zone, const Feasibility& feasibility,
+                const ZoneLoad& load, const std::string& workspace, int more) {
+  const int cap = std::max(1, feasibility.AcceleratorCap(zone.name, workspace));
+  const double of_zone =
+      static_cast<double>(load.accelerators + more) / std::max(1, AcceleratorsOf(zone));
+  const double of_cap = static_cast<double>(OwnLoad(load, workspace) + more) / cap;
+  return std::max(of_zone, of_cap);
 }
 
 }  // namespace
@@ -44,12 +55,11 @@
   for (const auto& [name, zone] : environment.zones) {
     if (!zone.in || feasibility.InZone(name, spec)) continue;
     const ZoneLoad& load = LoadOf(loads, name);
-    const auto used = load.workspace_accelerators.find(spec.workspace);
-    const int wanted =
-        AcceleratorsOf(spec) + (used == load.workspace_accelerators.end() ? 0 : used->second);
+    const int wanted = AcceleratorsOf(spec) + OwnLoad(load, spec.workspace);
     const bool guaranteed = wanted <= feasibility.GuaranteedAccelerators(name, spec.workspace);
     const std::tuple<bool, double, int> rank = {
-        !guaranteed, Pressure(zone, load.accelerators + AcceleratorsOf(spec)), load.jobs};
+        !guaranteed, Pressure(zone, feasibility, load, spec.workspace, AcceleratorsOf(spec)),
+        load.jobs};
     if (!chosen.empty() && rank >= least) continue;
     chosen = name;
     least = rank;
@@ -65,9 +75,10 @@
   if (to.empty() || to == from) return "";
   const AvailabilityZoneSpec* old_zone = environment.FindZone(from);
   if (old_zone == nullptr || !old_zone->in || feasibility.InZone(from, spec)) return to;
-  const double here = Pressure(*old_zone, LoadOf(loads, from).accelerators);
-  const int there = LoadOf(loads, to).accelerators + AcceleratorsOf(spec);
-  return here - Pressure(*environment.FindZone(to), there) > kWorthMoving ? to : "";
+  const double here = Pressure(*old_zone, feasibility, LoadOf(loads, from), spec.workspace, 0);
+  const double there = Pressure(*environment.FindZone(to), feasibility, LoadOf(loads, to),
+                                spec.workspace, AcceleratorsOf(spec));
+  return here - there > kWorthMoving ? to : "";
 }
 
 }  // namespace turmericshift
--- a/servers/planner/zone_room.h
+++ b/servers/planner/zone_room.h
@@ -46,6 +46,8 @@
   uint32_t held = 0;
   std::vector<BoundCell> cells;
   std::vector<LentTask> lent;
+  // Gathered for a waiting gang; other work goes elsewhere if it can.
+  bool gathered = false;
 };
 
 // Why a start was not admitted.
@@ -93,6 +95,7 @@
   void Take(const JobSpec& spec, const std::vector<TaskOnWorker>& tasks);
   // Keeps other starts off the free room at these places until the room is built again.
   void Reserve(const JobSpec& spec, const std::vector<TaskOnWorker>& tasks);
+  void MarkGathered(int worker) { workers_[worker].gathered = true; }
 
  private:
   struct Share {
--- a/servers/replay/replayer.cc
+++ b/servers/replay/replayer.cc
@@ -237,6 +237,7 @@
   record.parent = config_.current() ? config_.current()->version : 0;
   record.version = record.parent + 1;
   record.text = text;
+  record.sets_zones = true;
   record.digest = Digest(text);
   const FoldVerdict verdict = config_.Apply(record, next_sequence_++);
   if (!verdict.accepted) throw Error(ErrorKind::kInvalidInput, verdict.reason);
