--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -13,6 +13,7 @@
 // Gangs of this many accelerators and more get workers reserved.
 constexpr int kLargeGang = 8;
 constexpr double kReserveAfterSeconds = 60;
+constexpr double kHoldCapAfterSeconds = 600;
 constexpr size_t kMaxReservations = 4;
 // Other work may use reserved workers if it is expected to end within this share of the time until
 // they are free: estimates are often far off.
@@ -21,7 +22,7 @@
 constexpr double kCheckpointSeconds = 60;
 // Work that was started this recently goes last, so that it is not stopped again and again.
 constexpr double kSettleSeconds = 300;
-constexpr double kSettlePenalty = 1e6;
+constexpr double kSettleFactor = 4;
 constexpr double kUrgentPenalty = 1e9;
 // Moving work together pays only if it costs less than this share of the wait that it saves.
 constexpr double kDefragmentShare = 0.5;
@@ -61,6 +62,7 @@
   Plan Run() {
     const std::vector<Candidate> candidates = Candidates();
     KeepReservations(candidates);
+    HoldCaps(candidates);
     std::vector<const Candidate*> others;
     // Every guarantee is served before any room is lent.
     for (const Candidate& candidate : candidates) {
@@ -102,6 +104,24 @@
     return ratio / (1 + share);
   }
 
+  // A gang that its workspace's cap keeps waiting would never start if shorter work of the
+  // workspace kept using the cap up.
+  void HoldCaps(const std::vector<Candidate>& candidates) {
+    for (const Candidate& candidate : candidates) {
+      const bool waited = Seconds(now_ - candidate.job->accepted) > kHoldCapAfterSeconds;
+      if (!waited || AcceleratorsOf(candidate.job->spec) < kLargeGang) continue;
+      if (!OverCap(candidate)) continue;
+      double& held = cap_held_[candidate.workspace];
+      held = std::max(held, candidate.priority);
+    }
+  }
+
+  bool MustLeaveCap(const Candidate& candidate) const {
+    const auto held = cap_held_.find(candidate.workspace);
+    return held != cap_held_.end() && !candidate.job->spec.urgent &&
+           candidate.priority < held->second;
+  }
+
   bool OverCap(const Candidate& candidate) const {
     return room_.AcceleratorsUsed(candidate.workspace) + AcceleratorsOf(candidate.job->spec) >
            room_.AcceleratorCap(candidate.workspace);
@@ -112,6 +132,7 @@
     const WaitingJob& job = *candidate.job;
     const int guaranteed = room_.GuaranteedAccelerators(candidate.workspace);
     if (guaranteed == 0 || AcceleratorsOf(job.spec) > guaranteed) return false;
+    if (MustLeaveCap(candidate)) return false;
     const Kind kind = KindOf(job.spec, candidate.workspace);
     if (failed_.count(kind) != 0) return false;
     if (StartInCells(candidate)) return true;
@@ -145,6 +166,9 @@
   // Starts the job on room that is lent to it.
   void Lend(const Candidate& candidate) {
     const WaitingJob& job = *candidate.job;
+    if (MustLeaveCap(candidate)) {
+      return Wait(job, "its workspace's accelerator cap is kept for a gang that has waited longer");
+    }
     const Kind kind = KindOf(job.spec, candidate.workspace);
     const auto failed = failed_.find(kind);
     if (failed != failed_.end()) return Wait(job, failed->second);
@@ -161,21 +185,31 @@
 
   bool StartInCells(const Candidate& candidate) {
     const WaitingJob& job = *candidate.job;
-    const std::optional<CellPlacement> placement = PlaceInCells(&room_, view_, job.spec, cost_);
-    if (!placement) return false;
     const bool over_cap = OverCap(candidate);
-    if (over_cap) MakeRoomUnderCap(candidate);
-    if (!over_cap && placement->victims.empty() && room_.HasFreeRoom(job.spec, placement->tasks)) {
-      room_.Take(job.spec, placement->tasks);
-      plan_.starts.push_back({job.id, job.last_attempt + 1, false, placement->tasks});
-      return true;
+    if (!over_cap) {
+      if (StartBound(job, PlaceInCells(&room_, view_, job.spec, cost_, false))) return true;
+      // Free room elsewhere is better than having room back from other work.
+      if (CanBeStopped(job.spec) && StartLent(candidate)) return true;
     }
+    const std::optional<CellPlacement> placement =
+        PlaceInCells(&room_, view_, job.spec, cost_, true);
+    if (!placement) return false;
+    if (over_cap) MakeRoomUnderCap(candidate);
+    if (!over_cap && StartBound(job, placement)) return true;
     for (const int victim : placement->victims) Stop(victim, StopReason::kReclaim);
     room_.Reserve(job.spec, placement->tasks);
     Wait(job, "its guaranteed room is being had back from borrowed work");
     return true;
   }
 
+  bool StartBound(const WaitingJob& job, const std::optional<CellPlacement>& placement) {
+    if (!placement || !placement->victims.empty()) return false;
+    if (!room_.HasFreeRoom(job.spec, placement->tasks)) return false;
+    room_.Take(job.spec, placement->tasks);
+    plan_.starts.push_back({job.id, job.last_attempt + 1, false, placement->tasks});
+    return true;
+  }
+
   bool StartLent(const Candidate& candidate) {
     const JobSpec& spec = candidate.job->spec;
     const auto tasks = PlaceTight(room_, spec, [&](int worker) {
@@ -203,7 +237,7 @@
     const double lost =
         job.spec.checkpoints ? kCheckpointSeconds : Seconds(now_ - job.last_checkpoint);
     double cost = lost * std::max(1, AcceleratorsOf(job.spec)) * (1 + job.restarts);
-    if (ran < kSettleSeconds) cost += kSettlePenalty;
+    if (ran < kSettleSeconds) cost *= kSettleFactor;
     if (job.spec.urgent) cost += kUrgentPenalty;
     return cost;
   }
@@ -364,6 +398,8 @@
   Plan plan_;
   StopCost cost_;
   std::map<Kind, std::string> failed_;
+  // By workspace, the priority of the gang that waits for its cap.
+  std::map<int, double> cap_held_;
   std::vector<bool> stopped_;
   Reservations& reservations_;
   // The job that gathers each worker, if any.
--- a/modules/placement/task_placer.cc
+++ b/modules/placement/task_placer.cc
@@ -137,8 +137,9 @@
 
 class CellSearch {
  public:
-  CellSearch(ZoneRoom* room, const ZoneView& view, const JobSpec& spec, const StopCost& cost)
-      : room_(room), view_(view), spec_(spec), cost_(cost) {
+  CellSearch(ZoneRoom* room, const ZoneView& view, const JobSpec& spec, const StopCost& cost,
+             bool may_stop)
+      : room_(room), view_(view), spec_(spec), cost_(cost), may_stop_(may_stop) {
     workspace_ = room->WorkspaceIndex(spec.workspace);
     together_ = spec.adjacency == Adjacency::kSameWorker;
     unit_ = together_ ? Times(spec.shape, spec.tasks) : spec.shape;
@@ -156,6 +157,7 @@
       Sort(tightest);
       for (const std::vector<Site>& group : Groups()) {
         std::optional<CellPlacement> placement = Fill(group);
+        if (placement && !may_stop_ && !placement->victims.empty()) continue;
         if (placement && room_->BindAll(spec_, &placement->tasks)) return placement;
       }
     }
@@ -323,6 +325,7 @@
   const ZoneView& view_;
   const JobSpec& spec_;
   const StopCost& cost_;
+  const bool may_stop_;
   int workspace_ = 0;
   bool together_ = false;
   TaskShape unit_;
@@ -359,8 +362,8 @@
 }
 
 std::optional<CellPlacement> PlaceInCells(ZoneRoom* room, const ZoneView& view, const JobSpec& spec,
-                                          const StopCost& cost) {
-  return CellSearch(room, view, spec, cost).Run();
+                                          const StopCost& cost, bool may_stop) {
+  return CellSearch(room, view, spec, cost, may_stop).Run();
 }
 
 }  // namespace turmericshift
--- a/modules/placement/task_placer.h
+++ b/modules/placement/task_placer.h
@@ -25,8 +25,9 @@
   std::vector<int> victims;
 };
 
-// Within cells of the job's workspace. None if its cells can't hold the job.
+// Within cells of the job's workspace, bound in `room` if found. None if its cells can't hold the
+// job, or not without stopping other work when `may_stop` is false.
 std::optional<CellPlacement> PlaceInCells(ZoneRoom* room, const ZoneView& view, const JobSpec& spec,
-                                          const StopCost& cost);
+                                          const StopCost& cost, bool may_stop);
 
 }  // namespace turmericshift
--- a/servers/planner/guarantee_split.cc
+++ b/servers/planner/guarantee_split.cc
@@ -109,35 +109,39 @@
   unhosted->push_back({cell.workspace, cell.level, 1});
 }
 
-// Fills whole zones, those that host the workspace's cells first, then those with the least of all
-// caps so far: a cap spread evenly would leave no zone in which a large gang fits under it.
+// In pieces of whole workers where possible, so that large gangs keep room in some zone.
 void SplitCap(const Environment& environment, const WorkspaceSpec& workspace,
-              std::map<std::string, int>* caps_so_far, GuaranteeSplit* split) {
-  std::vector<std::tuple<int, double, std::string>> order;
+              GuaranteeSplit* split) {
+  int left = workspace.accelerator_cap;
+  std::map<std::string, int> room;
   for (const auto& [name, zone] : environment.zones) {
     if (!zone.in) continue;
-    int guaranteed = 0;
-    for (const CellCount& cell : split->zones[name][workspace.name].cells) {
-      guaranteed += cell.count * SizesOf(zone).Accelerators(cell.level);
+    ZoneShare& share = split->zones[name][workspace.name];
+    const CellSizes sizes = SizesOf(zone);
+    for (const CellCount& cell : share.cells) {
+      share.accelerator_cap += cell.count * sizes.Accelerators(cell.level);
     }
-    const double crowded =
-        static_cast<double>((*caps_so_far)[name]) / std::max(1, AcceleratorsOf(zone));
-    order.emplace_back(-guaranteed, crowded, name);
+    share.accelerator_cap = std::min(share.accelerator_cap, left);
+    left -= share.accelerator_cap;
+    room[name] = AcceleratorsOf(zone) - share.accelerator_cap;
   }
-  std::sort(order.begin(), order.end());
-  int left = workspace.accelerator_cap;
-  // Every zone's guaranteed cells are under the cap before any zone is filled.
-  for (const auto& [guaranteed, crowded, name] : order) {
-    const int part = std::min(left, -guaranteed);
-    split->zones[name][workspace.name].accelerator_cap = part;
-    left -= part;
-  }
-  for (const auto& [guaranteed, crowded, name] : order) {
-    int& cap = split->zones[name][workspace.name].accelerator_cap;
-    const int part = std::min(left, AcceleratorsOf(*environment.FindZone(name)) - cap);
-    cap += part;
-    left -= part;
-    (*caps_so_far)[name] += cap;
+  while (left > 0) {
+    std::string emptiest;
+    double least = 2;
+    for (const auto& [name, free] : room) {
+      if (free <= 0) continue;
+      const double used = static_cast<double>(split->zones[name][workspace.name].accelerator_cap) /
+                          AcceleratorsOf(*environment.FindZone(name));
+      if (used >= least) continue;
+      least = used;
+      emptiest = name;
+    }
+    if (emptiest.empty()) return;
+    const int worker = std::max(1, environment.FindZone(emptiest)->worker.accelerators);
+    const int piece = std::min({left, worker, room[emptiest]});
+    split->zones[emptiest][workspace.name].accelerator_cap += piece;
+    room[emptiest] -= piece;
+    left -= piece;
   }
 }
 
@@ -191,9 +195,8 @@
     last[cell.workspace] = host;
     Host(cell, host, supplies, &split);
   }
-  std::map<std::string, int> caps_so_far;
   for (const auto& [name, workspace] : environment.workspaces) {
-    SplitCap(environment, workspace, &caps_so_far, &split);
+    SplitCap(environment, workspace, &split);
   }
   return split;
 }
