--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -24,6 +24,7 @@
 constexpr double kSettleSeconds = 300;
 constexpr double kSettleFactor = 4;
 constexpr double kUrgentPenalty = 1e9;
+constexpr double kSparedCost = 1e12;
 // Moving work together pays only if it costs less than this share of the wait that it saves.
 constexpr double kDefragmentShare = 0.5;
 constexpr int kMaxMoves = 3;
@@ -191,10 +192,19 @@
       // Free room elsewhere is better than having room back from other work.
       if (CanBeStopped(job.spec) && StartLent(candidate)) return true;
     }
+    // What a workspace runs already is as good as what it wants to run: only work that has no other
+    // way stops other work of its own workspace.
+    spare_workspace_ = CanBeStopped(job.spec) && !job.spec.urgent ? &job.spec.workspace : nullptr;
+    if (over_cap && spare_workspace_ != nullptr) return false;
     const std::optional<CellPlacement> placement =
         PlaceInCells(&room_, view_, job.spec, cost_, true);
     if (!placement) return false;
     if (over_cap) MakeRoomUnderCap(candidate);
+    for (const int victim : placement->victims) {
+      // The cells are bound in this pass, so the room is kept until some of that work ends.
+      if (Spared(victim))
+        return Wait(job, "its workspace's other work holds its guaranteed room"), true;
+    }
     if (!over_cap && StartBound(job, placement)) return true;
     for (const int victim : placement->victims) Stop(victim, StopReason::kReclaim);
     room_.Reserve(job.spec, placement->tasks);
@@ -230,9 +240,16 @@
     plan_.stops.push_back({job.id, job.attempt, job.spec.checkpoints, reason});
   }
 
+  bool Spared(int index) const {
+    const RunningJob& job = view_.running[index];
+    return spare_workspace_ != nullptr && job.spec.workspace == *spare_workspace_ &&
+           !job.stopping && !stopped_[index];
+  }
+
   double StopCostOf(int index) const {
     const RunningJob& job = view_.running[index];
     if (stopped_[index]) return 0;
+    if (Spared(index)) return kSparedCost;
     const double ran = Seconds(now_ - job.started);
     const double lost =
         job.spec.checkpoints ? kCheckpointSeconds : Seconds(now_ - job.last_checkpoint);
@@ -401,6 +418,8 @@
   // By workspace, the priority of the gang that waits for its cap.
   std::map<int, double> cap_held_;
   std::vector<bool> stopped_;
+  // Its work is not to be stopped for the job that is looked at.
+  const std::string* spare_workspace_ = nullptr;
   Reservations& reservations_;
   // The job that gathers each worker, if any.
   std::vector<const std::string*> gatherer_;
