--- a/modules/placement/task_placer.cc
+++ b/modules/placement/task_placer.cc
@@ -75,7 +75,7 @@
     const uint32_t mask = ChooseBits(room.sizes(), free, spec.shape.accelerators);
     free &= ~mask;
     tasks->push_back(
-        {static_cast<int>(tasks->size()), std::string(target.name), mask, std::nullopt, worker});
+        {static_cast<int>(tasks->size()), std::string(target.name), mask, std::nullopt, 0, worker});
   }
 }
 
@@ -125,7 +125,8 @@
 struct Site {
   int worker = 0;
   CellLevel level = CellLevel::kAccelerator;
-  // What may be used there, and what of that is free.
+  uint32_t block = 0;
+  // What may be used of it.
   uint32_t mask = 0;
   TaskShape room;
   // Already bound to the workspace.
@@ -171,22 +172,25 @@
       if (cell.workspace != workspace_) continue;
       const uint32_t mask = cell.mask & ~cell.used;
       const TaskShape left = {cell.processors_left, cell.memory_left, std::popcount(mask)};
-      if (FitsIn(unit_, left)) AddSite({index, cell.level, mask, left, true, 0, 0});
+      if (FitsIn(unit_, left)) AddSite({index, cell.level, cell.mask, mask, left, true, 0, 0});
     }
     for (int level = static_cast<int>(least); level < kCellLevelCount; ++level) {
       const auto cell = static_cast<CellLevel>(level);
       if (room_->sizes().Normal(cell) != cell || room_->Unbound(workspace_, cell) <= 0) continue;
       const TaskShape shape = room_->sizes().Shape(std::min(cell, CellLevel::kWorker));
       for (const uint32_t block : room_->sizes().Blocks(cell)) {
-        if ((block & worker.held) == 0) AddSite({index, cell, block, shape, false, 0, 0});
+        if ((block & worker.held) == 0) AddSite({index, cell, block, block, shape, false, 0, 0});
       }
     }
   }
 
   void AddSite(Site site) {
     const RoomWorker& worker = room_->workers()[site.worker];
-    for (const LentTask& lent : worker.lent) {
-      if ((lent.mask & site.mask) != 0) site.cost += Cost(lent.job);
+    // A unit that fits beside the lent work stops none of it.
+    if (std::popcount(worker.free_accelerators & site.mask) < unit_.accelerators) {
+      for (const LentTask& lent : worker.lent) {
+        if ((lent.mask & site.mask) != 0) site.cost += Cost(lent.job);
+      }
     }
     if (worker.gathered) site.cost += kGatheredCost;
     if (!site.bound) {
--- a/servers/planner/zone_planner.cc
+++ b/servers/planner/zone_planner.cc
@@ -275,7 +275,7 @@
       for (RunningJob& job : running) {
         if (job.borrowed || job.tasks.front().cell.has_value() != recorded) continue;
         if (room.BindAll(job.spec, &job.tasks)) continue;
-        for (TaskOnWorker& task : job.tasks) task.cell.reset();
+        ForgetCells(&job.tasks);
         if (room.BindAll(job.spec, &job.tasks)) continue;
         job.borrowed = CanBeStopped(job.spec);
       }
--- a/servers/planner/zone_room.cc
+++ b/servers/planner/zone_room.cc
@@ -21,6 +21,13 @@
   return kTexts.at(static_cast<size_t>(refusal));
 }
 
+void ForgetCells(std::vector<TaskOnWorker>* tasks) {
+  for (TaskOnWorker& task : *tasks) {
+    task.cell.reset();
+    task.cell_mask = 0;
+  }
+}
+
 bool CanBeStopped(const JobSpec& spec) { return spec.checkpoints || spec.repeatable; }
 
 ZoneRoom::ZoneRoom(const ZoneView& view) : view_(view) {
@@ -146,7 +153,7 @@
   if (start->borrowed || !BindAll(spec, &start->tasks)) {
     if (!CanBeStopped(spec)) return AdmitRefusal::kNotStoppable;
     start->borrowed = true;
-    for (TaskOnWorker& task : start->tasks) task.cell.reset();
+    ForgetCells(&start->tasks);
   }
   shares_[workspace].used += accelerators;
   TakeFree(spec, start->tasks);
@@ -233,6 +240,7 @@
   for (size_t index = 0; index < workers_[worker].cells.size(); ++index) {
     const BoundCell& cell = workers_[worker].cells[index];
     if (cell.workspace != workspace || (task->cell && *task->cell != cell.level)) continue;
+    if (task->cell_mask != 0 && task->cell_mask != cell.mask) continue;
     if (!Inside(task->accelerators, cell.mask) || (task->accelerators & cell.used) != 0) continue;
     if (cell.processors_left < shape.processors || cell.memory_left < shape.memory_bytes) continue;
     Save(worker, journal);
@@ -241,6 +249,7 @@
     joined.processors_left -= shape.processors;
     joined.memory_left -= shape.memory_bytes;
     task->cell = joined.level;
+    task->cell_mask = joined.mask;
     return true;
   }
   return false;
@@ -253,7 +262,9 @@
   if (!FitsIn(shape, cell_shape)) return false;
   const std::vector<uint32_t>& blocks = sizes_.Blocks(level);
   const auto block = std::find_if(blocks.begin(), blocks.end(), [&](uint32_t mask) {
-    return Inside(task->accelerators, mask) && (mask & workers_[worker].held) == 0;
+    // Work without accelerators would fit any block; it must keep the one it was bound to.
+    const bool kept = task->cell_mask == 0 || task->cell_mask == mask;
+    return kept && Inside(task->accelerators, mask) && (mask & workers_[worker].held) == 0;
   });
   if (block == blocks.end()) return false;
   std::vector<int> members = {worker};
--- a/servers/planner/zone_room.h
+++ b/servers/planner/zone_room.h
@@ -57,6 +57,9 @@
 // Whether work on lent room can be had back within the reclaim bound without harm.
 bool CanBeStopped(const JobSpec& spec);
 
+// The tasks are bound to no cell any more.
+void ForgetCells(std::vector<TaskOnWorker>* tasks);
+
 class ZoneRoom {
  public:
   // `view` must outlive the room and keep its workers in place.
--- a/servers/planner/zone_view.h
+++ b/servers/planner/zone_view.h
@@ -38,6 +38,8 @@
   uint32_t accelerators = 0;
   // The guaranteed cell that the task is bound to; none on borrowed room.
   std::optional<CellLevel> cell = std::nullopt;
+  // The accelerators of that cell's block; those of the task are among them.
+  uint32_t cell_mask = 0;
   // Where the worker stands in ZoneView::workers, if known; only a hint that saves looking up its
   // name.
   int position = -1;
