--- a/main/dev_cluster.h
+++ b/main/dev_cluster.h
@@ -24,7 +24,7 @@
   // Workers, racks and zones are taken from this document.
   std::string environment_text;
   std::string operator_token;
-  std::string placement_policy = "first_fit";
+  std::string placement_policy = "cells";
   // Over HTTP, or handed to the entries directly.
   bool log_over_http = true;
 };
--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -48,6 +48,9 @@
   double priority;
 };
 
+// How a job may come by its workspace's cells.
+enum class Serve { kFree, kReclaim, kAnywhere };
+
 // One pass over the waiting jobs.
 class Pass {
  public:
@@ -64,13 +67,16 @@
     const std::vector<Candidate> candidates = Candidates();
     KeepReservations(candidates);
     HoldCaps(candidates);
-    std::vector<const Candidate*> others;
-    // Every guarantee is served before any room is lent.
-    for (const Candidate& candidate : candidates) {
-      if (!ServeGuarantee(candidate)) others.push_back(&candidate);
+    std::vector<const Candidate*> open;
+    open.reserve(candidates.size());
+    for (const Candidate& candidate : candidates) open.push_back(&candidate);
+    // Every guarantee is served before any room is lent: those that find their cells free, then
+    // those that must have room back, then those that may run on lent room as well.
+    for (const Serve serve : {Serve::kFree, Serve::kReclaim, Serve::kAnywhere}) {
+      std::erase_if(open, [&](const Candidate* each) { return ServeGuarantee(*each, serve); });
+      failed_.clear();
     }
-    failed_.clear();
-    for (const Candidate* candidate : others) Lend(*candidate);
+    for (const Candidate* candidate : open) Lend(*candidate);
     return std::move(plan_);
   }
 
@@ -129,14 +135,14 @@
   }
 
   // Returns whether the job starts within its workspace's cells or waits for them to come free.
-  bool ServeGuarantee(const Candidate& candidate) {
+  bool ServeGuarantee(const Candidate& candidate, Serve serve) {
     const WaitingJob& job = *candidate.job;
     const int guaranteed = room_.GuaranteedAccelerators(candidate.workspace);
     if (guaranteed == 0 || AcceleratorsOf(job.spec) > guaranteed) return false;
     if (MustLeaveCap(candidate)) return false;
     const Kind kind = KindOf(job.spec, candidate.workspace);
     if (failed_.count(kind) != 0) return false;
-    if (StartInCells(candidate)) return true;
+    if (StartInCells(candidate, serve)) return true;
     failed_.emplace(kind, "");
     return false;
   }
@@ -184,17 +190,19 @@
     Wait(job, AdmitRefusalText(AdmitRefusal::kNoRoom));
   }
 
-  bool StartInCells(const Candidate& candidate) {
+  bool StartInCells(const Candidate& candidate, Serve serve) {
     const WaitingJob& job = *candidate.job;
     const bool over_cap = OverCap(candidate);
-    if (!over_cap) {
-      if (StartBound(job, PlaceInCells(&room_, view_, job.spec, cost_, false))) return true;
-      // Free room elsewhere is better than having room back from other work.
-      if (CanBeStopped(job.spec) && StartLent(candidate)) return true;
+    if (serve == Serve::kFree) {
+      return !over_cap && StartBound(job, PlaceInCells(&room_, view_, job.spec, cost_, false));
     }
     // What a workspace runs already is as good as what it wants to run: only work that has no other
     // way stops other work of its own workspace.
-    spare_workspace_ = CanBeStopped(job.spec) && !job.spec.urgent ? &job.spec.workspace : nullptr;
+    const bool patient = CanBeStopped(job.spec) && !job.spec.urgent;
+    if (patient != (serve == Serve::kAnywhere)) return false;
+    // Free room elsewhere is better than having room back from other work.
+    if (patient && !over_cap && StartLent(candidate)) return true;
+    spare_workspace_ = patient ? &job.spec.workspace : nullptr;
     if (over_cap && spare_workspace_ != nullptr) return false;
     const std::optional<CellPlacement> placement =
         PlaceInCells(&room_, view_, job.spec, cost_, true);
--- a/modules/placement/placement_property_test.cc
+++ b/modules/placement/placement_property_test.cc
@@ -157,6 +157,22 @@
   }));
 }
 
+// Work without accelerators holds a cell all the same. When its block was worked out anew at each
+// decision it slid under work that was started later, and a workspace waited for its guarantee for
+// good. Then lent work took the room that had been had back for a claim, again and again.
+TEST(PlacementPropertyTest, WorkWithoutAcceleratorsKeepsItsBlock) {
+  EXPECT_TRUE(rc::check([] {
+    constexpr int kLightLentJob = 7050;
+    constexpr int kLightGuaranteedJob = 0;
+    Harness run(SmallEnvironment(1, 4, {0, 0, 0, 0}), std::make_unique<CellPolicy>());
+    for (const int event : {kLightLentJob, kLightGuaranteedJob}) {
+      run.Step(event);
+      run.DecideAndStop();
+    }
+    run.ClaimAll();
+  }));
+}
+
 // The planner's own check must hold against any policy, also a broken one.
 TEST(PlacementPropertyTest, PlannerStopsFaultyPolicies) {
   EXPECT_TRUE(rc::check([] {
--- a/modules/placement/placement_suite.cc
+++ b/modules/placement/placement_suite.cc
@@ -163,33 +163,10 @@
       if (job.accelerators() >= kLargeGang) gang_waits_.push_back(wait);
       if (job.job.spec.urgent) urgent_waits_.push_back(wait);
     }
-    if (getenv("DBG")) {
-      std::map<std::string, std::vector<double>> waits;
-      std::map<std::string, double> lost;
-      std::map<std::string, int> att;
-      for (const auto& [id, job] : result.jobs) {
-        const std::string k = id.substr(0, id.rfind('-'));
-        if (job.started) waits[k].push_back(Seconds(*job.started - job.asked));
-        lost[k] += job.lost / 3600;
-        att[k] += job.attempts;
-      }
-      for (auto& [k, w] : waits) {
-        std::sort(w.begin(), w.end());
-        printf("%-28s n %zu median %.0f p95 %.0f max %.0f lost %.1f acch attempts %d\n", k.c_str(),
-               w.size(), w[w.size() / 2], TailOf(w), w.back(), lost[k], att[k]);
-      }
-      for (auto& m : result.measures) printf("%s=%.4g ", m.name.c_str(), m.value);
-      printf("\n");
-    }
     fragmentation_.push_back(MeasureOf(result, "fragmentation"));
   }
 
   void AddZoneChange(const ReplayResult& result) {
-    if (getenv("DBG")) {
-      printf("ZONE ");
-      for (auto& m : result.measures) printf("%s=%.4g ", m.name.c_str(), m.value);
-      printf("\n");
-    }
     zone_change_.push_back(MeasureOf(result, "zone_change_work_share"));
   }
 
@@ -256,9 +233,6 @@
   const PolicyFigures value = RunPolicy(kPolicy, options.seed);
   std::vector<PolicyFigures> baselines;
   baselines.reserve(kBaselines.size());
-  if (getenv("DBG")) {
-    return {};
-  }
   for (const char* policy : kBaselines) baselines.push_back(RunPolicy(policy, options.seed));
   const auto lowest = [&baselines](double PolicyFigures::*member) {
     return std::min(baselines[0].*member, baselines[1].*member);
--- a/modules/placement/task_placer.cc
+++ b/modules/placement/task_placer.cc
@@ -158,7 +158,9 @@
       Sort(tightest);
       for (const std::vector<Site>& group : Groups()) {
         std::optional<CellPlacement> placement = Fill(group);
-        if (placement && !may_stop_ && !placement->victims.empty()) continue;
+        const bool free_now =
+            placement && placement->victims.empty() && room_->HasFreeRoom(spec_, placement->tasks);
+        if (!may_stop_ && !free_now) continue;
         if (placement && room_->BindAll(spec_, &placement->tasks)) return placement;
       }
     }
@@ -265,7 +267,7 @@
       *mask &= ~chosen;
       tasks->push_back({static_cast<int>(tasks->size()),
                         std::string(room_->workers()[site.worker].name), chosen, site.level,
-                        site.worker});
+                        site.block, site.worker});
     }
   }
 
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -46,7 +46,7 @@
   // Lets operators in before the first document; empty: none.
   std::string operator_token;
   std::string routing_policy = "two_choices";
-  std::string placement_policy = "first_fit";
+  std::string placement_policy = "cells";
   uint64_t seed = 1;
 };
 
--- a/servers/planner/planner_duty.h
+++ b/servers/planner/planner_duty.h
@@ -23,7 +23,7 @@
   std::string zone;
   // This entry's name.
   std::string process;
-  std::string policy = "first_fit";
+  std::string policy = "cells";
   Duration period = std::chrono::milliseconds(100);
   Duration agent_silence = std::chrono::seconds(5);
 };
