--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -210,8 +210,9 @@
     if (over_cap) MakeRoomUnderCap(candidate);
     for (const int victim : placement->victims) {
       // The cells are bound in this pass, so the room is kept until some of that work ends.
-      if (Spared(victim))
-        return Wait(job, "its workspace's other work holds its guaranteed room"), true;
+      if (!Spared(victim)) continue;
+      Wait(job, "its workspace's other work holds its guaranteed room");
+      return true;
     }
     if (!over_cap && StartBound(job, placement)) return true;
     for (const int victim : placement->victims) Stop(victim, StopReason::kReclaim);
