--- a/modules/placement/task_placer.cc
+++ b/modules/placement/task_placer.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kMaxAccelerators = 32;
+// Less than any stop, so that it only decides between free sites.
+constexpr double kGatheredCost = 1;
 
 uint32_t LowestBits(uint32_t mask, int count) {
   uint32_t chosen = 0;
@@ -73,7 +75,7 @@
     const uint32_t mask = ChooseBits(room.sizes(), free, spec.shape.accelerators);
     free &= ~mask;
     tasks->push_back(
-        {static_cast<int>(tasks->size()), std::string(target.name), mask, std::nullopt, worker});
+        {static_cast<int>(tasks->size()), std::string(target.name), mask, std::nullopt, 0, worker});
   }
 }
 
@@ -123,7 +125,8 @@
 struct Site {
   int worker = 0;
   CellLevel level = CellLevel::kAccelerator;
-  // What may be used there, and what of that is free.
+  uint32_t block = 0;
+  // What may be used of it.
   uint32_t mask = 0;
   TaskShape room;
   // Already bound to the workspace.
@@ -135,8 +138,9 @@
 
 class CellSearch {
  public:
-  CellSearch(ZoneRoom* room, const ZoneView& view, const JobSpec& spec, const StopCost& cost)
-      : room_(room), view_(view), spec_(spec), cost_(cost) {
+  CellSearch(ZoneRoom* room, const ZoneView& view, const JobSpec& spec, const StopCost& cost,
+             bool may_stop)
+      : room_(room), view_(view), spec_(spec), cost_(cost), may_stop_(may_stop) {
     workspace_ = room->WorkspaceIndex(spec.workspace);
     together_ = spec.adjacency == Adjacency::kSameWorker;
     unit_ = together_ ? Times(spec.shape, spec.tasks) : spec.shape;
@@ -154,6 +158,9 @@
       Sort(tightest);
       for (const std::vector<Site>& group : Groups()) {
         std::optional<CellPlacement> placement = Fill(group);
+        const bool free_now =
+            placement && placement->victims.empty() && room_->HasFreeRoom(spec_, placement->tasks);
+        if (!may_stop_ && !free_now) continue;
         if (placement && room_->BindAll(spec_, &placement->tasks)) return placement;
       }
     }
@@ -167,23 +174,27 @@
       if (cell.workspace != workspace_) continue;
       const uint32_t mask = cell.mask & ~cell.used;
       const TaskShape left = {cell.processors_left, cell.memory_left, std::popcount(mask)};
-      if (FitsIn(unit_, left)) AddSite({index, cell.level, mask, left, true, 0, 0});
+      if (FitsIn(unit_, left)) AddSite({index, cell.level, cell.mask, mask, left, true, 0, 0});
     }
     for (int level = static_cast<int>(least); level < kCellLevelCount; ++level) {
       const auto cell = static_cast<CellLevel>(level);
       if (room_->sizes().Normal(cell) != cell || room_->Unbound(workspace_, cell) <= 0) continue;
       const TaskShape shape = room_->sizes().Shape(std::min(cell, CellLevel::kWorker));
       for (const uint32_t block : room_->sizes().Blocks(cell)) {
-        if ((block & worker.held) == 0) AddSite({index, cell, block, shape, false, 0, 0});
+        if ((block & worker.held) == 0) AddSite({index, cell, block, block, shape, false, 0, 0});
       }
     }
   }
 
   void AddSite(Site site) {
     const RoomWorker& worker = room_->workers()[site.worker];
-    for (const LentTask& lent : worker.lent) {
-      if ((lent.mask & site.mask) != 0) site.cost += Cost(lent.job);
+    // A unit that fits beside the lent work stops none of it.
+    if (std::popcount(worker.free_accelerators & site.mask) < unit_.accelerators) {
+      for (const LentTask& lent : worker.lent) {
+        if ((lent.mask & site.mask) != 0) site.cost += Cost(lent.job);
+      }
     }
+    if (worker.gathered) site.cost += kGatheredCost;
     if (!site.bound) {
       for (const CellLevel level : {CellLevel::kPair, CellLevel::kHalf, CellLevel::kWorker}) {
         for (const uint32_t block : room_->sizes().Blocks(level)) {
@@ -256,7 +267,7 @@
       *mask &= ~chosen;
       tasks->push_back({static_cast<int>(tasks->size()),
                         std::string(room_->workers()[site.worker].name), chosen, site.level,
-                        site.worker});
+                        site.block, site.worker});
     }
   }
 
@@ -320,6 +331,7 @@
   const ZoneView& view_;
   const JobSpec& spec_;
   const StopCost& cost_;
+  const bool may_stop_;
   int workspace_ = 0;
   bool together_ = false;
   TaskShape unit_;
@@ -356,8 +368,8 @@
 }
 
 std::optional<CellPlacement> PlaceInCells(ZoneRoom* room, const ZoneView& view, const JobSpec& spec,
-                                          const StopCost& cost) {
-  return CellSearch(room, view, spec, cost).Run();
+                                          const StopCost& cost, bool may_stop) {
+  return CellSearch(room, view, spec, cost, may_stop).Run();
 }
 
 }  // namespace turmericshift
--- a/servers/entry/caller_api.cc
+++ b/servers/entry/caller_api.cc
@@ -171,7 +171,12 @@
   record.id = NewRecordId();
   record.config_version = config->version;
   record.wall_ms = DefaultClock().WallMillis();
-  record.zone = ChooseZone(*config->environment, record.spec, entry_->job_fold_.OpenJobCounts());
+  const Feasibility feasibility(config->environment);
+  if (const auto refusal = feasibility.Anywhere(record.spec)) {
+    throw Error(ErrorKind::kImpossible, "the job can never run: " + refusal->Text());
+  }
+  const ZoneLoads loads = LoadsOf(*config->environment, entry_->job_fold_);
+  record.zone = ChooseZone(*config->environment, feasibility, record.spec, loads);
   if (record.zone.empty()) {
     throw Error(ErrorKind::kUnavailable, "no availability zone that the job allows is in");
   }
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -47,7 +47,7 @@
   std::string operator_token;
   std::string routing_policy = "two_choices";
   bool eject_outliers = true;
-  std::string placement_policy = "first_fit";
+  std::string placement_policy = "cells";
   uint64_t seed = 1;
 };
 
