--- a/servers/agent/start_guard.cc
+++ b/servers/agent/start_guard.cc
@@ -81,7 +81,8 @@
   fresh_at_ = time;
   ever_fresh_ = true;
   // An entry that fell silent a moment ago may only be out of this agent's reach and read on, so
-  // others' reads don't end what it may accept; one silent for long while the log was read has gone.
+  // others' reads don't end what it may accept; one silent for long while the log was read has
+  // gone.
   std::erase_if(statements_,
                 [&](const auto& each) { return each.second.sent < time - kForgetSilent; });
 }
