--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -1,6 +1,7 @@
 #include "main/register_modules.h"
 
 #include "main/bench_control.h"
+#include "main/bench_gangs.h"
 #include "main/bench_requests.h"
 #include "main/capacity_bench.h"
 #include "main/replay_bench.h"
@@ -14,6 +15,7 @@
 
 void RegisterModules() {
   RegisterControlBench();
+  RegisterGangsBench();
   RegisterHttpLogTypes();
   RegisterHttpTargetTypes();
   RegisterPlacementTypes();
