Agent: Tell a new planner at once that it is obeyed

Cause: a successor waits for each agent's beat under its epoch, up to a heartbeat. Change: a risen epoch sends the beat as a changed task phase does.

--- a/servers/agent/gang_host.cc
+++ b/servers/agent/gang_host.cc
@@ -300,7 +300,8 @@
     return false;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
-  const bool changed = all.size() != reports_.size() ||
+  // A new planner waits to hear that its predecessor is obeyed no more.
+  const bool changed = epoch != reports_epoch_ || all.size() != reports_.size() ||
                        std::any_of(all.begin(), all.end(), [this](const TaskReport& report) {
                          const auto found = reports_.find(report.id);
                          return found == reports_.end() || found->second.phase != report.phase;
