--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -7,6 +7,7 @@
 #include "main/replay_bench.h"
 #include "modules/http_log/register_types.h"
 #include "modules/http_target/register_types.h"
+#include "modules/http_worker/register_types.h"
 #include "modules/placement/register_types.h"
 #include "modules/routing/register_types.h"
 #include "modules/stand_ins/register_types.h"
@@ -18,6 +19,7 @@
   RegisterGangsBench();
   RegisterHttpLogTypes();
   RegisterHttpTargetTypes();
+  RegisterHttpWorkerTypes();
   RegisterPlacementTypes();
   RegisterRoutingTypes();
   RegisterStandInTypes();
--- /dev/null
+++ b/modules/http_worker/http_worker_service.h
@@ -0,0 +1,31 @@
+// A worker over HTTP, by the protocol of docs/PLATFORM.md.
+#pragma once
+
+#include <string>
+
+#include "servers/platform/worker_service.h"
+
+namespace turmericshift {
+
+class HttpWorkerService : public WorkerService {
+ public:
+  // `address` is "http://IP:port".
+  explicit HttpWorkerService(const std::string& address) : address_(address) {}
+
+  void Start(const TaskStart& start) override;
+  void Release(const TaskId& id) override;
+  void Renew(const TaskId& id, Duration lease) override;
+  void Checkpoint(const TaskId& id) override;
+  void Throttle(const TaskId& id, double share) override;
+  void Stop(const TaskId& id) override;
+  std::vector<TaskReport> Report() override;
+  void Forget(const TaskId& id) override;
+
+ private:
+  // Returns the answer's body. Throws Error by the worker's problem document.
+  std::string Call(const std::string& step, const std::string& body) const;
+
+  const std::string address_;
+};
+
+}  // namespace turmericshift
