--- a/modules/stand_ins/direct_connector.cc
+++ b/modules/stand_ins/direct_connector.cc
@@ -12,10 +12,70 @@
   EntryGate* gate = nullptr;
 };
 
+namespace {
+
+// The agent as an entry holds it. An entry keeps it longer than the session lasts, and the agent
+// may be gone by then; a call after that would reach a destroyed object.
+class DirectConnectorAgent : public AgentPort {
+ public:
+  explicit DirectConnectorAgent(AgentPort* agent) : agent_(agent) {}
+
+  void Cut() {
+    const std::unique_lock<std::shared_mutex> lock(mutex_);
+    agent_ = nullptr;
+  }
+
+  ServiceAnswer Serve(const ServiceRequest& request) override {
+    const std::shared_lock<std::shared_mutex> lock(mutex_);
+    return Required()->Serve(request);
+  }
+  void Cancel(const std::string& id) override { Call(&AgentPort::Cancel, id); }
+  SeenAnswer Resolve(const SeenQuestion& question, Duration timeout) override {
+    const std::shared_lock<std::shared_mutex> lock(mutex_);
+    return Required()->Resolve(question, timeout);
+  }
+  void Reserve(const GangReserve& step, Duration timeout) override {
+    Call(&AgentPort::Reserve, step, timeout);
+  }
+  void Start(const GangStart& step, Duration timeout) override {
+    Call(&AgentPort::Start, step, timeout);
+  }
+  void Release(const GangAction& step, Duration timeout) override {
+    Call(&AgentPort::Release, step, timeout);
+  }
+  void Renew(const GangAction& step, Duration timeout) override {
+    Call(&AgentPort::Renew, step, timeout);
+  }
+  void Stop(const GangAction& step, Duration timeout) override {
+    Call(&AgentPort::Stop, step, timeout);
+  }
+  void Forget(const GangAction& step, Duration timeout) override {
+    Call(&AgentPort::Forget, step, timeout);
+  }
+
+ private:
+  template <typename Step, typename... Arguments>
+  void Call(Step step, const Arguments&... arguments) {
+    const std::shared_lock<std::shared_mutex> lock(mutex_);
+    (Required()->*step)(arguments...);
+  }
+  AgentPort* Required() const {
+    if (agent_ == nullptr) throw Error(ErrorKind::kConnectionLost, "the session has ended");
+    return agent_;
+  }
+
+  std::shared_mutex mutex_;
+  AgentPort* agent_;
+};
+
+}  // namespace
+
 class DirectConnector::Port : public EntryPort {
  public:
-  Port(std::shared_ptr<Way> way, std::shared_ptr<EntryPort> port)
-      : way_(std::move(way)), port_(std::move(port)) {}
+  Port(std::shared_ptr<Way> way, std::shared_ptr<EntryPort> port,
+       std::shared_ptr<DirectConnectorAgent> agent)
+      : way_(std::move(way)), port_(std::move(port)), agent_(std::move(agent)) {}
+  ~Port() override { agent_->Cut(); }
 
   EntryBeat Heartbeat(const AgentBeat& beat, Duration timeout) override {
     const std::shared_lock<std::shared_mutex> lock(way_->mutex);
@@ -26,6 +86,7 @@
  private:
   const std::shared_ptr<Way> way_;
   const std::shared_ptr<EntryPort> port_;
+  const std::shared_ptr<DirectConnectorAgent> agent_;
 };
 
 std::shared_ptr<EntryPort> DirectConnector::Connect(const std::string& address,
@@ -39,9 +100,8 @@
   if (!way) throw Error(ErrorKind::kUnavailable, "no entry at " + address);
   const std::shared_lock<std::shared_mutex> lock(way->mutex);
   if (way->gate == nullptr) throw Error(ErrorKind::kUnavailable, "no entry at " + address);
-  // The agent outlives its sessions, so the entry's pointer owns nothing.
-  const std::shared_ptr<AgentPort> unowned(std::shared_ptr<void>(), agent);
-  return std::make_shared<Port>(way, way->gate->OpenAgent(hello, unowned));
+  auto held = std::make_shared<DirectConnectorAgent>(agent);
+  return std::make_shared<Port>(way, way->gate->OpenAgent(hello, held), held);
 }
 
 void DirectConnector::Attach(const std::string& address, EntryGate* gate) {
