--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -4,6 +4,7 @@
 #include <bit>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <tuple>
 
 namespace turmericshift {
@@ -12,13 +13,18 @@
 // Gangs of this many accelerators and more get workers reserved.
 constexpr int kLargeGang = 8;
 constexpr double kReserveAfterSeconds = 60;
+constexpr double kHoldCapAfterSeconds = 600;
 constexpr size_t kMaxReservations = 4;
+// Other work may use reserved workers if it is expected to end within this share of the time until
+// they are free: estimates are often far off.
+constexpr double kBackfillShare = 0.5;
 // What stopping with a checkpoint and starting again costs each accelerator.
 constexpr double kCheckpointSeconds = 60;
 // Work that was started this recently goes last, so that it is not stopped again and again.
 constexpr double kSettleSeconds = 300;
-constexpr double kSettlePenalty = 1e6;
+constexpr double kSettleFactor = 4;
 constexpr double kUrgentPenalty = 1e9;
+constexpr double kSparedCost = 1e12;
 // Moving work together pays only if it costs less than this share of the wait that it saves.
 constexpr double kDefragmentShare = 0.5;
 constexpr int kMaxMoves = 3;
@@ -42,25 +48,35 @@
   double priority;
 };
 
+// How a job may come by its workspace's cells.
+enum class Serve { kFree, kReclaim, kAnywhere };
+
 // One pass over the waiting jobs.
 class Pass {
  public:
-  Pass(const ZoneView& view, const RunTimeEstimator& estimator, Time now)
-      : view_(view), estimator_(estimator), now_(now), room_(view) {
+  Pass(const ZoneView& view, const RunTimeEstimator& estimator, Time now,
+       Reservations* reservations)
+      : view_(view), estimator_(estimator), now_(now), room_(view), reservations_(*reservations) {
     reserved_until_.assign(view.workers.size(), kNever);
+    gatherer_.assign(view.workers.size(), nullptr);
     stopped_.assign(view.running.size(), false);
     cost_ = [this](int job) { return StopCostOf(job); };
   }
 
   Plan Run() {
     const std::vector<Candidate> candidates = Candidates();
-    std::vector<const Candidate*> others;
-    // Every guarantee is served before any room is lent.
-    for (const Candidate& candidate : candidates) {
-      if (!ServeGuarantee(candidate)) others.push_back(&candidate);
+    KeepReservations(candidates);
+    HoldCaps(candidates);
+    std::vector<const Candidate*> open;
+    open.reserve(candidates.size());
+    for (const Candidate& candidate : candidates) open.push_back(&candidate);
+    // Every guarantee is served before any room is lent: those that find their cells free, then
+    // those that must have room back, then those that may run on lent room as well.
+    for (const Serve serve : {Serve::kFree, Serve::kReclaim, Serve::kAnywhere}) {
+      std::erase_if(open, [&](const Candidate* each) { return ServeGuarantee(*each, serve); });
+      failed_.clear();
     }
-    failed_.clear();
-    for (const Candidate* candidate : others) Lend(*candidate);
+    for (const Candidate* candidate : open) Lend(*candidate);
     return std::move(plan_);
   }
 
@@ -95,19 +111,38 @@
     return ratio / (1 + share);
   }
 
+  // A gang that its workspace's cap keeps waiting would never start if shorter work of the
+  // workspace kept using the cap up.
+  void HoldCaps(const std::vector<Candidate>& candidates) {
+    for (const Candidate& candidate : candidates) {
+      const bool waited = Seconds(now_ - candidate.job->accepted) > kHoldCapAfterSeconds;
+      if (!waited || AcceleratorsOf(candidate.job->spec) < kLargeGang) continue;
+      if (!OverCap(candidate)) continue;
+      double& held = cap_held_[candidate.workspace];
+      held = std::max(held, candidate.priority);
+    }
+  }
+
+  bool MustLeaveCap(const Candidate& candidate) const {
+    const auto held = cap_held_.find(candidate.workspace);
+    return held != cap_held_.end() && !candidate.job->spec.urgent &&
+           candidate.priority < held->second;
+  }
+
   bool OverCap(const Candidate& candidate) const {
     return room_.AcceleratorsUsed(candidate.workspace) + AcceleratorsOf(candidate.job->spec) >
            room_.AcceleratorCap(candidate.workspace);
   }
 
   // Returns whether the job starts within its workspace's cells or waits for them to come free.
-  bool ServeGuarantee(const Candidate& candidate) {
+  bool ServeGuarantee(const Candidate& candidate, Serve serve) {
     const WaitingJob& job = *candidate.job;
     const int guaranteed = room_.GuaranteedAccelerators(candidate.workspace);
     if (guaranteed == 0 || AcceleratorsOf(job.spec) > guaranteed) return false;
+    if (MustLeaveCap(candidate)) return false;
     const Kind kind = KindOf(job.spec, candidate.workspace);
     if (failed_.count(kind) != 0) return false;
-    if (StartInCells(candidate)) return true;
+    if (StartInCells(candidate, serve)) return true;
     failed_.emplace(kind, "");
     return false;
   }
@@ -138,6 +173,9 @@
   // Starts the job on room that is lent to it.
   void Lend(const Candidate& candidate) {
     const WaitingJob& job = *candidate.job;
+    if (MustLeaveCap(candidate)) {
+      return Wait(job, "its workspace's accelerator cap is kept for a gang that has waited longer");
+    }
     const Kind kind = KindOf(job.spec, candidate.workspace);
     const auto failed = failed_.find(kind);
     if (failed != failed_.end()) return Wait(job, failed->second);
@@ -148,31 +186,54 @@
     if (StartLent(candidate)) return;
     if (AcceleratorsOf(job.spec) >= kLargeGang) Gather(candidate);
     // What short work may use of reserved workers depends on its length, so it is not remembered.
-    if (reservations_ == 0) failed_.emplace(kind, AdmitRefusalText(AdmitRefusal::kNoRoom));
+    if (reservations_.empty()) failed_.emplace(kind, AdmitRefusalText(AdmitRefusal::kNoRoom));
     Wait(job, AdmitRefusalText(AdmitRefusal::kNoRoom));
   }
 
-  bool StartInCells(const Candidate& candidate) {
+  bool StartInCells(const Candidate& candidate, Serve serve) {
     const WaitingJob& job = *candidate.job;
-    const std::optional<CellPlacement> placement = PlaceInCells(&room_, view_, job.spec, cost_);
-    if (!placement) return false;
     const bool over_cap = OverCap(candidate);
+    if (serve == Serve::kFree) {
+      return !over_cap && StartBound(job, PlaceInCells(&room_, view_, job.spec, cost_, false));
+    }
+    // What a workspace runs already is as good as what it wants to run: only work that has no other
+    // way stops other work of its own workspace.
+    const bool patient = CanBeStopped(job.spec) && !job.spec.urgent;
+    if (patient != (serve == Serve::kAnywhere)) return false;
+    // Free room elsewhere is better than having room back from other work.
+    if (patient && !over_cap && StartLent(candidate)) return true;
+    spare_workspace_ = patient ? &job.spec.workspace : nullptr;
+    if (over_cap && spare_workspace_ != nullptr) return false;
+    const std::optional<CellPlacement> placement =
+        PlaceInCells(&room_, view_, job.spec, cost_, true);
+    if (!placement) return false;
     if (over_cap) MakeRoomUnderCap(candidate);
-    if (!over_cap && placement->victims.empty() && room_.HasFreeRoom(job.spec, placement->tasks)) {
-      room_.Take(job.spec, placement->tasks);
-      plan_.starts.push_back({job.id, job.last_attempt + 1, false, placement->tasks});
+    for (const int victim : placement->victims) {
+      // The cells are bound in this pass, so the room is kept until some of that work ends.
+      if (!Spared(victim)) continue;
+      Wait(job, "its workspace's other work holds its guaranteed room");
       return true;
     }
+    if (!over_cap && StartBound(job, placement)) return true;
     for (const int victim : placement->victims) Stop(victim, StopReason::kReclaim);
     room_.Reserve(job.spec, placement->tasks);
     Wait(job, "its guaranteed room is being had back from borrowed work");
     return true;
   }
 
+  bool StartBound(const WaitingJob& job, const std::optional<CellPlacement>& placement) {
+    if (!placement || !placement->victims.empty()) return false;
+    if (!room_.HasFreeRoom(job.spec, placement->tasks)) return false;
+    room_.Take(job.spec, placement->tasks);
+    plan_.starts.push_back({job.id, job.last_attempt + 1, false, placement->tasks});
+    return true;
+  }
+
   bool StartLent(const Candidate& candidate) {
     const JobSpec& spec = candidate.job->spec;
     const auto tasks = PlaceTight(room_, spec, [&](int worker) {
-      return candidate.remaining <= reserved_until_[worker] || reserved_until_[worker] == kNever;
+      return gatherer_[worker] == nullptr || *gatherer_[worker] == candidate.job->id ||
+             candidate.remaining <= kBackfillShare * reserved_until_[worker];
     });
     if (!tasks) return false;
     StartDecision start{candidate.job->id, candidate.job->last_attempt + 1, true, *tasks};
@@ -188,30 +249,79 @@
     plan_.stops.push_back({job.id, job.attempt, job.spec.checkpoints, reason});
   }
 
+  bool Spared(int index) const {
+    const RunningJob& job = view_.running[index];
+    return spare_workspace_ != nullptr && job.spec.workspace == *spare_workspace_ &&
+           !job.stopping && !stopped_[index];
+  }
+
   double StopCostOf(int index) const {
     const RunningJob& job = view_.running[index];
     if (stopped_[index]) return 0;
+    if (Spared(index)) return kSparedCost;
     const double ran = Seconds(now_ - job.started);
     const double lost =
         job.spec.checkpoints ? kCheckpointSeconds : Seconds(now_ - job.last_checkpoint);
     double cost = lost * std::max(1, AcceleratorsOf(job.spec)) * (1 + job.restarts);
-    if (ran < kSettleSeconds) cost += kSettlePenalty;
+    if (ran < kSettleSeconds) cost *= kSettleFactor;
     if (job.spec.urgent) cost += kUrgentPenalty;
     return cost;
   }
 
-  // Reserves for a large gang the workers that are expected to be free first.
+  // Reservations of jobs that still wait, on workers that are still there.
+  void KeepReservations(const std::vector<Candidate>& candidates) {
+    std::set<std::string> waiting;
+    for (const Candidate& candidate : candidates) waiting.insert(candidate.job->id);
+    std::erase_if(reservations_,
+                  [&](const auto& entry) { return waiting.count(entry.first) == 0; });
+    if (reservations_.empty()) return;
+    ComputeDrains();
+    for (auto& [job, names] : reservations_) {
+      std::vector<int> workers;
+      for (const std::string& name : names) workers.push_back(room_.WorkerIndex({0, name}));
+      const bool gone = std::any_of(workers.begin(), workers.end(), [this](int worker) {
+        return worker < 0 || !room_.workers()[worker].usable;
+      });
+      if (gone) {
+        names.clear();
+      } else {
+        MarkReserved(job, workers);
+      }
+    }
+    std::erase_if(reservations_, [](const auto& entry) { return entry.second.empty(); });
+  }
+
+  double MarkReserved(const std::string& job, const std::vector<int>& workers) {
+    const auto entry = reservations_.find(job);
+    double ready = 0;
+    for (const int worker : workers) ready = std::max(ready, drain_seconds_[worker]);
+    for (const int worker : workers) {
+      reserved_until_[worker] = ready;
+      gatherer_[worker] = &entry->first;
+      room_.MarkGathered(worker);
+    }
+    return ready;
+  }
+
+  // Reserves for a large gang the workers that are expected to be free first, and keeps them.
   void Gather(const Candidate& candidate) {
     const WaitingJob& job = *candidate.job;
-    if (reservations_ >= kMaxReservations) return;
-    if (!job.spec.urgent && Seconds(now_ - job.waiting_since) < kReserveAfterSeconds) return;
-    ++reservations_;
+    const double waited = Seconds(now_ - job.accepted);
     if (drain_seconds_.empty()) ComputeDrains();
-    const std::vector<int> chosen = SoonestFree(job.spec);
-    double ready = 0;
-    for (const int worker : chosen) ready = std::max(ready, drain_seconds_[worker]);
-    for (const int worker : chosen) reserved_until_[worker] = ready;
-    if (!chosen.empty()) Defragment(candidate, chosen, ready);
+    const auto kept = reservations_.find(job.id);
+    std::vector<int> workers;
+    if (kept != reservations_.end()) {
+      for (const std::string& name : kept->second) workers.push_back(room_.WorkerIndex({0, name}));
+    } else {
+      if (reservations_.size() >= kMaxReservations) return;
+      if (!job.spec.urgent && waited < kReserveAfterSeconds) return;
+      workers = SoonestFree(job.spec);
+      if (workers.empty()) return;
+      std::vector<std::string>& names = reservations_[job.id];
+      for (const int worker : workers) names.emplace_back(room_.workers()[worker].name);
+    }
+    const double ready = MarkReserved(job.id, workers);
+    Defragment(candidate, workers, ready);
   }
 
   void ComputeDrains() {
@@ -312,8 +422,14 @@
   Plan plan_;
   StopCost cost_;
   std::map<Kind, std::string> failed_;
+  // By workspace, the priority of the gang that waits for its cap.
+  std::map<int, double> cap_held_;
   std::vector<bool> stopped_;
-  size_t reservations_ = 0;
+  // Its work is not to be stopped for the job that is looked at.
+  const std::string* spare_workspace_ = nullptr;
+  Reservations& reservations_;
+  // The job that gathers each worker, if any.
+  std::vector<const std::string*> gatherer_;
   // Work may be put on the worker only if it is gone by then, in seconds from now.
   std::vector<double> reserved_until_;
   std::vector<double> drain_seconds_;
@@ -334,7 +450,7 @@
 
 Plan CellPolicy::Decide(const ZoneView& view, Time now) {
   if (!view.in) return LeaveZone(view);
-  return Pass(view, estimator_, now).Run();
+  return Pass(view, estimator_, now, &reservations_).Run();
 }
 
 void CellPolicy::Learn(const JobSpec& spec, Duration run_time, Time /*now*/) {
--- a/servers/planner/planner_duty.cc
+++ b/servers/planner/planner_duty.cc
@@ -20,7 +20,10 @@
 constexpr Duration kEvidenceAge = std::chrono::milliseconds(2500);
 // A worker whose call timed out takes no new work for this long.
 constexpr Duration kAvoidFor = std::chrono::seconds(5);
-constexpr size_t kMaxMovesAtOnce = 64;
+constexpr size_t kMaxMovesWhenOut = 64;
+// So few at a time that a zone that comes back is filled step by step.
+constexpr size_t kMaxMovesAtOnce = 4;
+constexpr Duration kMovePeriod = std::chrono::seconds(5);
 
 bool TimedOut(const Error& error) {
   return error.kind() == ErrorKind::kDeadlineExceeded || error.kind() == ErrorKind::kConnectionLost;
@@ -298,7 +301,9 @@
                                 [&](const RunningJob& each) { return each.id == start.job; });
   const std::optional<JobRecord> record = job_fold_->Find(start.job);
   if (job == running.end()) return;
-  if (!record || attempts_.count(start.job) != 0) {
+  // A job whose move is being recorded may belong to another planner already.
+  const bool leaving = recordings_.count(start.job) != 0;
+  if (!record || leaving || attempts_.count(start.job) != 0) {
     planner_->AttemptEnded(start.job, job->attempt, AttemptEnd::kNotStarted, now);
     return;
   }
@@ -427,19 +432,26 @@
   }
 }
 
-void PlannerDuty::MoveAway(Time /*now*/) {
-  if (planner_->view().in) return;
-  size_t moves = 0;
-  const std::map<std::string, size_t> open_jobs = job_fold_->OpenJobCounts();
+void PlannerDuty::MoveAway(Time now) {
+  if (now < next_move_) return;
+  next_move_ = now + kMovePeriod;
   const std::vector<WaitingJob> waiting = planner_->view().waiting;
+  if (waiting.empty()) return;
+  const auto environment = planner_->view().environment;
+  const Feasibility feasibility(environment);
+  ZoneLoads loads = LoadsOf(*environment, *job_fold_);
+  const size_t most = planner_->view().in ? kMaxMovesAtOnce : kMaxMovesWhenOut;
+  size_t moves = 0;
   for (const WaitingJob& job : waiting) {
     if (attempts_.count(job.id) != 0 || recordings_.count(job.id) != 0) continue;
-    const std::string to = ChooseZone(*planner_->view().environment, job.spec, open_jobs);
-    if (to.empty() || to == options_.zone) continue;
+    const std::string to = BetterZone(*environment, feasibility, job.spec, options_.zone, loads);
+    if (to.empty()) continue;
+    loads[options_.zone].Remove(job.spec);
+    loads[to].Add(job.spec);
     const auto saved = checkpoints_.find(job.id);
     const std::string checkpoint = saved == checkpoints_.end() ? job.checkpoint : saved->second;
     WriteLater(job.id, JobMoved{NewRecordId(), job.id, options_.zone, to, epoch_, checkpoint}, {});
-    if (++moves >= kMaxMovesAtOnce) return;
+    if (++moves >= most) return;
   }
 }
 
--- a/servers/planner/planner_duty.h
+++ b/servers/planner/planner_duty.h
@@ -154,6 +154,7 @@
   // Open jobs of which it is known that no earlier planner's attempt runs on.
   std::set<std::string> resolved_;
   std::map<std::string, std::string> checkpoints_;
+  Time next_move_{};
   std::map<std::string, Recording> recordings_;
   // Attempts whose left-over reports are being dropped.
   std::set<ReportTable::Key> dropping_;
--- a/servers/planner/zone_choice.cc
+++ b/servers/planner/zone_choice.cc
@@ -1,30 +1,98 @@
 #include "servers/planner/zone_choice.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
 
 namespace turmericshift {
 namespace {
 
-bool Allows(const JobSpec& spec, const std::string& zone) {
-  return spec.zones.empty() ||
-         std::find(spec.zones.begin(), spec.zones.end(), zone) != spec.zones.end();
+// A waiting job moves only if that evens the loads out by more than this, in shares of a zone.
+constexpr double kWorthMoving = 0.1;
+
+int AcceleratorsOf(const JobSpec& spec) { return spec.shape.accelerators * spec.tasks; }
+
+const ZoneLoad& LoadOf(const ZoneLoads& loads, const std::string& zone) {
+  static const ZoneLoad kNone;
+  const auto found = loads.find(zone);
+  return found == loads.end() ? kNone : found->second;
 }
 
-}  // namespace
+int OwnLoad(const ZoneLoad& load, const std::string& workspace) {
+  const auto found = load.workspace_accelerators.find(workspace);
+  return found == load.workspace_accelerators.end() ? 0 : found->second;
+}
+
+// Accelerators asked of the zone for each that it has, or of the workspace's cap there if that is
+// tighter, with `more` of the workspace's own.
+double Pressure(const AvailabilityZoneSpec& zone, const Feasibility& feasibility,
+                const ZoneLoad& load, const std::string& workspace, int more) {
+  const int cap = std::max(1, feasibility.AcceleratorCap(zone.name, workspace));
+  const double of_zone =
+      static_cast<double>(load.accelerators + more) / std::max(1, AcceleratorsOf(zone));
+  const double of_cap = static_cast<double>(OwnLoad(load, workspace) + more) / cap;
+  return std::max(of_zone, of_cap);
+}
 
-std::string ChooseZone(const Environment& environment, const JobSpec& spec,
-                       const std::map<std::string, size_t>& open_jobs) {
+// `counted_in` has the job in its load already; "" if no zone has.
+std::string Choose(const Environment& environment, const Feasibility& feasibility,
+                   const JobSpec& spec, const ZoneLoads& loads, const std::string& counted_in) {
   std::string chosen;
-  size_t fewest = 0;
+  std::tuple<bool, bool, double, int> least;
   for (const auto& [name, zone] : environment.zones) {
-    if (!zone.in || !Allows(spec, name)) continue;
-    const auto found = open_jobs.find(name);
-    const size_t open = found == open_jobs.end() ? 0 : found->second;
-    if (!chosen.empty() && open >= fewest) continue;
+    if (!zone.in || feasibility.InZone(name, spec)) continue;
+    const ZoneLoad& load = LoadOf(loads, name);
+    const int more = name == counted_in ? 0 : AcceleratorsOf(spec);
+    const int wanted = more + OwnLoad(load, spec.workspace);
+    const bool guaranteed = wanted <= feasibility.GuaranteedAccelerators(name, spec.workspace);
+    const double pressure = Pressure(zone, feasibility, load, spec.workspace, more);
+    // Free room elsewhere comes before guaranteed room that has to be had back.
+    const std::tuple<bool, bool, double, int> rank = {pressure > 1, !guaranteed, pressure,
+                                                      load.jobs};
+    if (!chosen.empty() && rank >= least) continue;
     chosen = name;
-    fewest = open;
+    least = rank;
   }
   return chosen;
 }
 
+}  // namespace
+
+void ZoneLoad::Add(const JobSpec& spec) {
+  ++jobs;
+  accelerators += AcceleratorsOf(spec);
+  workspace_accelerators[spec.workspace] += AcceleratorsOf(spec);
+}
+
+void ZoneLoad::Remove(const JobSpec& spec) {
+  --jobs;
+  accelerators -= AcceleratorsOf(spec);
+  workspace_accelerators[spec.workspace] -= AcceleratorsOf(spec);
+}
+
+ZoneLoads LoadsOf(const Environment& environment, const JobFold& jobs) {
+  ZoneLoads loads;
+  for (const auto& [name, zone] : environment.zones) {
+    for (const JobRecord& job : jobs.OpenJobs(name)) loads[name].Add(job.spec);
+  }
+  return loads;
+}
+
+std::string ChooseZone(const Environment& environment, const Feasibility& feasibility,
+                       const JobSpec& spec, const ZoneLoads& loads) {
+  return Choose(environment, feasibility, spec, loads, "");
+}
+
+std::string BetterZone(const Environment& environment, const Feasibility& feasibility,
+                       const JobSpec& spec, const std::string& from, const ZoneLoads& loads) {
+  const std::string to = Choose(environment, feasibility, spec, loads, from);
+  if (to.empty() || to == from) return "";
+  const AvailabilityZoneSpec* old_zone = environment.FindZone(from);
+  if (old_zone == nullptr || !old_zone->in || feasibility.InZone(from, spec)) return to;
+  const double here = Pressure(*old_zone, feasibility, LoadOf(loads, from), spec.workspace, 0);
+  const double there = Pressure(*environment.FindZone(to), feasibility, LoadOf(loads, to),
+                                spec.workspace, AcceleratorsOf(spec));
+  return here - there > kWorthMoving ? to : "";
+}
+
 }  // namespace turmericshift
--- a/servers/replay/replayer.cc
+++ b/servers/replay/replayer.cc
@@ -154,13 +154,23 @@
   if (config_.current()->environment->FindWorkspace(job.spec.workspace) == nullptr) {
     throw Error(ErrorKind::kInvalidInput, "the document has no workspace of job '" + id + "'");
   }
+  if (feasibility_->Anywhere(job.spec)) {
+    // Refused at once, as entries do it.
+    ReplayJob& refused = jobs_[id];
+    refused.id = id;
+    refused.job = job;
+    refused.asked = asked;
+    refused.ended = SinceStart();
+    refused.state = JobState::kImpossible;
+    return;
+  }
   JobSubmitted record;
   record.id = FreshId();
   record.spec = job.spec;
   record.wall_ms = duration_cast<std::chrono::milliseconds>(SinceStart()).count();
   const std::shared_ptr<const ConfigVersion> config = config_.current();
   record.config_version = config->version;
-  record.zone = ChooseZone(*config->environment, job.spec, open_jobs_);
+  record.zone = ChooseZone(*config->environment, *feasibility_, job.spec, loads_);
   if (record.zone.empty()) {
     // Refused as not run; the caller comes back.
     TraceEvent again;
@@ -175,7 +185,7 @@
   replay_job.job = job;
   replay_job.zone = record.zone;
   replay_job.asked = asked;
-  ++open_jobs_[record.zone];
+  loads_[record.zone].Add(job.spec);
   wanted_accelerators_ += replay_job.accelerators();
   recorder_.Write(Kind::kJobAccepted,
                   {{"job", id}, {"workspace", job.spec.workspace}, {"zone", record.zone}}, now_);
@@ -242,6 +252,7 @@
   record.parent = config_.current() ? config_.current()->version : 0;
   record.version = record.parent + 1;
   record.text = text;
+  record.sets_zones = true;
   record.digest = Digest(text);
   ApplyConfig(record);
 }
@@ -250,6 +261,7 @@
   const FoldVerdict verdict = config_.Apply(record, next_sequence_++);
   if (!verdict.accepted) throw Error(ErrorKind::kInvalidInput, verdict.reason);
   const std::shared_ptr<const ConfigVersion> current = config_.current();
+  feasibility_ = std::make_unique<Feasibility>(current->environment);
   recorder_.Write(Kind::kConfigAccepted,
                   {{"version", current->version},
                    {"digest", current->digest},
@@ -285,7 +297,7 @@
   ReplayJob& job = jobs_.at(ended.job);
   job.state = ended.state;
   job.ended = SinceStart();
-  --open_jobs_[job.zone];
+  loads_[job.zone].Remove(job.job.spec);
   wanted_accelerators_ -= job.accelerators();
   recorder_.Write(Kind::kJobEnded,
                   {{"job", ended.job},
