--- a/tests/job_show_test.cc
+++ b/tests/job_show_test.cc
@@ -24,7 +24,7 @@
             "memory_per_worker = 8GiB\naccelerators_per_worker = 8\n";
   }
   return text + "[workspace boxes]\ntoken_hashes = " + HashToken(token) +
-         "\nguarantee = 1 half\naccelerator_cap = 8\n";
+         "\nguarantee = 1 half\naccelerator_cap = 16\n";
 }
 
 // A parent's app asks whichever entry the balancer picks. It must hear that the plan runs, or what
@@ -65,7 +65,7 @@
     const nlohmann::json running = show(entry, "running");
     const nlohmann::json waiting = show(entry, "waiting");
     const std::string why = waiting.value("waiting_for", "");
-    return running.value("state", "") == "running" && why.find("cap") != std::string::npos;
+    return running.value("state", "") == "running" && why.find("no room") != std::string::npos;
   };
   for (size_t entry = 0; entry < cluster.entry_count(); ++entry) {
     while (!told(entry)) {
