--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -1,11 +1,13 @@
 #include "main/register_modules.h"
 
 #include "main/bench_control.h"
+#include "main/bench_gangs.h"
 #include "main/bench_requests.h"
 #include "main/capacity_bench.h"
 #include "main/replay_bench.h"
 #include "modules/http_log/register_types.h"
 #include "modules/http_target/register_types.h"
+#include "modules/http_worker/register_types.h"
 #include "modules/placement/register_types.h"
 #include "modules/routing/register_types.h"
 #include "modules/stand_ins/register_types.h"
@@ -14,8 +16,10 @@
 
 void RegisterModules() {
   RegisterControlBench();
+  RegisterGangsBench();
   RegisterHttpLogTypes();
   RegisterHttpTargetTypes();
+  RegisterHttpWorkerTypes();
   RegisterPlacementTypes();
   RegisterRoutingTypes();
   RegisterStandInTypes();
