Tests: Cut a way before another takes its place

Cause: DirectConnector::Attach over a way that stood left its sessions beyond the reach of Detach; an agent's next heartbeat met a destroyed entry (crash of ControlHistoryTest.NoStartLongAfterAnExitAndNoVersionFalls in 2 of 6 runs). And the scenario beside it ordered a zone out at an entry that had not read the first document in 1 of 48 runs. Change: Attach cuts first; the scenario waits until that entry is ready, its checks are as before.

--- a/modules/stand_ins/direct_connector.cc
+++ b/modules/stand_ins/direct_connector.cc
@@ -105,6 +105,9 @@
 }
 
 void DirectConnector::Attach(const std::string& address, EntryGate* gate) {
+  // A way that stands is cut first. Replaced while sessions still went by it, it would be out of
+  // Detach's reach, and their next heartbeat would meet an entry that is gone.
+  Detach(address);
   const std::lock_guard<std::mutex> lock(mutex_);
   auto way = std::make_shared<Way>();
   way->gate = gate;
--- a/tests/control_history_test.cc
+++ b/tests/control_history_test.cc
@@ -254,6 +254,8 @@
     });
   };
   while (!any_in_zone_a()) Rest(milliseconds(10));
+  // The order is to go to an entry that has read the document.
+  while (!entries_[2].server->ready()) Rest(milliseconds(10));
   for (size_t index : {0, 1}) entries_[index].way->SetFaults({.reads_fail = true});
   zone_a_ways_.Detach(Address(entries_[2]));
   ASSERT_TRUE(Order(2, false));
