Core: Answer callers whose connection stood when the server stopped

Cause: a stop closed the listening socket with connections in its queue, which resets them, and took itself for idle while a connection's request was still on its way; tests/rolling_test.sh saw one of some 260 requests cut ("Failure when receiving data from the peer") in 1 of 10 runs. Change: queued connections are taken in before the socket closes, a stop waits a second for requests of connections that stand, answers close their connections, and an entry goes on taking callers in for balancer_notice after its health check fails.

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -1,11 +1,14 @@
 #include "core/http_server.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -16,6 +19,9 @@
 namespace turmericshift {
 namespace {
 
+// How long a connection that stands may take until its request has arrived, once the server stops.
+constexpr Duration kRequestGrace = std::chrono::seconds(1);
+
 // What a connection's present request has gathered so far.
 struct Exchange {
   HttpRequest request;
@@ -61,6 +67,7 @@
   std::mutex mutex;
   std::condition_variable drained;
   int in_flight = 0;
+  int open_connections = 0;
 
   HttpResponse Answer(const Exchange& exchange) const {
     try {
@@ -115,6 +122,27 @@
     return Send(connection, state->Answer(*exchange), state->stopping.load());
   }
 
+  static void OnConnection(void* self, MHD_Connection* /*connection*/, void** /*context*/,
+                           MHD_ConnectionNotificationCode code) {
+    auto* state = static_cast<State*>(self);
+    const std::lock_guard<std::mutex> lock(state->mutex);
+    state->open_connections += code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1;
+    state->drained.notify_all();
+  }
+
+  // Connections that the kernel has accepted wait in the listening socket's queue. Closing the
+  // socket resets them, and a caller who has sent a request already gets no answer to it.
+  void TakeQueued(MHD_socket listener) const {
+    while (true) {
+      sockaddr_in address{};
+      socklen_t size = sizeof(address);
+      const int fd = accept4(listener, reinterpret_cast<sockaddr*>(&address), &size,
+                             SOCK_CLOEXEC | SOCK_NONBLOCK);
+      if (fd < 0) return;
+      MHD_add_connection(daemon, fd, reinterpret_cast<sockaddr*>(&address), size);
+    }
+  }
+
   static void OnCompleted(void* self, MHD_Connection* /*connection*/, void** user,
                           MHD_RequestTerminationCode /*code*/) {
     const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*user));
@@ -167,7 +195,8 @@
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
   state_->daemon = MHD_start_daemon(
       flags, 0, nullptr, nullptr, &State::OnAccess, state_.get(), MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_NOTIFY_COMPLETED, &State::OnCompleted, state_.get(), MHD_OPTION_CONNECTION_LIMIT,
+      MHD_OPTION_NOTIFY_COMPLETED, &State::OnCompleted, state_.get(), MHD_OPTION_NOTIFY_CONNECTION,
+      &State::OnConnection, state_.get(), MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(options.max_connections), MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(options.idle_timeout.count()), MHD_OPTION_THREAD_STACK_SIZE,
       options.stack_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
@@ -185,14 +214,21 @@
   return state_->in_flight;
 }
 
+void HttpServer::CloseAfterAnswers() { state_->stopping.store(true); }
+
 void HttpServer::StopAccepting() {
-  if (state_->stopping.exchange(true)) return;
+  CloseAfterAnswers();
   const MHD_socket listener = MHD_quiesce_daemon(state_->daemon);
-  if (listener != MHD_INVALID_SOCKET) close(listener);
+  if (listener == MHD_INVALID_SOCKET) return;
+  fcntl(listener, F_SETFL, fcntl(listener, F_GETFL) | O_NONBLOCK);
+  state_->TakeQueued(listener);
+  close(listener);
 }
 
 bool HttpServer::Drain(Duration limit) {
   std::unique_lock<std::mutex> lock(state_->mutex);
+  state_->drained.wait_for(lock, std::min(limit, kRequestGrace),
+                           [this] { return state_->open_connections == 0; });
   return state_->drained.wait_for(lock, limit, [this] { return state_->in_flight == 0; });
 }
 
--- a/core/http_server.h
+++ b/core/http_server.h
@@ -69,9 +69,13 @@
   int port() const { return port_; }
   // Requests whose handler has begun and whose answer is not yet out.
   int in_flight() const;
-  // Closes the listening socket; open connections go on and close after their present answer.
+  // From here on every answer closes its connection, so that callers who keep theirs open move on.
+  void CloseAfterAnswers();
+  // Takes in the connections that the system has queued and closes the listening socket; open
+  // connections go on and close after their present answer.
   void StopAccepting();
-  // Waits until nothing is in flight, at most `limit`; returns whether that came about.
+  // Waits until nothing is in flight, at most `limit`; returns whether that came about. A
+  // connection whose request has not arrived yet gets a short while for it.
   bool Drain(Duration limit);
 
  private:
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <thread>
+
 #include "core/digest.h"
 #include "core/error.h"
 #include "core/http_client.h"
@@ -25,15 +27,22 @@
   return call;
 }
 
-// Sends raw bytes on a connection of its own and reads until the server closes it.
-std::string SendRaw(int port, const std::string& bytes) {
+int ConnectTo(int port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(port));
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  return fd;
+}
+
+void SendAll(int fd, const std::string& bytes) {
   EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+}
+
+// All that arrives until the server closes the connection, which is then closed here too.
+std::string ReadAll(int fd) {
   std::string answer;
   char buffer[4096];
   for (ssize_t got = 1; got > 0;) {
@@ -44,6 +53,13 @@
   return answer;
 }
 
+// Sends raw bytes on a connection of its own and reads until the server closes it.
+std::string SendRaw(int port, const std::string& bytes) {
+  const int fd = ConnectTo(port);
+  SendAll(fd, bytes);
+  return ReadAll(fd);
+}
+
 TEST(HttpServerTest, CarriesEightMebibytesEachWayWhole) {
   const HttpServer server({}, &Echo);
   HttpCall call = CallTo(server, "/");
@@ -92,6 +108,19 @@
   EXPECT_EQ(SendRaw(server.port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"), "");
 }
 
+// A planned stop comes while a caller's connection stands and its request is still on its way. The
+// server must not take itself for idle and close it: the caller would not know whether it was run.
+TEST(HttpServerTest, AStopWaitsForARequestThatIsOnItsWay) {
+  HttpServer server({}, &Echo);
+  const int fd = ConnectTo(server.port());
+  server.StopAccepting();
+  std::thread caller(
+      [fd] { SendAll(fd, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok"); });
+  EXPECT_TRUE(server.Drain(std::chrono::seconds(10)));
+  caller.join();
+  EXPECT_NE(ReadAll(fd).find("200 OK"), std::string::npos);
+}
+
 TEST(HttpServerTest, NonsenseIsRefusedAndTheServerGoesOn) {
   const HttpServer server({}, &Echo);
   SendRaw(server.port(), "GET\r\n\r\n");
--- a/main/commands/process_commands.cc
+++ b/main/commands/process_commands.cc
@@ -51,6 +51,7 @@
   options.zone = settings.availability_zone;
   options.caller_http = HttpOptions(settings.callers, settings);
   options.operator_http = HttpOptions(settings.operators, settings);
+  options.balancer_notice = settings.balancer_notice;
   options.environment = settings.environment;
   options.promotion_key = ReadSecret(settings.promotion_key_file);
   options.trial = settings.trial;
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -69,6 +69,7 @@
               TextKey("availability_zone", kRequired, &settings.availability_zone),
               TextKey("shared_keys_file", kRequired, &settings.shared_keys_file),
               TextKey("operator_token_file", kOptional, &settings.operator_token_file),
+              DurationKey("balancer_notice", kOptional, &settings.balancer_notice),
               DurationKey("stop_limit", kOptional, &settings.stop_limit)}},
             {"callers", true, ListenKeys(&settings.callers)},
             {"operators", true, ListenKeys(&settings.operators)},
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -43,6 +43,9 @@
   int max_connections = 1024;
   int max_sessions = 800;
   Duration idle_timeout = std::chrono::seconds(60);
+  // How long a leaving entry goes on taking callers in, so that the balancer notices first: longer
+  // than its health checks need.
+  Duration balancer_notice = std::chrono::seconds(5);
   // How long a graceful stop may wait for what is in flight.
   Duration stop_limit = std::chrono::seconds(60);
 };
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <thread>
 #include <utility>
 
 #include "core/error.h"
@@ -202,9 +203,15 @@
          request_stream_.view().ever_fresh;
 }
 
+// The balancer looks only now and then whether this entry is ready; until then it sends callers
+// here, who would find the door closed.
+void EntryServer::WaitForBalancer() const { std::this_thread::sleep_for(options_.balancer_notice); }
+
 bool EntryServer::Leave(Duration limit) {
   leaving_.store(true);
   LogEvent(LogLevel::kInfo, "entry_leaving");
+  caller_http_->CloseAfterAnswers();
+  WaitForBalancer();
   caller_http_->StopAccepting();
   const bool drained = caller_http_->Drain(limit);
   // So that the next planner need not wait until this one is missed.
--- a/servers/entry/entry_server.h
+++ b/servers/entry/entry_server.h
@@ -49,6 +49,8 @@
   bool eject_outliers = true;
   std::string placement_policy = "cells";
   uint64_t seed = 1;
+  // How long a leaving entry goes on taking callers in, so that the balancer notices first.
+  Duration balancer_notice = Duration::zero();
 };
 
 class EntryServer : public EntryGate {
@@ -82,6 +84,7 @@
 
   std::string CallerAddress(const std::string& peer_address) const;
   StreamOptions OptionsFor(Stream stream);
+  void WaitForBalancer() const;
   EntryBeat MakeBeat(const AgentHello& hello, const AgentBeat& beat) const;
   std::vector<EntryMember> KnownEntries(Time now) const;
   // Records this entry as a member, and again when it finds itself missing.
--- a/tests/process_lib.sh
+++ b/tests/process_lib.sh
@@ -50,6 +50,7 @@
 availability_zone = $1
 shared_keys_file = $work/keys
 operator_token_file = $work/operator
+balancer_notice = 200ms
 [callers]
 address = 127.0.0.1
 [operators]
