--- a/main/bench_control.cc
+++ b/main/benches/bench_control.cc
@@ -1,4 +1,4 @@
-#include "main/bench_control.h"
+#include "main/benches/bench_control.h"
 
 #include <sys/resource.h>
 
@@ -11,7 +11,7 @@
 #include "core/digest.h"
 #include "core/error.h"
 #include "core/secret.h"
-#include "main/bench_spread.h"
+#include "main/benches/bench_spread.h"
 #include "main/dev_cluster.h"
 #include "rpc/traffic.h"
 #include "servers/state/job_fold.h"
--- a/main/bench_gangs.cc
+++ b/main/benches/bench_gangs.cc
@@ -1,4 +1,4 @@
-#include "main/bench_gangs.h"
+#include "main/benches/bench_gangs.h"
 
 #include <functional>
 #include <memory>
--- a/main/bench_requests.cc
+++ b/main/benches/bench_requests.cc
@@ -1,4 +1,4 @@
-#include "main/bench_requests.h"
+#include "main/benches/bench_requests.h"
 
 #include <atomic>
 #include <memory>
@@ -6,8 +6,8 @@
 
 #include "core/error.h"
 #include "core/secret.h"
+#include "main/benches/load_generator.h"
 #include "main/dev_cluster.h"
-#include "main/load_generator.h"
 
 namespace turmericshift {
 namespace {
--- a/main/bench_spread.cc
+++ b/main/benches/bench_spread.cc
@@ -1,4 +1,4 @@
-#include "main/bench_spread.h"
+#include "main/benches/bench_spread.h"
 
 #include <algorithm>
 #include <atomic>
--- a/main/capacity_bench.cc
+++ b/main/benches/capacity_bench.cc
@@ -1,4 +1,4 @@
-#include "main/capacity_bench.h"
+#include "main/benches/capacity_bench.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
--- a/main/load_generator.cc
+++ b/main/benches/load_generator.cc
@@ -1,4 +1,4 @@
-#include "main/load_generator.h"
+#include "main/benches/load_generator.h"
 
 #include <algorithm>
 #include <atomic>
--- a/main/replay_bench.cc
+++ b/main/benches/replay_bench.cc
@@ -1,4 +1,4 @@
-#include "main/replay_bench.h"
+#include "main/benches/replay_bench.h"
 
 #include <algorithm>
 #include <filesystem>
--- a/main/commands.cc
+++ b/main/commands.cc
@@ -2,10 +2,10 @@
 
 #include <cstdio>
 
-#include "main/bench.h"
-#include "main/burn_command.h"
-#include "main/history_command.h"
-#include "main/replay_command.h"
+#include "main/commands/bench_command.h"
+#include "main/commands/burn_command.h"
+#include "main/commands/history_command.h"
+#include "main/commands/replay_command.h"
 
 namespace turmericshift {
 
--- a/main/bench_test.cc
+++ b/main/commands/bench_command_test.cc
@@ -1,4 +1,4 @@
-#include "main/bench.h"
+#include "main/commands/bench_command.h"
 
 #include <gtest/gtest.h>
 
--- a/main/burn_command.cc
+++ b/main/commands/burn_command.cc
@@ -1,4 +1,4 @@
-#include "main/burn_command.h"
+#include "main/commands/burn_command.h"
 
 #include <cstdio>
 #include <fstream>
--- a/main/history_command.cc
+++ b/main/commands/history_command.cc
@@ -1,4 +1,4 @@
-#include "main/history_command.h"
+#include "main/commands/history_command.h"
 
 #include <cstdio>
 #include <nlohmann/json.hpp>
--- a/main/replay_command.cc
+++ b/main/commands/replay_command.cc
@@ -1,4 +1,4 @@
-#include "main/replay_command.h"
+#include "main/commands/replay_command.h"
 
 #include <cstdio>
 #include <fstream>
--- a/tests/outage_test.sh
+++ b/tests/outage_test.sh
@@ -5,25 +5,13 @@
 set -euo pipefail
 source "$(dirname "$0")/process_lib.sh"
 zones=(a b)
-start log stand-in log
-start target stand-in target
-await listening log
-await listening target
-log_url="http://127.0.0.1:$(port log callers)"
-target_url="http://127.0.0.1:$(port target callers)"
-for zone in "${zones[@]}"; do
-  entry_settings "$zone" >"$work/entry-$zone.ini"
-  start "entry-$zone" entry "$work/entry-$zone.ini"
-  await listening "entry-$zone"
-done
+start_platform
+for zone in "${zones[@]}"; do start_entry "$zone"; done
 operators=$(addresses operators)
 callers=$(addresses callers)
 document "${zones[@]}" >"$work/environment.ini"
 as_operator config publish "$work/environment.ini" >/dev/null
-for zone in "${zones[@]}"; do
-  agent_settings "$zone" "$(addresses sessions)" >"$work/agent-$zone.ini"
-  start "agent-$zone" agent "$work/agent-$zone.ini"
-done
+for zone in "${zones[@]}"; do start_agent "$zone"; done
 echo "which jar is next?" >"$work/body"
 answered() { as_caller request --key "$1" --body-file "$work/body" planner /plan | cmp -s - "$work/body"; }
 job() {
--- a/tests/process_lib.sh
+++ b/tests/process_lib.sh
@@ -128,3 +128,25 @@
   printf 'GET /runs HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n' >&3
   tail -n 1 <&3
 }
+
+# start_platform [OPTION OF THE TARGET…]: the stand-ins of the log and of one target.
+start_platform() {
+  start log stand-in log
+  start target stand-in target "$@"
+  await listening log
+  await listening target
+  log_url="http://127.0.0.1:$(port log callers)"
+  target_url="http://127.0.0.1:$(port target callers)"
+}
+
+start_entry() {
+  entry_settings "$1" >"$work/entry-$1.ini"
+  start "entry-$1" entry "$work/entry-$1.ini"
+  await listening "entry-$1"
+}
+
+# Knows the entries that listen now.
+start_agent() {
+  agent_settings "$1" "$(addresses sessions)" >"$work/agent-$1.ini"
+  start "agent-$1" agent "$work/agent-$1.ini"
+}
--- a/tests/processes_test.sh
+++ b/tests/processes_test.sh
@@ -4,29 +4,15 @@
 # entry is stopped by SIGTERM and the other serves on.
 set -euo pipefail
 source "$(dirname "$0")/process_lib.sh"
+zones=(a b)
 
-start log stand-in log
-start target stand-in target --delay 1s
-await listening log
-await listening target
-log_url="http://127.0.0.1:$(port log callers)"
-target_url="http://127.0.0.1:$(port target callers)"
+start_platform --delay 1s
 
-for zone in a b; do
-  entry_settings $zone >"$work/entry-$zone.ini"
-  start entry-$zone entry "$work/entry-$zone.ini"
-done
-await listening entry-a
-await listening entry-b
-sessions="127.0.0.1:$(port entry-a sessions) 127.0.0.1:$(port entry-b sessions)"
-for zone in a b; do
-  agent_settings $zone "$sessions" >"$work/agent-$zone.ini"
-  start agent-$zone agent "$work/agent-$zone.ini"
-done
-
-operators="127.0.0.1:$(port entry-a operators) 127.0.0.1:$(port entry-b operators)"
-callers="127.0.0.1:$(port entry-a callers) 127.0.0.1:$(port entry-b callers)"
-document a b >"$work/environment.ini"
+for zone in "${zones[@]}"; do start_entry "$zone"; done
+for zone in "${zones[@]}"; do start_agent "$zone"; done
+operators=$(addresses operators)
+callers=$(addresses callers)
+document "${zones[@]}" >"$work/environment.ini"
 agents_known() { as_operator status --json | grep -c '"agent": ' | grep -qx 2; }
 await agents_known
 as_operator config publish --wait 20s "$work/environment.ini"
--- a/tests/rolling_test.sh
+++ b/tests/rolling_test.sh
@@ -8,24 +8,9 @@
 zones=(a b c)
 callers_pids=()
 
-start log stand-in log
-start target stand-in target --delay 50ms
-await listening log
-await listening target
-log_url="http://127.0.0.1:$(port log callers)"
-target_url="http://127.0.0.1:$(port target callers)"
+start_platform --delay 50ms
 
-start_entry() {
-  entry_settings "$1" >"$work/entry-$1.ini"
-  start "entry-$1" entry "$work/entry-$1.ini"
-  await listening "entry-$1"
-}
-
-start_agent() {
-  agent_settings "$1" "$(addresses sessions)" >"$work/agent-$1.ini"
-  start "agent-$1" agent "$work/agent-$1.ini"
-  await grep -q config_in_force "$work/agent-$1.log"
-}
+has_document() { grep -q config_in_force "$work/agent-$1.log"; }
 
 # Callers see the balancer's list; a moved file is never read half written.
 update_callers() {
@@ -46,6 +31,7 @@
 document "${zones[@]}" >"$work/environment.ini"
 as_operator config publish "$work/environment.ini" >/dev/null
 for zone in "${zones[@]}"; do start_agent "$zone"; done
+for zone in "${zones[@]}"; do await has_document "$zone"; done
 update_callers
 echo "which jar is next?" >"$work/body"
 
@@ -76,6 +62,7 @@
 for zone in "${zones[@]}"; do
   stop "agent-$zone"
   start_agent "$zone"
+  await has_document "$zone"
 done
 ready() {
   "$binary" status --json --entries "127.0.0.1:$(port "entry-$1" operators)" \
