--- a/modules/placement/cell_policy.cc
+++ b/modules/placement/cell_policy.cc
@@ -436,8 +436,20 @@
   std::vector<std::vector<int>> tasks_on_;
 };
 
-Plan LeaveZone(const ZoneView& view) {
+}  // namespace
+
+Plan CellPolicy::Decide(const ZoneView& view, Time now) {
+  if (!view.in) return LeaveZone(view, now);
+  out_since_.reset();
+  return Pass(view, estimator_, now, &reservations_).Run();
+}
+
+Plan CellPolicy::LeaveZone(const ZoneView& view, Time now) {
+  if (!out_since_) out_since_ = now;
   Plan plan;
+  // Stopped at once, work would wait for room in zones that are full just then, while its own
+  // workers stand idle; much of it ends by itself before the zone has to be empty.
+  if (now - *out_since_ < view.environment->bounds.zone_drain) return plan;
   for (const RunningJob& job : view.running) {
     // Work that can't be checkpointed would be lost whole; it may finish here.
     if (job.stopping || !job.spec.checkpoints) continue;
@@ -446,13 +458,6 @@
   return plan;
 }
 
-}  // namespace
-
-Plan CellPolicy::Decide(const ZoneView& view, Time now) {
-  if (!view.in) return LeaveZone(view);
-  return Pass(view, estimator_, now, &reservations_).Run();
-}
-
 void CellPolicy::Learn(const JobSpec& spec, Duration run_time, Time /*now*/) {
   estimator_.Learn(spec, run_time);
 }
--- a/modules/placement/cell_policy.h
+++ b/modules/placement/cell_policy.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,12 @@
   void Learn(const JobSpec& spec, Duration run_time, Time now) override;
 
  private:
+  // What has to leave a zone that is out.
+  Plan LeaveZone(const ZoneView& view, Time now);
+
   RunTimeEstimator estimator_;
+  // Since when this policy has seen its zone out. A planner that takes over counts anew.
+  std::optional<Time> out_since_;
   // Workers that a waiting large gang gathers, by its id.
   Reservations reservations_;
 };
--- a/servers/config/environment.cc
+++ b/servers/config/environment.cc
@@ -70,6 +70,7 @@
       {{"deployment", true, [=](const std::string& value) { environment->deployment = value; }},
        HashesKey("operator_token_hashes", &environment->operator_token_hashes),
        DurationKey("reclaim_bound", &environment->bounds.reclaim),
+       DurationKey("zone_drain", &environment->bounds.zone_drain),
        DurationKey("zone_out_bound", &environment->bounds.zone_out),
        DurationKey("lease", &environment->bounds.lease)},
       file);
--- a/servers/config/environment.h
+++ b/servers/config/environment.h
@@ -63,6 +63,9 @@
   Duration reclaim = std::chrono::seconds(30);
   // No start in a zone later than this after it was taken out.
   Duration zone_out = std::chrono::seconds(3);
+  // Work that runs in a zone that was taken out may go on for this long before it is checkpointed
+  // and moved. Zero empties the zone at once.
+  Duration zone_drain = std::chrono::minutes(30);
   // A task stops by itself this long after its agent last heard an entry.
   Duration lease = std::chrono::seconds(10);
 };
