Config: Refuse guarantees that can't be met when a document is published

Cause: the check stood in the code and neither config check nor an entry asked it, so a document that promised 284 accelerators of 88 was accepted. Change: both ask; what a zone's exit would leave unpromised comes back as warnings.

--- a/main/commands/api_client.cc
+++ b/main/commands/api_client.cc
@@ -64,6 +64,9 @@
       std::printf("\n");
     }
   }
+  for (const nlohmann::json& warning : answer.value("warnings", nlohmann::json::array())) {
+    std::fprintf(stderr, "warning: %s\n", warning.get<std::string>().c_str());
+  }
   const bool waited = ParseDuration(options.value("wait")) > Duration::zero();
   return waited && !complete ? ExitCode::kFailed : ExitCode::kDone;
 }
--- a/main/commands/config_command.cc
+++ b/main/commands/config_command.cc
@@ -7,6 +7,7 @@
 #include "main/commands.h"
 #include "main/commands/api_client.h"
 #include "servers/config/environment.h"
+#include "servers/config/guarantee_check.h"
 
 namespace turmericshift {
 namespace {
@@ -35,6 +36,11 @@
   for (const std::string& path : options.operands()) {
     const std::string text = ReadFileText(path);
     const Environment environment = ParseEnvironment(path, text);
+    const GuaranteeReport report = CheckGuarantees(environment);
+    for (const std::string& warning : report.warnings) {
+      std::fprintf(stderr, "%s: warning: %s\n", path.c_str(), warning.c_str());
+    }
+    RequireGuarantees(path, report);
     std::printf("%s: no problem found; deployment %s, %zu zones, %zu workspaces, digest %s\n",
                 path.c_str(), environment.deployment.c_str(), environment.zones.size(),
                 environment.workspaces.size(), Digest(text).c_str());
--- a/servers/config/guarantee_check.cc
+++ b/servers/config/guarantee_check.cc
@@ -1,5 +1,6 @@
 #include "servers/config/guarantee_check.h"
 
+#include "core/error.h"
 #include "servers/planner/guarantee_split.h"
 
 namespace turmericshift {
@@ -79,4 +80,16 @@
   return report;
 }
 
+void RequireGuarantees(const std::string& name, const GuaranteeReport& report) {
+  if (report.errors.empty()) return;
+  std::string text;
+  for (const std::string& error : report.errors) {
+    if (!text.empty()) text += "\n";
+    text += name;
+    text += ": ";
+    text += error;
+  }
+  throw Error(ErrorKind::kInvalidInput, text);
+}
+
 }  // namespace turmericshift
--- a/servers/config/guarantee_check.h
+++ b/servers/config/guarantee_check.h
@@ -18,4 +18,7 @@
 // Pure in the document. Each message carries its numbers.
 GuaranteeReport CheckGuarantees(const Environment& environment);
 
+// Throws Error(kInvalidInput) that lists the report's errors, a line each with `name`, if any.
+void RequireGuarantees(const std::string& name, const GuaranteeReport& report);
+
 }  // namespace turmericshift
--- a/servers/entry/config_api.cc
+++ b/servers/entry/config_api.cc
@@ -9,6 +9,7 @@
 #include "core/logging.h"
 #include "core/secret.h"
 #include "core/units.h"
+#include "servers/config/guarantee_check.h"
 #include "servers/entry/entry_server.h"
 
 namespace turmericshift {
@@ -152,7 +153,8 @@
 }
 
 HttpResponse ConfigApi::Publish(const HttpRequest& request) {
-  ParseEnvironment("document", request.body);
+  const Environment environment = ParseEnvironment("document", request.body);
+  RequireGuarantees("document", CheckGuarantees(environment));
   ConfigPublished record;
   record.id = NewRecordId();
   record.parent = RequiredNumber(request, "parent");
@@ -214,6 +216,7 @@
   }
   nlohmann::json json = VersionJson(version);
   json["in_force"] = nlohmann::json::parse(report.ToJson());
+  json["warnings"] = CheckGuarantees(*version.environment).warnings;
   return JsonResponse(json.dump(), 201);
 }
 
--- a/servers/entry/config_api_test.cc
+++ b/servers/entry/config_api_test.cc
@@ -69,6 +69,25 @@
   std::shared_ptr<EntryPort> port;
 };
 
+// A document promises a workspace more than the zones hold. Taken over, it would leave the
+// workspace waiting for room that its operators believe is kept for it.
+TEST(ConfigApiTest, GuaranteesThatCannotBeMetAreRefusedAndThoseOfAZoneOutWarnedOf) {
+  MemoryLog log;
+  TestEntry one(&log, "", "one");
+  const auto workspace = [](const std::string& guarantee) {
+    return "[workspace boxes]\nguarantee = " + guarantee + "\naccelerator_cap = 16\n";
+  };
+  const Answer refused =
+      one.Call("POST", "/v1/config?parent=0&author=kati", Document(workspace("2 worker")));
+  EXPECT_EQ(refused.status, 400);
+  EXPECT_NE(refused.json.at("detail").get<std::string>().find("16 accelerators of 8"),
+            std::string::npos);
+  const Answer accepted =
+      one.Call("POST", "/v1/config?parent=0&author=kati", Document(workspace("1 worker")));
+  EXPECT_EQ(accepted.status, 201);
+  EXPECT_EQ(accepted.json.at("warnings").size(), 1U);
+}
+
 // Two operators publish at two entries at once: one of them is told that the other came first.
 TEST(ConfigApiTest, OfTwoOperatorsTheSecondIsToldWhoCameFirst) {
   MemoryLog log;
