--- a/tests/fuzz/fuzz_test.sh
+++ b/tests/fuzz/fuzz_test.sh
@@ -11,7 +11,8 @@
 cd "$source"
 units=(tests/fuzz/parsers_fuzz.cc core/error.cc core/ini.cc core/ini_keys.cc core/units.cc
   core/logging.cc core/clock.cc core/secret.cc core/digest.cc servers/config/environment.cc
-  servers/jobs/job.cc servers/state/record.cc servers/platform/log_service.cc)
+  servers/jobs/job.cc servers/state/record.cc
+  servers/replay/trace.cc servers/replay/synthetic_document.cc servers/replay/trace_generator.cc servers/platform/log_service.cc)
 # The parsers' own files only; what else they come to need is added here.
 printf '%s\n' "${units[@]}" | xargs -P 4 -I{} bash -c '
   clang++ -std=c++20 -O1 -g -fsanitize=fuzzer-no-link,address -I. -c {} \
--- a/tests/fuzz/parsers_fuzz.cc
+++ b/tests/fuzz/parsers_fuzz.cc
@@ -7,13 +7,14 @@
 #include "core/error.h"
 #include "servers/config/environment.h"
 #include "servers/jobs/job.h"
+#include "servers/replay/trace.h"
 #include "servers/state/record.h"
 
 namespace turmericshift {
 namespace {
 
 void ParseOne(uint8_t parser, const std::string& text) {
-  switch (parser % 4) {
+  switch (parser % 5) {
     case 0:
       ParseEnvironment("fuzz", text);
       break;
@@ -23,6 +24,9 @@
     case 2:
       DecodeRecords(text);
       break;
+    case 4:
+      ParseTrace("fuzz", text);
+      break;
     default:
       WithZoneState(text, "a", false);
       break;
