Config: Bind the document by the shared INI keys

Cause: environment.cc kept three makers of INI keys of its own that core/ini_keys.h has for the process settings. Change: it calls those; names, ranges, presence and messages are the same.

--- a/servers/config/environment.cc
+++ b/servers/config/environment.cc
@@ -4,7 +4,7 @@
 #include <sstream>
 
 #include "core/error.h"
-#include "core/ini.h"
+#include "core/ini_keys.h"
 #include "core/units.h"
 
 namespace turmericshift {
@@ -36,20 +36,6 @@
   return cells;
 }
 
-IniKey IntKey(const std::string& name, bool required, int64_t low, int64_t high, int* target) {
-  return {name, required, [=](const std::string& value) {
-            *target = static_cast<int>(ParseInteger(value, low, high));
-          }};
-}
-
-IniKey ShareKey(const std::string& name, double* target) {
-  return {name, false, [=](const std::string& value) { *target = ParseNumber(value, 0, 1); }};
-}
-
-IniKey DurationKey(const std::string& name, Duration* target) {
-  return {name, false, [=](const std::string& value) { *target = ParseDuration(value); }};
-}
-
 // A space-separated list of "salt$hash".
 IniKey HashesKey(const std::string& name, std::vector<std::string>* target) {
   return {name, false, [=](const std::string& value) {
@@ -69,10 +55,10 @@
       section,
       {{"deployment", true, [=](const std::string& value) { environment->deployment = value; }},
        HashesKey("operator_token_hashes", &environment->operator_token_hashes),
-       DurationKey("reclaim_bound", &environment->bounds.reclaim),
-       DurationKey("zone_drain", &environment->bounds.zone_drain),
-       DurationKey("zone_out_bound", &environment->bounds.zone_out),
-       DurationKey("lease", &environment->bounds.lease)},
+       DurationKey("reclaim_bound", Presence::kOptional, &environment->bounds.reclaim),
+       DurationKey("zone_drain", Presence::kOptional, &environment->bounds.zone_drain),
+       DurationKey("zone_out_bound", Presence::kOptional, &environment->bounds.zone_out),
+       DurationKey("lease", Presence::kOptional, &environment->bounds.lease)},
       file);
 }
 
@@ -88,10 +74,11 @@
   BindSection(
       section,
       {{"state", true, assign_state},
-       IntKey("workers", true, 0, kMaxWorkersPerZone, &zone.workers),
-       IntKey("workers_per_rack", true, 1, kMaxWorkersPerZone, &zone.workers_per_rack),
-       IntKey("processors_per_worker", true, 1, 4096, &zone.worker.processors),
-       IntKey("accelerators_per_worker", true, 0, 32, &zone.worker.accelerators),
+       IntegerKey("workers", Presence::kRequired, 0, kMaxWorkersPerZone, &zone.workers),
+       IntegerKey("workers_per_rack", Presence::kRequired, 1, kMaxWorkersPerZone,
+                  &zone.workers_per_rack),
+       IntegerKey("processors_per_worker", Presence::kRequired, 1, 4096, &zone.worker.processors),
+       IntegerKey("accelerators_per_worker", Presence::kRequired, 0, 32, &zone.worker.accelerators),
        {"memory_per_worker", true,
         [&zone](const std::string& value) { zone.worker.memory_bytes = ParseBytes(value); }}},
       file);
@@ -106,10 +93,13 @@
       {HashesKey("token_hashes", &workspace.token_hashes),
        {"guarantee", true,
         [&workspace](const std::string& value) { workspace.guarantee = ParseGuarantee(value); }},
-       IntKey("accelerator_cap", true, 0, 1 << 20, &workspace.accelerator_cap),
-       ShareKey("objective_plans_on_time", &workspace.objectives.plans_on_time),
-       ShareKey("objective_requests_answered", &workspace.objectives.requests_answered),
-       ShareKey("objective_starts_within_bound", &workspace.objectives.starts_within_bound)},
+       IntegerKey("accelerator_cap", Presence::kRequired, 0, 1 << 20, &workspace.accelerator_cap),
+       ShareKey("objective_plans_on_time", Presence::kOptional,
+                &workspace.objectives.plans_on_time),
+       ShareKey("objective_requests_answered", Presence::kOptional,
+                &workspace.objectives.requests_answered),
+       ShareKey("objective_starts_within_bound", Presence::kOptional,
+                &workspace.objectives.starts_within_bound)},
       file);
   environment->workspaces[workspace.name] = workspace;
 }
@@ -118,8 +108,8 @@
   ServiceSpec service;
   service.name = section.label;
   BindSection(section,
-              {IntKey("slots", false, 1, 4096, &service.slots),
-               IntKey("connections", false, 1, 65536, &service.connections),
+              {IntegerKey("slots", Presence::kOptional, 1, 4096, &service.slots),
+               IntegerKey("connections", Presence::kOptional, 1, 65536, &service.connections),
                {"repeatable", false,
                 [&service](const std::string& value) { service.repeatable = ParseBool(value); }}},
               file);
