--- a/core/clock.cc
+++ b/core/clock.cc
@@ -1,5 +1,7 @@
 #include "core/clock.h"
 
+#include <ctime>
+
 namespace turmericshift {
 
 int64_t SystemClock::WallMillis() const {
@@ -7,6 +9,19 @@
   return duration_cast<std::chrono::milliseconds>(since_epoch).count();
 }
 
+Time SuspendAwareClock::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+int64_t SuspendAwareClock::WallMillis() const { return DefaultClock().WallMillis(); }
+
+const Clock& LeaseClock() {
+  static const SuspendAwareClock clock;
+  return clock;
+}
+
 const Clock& DefaultClock() {
   static const SystemClock clock;
   return clock;
--- a/core/clock.h
+++ b/core/clock.h
@@ -28,6 +28,17 @@
   int64_t WallMillis() const override;
 };
 
+// Counts on while the VM is suspended, which the steady clock does not: a lease reckoned by a clock
+// that stood still would be honoured here after it has lapsed everywhere else.
+class SuspendAwareClock : public Clock {
+ public:
+  Time Now() const override;
+  int64_t WallMillis() const override;
+};
+
+// The process's clock for leases.
+const Clock& LeaseClock();
+
 // The process's own clock, for code at the edge that is not handed one.
 const Clock& DefaultClock();
 
--- a/main/commands.cc
+++ b/main/commands.cc
@@ -13,6 +13,7 @@
   static const std::vector<Command> commands = {
       {"entry", "serve callers and operators, plan zones (a process)", &RunEntry},
       {"agent", "stand beside one target or worker (a process)", &RunAgent},
+      {"pool", "serve as an entry or agent of a pool on a platform (a process)", &RunPool},
       {"dev", "run a whole system in this process on loopback", &RunDev},
       {"demo", "run jobs and requests of a deployment in this process", &RunDemo},
       {"stand-in", "serve a stand-in of the platform, for trying things out", &RunStandIn},
--- a/main/commands.h
+++ b/main/commands.h
@@ -26,6 +26,8 @@
 // Processes.
 ExitCode RunEntry(const Words& words);
 ExitCode RunAgent(const Words& words);
+// Entries and agents of a pool on a platform that an adapter speaks to.
+ExitCode RunPool(const Words& words);
 ExitCode RunStandIn(const Words& words);
 ExitCode RunDev(const Words& words);
 ExitCode RunDemo(const Words& words);
--- /dev/null
+++ b/main/commands/pool_commands.cc
@@ -0,0 +1,129 @@
+// turmericshift pool entry, pool agent: processes of a pool on a platform that an adapter speaks to.
+#include <signal.h>
+
+#include <algorithm>
+
+#include "core/logging.h"
+#include "core/secret.h"
+#include "core/shutdown.h"
+#include "main/commands.h"
+#include "main/settings/process_settings.h"
+#include "rpc/pool_session.h"
+#include "servers/pool/pool_agent.h"
+#include "servers/pool/pool_entry.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr size_t kIncarnationBytes = 8;
+// A caller's connection costs a thread; clients of one entry are a few dozen.
+constexpr int kMostConnections = 600;
+constexpr size_t kConnectionStackBytes = size_t{128} * 1024;
+// What a lease keeps of what workers grant at most, so that none is shortened there unseen.
+constexpr Duration kLeaseReserve = std::chrono::milliseconds(500);
+// Above this a lost worker's tasks wait longer and nothing is gained: a change of planner takes
+// three seconds.
+constexpr Duration kLongestLease = std::chrono::milliseconds(5000);
+constexpr Duration kStatusSlack = std::chrono::seconds(10);
+// Of the time that a stop may take, what is left for ending the process.
+constexpr Duration kStopReserve = std::chrono::milliseconds(700);
+
+// A change of the settings needs a restart to take effect; the signal that tells of one must not
+// end the process.
+void IgnoreSignals() {
+  signal(SIGHUP, SIG_IGN);
+  signal(SIGPIPE, SIG_IGN);
+}
+
+HttpServerOptions HttpAt(const ListenSettings& listen) {
+  HttpServerOptions options;
+  options.address = listen.address;
+  options.port = listen.port;
+  options.max_connections = kMostConnections;
+  options.stack_bytes = kConnectionStackBytes;
+  return options;
+}
+
+ExitCode RunPoolEntry(const Words& words) {
+  CommandOptions options("pool entry", "serve as an entry of a pool until SIGTERM", "SETTINGS",
+                         "turmericshift pool entry entry.ini");
+  if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
+  const std::string& path = options.operands()[0];
+  const PoolEntrySettings settings = ParsePoolEntrySettings(path, ReadFileText(path));
+  ShutdownSignal signal;
+  IgnoreSignals();
+  InitLogging("turmericshift", {"entry", settings.name, settings.availability_zone});
+  MetricsRegistry metrics;
+  const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
+  const auto door = pool::CallerDoorRegistry::Instance().Create(settings.adapter);
+  RpcPlannerConnector connector;
+  pool::PoolEntryOptions entry_options;
+  entry_options.node = settings.name;
+  entry_options.front.node = settings.name;
+  entry_options.callers = HttpAt(settings.callers);
+  entry_options.readiness = HttpAt(settings.readiness);
+  entry_options.planner.planner.lease =
+      std::min(kLongestLease, settings.longest_lease - kLeaseReserve);
+  entry_options.planner.planner.status_limit = settings.status_kept + kStatusSlack;
+  pool::PoolEntry entry(entry_options, log.get(),
+                        pool::OperatorDecoderRegistry::Instance().Create(settings.adapter),
+                        door.get(), &connector, &metrics);
+  PoolListenerOptions listener_options;
+  listener_options.address = settings.sessions.address;
+  listener_options.port = settings.sessions.port;
+  const PoolListener listener(listener_options, entry.gate());
+  entry.Join(settings.sessions.address + ":" + std::to_string(listener.port()));
+  LogEvent(LogLevel::kInfo, "started",
+           {{"callers", entry.caller_port()},
+            {"readiness", entry.readiness_port()},
+            {"sessions", listener.port()}});
+  signal.Wait();
+  signal.CutOnNext();
+  const bool drained =
+      entry.Leave(settings.stop_limit - entry_options.balancer_notice - kStopReserve);
+  LogEvent(LogLevel::kInfo, "stopped", {{"drained", drained}});
+  return drained ? ExitCode::kDone : ExitCode::kFailed;
+}
+
+ExitCode RunPoolAgent(const Words& words) {
+  CommandOptions options("pool agent", "serve beside a worker of a pool until SIGTERM", "SETTINGS",
+                         "turmericshift pool agent agent.ini");
+  if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
+  const std::string& path = options.operands()[0];
+  const PoolAgentSettings settings = ParsePoolAgentSettings(path, ReadFileText(path));
+  ShutdownSignal signal;
+  IgnoreSignals();
+  InitLogging("turmericshift", {"agent", settings.name, settings.availability_zone});
+  MetricsRegistry metrics;
+  const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
+  const auto worker =
+      pool::PoolWorkerRegistry::Instance().Create(settings.adapter, settings.worker_address);
+  const auto door = pool::WorkerDoorRegistry::Instance().Create(settings.adapter);
+  RpcPlannerConnector connector;
+  pool::PoolAgentOptions agent_options;
+  agent_options.node = settings.name;
+  agent_options.zone = settings.availability_zone;
+  agent_options.incarnation = RandomHex(kIncarnationBytes);
+  pool::PoolAgent agent(agent_options, log.get(), worker.get(), &connector, &metrics);
+  HttpServer announcements(HttpAt(settings.announcements), [&](const HttpRequest& request) {
+    if (request.path == "/metrics") return HttpResponse{200, metrics.Expose(), {}};
+    return door->Handle(request, &agent);
+  });
+  LogEvent(LogLevel::kInfo, "started", {{"announcements", announcements.port()}});
+  signal.Wait();
+  signal.CutOnNext();
+  announcements.StopAccepting();
+  LogEvent(LogLevel::kInfo, "stopped", {{"drained", true}});
+  return ExitCode::kDone;
+}
+
+}  // namespace
+
+ExitCode RunPool(const Words& words) {
+  static const std::vector<Command> commands = {
+      {"entry", "answer callers, plan the pool while holding the duty", &RunPoolEntry},
+      {"agent", "stand beside one worker", &RunPoolAgent}};
+  return Dispatch("turmericshift pool", commands, words);
+}
+
+}  // namespace turmericshift
--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -11,6 +11,7 @@
 #include "modules/placement/register_types.h"
 #include "modules/routing/register_types.h"
 #include "modules/stand_ins/register_types.h"
+#include "platform/register_types.h"
 
 namespace turmericshift {
 
@@ -23,6 +24,7 @@
   RegisterPlacementTypes();
   RegisterRoutingTypes();
   RegisterStandInTypes();
+  RegisterPlatformTypes();
   RegisterRequestBench();
   RegisterCapacityBench();
   RegisterReplayBench();
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -4,6 +4,7 @@
 
 #include "core/error.h"
 #include "core/ini_keys.h"
+#include "rpc/rpc_entry_connector.h"
 
 namespace turmericshift {
 namespace {
@@ -18,6 +19,14 @@
           IntegerKey("port", kOptional, 0, kMaxPort, &listen->port)};
 }
 
+// "ip:port" in one word.
+IniKey EndpointKey(const std::string& name, ListenSettings* listen) {
+  return {name, true, [listen](const std::string& text) {
+            const PeerAddress address = ParsePeerAddress(text);
+            *listen = {address.ip, address.port};
+          }};
+}
+
 // One section that a role's settings may have.
 struct SectionRule {
   std::string kind;
@@ -137,4 +146,40 @@
   return settings;
 }
 
+PoolEntrySettings ParsePoolEntrySettings(const std::string& file_name, const std::string& text) {
+  PoolEntrySettings settings;
+  BindFile(file_name, text,
+           {{"process",
+             true,
+             {TextKey("name", kRequired, &settings.name),
+              TextKey("availability_zone", kRequired, &settings.availability_zone),
+              TextKey("adapter", kRequired, &settings.adapter),
+              DurationKey("stop_limit", kOptional, &settings.stop_limit)}},
+            {"listen",
+             true,
+             {EndpointKey("callers", &settings.callers),
+              EndpointKey("readiness", &settings.readiness),
+              EndpointKey("sessions", &settings.sessions)}},
+            {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
+            {"limits",
+             false,
+             {DurationKey("longest_lease", kOptional, &settings.longest_lease),
+              DurationKey("status_kept", kOptional, &settings.status_kept)}}});
+  return settings;
+}
+
+PoolAgentSettings ParsePoolAgentSettings(const std::string& file_name, const std::string& text) {
+  PoolAgentSettings settings;
+  BindFile(file_name, text,
+           {{"process",
+             true,
+             {TextKey("name", kRequired, &settings.name),
+              TextKey("availability_zone", kRequired, &settings.availability_zone),
+              TextKey("adapter", kRequired, &settings.adapter)}},
+            {"listen", true, {EndpointKey("announcements", &settings.announcements)}},
+            {"worker", true, {TextKey("address", kRequired, &settings.worker_address)}},
+            {"store", true, {TextKey("address", kRequired, &settings.store_address)}}});
+  return settings;
+}
+
 }  // namespace turmericshift
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -74,8 +74,40 @@
   Duration stop_limit = std::chrono::seconds(60);
 };
 
+// An entry of a pool on a platform that an adapter speaks to.
+struct PoolEntrySettings {
+  std::string name;
+  std::string availability_zone;
+  // Plug-ins of the adapter.
+  std::string adapter;
+  ListenSettings callers;
+  ListenSettings readiness;
+  // Agents and other entries open their sessions here.
+  ListenSettings sessions;
+  std::string store_address;
+  // How long workers let runs go on without word at most.
+  Duration longest_lease = std::chrono::seconds(6);
+  // Ended jobs can be asked for at least so long.
+  Duration status_kept = std::chrono::seconds(120);
+  // From the signal to stop until the process is killed.
+  Duration stop_limit = std::chrono::seconds(6);
+};
+
+// An agent of a pool on such a platform.
+struct PoolAgentSettings {
+  std::string name;
+  std::string availability_zone;
+  std::string adapter;
+  // Where the worker announces itself.
+  ListenSettings announcements;
+  std::string worker_address;
+  std::string store_address;
+};
+
 // Throw Error(kInvalidInput) that lists every problem with file, line and key.
 EntrySettings ParseEntrySettings(const std::string& file_name, const std::string& text);
 AgentSettings ParseAgentSettings(const std::string& file_name, const std::string& text);
+PoolEntrySettings ParsePoolEntrySettings(const std::string& file_name, const std::string& text);
+PoolAgentSettings ParsePoolAgentSettings(const std::string& file_name, const std::string& text);
 
 }  // namespace turmericshift
--- a/rpc/gate_listener.cc
+++ b/rpc/gate_listener.cc
@@ -1,7 +1,5 @@
 #include "rpc/gate_listener.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <peer.capnp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -15,13 +13,13 @@
 #include "rpc/convert.h"
 #include "rpc/offload.h"
 #include "rpc/rpc_agent_port.h"
+#include "rpc/sockets.h"
 
 namespace turmericshift {
 namespace {
 
 constexpr size_t kNonceBytes = 16;
 constexpr int kPollMillis = 100;
-constexpr int kBacklog = 512;
 constexpr int kPoolThreads = 16;
 constexpr Duration kHeartbeatTimeout = std::chrono::seconds(3);
 
@@ -100,35 +98,12 @@
   std::string nonce_;
 };
 
-int Listen(const std::string& text, int port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  const bool valid = inet_pton(AF_INET, text.c_str(), &address.sin_addr) == 1;
-  if (!valid || bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
-      listen(fd, kBacklog) != 0) {
-    close(fd);
-    throw Error(ErrorKind::kUnavailable, "can't listen on " + text + ":" + std::to_string(port));
-  }
-  return fd;
-}
-
-int BoundPort(int fd) {
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  return ntohs(address.sin_port);
-}
-
 }  // namespace
 
 GateListener::GateListener(const GateOptions& options, EntryGate* gate)
     : options_(options), gate_(gate), pool_("gate", kPoolThreads) {
   if (options.keys.keys.empty()) throw Error(ErrorKind::kInvalidInput, "no shared key is set");
-  listener_ = Listen(options.address, options.port);
+  listener_ = ListenSocket(options.address, options.port);
   port_ = BoundPort(listener_);
   thread_ = Thread("gate-accept", [this] { Accept(); });
 }
--- /dev/null
+++ b/rpc/pool.capnp
@@ -0,0 +1,88 @@
+# Sessions of a pool: agents and entries call the entry that plans it. After a change run
+# misc/generate_rpc.sh and commit the result.
+@0xd1c2a7c0f3b94e65;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("turmericshift::wire");
+
+using Peer = import "peer.capnp";
+
+struct PoolRun {
+  job @0 :Text;
+  occurrence @1 :Int32;
+  step @2 :Int32;
+  index @3 :Int32;
+  number @4 :Int64;
+}
+
+struct PoolRunning {
+  run @0 :PoolRun;
+  checkpoint @1 :Text;
+}
+
+struct PoolEnded {
+  number @0 :Int64;
+  run @1 :PoolRun;
+  kind @2 :Text;
+  checkpoint @3 :Text;
+}
+
+struct PoolResult {
+  run @0 :PoolRun;
+  outcome @1 :Int32;
+  reason @2 :Text;
+}
+
+struct PoolWorker {
+  id @0 :Text;
+  bornMs @1 :Int64;
+  service @2 :Text;
+  machine @3 :Text;
+  rack @4 :Text;
+  labels @5 :List(Text);
+  processorMillis @6 :Int64;
+  memoryMib @7 :Int64;
+  accelerators @8 :Int64;
+  draining @9 :Bool;
+  leavesInNanos @10 :Int64;
+  reachable @11 :Bool;
+}
+
+struct PoolReport {
+  node @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :Text;
+  sequence @3 :Int64;
+  epoch @4 :Int64;
+  ordersSeen @5 :Int64;
+  worker @6 :PoolWorker;
+  leaseLeftNanos @7 :Int64;
+  running @8 :List(PoolRunning);
+  ended @9 :List(PoolEnded);
+  results @10 :List(PoolResult);
+  waitNanos @11 :Int64;
+}
+
+struct PoolStart {
+  run @0 :PoolRun;
+  payload @1 :Text;
+  checkpoint @2 :Text;
+}
+
+struct PoolOrders {
+  epoch @0 :Int64;
+  version @1 :Int64;
+  leaseNanos @2 :Int64;
+  startWindowNanos @3 :Int64;
+  endsKept @4 :Int64;
+  workerBornMs @5 :Int64;
+  starts @6 :List(PoolStart);
+  stops @7 :List(PoolRun);
+}
+
+interface PoolGate {
+  exchange @0 (report :PoolReport) -> (failure :Peer.Failure, orders :PoolOrders);
+  # `spec` is the job as the store keeps it.
+  submit @1 (id :Text, spec :Text) -> (failure :Peer.Failure);
+  cancel @2 (id :Text) -> (failure :Peer.Failure);
+}
--- /dev/null
+++ b/rpc/pool_convert.h
@@ -0,0 +1,15 @@
+// The pool's messages on the wire and back.
+#pragma once
+
+#include <pool.capnp.h>
+
+#include "servers/pool/pool_messages.h"
+
+namespace turmericshift {
+
+void Write(const pool::AgentReport& from, wire::PoolReport::Builder to);
+pool::AgentReport Read(wire::PoolReport::Reader from);
+void Write(const pool::AgentOrders& from, wire::PoolOrders::Builder to);
+pool::AgentOrders Read(wire::PoolOrders::Reader from);
+
+}  // namespace turmericshift
--- a/rpc/rpc_entry_connector.cc
+++ b/rpc/rpc_entry_connector.cc
@@ -1,12 +1,5 @@
 #include "rpc/rpc_entry_connector.h"
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -16,6 +9,7 @@
 #include "core/units.h"
 #include "rpc/convert.h"
 #include "rpc/session.h"
+#include "rpc/sockets.h"
 
 namespace turmericshift {
 namespace {
@@ -25,30 +19,6 @@
 constexpr size_t kNonceBytes = 16;
 constexpr int kControlThreads = 8;
 
-int ConnectSocket(const PeerAddress& peer) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(peer.port));
-  if (inet_pton(AF_INET, peer.ip.c_str(), &address.sin_addr) != 1) {
-    throw Error(ErrorKind::kInvalidInput, peer.ip + " is not an IPv4 address");
-  }
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  const int begun = connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  if (begun != 0) {
-    pollfd waiting{fd, POLLOUT, 0};
-    int failure = 0;
-    socklen_t size = sizeof(failure);
-    const bool answered = errno == EINPROGRESS && poll(&waiting, 1, kConnectMillis) == 1 &&
-                          getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) == 0;
-    if (!answered || failure != 0) {
-      close(fd);
-      throw Error(ErrorKind::kUnavailable,
-                  "no entry at " + peer.ip + ":" + std::to_string(peer.port));
-    }
-  }
-  return fd;
-}
-
 class RpcEntryPort final : public EntryPort {
  public:
   RpcEntryPort(std::shared_ptr<Session> session, std::unique_ptr<wire::EntrySession::Client> client)
@@ -138,7 +108,8 @@
 
 std::shared_ptr<EntryPort> RpcEntryConnector::Connect(const std::string& address,
                                                       const AgentHello& hello, AgentPort* agent) {
-  const int fd = ConnectSocket(ParsePeerAddress(address));
+  const PeerAddress peer = ParsePeerAddress(address);
+  const int fd = ConnectSocket(peer.ip, peer.port, kConnectMillis);
   const std::shared_ptr<Session> session =
       Session::Open(fd, Session::Side::kConnecting, "entry-session", nullptr);
   try {
--- /dev/null
+++ b/rpc/sockets.h
@@ -0,0 +1,22 @@
+// TCP sockets of sessions.
+#pragma once
+
+#include <string>
+
+namespace turmericshift {
+
+// Listens on `address` (IPv4); port 0 lets the system choose. Throws Error(kUnavailable).
+int ListenSocket(const std::string& address, int port);
+
+// The port that a listening socket got.
+int BoundPort(int fd);
+
+// Connects to `ip`:`port` within `limit_ms`; the socket does not block. Throws Error: kInvalidInput
+// for no IPv4 address, kUnavailable.
+int ConnectSocket(const std::string& ip, int port, int limit_ms);
+
+// Has the kernel give a connection up whose peer answers nothing: a VM without power sends no
+// reset, and what waits for it would wait for minutes.
+void LimitSilence(int fd);
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/pool/agent_state.cc
@@ -0,0 +1,292 @@
+#include "servers/pool/agent_state.h"
+
+#include <algorithm>
+
+#include "core/logging.h"
+
+namespace turmericshift::pool {
+namespace {
+
+// A worker's steady clock may be 2% slow, so a lease lasts that much longer than it says.
+constexpr double kClockSlack = 1.02;
+// More ends than this wait for the next report.
+constexpr size_t kMostEndsReported = 200;
+// An order is repeated until its outcome is known to the planner, which takes seconds at most. One
+// that were forgotten sooner could be carried out twice.
+constexpr Duration kRememberOrders = std::chrono::seconds(60);
+
+int64_t Millis(Duration duration) {
+  return duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+bool Lists(const std::vector<RunningTask>& running, const RunId& run) {
+  return std::any_of(running.begin(), running.end(),
+                     [&](const RunningTask& each) { return each.run == run; });
+}
+
+}  // namespace
+
+AgentState::AgentState(const std::string& node, const std::string& zone,
+                       const std::string& incarnation)
+    : node_(node), zone_(zone), incarnation_(incarnation) {}
+
+void AgentState::NewLife(int64_t born_ms) {
+  LogEvent(LogLevel::kInfo, "worker_new_life",
+           {{"worker", facts_.id}, {"born_ms", born_ms}, {"before_ms", facts_.born_ms}});
+  facts_ = WorkerFacts();
+  facts_.born_ms = born_ms;
+  announced_sequence_ = -1;
+  running_.clear();
+  ended_.clear();
+  ends_kept_ = 0;
+  starts_.clear();
+  stops_.clear();
+  stopped_at_.clear();
+  results_.clear();
+  clock_.reset();
+  lists_epoch_ = 0;
+  passed_on_until_ = Time{};
+}
+
+void AgentState::TakeAnnouncement(const WorkerAnnouncement& announcement) {
+  const int64_t born = announcement.facts.born_ms;
+  // A late word of a life that is over.
+  if (born < facts_.born_ms) return;
+  if (born > facts_.born_ms) NewLife(born);
+  if (announcement.sequence <= announced_sequence_) return;
+  announced_sequence_ = announcement.sequence;
+  const bool reachable = facts_.reachable;
+  // A worker that has said that it leaves does not come back in the same life.
+  const bool draining = facts_.draining || announcement.facts.draining;
+  facts_ = announcement.facts;
+  facts_.reachable = reachable;
+  facts_.draining = draining;
+}
+
+void AgentState::TakeLeft(const std::string& worker_id) {
+  if (worker_id == facts_.id) facts_.draining = true;
+}
+
+bool AgentState::TakeLists(const WorkerLists& lists, int64_t fence, Time sent, Time now) {
+  if (lists.born_ms < facts_.born_ms) return false;
+  if (lists.born_ms > facts_.born_ms) NewLife(lists.born_ms);
+  bool news = lists_epoch_ != fence || !facts_.reachable;
+  facts_.reachable = true;
+  lists_epoch_ = fence;
+  clock_ = lists.clock;
+  clock_at_ = now;
+  running_ = lists.running;
+  for (const EndedTask& end : lists.ended) {
+    news = ended_.emplace(end.number, end).second || news;
+  }
+  const auto has_ended = [this](const RunId& run) {
+    return std::any_of(ended_.begin(), ended_.end(),
+                       [&](const auto& row) { return row.second.run == run; });
+  };
+  for (auto& [run, start] : starts_) {
+    if (start.phase != StartPhase::kUncertain) continue;
+    if (!Lists(running_, run) && !has_ended(run)) continue;
+    start.phase = StartPhase::kStarted;
+    SetResult(run, StartOutcome::kStarted, "");
+    news = true;
+  }
+  for (auto stop = stopped_at_.begin(); stop != stopped_at_.end();) {
+    if (sent < stop->second) {
+      ++stop;
+      continue;
+    }
+    // Neither there nor ended, and the worker will refuse it from now on.
+    if (!Lists(running_, stop->first) && !has_ended(stop->first)) {
+      SetResult(stop->first, StartOutcome::kNotRun, "stopped before it began");
+      starts_[stop->first].phase = StartPhase::kNotRunning;
+      news = true;
+    }
+    stop = stopped_at_.erase(stop);
+  }
+  return news;
+}
+
+void AgentState::WorkerFailed(OrderAnswer answer, Time /*now*/) {
+  if (!facts_.reachable) return;
+  facts_.reachable = false;
+  LogEvent(LogLevel::kWarning, "worker_lost",
+           {{"worker", facts_.id}, {"answer", OrderAnswerName(answer)}});
+}
+
+void AgentState::RaiseEpoch(int64_t epoch) {
+  if (epoch <= epoch_) return;
+  LogEvent(LogLevel::kInfo, "planner_obeyed", {{"epoch", epoch}, {"before", epoch_}});
+  epoch_ = epoch;
+  orders_seen_ = 0;
+}
+
+void AgentState::ForgetOldOrders(Time now) {
+  std::erase_if(starts_, [&](const auto& row) {
+    return now - row.second.ordered > kRememberOrders && !Lists(running_, row.first);
+  });
+  std::erase_if(stops_, [this](const RunId& run) {
+    return starts_.count(run) == 0 && !Lists(running_, run);
+  });
+}
+
+AgentOrders AgentState::TakeOrders(const AgentOrders& orders, Time sent, Time now) {
+  AgentOrders todo;
+  ForgetOldOrders(now);
+  if (orders.epoch < epoch_) return todo;
+  RaiseEpoch(orders.epoch);
+  orders_seen_ = std::max(orders_seen_, orders.version);
+  if (orders.lease > Duration::zero()) {
+    lease_until_ = std::max(lease_until_, sent + orders.lease);
+  }
+  if (orders.worker_born_ms == facts_.born_ms && orders.ends_kept > ends_kept_) {
+    ends_kept_ = orders.ends_kept;
+    ended_.erase(ended_.begin(), ended_.upper_bound(ends_kept_));
+  }
+  for (const StartOrder& start : orders.starts) {
+    if (!starts_.try_emplace(start.run, StartState{StartPhase::kSending, now}).second) continue;
+    todo.starts.push_back(start);
+  }
+  for (const RunId& stop : orders.stops) {
+    if (stops_.insert(stop).second) todo.stops.push_back(stop);
+  }
+  return todo;
+}
+
+AgentReport AgentState::Report(Duration wait, Time now) {
+  AgentReport report;
+  report.node = node_;
+  report.zone = zone_;
+  report.incarnation = incarnation_;
+  report.sequence = ++report_sequence_;
+  report.epoch = lists_epoch_ == epoch_ ? epoch_ : 0;
+  report.orders_seen = orders_seen_;
+  report.worker = facts_;
+  report.lease_left = std::max(Duration::zero(), passed_on_until_ - now);
+  report.running = running_;
+  for (const auto& [number, end] : ended_) {
+    if (report.ended.size() >= kMostEndsReported) break;
+    report.ended.push_back(end);
+  }
+  for (const auto& [run, result] : results_) report.results.push_back(result);
+  report.wait = wait;
+  return report;
+}
+
+void AgentState::ReportTaken(const AgentReport& report) {
+  for (const StartResult& result : report.results) {
+    const auto found = results_.find(result.run);
+    if (found != results_.end() && found->second.outcome == result.outcome) results_.erase(found);
+  }
+}
+
+WorkerMillis AgentState::WorkerClock(Time now) const {
+  return clock_ ? *clock_ + Millis(now - clock_at_) : 0;
+}
+
+std::optional<WorkerMillis> AgentState::LeaseUntil(Time now) const {
+  if (!clock_ || lease_until_ <= now) return std::nullopt;
+  // The worker's clock read `clock_` no later than `clock_at_`, so this ends no later than
+  // `lease_until_` but for the clock's own slack.
+  return WorkerClock(now) + Millis(lease_until_ - now);
+}
+
+HoldCall AgentState::NextHold(Duration wait, Time now) const {
+  HoldCall call;
+  call.worker_id = facts_.id;
+  call.fence = epoch_;
+  call.ends_kept = ends_kept_;
+  call.lease_until = LeaseUntil(now);
+  call.wait = wait;
+  return call;
+}
+
+void AgentState::NoteLease(std::optional<WorkerMillis> lease_until, Time now) {
+  if (!lease_until) return;
+  const Duration left = std::chrono::milliseconds(*lease_until - WorkerClock(now));
+  passed_on_until_ = std::max(
+      passed_on_until_, now + Duration(static_cast<int64_t>(
+                                  static_cast<double>(left.count()) * kClockSlack)));
+}
+
+std::optional<StartCall> AgentState::PrepareStart(const StartOrder& order, Time until,
+                                                  std::string* why, Time now) const {
+  const std::optional<WorkerMillis> lease = LeaseUntil(now);
+  if (now >= until) {
+    *why = "the order is too old";
+  } else if (facts_.draining) {
+    *why = "the worker leaves";
+  } else if (stops_.count(order.run) > 0) {
+    *why = "stopped before it was sent";
+  } else if (!lease) {
+    *why = "no lease";
+  } else if (lists_epoch_ != epoch_) {
+    *why = "the worker has not been read under this planner";
+  } else {
+    StartCall call;
+    call.worker_id = facts_.id;
+    call.run = order.run;
+    call.payload = order.payload;
+    call.checkpoint = order.checkpoint;
+    call.lease_until = *lease;
+    call.fence = epoch_;
+    return call;
+  }
+  return std::nullopt;
+}
+
+void AgentState::SetResult(const RunId& run, StartOutcome outcome, const std::string& reason) {
+  results_[run] = {run, outcome, reason};
+}
+
+void AgentState::StartNotSent(const RunId& run, const std::string& why) {
+  starts_[run].phase = StartPhase::kNotRunning;
+  SetResult(run, StartOutcome::kRefused, why);
+}
+
+void AgentState::TakeStartAnswer(const RunId& run, OrderAnswer answer) {
+  const auto found = starts_.find(run);
+  // The worker has begun a new life meanwhile.
+  if (found == starts_.end()) return;
+  switch (answer) {
+    case OrderAnswer::kTaken:
+      found->second.phase = StartPhase::kStarted;
+      SetResult(run, StartOutcome::kStarted, "");
+      return;
+    case OrderAnswer::kUnanswered:
+      found->second.phase = StartPhase::kUncertain;
+      return;
+    case OrderAnswer::kFenced:
+    case OrderAnswer::kOld:
+    case OrderAnswer::kLate:
+    case OrderAnswer::kNoRoom:
+    case OrderAnswer::kBad:
+      found->second.phase = StartPhase::kNotRunning;
+      SetResult(run, StartOutcome::kRefused, OrderAnswerName(answer));
+      return;
+    case OrderAnswer::kUnwell:
+    case OrderAnswer::kOtherLife:
+    case OrderAnswer::kAway:
+      found->second.phase = StartPhase::kNotRunning;
+      SetResult(run, StartOutcome::kNotRun, OrderAnswerName(answer));
+      return;
+  }
+}
+
+void AgentState::TakeStopAnswer(const RunId& run, OrderAnswer answer, Time now) {
+  if (answer == OrderAnswer::kTaken || answer == OrderAnswer::kOld) {
+    stopped_at_[run] = now;
+    return;
+  }
+  // Asked for again with the planner's next answer.
+  stops_.erase(run);
+}
+
+std::vector<RunId> AgentState::UncertainRuns() const {
+  std::vector<RunId> runs;
+  for (const auto& [run, start] : starts_) {
+    if (start.phase == StartPhase::kUncertain && stopped_at_.count(run) == 0) runs.push_back(run);
+  }
+  return runs;
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/duty_keeper.cc
@@ -0,0 +1,120 @@
+#include "servers/pool/duty_keeper.h"
+
+#include <algorithm>
+#include <functional>
+#include <thread>
+
+#include "core/logging.h"
+
+namespace turmericshift::pool {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kClaimTimeout = std::chrono::milliseconds(1200);
+constexpr Duration kCheckAgentsEvery = std::chrono::seconds(5);
+
+// This entry's share of the spread: the same at all times, different between entries.
+Duration ShareOf(const std::string& node, Duration spread) {
+  constexpr size_t kSteps = 8;
+  return spread * static_cast<int64_t>(std::hash<std::string>()(node) % kSteps) /
+         static_cast<int64_t>(kSteps);
+}
+
+}  // namespace
+
+bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit,
+                 Time now) {
+  if (!duty.freshness.within(view_limit, now)) return false;
+  // Nobody has ever planned, or the last planner has said that it leaves.
+  if (duty.planner.address.empty()) return true;
+  if (!duty.newest_record_at) return true;
+  // Silence counts only while this entry could have heard something.
+  return now - std::max(*duty.newest_record_at, since) > patience;
+}
+
+DutyKeeper::DutyKeeper(const DutyOptions& options, KeyedLog* log, const WorkView* work,
+                       const MembersView* members, PlannerService* service)
+    : options_(options),
+      log_(log),
+      work_(work),
+      members_(members),
+      service_(service),
+      in_touch_since_(LeaseClock().Now()),
+      thread_("duty", [this] { Run(); }) {}
+
+DutyKeeper::~DutyKeeper() { stopping_.store(true); }
+
+void DutyKeeper::Run() {
+  const Duration patience = options_.silence + ShareOf(options_.node, options_.spread);
+  while (!stopping_.load()) {
+    std::this_thread::sleep_for(kTick);
+    const Time now = LeaseClock().Now();
+    const DutyView duty = work_->duty();
+    if (!duty.freshness.within(options_.view_limit, now)) in_touch_since_ = now;
+    const int64_t epoch = service_->epoch();
+    if (epoch > 0) {
+      if (duty.planner.epoch > epoch) service_->End("a newer planner has been read");
+      if (announced_epoch_ < epoch) Announce();
+      ForgetSilentAgents(now);
+      continue;
+    }
+    if (leaving_.load()) continue;
+    const bool mine = duty.planner.node == options_.node && !duty.planner.address.empty();
+    // A record of this entry's own that it does not act on: from a life before, or from a claim
+    // whose answer was lost. Nobody plans, and nobody else need wait to find out.
+    if (mine || ShouldClaim(duty, in_touch_since_, patience, options_.view_limit, now)) Claim(now);
+  }
+}
+
+void DutyKeeper::Claim(Time now) {
+  Offset end = 0;
+  const JobBook book = work_->book(&end);
+  if (!work_->freshness().within(options_.view_limit, now)) return;
+  const int64_t epoch = std::max(book.planner().epoch, refused_epoch_) + 1;
+  try {
+    log_->Append(kWorkTopic,
+                 {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
+                 {end, kPlannerProducer, epoch, 1}, kClaimTimeout);
+  } catch (const Error& error) {
+    if (error.kind() == ErrorKind::kFenced) refused_epoch_ = epoch;
+    LogEvent(LogLevel::kInfo, "claim_failed",
+             {{"epoch", epoch}, {"end", end}, {"error", error.what()}});
+    return;
+  }
+  duty_since_ = now;
+  service_->Begin(epoch, book, members_->agents(), now);
+}
+
+void DutyKeeper::Announce() {
+  const int64_t epoch = service_->epoch();
+  try {
+    log_->Append(kMembersTopic,
+                 {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
+                 {std::nullopt, kPlannerProducer, epoch, 1}, kClaimTimeout);
+    announced_epoch_ = epoch;
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kWarning, "announce_failed", {{"epoch", epoch}, {"error", error.what()}});
+    // A newer planner has announced itself already.
+    if (error.kind() == ErrorKind::kFenced) announced_epoch_ = epoch;
+  }
+}
+
+void DutyKeeper::ForgetSilentAgents(Time now) {
+  // A new planner has heard nobody yet.
+  if (now - duty_since_ < options_.forget_agents_after) return;
+  if (now - agents_checked_ < kCheckAgentsEvery) return;
+  agents_checked_ = now;
+  const std::set<std::string> agents = members_->agents();
+  for (const std::string& node :
+       service_->SilentAgents(agents, options_.forget_agents_after, now)) {
+    try {
+      log_->Append(kMembersTopic, {{kAgentPrefix + node, "", kNoOffset}}, {}, kClaimTimeout);
+      LogEvent(LogLevel::kInfo, "agent_forgotten", {{"node", node}});
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kWarning, "agent_not_forgotten",
+               {{"node", node}, {"error", error.what()}});
+    }
+  }
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/duty_keeper.h
@@ -0,0 +1,72 @@
+// Decides when this entry takes the planner's duty over, and keeps it in step with the store.
+//
+// The duty is one conditional append: it names the next epoch and holds only if the work topic ends
+// where this entry has read to, so that the new planner knows every job, and of two claims one
+// fails. From then on the store refuses the planner before.
+#pragma once
+
+#include <atomic>
+#include <string>
+
+#include "core/thread.h"
+#include "servers/pool/planner_service.h"
+#include "servers/pool/pool_view.h"
+
+namespace turmericshift::pool {
+
+struct DutyOptions {
+  std::string node;
+  // Where agents and entries open sessions to this entry, "ip:port".
+  std::string address;
+  // A planner that has written nothing for so long is taken for gone. It writes every 0.5 s, and a
+  // slow store takes a quarter of a second for each append.
+  Duration silence = std::chrono::milliseconds(1700);
+  // Entries wait apart from each other by up to this, so that seldom two claim at once.
+  Duration spread = std::chrono::milliseconds(300);
+  // A claim rests on a view that is no older than this.
+  Duration view_limit = std::chrono::milliseconds(1500);
+  // Agents that have not been heard for so long are no longer waited for by a successor.
+  Duration forget_agents_after = std::chrono::seconds(20);
+};
+
+// Whether an entry whose view is `duty` claims at `now`. `since`: from when on the entry has been in
+// touch with the store without a gap. `patience`: silence to wait for, with this entry's share of
+// the spread.
+bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit,
+                 Time now);
+
+class DutyKeeper {
+ public:
+  DutyKeeper(const DutyOptions& options, KeyedLog* log, const WorkView* work,
+             const MembersView* members, PlannerService* service);
+  ~DutyKeeper();
+  DutyKeeper(const DutyKeeper&) = delete;
+  DutyKeeper& operator=(const DutyKeeper&) = delete;
+
+  // Claims no more; call before the planner gives the duty up.
+  void Leave() { leaving_.store(true); }
+
+ private:
+  void Run();
+  void Claim(Time now);
+  // Tells agents where the planner is, until it is in the store.
+  void Announce();
+  void ForgetSilentAgents(Time now);
+
+  const DutyOptions options_;
+  KeyedLog* const log_;
+  const WorkView* const work_;
+  const MembersView* const members_;
+  PlannerService* const service_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> leaving_{false};
+  int64_t announced_epoch_ = 0;
+  // An epoch that the store refused as too low although nothing newer could be read.
+  int64_t refused_epoch_ = 0;
+  Time in_touch_since_{};
+  Time agents_checked_{};
+  Time duty_since_{};
+  Thread thread_;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/job_book.cc
@@ -0,0 +1,78 @@
+#include "servers/pool/job_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericshift::pool {
+
+bool JobBook::IsNews(const KeyedRecord& record) {
+  const auto known = offsets_.find(record.key);
+  if (known != offsets_.end() && known->second >= record.offset) return false;
+  // A dropped key needs no memory: its records lie before this offset and are read in order.
+  if (record.value.empty()) {
+    offsets_.erase(record.key);
+  } else {
+    offsets_[record.key] = record.offset;
+  }
+  return true;
+}
+
+void JobBook::Apply(const KeyedRecord& record) {
+  newest_beat_ = std::max(newest_beat_, record.offset);
+  if (record.key == kBeatKey) return;
+  const Offset before = offsets_.count(record.key) > 0 ? offsets_[record.key] : kNoOffset;
+  if (!IsNews(record)) return;
+  try {
+    if (record.key == kPlannerKey) {
+      planner_ = record.value.empty() ? PlannerRecord{} : DecodePlanner(record.value);
+    } else if (record.key.rfind(kSpecPrefix, 0) == 0) {
+      ApplySpec(record.key.substr(2), record);
+    } else if (record.key.rfind(kProgressPrefix, 0) == 0) {
+      ApplyProgress(record.key.substr(2), record);
+    }
+  } catch (const Error&) {
+    if (before == kNoOffset) offsets_.erase(record.key);
+    throw;
+  }
+}
+
+void JobBook::ApplySpec(const std::string& id, const KeyedRecord& record) {
+  if (record.value.empty()) {
+    jobs_.erase(id);
+    return;
+  }
+  JobSpec spec = DecodeSpec(id, record.value);
+  JobEntry& entry = jobs_[id];
+  entry.spec = std::move(spec);
+  const auto waiting = early_.find(id);
+  if (waiting == early_.end()) return;
+  entry.progress = std::move(waiting->second);
+  early_.erase(waiting);
+}
+
+void JobBook::ApplyProgress(const std::string& id, const KeyedRecord& record) {
+  if (record.value.empty()) {
+    early_.erase(id);
+    return;
+  }
+  JobProgress progress = DecodeProgress(record.value);
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    early_[id] = std::move(progress);
+    return;
+  }
+  found->second.progress = std::move(progress);
+}
+
+const JobEntry* JobBook::Find(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+int JobBook::Waiting(const std::string& queue) const {
+  return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& row) {
+    return row.second.spec.queue == queue && row.second.progress.state == JobState::kQueued;
+  }));
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/job_records.cc
@@ -0,0 +1,174 @@
+#include "servers/pool/job_records.h"
+
+#include <nlohmann/json.hpp>
+
+#include "core/error.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using nlohmann::json;
+
+json StepToJson(const StepSpec& step) {
+  json out = {{"tasks", step.tasks},
+              {"cpu", step.need.processor_millis},
+              {"mem", step.need.memory_mib},
+              {"acc", step.need.accelerators},
+              {"estimate_ms", duration_cast<std::chrono::milliseconds>(step.estimate).count()}};
+  if (!step.after.empty()) out["after"] = step.after;
+  if (step.gang) out["gang"] = true;
+  if (step.one_rack) out["one_rack"] = true;
+  if (step.checkpoints) out["checkpoints"] = true;
+  if (step.copies_allowed) out["copies"] = true;
+  if (step.lasting) out["lasting"] = true;
+  if (step.fills) out["fills"] = true;
+  if (!step.label.empty()) out["label"] = step.label;
+  if (!step.data_rack.empty()) out["data_rack"] = step.data_rack;
+  if (step.most_per_worker > 0) out["most_per_worker"] = step.most_per_worker;
+  if (!step.image.empty()) out["image"] = step.image;
+  return out;
+}
+
+StepSpec StepFromJson(const json& in) {
+  StepSpec step;
+  step.tasks = in.at("tasks").get<int>();
+  step.need.processor_millis = in.at("cpu").get<int64_t>();
+  step.need.memory_mib = in.at("mem").get<int64_t>();
+  step.need.accelerators = in.at("acc").get<int64_t>();
+  step.estimate = std::chrono::milliseconds(in.at("estimate_ms").get<int64_t>());
+  step.after = in.value("after", std::vector<int>());
+  step.gang = in.value("gang", false);
+  step.one_rack = in.value("one_rack", false);
+  step.checkpoints = in.value("checkpoints", false);
+  step.copies_allowed = in.value("copies", false);
+  step.lasting = in.value("lasting", false);
+  step.fills = in.value("fills", false);
+  step.label = in.value("label", "");
+  step.data_rack = in.value("data_rack", "");
+  step.most_per_worker = in.value("most_per_worker", 0);
+  step.image = in.value("image", "");
+  return step;
+}
+
+json TermsToJson(const QueueTerms& terms) {
+  return {{"service", terms.service},
+          {"priority", terms.priority},
+          {"max_attempts", terms.max_attempts},
+          {"stretch", terms.stretch},
+          {"target_ms", duration_cast<std::chrono::milliseconds>(terms.target_latency).count()}};
+}
+
+QueueTerms TermsFromJson(const json& in) {
+  QueueTerms terms;
+  terms.service = in.at("service").get<std::string>();
+  terms.priority = in.at("priority").get<int>();
+  terms.max_attempts = in.at("max_attempts").get<int>();
+  terms.stretch = in.at("stretch").get<double>();
+  terms.target_latency = std::chrono::milliseconds(in.at("target_ms").get<int64_t>());
+  return terms;
+}
+
+// Turns whatever the JSON library throws into the project's own error.
+template <typename Body>
+auto Decoded(const char* what, Body&& body) {
+  try {
+    return body();
+  } catch (const json::exception& error) {
+    throw Error(ErrorKind::kInvalidInput, std::string("no ") + what + ": " + error.what());
+  }
+}
+
+}  // namespace
+
+std::string EncodeSpec(const JobSpec& spec) {
+  json steps = json::array();
+  for (const StepSpec& step : spec.steps) steps.push_back(StepToJson(step));
+  json out = {{"queue", spec.queue},
+              {"workspace", spec.workspace},
+              {"payload", spec.payload},
+              {"accepted_ms", spec.accepted_ms},
+              {"terms", TermsToJson(spec.terms)},
+              {"steps", std::move(steps)}};
+  if (spec.schedule.occurrences > 0) {
+    out["occurrences"] = spec.schedule.occurrences;
+    out["first_due_ms"] = spec.schedule.first_due_ms;
+    out["interval_ms"] = spec.schedule.interval_ms;
+  }
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+JobSpec DecodeSpec(const std::string& id, const std::string& bytes) {
+  return Decoded("job", [&] {
+    const json in = json::parse(bytes);
+    JobSpec spec;
+    spec.id = id;
+    spec.queue = in.at("queue").get<std::string>();
+    spec.workspace = in.at("workspace").get<std::string>();
+    spec.payload = in.at("payload").get<std::string>();
+    spec.accepted_ms = in.at("accepted_ms").get<int64_t>();
+    spec.terms = TermsFromJson(in.at("terms"));
+    for (const json& step : in.at("steps")) spec.steps.push_back(StepFromJson(step));
+    spec.schedule.occurrences = in.value("occurrences", 0);
+    spec.schedule.first_due_ms = in.value("first_due_ms", int64_t{0});
+    spec.schedule.interval_ms = in.value("interval_ms", int64_t{0});
+    return spec;
+  });
+}
+
+std::string EncodeProgress(const JobProgress& progress) {
+  json out = {{"state", JobStateName(progress.state)}};
+  if (progress.ended_ms > 0) out["ended_ms"] = progress.ended_ms;
+  json done = json::array();
+  for (const auto& [place, indices] : progress.done) {
+    done.push_back({place.occurrence, place.step, indices});
+  }
+  if (!done.empty()) out["done"] = std::move(done);
+  json failures = json::array();
+  for (const auto& [place, failed] : progress.failures) {
+    failures.push_back(
+        {place.occurrence, place.step, place.index, failed.count, failed.newest_run});
+  }
+  if (!failures.empty()) out["failures"] = std::move(failures);
+  json checkpoints = json::array();
+  for (const auto& [place, saved] : progress.checkpoints) {
+    checkpoints.push_back({place.occurrence, place.step, place.index, saved});
+  }
+  if (!checkpoints.empty()) out["checkpoints"] = std::move(checkpoints);
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+JobProgress DecodeProgress(const std::string& bytes) {
+  return Decoded("progress", [&] {
+    const json in = json::parse(bytes);
+    JobProgress progress;
+    progress.state = JobStateFromName(in.at("state").get<std::string>());
+    progress.ended_ms = in.value("ended_ms", int64_t{0});
+    for (const json& row : in.value("done", json::array())) {
+      progress.done[{row.at(0).get<int>(), row.at(1).get<int>()}] = row.at(2).get<std::set<int>>();
+    }
+    for (const json& row : in.value("failures", json::array())) {
+      progress.failures[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
+          {row.at(3).get<int>(), row.at(4).get<int64_t>()};
+    }
+    for (const json& row : in.value("checkpoints", json::array())) {
+      progress.checkpoints[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
+          row.at(3).get<std::string>();
+    }
+    return progress;
+  });
+}
+
+std::string EncodePlanner(const PlannerRecord& planner) {
+  return json({{"epoch", planner.epoch}, {"node", planner.node}, {"address", planner.address}})
+      .dump();
+}
+
+PlannerRecord DecodePlanner(const std::string& bytes) {
+  return Decoded("planner record", [&] {
+    const json in = json::parse(bytes);
+    return PlannerRecord{in.at("epoch").get<int64_t>(), in.at("node").get<std::string>(),
+                         in.at("address").get<std::string>()};
+  });
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/job_records.h
@@ -0,0 +1,39 @@
+// The records that jobs live in, as JSON: what a job is (written once) and how far it has come
+// (written anew with each change).
+//
+// Keys of the work topic:
+//   j/ID      JobSpec
+//   p/ID      JobProgress
+//   planner   PlannerRecord
+//   beat      sign of life of the planner
+#pragma once
+
+#include <string>
+
+#include "servers/pool/job_progress.h"
+
+namespace turmericshift::pool {
+
+inline constexpr const char* kSpecPrefix = "j/";
+inline constexpr const char* kProgressPrefix = "p/";
+inline constexpr const char* kPlannerKey = "planner";
+inline constexpr const char* kBeatKey = "beat";
+
+// Who plans the pool.
+struct PlannerRecord {
+  int64_t epoch = 0;
+  std::string node;
+  // Where its sessions are opened, "ip:port"; empty when it has given the duty up.
+  std::string address;
+};
+
+std::string EncodeSpec(const JobSpec& spec);
+std::string EncodeProgress(const JobProgress& progress);
+std::string EncodePlanner(const PlannerRecord& planner);
+
+// Throw Error(kInvalidInput) for bytes that are no such record.
+JobSpec DecodeSpec(const std::string& id, const std::string& bytes);
+JobProgress DecodeProgress(const std::string& bytes);
+PlannerRecord DecodePlanner(const std::string& bytes);
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/local_port.cc
@@ -0,0 +1,36 @@
+#include "servers/pool/local_port.h"
+
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace turmericshift::pool {
+namespace {
+
+// Calls `begin` with a callback and waits for it.
+template <typename Value, typename Begin>
+Value WaitFor(Begin&& begin, Duration timeout) {
+  auto promise = std::make_shared<std::promise<Attempt<Value>>>();
+  std::future<Attempt<Value>> future = promise->get_future();
+  begin([promise](Attempt<Value> attempt) { promise->set_value(std::move(attempt)); });
+  if (future.wait_for(timeout) != std::future_status::ready) {
+    throw Error(ErrorKind::kDeadlineExceeded, Outcome::kUnknown, "the planner has not answered");
+  }
+  return future.get().Take();
+}
+
+}  // namespace
+
+AgentOrders LocalPort::Exchange(const AgentReport& report, Duration timeout) {
+  return WaitFor<AgentOrders>([&](auto done) { gate_->Exchange(report, done); }, timeout);
+}
+
+void LocalPort::Submit(const JobSpec& spec, Duration timeout) {
+  WaitFor<Done>([&](auto done) { gate_->Submit(spec, done); }, timeout);
+}
+
+void LocalPort::Cancel(const std::string& id, Duration timeout) {
+  WaitFor<Done>([&](auto done) { gate_->Cancel(id, done); }, timeout);
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/placer.h
@@ -0,0 +1,47 @@
+// Chooses workers for a step's tasks. Answers two load patterns: gangs that want one rack amid many
+// small tasks, and bursts of urgent gangs. Small tasks go where least accelerators are left, so that
+// whole workers and racks stay free for gangs.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "servers/pool/job_model.h"
+
+namespace turmericshift::pool {
+
+// A worker as a candidate: only those that may run the step at all are offered.
+struct WorkerRoom {
+  std::string node;
+  std::string rack;
+  Room free;
+  // How many tasks of this step it may take besides room; from the limit per worker.
+  int most_tasks = 0;
+  // Set for workers that look slow or unwell; they come last.
+  bool doubtful = false;
+};
+
+struct PlaceWish {
+  const StepSpec* step = nullptr;
+  // Tasks to place; all or none for a gang, as many as fit otherwise.
+  int tasks = 1;
+  // A gang that wants one rack, or a task that wants its data's rack, may go elsewhere.
+  bool may_stray = false;
+};
+
+// One node for each task placed, in the order of the tasks.
+using Placement = std::vector<std::string>;
+
+// Empty when nothing fits.
+Placement Place(const PlaceWish& wish, const std::vector<WorkerRoom>& workers);
+
+// How many tasks of `need` fit into `room`, at most `most`.
+int FitCount(const Room& room, const Room& need, int most);
+
+// Whether the wish fits without straying once all workers, given with their whole capacity, are
+// free.
+bool FitsOneRack(const PlaceWish& wish, const std::vector<WorkerRoom>& empty_workers);
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/planner_gate.h
@@ -0,0 +1,49 @@
+// What agents and entries ask of the entry that plans their pool. PlannerService answers it in this
+// process; rpc/pool_session.h carries it to another.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/attempt.h"
+#include "servers/pool/pool_messages.h"
+
+namespace turmericshift::pool {
+
+// Nothing to hand back but whether it went well.
+struct Done {};
+
+class PlannerGate {
+ public:
+  virtual ~PlannerGate() = default;
+
+  // Calls `done` once, from any thread, at the latest when the report's wait is over.
+  virtual void Exchange(const AgentReport& report,
+                        std::function<void(Attempt<AgentOrders>)> done) = 0;
+  // Calls `done` when the job is in the store. Errors: kLogUnavailable or kOverloaded with outcome
+  // not_run when it never will be; with outcome unknown when it may be or become so; kConflict with
+  // outcome not_run when this process does not plan the pool.
+  virtual void Submit(const JobSpec& spec, std::function<void(Attempt<Done>)> done) = 0;
+  // Calls `done` when the cancellation is in the store or the job was over. Errors: kNotFound, and
+  // those of Submit.
+  virtual void Cancel(const std::string& id, std::function<void(Attempt<Done>)> done) = 0;
+};
+
+// The same for a caller that waits. Throws Error: those above; kConnectionLost, kDeadlineExceeded.
+class PlannerPort {
+ public:
+  virtual ~PlannerPort() = default;
+  virtual AgentOrders Exchange(const AgentReport& report, Duration timeout) = 0;
+  virtual void Submit(const JobSpec& spec, Duration timeout) = 0;
+  virtual void Cancel(const std::string& id, Duration timeout) = 0;
+};
+
+// Connects to planners by address. Throws Error(kUnavailable).
+class PlannerConnector {
+ public:
+  virtual ~PlannerConnector() = default;
+  virtual std::shared_ptr<PlannerPort> Connect(const std::string& address) = 0;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/planner_service.h
@@ -0,0 +1,115 @@
+// Runs a PoolPlanner while this process holds the duty: keeps its records, answers agents and
+// entries, and lets it decide. One thread decides, one writes.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/thread.h"
+#include "servers/platform/keyed_log.h"
+#include "servers/pool/planner_gate.h"
+#include "servers/pool/pool_planner.h"
+#include "servers/pool/pool_view.h"
+
+namespace turmericshift::pool {
+
+struct PlannerServiceOptions {
+  PlannerOptions planner;
+  // A sign of life is written when nothing else has been for so long. Followers wait several times
+  // this before they take the duty over.
+  Duration beat = std::chrono::milliseconds(500);
+  // One append's answer is waited for so long, then it is sent again under the same number.
+  Duration append_timeout = std::chrono::milliseconds(900);
+  // When the newest append has gone unanswered for this long, new work is turned away at once: it
+  // can't be kept, and callers do better to come back than to wait. Slow stores answer in a
+  // quarter of a second.
+  Duration stuck_after = std::chrono::milliseconds(700);
+};
+
+class PlannerService : public PlannerGate {
+ public:
+  PlannerService(const PlannerServiceOptions& options, KeyedLog* log, const OperatorView* operators,
+                 MetricsRegistry* metrics);
+  ~PlannerService() override;
+  PlannerService(const PlannerService&) = delete;
+  PlannerService& operator=(const PlannerService&) = delete;
+
+  // Takes the duty up. The claim, under sequence 1, is the newest record in `book`.
+  void Begin(int64_t epoch, const JobBook& book, const std::set<std::string>& agents, Time asked);
+  // Lays the duty down: a newer epoch has been seen.
+  void End(const char* why);
+  // Writes what is left and gives the duty up in the store, so that a successor need not wait for
+  // the silence; at most `limit`.
+  void Release(Duration limit);
+  // The epoch while the duty is held; 0 otherwise.
+  int64_t epoch() const;
+  // Agents that have not been heard for `limit`, of those given.
+  std::vector<std::string> SilentAgents(const std::set<std::string>& agents, Duration limit,
+                                        Time now) const;
+
+  void Exchange(const AgentReport& report, std::function<void(Attempt<AgentOrders>)> done) override;
+  void Submit(const JobSpec& spec, std::function<void(Attempt<Done>)> done) override;
+  void Cancel(const std::string& id, std::function<void(Attempt<Done>)> done) override;
+
+ private:
+  using Reply = std::function<void()>;
+  struct Poll {
+    std::function<void(Attempt<AgentOrders>)> done;
+    Time heard{};
+    Time until{};
+  };
+  // A caller that waits for a record to be kept.
+  struct Waiter {
+    // The job whose submission waits; empty for a cancellation.
+    std::string submitted;
+    Ticket ticket = 0;
+    Time since{};
+    std::function<void(Attempt<Done>)> done;
+  };
+
+  void Decide();
+  void Write();
+  // One append and what follows from its answer; false when the duty is lost.
+  bool WriteOnce(const std::vector<KeyedRecord>& records, int64_t epoch, int64_t sequence);
+  bool Stuck(Time now) const;
+  void AnswerPolls(Time now, std::vector<Reply>* replies);
+  void AnswerWaiters(Time now, std::vector<Reply>* replies);
+  void EndLocked(const char* why, std::vector<Reply>* replies);
+  void AddWaiter(Waiter waiter);
+  // The error for a caller when this process does not plan.
+  static Error NotPlanning();
+
+  const PlannerServiceOptions options_;
+  KeyedLog* const log_;
+  const OperatorView* const operators_;
+  Counter& appends_;
+  Counter& append_failures_;
+  Distribution& append_seconds_;
+  Gauge& jobs_;
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::condition_variable to_write_;
+  std::unique_ptr<PoolPlanner> planner_;
+  std::map<std::string, Poll> polls_;
+  std::vector<Waiter> waiters_;
+  bool dirty_ = false;
+  bool releasing_ = false;
+  bool stopping_ = false;
+  int64_t sequence_ = 0;
+  // When the append that is on its way was first sent.
+  std::optional<Time> writing_since_;
+  Time last_write_{};
+  // Last, so that they end before what they use.
+  Thread decider_;
+  Thread writer_;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_agent.cc
@@ -0,0 +1,300 @@
+#include "servers/pool/pool_agent.h"
+
+#include <utility>
+
+#include "core/logging.h"
+
+namespace turmericshift::pool {
+namespace {
+
+constexpr int kOrderThreads = 4;
+constexpr Duration kMembersWait = std::chrono::seconds(4);
+// Pause after the worker or the planner could not be reached.
+constexpr Duration kPause = std::chrono::milliseconds(100);
+// A worker with ends to list answers a hold at once; no need to ask faster than the store keeps
+// them.
+constexpr Duration kBetweenHolds = std::chrono::milliseconds(20);
+constexpr Duration kHoldPatience = std::chrono::milliseconds(800);
+constexpr Duration kNewsTimeout = std::chrono::milliseconds(700);
+constexpr Duration kCheckMemberEvery = std::chrono::seconds(2);
+constexpr Duration kAppendTimeout = std::chrono::milliseconds(1200);
+
+}  // namespace
+
+PoolAgent::PoolAgent(const PoolAgentOptions& options, KeyedLog* log, PoolWorker* worker,
+                     PlannerConnector* connector, MetricsRegistry* metrics)
+    : options_(options),
+      log_(log),
+      worker_(worker),
+      connector_(connector),
+      starts_(metrics->counter("agent_starts")),
+      start_failures_(metrics->counter("agent_start_failures")),
+      start_seconds_(metrics->distribution("agent_start_seconds")),
+      members_(log, kMembersWait),
+      state_(options.node, options.zone, options.incarnation),
+      orders_("orders", kOrderThreads),
+      worker_thread_("worker", [this] { TalkWithWorker(); }),
+      planner_thread_("planner", [this] { TalkWithPlanner(); }),
+      news_thread_("news", [this] { SendNews(); }) {}
+
+PoolAgent::~PoolAgent() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+}
+
+void PoolAgent::Pause(Duration pause) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait_for(lock, pause, [this] { return stopping_; });
+}
+
+void PoolAgent::WakeNews() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    news_ = true;
+  }
+  changed_.notify_all();
+}
+
+void PoolAgent::WorkerAnnounced(const WorkerAnnouncement& announcement) {
+  bool news = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const WorkerFacts before = state_.worker();
+    state_.TakeAnnouncement(announcement);
+    const WorkerFacts& after = state_.worker();
+    news = before.id != after.id || before.born_ms != after.born_ms ||
+           before.draining != after.draining;
+  }
+  if (news) WakeNews();
+}
+
+void PoolAgent::WorkerLeft(const std::string& worker_id) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    state_.TakeLeft(worker_id);
+  }
+  WakeNews();
+}
+
+bool PoolAgent::HoldOnce(Duration wait) {
+  HoldCall call;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const Time now = LeaseClock().Now();
+    call = state_.NextHold(wait, now);
+    state_.NoteLease(call.lease_until, now);
+  }
+  const Time sent = LeaseClock().Now();
+  const HoldAnswer answer = worker_->Hold(call, wait + kHoldPatience);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Time now = LeaseClock().Now();
+  if (answer.answer == OrderAnswer::kTaken) {
+    return state_.TakeLists(answer.lists, call.fence, sent, now);
+  }
+  const bool was_reachable = state_.worker().reachable;
+  state_.WorkerFailed(answer.answer, now);
+  return was_reachable;
+}
+
+void PoolAgent::TalkWithWorker() {
+  while (true) {
+    bool planned = false;
+    std::vector<RunId> uncertain;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (stopping_) return;
+      planned = state_.epoch() > 0;
+    }
+    // A worker refuses whatever comes without the newest planner's number.
+    if (!planned) {
+      Pause(kPause);
+      continue;
+    }
+    const bool news = HoldOnce(options_.hold_wait);
+    if (news) WakeNews();
+    bool reachable = false;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      uncertain = state_.UncertainRuns();
+      reachable = state_.worker().reachable;
+    }
+    for (const RunId& run : uncertain) orders_.Submit([this, run] { StopOne(run); });
+    Pause(reachable ? kBetweenHolds : kPause);
+  }
+}
+
+void PoolAgent::TalkWithPlanner() {
+  int64_t connected_epoch = 0;
+  while (true) {
+    std::shared_ptr<PlannerPort> port;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (stopping_) return;
+      port = port_;
+    }
+    EnsureMember(LeaseClock().Now());
+    const PlannerRecord planner = members_.planner();
+    try {
+      if (port && planner.epoch > connected_epoch) port.reset();
+      if (!port) {
+        if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, "no planner is known");
+        port = connector_->Connect(planner.address);
+        connected_epoch = planner.epoch;
+        const std::lock_guard<std::mutex> lock(mutex_);
+        port_ = port;
+        state_.RaiseEpoch(planner.epoch);
+        LogEvent(LogLevel::kInfo, "planner_connected",
+                 {{"epoch", planner.epoch}, {"address", planner.address}});
+      }
+      ExchangeOnce(port.get(), options_.poll_wait);
+    } catch (const Error& error) {
+      bool had_port = false;
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        had_port = port_ != nullptr;
+        port_.reset();
+      }
+      if (had_port) {
+        LogEvent(LogLevel::kWarning, "planner_lost",
+                 {{"epoch", connected_epoch}, {"error", error.what()}});
+      }
+      Pause(kPause);
+    }
+  }
+}
+
+void PoolAgent::SendNews() {
+  while (true) {
+    std::shared_ptr<PlannerPort> port;
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      changed_.wait(lock, [this] { return stopping_ || news_; });
+      if (stopping_) return;
+      news_ = false;
+      port = port_;
+    }
+    // Without a planner the news goes out with the first poll.
+    if (!port) continue;
+    try {
+      ExchangeOnce(port.get(), Duration::zero());
+    } catch (const Error& error) {
+      // The poll that stands meanwhile repeats it.
+      LogEvent(LogLevel::kWarning, "news_not_sent", {{"error", error.what()}});
+    }
+  }
+}
+
+void PoolAgent::ExchangeOnce(PlannerPort* port, Duration wait) {
+  AgentReport report;
+  Time sent{};
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    sent = LeaseClock().Now();
+    report = state_.Report(wait, sent);
+  }
+  const AgentOrders orders = port->Exchange(
+      report, wait > Duration::zero() ? wait + options_.poll_patience : kNewsTimeout);
+  AgentOrders todo;
+  bool new_planner = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const int64_t before = state_.epoch();
+    state_.ReportTaken(report);
+    todo = state_.TakeOrders(orders, sent, LeaseClock().Now());
+    new_planner = state_.epoch() != before || report.epoch != state_.epoch();
+  }
+  if (new_planner) {
+    // The planner uses the worker only after it has been read under its own number.
+    orders_.Submit([this] {
+      if (HoldOnce(Duration::zero())) WakeNews();
+    });
+  }
+  CarryOut(todo, sent + orders.start_window);
+}
+
+void PoolAgent::CarryOut(const AgentOrders& todo, Time until) {
+  for (const RunId& run : todo.stops) orders_.Submit([this, run] { StopOne(run); });
+  for (const StartOrder& order : todo.starts) {
+    orders_.Submit([this, order, until] { StartOne(order, until); });
+  }
+}
+
+void PoolAgent::StartOne(const StartOrder& order, Time until) {
+  std::optional<StartCall> call;
+  std::string why;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const Time now = LeaseClock().Now();
+    call = state_.PrepareStart(order, until, &why, now);
+    if (call && !registered_.load()) {
+      call.reset();
+      why = "the agent is not among the members yet";
+    }
+    if (call) {
+      state_.NoteLease(call->lease_until, now);
+    } else {
+      state_.StartNotSent(order.run, why);
+    }
+  }
+  const std::string task = TaskName(order.run.task);
+  if (!call) {
+    LogEvent(LogLevel::kWarning, "start_not_sent",
+             {{"job", order.run.task.job}, {"task", task}, {"run", order.run.number},
+              {"reason", why}});
+    return WakeNews();
+  }
+  const Time begun = LeaseClock().Now();
+  const OrderAnswer answer = worker_->Start(*call, options_.order_timeout);
+  start_seconds_.Record(Seconds(LeaseClock().Now() - begun));
+  (answer == OrderAnswer::kTaken ? starts_ : start_failures_).Add();
+  LogEvent(answer == OrderAnswer::kTaken ? LogLevel::kInfo : LogLevel::kWarning, "start_answered",
+           {{"job", order.run.task.job},
+            {"task", task},
+            {"run", order.run.number},
+            {"epoch", call->fence},
+            {"answer", OrderAnswerName(answer)}});
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    state_.TakeStartAnswer(order.run, answer);
+  }
+  WakeNews();
+}
+
+void PoolAgent::StopOne(const RunId& run) {
+  std::string worker_id;
+  int64_t fence = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    worker_id = state_.worker().id;
+    fence = state_.epoch();
+  }
+  const OrderAnswer answer = worker_->Stop(worker_id, run, fence, options_.order_timeout);
+  LogEvent(LogLevel::kInfo, "stop_answered",
+           {{"job", run.task.job},
+            {"task", TaskName(run.task)},
+            {"run", run.number},
+            {"epoch", fence},
+            {"answer", OrderAnswerName(answer)}});
+  const std::lock_guard<std::mutex> lock(mutex_);
+  state_.TakeStopAnswer(run, answer, LeaseClock().Now());
+}
+
+void PoolAgent::EnsureMember(Time now) {
+  if (registered_.load() && now - member_checked_ < kCheckMemberEvery) return;
+  member_checked_ = now;
+  // Planners drop agents that were silent for long.
+  if (registered_.load() && members_.agents().count(options_.node) > 0) return;
+  try {
+    log_->Append(kMembersTopic, {{kAgentPrefix + options_.node, options_.zone, kNoOffset}}, {},
+                 kAppendTimeout);
+    registered_.store(true);
+    LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}});
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kWarning, "agent_not_registered", {{"error", error.what()}});
+  }
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_entry.cc
@@ -0,0 +1,64 @@
+#include "servers/pool/pool_entry.h"
+
+#include <thread>
+#include <utility>
+
+#include "core/logging.h"
+
+namespace turmericshift::pool {
+namespace {
+
+constexpr Duration kMembersWait = std::chrono::seconds(4);
+constexpr Duration kReleaseLimit = std::chrono::milliseconds(900);
+
+}  // namespace
+
+PoolEntry::PoolEntry(const PoolEntryOptions& options, KeyedLog* log,
+                     std::unique_ptr<OperatorDecoder> decoder, const CallerDoor* door,
+                     PlannerConnector* connector, MetricsRegistry* metrics)
+    : options_(options),
+      log_(log),
+      door_(door),
+      metrics_(metrics),
+      work_(log),
+      operators_(log, std::move(decoder)),
+      members_(log, kMembersWait),
+      service_(options.planner, log, &operators_, metrics),
+      front_(options.front, &work_, &operators_, &service_, connector, metrics) {
+  callers_ = std::make_unique<HttpServer>(options.callers, [this](const HttpRequest& request) {
+    return door_->Handle(request, &front_, LeaseClock().Now());
+  });
+  readiness_ = std::make_unique<HttpServer>(
+      options.readiness, [this](const HttpRequest& request) { return AnswerReadiness(request); });
+}
+
+PoolEntry::~PoolEntry() {
+  callers_.reset();
+  readiness_.reset();
+}
+
+void PoolEntry::Join(const std::string& address) {
+  DutyOptions duty = options_.duty;
+  duty.node = options_.node;
+  duty.address = address;
+  duty_ = std::make_unique<DutyKeeper>(duty, log_, &work_, &members_, &service_);
+}
+
+HttpResponse PoolEntry::AnswerReadiness(const HttpRequest& request) const {
+  if (request.path == "/metrics") return {200, metrics_->Expose(), {}};
+  if (request.path != door_->ready_path()) return JsonResponse("{}", 404);
+  const bool ready = !leaving_.load() && front_.Ready(LeaseClock().Now());
+  return JsonResponse(ready ? R"({"ready":true})" : R"({"ready":false})", ready ? 200 : 503);
+}
+
+bool PoolEntry::Leave(Duration limit) {
+  leaving_.store(true);
+  LogEvent(LogLevel::kInfo, "leaving", {{"epoch", service_.epoch()}});
+  if (duty_) duty_->Leave();
+  service_.Release(kReleaseLimit);
+  std::this_thread::sleep_for(options_.balancer_notice);
+  callers_->StopAccepting();
+  return callers_->Drain(limit);
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_entry.h
@@ -0,0 +1,66 @@
+// An entry of a pool: answers callers, follows the store, and plans the pool while it holds the
+// duty. The sessions' listener is made around it, since it lies in a layer above.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "core/http_server.h"
+#include "core/metrics.h"
+#include "servers/pool/duty_keeper.h"
+#include "servers/pool/job_front.h"
+#include "servers/pool/planner_service.h"
+#include "servers/pool/pool_view.h"
+
+namespace turmericshift::pool {
+
+struct PoolEntryOptions {
+  std::string node;
+  HttpServerOptions callers;
+  HttpServerOptions readiness;
+  PlannerServiceOptions planner;
+  DutyOptions duty;
+  JobFrontOptions front;
+  // How long a leaving entry goes on taking callers in, so that the balancer notices first: it asks
+  // each second and leaves out an entry that was not ready twice.
+  Duration balancer_notice = std::chrono::milliseconds(2300);
+};
+
+class PoolEntry {
+ public:
+  // All arguments must outlive the entry.
+  PoolEntry(const PoolEntryOptions& options, KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder,
+            const CallerDoor* door, PlannerConnector* connector, MetricsRegistry* metrics);
+  ~PoolEntry();
+  PoolEntry(const PoolEntry&) = delete;
+  PoolEntry& operator=(const PoolEntry&) = delete;
+
+  PlannerGate* gate() { return &service_; }
+  int caller_port() const { return callers_->port(); }
+  int readiness_port() const { return readiness_->port(); }
+  // Takes part in planning from now on; `address` is where sessions are opened.
+  void Join(const std::string& address);
+  // Gives the duty up, lets the balancer notice, answers what is in flight; returns whether all of
+  // it was answered within `limit`.
+  bool Leave(Duration limit);
+
+ private:
+  HttpResponse AnswerReadiness(const HttpRequest& request) const;
+
+  const PoolEntryOptions options_;
+  KeyedLog* const log_;
+  const CallerDoor* const door_;
+  MetricsRegistry* const metrics_;
+  std::atomic<bool> leaving_{false};
+  WorkView work_;
+  OperatorView operators_;
+  MembersView members_;
+  PlannerService service_;
+  std::unique_ptr<DutyKeeper> duty_;
+  JobFront front_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> readiness_;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_messages.cc
@@ -0,0 +1,64 @@
+#include "servers/pool/pool_messages.h"
+
+#include <array>
+
+#include "core/error.h"
+#include "core/units.h"
+
+namespace turmericshift::pool {
+namespace {
+
+struct EndName {
+  EndKind kind;
+  const char* name;
+};
+
+constexpr std::array<EndName, 6> kEndNames = {{
+    {EndKind::kDone, "done"},
+    {EndKind::kFailed, "failed"},
+    {EndKind::kStopped, "stopped"},
+    {EndKind::kLapsed, "lapsed"},
+    {EndKind::kBroken, "broken"},
+    {EndKind::kAlone, "alone"},
+}};
+
+constexpr int64_t kMostIndex = 1'000'000'000;
+
+}  // namespace
+
+const char* EndKindName(EndKind kind) {
+  for (const EndName& row : kEndNames) {
+    if (row.kind == kind) return row.name;
+  }
+  return "";
+}
+
+EndKind EndKindFromName(const std::string& name) {
+  for (const EndName& row : kEndNames) {
+    if (name == row.name) return row.kind;
+  }
+  throw Error(ErrorKind::kInvalidInput, "'" + name + "' is no way for a run to end");
+}
+
+std::string TaskName(const TaskId& task) {
+  return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." +
+         std::to_string(task.index);
+}
+
+TaskId ParseTaskName(const std::string& name) {
+  std::vector<std::string> parts;
+  size_t start = 0;
+  for (size_t dot = name.find('.'); dot != std::string::npos; dot = name.find('.', start)) {
+    parts.push_back(name.substr(start, dot - start));
+    start = dot + 1;
+  }
+  parts.push_back(name.substr(start));
+  if (parts.size() != 4 || parts[0].empty()) {
+    throw Error(ErrorKind::kInvalidInput, "'" + name + "' names no task");
+  }
+  return {parts[0], static_cast<int>(ParseInteger(parts[1], 0, kMostIndex)),
+          static_cast<int>(ParseInteger(parts[2], 0, kMostIndex)),
+          static_cast<int>(ParseInteger(parts[3], 0, kMostIndex))};
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_planner.cc
@@ -0,0 +1,185 @@
+#include "servers/pool/pool_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/logging.h"
+
+namespace turmericshift::pool {
+
+PoolPlanner::PoolPlanner(const PlannerOptions& options, int64_t epoch, const JobBook& book,
+                         const std::set<std::string>& nodes, Time now)
+    : options_(options), epoch_(epoch), outbox_(options.append_bytes), unheard_(nodes) {
+  for (const auto& [id, entry] : book.jobs()) {
+    Job& job = jobs_[id];
+    job.spec = entry.spec;
+    job.progress = entry.progress;
+    job.inherited = true;
+  }
+  // The planner before may not know yet that it has been followed, and may go on granting leases to
+  // agents that are cut off together with it, as long as they trust an unconfirmed planner.
+  inherited_safe_at_ = now + options.unconfirmed_limit + options.lease + options.lease_margin;
+}
+
+void PoolPlanner::Confirm(Time asked) {
+  if (!confirmed_ || asked > *confirmed_) confirmed_ = asked;
+}
+
+void PoolPlanner::SetOperatorState(std::shared_ptr<const OperatorState> state, Time asked) {
+  operators_ = std::move(state);
+  if (!operators_read_ || asked > *operators_read_) operators_read_ = asked;
+}
+
+void PoolPlanner::AddNode(const std::string& node) {
+  const auto known = workers_.find(node);
+  if (known != workers_.end() && known->second.known) return;
+  unheard_.insert(node);
+}
+
+Ticket PoolPlanner::Submit(const JobSpec& spec, Time /*now*/) {
+  Job* known = FindJob(spec.id);
+  if (known != nullptr) return known->changed;
+  Job& job = jobs_[spec.id];
+  job.spec = spec;
+  outbox_.Put(kSpecPrefix + spec.id, EncodeSpec(spec));
+  Save(&job);
+  return job.changed;
+}
+
+bool PoolPlanner::WithdrawSubmission(const std::string& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end() || !outbox_.Withdraw(kSpecPrefix + id)) return false;
+  outbox_.Withdraw(kProgressPrefix + id);
+  jobs_.erase(found);
+  return true;
+}
+
+CancelResult PoolPlanner::Cancel(const std::string& id, int64_t wall_ms, Time /*now*/) {
+  Job* job = FindJob(id);
+  if (job == nullptr) return {false, 0};
+  if (IsOver(job->progress.state)) return {true, job->changed};
+  EndJob(job, JobState::kCancelled, wall_ms);
+  return {true, job->changed};
+}
+
+bool PoolPlanner::HasNews(const std::string& node) const {
+  const auto found = workers_.find(node);
+  return found != workers_.end() && found->second.version > found->second.version_seen;
+}
+
+AgentOrders PoolPlanner::Orders(const std::string& node, Time heard, Time now) {
+  WorkerState& worker = workers_[node];
+  AgentOrders orders;
+  orders.epoch = epoch_;
+  orders.version = worker.version;
+  orders.ends_kept = worker.ends_kept;
+  orders.worker_born_ms = worker.facts.born_ms;
+  if (confirmed_ && now - *confirmed_ < options_.unconfirmed_limit) {
+    orders.lease = options_.lease;
+    worker.lease_until = std::max(worker.lease_until, heard + options_.lease);
+  }
+  if (MayStart(now)) orders.start_window = options_.start_window;
+  for (const auto& [id, run] : worker.live) {
+    if (run.phase == RunPhase::kStopping) orders.stops.push_back(id);
+    if (run.phase != RunPhase::kOrdered) continue;
+    orders.starts.push_back({id, run.payload, run.checkpoint});
+  }
+  return orders;
+}
+
+void PoolPlanner::NoteKept() {
+  for (auto& [node, worker] : workers_) {
+    while (!worker.ends.empty() && worker.ends.front().ticket <= outbox_.kept()) {
+      worker.ends_kept = worker.ends.front().number;
+      worker.ends.pop_front();
+      ++worker.version;
+    }
+  }
+}
+
+PoolPlanner::Job* PoolPlanner::FindJob(const std::string& id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const QueueTerms& PoolPlanner::Terms(const Job& job) const {
+  const Queue* queue = operators_->config.FindQueue(job.spec.queue);
+  return queue == nullptr ? job.spec.terms : queue->terms;
+}
+
+const StepSpec* PoolPlanner::FindStep(const Job& job, const TaskId& task) {
+  if (task.step >= static_cast<int>(job.spec.steps.size())) return nullptr;
+  if (task.occurrence >= job.spec.occurrences()) return nullptr;
+  const StepSpec& step = job.spec.steps[static_cast<size_t>(task.step)];
+  return task.index < step.tasks ? &step : nullptr;
+}
+
+void PoolPlanner::Save(Job* job) {
+  job->changed = outbox_.Put(kProgressPrefix + job->spec.id, EncodeProgress(job->progress));
+}
+
+void PoolPlanner::EndJob(Job* job, JobState state, int64_t wall_ms) {
+  job->progress.state = state;
+  job->progress.ended_ms = wall_ms;
+  Save(job);
+  StopJob(*job);
+  LogEvent(LogLevel::kInfo, "job_ended",
+           {{"job", job->spec.id}, {"state", JobStateName(state)}, {"epoch", epoch_}});
+}
+
+void PoolPlanner::MarkRunning(Job* job) {
+  if (job->progress.state != JobState::kQueued) return;
+  job->progress.state = JobState::kRunning;
+  // Does not hold up decisions on the job: a planner that does not know of it does no harm.
+  const Ticket changed = job->changed;
+  Save(job);
+  job->changed = changed;
+}
+
+void PoolPlanner::StopRun(WorkerState* worker, LiveRun* run) {
+  if (run->phase == RunPhase::kStopping) return;
+  run->phase = RunPhase::kStopping;
+  ++worker->version;
+}
+
+void PoolPlanner::StopGang(const Job& job, const RunId& member) {
+  for (const auto& [place, run] : job.runs) {
+    if (place.occurrence != member.task.occurrence || place.step != member.task.step) continue;
+    if (run.number != member.number) continue;
+    WorkerState& worker = workers_[run.node];
+    const auto live = worker.live.find(
+        {{job.spec.id, place.occurrence, place.step, place.index}, run.number});
+    if (live != worker.live.end()) StopRun(&worker, &live->second);
+  }
+}
+
+void PoolPlanner::StopJob(const Job& job) {
+  for (const auto& [place, run] : job.runs) {
+    WorkerState& worker = workers_[run.node];
+    const auto live = worker.live.find(
+        {{job.spec.id, place.occurrence, place.step, place.index}, run.number});
+    if (live != worker.live.end()) StopRun(&worker, &live->second);
+  }
+}
+
+void PoolPlanner::ForgetRun(const RunId& run, Job* job) {
+  const auto found = job->runs.find({run.task.occurrence, run.task.step, run.task.index});
+  if (found != job->runs.end() && found->second.number == run.number) job->runs.erase(found);
+}
+
+void PoolPlanner::DropOldJobs(int64_t wall_ms) {
+  const int64_t limit = duration_cast<std::chrono::milliseconds>(options_.status_limit).count();
+  for (auto job = jobs_.begin(); job != jobs_.end();) {
+    const JobProgress& progress = job->second.progress;
+    const bool old = IsOver(progress.state) && wall_ms - progress.ended_ms > limit;
+    if (!old || !job->second.runs.empty()) {
+      ++job;
+      continue;
+    }
+    outbox_.Put(kSpecPrefix + job->first, "");
+    outbox_.Put(kProgressPrefix + job->first, "");
+    job = jobs_.erase(job);
+  }
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_planner.h
@@ -0,0 +1,199 @@
+// Plans one pool: takes jobs in, gives tasks to workers, takes their ends in. Plain decisions with
+// the time passed in; PlannerService has the threads, the store and the sessions.
+//
+// What the planner knows of running tasks is not in the store. A new planner learns it from the
+// agents, and starts nothing that an older planner may have running until it has heard every agent
+// or their leases have run out.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "servers/pool/job_book.h"
+#include "servers/pool/outbox.h"
+#include "servers/pool/placer.h"
+#include "servers/pool/pool_config.h"
+#include "servers/pool/pool_messages.h"
+#include "servers/pool/reclaimer.h"
+#include "servers/pool/worker_judge.h"
+#include "servers/pool/worker_roster.h"
+
+namespace turmericshift::pool {
+
+struct PlannerOptions {
+  // What a running task may outlive the last word of its planner by. Below what workers grant at
+  // most; above the time that a successor needs to take over and reach the agents.
+  Duration lease = std::chrono::milliseconds(5000);
+  // Added before a lease counts as run out: workers' clocks run up to 2% slow, and the stop takes
+  // its time.
+  Duration lease_margin = std::chrono::milliseconds(600);
+  // How long an agent may go on obeying a planner whose duty nobody confirms.
+  Duration unconfirmed_limit = std::chrono::seconds(10);
+  // No starts when the planner's own duty was last confirmed longer ago than this,
+  Duration confirm_limit = std::chrono::milliseconds(1200);
+  // or the operators' documents were last read longer ago than this.
+  Duration document_limit = std::chrono::milliseconds(2000);
+  // Starts are carried out at most so long after the agent asked. Together with the two limits it
+  // stays below the bounds on cancelled jobs (3 s) and on zones that are out (5 s).
+  Duration start_window = std::chrono::milliseconds(1500);
+  // A gang whose members have not all started by then is stopped; its workers wait 3 s or more.
+  Duration gang_start_limit = std::chrono::milliseconds(1300);
+  // A single start that is not answered by then is taken back.
+  Duration start_limit = std::chrono::milliseconds(2500);
+  // Ended jobs are known for so long.
+  Duration status_limit = std::chrono::seconds(130);
+  // What one append may carry.
+  size_t append_bytes = size_t{1} << 20;
+};
+
+// What became of a cancellation.
+struct CancelResult {
+  bool known = false;
+  // The cancellation holds once this is kept; 0: the job was over already.
+  Ticket ticket = 0;
+};
+
+class PoolPlanner {
+ public:
+  // `book`: everything in the work topic when the duty was claimed. `nodes`: agents that may have
+  // something running.
+  PoolPlanner(const PlannerOptions& options, int64_t epoch, const JobBook& book,
+              const std::set<std::string>& nodes, Time now);
+
+  int64_t epoch() const { return epoch_; }
+  Outbox& outbox() { return outbox_; }
+
+  // The store has confirmed the duty by an answer to what was asked at `asked`.
+  void Confirm(Time asked);
+  void SetOperatorState(std::shared_ptr<const OperatorState> state, Time asked);
+  // More agents that may have something running.
+  void AddNode(const std::string& node);
+
+  // Takes a job in; idempotent by id. The job is accepted once the ticket is kept.
+  Ticket Submit(const JobSpec& spec, Time now);
+  bool Knows(const std::string& id) const { return jobs_.count(id) > 0; }
+  // Takes an accepted-to-be job back; false when its record may be on its way.
+  bool WithdrawSubmission(const std::string& id);
+  CancelResult Cancel(const std::string& id, int64_t wall_ms, Time now);
+
+  void TakeReport(const AgentReport& report, int64_t wall_ms, Time now);
+  // Whether there is something that the agent has not been told.
+  bool HasNews(const std::string& node) const;
+  // The answer to the agent's newest report, which came at `heard`; notes the lease it grants.
+  AgentOrders Orders(const std::string& node, Time heard, Time now);
+
+  // Gives out what can be given out. Call after every change and at least each 200 ms.
+  void Plan(int64_t wall_ms, Time now);
+  // Records have been kept since the last call.
+  void NoteKept();
+
+  const std::map<std::string, WorkerState>& workers() const { return workers_; }
+  size_t job_count() const { return jobs_.size(); }
+
+ private:
+  struct TaskRun {
+    int64_t number = 0;
+    std::string node;
+  };
+  // What the planner remembers of a step while it waits or runs.
+  struct StepState {
+    std::optional<Time> ready_since;
+    // Not before this: something went wrong a moment ago.
+    Time not_before{};
+    int interrupted = 0;
+  };
+  struct Job {
+    JobSpec spec;
+    JobProgress progress;
+    // Nothing is decided on the job until this is kept.
+    Ticket changed = 0;
+    // An older planner may have parts of it running.
+    bool inherited = false;
+    std::map<TaskPlace, TaskRun> runs;
+    std::map<StepPlace, StepState> steps;
+  };
+  // Tasks of one step that could start now.
+  struct Unit {
+    Job* job = nullptr;
+    StepPlace place;
+    std::vector<int> waiting;
+    int priority = 0;
+    bool entitled = false;
+    // Milliseconds since 1970 by when its job should be done.
+    int64_t due_ms = 0;
+  };
+  struct Reservation {
+    Placement placement;
+    Room need;
+    Time until{};
+  };
+  using UnitKey = std::pair<std::string, StepPlace>;
+
+  // Reports: pool_planner_reports.cc.
+  void TakeFacts(const AgentReport& report, WorkerState* worker, Time now);
+  void TakeRunning(const AgentReport& report, WorkerState* worker, int64_t wall_ms, Time now);
+  void Adopt(const RunningTask& running, WorkerState* worker, int64_t wall_ms, Time now);
+  void TakeResult(const StartResult& result, WorkerState* worker, int64_t wall_ms, Time now);
+  void TakeEnd(const EndedTask& end, WorkerState* worker, int64_t wall_ms, Time now);
+  void TakeDone(const EndedTask& end, Job* job, int64_t wall_ms);
+  void TakeFailed(const EndedTask& end, Job* job, int64_t wall_ms);
+  void SaveCheckpoint(const RunId& run, const std::string& checkpoint, Job* job);
+  // Whatever ran there is over.
+  void LoseRuns(WorkerState* worker, const char* why, Time now);
+  // The run is over or was never begun; its task may start again.
+  void ForgetRun(const RunId& run, Job* job);
+  void StopRun(WorkerState* worker, LiveRun* run);
+  // Stops what else runs of a gang's run.
+  void StopGang(const Job& job, const RunId& member);
+  void StopJob(const Job& job);
+  void MarkRunning(Job* job);
+  void Save(Job* job);
+  void EndJob(Job* job, JobState state, int64_t wall_ms);
+
+  // Planning: pool_planner_planning.cc.
+  bool MayStart(Time now) const;
+  bool InheritedIsSafe(Time now) const;
+  void ExpireLeases(Time now);
+  void TakeBackLateStarts(Time now);
+  void DropOldJobs(int64_t wall_ms);
+  std::vector<Unit> CollectUnits(int64_t wall_ms, Time now);
+  void CollectStep(Job* job, const StepPlace& place, Time now, std::vector<Unit>* units);
+  std::vector<WorkerRoom> RoomsFor(const Unit& unit, bool empty, Time now) const;
+  int TasksOnWorker(const Job& job, const StepPlace& place, const std::string& node) const;
+  bool MayStray(const Unit& unit, Time now) const;
+  bool TryReservation(const Unit& unit, int64_t wall_ms, Time now);
+  void TryUnit(const Unit& unit, Time now);
+  void TryReclaim(const Unit& unit, const PlaceWish& wish, Time now);
+  std::vector<Victim> VictimsFor(const Unit& unit, Time now) const;
+  void Start(const Unit& unit, const Placement& placement, Time now);
+  int64_t GuaranteedFor(const std::string& workspace) const;
+  // Accelerators that the workspace's urgent jobs hold.
+  int64_t UrgentUse(const std::string& workspace) const;
+
+  Job* FindJob(const std::string& id);
+  const QueueTerms& Terms(const Job& job) const;
+  static const StepSpec* FindStep(const Job& job, const TaskId& task);
+
+  const PlannerOptions options_;
+  const int64_t epoch_;
+  Outbox outbox_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, WorkerState> workers_;
+  // Agents that must be heard before inherited work is started.
+  std::set<std::string> unheard_;
+  Time inherited_safe_at_{};
+  std::shared_ptr<const OperatorState> operators_ = std::make_shared<OperatorState>();
+  std::optional<Time> operators_read_;
+  std::optional<Time> confirmed_;
+  WorkerJudge judge_;
+  std::map<UnitKey, Reservation> reservations_;
+  int64_t starts_ = 0;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_planner_reports.cc
@@ -0,0 +1,267 @@
+// What agents report: which workers there are, what runs, what became of starts, how runs ended.
+#include <algorithm>
+
+#include "core/logging.h"
+#include "servers/pool/pool_planner.h"
+
+namespace turmericshift::pool {
+namespace {
+
+// A gang's failures and saved state are kept at its first task.
+TaskPlace KeptAt(const StepSpec& step, const TaskId& task) {
+  return {task.occurrence, task.step, step.gang ? 0 : task.index};
+}
+
+// After a start was turned away: the cause is mostly over within this.
+constexpr Duration kPauseAfterRefusal = std::chrono::milliseconds(150);
+// After a run failed: long enough for a sick worker to be told from a sick job by other ends.
+constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
+
+}  // namespace
+
+void PoolPlanner::TakeReport(const AgentReport& report, int64_t wall_ms, Time now) {
+  WorkerState& worker = workers_[report.node];
+  worker.node = report.node;
+  if (worker.incarnation != report.incarnation) {
+    // A new process of the agent has seen none of the orders.
+    worker.incarnation = report.incarnation;
+    worker.sequence = -1;
+    ++worker.version;
+  }
+  if (report.sequence <= worker.sequence) return;
+  worker.sequence = report.sequence;
+  worker.zone = report.zone;
+  worker.heard = now;
+  worker.version_seen = report.orders_seen;
+  TakeFacts(report, &worker, now);
+  if (report.epoch != epoch_ || report.worker.born_ms != worker.facts.born_ms) return;
+  unheard_.erase(report.node);
+  if (!worker.known) {
+    worker.known = true;
+    LogEvent(LogLevel::kInfo, "worker_known",
+             {{"node", report.node},
+              {"worker", worker.facts.id},
+              {"running", report.running.size()},
+              {"unheard", unheard_.size()},
+              {"epoch", epoch_}});
+  }
+  TakeRunning(report, &worker, wall_ms, now);
+  for (const StartResult& result : report.results) TakeResult(result, &worker, wall_ms, now);
+  for (const EndedTask& end : report.ended) TakeEnd(end, &worker, wall_ms, now);
+  if (!worker.facts.reachable && report.lease_left <= Duration::zero()) {
+    LoseRuns(&worker, "the worker is away and its lease has run out", now);
+  }
+}
+
+void PoolPlanner::TakeFacts(const AgentReport& report, WorkerState* worker, Time now) {
+  const WorkerFacts& facts = report.worker;
+  if (facts.born_ms != worker->facts.born_ms) {
+    // An agent that has just started does not know its worker yet; nothing has changed there.
+    if (facts.born_ms == 0) return;
+    if (worker->facts.born_ms != 0) LoseRuns(worker, "the worker began a new life", now);
+    worker->facts = facts;
+    worker->ends.clear();
+    worker->ends_seen = 0;
+    worker->ends_kept = 0;
+    ++worker->version;
+    judge_.Forget(worker->node);
+    LogEvent(LogLevel::kInfo, "worker_reported",
+             {{"node", report.node},
+              {"worker", facts.id},
+              {"rack", facts.rack},
+              {"accelerators", facts.capacity.accelerators},
+              {"processor_millis", facts.capacity.processor_millis}});
+    return;
+  }
+  if (facts.id.empty()) {
+    worker->facts.reachable = facts.reachable;
+    return;
+  }
+  if (facts.draining && !worker->facts.draining) {
+    LogEvent(LogLevel::kInfo, "worker_draining",
+             {{"node", report.node}, {"leaves_in_s", Seconds(facts.leaves_in)}});
+  }
+  worker->facts = facts;
+}
+
+void PoolPlanner::TakeRunning(const AgentReport& report, WorkerState* worker, int64_t wall_ms,
+                              Time now) {
+  for (const RunningTask& running : report.running) {
+    const auto known = worker->live.find(running.run);
+    if (known == worker->live.end()) {
+      Adopt(running, worker, wall_ms, now);
+      continue;
+    }
+    known->second.checkpoint = running.checkpoint;
+    if (known->second.phase != RunPhase::kOrdered) continue;
+    known->second.phase = RunPhase::kRunning;
+    Job* job = FindJob(running.run.task.job);
+    if (job != nullptr) MarkRunning(job);
+  }
+}
+
+void PoolPlanner::Adopt(const RunningTask& running, WorkerState* worker, int64_t /*wall_ms*/,
+                        Time now) {
+  const TaskId& task = running.run.task;
+  LiveRun live;
+  live.run = running.run;
+  live.since = now;
+  live.checkpoint = running.checkpoint;
+  Job* job = FindJob(task.job);
+  const StepSpec* step = job == nullptr ? nullptr : FindStep(*job, task);
+  const TaskPlace place = {task.occurrence, task.step, task.index};
+  const bool wanted = step != nullptr && !IsOver(job->progress.state) &&
+                      !job->progress.task_done(place) && job->runs.count(place) == 0;
+  if (step != nullptr) {
+    live.need = step->need;
+    live.fills = step->fills;
+  }
+  live.phase = wanted ? RunPhase::kRunning : RunPhase::kStopping;
+  if (wanted) {
+    job->runs[place] = {running.run.number, worker->node};
+    MarkRunning(job);
+  }
+  ++worker->version;
+  worker->live[running.run] = live;
+  LogEvent(LogLevel::kInfo, wanted ? "run_adopted" : "run_unwanted",
+           {{"task", TaskName(task)},
+            {"run", running.run.number},
+            {"node", worker->node},
+            {"epoch", epoch_}});
+}
+
+void PoolPlanner::TakeResult(const StartResult& result, WorkerState* worker, int64_t /*wall_ms*/,
+                             Time now) {
+  const auto live = worker->live.find(result.run);
+  if (live == worker->live.end()) return;
+  Job* job = FindJob(result.run.task.job);
+  if (result.outcome == StartOutcome::kStarted) {
+    if (live->second.phase == RunPhase::kOrdered) live->second.phase = RunPhase::kRunning;
+    if (job != nullptr) MarkRunning(job);
+    return;
+  }
+  const bool was_ordered = live->second.phase == RunPhase::kOrdered;
+  worker->live.erase(live);
+  if (job == nullptr) return;
+  const TaskId& task = result.run.task;
+  const StepSpec* step = FindStep(*job, task);
+  ForgetRun(result.run, job);
+  if (!was_ordered) return;
+  if (result.outcome == StartOutcome::kNotRun) judge_.OrderNotTaken(worker->node, now);
+  job->steps[{task.occurrence, task.step}].not_before = now + kPauseAfterRefusal;
+  if (step != nullptr && step->gang) StopGang(*job, result.run);
+  LogEvent(LogLevel::kWarning, "start_not_taken",
+           {{"job", task.job},
+            {"task", TaskName(task)},
+            {"run", result.run.number},
+            {"node", worker->node},
+            {"reason", result.reason}});
+}
+
+void PoolPlanner::TakeEnd(const EndedTask& end, WorkerState* worker, int64_t wall_ms, Time now) {
+  if (end.number <= worker->ends_seen) return;
+  worker->ends_seen = end.number;
+  const Ticket before = outbox_.newest();
+  const auto live = worker->live.find(end.run);
+  const bool asked_to_stop =
+      live != worker->live.end() && live->second.phase == RunPhase::kStopping;
+  if (live != worker->live.end()) worker->live.erase(live);
+  const TaskId& task = end.run.task;
+  Job* job = FindJob(task.job);
+  const StepSpec* step = job == nullptr ? nullptr : FindStep(*job, task);
+  if (step != nullptr && !IsOver(job->progress.state)) {
+    const auto current = job->runs.find({task.occurrence, task.step, task.index});
+    const bool replaced = current != job->runs.end() && current->second.number != end.run.number;
+    ForgetRun(end.run, job);
+    if (end.kind == EndKind::kDone) {
+      judge_.RunDone(worker->node, task.job, now);
+      // A run that was given up when its lease ran out; another has been started since.
+      if (!replaced) TakeDone(end, job, wall_ms);
+    } else if (end.kind == EndKind::kFailed) {
+      judge_.RunFailed(worker->node, task.job, now);
+      job->steps[{task.occurrence, task.step}].not_before = now + kPauseAfterFailure;
+      SaveCheckpoint(end.run, end.checkpoint, job);
+      TakeFailed(end, job, wall_ms);
+    } else {
+      SaveCheckpoint(end.run, end.checkpoint, job);
+    }
+    if (step->gang && end.kind != EndKind::kDone && !replaced) StopGang(*job, end.run);
+  } else if (job != nullptr) {
+    ForgetRun(end.run, job);
+  }
+  // Ends that changed nothing are kept as soon as all before them are.
+  const Ticket ticket = outbox_.newest() > before ? outbox_.newest()
+                        : job != nullptr          ? job->changed
+                                                  : Ticket{0};
+  worker->ends.push_back({end.number, ticket});
+  LogEvent(LogLevel::kInfo, "run_ended",
+           {{"job", task.job},
+            {"task", TaskName(task)},
+            {"run", end.run.number},
+            {"how", EndKindName(end.kind)},
+            {"asked", asked_to_stop},
+            {"node", worker->node}});
+  NoteKept();
+}
+
+void PoolPlanner::TakeDone(const EndedTask& end, Job* job, int64_t wall_ms) {
+  const TaskId& task = end.run.task;
+  const StepSpec& step = *FindStep(*job, task);
+  if (step.lasting) return;
+  std::set<int>& done = job->progress.done[{task.occurrence, task.step}];
+  if (step.gang) {
+    for (int index = 0; index < step.tasks; ++index) done.insert(index);
+  } else {
+    done.insert(task.index);
+  }
+  job->progress.checkpoints.erase(KeptAt(step, task));
+  if (job->progress.all_done(job->spec)) {
+    EndJob(job, JobState::kCompleted, wall_ms);
+    return;
+  }
+  if (job->progress.state == JobState::kQueued) job->progress.state = JobState::kRunning;
+  Save(job);
+}
+
+void PoolPlanner::TakeFailed(const EndedTask& end, Job* job, int64_t wall_ms) {
+  const TaskId& task = end.run.task;
+  const StepSpec& step = *FindStep(*job, task);
+  FailureCount& failed = job->progress.failures[KeptAt(step, task)];
+  if (end.run.number <= failed.newest_run) return;
+  failed.newest_run = end.run.number;
+  ++failed.count;
+  if (!step.lasting && failed.count >= Terms(*job).max_attempts) {
+    EndJob(job, JobState::kFailed, wall_ms);
+    return;
+  }
+  Save(job);
+}
+
+void PoolPlanner::SaveCheckpoint(const RunId& run, const std::string& checkpoint, Job* job) {
+  const StepSpec& step = *FindStep(*job, run.task);
+  if (!step.checkpoints || checkpoint.empty()) return;
+  std::string& saved = job->progress.checkpoints[KeptAt(step, run.task)];
+  if (saved == checkpoint) return;
+  saved = checkpoint;
+  Save(job);
+}
+
+void PoolPlanner::LoseRuns(WorkerState* worker, const char* why, Time now) {
+  if (worker->live.empty()) return;
+  LogEvent(LogLevel::kWarning, "runs_lost",
+           {{"node", worker->node}, {"runs", worker->live.size()}, {"reason", why}});
+  const std::map<RunId, LiveRun> lost = std::move(worker->live);
+  worker->live.clear();
+  for (const auto& [id, run] : lost) {
+    Job* job = FindJob(id.task.job);
+    if (job == nullptr) continue;
+    ForgetRun(id, job);
+    const StepSpec* step = FindStep(*job, id.task);
+    if (step == nullptr || IsOver(job->progress.state)) continue;
+    SaveCheckpoint(id, run.checkpoint, job);
+    if (step->gang) StopGang(*job, id);
+    job->steps[{id.task.occurrence, id.task.step}].not_before = now;
+  }
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_view.cc
@@ -0,0 +1,191 @@
+#include "servers/pool/pool_view.h"
+
+#include <utility>
+
+#include "core/logging.h"
+
+namespace turmericshift::pool {
+namespace {
+
+void LogBadRecord(const char* topic, const KeyedRecord& record, const Error& error) {
+  LogEvent(LogLevel::kWarning, "record_skipped",
+           {{"topic", topic},
+            {"key", record.key},
+            {"offset", record.offset},
+            {"error", error.what()}});
+}
+
+}  // namespace
+
+WorkView::WorkView(KeyedLog* log) {
+  FollowerOptions options;
+  options.topic = kWorkTopic;
+  follower_ = std::make_unique<TopicFollower>(
+      options, log, [this](const KeyedRecord& record) { TakeRecord(record); },
+      [this](Offset end, Time asked) { CaughtUp(end, asked); }, [this] { Restart(); });
+}
+
+void WorkView::Restart() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  rebuilding_.emplace();
+}
+
+void WorkView::TakeRecord(const KeyedRecord& record) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  newest_record_at_ = LeaseClock().Now();
+  try {
+    (rebuilding_ ? *rebuilding_ : book_).Apply(record);
+  } catch (const Error& error) {
+    LogBadRecord(kWorkTopic, record, error);
+  }
+}
+
+void WorkView::CaughtUp(Offset end, Time asked) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (rebuilding_) {
+    book_ = std::move(*rebuilding_);
+    rebuilding_.reset();
+    // An empty topic has no record that could tell when a planner was last heard.
+    newest_record_at_ = LeaseClock().Now();
+  }
+  end_ = end;
+  freshness_.asked = asked;
+}
+
+DutyView WorkView::duty() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return {book_.planner(), end_, freshness_, newest_record_at_};
+}
+
+JobBook WorkView::book(Offset* end) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  *end = end_;
+  return book_;
+}
+
+std::optional<JobState> WorkView::StateOf(const std::string& id) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const JobEntry* entry = book_.Find(id);
+  if (entry == nullptr) return std::nullopt;
+  return entry->progress.state;
+}
+
+int WorkView::Waiting(const std::string& queue) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return book_.Waiting(queue);
+}
+
+Freshness WorkView::freshness() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return freshness_;
+}
+
+OperatorView::OperatorView(KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder)
+    : decoder_(std::move(decoder)), state_(std::make_shared<OperatorState>()) {
+  FollowerOptions options;
+  options.topic = decoder_->topic();
+  follower_ = std::make_unique<TopicFollower>(
+      options, log, [this](const KeyedRecord& record) { TakeRecord(record); },
+      [this](Offset end, Time asked) { CaughtUp(end, asked); },
+      [this] {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        // Zones may have come back meanwhile; the document is kept, since versions never go back.
+        next_.zones_out.clear();
+        changed_ = true;
+      });
+}
+
+void OperatorView::TakeRecord(const KeyedRecord& record) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const int64_t before = next_.config.version;
+  try {
+    OperatorState state = next_;
+    decoder_->Apply(record, &state);
+    if (state.config.version < before) state.config = next_.config;
+    next_ = std::move(state);
+    changed_ = true;
+  } catch (const Error& error) {
+    LogBadRecord("operators", record, error);
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "operators_said",
+           {{"key", record.key},
+            {"offset", record.offset},
+            {"version", next_.config.version},
+            {"zones_out", next_.zones_out}});
+}
+
+void OperatorView::CaughtUp(Offset /*end*/, Time asked) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (changed_) state_ = std::make_shared<const OperatorState>(next_);
+  changed_ = false;
+  freshness_.asked = asked;
+}
+
+std::shared_ptr<const OperatorState> OperatorView::state() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return state_;
+}
+
+Freshness OperatorView::freshness() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return freshness_;
+}
+
+MembersView::MembersView(KeyedLog* log, Duration wait) {
+  FollowerOptions options;
+  options.topic = kMembersTopic;
+  options.wait = wait;
+  follower_ = std::make_unique<TopicFollower>(
+      options, log, [this](const KeyedRecord& record) { TakeRecord(record); },
+      [this](Offset /*end*/, Time asked) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        freshness_.asked = asked;
+      },
+      [this] {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        agents_.clear();
+      });
+}
+
+void MembersView::TakeRecord(const KeyedRecord& record) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const std::string prefix = kAgentPrefix;
+  if (record.key.rfind(prefix, 0) == 0) {
+    const std::string node = record.key.substr(prefix.size());
+    if (record.value.empty()) {
+      agents_.erase(node);
+    } else {
+      agents_.insert(node);
+    }
+    return;
+  }
+  if (record.key != kPlannerKey || record.value.empty()) return;
+  try {
+    PlannerRecord planner = DecodePlanner(record.value);
+    if (planner.epoch < planner_.epoch) return;
+    planner_ = std::move(planner);
+  } catch (const Error& error) {
+    LogBadRecord(kMembersTopic, record, error);
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "planner_heard",
+           {{"epoch", planner_.epoch}, {"node", planner_.node}, {"address", planner_.address}});
+}
+
+PlannerRecord MembersView::planner() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return planner_;
+}
+
+std::set<std::string> MembersView::agents() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return agents_;
+}
+
+Freshness MembersView::freshness() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return freshness_;
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_view.h
@@ -0,0 +1,112 @@
+// What one process has read of the store: the work topic, the operators' documents and the members,
+// each with how fresh it is. Shared between threads.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "servers/pool/job_book.h"
+#include "servers/pool/pool_config.h"
+#include "servers/pool/topic_follower.h"
+
+namespace turmericshift::pool {
+
+inline constexpr const char* kWorkTopic = "keyed.work";
+inline constexpr const char* kMembersTopic = "keyed.members";
+// Keys of the members topic: "agent/NODE" for each agent that may have something running, and
+// kPlannerKey.
+inline constexpr const char* kAgentPrefix = "agent/";
+// Writers of the work topic take turns by epoch under this name.
+inline constexpr const char* kPlannerProducer = "planner";
+
+// A topic's view with the moment at which the store was asked for what it shows.
+struct Freshness {
+  // Nothing has been read yet while this is empty.
+  std::optional<Time> asked;
+
+  bool within(Duration limit, Time now) const { return asked && now - *asked < limit; }
+};
+
+// What a claim on the planner's duty rests on.
+struct DutyView {
+  PlannerRecord planner;
+  Offset end = 0;
+  Freshness freshness;
+  // When the newest record was read; records come at least every beat.
+  std::optional<Time> newest_record_at;
+};
+
+class WorkView {
+ public:
+  // Follows the work topic from now on.
+  explicit WorkView(KeyedLog* log);
+
+  DutyView duty() const;
+  // A copy of everything, and where it ends.
+  JobBook book(Offset* end) const;
+  // Empty when the job is unknown to this view.
+  std::optional<JobState> StateOf(const std::string& id) const;
+  int Waiting(const std::string& queue) const;
+  Freshness freshness() const;
+
+ private:
+  void TakeRecord(const KeyedRecord& record);
+  void CaughtUp(Offset end, Time asked);
+  void Restart();
+
+  mutable std::mutex mutex_;
+  JobBook book_;
+  // Filled aside after a restart, so that nobody sees half of it.
+  std::optional<JobBook> rebuilding_;
+  Offset end_ = 0;
+  Freshness freshness_;
+  std::optional<Time> newest_record_at_;
+  // Last, so that it is stopped first.
+  std::unique_ptr<TopicFollower> follower_;
+};
+
+class OperatorView {
+ public:
+  OperatorView(KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder);
+
+  // Shared, not copied: documents of hundreds of routes are read on every call.
+  std::shared_ptr<const OperatorState> state() const;
+  Freshness freshness() const;
+
+ private:
+  void TakeRecord(const KeyedRecord& record);
+  void CaughtUp(Offset end, Time asked);
+
+  const std::unique_ptr<OperatorDecoder> decoder_;
+  mutable std::mutex mutex_;
+  std::shared_ptr<const OperatorState> state_;
+  // What is being read; shown once the view has caught up.
+  OperatorState next_;
+  bool changed_ = false;
+  Freshness freshness_;
+  std::unique_ptr<TopicFollower> follower_;
+};
+
+class MembersView {
+ public:
+  explicit MembersView(KeyedLog* log, Duration wait);
+
+  PlannerRecord planner() const;
+  std::set<std::string> agents() const;
+  Freshness freshness() const;
+
+ private:
+  void TakeRecord(const KeyedRecord& record);
+
+  mutable std::mutex mutex_;
+  PlannerRecord planner_;
+  std::set<std::string> agents_;
+  Freshness freshness_;
+  std::unique_ptr<TopicFollower> follower_;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/worker_judge.h
@@ -0,0 +1,46 @@
+// Tells sick workers from sick jobs by how runs end. A worker that fails whatever it is given looks
+// idle and draws work, so that one of eleven spoils far more than its share; it is set aside for a
+// while and tried again. A job whose runs fail on several workers is at fault itself.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "core/clock.h"
+
+namespace turmericshift::pool {
+
+class WorkerJudge {
+ public:
+  void RunFailed(const std::string& worker, const std::string& job, Time now);
+  void RunDone(const std::string& worker, const std::string& job, Time now);
+  // The worker turned an order away or did not answer it.
+  void OrderNotTaken(const std::string& worker, Time now);
+  // A new life of a worker starts with a clean sheet.
+  void Forget(const std::string& worker);
+
+  // Gets no work now.
+  bool SetAside(const std::string& worker, Time now) const;
+  // Failed something lately: comes last.
+  bool Doubtful(const std::string& worker, Time now) const;
+
+ private:
+  struct Failure {
+    std::string job;
+    Time at{};
+  };
+  struct Sheet {
+    std::deque<Failure> failures;
+    Time aside_until{};
+    int times_aside = 0;
+  };
+
+  // Jobs that failed lately at this worker and have not failed elsewhere.
+  int BlamedJobs(const std::string& worker, const Sheet& sheet, Time now) const;
+  void Judge(const std::string& worker, Time now);
+
+  std::map<std::string, Sheet> sheets_;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/worker_roster.cc
@@ -0,0 +1,25 @@
+#include "servers/pool/worker_roster.h"
+
+namespace turmericshift::pool {
+namespace {
+
+// An agent that has not reported for so long gets no new work: it polls each second, so that two
+// polls were lost.
+constexpr Duration kSilence = std::chrono::milliseconds(2200);
+
+}  // namespace
+
+Room WorkerState::free() const {
+  Room room = facts.capacity;
+  for (const auto& [id, run] : live) {
+    room -= run.need;
+    if (run.fills) room.processor_millis += run.need.processor_millis;
+  }
+  return room;
+}
+
+bool WorkerState::usable(Time now) const {
+  return known && !facts.id.empty() && facts.reachable && !facts.draining && now - heard < kSilence;
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/worker_roster.h
@@ -0,0 +1,62 @@
+// What the planner knows of its workers: who they are, what runs there, and until when it may go on
+// running although nobody hears of it.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "servers/pool/outbox.h"
+#include "servers/pool/pool_messages.h"
+
+namespace turmericshift::pool {
+
+// Where a run stands, as far as the planner knows.
+enum class RunPhase { kOrdered, kRunning, kStopping };
+
+struct LiveRun {
+  RunId run;
+  RunPhase phase = RunPhase::kOrdered;
+  Room need;
+  // Ordered, or first heard of.
+  Time since{};
+  std::string checkpoint;
+  // What the start hands over; empty for runs that were found running.
+  std::string payload;
+  // Its processors do not count.
+  bool fills = false;
+};
+
+struct KeptEnd {
+  int64_t number = 0;
+  Ticket ticket = 0;
+};
+
+struct WorkerState {
+  std::string node;
+  std::string zone;
+  std::string incarnation;
+  int64_t sequence = -1;
+  WorkerFacts facts;
+  // The lists under this planner's epoch have been heard, so nothing older can start there.
+  bool known = false;
+  // When the last report came.
+  Time heard{};
+  // Whatever runs there has ended by then, unless a lease is renewed.
+  Time lease_until{};
+  std::map<RunId, LiveRun> live;
+  // Ends that were taken in, with the ticket of the record that keeps each.
+  std::deque<KeptEnd> ends;
+  int64_t ends_seen = 0;
+  int64_t ends_kept = 0;
+  // What the agent has been told, and what there is to tell.
+  int64_t version = 0;
+  int64_t version_seen = 0;
+
+  // Capacity less what is live; what is being stopped still counts.
+  Room free() const;
+  bool usable(Time now) const;
+};
+
+}  // namespace turmericshift::pool
