Rpc: Serve all pool sessions with one thread

Cause: each session's event loop takes three descriptors that are no sockets, and an entry has 200; with a thread each, eleven agents already ran out together with the HTTP threads.

--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -1,8 +1,8 @@
 #include "rpc/pool_session.h"
 
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/io.h>
 
 #include <utility>
 
@@ -17,7 +17,7 @@
 namespace turmericshift {
 namespace {
 
-constexpr int kPollMillis = 200;
+constexpr size_t kLoopStackBytes = size_t{512} * 1024;
 // A peer in another zone answers a connect within milliseconds.
 constexpr int kConnectMillis = 700;
 
@@ -83,6 +83,16 @@
   pool::PlannerGate* const gate_;
 };
 
+kj::Promise<void> AcceptAll(kj::ConnectionReceiver* receiver, capnp::TwoPartyServer* server) {
+  return receiver->accept().then([receiver, server](kj::Own<kj::AsyncIoStream> stream) {
+    int fd = -1;
+    KJ_IF_MAYBE (descriptor, stream->getFd()) fd = *descriptor;
+    if (fd >= 0) LimitSilence(fd);
+    server->accept(kj::mv(stream));
+    return AcceptAll(receiver, server);
+  });
+}
+
 class RpcPlannerPort final : public pool::PlannerPort {
  public:
   explicit RpcPlannerPort(std::shared_ptr<Session> session) : session_(std::move(session)) {}
@@ -147,54 +157,41 @@
 
 }  // namespace
 
-PoolListener::PoolListener(const PoolListenerOptions& options, pool::PlannerGate* gate)
-    : options_(options), gate_(gate) {
-  listener_ = ListenSocket(options.address, options.port);
-  port_ = BoundPort(listener_);
-  thread_ = Thread("pool-accept", [this] { Accept(); });
+PoolListener::PoolListener(const PoolListenerOptions& options, pool::PlannerGate* gate) {
+  const int listener = ListenSocket(options.address, options.port);
+  port_ = BoundPort(listener);
+  thread_ = Thread(
+      "pool-sessions", [this, listener, gate] { Serve(listener, gate); }, kLoopStackBytes);
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait(lock, [this] { return served_; });
 }
 
 PoolListener::~PoolListener() {
-  stopping_.store(true);
-  thread_.Join();
-  close(listener_);
-  std::vector<std::weak_ptr<Session>> sessions;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    sessions.swap(sessions_);
-  }
-  for (const auto& each : sessions) {
-    if (const auto session = each.lock()) {
-      session->Close();
-      session->WaitClosed();
-    }
-  }
-}
-
-void PoolListener::Accept() {
-  while (!stopping_.load()) {
-    pollfd waiting{listener_, POLLIN, 0};
-    if (poll(&waiting, 1, kPollMillis) <= 0) continue;
-    const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    if (fd >= 0) Open(fd);
-  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (stop_) (*stop_)->fulfill();
 }
 
-void PoolListener::Open(int fd) {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  std::erase_if(sessions_, [](const auto& each) { return each.expired(); });
-  if (static_cast<int>(sessions_.size()) >= options_.max_sessions) {
-    LogEvent(LogLevel::kWarning, "session_refused", {{"reason", "too many sessions"}});
-    close(fd);
-    return;
+void PoolListener::Serve(int listener, pool::PlannerGate* gate) {
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stop_ = kj::mv(stop.fulfiller);
+    served_ = true;
   }
-  LimitSilence(fd);
-  const auto make_gate = [this](Session* session) -> capnp::Capability::Client {
+  changed_.notify_all();
+  try {
+    auto receiver = io.lowLevelProvider->wrapListenSocketFd(
+        kj::AutoCloseFd(listener), kj::LowLevelAsyncIoProvider::NetworkFilter::getAllAllowed());
     // Only VMs of the system reach these ports; the platform keeps them closed to all others.
-    session->Admit();
-    return kj::heap<PoolGateService>(gate_);
-  };
-  sessions_.push_back(Session::Open(fd, Session::Side::kAccepting, "pool-session", make_gate));
+    capnp::TwoPartyServer server(kj::heap<PoolGateService>(gate));
+    auto served = AcceptAll(receiver.get(), &server).eagerlyEvaluate([](kj::Exception&& exception) {
+      LogEvent(LogLevel::kError, "sessions_ended", {{"error", exception.getDescription().cStr()}});
+    });
+    stop.promise.wait(io.waitScope);
+  } catch (const kj::Exception& exception) {
+    LogEvent(LogLevel::kError, "sessions_ended", {{"error", exception.getDescription().cStr()}});
+  }
 }
 
 std::shared_ptr<pool::PlannerPort> RpcPlannerConnector::Connect(const std::string& address) {
--- a/rpc/pool_session.h
+++ b/rpc/pool_session.h
@@ -1,11 +1,13 @@
 // Sessions of a pool: the listening side at every entry, the calling side at agents and entries.
 #pragma once
 
-#include <atomic>
+#include <kj/async.h>
+
+#include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "core/thread.h"
 #include "rpc/session.h"
@@ -17,15 +19,16 @@
   std::string address = "127.0.0.1";
   // 0 lets the system choose; see PoolListener::port().
   int port = 0;
-  // A session costs some 42 KB; 1,400 agents are more than one entry of the smallest kind carries.
-  int max_sessions = 600;
 };
 
+// One thread serves all connections. A thread for each, as sessions elsewhere have, takes three
+// descriptors of its event loop each, and an entry VM may hold 200 that are not sockets: 67 agents
+// would not fit. Handlers must not block.
 class PoolListener {
  public:
   // Listens at once. `gate` must outlive the listener. Throws Error(kUnavailable).
   PoolListener(const PoolListenerOptions& options, pool::PlannerGate* gate);
-  // Closes every session and waits for their threads.
+  // Closes every connection.
   ~PoolListener();
   PoolListener(const PoolListener&) = delete;
   PoolListener& operator=(const PoolListener&) = delete;
@@ -33,16 +36,14 @@
   int port() const { return port_; }
 
  private:
-  void Accept();
-  void Open(int fd);
+  void Serve(int listener, pool::PlannerGate* gate);
 
-  const PoolListenerOptions options_;
-  pool::PlannerGate* const gate_;
-  int listener_ = -1;
   int port_ = 0;
-  std::atomic<bool> stopping_{false};
   std::mutex mutex_;
-  std::vector<std::weak_ptr<Session>> sessions_;
+  std::condition_variable changed_;
+  bool served_ = false;
+  // Ends the thread's loop; set while it runs.
+  std::optional<kj::Own<kj::CrossThreadPromiseFulfiller<void>>> stop_;
   Thread thread_;
 };
 
--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <functional>
+#include <string>
 #include <thread>
 
 #include "core/logging.h"
+#include "core/secret.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -20,6 +22,14 @@
          static_cast<int64_t>(kSteps);
 }
 
+// Two entries that claim the same epoch at once must not use the same number: the store would take
+// the second claim for a repetition of the first and answer it as it answered that, so that both
+// believed they had the duty. One notices by two planners of one epoch; jobs of one of them vanish.
+int64_t FirstSequence() {
+  constexpr size_t kBytes = 4;
+  return std::stoll(RandomHex(kBytes), nullptr, 16) + 1;
+}
+
 }  // namespace
 
 bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit,
@@ -71,10 +81,11 @@
   const JobBook book = work_->book(&end);
   if (!work_->freshness().within(options_.view_limit, now)) return;
   const int64_t epoch = std::max(book.planner().epoch, refused_epoch_) + 1;
+  const int64_t sequence = FirstSequence();
   try {
     log_->Append(kWorkTopic,
                  {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
-                 {end, kPlannerProducer, epoch, 1}, kClaimTimeout);
+                 {end, kPlannerProducer, epoch, sequence}, kClaimTimeout);
   } catch (const Error& error) {
     if (error.kind() == ErrorKind::kFenced) refused_epoch_ = epoch;
     LogEvent(LogLevel::kInfo, "claim_failed",
@@ -82,7 +93,7 @@
     return;
   }
   duty_since_ = now;
-  service_->Begin(epoch, book, members_->agents(), now);
+  service_->Begin(epoch, sequence, book, members_->agents(), now);
 }
 
 void DutyKeeper::Announce() {
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -59,14 +59,14 @@
   return {ErrorKind::kConflict, Outcome::kNotRun, "this process does not plan the pool"};
 }
 
-void PlannerService::Begin(int64_t epoch, const JobBook& book, const std::set<std::string>& agents,
-                           Time asked) {
+void PlannerService::Begin(int64_t epoch, int64_t sequence, const JobBook& book,
+                           const std::set<std::string>& agents, Time asked) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     planner_ = std::make_unique<PoolPlanner>(options_.planner, epoch, book, agents,
                                              LeaseClock().Now());
     planner_->Confirm(asked);
-    sequence_ = 1;
+    sequence_ = sequence;
     releasing_ = false;
     last_write_ = asked;
     writing_since_.reset();
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -41,8 +41,9 @@
   PlannerService(const PlannerService&) = delete;
   PlannerService& operator=(const PlannerService&) = delete;
 
-  // Takes the duty up. The claim, under sequence 1, is the newest record in `book`.
-  void Begin(int64_t epoch, const JobBook& book, const std::set<std::string>& agents, Time asked);
+  // Takes the duty up. The claim was written under `sequence`; `book` is all that came before it.
+  void Begin(int64_t epoch, int64_t sequence, const JobBook& book,
+             const std::set<std::string>& agents, Time asked);
   // Lays the duty down: a newer epoch has been seen.
   void End(const char* why);
   // Writes what is left and gives the duty up in the store, so that a successor need not wait for
