--- a/servers/pool/job_front.cc
+++ b/servers/pool/job_front.cc
@@ -11,6 +11,9 @@
 
 // How often a call that waits for a planner looks for one.
 constexpr Duration kLookAgain = std::chrono::milliseconds(60);
+// A try with less time left would end after the caller has gone: a planner that is away costs this
+// much to find out.
+constexpr Duration kShortestTry = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -198,7 +201,7 @@
       return answer;
     }
     const Time now = LeaseClock().Now();
-    if (now >= until) break;
+    if (until - now < kShortestTry) break;
     std::shared_ptr<PlannerPort> port;
     try {
       port = Port();
--- a/servers/pool/topic_follower.cc
+++ b/servers/pool/topic_follower.cc
@@ -66,7 +66,10 @@
       log_->Read(options_.topic, from, options_.wait, options_.wait + options_.patience);
   for (const KeyedRecord& record : batch.records) on_record_(record);
   const Offset next = from + static_cast<Offset>(batch.records.size());
-  if (next >= batch.end) on_caught_up_(next, asked);
+  if (next < batch.end) return next;
+  // An answer without records was made when the wait was over, not when it was asked for.
+  const bool waited = batch.records.empty() && LeaseClock().Now() - asked >= options_.wait;
+  on_caught_up_(next, waited ? asked + options_.wait : asked);
   return next;
 }
 
--- a/servers/pool/topic_follower.h
+++ b/servers/pool/topic_follower.h
@@ -26,9 +26,9 @@
  public:
   // Called on the follower's thread for each record, in order.
   using OnRecord = std::function<void(const KeyedRecord&)>;
-  // Called when the view reaches `end` as the store stood at or after `asked`, and with
-  // `restarted` before the records of a new start from the newest of each key.
+  // Called when the view has reached `end`, where the store stood at or after `asked`.
   using OnCaughtUp = std::function<void(Offset end, Time asked)>;
+  // Called before the records of a new start from the newest of each key.
   using OnRestart = std::function<void()>;
 
   TopicFollower(const FollowerOptions& options, KeyedLog* log, OnRecord on_record,
