--- a/core/shutdown.cc
+++ b/core/shutdown.cc
@@ -1,5 +1,6 @@
 #include "core/shutdown.h"
 
+#include <glog/logging.h>
 #include <pthread.h>
 #include <signal.h>
 #include <unistd.h>
@@ -47,4 +48,9 @@
   cutter.Detach();
 }
 
+void EndProcess(int code) {
+  google::FlushLogFiles(google::GLOG_INFO);
+  _exit(code);
+}
+
 }  // namespace turmericshift
--- a/core/shutdown.h
+++ b/core/shutdown.h
@@ -16,4 +16,8 @@
   void CutOnNext();
 };
 
+// Ends the process at once with `code`. For daemons that have nothing left to do but wait for
+// threads in calls that last seconds, longer than the platform gives a stop.
+[[noreturn]] void EndProcess(int code);
+
 }  // namespace turmericshift
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -1,4 +1,5 @@
-// turmericshift pool entry, pool agent: processes of a pool on a platform that an adapter speaks to.
+// turmericshift pool entry, pool agent: processes of a pool on a platform that an adapter speaks
+// to.
 #include <signal.h>
 
 #include <algorithm>
@@ -23,7 +24,7 @@
 constexpr Duration kLeaseReserve = std::chrono::milliseconds(500);
 // Above this a lost worker's tasks wait longer and nothing is gained: a change of planner takes
 // three seconds.
-constexpr Duration kLongestLease = std::chrono::milliseconds(5000);
+constexpr Duration kLongestLease = std::chrono::milliseconds(4000);
 constexpr Duration kStatusSlack = std::chrono::seconds(10);
 // Of the time that a stop may take, what is left for ending the process.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
@@ -82,7 +83,7 @@
   const bool drained =
       entry.Leave(settings.stop_limit - entry_options.balancer_notice - kStopReserve);
   LogEvent(LogLevel::kInfo, "stopped", {{"drained", drained}});
-  return drained ? ExitCode::kDone : ExitCode::kFailed;
+  EndProcess(static_cast<int>(drained ? ExitCode::kDone : ExitCode::kFailed));
 }
 
 ExitCode RunPoolAgent(const Words& words) {
@@ -114,7 +115,7 @@
   signal.CutOnNext();
   announcements.StopAccepting();
   LogEvent(LogLevel::kInfo, "stopped", {{"drained", true}});
-  return ExitCode::kDone;
+  EndProcess(static_cast<int>(ExitCode::kDone));
 }
 
 }  // namespace
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -148,23 +148,23 @@
 
 PoolEntrySettings ParsePoolEntrySettings(const std::string& file_name, const std::string& text) {
   PoolEntrySettings settings;
-  BindFile(file_name, text,
-           {{"process",
-             true,
-             {TextKey("name", kRequired, &settings.name),
-              TextKey("availability_zone", kRequired, &settings.availability_zone),
-              TextKey("adapter", kRequired, &settings.adapter),
-              DurationKey("stop_limit", kOptional, &settings.stop_limit)}},
-            {"listen",
-             true,
-             {EndpointKey("callers", &settings.callers),
-              EndpointKey("readiness", &settings.readiness),
-              EndpointKey("sessions", &settings.sessions)}},
-            {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
-            {"limits",
-             false,
-             {DurationKey("longest_lease", kOptional, &settings.longest_lease),
-              DurationKey("status_kept", kOptional, &settings.status_kept)}}});
+  BindFile(
+      file_name, text,
+      {{"process",
+        true,
+        {TextKey("name", kRequired, &settings.name),
+         TextKey("availability_zone", kRequired, &settings.availability_zone),
+         TextKey("adapter", kRequired, &settings.adapter),
+         DurationKey("stop_limit", kOptional, &settings.stop_limit)}},
+       {"listen",
+        true,
+        {EndpointKey("callers", &settings.callers), EndpointKey("readiness", &settings.readiness),
+         EndpointKey("sessions", &settings.sessions)}},
+       {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
+       {"limits",
+        false,
+        {DurationKey("longest_lease", kOptional, &settings.longest_lease),
+         DurationKey("status_kept", kOptional, &settings.status_kept)}}});
   return settings;
 }
 
--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -18,17 +18,14 @@
 namespace {
 
 constexpr size_t kLoopStackBytes = size_t{512} * 1024;
-// A peer in another zone answers a connect within milliseconds.
-constexpr int kConnectMillis = 700;
 
 // A promise that any thread may keep, once; shared, since std::function wants to be copied.
 template <typename Value>
 class Answer {
  public:
   explicit Answer(kj::Own<kj::CrossThreadPromiseFulfiller<Attempt<Value>>> fulfiller)
-      : fulfiller_(
-            std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<Attempt<Value>>>>(
-                kj::mv(fulfiller))) {}
+      : fulfiller_(std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<Attempt<Value>>>>(
+            kj::mv(fulfiller))) {}
 
   void operator()(Attempt<Value> attempt) const { (*fulfiller_)->fulfill(std::move(attempt)); }
 
@@ -194,9 +191,11 @@
   }
 }
 
-std::shared_ptr<pool::PlannerPort> RpcPlannerConnector::Connect(const std::string& address) {
+std::shared_ptr<pool::PlannerPort> RpcPlannerConnector::Connect(const std::string& address,
+                                                                Duration limit) {
   const PeerAddress peer = ParsePeerAddress(address);
-  const int fd = ConnectSocket(peer.ip, peer.port, kConnectMillis);
+  const auto limit_ms = duration_cast<std::chrono::milliseconds>(limit).count();
+  const int fd = ConnectSocket(peer.ip, peer.port, static_cast<int>(limit_ms));
   LimitSilence(fd);
   return std::make_shared<RpcPlannerPort>(
       Session::Open(fd, Session::Side::kConnecting, "planner-session", nullptr));
--- a/rpc/pool_session.h
+++ b/rpc/pool_session.h
@@ -49,7 +49,7 @@
 
 class RpcPlannerConnector : public pool::PlannerConnector {
  public:
-  std::shared_ptr<pool::PlannerPort> Connect(const std::string& address) override;
+  std::shared_ptr<pool::PlannerPort> Connect(const std::string& address, Duration limit) override;
 };
 
 }  // namespace turmericshift
--- a/rpc/sockets.cc
+++ b/rpc/sockets.cc
@@ -35,8 +35,7 @@
   if (!valid || bind(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)) != 0 ||
       listen(fd, kBacklog) != 0) {
     close(fd);
-    throw Error(ErrorKind::kUnavailable,
-                "can't listen on " + address + ":" + std::to_string(port));
+    throw Error(ErrorKind::kUnavailable, "can't listen on " + address + ":" + std::to_string(port));
   }
   return fd;
 }
--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -200,12 +200,12 @@
   return call;
 }
 
-void AgentState::NoteLease(std::optional<WorkerMillis> lease_until, Time now) {
-  if (!lease_until) return;
+void AgentState::NoteLease(std::optional<WorkerMillis> lease_until, OrderAnswer answer, Time now) {
+  if (!lease_until || answer == OrderAnswer::kAway) return;
   const Duration left = std::chrono::milliseconds(*lease_until - WorkerClock(now));
   passed_on_until_ = std::max(
-      passed_on_until_, now + Duration(static_cast<int64_t>(
-                                  static_cast<double>(left.count()) * kClockSlack)));
+      passed_on_until_,
+      now + Duration(static_cast<int64_t>(static_cast<double>(left.count()) * kClockSlack)));
 }
 
 std::optional<StartCall> AgentState::PrepareStart(const StartOrder& order, Time until,
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -1,6 +1,6 @@
-// What an agent knows of its worker and of its planner, and what follows: until when runs may go on,
-// whether a start may be carried out. Plain decisions with the time passed in; PoolAgent has the
-// threads.
+// What an agent knows of its worker and of its planner, and what follows: until when runs may go
+// on, whether a start may be carried out. Plain decisions with the time passed in; PoolAgent has
+// the threads.
 #pragma once
 
 #include <map>
@@ -40,8 +40,9 @@
 
   // The next hold: what is acknowledged, and until when runs may go on.
   HoldCall NextHold(Duration wait, Time now) const;
-  // A call that passes a lease until `lease_until` on is about to be sent.
-  void NoteLease(std::optional<WorkerMillis> lease_until, Time now);
+  // A call that was to pass a lease until `lease_until` on has been answered so. A worker that
+  // refused the connection has not got it.
+  void NoteLease(std::optional<WorkerMillis> lease_until, OrderAnswer answer, Time now);
 
   // Whether a start that was ordered may be carried out now, and with which lease; otherwise why
   // not. `until`: when the order goes out of date.
@@ -97,7 +98,8 @@
 
   std::map<RunId, StartState> starts_;
   std::set<RunId> stops_;
-  // Stops that were answered, with the time: a hold sent after that shows whether the run was there.
+  // Stops that were answered, with the time: a hold sent after that shows whether the run was
+  // there.
   std::map<RunId, Time> stopped_at_;
   std::map<RunId, StartResult> results_;
 };
--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -83,9 +83,10 @@
   const int64_t epoch = std::max(book.planner().epoch, refused_epoch_) + 1;
   const int64_t sequence = FirstSequence();
   try {
-    log_->Append(kWorkTopic,
-                 {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
-                 {end, kPlannerProducer, epoch, sequence}, kClaimTimeout);
+    log_->Append(
+        kWorkTopic,
+        {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
+        {end, kPlannerProducer, epoch, sequence}, kClaimTimeout);
   } catch (const Error& error) {
     if (error.kind() == ErrorKind::kFenced) refused_epoch_ = epoch;
     LogEvent(LogLevel::kInfo, "claim_failed",
@@ -99,9 +100,10 @@
 void DutyKeeper::Announce() {
   const int64_t epoch = service_->epoch();
   try {
-    log_->Append(kMembersTopic,
-                 {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
-                 {std::nullopt, kPlannerProducer, epoch, 1}, kClaimTimeout);
+    log_->Append(
+        kMembersTopic,
+        {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
+        {std::nullopt, kPlannerProducer, epoch, 1}, kClaimTimeout);
     announced_epoch_ = epoch;
   } catch (const Error& error) {
     LogEvent(LogLevel::kWarning, "announce_failed", {{"epoch", epoch}, {"error", error.what()}});
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -18,20 +18,20 @@
   std::string node;
   // Where agents and entries open sessions to this entry, "ip:port".
   std::string address;
-  // A planner that has written nothing for so long is taken for gone. It writes every 0.5 s, and a
-  // slow store takes a quarter of a second for each append.
-  Duration silence = std::chrono::milliseconds(1700);
+  // A planner that has written nothing for so long is taken for gone. It writes every 0.25 s, and a
+  // slow store takes up to 0.4 s for each append and as much for the read that shows it.
+  Duration silence = std::chrono::milliseconds(1200);
   // Entries wait apart from each other by up to this, so that seldom two claim at once.
-  Duration spread = std::chrono::milliseconds(300);
+  Duration spread = std::chrono::milliseconds(200);
   // A claim rests on a view that is no older than this.
   Duration view_limit = std::chrono::milliseconds(1500);
   // Agents that have not been heard for so long are no longer waited for by a successor.
   Duration forget_agents_after = std::chrono::seconds(20);
 };
 
-// Whether an entry whose view is `duty` claims at `now`. `since`: from when on the entry has been in
-// touch with the store without a gap. `patience`: silence to wait for, with this entry's share of
-// the spread.
+// Whether an entry whose view is `duty` claims at `now`. `since`: from when on the entry has been
+// in touch with the store without a gap. `patience`: silence to wait for, with this entry's share
+// of the spread.
 bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit,
                  Time now);
 
--- a/servers/pool/job_book.h
+++ b/servers/pool/job_book.h
@@ -1,5 +1,5 @@
-// What the work topic says: every job with its progress, and who plans. A fold of keyed records, the
-// same at every entry that has read as far.
+// What the work topic says: every job with its progress, and who plans. A fold of keyed records,
+// the same at every entry that has read as far.
 #pragma once
 
 #include <map>
--- a/servers/pool/job_front.cc
+++ b/servers/pool/job_front.cc
@@ -11,9 +11,10 @@
 
 // How often a call that waits for a planner looks for one.
 constexpr Duration kLookAgain = std::chrono::milliseconds(60);
-// A try with less time left would end after the caller has gone: a planner that is away costs this
-// much to find out.
-constexpr Duration kShortestTry = std::chrono::milliseconds(700);
+// A planner in another zone answers a connect within milliseconds.
+constexpr Duration kConnectLimit = std::chrono::milliseconds(700);
+// A record is kept and answered for in some 20 ms; with less than this left a try is pointless.
+constexpr Duration kShortestTry = std::chrono::milliseconds(60);
 
 }  // namespace
 
@@ -170,7 +171,7 @@
   return answer;
 }
 
-std::shared_ptr<PlannerPort> JobFront::Port() {
+std::shared_ptr<PlannerPort> JobFront::Port(Duration limit) {
   const PlannerRecord planner = work_->duty().planner;
   if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "no planner");
   if (planner.node == options_.node) return std::make_shared<LocalPort>(local_);
@@ -178,7 +179,8 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     if (port_ && port_epoch_ == planner.epoch) return port_;
   }
-  std::shared_ptr<PlannerPort> port = connector_->Connect(planner.address);
+  std::shared_ptr<PlannerPort> port =
+      connector_->Connect(planner.address, std::min(limit, kConnectLimit));
   const std::lock_guard<std::mutex> lock(mutex_);
   port_ = port;
   port_epoch_ = planner.epoch;
@@ -204,7 +206,7 @@
     if (until - now < kShortestTry) break;
     std::shared_ptr<PlannerPort> port;
     try {
-      port = Port();
+      port = Port(until - now);
       ask(port.get(), std::min(until - now, options_.try_limit));
       answer.kind = done;
       answer.message = "";
--- a/servers/pool/job_front.h
+++ b/servers/pool/job_front.h
@@ -11,9 +11,9 @@
 #include <mutex>
 #include <string>
 
+#include "core/http_server.h"
 #include "core/metrics.h"
 #include "core/plugin_registry.h"
-#include "core/http_server.h"
 #include "servers/pool/planner_gate.h"
 #include "servers/pool/pool_view.h"
 
@@ -96,7 +96,7 @@
   // shows that it has happened.
   JobAnswer AskPlanner(const std::function<void(PlannerPort*, Duration)>& ask,
                        const std::function<bool()>& known, JobAnswerKind done, Time until);
-  std::shared_ptr<PlannerPort> Port();
+  std::shared_ptr<PlannerPort> Port(Duration limit);
   void DropPort(const std::shared_ptr<PlannerPort>& port);
   JobAnswer NotAccepted(const std::string& message) const;
 
--- a/servers/pool/job_model.h
+++ b/servers/pool/job_model.h
@@ -55,8 +55,8 @@
   int64_t interval_ms = 0;
 };
 
-// What a queue lays down for its jobs. Kept with each job, since operators may drop the queue before
-// the job is done.
+// What a queue lays down for its jobs. Kept with each job, since operators may drop the queue
+// before the job is done.
 struct QueueTerms {
   // The group of workers that runs the queue's tasks.
   std::string service;
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -147,8 +147,8 @@
       progress.done[{row.at(0).get<int>(), row.at(1).get<int>()}] = row.at(2).get<std::set<int>>();
     }
     for (const json& row : in.value("failures", json::array())) {
-      progress.failures[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
-          {row.at(3).get<int>(), row.at(4).get<int64_t>()};
+      progress.failures[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] = {
+          row.at(3).get<int>(), row.at(4).get<int64_t>()};
     }
     for (const json& row : in.value("checkpoints", json::array())) {
       progress.checkpoints[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
--- a/servers/pool/placer.h
+++ b/servers/pool/placer.h
@@ -1,6 +1,6 @@
 // Chooses workers for a step's tasks. Answers two load patterns: gangs that want one rack amid many
-// small tasks, and bursts of urgent gangs. Small tasks go where least accelerators are left, so that
-// whole workers and racks stay free for gangs.
+// small tasks, and bursts of urgent gangs. Small tasks go where least accelerators are left, so
+// that whole workers and racks stay free for gangs.
 #pragma once
 
 #include <functional>
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -39,11 +39,11 @@
   virtual void Cancel(const std::string& id, Duration timeout) = 0;
 };
 
-// Connects to planners by address. Throws Error(kUnavailable).
+// Connects to planners by address within `limit`. Throws Error(kUnavailable).
 class PlannerConnector {
  public:
   virtual ~PlannerConnector() = default;
-  virtual std::shared_ptr<PlannerPort> Connect(const std::string& address) = 0;
+  virtual std::shared_ptr<PlannerPort> Connect(const std::string& address, Duration limit) = 0;
 };
 
 }  // namespace turmericshift::pool
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -11,8 +11,10 @@
 
 // Leases and limits are looked at this often when nothing else happens.
 constexpr Duration kTick = std::chrono::milliseconds(200);
-// Pause before an append is sent again.
-constexpr Duration kRetryPause = std::chrono::milliseconds(100);
+// Pause before an append is sent again; doubled each time. A store that turns this VM away is not
+// to be flooded, and one that is back should be noticed soon.
+constexpr Duration kRetryPause = std::chrono::milliseconds(50);
+constexpr Duration kLongestRetryPause = std::chrono::milliseconds(400);
 
 template <typename Value>
 std::function<void()> Failed(std::function<void(Attempt<Value>)> done, Error error) {
@@ -63,8 +65,8 @@
                            const std::set<std::string>& agents, Time asked) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    planner_ = std::make_unique<PoolPlanner>(options_.planner, epoch, book, agents,
-                                             LeaseClock().Now());
+    planner_ =
+        std::make_unique<PoolPlanner>(options_.planner, epoch, book, agents, LeaseClock().Now());
     planner_->Confirm(asked);
     sequence_ = sequence;
     releasing_ = false;
@@ -88,9 +90,9 @@
   }
   polls_.clear();
   for (Waiter& waiter : waiters_) {
-    replies->push_back(Failed<Done>(
-        std::move(waiter.done), Error(ErrorKind::kConnectionLost, Outcome::kUnknown,
-                                      "the planner's duty ended before the record was kept")));
+    replies->push_back(Failed<Done>(std::move(waiter.done),
+                                    Error(ErrorKind::kConnectionLost, Outcome::kUnknown,
+                                          "the planner's duty ended before the record was kept")));
   }
   waiters_.clear();
 }
@@ -276,9 +278,8 @@
     int64_t sequence = 0;
     {
       std::unique_lock<std::mutex> lock(mutex_);
-      to_write_.wait_for(lock, options_.beat / 2, [this] {
-        return stopping_ || (planner_ && !planner_->outbox().empty());
-      });
+      to_write_.wait_for(lock, options_.beat / 2,
+                         [this] { return stopping_ || (planner_ && !planner_->outbox().empty()); });
       if (stopping_) return;
       const Time now = LeaseClock().Now();
       if (!planner_ || (planner_->outbox().empty() && now - last_write_ < options_.beat)) continue;
@@ -288,8 +289,10 @@
       sequence = ++sequence_;
       writing_since_ = now;
     }
+    Duration pause = kRetryPause;
     while (!WriteOnce(records, epoch, sequence)) {
-      std::this_thread::sleep_for(kRetryPause);
+      std::this_thread::sleep_for(pause);
+      pause = std::min(2 * pause, kLongestRetryPause);
       const std::lock_guard<std::mutex> lock(mutex_);
       if (stopping_ || !planner_ || planner_->epoch() != epoch) break;
     }
@@ -316,8 +319,12 @@
   } catch (const Error& error) {
     append_failures_.Add();
     if (error.kind() != ErrorKind::kFenced && error.kind() != ErrorKind::kConflict) {
-      LogEvent(LogLevel::kWarning, "append_failed",
-               {{"epoch", epoch}, {"sequence", sequence}, {"error", error.what()}});
+      // One line for each append that fails; how often is counted.
+      if (failed_sequence_ != sequence) {
+        LogEvent(LogLevel::kWarning, "append_failed",
+                 {{"epoch", epoch}, {"sequence", sequence}, {"error", error.what()}});
+      }
+      failed_sequence_ = sequence;
       return false;
     }
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -24,7 +24,7 @@
   PlannerOptions planner;
   // A sign of life is written when nothing else has been for so long. Followers wait several times
   // this before they take the duty over.
-  Duration beat = std::chrono::milliseconds(500);
+  Duration beat = std::chrono::milliseconds(250);
   // One append's answer is waited for so long, then it is sent again under the same number.
   Duration append_timeout = std::chrono::milliseconds(900);
   // When the newest append has gone unanswered for this long, new work is turned away at once: it
@@ -108,6 +108,8 @@
   // When the append that is on its way was first sent.
   std::optional<Time> writing_since_;
   Time last_write_{};
+  // The append whose failure has been logged; only the writing thread uses it.
+  int64_t failed_sequence_ = 0;
   // Last, so that they end before what they use.
   Thread decider_;
   Thread writer_;
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -9,6 +9,8 @@
 
 constexpr int kOrderThreads = 4;
 constexpr Duration kMembersWait = std::chrono::seconds(4);
+// A planner in another zone answers a connect within milliseconds.
+constexpr Duration kConnectLimit = std::chrono::milliseconds(700);
 // Pause after the worker or the planner could not be reached.
 constexpr Duration kPause = std::chrono::milliseconds(100);
 // A worker with ends to list answers a hold at once; no need to ask faster than the store keeps
@@ -85,12 +87,12 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const Time now = LeaseClock().Now();
     call = state_.NextHold(wait, now);
-    state_.NoteLease(call.lease_until, now);
   }
   const Time sent = LeaseClock().Now();
   const HoldAnswer answer = worker_->Hold(call, wait + kHoldPatience);
   const std::lock_guard<std::mutex> lock(mutex_);
   const Time now = LeaseClock().Now();
+  state_.NoteLease(call.lease_until, answer.answer, now);
   if (answer.answer == OrderAnswer::kTaken) {
     return state_.TakeLists(answer.lists, call.fence, sent, now);
   }
@@ -141,7 +143,7 @@
       if (port && planner.epoch > connected_epoch) port.reset();
       if (!port) {
         if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, "no planner is known");
-        port = connector_->Connect(planner.address);
+        port = connector_->Connect(planner.address, kConnectLimit);
         connected_epoch = planner.epoch;
         const std::lock_guard<std::mutex> lock(mutex_);
         port_ = port;
@@ -233,17 +235,13 @@
       call.reset();
       why = "the agent is not among the members yet";
     }
-    if (call) {
-      state_.NoteLease(call->lease_until, now);
-    } else {
-      state_.StartNotSent(order.run, why);
-    }
+    if (!call) state_.StartNotSent(order.run, why);
   }
   const std::string task = TaskName(order.run.task);
   if (!call) {
-    LogEvent(LogLevel::kWarning, "start_not_sent",
-             {{"job", order.run.task.job}, {"task", task}, {"run", order.run.number},
-              {"reason", why}});
+    LogEvent(
+        LogLevel::kWarning, "start_not_sent",
+        {{"job", order.run.task.job}, {"task", task}, {"run", order.run.number}, {"reason", why}});
     return WakeNews();
   }
   const Time begun = LeaseClock().Now();
@@ -258,6 +256,7 @@
             {"answer", OrderAnswerName(answer)}});
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    state_.NoteLease(call->lease_until, answer, LeaseClock().Now());
     state_.TakeStartAnswer(order.run, answer);
   }
   WakeNews();
@@ -268,6 +267,11 @@
   int64_t fence = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (!state_.worker().reachable) {
+      // Asked for again by the planner as long as it matters.
+      state_.TakeStopAnswer(run, OrderAnswer::kAway, LeaseClock().Now());
+      return;
+    }
     worker_id = state_.worker().id;
     fence = state_.epoch();
   }
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -25,7 +25,7 @@
   std::string zone;
   std::string incarnation;
   // How long a poll waits at the planner. A planner's word is at most this old when it arrives.
-  Duration poll_wait = std::chrono::milliseconds(1000);
+  Duration poll_wait = std::chrono::milliseconds(500);
   // More than this without an answer and the connection counts as lost.
   Duration poll_patience = std::chrono::milliseconds(700);
   // A planner whose epoch no word of the store confirms for so long is obeyed no more.
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -30,8 +30,9 @@
 class PoolEntry {
  public:
   // All arguments must outlive the entry.
-  PoolEntry(const PoolEntryOptions& options, KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder,
-            const CallerDoor* door, PlannerConnector* connector, MetricsRegistry* metrics);
+  PoolEntry(const PoolEntryOptions& options, KeyedLog* log,
+            std::unique_ptr<OperatorDecoder> decoder, const CallerDoor* door,
+            PlannerConnector* connector, MetricsRegistry* metrics);
   ~PoolEntry();
   PoolEntry(const PoolEntry&) = delete;
   PoolEntry& operator=(const PoolEntry&) = delete;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -147,8 +147,8 @@
     if (place.occurrence != member.task.occurrence || place.step != member.task.step) continue;
     if (run.number != member.number) continue;
     WorkerState& worker = workers_[run.node];
-    const auto live = worker.live.find(
-        {{job.spec.id, place.occurrence, place.step, place.index}, run.number});
+    const auto live =
+        worker.live.find({{job.spec.id, place.occurrence, place.step, place.index}, run.number});
     if (live != worker.live.end()) StopRun(&worker, &live->second);
   }
 }
@@ -156,8 +156,8 @@
 void PoolPlanner::StopJob(const Job& job) {
   for (const auto& [place, run] : job.runs) {
     WorkerState& worker = workers_[run.node];
-    const auto live = worker.live.find(
-        {{job.spec.id, place.occurrence, place.step, place.index}, run.number});
+    const auto live =
+        worker.live.find({{job.spec.id, place.occurrence, place.step, place.index}, run.number});
     if (live != worker.live.end()) StopRun(&worker, &live->second);
   }
 }
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -28,8 +28,9 @@
 
 struct PlannerOptions {
   // What a running task may outlive the last word of its planner by. Below what workers grant at
-  // most; above the time that a successor needs to take over and reach the agents.
-  Duration lease = std::chrono::milliseconds(5000);
+  // most; above the time that a successor needs to take over and reach the agents (silence of 1.4 s
+  // at most, a claim, a poll of 0.5 s that ends by its patience of 0.7 s).
+  Duration lease = std::chrono::milliseconds(4000);
   // Added before a lease counts as run out: workers' clocks run up to 2% slow, and the stop takes
   // its time.
   Duration lease_margin = std::chrono::milliseconds(600);
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -48,7 +48,8 @@
   Duration longest{};
   for (const StepSpec& step : spec.steps) {
     Duration begin{};
-    for (const int earlier : step.after) begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+    for (const int earlier : step.after)
+      begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
     ends.push_back(begin + step.estimate);
     longest = std::max(longest, ends.back());
   }
@@ -155,12 +156,11 @@
   const int64_t begun = schedule.occurrences > 0
                             ? schedule.first_due_ms + place.occurrence * schedule.interval_ms
                             : job->spec.accepted_ms;
-  unit.due_ms = begun + Millis(terms.target_latency) +
-                static_cast<int64_t>(terms.stretch *
-                                     static_cast<double>(Millis(EstimatedChain(job->spec))));
+  unit.due_ms =
+      begun + Millis(terms.target_latency) +
+      static_cast<int64_t>(terms.stretch * static_cast<double>(Millis(EstimatedChain(job->spec))));
   if (terms.priority == 0) {
-    const int64_t wanted =
-        step.need.accelerators * static_cast<int64_t>(unit.waiting.size());
+    const int64_t wanted = step.need.accelerators * static_cast<int64_t>(unit.waiting.size());
     unit.entitled = UrgentUse(job->spec.workspace) + wanted <= GuaranteedFor(job->spec.workspace);
   }
   units->push_back(std::move(unit));
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -8,11 +8,9 @@
 namespace {
 
 void LogBadRecord(const char* topic, const KeyedRecord& record, const Error& error) {
-  LogEvent(LogLevel::kWarning, "record_skipped",
-           {{"topic", topic},
-            {"key", record.key},
-            {"offset", record.offset},
-            {"error", error.what()}});
+  LogEvent(
+      LogLevel::kWarning, "record_skipped",
+      {{"topic", topic}, {"key", record.key}, {"offset", record.offset}, {"error", error.what()}});
 }
 
 }  // namespace
--- a/servers/pool/reclaimer.cc
+++ b/servers/pool/reclaimer.cc
@@ -72,8 +72,7 @@
 
 // The bundle that brings most for its cost; null when none brings anything.
 const Bundle* BestBundle(const PlaceWish& wish, const std::vector<WorkerRoom>& workers,
-                         const std::vector<Bundle>& bundles,
-                         const std::set<const Bundle*>& taken) {
+                         const std::vector<Bundle>& bundles, const std::set<const Bundle*>& taken) {
   const int slots = Slots(wish, workers);
   const Bundle* best = nullptr;
   double best_value = 0;
--- a/servers/pool/worker_judge.cc
+++ b/servers/pool/worker_judge.cc
@@ -25,9 +25,10 @@
     if (now - failure.at > kMemory) continue;
     const bool elsewhere = std::any_of(sheets_.begin(), sheets_.end(), [&](const auto& row) {
       if (row.first == worker) return false;
-      return std::any_of(
-          row.second.failures.begin(), row.second.failures.end(),
-          [&](const Failure& other) { return other.job == failure.job && now - other.at < kMemory; });
+      return std::any_of(row.second.failures.begin(), row.second.failures.end(),
+                         [&](const Failure& other) {
+                           return other.job == failure.job && now - other.at < kMemory;
+                         });
     });
     if (!elsewhere) jobs.insert(failure.job);
   }
