--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Leases and limits are looked at this often when nothing else happens.
-constexpr Duration kTick = std::chrono::milliseconds(200);
+constexpr Duration kTick = std::chrono::milliseconds(100);
 // Pause before an append is sent again; doubled each time. A store that turns this VM away is not
 // to be flooded, and one that is back should be noticed soon.
 constexpr Duration kRetryPause = std::chrono::milliseconds(50);
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -56,6 +56,16 @@
   return longest;
 }
 
+double Cores(const Room& need) {
+  return static_cast<double>(need.processor_millis) / 1000 +
+         kCoresPerAccelerator * static_cast<double>(need.accelerators);
+}
+
+// Core-seconds that the tasks to place take by the caller's estimate.
+double OwnWork(const PlaceWish& wish) {
+  return Cores(wish.step->need) * wish.tasks * Seconds(wish.step->estimate);
+}
+
 int64_t Millis(Duration duration) {
   return duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -279,9 +289,7 @@
       victim.run = id;
       victim.node = node;
       victim.need = run.need;
-      const double cores = static_cast<double>(run.need.processor_millis) / 1000 +
-                           kCoresPerAccelerator * static_cast<double>(run.need.accelerators);
-      victim.cost = cores * LostSeconds(run, *step, now);
+      victim.cost = Cores(run.need) * LostSeconds(run, *step, now);
       const auto state = job->second.steps.find({id.task.occurrence, id.task.step});
       if (state != job->second.steps.end()) {
         victim.cost *= 1 + kAgainFactor * state->second.interrupted;
@@ -308,6 +316,8 @@
   const std::optional<ReclaimPlan> plan =
       ChooseVictims(rest, RoomsFor(unit, false, now), VictimsFor(unit, now));
   if (!plan) return;
+  // Borrowed room is not worth more than what is done with it.
+  if (!unit.entitled && plan->cost > OwnWork(rest)) return;
   for (const RunId& stop : plan->stops) {
     for (auto& [node, worker] : workers_) {
       const auto live = worker.live.find(stop);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -14,8 +14,6 @@
 
 // After a start was turned away: the cause is mostly over within this.
 constexpr Duration kPauseAfterRefusal = std::chrono::milliseconds(150);
-// After a run failed: long enough for a sick worker to be told from a sick job by other ends.
-constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -179,7 +177,6 @@
       if (!replaced) TakeDone(end, job, wall_ms);
     } else if (end.kind == EndKind::kFailed) {
       judge_.RunFailed(worker->node, task.job, now);
-      job->steps[{task.occurrence, task.step}].not_before = now + kPauseAfterFailure;
       SaveCheckpoint(end.run, end.checkpoint, job);
       TakeFailed(end, job, wall_ms);
     } else {
