--- /dev/null
+++ b/modules/stand_ins/memory_keyed_log.cc
@@ -0,0 +1,142 @@
+#include "modules/stand_ins/memory_keyed_log.h"
+
+#include <algorithm>
+
+#include "core/error.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr size_t kPageRecords = 500;
+// Answers to so many of a producer's newest appends are given again.
+constexpr size_t kAnswersKept = 5;
+
+}  // namespace
+
+KeyedPage MemoryKeyedLog::Newest(const std::string& topic, const std::string& after,
+                                 Duration /*timeout*/) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Topic& state = topics_[topic];
+  KeyedPage page;
+  page.end = state.end();
+  for (auto row = state.newest.upper_bound(after); row != state.newest.end(); ++row) {
+    if (page.records.size() == kPageRecords) {
+      page.more = true;
+      break;
+    }
+    page.records.push_back(row->second);
+  }
+  return page;
+}
+
+KeyedBatch MemoryKeyedLog::Read(const std::string& topic, Offset from, Duration wait,
+                                Duration /*timeout*/) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait_for(lock, wait, [&] { return topics_[topic].end() > from; });
+  const Topic& state = topics_[topic];
+  if (from < state.first_kept) throw Error(ErrorKind::kTrimmed, "the history was dropped");
+  KeyedBatch batch;
+  batch.end = state.end();
+  batch.first_kept = state.first_kept;
+  for (Offset at = from; at < state.end(); ++at) {
+    batch.records.push_back(state.history[static_cast<size_t>(at - state.first_kept)]);
+  }
+  return batch;
+}
+
+Appended MemoryKeyedLog::Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                                const AppendGuard& guard, Duration /*timeout*/) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Topic& state = topics_[topic];
+  if (!guard.producer.empty()) {
+    Producer& producer = state.producers[guard.producer];
+    if (guard.epoch < producer.epoch) throw Error(ErrorKind::kFenced, "a newer epoch was seen");
+    if (guard.epoch == producer.epoch) {
+      const auto given = producer.answers.find(guard.sequence);
+      if (given != producer.answers.end()) return given->second;
+      if (guard.sequence != producer.sequence + 1) {
+        throw Error(ErrorKind::kConflict, "the sequence does not follow");
+      }
+    }
+  }
+  if (guard.as_of && *guard.as_of != state.end()) {
+    throw Error(ErrorKind::kConflict, "the topic ends elsewhere");
+  }
+  const Appended answer = {state.end(), state.end() + static_cast<Offset>(records.size())};
+  for (const KeyedRecord& record : records) {
+    KeyedRecord kept = record;
+    kept.offset = state.end();
+    state.history.push_back(kept);
+    if (kept.value.empty()) {
+      state.newest.erase(kept.key);
+    } else {
+      state.newest[kept.key] = kept;
+    }
+  }
+  if (!guard.producer.empty()) {
+    Producer& producer = state.producers[guard.producer];
+    if (guard.epoch > producer.epoch) producer.answers.clear();
+    producer.epoch = guard.epoch;
+    producer.sequence = guard.sequence;
+    producer.answers[guard.sequence] = answer;
+    if (producer.answers.size() > kAnswersKept) producer.answers.erase(producer.answers.begin());
+  }
+  ++appends_;
+  changed_.notify_all();
+  return answer;
+}
+
+void MemoryKeyedLog::DropHistory(const std::string& topic) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Topic& state = topics_[topic];
+  state.first_kept = state.end();
+  state.history.clear();
+}
+
+int64_t MemoryKeyedLog::appends() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return appends_;
+}
+
+KeyedPage FaultyKeyedLog::Newest(const std::string& topic, const std::string& after,
+                                 Duration timeout) {
+  RequireWay();
+  return log_->Newest(topic, after, timeout);
+}
+
+KeyedBatch FaultyKeyedLog::Read(const std::string& topic, Offset from, Duration wait,
+                                Duration timeout) {
+  RequireWay();
+  KeyedBatch batch = log_->Read(topic, from, wait, timeout);
+  // A poll that was under way when the fault began is not answered either.
+  RequireWay();
+  return batch;
+}
+
+Appended FaultyKeyedLog::Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                                const AppendGuard& guard, Duration timeout) {
+  RequireWay();
+  const Appended answer = log_->Append(topic, records, guard, timeout);
+  if (faults().append_answers_lost) {
+    throw Error(ErrorKind::kLogUnavailable, Outcome::kUnknown, "the answer was lost");
+  }
+  return answer;
+}
+
+void FaultyKeyedLog::SetFaults(const KeyedLogFaults& faults) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  faults_ = faults;
+}
+
+KeyedLogFaults FaultyKeyedLog::faults() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return faults_;
+}
+
+void FaultyKeyedLog::RequireWay() const {
+  if (faults().refused) {
+    throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "the store turns this VM away");
+  }
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/pool/duty_keeper_test.cc
@@ -0,0 +1,142 @@
+#include "servers/pool/duty_keeper.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <thread>
+
+#include "modules/stand_ins/memory_keyed_log.h"
+#include "platform/operator_records.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kPatience = milliseconds(1200);
+constexpr Duration kViewLimit = milliseconds(1500);
+const Time kNow = Time(std::chrono::hours(2));
+
+DutyView View(Duration view_age, Duration silence) {
+  DutyView view;
+  view.planner = {4, "other", "10.0.0.1:7000"};
+  view.freshness.asked = kNow - view_age;
+  view.newest_record_at = kNow - silence;
+  return view;
+}
+
+TEST(ShouldClaim, LeavesAPlannerThatIsHeardAlone) {
+  EXPECT_FALSE(
+      ShouldClaim(View(milliseconds(100), milliseconds(300)), Time{}, kPatience, kViewLimit, kNow));
+}
+
+TEST(ShouldClaim, FollowsAPlannerThatFellSilent) {
+  EXPECT_TRUE(ShouldClaim(View(milliseconds(100), milliseconds(1300)), Time{}, kPatience,
+                          kViewLimit, kNow));
+}
+
+TEST(ShouldClaim, FollowsAPlannerThatGaveTheDutyUpAtOnce) {
+  DutyView view = View(milliseconds(100), milliseconds(10));
+  view.planner.address.clear();
+  EXPECT_TRUE(ShouldClaim(view, Time{}, kPatience, kViewLimit, kNow));
+}
+
+// An entry that was cut off hears nothing of a planner that is well. Back in touch, its first look
+// must not end that planner's duty.
+TEST(ShouldClaim, CountsNoSilenceWhileItWasCutOff) {
+  const DutyView view = View(milliseconds(100), milliseconds(9000));
+  EXPECT_FALSE(ShouldClaim(view, kNow - milliseconds(200), kPatience, kViewLimit, kNow));
+}
+
+TEST(ShouldClaim, RestsOnAFreshView) {
+  EXPECT_FALSE(ShouldClaim(View(milliseconds(2000), milliseconds(5000)), Time{}, kPatience,
+                           kViewLimit, kNow));
+}
+
+// One entry as far as the duty is concerned.
+struct Candidate {
+  Candidate(KeyedLog* log, const std::string& node)
+      : work(log),
+        operators(log, std::make_unique<platform::OperatorRecords>()),
+        members(log, milliseconds(200)),
+        service(PlannerServiceOptions(), log, &operators, &metrics) {
+    DutyOptions options;
+    options.node = node;
+    options.address = node + ":1";
+    keeper = std::make_unique<DutyKeeper>(options, log, &work, &members, &service);
+  }
+
+  MetricsRegistry metrics;
+  WorkView work;
+  OperatorView operators;
+  MembersView members;
+  PlannerService service;
+  std::unique_ptr<DutyKeeper> keeper;
+};
+
+template <typename Condition>
+bool Eventually(Condition&& condition) {
+  const Time end = LeaseClock().Now() + std::chrono::seconds(30);
+  while (LeaseClock().Now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return false;
+}
+
+// Several entries start at once on an empty store and all claim the first epoch. The store takes a
+// second claim under the same number for a repetition of the first and answers it alike, so that
+// two planners would each take in jobs that the other never hears of.
+TEST(DutyKeeper, GivesTheDutyToOneOfThoseThatClaimAtOnce) {
+  for (int round = 0; round < 2; ++round) {
+    MemoryKeyedLog log;
+    std::vector<std::unique_ptr<Candidate>> entries;
+    for (const char* node : {"a", "b", "c"}) {
+      entries.push_back(std::make_unique<Candidate>(&log, node));
+    }
+    const auto planners = [&] {
+      int count = 0;
+      for (const auto& entry : entries) count += entry->service.epoch() > 0;
+      return count;
+    };
+    ASSERT_TRUE(Eventually([&] { return planners() > 0; }));
+    ASSERT_TRUE(Eventually([&] {
+      return std::all_of(entries.begin(), entries.end(),
+                         [](const auto& entry) { return entry->work.duty().planner.epoch > 0; });
+    }));
+    EXPECT_EQ(planners(), 1);
+  }
+}
+
+// The store turns the planner's VM away and serves the others. One of them takes over, and the old
+// planner learns of it as soon as the store answers it again.
+TEST(DutyKeeper, PassesOnWhenThePlannerLosesTheStore) {
+  MemoryKeyedLog log;
+  FaultyKeyedLog way(&log);
+  Candidate first(&way, "a");
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
+  Candidate second(&log, "b");
+  way.SetFaults({true, false});
+  ASSERT_TRUE(Eventually([&] { return second.service.epoch() == 2; }));
+  way.SetFaults({});
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 0; }));
+  EXPECT_EQ(second.service.epoch(), 2);
+}
+
+// The answers of the store are lost though it does what it is asked. The planner sends the same
+// append again under the same number, and nothing is written twice.
+TEST(DutyKeeper, KeepsTheDutyWhileAnswersAreLost) {
+  MemoryKeyedLog log;
+  FaultyKeyedLog way(&log);
+  Candidate planner(&way, "a");
+  ASSERT_TRUE(Eventually([&] { return planner.service.epoch() == 1; }));
+  way.SetFaults({false, true});
+  std::this_thread::yield();
+  way.SetFaults({});
+  const int64_t appends = log.appends();
+  ASSERT_TRUE(Eventually([&] { return log.appends() > appends + 1; }));
+  EXPECT_EQ(planner.service.epoch(), 1);
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/job_book_test.cc
@@ -0,0 +1,89 @@
+#include "servers/pool/job_book.h"
+
+#include <gtest/gtest.h>
+
+#include "core/error.h"
+#include "tests/stand_ins/pool_bed.h"
+
+namespace turmericshift::pool {
+namespace {
+
+JobSpec FullJob() {
+  StepSpec step = BedStep(4, 2, std::chrono::milliseconds(700));
+  step.gang = true;
+  step.one_rack = true;
+  step.checkpoints = true;
+  step.label = "big";
+  step.data_rack = "r1";
+  step.most_per_worker = 2;
+  JobSpec spec = BedJob("0123456789abcdef", "batch", "one", step);
+  spec.payload = "text with \"quotes\" and \n";
+  spec.terms = {"plans", 1, 3, 2.5, std::chrono::seconds(1)};
+  spec.schedule = {3, 1'700'000'000'000, 2000};
+  spec.accepted_ms = 1'700'000'000'123;
+  return spec;
+}
+
+TEST(JobRecords, GiveAJobBackAsItWas) {
+  const JobSpec spec = FullJob();
+  const JobSpec read = DecodeSpec(spec.id, EncodeSpec(spec));
+  EXPECT_EQ(EncodeSpec(read), EncodeSpec(spec));
+  EXPECT_EQ(read.payload, spec.payload);
+  EXPECT_EQ(read.steps[0].need.accelerators, 2);
+  EXPECT_EQ(read.terms.max_attempts, 3);
+  EXPECT_EQ(read.schedule.interval_ms, 2000);
+}
+
+TEST(JobRecords, GiveProgressBackAsItWas) {
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  progress.done[{0, 0}] = {0, 2};
+  progress.failures[{0, 0, 1}] = {2, 77};
+  progress.checkpoints[{0, 0, 1}] = "00ab";
+  const JobProgress read = DecodeProgress(EncodeProgress(progress));
+  EXPECT_EQ(EncodeProgress(read), EncodeProgress(progress));
+  EXPECT_TRUE(read.task_done({0, 0, 2}));
+  EXPECT_EQ(read.failures.at({0, 0, 1}).newest_run, 77);
+}
+
+TEST(JobRecords, RefuseBytesThatAreNoRecord) {
+  for (const char* bytes : {"", "{", "[]", "{\"queue\":1}", "null"}) {
+    EXPECT_THROW(DecodeSpec("id", bytes), Error) << bytes;
+    EXPECT_THROW(DecodeProgress(bytes), Error) << bytes;
+    EXPECT_THROW(DecodePlanner(bytes), Error) << bytes;
+  }
+}
+
+TEST(JobBook, TakesProgressThatComesBeforeItsJob) {
+  JobBook book;
+  JobProgress progress;
+  progress.state = JobState::kCompleted;
+  book.Apply({"p/x", EncodeProgress(progress), 7});
+  book.Apply({"j/x", EncodeSpec(FullJob()), 6});
+  ASSERT_NE(book.Find("x"), nullptr);
+  EXPECT_EQ(book.Find("x")->progress.state, JobState::kCompleted);
+}
+
+// Pages of the newest records overlap with the history that is read after them. An older record
+// that is read later must not bring a finished job back to life.
+TEST(JobBook, IgnoresRecordsOlderThanWhatItHas) {
+  JobBook book;
+  JobProgress progress;
+  book.Apply({"j/x", EncodeSpec(FullJob()), 1});
+  progress.state = JobState::kCompleted;
+  book.Apply({"p/x", EncodeProgress(progress), 9});
+  progress.state = JobState::kRunning;
+  book.Apply({"p/x", EncodeProgress(progress), 5});
+  EXPECT_EQ(book.Find("x")->progress.state, JobState::kCompleted);
+}
+
+TEST(JobBook, ForgetsADroppedJob) {
+  JobBook book;
+  book.Apply({"j/x", EncodeSpec(FullJob()), 1});
+  book.Apply({"j/x", "", 2});
+  book.Apply({"p/x", "", 3});
+  EXPECT_EQ(book.Find("x"), nullptr);
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/outbox_test.cc
@@ -0,0 +1,62 @@
+#include "servers/pool/outbox.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericshift::pool {
+namespace {
+
+TEST(Outbox, SendsWhatWaitsInOneAppendAndKeepsItOnceAnswered) {
+  Outbox outbox(1000);
+  const Ticket first = outbox.Put("a", "1");
+  const Ticket second = outbox.Put("b", "2");
+  EXPECT_EQ(outbox.Take().size(), 2U);
+  EXPECT_LT(outbox.kept(), first);
+  outbox.Kept();
+  EXPECT_GE(outbox.kept(), second);
+}
+
+TEST(Outbox, SendsOnlyTheNewestValueOfAKey) {
+  Outbox outbox(1000);
+  outbox.Put("a", "1");
+  const Ticket newest = outbox.Put("a", "2");
+  const std::vector<KeyedRecord> records = outbox.Take();
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(records[0].value, "2");
+  outbox.Kept();
+  EXPECT_GE(outbox.kept(), newest);
+}
+
+// Records put while an append is on its way are not in it. Were their tickets counted as kept with
+// it, a caller would be told that a job is stored which no other entry has ever heard of.
+TEST(Outbox, CountsOnlyWhatTheAnsweredAppendHeld) {
+  Outbox outbox(1000);
+  outbox.Put("a", "1");
+  outbox.Take();
+  const Ticket later = outbox.Put("b", "2");
+  outbox.Kept();
+  EXPECT_LT(outbox.kept(), later);
+}
+
+TEST(Outbox, SplitsWhatOneAppendMayNotCarry) {
+  Outbox outbox(40);
+  outbox.Put("a", std::string(20, 'x'));
+  const Ticket second = outbox.Put("b", std::string(20, 'y'));
+  EXPECT_EQ(outbox.Take().size(), 1U);
+  outbox.Kept();
+  EXPECT_LT(outbox.kept(), second);
+  EXPECT_EQ(outbox.Take().size(), 1U);
+  outbox.Kept();
+  EXPECT_GE(outbox.kept(), second);
+}
+
+TEST(Outbox, TakesBackOnlyWhatHasNotLeft) {
+  Outbox outbox(1000);
+  outbox.Put("a", "1");
+  EXPECT_TRUE(outbox.Withdraw("a"));
+  outbox.Put("b", "1");
+  outbox.Take();
+  EXPECT_FALSE(outbox.Withdraw("b"));
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -147,19 +147,18 @@
       const auto earlier = polls_.find(report.node);
       if (earlier != polls_.end() && report.wait > Duration::zero()) {
         // The agent has given that poll up; its connection may be gone.
-        replies.push_back([done = std::move(earlier->second.done),
-                           orders = planner_->Orders(report.node, earlier->second.heard, now)] {
-          done({orders, std::nullopt});
-        });
+        replies.push_back(
+            [done = std::move(earlier->second.done), orders = planner_->Orders(report.node, now)] {
+              done({orders, std::nullopt});
+            });
         polls_.erase(earlier);
       }
       if (report.wait > Duration::zero()) {
-        polls_[report.node] = {std::move(done), now, now + report.wait};
+        polls_[report.node] = {std::move(done), now + report.wait};
       } else {
-        replies.push_back(
-            [done = std::move(done), orders = planner_->Orders(report.node, now, now)] {
-              done({orders, std::nullopt});
-            });
+        replies.push_back([done = std::move(done), orders = planner_->Orders(report.node, now)] {
+          done({orders, std::nullopt});
+        });
       }
       dirty_ = true;
     }
@@ -222,10 +221,10 @@
       ++poll;
       continue;
     }
-    replies->push_back([done = std::move(poll->second.done),
-                        orders = planner_->Orders(poll->first, poll->second.heard, now)] {
-      done({orders, std::nullopt});
-    });
+    replies->push_back(
+        [done = std::move(poll->second.done), orders = planner_->Orders(poll->first, now)] {
+          done({orders, std::nullopt});
+        });
     poll = polls_.erase(poll);
   }
 }
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -63,7 +63,6 @@
   using Reply = std::function<void()>;
   struct Poll {
     std::function<void(Attempt<AgentOrders>)> done;
-    Time heard{};
     Time until{};
   };
   // A caller that waits for a record to be kept.
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -67,7 +67,7 @@
   return found != workers_.end() && found->second.version > found->second.version_seen;
 }
 
-AgentOrders PoolPlanner::Orders(const std::string& node, Time heard, Time now) {
+AgentOrders PoolPlanner::Orders(const std::string& node, Time now) {
   WorkerState& worker = workers_[node];
   AgentOrders orders;
   orders.epoch = epoch_;
@@ -76,7 +76,6 @@
   orders.worker_born_ms = worker.facts.born_ms;
   if (confirmed_ && now - *confirmed_ < options_.unconfirmed_limit) {
     orders.lease = options_.lease;
-    worker.lease_until = std::max(worker.lease_until, heard + options_.lease);
   }
   if (MayStart(now)) orders.start_window = options_.start_window;
   for (const auto& [id, run] : worker.live) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -86,8 +86,8 @@
   void TakeReport(const AgentReport& report, int64_t wall_ms, Time now);
   // Whether there is something that the agent has not been told.
   bool HasNews(const std::string& node) const;
-  // The answer to the agent's newest report, which came at `heard`; notes the lease it grants.
-  AgentOrders Orders(const std::string& node, Time heard, Time now);
+  // The answer to one of the agent's reports. The lease in it counts from that report on.
+  AgentOrders Orders(const std::string& node, Time now);
 
   // Gives out what can be given out. Call after every change and at least each 200 ms.
   void Plan(int64_t wall_ms, Time now);
@@ -139,6 +139,7 @@
   // Reports: pool_planner_reports.cc.
   void TakeFacts(const AgentReport& report, WorkerState* worker, Time now);
   void TakeRunning(const AgentReport& report, WorkerState* worker, int64_t wall_ms, Time now);
+  void StopUnclearRuns(WorkerState* worker);
   void Adopt(const RunningTask& running, WorkerState* worker, int64_t wall_ms, Time now);
   void TakeResult(const StartResult& result, WorkerState* worker, int64_t wall_ms, Time now);
   void TakeEnd(const EndedTask& end, WorkerState* worker, int64_t wall_ms, Time now);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -23,13 +23,19 @@
   if (worker.incarnation != report.incarnation) {
     // A new process of the agent has seen none of the orders.
     worker.incarnation = report.incarnation;
+    worker.incarnation_since = now;
     worker.sequence = -1;
     ++worker.version;
+    for (auto& [id, run] : worker.live) {
+      if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kUnclear;
+    }
   }
   if (report.sequence <= worker.sequence) return;
   worker.sequence = report.sequence;
   worker.zone = report.zone;
   worker.heard = now;
+  // The answer will grant a lease from here on, and a planner before may have granted one just now.
+  worker.lease_until = std::max(worker.lease_until, now + options_.lease);
   worker.version_seen = report.orders_seen;
   TakeFacts(report, &worker, now);
   if (report.epoch != epoch_ || report.worker.born_ms != worker.facts.born_ms) return;
@@ -46,7 +52,10 @@
   TakeRunning(report, &worker, wall_ms, now);
   for (const StartResult& result : report.results) TakeResult(result, &worker, wall_ms, now);
   for (const EndedTask& end : report.ended) TakeEnd(end, &worker, wall_ms, now);
-  if (!worker.facts.reachable && report.lease_left <= Duration::zero()) {
+  StopUnclearRuns(&worker);
+  // A new process of the agent does not know what leases the one before has passed on.
+  const bool leases_known = now > worker.incarnation_since + options_.lease + options_.lease_margin;
+  if (!worker.facts.reachable && leases_known && report.lease_left <= Duration::zero()) {
     LoseRuns(&worker, "the worker is away and its lease has run out", now);
   }
 }
@@ -91,13 +100,27 @@
       continue;
     }
     known->second.checkpoint = running.checkpoint;
-    if (known->second.phase != RunPhase::kOrdered) continue;
+    const RunPhase phase = known->second.phase;
+    if (phase != RunPhase::kOrdered && phase != RunPhase::kUnclear) continue;
     known->second.phase = RunPhase::kRunning;
     Job* job = FindJob(running.run.task.job);
     if (job != nullptr) MarkRunning(job);
   }
 }
 
+// What the worker lists neither as running nor as ended may still begin: the call that the agent's
+// process before sent can be carried out seconds later. A stop makes the worker refuse it then.
+void PoolPlanner::StopUnclearRuns(WorkerState* worker) {
+  if (!worker->facts.reachable) return;
+  for (auto& [id, run] : worker->live) {
+    if (run.phase != RunPhase::kUnclear) continue;
+    StopRun(worker, &run);
+    Job* job = FindJob(id.task.job);
+    const StepSpec* step = job == nullptr ? nullptr : FindStep(*job, id.task);
+    if (step != nullptr && step->gang) StopGang(*job, id);
+  }
+}
+
 void PoolPlanner::Adopt(const RunningTask& running, WorkerState* worker, int64_t /*wall_ms*/,
                         Time now) {
   const TaskId& task = running.run.task;
--- /dev/null
+++ b/servers/pool/pool_planner_test.cc
@@ -0,0 +1,352 @@
+#include "servers/pool/pool_planner.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "tests/stand_ins/pool_bed.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The bound that operators set on giving a guarantee back.
+constexpr Duration kReclaimBound = milliseconds(2900);
+
+StepSpec Gang(StepSpec step) {
+  step.gang = true;
+  return step;
+}
+
+std::set<std::string> RacksOf(const PoolBed& bed, const std::string& job) {
+  std::set<std::string> racks;
+  for (const BedRun& run : bed.RunsOf(job)) racks.insert(run.node.substr(0, 2));
+  return racks;
+}
+
+TEST(PoolPlanner, RunsStepsInTheirOrder) {
+  PoolBed bed(BedRacks(2), BedOperators(0));
+  JobSpec job = BedJob("j", "batch", "one", BedStep(3, 1, seconds(1)));
+  StepSpec second = BedStep(2, 1, seconds(1));
+  second.after = {0};
+  job.steps.push_back(second);
+  bed.Submit(job);
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(10)));
+  Time first_over{};
+  for (const BedRun& run : bed.RunsOf("j")) {
+    if (run.run.task.step == 0) first_over = std::max(first_over, run.ended);
+  }
+  for (const BedRun& run : bed.RunsOf("j")) {
+    if (run.run.task.step == 0) continue;
+    EXPECT_GE(run.begun, first_over);
+  }
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+}
+
+TEST(PoolPlanner, PutsAGangOnOneRackThoughAnotherHasMoreRoom) {
+  PoolBed bed(BedRacks(2), BedOperators(0));
+  bed.Submit(BedJob("small", "batch", "one", BedStep(1, 4, seconds(20))));
+  bed.RunFor(seconds(1));
+  StepSpec step = Gang(BedStep(2, 8, seconds(2)));
+  step.one_rack = true;
+  bed.Submit(BedJob("gang", "batch", "one", step));
+  ASSERT_TRUE(bed.RunUntil("gang", JobState::kCompleted, seconds(10)));
+  EXPECT_EQ(RacksOf(bed, "gang").size(), 1U);
+}
+
+// A job is due at set times, and a clock that is read a moment too soon would begin it before its
+// data is there.
+TEST(PoolPlanner, StartsNoOccurrenceBeforeItIsDue) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  JobSpec job = BedJob("timed", "batch", "one", BedStep(1, 1, milliseconds(500)));
+  job.schedule = {3, 1'700'003'605'000, 2000};
+  bed.Submit(job);
+  ASSERT_TRUE(bed.RunUntil("timed", JobState::kCompleted, seconds(20)));
+  std::vector<Time> begun;
+  for (const BedRun& run : bed.RunsOf("timed")) begun.push_back(run.begun);
+  ASSERT_EQ(begun.size(), 3U);
+  EXPECT_GE(begun[0].time_since_epoch(), seconds(3605));
+  EXPECT_GE(begun[1] - begun[0], milliseconds(1900));
+}
+
+// The entry that plans dies while a gang and single tasks run. Its successor knows the jobs from
+// the store and the runs from the agents; a caller notices nothing, and nothing runs twice.
+TEST(PoolPlanner, KeepsWhatRunsWhenThePlannerIsReplaced) {
+  PoolBed bed(BedRacks(2), BedOperators(0));
+  bed.Submit(BedJob("gang", "batch", "one", Gang(BedStep(3, 2, seconds(4)))));
+  bed.Submit(BedJob("singles", "bulk", "two", BedStep(6, 1, seconds(4))));
+  bed.RunFor(seconds(1));
+  bed.ReplacePlanner();
+  ASSERT_TRUE(bed.RunUntil("gang", JobState::kCompleted, seconds(6)));
+  ASSERT_TRUE(bed.RunUntil("singles", JobState::kCompleted, seconds(6)));
+  EXPECT_EQ(bed.RunsOf("gang").size(), 3U);
+  EXPECT_EQ(bed.RunsOf("singles").size(), 6U);
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+}
+
+// The planner dies while one worker is cut off with its agent. The worker runs on under its lease,
+// and the successor has never heard of it: had it started the task elsewhere at once, the task
+// would have run twice.
+TEST(PoolPlanner, WaitsForLeasesOfAgentsThatItsPredecessorKnew) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("j", "batch", "one", BedStep(3, 8, seconds(8))));
+  bed.RunFor(seconds(1));
+  bed.CutOff("w0-1");
+  bed.ReplacePlanner();
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(60)));
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+  EXPECT_GE(bed.RunsOf("j").size(), 4U);
+}
+
+// A worker is cut off and runs on. Its task starts elsewhere, but only after the lease has run out
+// there, since two runs at once would charge a household twice.
+TEST(PoolPlanner, StartsTasksOfACutOffWorkerElsewhereOnceItsLeaseIsOver) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("j", "batch", "one", BedStep(1, 8, seconds(8))));
+  bed.RunFor(seconds(1));
+  ASSERT_EQ(bed.RunsOf("j").size(), 1U);
+  const std::string first = bed.RunsOf("j")[0].node;
+  bed.CutOff(first);
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(30)));
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+  const std::vector<BedRun> runs = bed.RunsOf("j");
+  ASSERT_EQ(runs.size(), 2U);
+  EXPECT_EQ(runs[0].how, EndKind::kLapsed);
+  EXPECT_NE(runs[1].node, first);
+  EXPECT_LT(runs[1].begun - runs[0].ended, seconds(2));
+}
+
+// A worker dies and comes back as a new life. All that it ran is over, which its new life proves,
+// so nobody waits for a lease.
+TEST(PoolPlanner, StartsTasksOfARebornWorkerAgainAtOnce) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("j", "batch", "one", BedStep(1, 8, seconds(3))));
+  bed.RunFor(seconds(1));
+  bed.RestartWorker(bed.RunsOf("j")[0].node);
+  bed.RunFor(seconds(1));
+  EXPECT_EQ(bed.RunsOf("j").size(), 2U);
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(8)));
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+}
+
+// The agent's process is replaced while its worker runs on: the new one knows nothing but what the
+// worker lists, and callers notice nothing.
+TEST(PoolPlanner, KeepsWhatRunsWhenAnAgentIsReplaced) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("j", "batch", "one", BedStep(3, 4, seconds(4))));
+  bed.RunFor(seconds(1));
+  for (const BedRun& run : bed.RunsOf("j")) bed.RestartAgent(run.node);
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(8)));
+  EXPECT_EQ(bed.RunsOf("j").size(), 3U);
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+}
+
+// A report of an agent beside worker "i" that knows it.
+AgentReport Report(const std::string& incarnation, int64_t sequence) {
+  AgentReport report;
+  report.node = "n";
+  report.zone = "a";
+  report.incarnation = incarnation;
+  report.sequence = sequence;
+  report.epoch = 1;
+  report.worker.id = "i";
+  report.worker.born_ms = 1;
+  report.worker.service = "plans";
+  report.worker.rack = "r";
+  report.worker.capacity = {64'000, 131'072, 8};
+  report.worker.reachable = true;
+  return report;
+}
+
+// A planner with one worker, to which one task has just been given.
+struct OneWorker {
+  OneWorker() : planner(PlannerOptions(), 1, JobBook(), {}, now) {
+    planner.Confirm(now);
+    planner.SetOperatorState(std::make_shared<OperatorState>(BedOperators(0)), now);
+    planner.TakeReport(Report("first", 1), 0, now);
+    planner.Submit(BedJob("j", "batch", "one", BedStep(1, 1, seconds(2))), now);
+    planner.outbox().Take();
+    planner.outbox().Kept();
+    planner.Plan(0, now);
+  }
+
+  RunId run() const { return planner.workers().at("n").live.begin()->first; }
+  bool has_run() const { return !planner.workers().at("n").live.empty(); }
+
+  Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner;
+};
+
+// The agent hands a start to its worker and dies before it can tell. The new process is given the
+// order again and turns it away for a reason of its own, such as that it has no lease yet. Taken
+// for "does not run", that would start the task elsewhere beside the run that is there.
+TEST(PoolPlanner, TakesNoWordOfANewAgentThatAnOlderStartIsNotRunning) {
+  OneWorker one;
+  ASSERT_TRUE(one.has_run());
+  const RunId run = one.run();
+  AgentReport second = Report("second", 1);
+  second.worker.id.clear();
+  second.worker.born_ms = 0;
+  second.worker.reachable = false;
+  one.planner.TakeReport(second, 0, one.now);
+  EXPECT_TRUE(one.planner.Orders("n", one.now).starts.empty());
+  AgentReport listed = Report("second", 2);
+  listed.running = {{run, ""}};
+  one.planner.TakeReport(listed, 0, one.now);
+  EXPECT_EQ(one.planner.workers().at("n").live.at(run).phase, RunPhase::kRunning);
+}
+
+// The same, and the worker lists nothing of the run: the call may still be on its way. It is
+// stopped first, so that it can't begin any more.
+TEST(PoolPlanner, StopsAnOlderStartThatANewAgentDoesNotFind) {
+  OneWorker one;
+  const RunId run = one.run();
+  one.planner.TakeReport(Report("second", 1), 0, one.now);
+  EXPECT_EQ(one.planner.workers().at("n").live.at(run).phase, RunPhase::kStopping);
+  EXPECT_EQ(one.planner.Orders("n", one.now).stops, std::vector<RunId>{run});
+}
+
+// A new process of an agent can't reach its worker and knows of no lease that it has passed on,
+// though the one before has. The runs are over only when those leases must have run out.
+TEST(PoolPlanner, WaitsOutTheLeasesOfAnAgentsFormerProcess) {
+  OneWorker one;
+  AgentReport started = Report("first", 2);
+  started.running = {{one.run(), ""}};
+  one.planner.TakeReport(started, 0, one.now);
+  AgentReport away = Report("second", 1);
+  away.worker.reachable = false;
+  one.planner.TakeReport(away, 0, one.now + seconds(1));
+  EXPECT_TRUE(one.has_run());
+  away.sequence = 2;
+  one.planner.TakeReport(away, 0, one.now + seconds(6));
+  EXPECT_FALSE(one.has_run());
+}
+
+TEST(PoolPlanner, FailsAJobWhoseTaskHasFailedAsOftenAsItsQueueAllows) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.fails = [](const RunId& /*run*/, const std::string& /*node*/) { return true; };
+  bed.Submit(BedJob("j", "batch", "one", BedStep(1, 1, milliseconds(300))));
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kFailed, seconds(10)));
+  EXPECT_EQ(bed.RunsOf("j").size(), 3U);
+}
+
+// Planners die one after the other, and each is told again of ends that one before has counted. A
+// failure that is counted twice fails a job that still had tries left.
+TEST(PoolPlanner, CountsAFailureOnceOverPlanners) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  int failures = 0;
+  bed.fails = [&](const RunId& /*run*/, const std::string& /*node*/) { return ++failures <= 2; };
+  bed.Submit(BedJob("j", "batch", "one", BedStep(1, 1, milliseconds(300))));
+  for (int round = 0; round < 20; ++round) {
+    bed.RunFor(milliseconds(70));
+    bed.ReplacePlanner();
+  }
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(40)));
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+}
+
+// The store answers nobody for nine seconds. What runs goes on; nothing new is begun that could not
+// be recorded, and no job is shown as done before that is kept.
+TEST(PoolPlanner, LetsRunsGoOnWhileTheStoreIsAway) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("runs", "batch", "one", BedStep(3, 4, seconds(12))));
+  bed.RunFor(seconds(1));
+  bed.SetStoreDown(true);
+  bed.Submit(BedJob("late", "urgent", "one", BedStep(1, 1, seconds(1))));
+  bed.RunFor(seconds(9));
+  EXPECT_TRUE(bed.RunsOf("late").empty());
+  bed.SetStoreDown(false);
+  ASSERT_TRUE(bed.RunUntil("runs", JobState::kCompleted, seconds(6)));
+  ASSERT_TRUE(bed.RunUntil("late", JobState::kCompleted, seconds(6)));
+  EXPECT_EQ(bed.RunsOf("runs").size(), 3U);
+}
+
+TEST(PoolPlanner, StopsTheRunsOfACancelledJob) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("j", "batch", "one", BedStep(3, 4, seconds(20))));
+  bed.RunFor(seconds(1));
+  ASSERT_TRUE(bed.Cancel("j"));
+  bed.RunFor(seconds(1));
+  EXPECT_EQ(bed.StateOf("j"), JobState::kCancelled);
+  for (const BedRun& run : bed.RunsOf("j")) {
+    EXPECT_TRUE(run.over);
+    EXPECT_EQ(run.how, EndKind::kStopped);
+  }
+}
+
+// A worker says that it leaves. What is started there now is cut when it goes.
+TEST(PoolPlanner, GivesNothingToAWorkerThatLeaves) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.RunFor(milliseconds(500));
+  bed.Drain("w0-0");
+  bed.RunFor(milliseconds(200));
+  bed.Submit(BedJob("j", "batch", "one", BedStep(8, 2, seconds(1))));
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(10)));
+  for (const BedRun& run : bed.RunsOf("j")) EXPECT_NE(run.node, "w0-0");
+}
+
+// Operators take a zone out. Work that begins there after that is lost when its power goes.
+TEST(PoolPlanner, GivesNothingToAZoneThatIsOut) {
+  OperatorState operators = BedOperators(0);
+  PoolBed bed(BedRacks(3), operators);
+  operators.zones_out = {"b"};
+  bed.SetOperators(operators);
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("j", "batch", "one", BedStep(30, 2, seconds(1))));
+  ASSERT_TRUE(bed.RunUntil("j", JobState::kCompleted, seconds(10)));
+  for (const BedRun& run : bed.RunsOf("j")) EXPECT_NE(run.node.substr(0, 2), "w1");
+}
+
+// A pool full of another workspace's long tasks, and an urgent gang within its own workspace's
+// guarantee: it has to begin within the operators' bound, at the cost of the work that loses least.
+TEST(PoolPlanner, HasAGuaranteeBackWithinTheBoundAtTheLeastLoss) {
+  PoolBed bed(BedRacks(2), BedOperators(16));
+  StepSpec saved = BedStep(3, 8, seconds(30));
+  saved.checkpoints = true;
+  bed.Submit(BedJob("saved", "bulk", "two", saved));
+  bed.Submit(BedJob("unsaved", "bulk", "two", BedStep(3, 8, seconds(30))));
+  bed.RunFor(seconds(5));
+  StepSpec gang = Gang(BedStep(2, 8, seconds(2)));
+  gang.one_rack = true;
+  const Time submitted = bed.now();
+  bed.Submit(BedJob("urgent", "urgent", "one", gang));
+  bed.RunFor(kReclaimBound);
+  const std::vector<BedRun> runs = bed.RunsOf("urgent");
+  ASSERT_EQ(runs.size(), 2U);
+  for (const BedRun& run : runs) EXPECT_LT(run.begun - submitted, kReclaimBound);
+  for (const BedRun& run : bed.RunsOf("unsaved")) EXPECT_FALSE(run.over);
+}
+
+// The same pool and an urgent gang beyond its workspace's guarantee: stopping work for it that is
+// worth many times its own leaves the users worse off, so it waits.
+TEST(PoolPlanner, StopsNoMoreForBorrowedRoomThanIsDoneWithIt) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("long", "bulk", "two", BedStep(3, 8, seconds(30))));
+  bed.RunFor(seconds(25));
+  bed.Submit(BedJob("urgent", "urgent", "one", Gang(BedStep(2, 8, seconds(2)))));
+  bed.RunFor(seconds(3));
+  for (const BedRun& run : bed.RunsOf("long")) EXPECT_FALSE(run.over);
+  ASSERT_TRUE(bed.RunUntil("urgent", JobState::kCompleted, seconds(10)));
+}
+
+// A worker fails everything it is given and so looks idle. Jobs that keep coming must not all be
+// fed to it until they have no tries left.
+TEST(PoolPlanner, SetsAWorkerAsideThatFailsEverything) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.fails = [](const RunId& /*run*/, const std::string& node) { return node == "w0-0"; };
+  for (int job = 0; job < 12; ++job) {
+    bed.Submit(BedJob("j" + std::to_string(job), "batch", "one", BedStep(2, 1, milliseconds(400))));
+    bed.RunFor(milliseconds(300));
+  }
+  int failed = 0;
+  for (const BedRun& run : bed.runs()) failed += run.over && run.how == EndKind::kFailed;
+  for (int job = 0; job < 12; ++job) {
+    EXPECT_TRUE(bed.RunUntil("j" + std::to_string(job), JobState::kCompleted, seconds(10)));
+  }
+  EXPECT_LE(failed, 12);
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/pool_random_test.cc
@@ -0,0 +1,109 @@
+// Random histories of a pool: jobs of all shapes while planners, agents, workers, ways and the
+// store fail in any order. Checked throughout: no task runs twice at once or again after it was
+// done; at the end: every job came to its end.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "tests/stand_ins/pool_bed.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class History {
+ public:
+  explicit History(unsigned seed) : random_(seed), bed_(BedRacks(2), BedOperators(8)) {
+    for (const BedWorker& worker : BedRacks(2)) nodes_.push_back(worker.node);
+    bed_.true_time = [](const TaskId& task) {
+      return milliseconds(300 + 700 * ((task.index * 7 + task.step * 3) % 5));
+    };
+    bed_.fails = [this](const RunId& /*run*/, const std::string& /*node*/) { return Chance(20); };
+  }
+
+  void Run() {
+    for (int step = 0; step < 120; ++step) {
+      if (Chance(3)) Submit();
+      if (Chance(6)) Trouble();
+      bed_.RunFor(milliseconds(Below(400)));
+    }
+    for (const std::string& node : nodes_) bed_.Heal(node);
+    bed_.SetStoreDown(false);
+    // Ended jobs are forgotten after 130 s.
+    bed_.RunFor(seconds(90));
+  }
+
+  void Check(unsigned seed) {
+    EXPECT_EQ(bed_.violations(), std::vector<std::string>()) << "seed " << seed;
+    for (const std::string& id : jobs_) {
+      EXPECT_TRUE(IsOver(bed_.StateOf(id)))
+          << "seed " << seed << ": " << id << " is " << JobStateName(bed_.StateOf(id));
+    }
+  }
+
+ private:
+  int Below(int limit) { return static_cast<int>(random_() % static_cast<unsigned>(limit)); }
+  bool Chance(int one_in) { return Below(one_in) == 0; }
+
+  void Submit() {
+    const std::string id = "j" + std::to_string(jobs_.size());
+    StepSpec step = BedStep(1 + Below(4), 1 + Below(8), milliseconds(1000));
+    step.gang = Chance(2);
+    step.one_rack = step.gang && Chance(2);
+    step.checkpoints = Chance(2);
+    // Six workers hold a gang of six whole ones at most.
+    if (step.gang) step.tasks = 1 + Below(3);
+    const char* queues[] = {"urgent", "batch", "bulk"};
+    JobSpec job = BedJob(id, queues[Below(3)], Chance(2) ? "one" : "two", step);
+    if (Chance(3)) {
+      StepSpec second = BedStep(1 + Below(3), 1, milliseconds(500));
+      second.after = {0};
+      job.steps.push_back(second);
+    }
+    jobs_.push_back(id);
+    bed_.Submit(job);
+    // A job that is never kept is one that nobody was told of.
+    bed_.SetStoreDown(false);
+    bed_.RunFor(milliseconds(20));
+  }
+
+  void Trouble() {
+    const std::string& node = nodes_[static_cast<size_t>(Below(static_cast<int>(nodes_.size())))];
+    switch (Below(8)) {
+      case 0:
+        return bed_.ReplacePlanner();
+      case 1:
+      case 2:
+        return bed_.CutOff(node);
+      case 3:
+      case 4:
+        return bed_.Heal(node);
+      case 5:
+        return bed_.RestartWorker(node);
+      case 6:
+        return bed_.RestartAgent(node);
+      default:
+        return bed_.SetStoreDown(Chance(2));
+    }
+  }
+
+  std::mt19937 random_;
+  PoolBed bed_;
+  std::vector<std::string> nodes_;
+  std::vector<std::string> jobs_;
+};
+
+class PoolHistory : public testing::TestWithParam<unsigned> {};
+
+TEST_P(PoolHistory, KeepsItsPromises) {
+  History history(GetParam());
+  history.Run();
+  history.Check(GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U));
+
+}  // namespace
+}  // namespace turmericshift::pool
--- a/servers/pool/worker_roster.h
+++ b/servers/pool/worker_roster.h
@@ -13,7 +13,14 @@
 namespace turmericshift::pool {
 
 // Where a run stands, as far as the planner knows.
-enum class RunPhase { kOrdered, kRunning, kStopping };
+enum class RunPhase {
+  kOrdered,
+  // Ordered from an agent whose process has been replaced since: it may run or may not, and the
+  // new process can't tell by itself.
+  kUnclear,
+  kRunning,
+  kStopping,
+};
 
 struct LiveRun {
   RunId run;
@@ -37,6 +44,8 @@
   std::string node;
   std::string zone;
   std::string incarnation;
+  // When the agent's process was first heard.
+  Time incarnation_since{};
   int64_t sequence = -1;
   WorkerFacts facts;
   // The lists under this planner's epoch have been heard, so nothing older can start there.
--- /dev/null
+++ b/tests/stand_ins/pool_bed.cc
@@ -0,0 +1,370 @@
+#include "tests/stand_ins/pool_bed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/error.h"
+
+namespace turmericshift::pool {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+// Agents poll and hold this often; news goes out with the next tick.
+constexpr int kTicksBetweenHolds = 5;
+constexpr Duration kStopTakes = std::chrono::milliseconds(200);
+constexpr Duration kGangWait = std::chrono::milliseconds(3000);
+constexpr int64_t kWallStartMs = 1'700'000'000'000;
+
+}  // namespace
+
+struct PoolBed::Worker {
+  struct Live {
+    RunId run;
+    std::string checkpoint;
+    Time begun{};
+    Duration worked{};
+    Time alone_since{};
+    std::optional<Time> stop_at;
+  };
+
+  BedWorker spec;
+  std::unique_ptr<AgentState> agent;
+  int64_t born_ms = 0;
+  int64_t sequence = 0;
+  int64_t fence = 0;
+  WorkerMillis lease_until = 0;
+  int64_t ends = 0;
+  bool draining = false;
+  std::map<RunId, Live> live;
+  std::map<int64_t, EndedTask> ended;
+  std::map<TaskId, int64_t> newest_over;
+};
+
+PoolBed::PoolBed(const std::vector<BedWorker>& workers, const OperatorState& operators)
+    : operators_(operators), now_(Time(std::chrono::hours(1))) {
+  std::set<std::string> nodes;
+  for (const BedWorker& spec : workers) {
+    auto worker = std::make_unique<Worker>();
+    worker->spec = spec;
+    worker->born_ms = 1;
+    workers_[spec.node] = std::move(worker);
+    RestartAgent(spec.node);
+    nodes.insert(spec.node);
+  }
+  planner_ = std::make_unique<PoolPlanner>(PlannerOptions(), epoch_, book_, nodes, now_);
+  planner_->Confirm(now_);
+}
+
+PoolBed::~PoolBed() = default;
+
+PoolBed::Worker& PoolBed::worker(const std::string& node) { return *workers_.at(node); }
+
+int64_t PoolBed::wall_ms() const {
+  return kWallStartMs + duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()).count();
+}
+
+void PoolBed::Submit(const JobSpec& spec) {
+  JobSpec accepted = spec;
+  accepted.accepted_ms = wall_ms();
+  specs_[spec.id] = accepted;
+  planner_->Submit(accepted, now_);
+}
+
+bool PoolBed::Cancel(const std::string& id) { return planner_->Cancel(id, wall_ms(), now_).known; }
+
+void PoolBed::RunFor(Duration time) {
+  const Time end = now_ + time;
+  while (now_ < end) Tick();
+}
+
+bool PoolBed::RunUntil(const std::string& id, JobState state, Duration limit) {
+  const Time end = now_ + limit;
+  while (now_ < end) {
+    if (StateOf(id) == state) return true;
+    Tick();
+  }
+  return StateOf(id) == state;
+}
+
+JobState PoolBed::StateOf(const std::string& id) const {
+  const JobEntry* entry = book_.Find(id);
+  return entry == nullptr ? JobState::kQueued : entry->progress.state;
+}
+
+std::vector<BedRun> PoolBed::RunsOf(const std::string& job) const {
+  std::vector<BedRun> found;
+  for (const BedRun& run : runs_) {
+    if (run.run.task.job == job) found.push_back(run);
+  }
+  return found;
+}
+
+void PoolBed::ReplacePlanner() {
+  std::set<std::string> nodes;
+  for (const auto& row : workers_) nodes.insert(row.first);
+  planner_ = std::make_unique<PoolPlanner>(PlannerOptions(), ++epoch_, book_, nodes, now_);
+  planner_->Confirm(now_);
+}
+
+void PoolBed::RestartWorker(const std::string& node) {
+  Worker& one = worker(node);
+  const std::map<RunId, Worker::Live> lost = one.live;
+  for (const auto& row : lost) EndRun(&one, row.first, EndKind::kLapsed);
+  ForgetUnreportedEnds(one);
+  one.born_ms += 1;
+  one.sequence = 0;
+  one.fence = 0;
+  one.lease_until = 0;
+  one.ends = 0;
+  one.ended.clear();
+  one.newest_over.clear();
+}
+
+// Ends that nobody took in before the worker died or its lease ran out count as never seen: their
+// tasks are rightly run again.
+void PoolBed::ForgetUnreportedEnds(const Worker& worker) {
+  for (const auto& row : worker.ended) {
+    if (row.second.kind == EndKind::kDone) done_.erase(row.second.run.task);
+  }
+}
+
+void PoolBed::RestartAgent(const std::string& node) {
+  Worker& one = worker(node);
+  one.agent = std::make_unique<AgentState>(node, one.spec.zone, std::to_string(++incarnations_));
+}
+
+void PoolBed::Drain(const std::string& node) { worker(node).draining = true; }
+
+void PoolBed::SetOperators(const OperatorState& operators) { operators_ = operators; }
+
+const StepSpec* PoolBed::StepOf(const TaskId& task) const {
+  return &specs_.at(task.job).steps.at(static_cast<size_t>(task.step));
+}
+
+void PoolBed::Tick() {
+  now_ += kTick;
+  ++ticks_;
+  TickStore();
+  for (auto& row : workers_) TickWorker(row.second.get());
+  BreakGangs();
+  for (auto& row : workers_) TickAgent(row.second.get());
+  planner_->SetOperatorState(std::make_shared<OperatorState>(operators_), now_);
+  planner_->NoteKept();
+  planner_->Plan(wall_ms(), now_);
+}
+
+void PoolBed::TickStore() {
+  if (store_down_) return;
+  planner_->Confirm(now_);
+  for (KeyedRecord& record : planner_->outbox().Take()) {
+    record.offset = offset_++;
+    book_.Apply(record);
+  }
+  planner_->outbox().Kept();
+}
+
+bool PoolBed::GangComplete(const RunId& run) const {
+  int present = 0;
+  for (const auto& row : workers_) {
+    for (const auto& live : row.second->live) {
+      const RunId& other = live.first;
+      present += other.number == run.number && other.task.job == run.task.job &&
+                 other.task.occurrence == run.task.occurrence && other.task.step == run.task.step;
+    }
+  }
+  return present >= StepOf(run.task)->tasks;
+}
+
+void PoolBed::TickWorker(Worker* worker) {
+  if (wall_ms() >= worker->lease_until) ForgetUnreportedEnds(*worker);
+  std::vector<std::pair<RunId, EndKind>> over;
+  for (auto& [run, live] : worker->live) {
+    const StepSpec& step = *StepOf(run.task);
+    if (wall_ms() >= worker->lease_until) {
+      over.push_back({run, EndKind::kLapsed});
+    } else if (live.stop_at && now_ >= *live.stop_at) {
+      if (step.checkpoints) live.checkpoint = std::to_string(live.worked.count());
+      over.push_back({run, EndKind::kStopped});
+    } else if (step.gang && !GangComplete(run)) {
+      if (now_ - live.alone_since > kGangWait) over.push_back({run, EndKind::kAlone});
+    } else {
+      live.worked += kTick;
+      live.alone_since = now_;
+      const Duration needed = true_time ? true_time(run.task) : step.estimate;
+      if (live.worked < needed) continue;
+      const bool failed = fails && fails(run, worker->spec.node);
+      over.push_back({run, failed ? EndKind::kFailed : EndKind::kDone});
+    }
+  }
+  for (const auto& [run, how] : over) EndRun(worker, run, how);
+}
+
+void PoolBed::EndRun(Worker* worker, const RunId& run, EndKind how) {
+  const auto live = worker->live.find(run);
+  EndedTask end = {++worker->ends, run, how, live->second.checkpoint};
+  worker->ended[end.number] = end;
+  worker->newest_over[run.task] = run.number;
+  worker->live.erase(live);
+  if (how == EndKind::kDone) done_.insert(run.task);
+  for (BedRun& seen : runs_) {
+    if (seen.over || seen.run != run || seen.node != worker->spec.node) continue;
+    seen.over = true;
+    seen.ended = now_;
+    seen.how = how;
+  }
+}
+
+void PoolBed::BreakGangs() {
+  for (const BedRun& over : std::vector<BedRun>(runs_)) {
+    if (!over.over || over.ended != now_ || !StepOf(over.run.task)->gang) continue;
+    for (auto& row : workers_) {
+      std::vector<RunId> others;
+      for (const auto& live : row.second->live) {
+        const RunId& other = live.first;
+        if (other.number == over.run.number && other.task.job == over.run.task.job) {
+          others.push_back(other);
+        }
+      }
+      for (const RunId& other : others) {
+        EndRun(row.second.get(), other,
+               over.how == EndKind::kDone ? EndKind::kDone : EndKind::kBroken);
+      }
+    }
+  }
+}
+
+void PoolBed::StartRun(Worker* worker, const StartOrder& order, Time until) {
+  std::string why;
+  const std::optional<StartCall> call = worker->agent->PrepareStart(order, until, &why, now_);
+  if (!call) return worker->agent->StartNotSent(order.run, why);
+  OrderAnswer answer = OrderAnswer::kTaken;
+  Room free = worker->spec.capacity;
+  for (const auto& live : worker->live) free -= StepOf(live.first.task)->need;
+  const auto newest = worker->newest_over.find(order.run.task);
+  if (call->fence < worker->fence) {
+    answer = OrderAnswer::kFenced;
+  } else if (newest != worker->newest_over.end() && order.run.number <= newest->second) {
+    answer = OrderAnswer::kOld;
+  } else if (wall_ms() >= call->lease_until) {
+    answer = OrderAnswer::kLate;
+  } else if (!free.Holds(StepOf(order.run.task)->need)) {
+    answer = OrderAnswer::kNoRoom;
+  }
+  worker->agent->NoteLease(call->lease_until, answer, now_);
+  worker->agent->TakeStartAnswer(order.run, answer);
+  if (answer == OrderAnswer::kFenced) return;
+  worker->lease_until = std::max(worker->lease_until, call->lease_until);
+  worker->fence = std::max(worker->fence, call->fence);
+  if (answer != OrderAnswer::kTaken) return;
+  const std::string name = TaskName(order.run.task);
+  if (done_.count(order.run.task) > 0) violations_.push_back(name + " started after it was done");
+  for (const auto& row : workers_) {
+    for (const auto& live : row.second->live) {
+      if (live.first.task == order.run.task) violations_.push_back(name + " runs twice");
+    }
+  }
+  Worker::Live live;
+  live.run = order.run;
+  live.checkpoint = order.checkpoint;
+  live.begun = now_;
+  live.alone_since = now_;
+  if (!order.checkpoint.empty()) live.worked = Duration(std::stoll(order.checkpoint));
+  worker->live[order.run] = live;
+  runs_.push_back({order.run, worker->spec.node, now_, {}, EndKind::kDone, false});
+}
+
+void PoolBed::TickAgent(Worker* worker) {
+  AgentState& agent = *worker->agent;
+  WorkerAnnouncement announcement;
+  announcement.sequence = ++worker->sequence;
+  announcement.facts.id = worker->spec.node + "/" + std::to_string(worker->born_ms);
+  announcement.facts.born_ms = worker->born_ms;
+  announcement.facts.service = "plans";
+  announcement.facts.rack = worker->spec.rack;
+  announcement.facts.labels = {"plain", worker->spec.rack};
+  announcement.facts.capacity = worker->spec.capacity;
+  announcement.facts.draining = worker->draining;
+  agent.TakeAnnouncement(announcement);
+  if (cut_.count(worker->spec.node) == 0) {
+    const AgentReport report = agent.Report(Duration::zero(), now_);
+    planner_->TakeReport(report, wall_ms(), now_);
+    agent.ReportTaken(report);
+    const AgentOrders orders = planner_->Orders(worker->spec.node, now_);
+    const AgentOrders todo = agent.TakeOrders(orders, now_, now_);
+    for (const RunId& stop : todo.stops) {
+      const auto live = worker->live.find(stop);
+      if (live != worker->live.end()) live->second.stop_at = now_ + kStopTakes;
+      int64_t& newest = worker->newest_over[stop.task];
+      newest = std::max(newest, stop.number);
+      agent.TakeStopAnswer(stop, OrderAnswer::kTaken, now_);
+    }
+    for (const StartOrder& start : todo.starts) {
+      StartRun(worker, start, now_ + orders.start_window);
+    }
+  }
+  if (ticks_ % kTicksBetweenHolds != 0 || agent.epoch() == 0) return;
+  const HoldCall hold = agent.NextHold(Duration::zero(), now_);
+  if (hold.fence < worker->fence) return;
+  worker->fence = hold.fence;
+  if (hold.lease_until) {
+    worker->lease_until = std::max(worker->lease_until, *hold.lease_until);
+    agent.NoteLease(hold.lease_until, OrderAnswer::kTaken, now_);
+  }
+  worker->ended.erase(worker->ended.begin(), worker->ended.upper_bound(hold.ends_kept));
+  WorkerLists lists;
+  lists.born_ms = worker->born_ms;
+  lists.clock = wall_ms();
+  for (const auto& [run, live] : worker->live) lists.running.push_back({run, live.checkpoint});
+  for (const auto& [number, end] : worker->ended) lists.ended.push_back(end);
+  agent.TakeLists(lists, hold.fence, now_, now_);
+}
+
+StepSpec BedStep(int tasks, int accelerators, Duration estimate) {
+  StepSpec step;
+  step.tasks = tasks;
+  step.need = {7000 * accelerators, 8000, accelerators};
+  step.estimate = estimate;
+  return step;
+}
+
+JobSpec BedJob(const std::string& id, const std::string& queue, const std::string& workspace,
+               const StepSpec& step) {
+  JobSpec spec;
+  spec.id = id;
+  spec.queue = queue;
+  spec.workspace = workspace;
+  spec.steps.push_back(step);
+  return spec;
+}
+
+OperatorState BedOperators(int64_t guaranteed) {
+  OperatorState state;
+  state.config.version = 1;
+  int priority = 0;
+  for (const char* name : {"urgent", "batch", "bulk"}) {
+    Queue queue;
+    queue.name = name;
+    queue.host = "plans.example";
+    queue.path_prefix = std::string("/") + name + "/";
+    queue.terms = {"plans", priority++, 3, 3.0, std::chrono::seconds(1)};
+    state.config.queues.push_back(queue);
+  }
+  state.config.workspaces = {{"one", {"key-one"}, guaranteed}, {"two", {"key-two"}, 0}};
+  return state;
+}
+
+std::vector<BedWorker> BedRacks(int racks) {
+  std::vector<BedWorker> workers;
+  for (int rack = 0; rack < racks; ++rack) {
+    for (int number = 0; number < 3; ++number) {
+      BedWorker worker;
+      worker.node = "w" + std::to_string(rack) + "-" + std::to_string(number);
+      worker.rack = "r" + std::to_string(rack);
+      worker.zone = std::string(1, static_cast<char>('a' + rack % 3));
+      workers.push_back(worker);
+    }
+  }
+  return workers;
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/tests/stand_ins/pool_bed.h
@@ -0,0 +1,118 @@
+// A pool in passed-in time: the planner's and the agents' own decisions over workers of a few
+// lines, so that a load pattern or a failure is replayed in milliseconds and always in the same
+// way.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "servers/pool/agent_state.h"
+#include "servers/pool/pool_planner.h"
+
+namespace turmericshift::pool {
+
+struct BedWorker {
+  std::string node;
+  std::string rack;
+  std::string zone = "a";
+  Room capacity = {64'000, 131'072, 8};
+};
+
+// One run as a worker saw it.
+struct BedRun {
+  RunId run;
+  std::string node;
+  Time begun{};
+  Time ended{};
+  EndKind how = EndKind::kDone;
+  bool over = false;
+};
+
+class PoolBed {
+ public:
+  PoolBed(const std::vector<BedWorker>& workers, const OperatorState& operators);
+  ~PoolBed();
+
+  // How long a run of a task takes on a sound worker; the step's estimate unless set.
+  std::function<Duration(const TaskId&)> true_time;
+  // Whether a run ends failed.
+  std::function<bool(const RunId&, const std::string& node)> fails;
+
+  void Submit(const JobSpec& spec);
+  bool Cancel(const std::string& id);
+  void RunFor(Duration time);
+  // Runs until the job is in `state`; false when that takes longer than `limit`.
+  bool RunUntil(const std::string& id, JobState state, Duration limit);
+  JobState StateOf(const std::string& id) const;
+  // All that the store has kept.
+  const JobBook& book() const { return book_; }
+  const std::vector<BedRun>& runs() const { return runs_; }
+  std::vector<BedRun> RunsOf(const std::string& job) const;
+  Time now() const { return now_; }
+
+  // The planner is gone at once and another takes over from what the store has kept.
+  void ReplacePlanner();
+  // No word between the agent and any planner; the worker runs on.
+  void CutOff(const std::string& node) { cut_.insert(node); }
+  void Heal(const std::string& node) { cut_.erase(node); }
+  // The worker dies with all that it runs and comes back as a new life.
+  void RestartWorker(const std::string& node);
+  // The agent's process is replaced; the worker runs on.
+  void RestartAgent(const std::string& node);
+  void Drain(const std::string& node);
+  // Appends are not answered.
+  void SetStoreDown(bool down) { store_down_ = down; }
+  void SetOperators(const OperatorState& operators);
+
+  // What must never be, as sentences; empty when all was well.
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  struct Worker;
+
+  void Tick();
+  void TickStore();
+  void TickWorker(Worker* worker);
+  void TickAgent(Worker* worker);
+  void StartRun(Worker* worker, const StartOrder& order, Time until);
+  void EndRun(Worker* worker, const RunId& run, EndKind how);
+  void BreakGangs();
+  void ForgetUnreportedEnds(const Worker& worker);
+  bool GangComplete(const RunId& run) const;
+  const StepSpec* StepOf(const TaskId& task) const;
+  int64_t wall_ms() const;
+  Worker& worker(const std::string& node);
+
+  OperatorState operators_;
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+  std::map<std::string, JobSpec> specs_;
+  std::unique_ptr<PoolPlanner> planner_;
+  JobBook book_;
+  Offset offset_ = 0;
+  int64_t epoch_ = 1;
+  Time now_{};
+  int ticks_ = 0;
+  int incarnations_ = 0;
+  bool store_down_ = false;
+  std::set<std::string> cut_;
+  std::vector<BedRun> runs_;
+  std::set<TaskId> done_;
+  std::vector<std::string> violations_;
+};
+
+// A step of equal tasks of an accelerator each and a share of the processors.
+StepSpec BedStep(int tasks, int accelerators, Duration estimate);
+// A job of one step.
+JobSpec BedJob(const std::string& id, const std::string& queue, const std::string& workspace,
+               const StepSpec& step);
+// Queues "urgent" (priority 0), "batch" (1) and "bulk" (2) of service "plans"; workspaces "one" and
+// "two", of which "one" is guaranteed `guaranteed` accelerators.
+OperatorState BedOperators(int64_t guaranteed);
+// `racks` racks of three workers in zones a, b and c.
+std::vector<BedWorker> BedRacks(int racks);
+
+}  // namespace turmericshift::pool
