Pool: Ask the planner before whether it still plans; agents without a worker are no members

Agents now strike themselves out when their worker has left, and the new planner asks the one before, whose own word cuts the wait to a lease (5 s). Also: a job's next task no longer waits for the store to keep its last end. Ruled out: the retention of ends at workers (they had died with them).

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -36,6 +36,7 @@
   facts_ = WorkerFacts();
   facts_.born_ms = born_ms;
   announced_sequence_ = -1;
+  left_ = false;
   running_.clear();
   ended_.clear();
   ends_kept_ = 0;
@@ -64,7 +65,10 @@
 }
 
 void AgentState::TakeLeft(const std::string& worker_id) {
-  if (worker_id == facts_.id) facts_.draining = true;
+  if (worker_id != facts_.id) return;
+  facts_.draining = true;
+  left_ = true;
+  running_.clear();
 }
 
 bool AgentState::TakeLists(const WorkerLists& lists, int64_t fence, Time sent, Time now) {
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -57,6 +57,8 @@
   std::vector<RunId> UncertainRuns() const;
 
   const WorkerFacts& worker() const { return facts_; }
+  // Something may run at the worker, so that a new planner has to hear of it.
+  bool may_run() const { return !facts_.id.empty() && (!left_ || !running_.empty()); }
 
  private:
   // Where a run that this agent was ordered to start stands.
@@ -79,6 +81,8 @@
   const std::string incarnation_;
   WorkerFacts facts_;
   int64_t announced_sequence_ = -1;
+  // The worker has taken its leave.
+  bool left_ = false;
 
   int64_t epoch_ = 0;
   int64_t lists_epoch_ = 0;
--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -13,6 +13,7 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(1200);
+constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
 constexpr Duration kCheckAgentsEvery = std::chrono::seconds(5);
 
 // This entry's share of the spread: the same at all times, different between entries.
@@ -43,11 +44,13 @@
 }
 
 DutyKeeper::DutyKeeper(const DutyOptions& options, KeyedLog* log, const WorkView* work,
-                       const MembersView* members, PlannerService* service)
+                       const MembersView* members, PlannerConnector* connector,
+                       PlannerService* service)
     : options_(options),
       log_(log),
       work_(work),
       members_(members),
+      connector_(connector),
       service_(service),
       in_touch_since_(LeaseClock().Now()),
       thread_("duty", [this] { Run(); }) {}
@@ -65,6 +68,7 @@
     if (epoch > 0) {
       if (duty.planner.epoch > epoch) service_->End("a newer planner has been read");
       if (announced_epoch_ < epoch) Announce();
+      if (predecessor_) AskPredecessor();
       ForgetSilentAgents(now);
       continue;
     }
@@ -94,6 +98,7 @@
     return;
   }
   duty_since_ = now;
+  predecessor_ = book.planner();
   service_->Begin(epoch, sequence, book, members_->agents(), now);
 }
 
@@ -112,9 +117,30 @@
   }
 }
 
+void DutyKeeper::AskPredecessor() {
+  const PlannerRecord before = *predecessor_;
+  // A record without an address was written by the planner as it left, one of this node by a
+  // process that has ended.
+  bool gone = before.address.empty() || before.node == options_.node;
+  if (!gone) {
+    try {
+      connector_->Connect(before.address, kAskTimeout)->Cancel("", kAskTimeout);
+    } catch (const Error& error) {
+      // Only its own word counts: a refused connection may as well be a cut on the way.
+      gone = error.kind() == ErrorKind::kConflict;
+    }
+  }
+  if (gone) {
+    predecessor_.reset();
+    service_->PredecessorGone();
+    LogEvent(LogLevel::kInfo, "predecessor_gone", {{"epoch", before.epoch}, {"node", before.node}});
+  } else if (LeaseClock().Now() - duty_since_ > options_.forget_agents_not_before) {
+    predecessor_.reset();
+  }
+}
+
 void DutyKeeper::ForgetSilentAgents(Time now) {
-  // A new planner has heard nobody yet.
-  if (now - duty_since_ < options_.forget_agents_after) return;
+  if (now - duty_since_ < options_.forget_agents_not_before) return;
   if (now - agents_checked_ < kCheckAgentsEvery) return;
   agents_checked_ = now;
   const std::set<std::string> agents = members_->agents();
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -25,8 +25,11 @@
   Duration spread = std::chrono::milliseconds(200);
   // A claim rests on a view that is no older than this.
   Duration view_limit = std::chrono::milliseconds(1500);
-  // Agents that have not been heard for so long are no longer waited for by a successor.
-  Duration forget_agents_after = std::chrono::seconds(20);
+  // Agents that have not been heard for so long are no longer waited for by a successor,
+  Duration forget_agents_after = std::chrono::seconds(6);
+  // but only once this planner has held the duty for so long: until then an agent may still obey
+  // the planner before.
+  Duration forget_agents_not_before = std::chrono::seconds(16);
 };
 
 // Whether an entry whose view is `duty` claims at `now`. `since`: from when on the entry has been
@@ -38,7 +41,7 @@
 class DutyKeeper {
  public:
   DutyKeeper(const DutyOptions& options, KeyedLog* log, const WorkView* work,
-             const MembersView* members, PlannerService* service);
+             const MembersView* members, PlannerConnector* connector, PlannerService* service);
   ~DutyKeeper();
   DutyKeeper(const DutyKeeper&) = delete;
   DutyKeeper& operator=(const DutyKeeper&) = delete;
@@ -52,11 +55,15 @@
   // Tells agents where the planner is, until it is in the store.
   void Announce();
   void ForgetSilentAgents(Time now);
+  // Asks the planner before whether it still plans. Without its word inherited work has to wait for
+  // as long as an unconfirmed planner may be obeyed, some 15 s; with it for a lease, 5 s.
+  void AskPredecessor();
 
   const DutyOptions options_;
   KeyedLog* const log_;
   const WorkView* const work_;
   const MembersView* const members_;
+  PlannerConnector* const connector_;
   PlannerService* const service_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
@@ -66,6 +73,8 @@
   Time in_touch_since_{};
   Time agents_checked_{};
   Time duty_since_{};
+  // The planner before, until it is known to plan no more.
+  std::optional<PlannerRecord> predecessor_;
   Thread thread_;
 };
 
--- a/servers/pool/duty_keeper_test.cc
+++ b/servers/pool/duty_keeper_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <thread>
 
+#include "core/error.h"
 #include "modules/stand_ins/memory_keyed_log.h"
 #include "platform/operator_records.h"
 
@@ -53,6 +54,15 @@
                            kViewLimit, kNow));
 }
 
+// Nobody answers.
+class DeafConnector : public PlannerConnector {
+ public:
+  std::shared_ptr<PlannerPort> Connect(const std::string& /*address*/,
+                                       Duration /*limit*/) override {
+    throw Error(ErrorKind::kUnavailable, "nobody answers");
+  }
+};
+
 // One entry as far as the duty is concerned.
 struct Candidate {
   Candidate(KeyedLog* log, const std::string& node)
@@ -63,10 +73,11 @@
     DutyOptions options;
     options.node = node;
     options.address = node + ":1";
-    keeper = std::make_unique<DutyKeeper>(options, log, &work, &members, &service);
+    keeper = std::make_unique<DutyKeeper>(options, log, &work, &members, &connector, &service);
   }
 
   MetricsRegistry metrics;
+  DeafConnector connector;
   WorkView work;
   OperatorView operators;
   MembersView members;
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -97,6 +97,11 @@
   waiters_.clear();
 }
 
+void PlannerService::PredecessorGone() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (planner_) planner_->PredecessorGone(LeaseClock().Now());
+}
+
 void PlannerService::End(const char* why) {
   std::vector<Reply> replies;
   {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -44,6 +44,8 @@
   // Takes the duty up. The claim was written under `sequence`; `book` is all that came before it.
   void Begin(int64_t epoch, int64_t sequence, const JobBook& book,
              const std::set<std::string>& agents, Time asked);
+  // The planner before is known to plan no more.
+  void PredecessorGone();
   // Lays the duty down: a newer epoch has been seen.
   void End(const char* why);
   // Writes what is left and gives the duty up in the store, so that a successor need not wait for
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -70,6 +70,8 @@
     news = before.id != after.id || before.born_ms != after.born_ms ||
            before.draining != after.draining;
   }
+  // A worker that has just come should not have to wait for the next poll to be of use.
+  if (news) orders_.Submit([this] { EnsureMember(LeaseClock().Now()); });
   if (news) WakeNews();
 }
 
@@ -78,6 +80,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     state_.TakeLeft(worker_id);
   }
+  orders_.Submit([this] { EnsureMember(LeaseClock().Now()); });
   WakeNews();
 }
 
@@ -287,15 +290,23 @@
 }
 
 void PoolAgent::EnsureMember(Time now) {
-  if (registered_.load() && now - member_checked_ < kCheckMemberEvery) return;
+  const std::lock_guard<std::mutex> member_lock(member_mutex_);
+  bool wanted = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    wanted = state_.may_run();
+  }
+  if (wanted == registered_.load() && now - member_checked_ < kCheckMemberEvery) return;
   member_checked_ = now;
+  const bool listed = members_.agents().count(options_.node) > 0;
   // Planners drop agents that were silent for long.
-  if (registered_.load() && members_.agents().count(options_.node) > 0) return;
+  if (wanted == registered_.load() && wanted == listed) return;
   try {
-    log_->Append(kMembersTopic, {{kAgentPrefix + options_.node, options_.zone, kNoOffset}}, {},
+    log_->Append(kMembersTopic,
+                 {{kAgentPrefix + options_.node, wanted ? options_.zone : "", kNoOffset}}, {},
                  kAppendTimeout);
-    registered_.store(true);
-    LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}});
+    registered_.store(wanted);
+    LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}, {"member", wanted}});
   } catch (const Error& error) {
     LogEvent(LogLevel::kWarning, "agent_not_registered", {{"error", error.what()}});
   }
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -76,6 +76,8 @@
   std::shared_ptr<PlannerPort> port_;
   bool news_ = false;
   bool stopping_ = false;
+  // Held while the membership is looked at and written.
+  std::mutex member_mutex_;
   std::atomic<bool> registered_{false};
   Time member_checked_{};
   ThreadPool orders_;
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -19,6 +19,7 @@
     : options_(options),
       log_(log),
       door_(door),
+      connector_(connector),
       metrics_(metrics),
       work_(log),
       operators_(log, std::move(decoder)),
@@ -41,7 +42,7 @@
   DutyOptions duty = options_.duty;
   duty.node = options_.node;
   duty.address = address;
-  duty_ = std::make_unique<DutyKeeper>(duty, log_, &work_, &members_, &service_);
+  duty_ = std::make_unique<DutyKeeper>(duty, log_, &work_, &members_, connector_, &service_);
 }
 
 HttpResponse PoolEntry::AnswerReadiness(const HttpRequest& request) const {
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -52,6 +52,7 @@
   const PoolEntryOptions options_;
   KeyedLog* const log_;
   const CallerDoor* const door_;
+  PlannerConnector* const connector_;
   MetricsRegistry* const metrics_;
   std::atomic<bool> leaving_{false};
   WorkView work_;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -30,10 +30,8 @@
   if (!operators_read_ || asked > *operators_read_) operators_read_ = asked;
 }
 
-void PoolPlanner::AddNode(const std::string& node) {
-  const auto known = workers_.find(node);
-  if (known != workers_.end() && known->second.known) return;
-  unheard_.insert(node);
+void PoolPlanner::PredecessorGone(Time now) {
+  inherited_safe_at_ = std::min(inherited_safe_at_, now + options_.lease + options_.lease_margin);
 }
 
 Ticket PoolPlanner::Submit(const JobSpec& spec, Time /*now*/) {
@@ -43,6 +41,7 @@
   job.spec = spec;
   outbox_.Put(kSpecPrefix + spec.id, EncodeSpec(spec));
   Save(&job);
+  job.accepted = job.changed;
   return job.changed;
 }
 
@@ -129,10 +128,7 @@
 void PoolPlanner::MarkRunning(Job* job) {
   if (job->progress.state != JobState::kQueued) return;
   job->progress.state = JobState::kRunning;
-  // Does not hold up decisions on the job: a planner that does not know of it does no harm.
-  const Ticket changed = job->changed;
   Save(job);
-  job->changed = changed;
 }
 
 void PoolPlanner::StopRun(WorkerState* worker, LiveRun* run) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -73,8 +73,8 @@
   // The store has confirmed the duty by an answer to what was asked at `asked`.
   void Confirm(Time asked);
   void SetOperatorState(std::shared_ptr<const OperatorState> state, Time asked);
-  // More agents that may have something running.
-  void AddNode(const std::string& node);
+  // The planner before has been heard to plan no more, so it grants no lease from now on.
+  void PredecessorGone(Time now);
 
   // Takes a job in; idempotent by id. The job is accepted once the ticket is kept.
   Ticket Submit(const JobSpec& spec, Time now);
@@ -112,7 +112,9 @@
   struct Job {
     JobSpec spec;
     JobProgress progress;
-    // Nothing is decided on the job until this is kept.
+    // Nothing of the job is started until this is kept.
+    Ticket accepted = 0;
+    // Its newest record.
     Ticket changed = 0;
     // An older planner may have parts of it running.
     bool inherited = false;
@@ -171,6 +173,8 @@
   bool MayStray(const Unit& unit, Time now) const;
   bool TryReservation(const Unit& unit, int64_t wall_ms, Time now);
   void TryUnit(const Unit& unit, Time now);
+  // Keeps what is free for a gang that waits from those that come after it in this round.
+  void HoldRoom(const Unit& unit, const PlaceWish& wish, Time now);
   void TryReclaim(const Unit& unit, const PlaceWish& wish, Time now);
   std::vector<Victim> VictimsFor(const Unit& unit, Time now) const;
   void Start(const Unit& unit, const Placement& placement, Time now);
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -20,6 +20,9 @@
 // Others wait longer for one rack or their data: straying costs twice the run time more, but
 // leaving workers idle for 3 s while a task waits counts as a job forgotten.
 constexpr Duration kStrayAfter = std::chrono::milliseconds(2200);
+// A gang that is not urgent lets smaller work pass for this long before it keeps free room for
+// itself; else it would wait for as long as small work keeps coming.
+constexpr Duration kHoldAfter = std::chrono::milliseconds(1000);
 // Room that is being freed is held for the one it is freed for; a stop takes 0.4 s and two calls.
 constexpr Duration kReservationLimit = std::chrono::milliseconds(1500);
 // An accelerator weighs as much as so many cores in work thrown away; the operators' own price.
@@ -122,7 +125,7 @@
 std::vector<PoolPlanner::Unit> PoolPlanner::CollectUnits(int64_t wall_ms, Time now) {
   std::vector<Unit> units;
   for (auto& [id, job] : jobs_) {
-    if (IsOver(job.progress.state) || job.changed > outbox_.kept()) continue;
+    if (IsOver(job.progress.state) || job.accepted > outbox_.kept()) continue;
     if (job.inherited && !InheritedIsSafe(now)) continue;
     const Schedule& schedule = job.spec.schedule;
     for (int occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
@@ -249,9 +252,19 @@
   wish.may_stray = MayStray(unit, now) || !FitsOneRack(wish, RoomsFor(unit, true, now));
   const Placement placement = Place(wish, RoomsFor(unit, false, now));
   if (!placement.empty()) Start(unit, placement, now);
-  if (static_cast<int>(placement.size()) < wish.tasks && unit.priority == 0) {
-    TryReclaim(unit, wish, now);
-  }
+  if (static_cast<int>(placement.size()) == wish.tasks) return;
+  if (unit.priority == 0) TryReclaim(unit, wish, now);
+  if (wish.step->gang) HoldRoom(unit, wish, now);
+}
+
+void PoolPlanner::HoldRoom(const Unit& unit, const PlaceWish& wish, Time now) {
+  const UnitKey key = {unit.job->spec.id, unit.place};
+  if (reservations_.count(key) > 0) return;
+  const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
+  if (unit.priority > 0 && waited < kHoldAfter) return;
+  const Placement part = PlacePart(wish, RoomsFor(unit, false, now));
+  // Ends with this round.
+  if (!part.empty()) reservations_[key] = {part, wish.step->need, now};
 }
 
 int64_t PoolPlanner::GuaranteedFor(const std::string& workspace) const {
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -26,6 +26,23 @@
   return racks;
 }
 
+// A report of an agent beside worker "i" that knows it.
+AgentReport Report(const std::string& incarnation, int64_t sequence) {
+  AgentReport report;
+  report.node = "n";
+  report.zone = "a";
+  report.incarnation = incarnation;
+  report.sequence = sequence;
+  report.epoch = 1;
+  report.worker.id = "i";
+  report.worker.born_ms = 1;
+  report.worker.service = "plans";
+  report.worker.rack = "r";
+  report.worker.capacity = {64'000, 131'072, 8};
+  report.worker.reachable = true;
+  return report;
+}
+
 TEST(PoolPlanner, RunsStepsInTheirOrder) {
   PoolBed bed(BedRacks(2), BedOperators(0));
   JobSpec job = BedJob("j", "batch", "one", BedStep(3, 1, seconds(1)));
@@ -100,6 +117,28 @@
   EXPECT_GE(bed.RunsOf("j").size(), 4U);
 }
 
+// An agent is gone for good while the planner changes. Work that an older planner may have running
+// there waits; how long depends on whether the planner before is known to grant no more leases.
+TEST(PoolPlanner, WaitsShorterForAMissingAgentOnceThePlannerBeforeIsKnownToBeGone) {
+  const PlannerOptions options;
+  JobBook book;
+  book.Apply({"j/j", EncodeSpec(BedJob("j", "batch", "one", BedStep(1, 1, seconds(2)))), 1});
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(options, 1, book, {"n", "missing"}, now);
+  const auto placed_after = [&](Duration waited) {
+    const Time then = now + waited;
+    planner.Confirm(then);
+    planner.SetOperatorState(std::make_shared<OperatorState>(BedOperators(0)), then);
+    planner.TakeReport(Report("first", waited.count() + 1), 0, then);
+    planner.Plan(0, then);
+    return !planner.workers().at("n").live.empty();
+  };
+  EXPECT_FALSE(placed_after(seconds(1)));
+  planner.PredecessorGone(now + seconds(1));
+  EXPECT_FALSE(placed_after(seconds(5)));
+  EXPECT_TRUE(placed_after(seconds(6)));
+}
+
 // A worker is cut off and runs on. Its task starts elsewhere, but only after the lease has run out
 // there, since two runs at once would charge a household twice.
 TEST(PoolPlanner, StartsTasksOfACutOffWorkerElsewhereOnceItsLeaseIsOver) {
@@ -143,23 +182,6 @@
   EXPECT_EQ(bed.violations(), std::vector<std::string>());
 }
 
-// A report of an agent beside worker "i" that knows it.
-AgentReport Report(const std::string& incarnation, int64_t sequence) {
-  AgentReport report;
-  report.node = "n";
-  report.zone = "a";
-  report.incarnation = incarnation;
-  report.sequence = sequence;
-  report.epoch = 1;
-  report.worker.id = "i";
-  report.worker.born_ms = 1;
-  report.worker.service = "plans";
-  report.worker.rack = "r";
-  report.worker.capacity = {64'000, 131'072, 8};
-  report.worker.reachable = true;
-  return report;
-}
-
 // A planner with one worker, to which one task has just been given.
 struct OneWorker {
   OneWorker() : planner(PlannerOptions(), 1, JobBook(), {}, now) {
@@ -331,6 +353,20 @@
   ASSERT_TRUE(bed.RunUntil("urgent", JobState::kCompleted, seconds(10)));
 }
 
+// A job of many whole-worker tasks in a full pool: each worker that one of its tasks leaves is for
+// the next one. Were the job passed over until the end is kept in the store, less urgent work would
+// take the room, only to be stopped again for it.
+TEST(PoolPlanner, GivesTheRoomOfADoneTaskToTheNextOneOfAnUrgentJob) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("urgent", "urgent", "one", BedStep(9, 8, seconds(2))));
+  bed.RunFor(milliseconds(200));
+  bed.Submit(BedJob("less", "batch", "two", BedStep(6, 8, seconds(2))));
+  ASSERT_TRUE(bed.RunUntil("urgent", JobState::kCompleted, seconds(20)));
+  Time last_begun{};
+  for (const BedRun& run : bed.RunsOf("urgent")) last_begun = std::max(last_begun, run.begun);
+  for (const BedRun& run : bed.RunsOf("less")) EXPECT_GT(run.begun, last_begun);
+}
+
 // A worker fails everything it is given and so looks idle. Jobs that keep coming must not all be
 // fed to it until they have no tries left.
 TEST(PoolPlanner, SetsAWorkerAsideThatFailsEverything) {
