--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -44,6 +44,7 @@
       append_failures_(metrics->counter("store_append_failures")),
       append_seconds_(metrics->distribution("store_append_seconds")),
       jobs_(metrics->gauge("planner_jobs")),
+      epoch_gauge_(metrics->gauge("planner_epoch")),
       decider_("decide", [this] { Decide(); }),
       writer_("write", [this] { Write(); }) {}
 
@@ -68,6 +69,7 @@
     planner_ =
         std::make_unique<PoolPlanner>(options_.planner, epoch, book, agents, LeaseClock().Now());
     planner_->Confirm(asked);
+    epoch_gauge_.Set(static_cast<double>(epoch));
     sequence_ = sequence;
     releasing_ = false;
     last_write_ = asked;
@@ -84,6 +86,7 @@
   if (!planner_) return;
   LogEvent(LogLevel::kWarning, "duty_ended", {{"epoch", planner_->epoch()}, {"reason", why}});
   planner_.reset();
+  epoch_gauge_.Set(0);
   writing_since_.reset();
   for (auto& [node, poll] : polls_) {
     replies->push_back(Failed<AgentOrders>(std::move(poll.done), NotPlanning()));
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -95,6 +95,7 @@
   Counter& append_failures_;
   Distribution& append_seconds_;
   Gauge& jobs_;
+  Gauge& epoch_gauge_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr int kOrderThreads = 4;
-constexpr Duration kMembersWait = std::chrono::seconds(4);
 // A planner in another zone answers a connect within milliseconds.
 constexpr Duration kConnectLimit = std::chrono::milliseconds(700);
 // Pause after the worker or the planner could not be reached.
@@ -32,7 +31,7 @@
       starts_(metrics->counter("agent_starts")),
       start_failures_(metrics->counter("agent_start_failures")),
       start_seconds_(metrics->distribution("agent_start_seconds")),
-      members_(log, kMembersWait),
+      members_(log, options.members_wait),
       state_(options.node, options.zone, options.incarnation),
       orders_("orders", kOrderThreads),
       worker_thread_("worker", [this] { TalkWithWorker(); }),
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -28,8 +28,10 @@
   Duration poll_wait = std::chrono::milliseconds(500);
   // More than this without an answer and the connection counts as lost.
   Duration poll_patience = std::chrono::milliseconds(700);
-  // A planner whose epoch no word of the store confirms for so long is obeyed no more.
+  // How long a look at the worker waits for an end.
   Duration hold_wait = std::chrono::milliseconds(1000);
+  // How long a look at the list of members waits for a change.
+  Duration members_wait = std::chrono::seconds(4);
   // One order to the worker, which stands beside the agent, takes milliseconds.
   Duration order_timeout = std::chrono::milliseconds(800);
 };
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -8,7 +8,6 @@
 namespace turmericshift::pool {
 namespace {
 
-constexpr Duration kMembersWait = std::chrono::seconds(4);
 constexpr Duration kReleaseLimit = std::chrono::milliseconds(900);
 
 }  // namespace
@@ -23,7 +22,7 @@
       metrics_(metrics),
       work_(log),
       operators_(log, std::move(decoder)),
-      members_(log, kMembersWait),
+      members_(log, options.members_wait),
       service_(options.planner, log, &operators_, metrics),
       front_(options.front, &work_, &operators_, &service_, connector, metrics) {
   callers_ = std::make_unique<HttpServer>(options.callers, [this](const HttpRequest& request) {
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -22,6 +22,8 @@
   PlannerServiceOptions planner;
   DutyOptions duty;
   JobFrontOptions front;
+  // How long a look at the list of members waits for a change.
+  Duration members_wait = std::chrono::seconds(4);
   // How long a leaving entry goes on taking callers in, so that the balancer notices first: it asks
   // each second and leaves out an entry that was not ready twice.
   Duration balancer_notice = std::chrono::milliseconds(2300);
--- /dev/null
+++ b/tests/pool_system_test.cc
@@ -0,0 +1,198 @@
+// A whole pool in one process: entries and agents over real sessions on loopback, workers and store
+// from the stand-ins, callers over HTTP.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+#include "core/error.h"
+#include "modules/stand_ins/fake_pool_worker.h"
+#include "modules/stand_ins/memory_keyed_log.h"
+#include "platform/caller_calls.h"
+#include "platform/operator_records.h"
+#include "rpc/pool_session.h"
+#include "servers/pool/pool_agent.h"
+#include "servers/pool/pool_entry.h"
+
+namespace turmericshift::pool {
+namespace {
+
+constexpr const char* kDocument =
+    R"({"version":1,"routes":[{"name":"r","host":"plans.example","pathPrefix":"/jobs/",
+        "service":"plans","priority":1,"maxAttempts":3,"stretch":3}],
+        "tenants":[{"name":"t","apiKeys":["key"]}]})";
+
+constexpr Duration kMembersWait = std::chrono::milliseconds(200);
+
+template <typename Condition>
+bool Eventually(Condition&& condition) {
+  const Time end = LeaseClock().Now() + std::chrono::seconds(60);
+  while (LeaseClock().Now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+struct Entry {
+  Entry(KeyedLog* log, const std::string& node) {
+    PoolEntryOptions options;
+    options.node = node;
+    options.front.node = node;
+    options.balancer_notice = Duration::zero();
+    options.members_wait = kMembersWait;
+    entry = std::make_unique<PoolEntry>(options, log, std::make_unique<platform::OperatorRecords>(),
+                                        &door, &connector, &metrics);
+    listener = std::make_unique<PoolListener>(PoolListenerOptions(), entry->gate());
+    entry->Join("127.0.0.1:" + std::to_string(listener->port()));
+  }
+  ~Entry() {
+    // Callbacks of sessions must not outlive the entry that they ask.
+    listener.reset();
+  }
+
+  MetricsRegistry metrics;
+  platform::CallerCalls door;
+  RpcPlannerConnector connector;
+  std::unique_ptr<PoolEntry> entry;
+  std::unique_ptr<PoolListener> listener;
+};
+
+struct Agent {
+  Agent(KeyedLog* log, const std::string& node, int64_t born_ms) : worker(born_ms) {
+    PoolAgentOptions options;
+    options.node = node;
+    options.zone = "a";
+    options.incarnation = node;
+    options.members_wait = kMembersWait;
+    agent = std::make_unique<PoolAgent>(options, log, &worker, &connector, &metrics);
+    WorkerAnnouncement announcement;
+    announcement.sequence = 1;
+    announcement.facts.id = "worker-" + node;
+    announcement.facts.born_ms = born_ms;
+    announcement.facts.service = "plans";
+    announcement.facts.rack = "r1";
+    announcement.facts.capacity = {8000, 8000, 2};
+    agent->WorkerAnnounced(announcement);
+  }
+
+  MetricsRegistry metrics;
+  RpcPlannerConnector connector;
+  FakePoolWorker worker;
+  std::unique_ptr<PoolAgent> agent;
+};
+
+class PoolSystem : public testing::Test {
+ protected:
+  void SetUp() override {
+    log_.Append("keyed.op", {{"config", kDocument}}, {}, std::chrono::seconds(1));
+    for (const char* node : {"e1", "e2"}) entries_.push_back(std::make_unique<Entry>(&log_, node));
+    for (const char* node : {"a1", "a2", "a3"}) {
+      agents_.push_back(std::make_unique<Agent>(&log_, node, 1));
+    }
+  }
+
+  HttpReply Call(size_t entry, const std::string& method, const std::string& path,
+                 const std::string& body = "", const std::string& key = "key") {
+    HttpCall call;
+    call.method = method;
+    call.url = "http://127.0.0.1:" + std::to_string(entries_[entry]->entry->caller_port()) + path;
+    call.headers = {{"Host", "plans.example"}, {"Authorization", "Bearer " + key}};
+    call.body = body;
+    call.fresh_connection = true;
+    return PerformHttp(call);
+  }
+
+  bool Accepted(size_t entry, const std::string& id, const std::string& body) {
+    return Eventually([&] { return Call(entry, "POST", "/jobs/" + id, body).status == 200; });
+  }
+
+  std::string StateOf(size_t entry, const std::string& id) {
+    const HttpReply reply = Call(entry, "GET", "/jobs/" + id);
+    if (reply.status != 200) return std::to_string(reply.status);
+    return nlohmann::json::parse(reply.body).at("state").get<std::string>();
+  }
+
+  bool Ends(size_t entry, const std::string& id, const std::string& state) {
+    return Eventually([&] { return StateOf(entry, id) == state; });
+  }
+
+  size_t PlannerIndex() {
+    size_t index = entries_.size();
+    Eventually([&] {
+      for (size_t i = 0; i < entries_.size(); ++i) {
+        if (Metric(i, "planner_epoch") > 0) index = i;
+      }
+      return index < entries_.size();
+    });
+    return index;
+  }
+
+  double Metric(size_t entry, const std::string& name) {
+    return entries_[entry]->metrics.gauge(name).value();
+  }
+
+  // Each task is begun once.
+  void ExpectEachTaskOnce() {
+    std::multiset<std::string> begun;
+    for (const auto& agent : agents_) {
+      for (const RunId& run : agent->worker.begun()) begun.insert(TaskName(run.task));
+    }
+    for (const std::string& task : begun) EXPECT_EQ(begun.count(task), 1U) << task;
+  }
+
+  MemoryKeyedLog log_;
+  std::vector<std::unique_ptr<Entry>> entries_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+};
+
+TEST_F(PoolSystem, TakesAJobInAndRunsIt) {
+  ASSERT_TRUE(Accepted(0, "j1", R"({"spec":"100ms","steps":[{"count":3,"cpu":1000,"gpu":1},
+                   {"count":2,"cpu":1000,"gpu":2,"gang":true,"after":[0]}]})"));
+  EXPECT_TRUE(Ends(1, "j1", "completed"));
+  ExpectEachTaskOnce();
+}
+
+TEST_F(PoolSystem, AnswersCallersThatGoWrong) {
+  ASSERT_TRUE(Accepted(0, "j1", R"({"spec":"10ms","steps":[{"count":1}]})"));
+  EXPECT_EQ(Call(0, "GET", "/jobs/unknown").status, 410);
+  EXPECT_EQ(Call(0, "GET", "/nowhere/j1").status, 404);
+  EXPECT_EQ(Call(0, "GET", "/jobs/j1", "", "stolen").status, 401);
+  EXPECT_EQ(Call(0, "POST", "/jobs/j2", "{").status, 400);
+  EXPECT_EQ(Call(0, "PUT", "/jobs/j2", "{}").status, 405);
+}
+
+TEST_F(PoolSystem, CancelsAJob) {
+  ASSERT_TRUE(Accepted(0, "j1", R"({"spec":"60s","steps":[{"count":2,"gpu":1}]})"));
+  ASSERT_TRUE(Ends(0, "j1", "running"));
+  EXPECT_EQ(Call(1, "DELETE", "/jobs/j1").status, 200);
+  EXPECT_TRUE(Ends(0, "j1", "cancelled"));
+}
+
+// The entry that plans is replaced while a job runs. Its callers ask another entry and find the job
+// as it was; every task has run once.
+TEST_F(PoolSystem, CarriesAJobOverAChangeOfPlanner) {
+  ASSERT_TRUE(Accepted(0, "j1", R"({"spec":"4s","steps":[{"count":6,"gpu":1}]})"));
+  ASSERT_TRUE(Ends(0, "j1", "running"));
+  const size_t planner = PlannerIndex();
+  ASSERT_LT(planner, entries_.size());
+  entries_[planner].reset();
+  EXPECT_TRUE(Ends(1 - planner, "j1", "completed"));
+  ExpectEachTaskOnce();
+}
+
+// A client does not hear the answer and sends the job again, at another entry. It stays one job.
+TEST_F(PoolSystem, KeepsAJobThatIsSentAgainOneJob) {
+  const std::string body = R"({"spec":"200ms","steps":[{"count":2,"gpu":1}]})";
+  ASSERT_TRUE(Accepted(0, "j1", body));
+  ASSERT_TRUE(Accepted(1, "j1", body));
+  ASSERT_TRUE(Ends(0, "j1", "completed"));
+  ASSERT_TRUE(Accepted(1, "j1", body));
+  EXPECT_EQ(StateOf(0, "j1"), "completed");
+  ExpectEachTaskOnce();
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
