Pool: Plan in rounds, and weigh whom to stop seldom

A round is made when something changed or each 100 ms, room is summed once a round, stops are weighed for two steps a round and for each every 0.3 s.

--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -34,13 +34,13 @@
   for (const WorkerRoom* worker : group) {
     const int wanted = tasks - static_cast<int>(placement.size());
     const int fits = FitCount(worker->free, need, std::min(wanted, worker->most_tasks));
-    placement.insert(placement.end(), static_cast<size_t>(fits), worker->node);
+    placement.insert(placement.end(), static_cast<size_t>(fits), std::string(worker->node));
   }
   return placement;
 }
 
-std::map<std::string, Group> ByRack(const std::vector<WorkerRoom>& workers) {
-  std::map<std::string, Group> racks;
+std::map<std::string_view, Group> ByRack(const std::vector<WorkerRoom>& workers) {
+  std::map<std::string_view, Group> racks;
   for (const WorkerRoom& worker : workers) racks[worker.rack].push_back(&worker);
   return racks;
 }
--- a/servers/pool/placer.h
+++ b/servers/pool/placer.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "servers/pool/job_model.h"
@@ -14,8 +15,9 @@
 
 // A worker as a candidate: only those that may run the step at all are offered.
 struct WorkerRoom {
-  std::string node;
-  std::string rack;
+  // Names that the caller keeps: candidates are made anew for every step that waits.
+  std::string_view node;
+  std::string_view rack;
   Room free;
   // How many tasks of this step it may take besides room; from the limit per worker.
   int most_tasks = 0;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -26,6 +26,7 @@
 }
 
 void PoolPlanner::SetOperatorState(std::shared_ptr<const OperatorState> state, Time asked) {
+  if (state != operators_) changed_ = true;
   operators_ = std::move(state);
   if (!operators_read_ || asked > *operators_read_) operators_read_ = asked;
 }
@@ -42,6 +43,7 @@
   outbox_.Put(kSpecPrefix + spec.id, EncodeSpec(spec));
   Save(&job);
   job.accepted = job.changed;
+  unkept_.insert(job.accepted);
   return job.changed;
 }
 
@@ -86,6 +88,10 @@
 }
 
 void PoolPlanner::NoteKept() {
+  while (!unkept_.empty() && *unkept_.begin() <= outbox_.kept()) {
+    unkept_.erase(unkept_.begin());
+    changed_ = true;
+  }
   for (auto& [node, worker] : workers_) {
     while (!worker.ends.empty() && worker.ends.front().ticket <= outbox_.kept()) {
       worker.ends_kept = worker.ends.front().number;
@@ -160,6 +166,7 @@
 void PoolPlanner::ForgetRun(const RunId& run, Job* job) {
   const auto found = job->runs.find({run.task.occurrence, run.task.step, run.task.index});
   if (found != job->runs.end() && found->second.number == run.number) job->runs.erase(found);
+  changed_ = true;
 }
 
 void PoolPlanner::DropOldJobs(int64_t wall_ms) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -89,7 +89,8 @@
   // The answer to one of the agent's reports. The lease in it counts from that report on.
   AgentOrders Orders(const std::string& node, Time now);
 
-  // Gives out what can be given out. Call after every change and at least each 200 ms.
+  // Gives out what can be given out. Call after every change and at least each 100 ms; a call
+  // without a change since the last costs next to nothing.
   void Plan(int64_t wall_ms, Time now);
   // Records have been kept since the last call.
   void NoteKept();
@@ -108,6 +109,8 @@
     // Not before this: something went wrong a moment ago.
     Time not_before{};
     int interrupted = 0;
+    // When stopping others for it was weighed last.
+    std::optional<Time> reclaim_tried;
   };
   struct Job {
     JobSpec spec;
@@ -169,6 +172,7 @@
   std::vector<Unit> CollectUnits(int64_t wall_ms, Time now);
   void CollectStep(Job* job, const StepPlace& place, Time now, std::vector<Unit>* units);
   std::vector<WorkerRoom> RoomsFor(const Unit& unit, bool empty, Time now) const;
+  Placement PlaceUnit(const Unit& unit, PlaceWish* wish, Time now) const;
   int TasksOnWorker(const Job& job, const StepPlace& place, const std::string& node) const;
   bool MayStray(const Unit& unit, Time now) const;
   bool TryReservation(const Unit& unit, int64_t wall_ms, Time now);
@@ -179,8 +183,11 @@
   std::vector<Victim> VictimsFor(const Unit& unit, Time now) const;
   void Start(const Unit& unit, const Placement& placement, Time now);
   int64_t GuaranteedFor(const std::string& workspace) const;
-  // Accelerators that the workspace's urgent jobs hold.
+  // Accelerators that the workspace's urgent jobs hold, as of this round.
   int64_t UrgentUse(const std::string& workspace) const;
+  // Whether there is anything to weigh anew at `now`.
+  bool RoundIsDue(Time now) const;
+  void BeginRound(Time now);
 
   Job* FindJob(const std::string& id);
   const QueueTerms& Terms(const Job& job) const;
@@ -200,6 +207,13 @@
   WorkerJudge judge_;
   std::map<UnitKey, Reservation> reservations_;
   int64_t starts_ = 0;
+  // Something that bears on placing has changed since the last round.
+  bool changed_ = true;
+  std::optional<Time> last_round_;
+  // Submissions that are not kept yet.
+  std::set<Ticket> unkept_;
+  std::map<std::string, int64_t> urgent_use_;
+  int reclaims_left_ = 0;
 };
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -25,6 +25,13 @@
 constexpr Duration kHoldAfter = std::chrono::milliseconds(1000);
 // Room that is being freed is held for the one it is freed for; a stop takes 0.4 s and two calls.
 constexpr Duration kReservationLimit = std::chrono::milliseconds(1500);
+// A round is made at least this often.
+constexpr Duration kLongestPause = std::chrono::milliseconds(100);
+// Weighing whom to stop is the dearest decision: with 600 runs in 67 workers it takes 2 ms of a
+// processor of which an entry may have an eighth. So it is made for few units a round, and for
+// each only so often; what waits meanwhile is tried again within the bound on reclaiming.
+constexpr int kReclaimsPerRound = 2;
+constexpr Duration kReclaimPause = std::chrono::milliseconds(300);
 // An accelerator weighs as much as so many cores in work thrown away; the operators' own price.
 constexpr double kCoresPerAccelerator = 8;
 // Reading a checkpoint back takes a quarter to over half a second of the gang's time.
@@ -88,7 +95,8 @@
   ExpireLeases(now);
   TakeBackLateStarts(now);
   DropOldJobs(wall_ms);
-  if (!MayStart(now)) return;
+  if (!MayStart(now) || !RoundIsDue(now)) return;
+  BeginRound(now);
   const std::vector<Unit> units = CollectUnits(wall_ms, now);
   for (const Unit& unit : units) {
     if (!TryReservation(unit, wall_ms, now)) TryUnit(unit, now);
@@ -96,6 +104,26 @@
   std::erase_if(reservations_, [now](const auto& row) { return now >= row.second.until; });
 }
 
+bool PoolPlanner::RoundIsDue(Time now) const {
+  // Pauses, due times and reservations run out without anything else happening.
+  return changed_ || !last_round_ || now - *last_round_ >= kLongestPause;
+}
+
+void PoolPlanner::BeginRound(Time now) {
+  changed_ = false;
+  last_round_ = now;
+  reclaims_left_ = kReclaimsPerRound;
+  for (auto& [node, worker] : workers_) worker.left = worker.free();
+  urgent_use_.clear();
+  for (const auto& [id, job] : jobs_) {
+    if (job.runs.empty() || Terms(job).priority != 0) continue;
+    int64_t& use = urgent_use_[job.spec.workspace];
+    for (const auto& [place, run] : job.runs) {
+      use += job.spec.steps[static_cast<size_t>(place.step)].need.accelerators;
+    }
+  }
+}
+
 void PoolPlanner::ExpireLeases(Time now) {
   for (auto& [node, worker] : workers_) {
     const bool lapsed = now > worker.lease_until + options_.lease_margin;
@@ -199,7 +227,7 @@
     WorkerRoom room;
     room.node = node;
     room.rack = worker.facts.rack;
-    room.free = empty ? worker.facts.capacity : worker.free();
+    room.free = empty ? worker.facts.capacity : worker.left;
     room.doubtful = judge_.Doubtful(node, now);
     room.most_tasks = static_cast<int>(unit.waiting.size());
     if (step.most_per_worker > 0) {
@@ -245,12 +273,24 @@
   return true;
 }
 
+Placement PoolPlanner::PlaceUnit(const Unit& unit, PlaceWish* wish, Time now) const {
+  const std::vector<WorkerRoom> rooms = RoomsFor(unit, false, now);
+  wish->may_stray = MayStray(unit, now);
+  Placement placement = Place(*wish, rooms);
+  const bool bound_to_rack = wish->step->one_rack || !wish->step->data_rack.empty();
+  if (static_cast<int>(placement.size()) == wish->tasks || wish->may_stray || !bound_to_rack) {
+    return placement;
+  }
+  // No rack would ever hold it, so that waiting for one is pointless.
+  wish->may_stray = !FitsOneRack(*wish, RoomsFor(unit, true, now));
+  return wish->may_stray ? Place(*wish, rooms) : placement;
+}
+
 void PoolPlanner::TryUnit(const Unit& unit, Time now) {
   PlaceWish wish;
   wish.step = &unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
   wish.tasks = static_cast<int>(unit.waiting.size());
-  wish.may_stray = MayStray(unit, now) || !FitsOneRack(wish, RoomsFor(unit, true, now));
-  const Placement placement = Place(wish, RoomsFor(unit, false, now));
+  const Placement placement = PlaceUnit(unit, &wish, now);
   if (!placement.empty()) Start(unit, placement, now);
   if (static_cast<int>(placement.size()) == wish.tasks) return;
   if (unit.priority == 0) TryReclaim(unit, wish, now);
@@ -273,14 +313,8 @@
 }
 
 int64_t PoolPlanner::UrgentUse(const std::string& workspace) const {
-  int64_t use = 0;
-  for (const auto& [id, job] : jobs_) {
-    if (job.spec.workspace != workspace || Terms(job).priority != 0) continue;
-    for (const auto& [place, run] : job.runs) {
-      use += job.spec.steps[static_cast<size_t>(place.step)].need.accelerators;
-    }
-  }
-  return use;
+  const auto found = urgent_use_.find(workspace);
+  return found == urgent_use_.end() ? 0 : found->second;
 }
 
 std::vector<Victim> PoolPlanner::VictimsFor(const Unit& unit, Time now) const {
@@ -318,6 +352,11 @@
 }
 
 void PoolPlanner::TryReclaim(const Unit& unit, const PlaceWish& wish, Time now) {
+  StepState& state = unit.job->steps.at(unit.place);
+  const bool just_tried = state.reclaim_tried && now - *state.reclaim_tried < kReclaimPause;
+  if (reclaims_left_ == 0 || just_tried) return;
+  --reclaims_left_;
+  state.reclaim_tried = now;
   PlaceWish rest = wish;
   if (!wish.step->gang) {
     // What fitted has been started above.
@@ -371,6 +410,8 @@
         job->progress.checkpoints.find({place.occurrence, place.step, step.gang ? 0 : index});
     if (saved != job->progress.checkpoints.end()) run.checkpoint = saved->second;
     worker.live[run.run] = run;
+    worker.left -= run.need;
+    if (run.fills) worker.left.processor_millis += run.need.processor_millis;
     ++worker.version;
     job->runs[place] = {number, worker.node};
     LogEvent(LogLevel::kInfo, "run_placed",
@@ -383,6 +424,9 @@
               {"epoch", epoch_}});
   }
   if (next > 0) job->steps.at(unit.place).ready_since.reset();
+  if (unit.priority == 0) {
+    urgent_use_[job->spec.workspace] += step.need.accelerators * static_cast<int64_t>(next);
+  }
 }
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -42,6 +42,7 @@
   unheard_.erase(report.node);
   if (!worker.known) {
     worker.known = true;
+    changed_ = true;
     LogEvent(LogLevel::kInfo, "worker_known",
              {{"node", report.node},
               {"worker", worker.facts.id},
@@ -67,6 +68,7 @@
     if (facts.born_ms == 0) return;
     if (worker->facts.born_ms != 0) LoseRuns(worker, "the worker began a new life", now);
     worker->facts = facts;
+    changed_ = true;
     worker->ends.clear();
     worker->ends_seen = 0;
     worker->ends_kept = 0;
@@ -88,6 +90,8 @@
     LogEvent(LogLevel::kInfo, "worker_draining",
              {{"node", report.node}, {"leaves_in_s", Seconds(facts.leaves_in)}});
   }
+  changed_ = changed_ || facts.draining != worker->facts.draining ||
+             facts.reachable != worker->facts.reachable;
   worker->facts = facts;
 }
 
@@ -143,6 +147,7 @@
     MarkRunning(job);
   }
   ++worker->version;
+  changed_ = true;
   worker->live[running.run] = live;
   LogEvent(LogLevel::kInfo, wanted ? "run_adopted" : "run_unwanted",
            {{"task", TaskName(task)},
@@ -163,6 +168,7 @@
   }
   const bool was_ordered = live->second.phase == RunPhase::kOrdered;
   worker->live.erase(live);
+  changed_ = true;
   if (job == nullptr) return;
   const TaskId& task = result.run.task;
   const StepSpec* step = FindStep(*job, task);
@@ -182,6 +188,7 @@
 void PoolPlanner::TakeEnd(const EndedTask& end, WorkerState* worker, int64_t wall_ms, Time now) {
   if (end.number <= worker->ends_seen) return;
   worker->ends_seen = end.number;
+  changed_ = true;
   const Ticket before = outbox_.newest();
   const auto live = worker->live.find(end.run);
   const bool asked_to_stop =
@@ -272,6 +279,7 @@
            {{"node", worker->node}, {"runs", worker->live.size()}, {"reason", why}});
   const std::map<RunId, LiveRun> lost = std::move(worker->live);
   worker->live.clear();
+  changed_ = true;
   for (const auto& [id, run] : lost) {
     Job* job = FindJob(id.task.job);
     if (job == nullptr) continue;
--- a/servers/pool/reclaimer.cc
+++ b/servers/pool/reclaimer.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <map>
-#include <set>
+#include <string_view>
 #include <utility>
 
 namespace turmericshift::pool {
@@ -14,11 +14,27 @@
   double cost = 0;
 };
 
+// What a bundle frees on one of the candidates.
+struct Freed {
+  size_t worker = 0;
+  Room room;
+};
+
+// A bundle as the candidates at hand see it.
+struct Offer {
+  const Bundle* bundle = nullptr;
+  std::vector<Freed> freed;
+  bool taken = false;
+};
+
 // Keeps a bundle without cost from dividing by zero.
 constexpr double kLeastCost = 0.01;
+// A part of a whole slot counts little: it only breaks ties where no single bundle makes a task
+// fit.
+constexpr double kPartWeight = 0.05;
 
 std::vector<Bundle> MakeBundles(const std::vector<Victim>& victims) {
-  std::map<std::string, Bundle> gangs;
+  std::map<std::string_view, Bundle> gangs;
   std::vector<Bundle> bundles;
   for (const Victim& victim : victims) {
     if (victim.gang.empty()) {
@@ -33,59 +49,62 @@
   return bundles;
 }
 
-void Free(const Bundle& bundle, std::vector<WorkerRoom>* workers) {
-  for (const Victim* victim : bundle.members) {
-    for (WorkerRoom& worker : *workers) {
-      if (worker.node == victim->node) worker.free += victim->need;
+std::vector<Offer> MakeOffers(const std::vector<Bundle>& bundles,
+                              const std::vector<WorkerRoom>& workers) {
+  std::map<std::string_view, size_t> indices;
+  for (size_t i = 0; i < workers.size(); ++i) indices[workers[i].node] = i;
+  std::vector<Offer> offers;
+  for (const Bundle& bundle : bundles) {
+    std::map<size_t, Room> freed;
+    for (const Victim* victim : bundle.members) {
+      const auto index = indices.find(victim->node);
+      if (index != indices.end()) freed[index->second] += victim->need;
     }
+    if (freed.empty()) continue;
+    Offer offer;
+    offer.bundle = &bundle;
+    for (const auto& [worker, room] : freed) offer.freed.push_back({worker, room});
+    offers.push_back(std::move(offer));
   }
+  return offers;
 }
 
-int Slots(const PlaceWish& wish, const std::vector<WorkerRoom>& workers) {
-  int slots = 0;
-  for (const WorkerRoom& worker : workers) {
-    slots += FitCount(worker.free, wish.step->need, std::min(wish.tasks, worker.most_tasks));
-  }
-  return slots;
+void Free(const Offer& offer, std::vector<WorkerRoom>* workers) {
+  for (const Freed& freed : offer.freed) (*workers)[freed.worker].free += freed.room;
+}
+
+// Part of what a task needs, at most all of it.
+double Part(int64_t freed, int64_t needed) {
+  return needed > 0 ? std::min(1.0, static_cast<double>(freed) / static_cast<double>(needed)) : 0.0;
 }
 
-// How much of what a task needs the bundle frees on these workers; breaks ties where no single
-// bundle makes a whole task fit.
-double FreedShare(const PlaceWish& wish, const Bundle& bundle,
-                  const std::vector<WorkerRoom>& workers) {
+// Tasks that the offer makes room for, and a little for parts of one.
+double WorthOf(const PlaceWish& wish, const Offer& offer, const std::vector<WorkerRoom>& workers) {
   const Room& need = wish.step->need;
-  double share = 0;
-  for (const Victim* victim : bundle.members) {
-    const bool here = std::any_of(workers.begin(), workers.end(), [&](const WorkerRoom& worker) {
-      return worker.node == victim->node && worker.most_tasks > 0;
-    });
-    if (!here) continue;
-    const auto part = [](int64_t freed, int64_t needed) {
-      return needed > 0 ? std::min(1.0, static_cast<double>(freed) / static_cast<double>(needed))
-                        : 0.0;
-    };
-    share += part(victim->need.accelerators, need.accelerators) +
-             part(victim->need.processor_millis, need.processor_millis);
+  double worth = 0;
+  for (const Freed& freed : offer.freed) {
+    const WorkerRoom& worker = workers[freed.worker];
+    const int most = std::min(wish.tasks, worker.most_tasks);
+    if (most <= 0) continue;
+    Room after = worker.free;
+    after += freed.room;
+    worth += FitCount(after, need, most) - FitCount(worker.free, need, most);
+    worth += kPartWeight * (Part(freed.room.accelerators, need.accelerators) +
+                            Part(freed.room.processor_millis, need.processor_millis));
   }
-  return share;
+  return worth;
 }
 
-// The bundle that brings most for its cost; null when none brings anything.
-const Bundle* BestBundle(const PlaceWish& wish, const std::vector<WorkerRoom>& workers,
-                         const std::vector<Bundle>& bundles, const std::set<const Bundle*>& taken) {
-  const int slots = Slots(wish, workers);
-  const Bundle* best = nullptr;
+// The offer that brings most for its cost; null when none brings anything.
+Offer* BestOffer(const PlaceWish& wish, const std::vector<WorkerRoom>& workers,
+                 std::vector<Offer>* offers) {
+  Offer* best = nullptr;
   double best_value = 0;
-  for (const Bundle& bundle : bundles) {
-    if (taken.count(&bundle) > 0) continue;
-    std::vector<WorkerRoom> after = workers;
-    Free(bundle, &after);
-    const double gained = Slots(wish, after) - slots;
-    // A whole slot counts far more than a part of one.
-    const double worth = gained + 0.05 * FreedShare(wish, bundle, workers);
-    const double value = worth / std::max(bundle.cost, kLeastCost);
-    if (worth <= 0 || value <= best_value) continue;
-    best = &bundle;
+  for (Offer& offer : *offers) {
+    if (offer.taken) continue;
+    const double value = WorthOf(wish, offer, workers) / std::max(offer.bundle->cost, kLeastCost);
+    if (value <= best_value) continue;
+    best = &offer;
     best_value = value;
   }
   return best;
@@ -98,17 +117,21 @@
 
 // Stops that turned out not to be needed are taken back, the dearest first.
 void Prune(const PlaceWish& wish, const std::vector<WorkerRoom>& workers,
-           std::set<const Bundle*>* taken) {
-  std::vector<const Bundle*> dearest(taken->begin(), taken->end());
-  std::sort(dearest.begin(), dearest.end(),
-            [](const Bundle* left, const Bundle* right) { return left->cost > right->cost; });
-  for (const Bundle* candidate : dearest) {
+           std::vector<Offer>* offers) {
+  std::vector<Offer*> dearest;
+  for (Offer& offer : *offers) {
+    if (offer.taken) dearest.push_back(&offer);
+  }
+  std::sort(dearest.begin(), dearest.end(), [](const Offer* left, const Offer* right) {
+    return left->bundle->cost > right->bundle->cost;
+  });
+  for (Offer* candidate : dearest) {
     std::vector<WorkerRoom> without = workers;
-    for (const Bundle* bundle : *taken) {
-      if (bundle != candidate) Free(*bundle, &without);
+    for (const Offer* offer : dearest) {
+      if (offer != candidate && offer->taken) Free(*offer, &without);
     }
     Placement placement;
-    if (Fits(wish, without, &placement)) taken->erase(candidate);
+    if (Fits(wish, without, &placement)) candidate->taken = false;
   }
 }
 
@@ -116,21 +139,22 @@
                                          const std::vector<WorkerRoom>& workers,
                                          const std::vector<Bundle>& bundles) {
   std::vector<WorkerRoom> rooms = workers;
-  std::set<const Bundle*> taken;
+  std::vector<Offer> offers = MakeOffers(bundles, workers);
   Placement placement;
   while (!Fits(wish, rooms, &placement)) {
-    const Bundle* best = BestBundle(wish, rooms, bundles, taken);
+    Offer* best = BestOffer(wish, rooms, &offers);
     if (best == nullptr) return std::nullopt;
-    taken.insert(best);
+    best->taken = true;
     Free(*best, &rooms);
   }
-  Prune(wish, workers, &taken);
+  Prune(wish, workers, &offers);
   rooms = workers;
   ReclaimPlan plan;
-  for (const Bundle* bundle : taken) {
-    Free(*bundle, &rooms);
-    plan.cost += bundle->cost;
-    for (const Victim* victim : bundle->members) plan.stops.push_back(victim->run);
+  for (const Offer& offer : offers) {
+    if (!offer.taken) continue;
+    Free(offer, &rooms);
+    plan.cost += offer.bundle->cost;
+    for (const Victim* victim : offer.bundle->members) plan.stops.push_back(victim->run);
   }
   plan.placement = Place(wish, rooms);
   return plan;
@@ -142,7 +166,7 @@
                                          const std::vector<WorkerRoom>& workers,
                                          const std::vector<Victim>& victims) {
   const std::vector<Bundle> bundles = MakeBundles(victims);
-  std::map<std::string, std::vector<WorkerRoom>> racks;
+  std::map<std::string_view, std::vector<WorkerRoom>> racks;
   for (const WorkerRoom& worker : workers) racks[worker.rack].push_back(worker);
   PlaceWish strict = wish;
   strict.may_stray = false;
--- a/servers/pool/worker_roster.h
+++ b/servers/pool/worker_roster.h
@@ -63,6 +63,9 @@
   int64_t version = 0;
   int64_t version_seen = 0;
 
+  // What is left as of this round of planning; see PoolPlanner::Plan.
+  Room left;
+
   // Capacity less what is live; what is being stopped still counts.
   Room free() const;
   bool usable(Time now) const;
