--- a/core/logging.cc
+++ b/core/logging.cc
@@ -1,10 +1,13 @@
 #include "core/logging.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <mutex>
+#include <utility>
 
 #include "core/clock.h"
+#include "core/log_writer.h"
 
 namespace turmericshift {
 namespace {
@@ -14,8 +17,24 @@
   return identity;
 }
 
+// Lives as long as the process: threads log until the very end.
+LogWriter*& Writer() {
+  static LogWriter* writer = nullptr;
+  return writer;
+}
+
+constexpr Duration kFlushLimit = std::chrono::milliseconds(200);
+
 }  // namespace
 
+void LogToStandardOutput() {
+  if (Writer() == nullptr) Writer() = new LogWriter(STDOUT_FILENO);
+}
+
+void FlushLog() {
+  if (Writer() != nullptr) Writer()->Flush(kFlushLimit);
+}
+
 void InitLogging(const char* program, const LogIdentity& identity) {
   Identity() = identity;
   FLAGS_log_prefix = false;
@@ -34,7 +53,8 @@
   if (!identity.process.empty()) line["process"] = identity.process;
   if (!identity.availability_zone.empty()) line["zone"] = identity.availability_zone;
   line.update(fields);
-  const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (Writer() != nullptr) return Writer()->Put(level, std::move(text));
   switch (level) {
     case LogLevel::kInfo:
       LOG(INFO) << text;
--- a/core/shutdown.cc
+++ b/core/shutdown.cc
@@ -1,6 +1,5 @@
 #include "core/shutdown.h"
 
-#include <glog/logging.h>
 #include <pthread.h>
 #include <signal.h>
 #include <unistd.h>
@@ -49,7 +48,7 @@
 }
 
 void EndProcess(int code) {
-  google::FlushLogFiles(google::GLOG_INFO);
+  FlushLog();
   _exit(code);
 }
 
--- a/main/commands.cc
+++ b/main/commands.cc
@@ -24,6 +24,7 @@
       {"status", "show what an entry knows", &RunStatus},
       {"report", "report burn: how fast service-level budgets are used up", &RunReport},
       {"replay", "run traces against the decision code and check their outcomes", &RunReplay},
+      {"explain", "tell what became of a job, from the log lines of its processes", &RunExplain},
       {"check-history", "check the daemons' logs against the promises", &RunCheckHistory},
       {"bench", "run the benchmarks and print one table of figures", &RunBench},
       {"token", "make a token and its salted hash", &RunToken},
--- a/main/commands.h
+++ b/main/commands.h
@@ -39,6 +39,7 @@
 ExitCode RunZone(const Words& words);
 ExitCode RunStatus(const Words& words);
 
+ExitCode RunExplain(const Words& words);
 ExitCode RunToken(const Words& words);
 ExitCode RunVersion(const Words& words);
 
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -54,6 +54,7 @@
   ShutdownSignal signal;
   IgnoreSignals();
   InitLogging("turmericshift", {"entry", settings.name, settings.availability_zone});
+  LogToStandardOutput();
   MetricsRegistry metrics;
   const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   const auto door = pool::CallerDoorRegistry::Instance().Create(settings.adapter);
@@ -95,6 +96,7 @@
   ShutdownSignal signal;
   IgnoreSignals();
   InitLogging("turmericshift", {"agent", settings.name, settings.availability_zone});
+  LogToStandardOutput();
   MetricsRegistry metrics;
   const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   const auto worker =
--- a/main/commands/process_commands.cc
+++ b/main/commands/process_commands.cc
@@ -84,6 +84,7 @@
   signal->CutOnNext();
   const bool drained = server->Leave(stop_limit);
   LogEvent(drained ? LogLevel::kInfo : LogLevel::kWarning, "stopped", {{"drained", drained}});
+  FlushLog();
   return drained ? ExitCode::kDone : ExitCode::kFailed;
 }
 
@@ -132,6 +133,7 @@
   const EntrySettings settings = ParseEntrySettings(path, ReadFileText(path));
   ShutdownSignal signal;
   InitLogging("turmericshift", {"entry", settings.name, settings.availability_zone});
+  LogToStandardOutput();
   MetricsRegistry metrics;
   const std::unique_ptr<LogService> log =
       LogServiceRegistry::Instance().Create(settings.log_client, settings.log_address);
@@ -160,6 +162,7 @@
   const AgentSettings settings = ParseAgentSettings(path, ReadFileText(path));
   ShutdownSignal signal;
   InitLogging("turmericshift", {"agent", settings.name, settings.availability_zone});
+  LogToStandardOutput();
   MetricsRegistry metrics;
   std::unique_ptr<TargetService> target;
   if (!settings.target_address.empty()) {
--- /dev/null
+++ b/servers/explain/job_story.cc
@@ -0,0 +1,186 @@
+#include "servers/explain/job_story.h"
+
+#include <algorithm>
+#include <array>
+#include <istream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace turmericshift {
+namespace {
+
+using nlohmann::json;
+
+struct OutcomeName {
+  JobOutcome outcome;
+  const char* name;
+};
+
+constexpr std::array<OutcomeName, 7> kOutcomeNames = {{
+    {JobOutcome::kCompleted, "completed"},
+    {JobOutcome::kFailed, "failed"},
+    {JobOutcome::kCancelled, "cancelled"},
+    {JobOutcome::kRefused, "refused"},
+    {JobOutcome::kUnknownToCaller, "unknown to the caller"},
+    {JobOutcome::kUnfinished, "unfinished"},
+    {JobOutcome::kNotSeen, "not seen"},
+}};
+
+// A job waits for room for longer than this before the story mentions it.
+constexpr int64_t kLongWaitMs = 1000;
+
+// Fields that every line has, or that the story shows apart.
+bool IsCommon(const std::string& field) {
+  static const std::set<std::string> common = {"time_ms", "level", "event", "role",
+                                               "process", "zone",  "job"};
+  return common.count(field) > 0;
+}
+
+std::string TextOf(const json& line, const char* field) {
+  const auto found = line.find(field);
+  return found != line.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+bool FlagOf(const json& line, const char* field) {
+  const auto found = line.find(field);
+  return found != line.end() && found->is_boolean() && found->get<bool>();
+}
+
+std::string Details(const json& line) {
+  std::string details;
+  for (const auto& [field, value] : line.items()) {
+    if (IsCommon(field)) continue;
+    details += (details.empty() ? "" : " ") + field + "=" +
+               (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return details;
+}
+
+std::string Times(int count, const char* what) {
+  return std::to_string(count) + " " + what + (count == 1 ? "" : "s");
+}
+
+}  // namespace
+
+const char* JobOutcomeName(JobOutcome outcome) {
+  for (const OutcomeName& row : kOutcomeNames) {
+    if (row.outcome == outcome) return row.name;
+  }
+  return "";
+}
+
+void JobStories::Read(std::istream& lines) {
+  std::string text;
+  while (std::getline(lines, text)) {
+    const size_t brace = text.find('{');
+    if (brace == std::string::npos) continue;
+    const json line = json::parse(text.substr(brace), nullptr, false);
+    if (!line.is_object() || TextOf(line, "job").empty()) continue;
+    Entry entry;
+    const auto time = line.find("time_ms");
+    if (time != line.end() && time->is_number()) entry.line.time_ms = time->get<int64_t>();
+    entry.line.process = TextOf(line, "process");
+    entry.line.event = TextOf(line, "event");
+    entry.line.details = Details(line);
+    entry.job = TextOf(line, "job");
+    entry.how = TextOf(line, "how");
+    entry.state = TextOf(line, "state");
+    entry.reason = TextOf(line, "reason");
+    entry.asked = FlagOf(line, "asked");
+    entry.not_run = FlagOf(line, "not_run");
+    entries_.push_back(std::move(entry));
+  }
+}
+
+std::vector<std::string> JobStories::jobs() const {
+  std::set<std::string> names;
+  for (const Entry& entry : entries_) names.insert(entry.job);
+  return {names.begin(), names.end()};
+}
+
+JobStory JobStories::Tell(const std::string& job) const {
+  JobStory story;
+  story.job = job;
+  bool accepted = false;
+  bool told_unknown = false;
+  int64_t accepted_at = 0;
+  int64_t first_placed = 0;
+  std::string ended;
+  std::string refusal;
+  std::vector<const Entry*> mine;
+  for (const Entry& entry : entries_) {
+    if (entry.job == job) mine.push_back(&entry);
+  }
+  // VMs' clocks differ by little; lines of one process keep their order.
+  std::stable_sort(mine.begin(), mine.end(), [](const Entry* left, const Entry* right) {
+    return left->line.time_ms < right->line.time_ms;
+  });
+  for (const Entry* entry : mine) {
+    story.lines.push_back(entry->line);
+    const std::string& event = entry->line.event;
+    if (event == "job_accepted" && !accepted) {
+      accepted = true;
+      accepted_at = entry->line.time_ms;
+    } else if (event == "job_not_accepted" || event == "job_refused") {
+      ++story.refusals;
+      if (event == "job_not_accepted" && !entry->not_run) told_unknown = true;
+      if (!entry->reason.empty()) refusal = entry->reason;
+    } else if (event == "run_placed") {
+      ++story.runs;
+      if (first_placed == 0) first_placed = entry->line.time_ms;
+    } else if (event == "run_ended") {
+      story.failed_runs += entry->how == "failed";
+      story.stopped_runs += entry->how == "stopped";
+      story.lost_runs += entry->how == "lapsed" || entry->how == "broken" || entry->how == "alone";
+    } else if (event == "job_ended") {
+      ended = entry->state;
+    }
+  }
+  if (mine.empty()) {
+    story.cause = "no line names the job: it never reached an entry whose lines these are";
+    return story;
+  }
+  if (ended == "completed") story.outcome = JobOutcome::kCompleted;
+  if (ended == "failed") story.outcome = JobOutcome::kFailed;
+  if (ended == "cancelled") story.outcome = JobOutcome::kCancelled;
+  if (ended.empty()) {
+    story.outcome = accepted || story.runs > 0 ? JobOutcome::kUnfinished
+                    : told_unknown             ? JobOutcome::kUnknownToCaller
+                                               : JobOutcome::kRefused;
+  }
+  const int64_t waited = first_placed - accepted_at;
+  switch (story.outcome) {
+    case JobOutcome::kRefused:
+    case JobOutcome::kUnknownToCaller:
+      story.cause = refusal.empty() ? "the caller's time was over before a planner could be asked"
+                                    : "the planner could not keep it: " + refusal;
+      break;
+    case JobOutcome::kFailed:
+      story.cause =
+          Times(story.failed_runs, "run") + " failed, as many as its queue allows one task";
+      break;
+    case JobOutcome::kCancelled:
+      story.cause = "its caller cancelled it";
+      break;
+    case JobOutcome::kCompleted:
+    case JobOutcome::kUnfinished:
+      if (story.stopped_runs + story.lost_runs + story.failed_runs > 0) {
+        story.cause = "it lost time by " + Times(story.stopped_runs, "run") +
+                      " stopped for others, " + std::to_string(story.lost_runs) +
+                      " lost with their worker or gang, " + std::to_string(story.failed_runs) +
+                      " failed";
+      } else if (accepted && first_placed > 0 && waited > kLongWaitMs) {
+        story.cause = "it waited " + std::to_string(waited) + " ms for room";
+      } else if (accepted && first_placed == 0) {
+        story.cause = "it was never given room while these lines were written";
+      } else {
+        story.cause = "nothing held it up but its own work";
+      }
+      break;
+    case JobOutcome::kNotSeen:
+      break;
+  }
+  return story;
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/explain/job_story_test.cc
@@ -0,0 +1,56 @@
+#include "servers/explain/job_story.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace turmericshift {
+namespace {
+
+JobStory Told(const std::string& lines, const std::string& job = "j") {
+  std::istringstream in(lines);
+  JobStories stories;
+  stories.Read(in);
+  return stories.Tell(job);
+}
+
+TEST(JobStory, PutsTheLinesOfSeveralProcessesInOrder) {
+  const JobStory story = Told(
+      "  3.1 agent-1 "
+      "{\"time_ms\":30,\"event\":\"start_answered\",\"job\":\"j\",\"process\":\"a\"}\n"
+      "{\"time_ms\":10,\"event\":\"job_accepted\",\"job\":\"j\",\"process\":\"e\"}\n"
+      "not a line of ours\n"
+      "{\"time_ms\":40,\"event\":\"job_ended\",\"job\":\"j\",\"state\":\"completed\"}\n"
+      "{\"time_ms\":20,\"event\":\"run_placed\",\"job\":\"j\",\"node\":\"n\"}\n"
+      "{\"time_ms\":20,\"event\":\"run_placed\",\"job\":\"other\"}\n");
+  ASSERT_EQ(story.lines.size(), 4U);
+  EXPECT_EQ(story.lines[0].event, "job_accepted");
+  EXPECT_EQ(story.lines[1].details, "node=n");
+  EXPECT_EQ(story.outcome, JobOutcome::kCompleted);
+  EXPECT_EQ(story.runs, 1);
+}
+
+TEST(JobStory, TellsARefusalFromAnUnknownOutcome) {
+  EXPECT_EQ(Told(R"({"event":"job_not_accepted","job":"j","not_run":true,"reason":"no planner"})")
+                .outcome,
+            JobOutcome::kRefused);
+  const JobStory unknown =
+      Told(R"({"event":"job_not_accepted","job":"j","not_run":false,"reason":"timed out"})");
+  EXPECT_EQ(unknown.outcome, JobOutcome::kUnknownToCaller);
+  EXPECT_NE(unknown.cause.find("timed out"), std::string::npos);
+}
+
+TEST(JobStory, NamesWhatHeldAJobUp) {
+  const JobStory story = Told(R"({"time_ms":1,"event":"job_accepted","job":"j"}
+{"time_ms":2,"event":"run_placed","job":"j"}
+{"time_ms":3,"event":"run_ended","job":"j","how":"stopped","asked":true}
+{"time_ms":4,"event":"run_placed","job":"j"}
+{"time_ms":9,"event":"job_ended","job":"j","state":"completed"})");
+  EXPECT_EQ(story.stopped_runs, 1);
+  EXPECT_NE(story.cause.find("1 run stopped"), std::string::npos);
+}
+
+TEST(JobStory, SaysSoWhenNothingIsKnown) { EXPECT_EQ(Told("").outcome, JobOutcome::kNotSeen); }
+
+}  // namespace
+}  // namespace turmericshift
--- a/tests/process_lib.sh
+++ b/tests/process_lib.sh
@@ -26,7 +26,7 @@
 start() {
   local name=$1
   shift
-  "$binary" "$@" 2>"$work/$name.log" >/dev/null &
+  "$binary" "$@" >"$work/$name.log" 2>&1 &
   pids+=($!)
   echo $! >"$work/$name.pid"
 }
