Pool: Keep a job's beginning before its first start, so that queued jobs need no wait

With it: an agent is of use to the planner once it stands among the members (starts were refused for want of that), and a new process no longer strikes itself out while its worker runs.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -165,6 +165,7 @@
   report.epoch = lists_epoch_ == epoch_ ? epoch_ : 0;
   report.orders_seen = orders_seen_;
   report.worker = facts_;
+  if (!member_) report.worker.id.clear();
   report.lease_left = std::max(Duration::zero(), passed_on_until_ - now);
   report.running = running_;
   for (const auto& [number, end] : ended_) {
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -57,8 +57,13 @@
   std::vector<RunId> UncertainRuns() const;
 
   const WorkerFacts& worker() const { return facts_; }
-  // Something may run at the worker, so that a new planner has to hear of it.
-  bool may_run() const { return !facts_.id.empty() && (!left_ || !running_.empty()); }
+  // Something may come to run at the worker, so that a new planner has to hear of it first.
+  bool may_run() const { return !running_.empty() || (!facts_.id.empty() && !left_); }
+  // The worker has gone for good and left nothing behind.
+  bool is_over() const { return left_ && running_.empty(); }
+  // Whether the agent stands among the members. Until then the planner hears of no worker here that
+  // it could use.
+  void SetMember(bool member) { member_ = member; }
 
  private:
   // Where a run that this agent was ordered to start stands.
@@ -83,6 +88,7 @@
   int64_t announced_sequence_ = -1;
   // The worker has taken its leave.
   bool left_ = false;
+  bool member_ = false;
 
   int64_t epoch_ = 0;
   int64_t lists_epoch_ = 0;
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -291,10 +291,14 @@
 void PoolAgent::EnsureMember(Time now) {
   const std::lock_guard<std::mutex> member_lock(member_mutex_);
   bool wanted = false;
+  bool over = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     wanted = state_.may_run();
+    over = state_.is_over();
   }
+  // A process that has just started knows nothing of its worker; that is no reason to leave.
+  if (!wanted && !over) return;
   if (wanted == registered_.load() && now - member_checked_ < kCheckMemberEvery) return;
   member_checked_ = now;
   const bool listed = members_.agents().count(options_.node) > 0;
@@ -305,6 +309,11 @@
                  {{kAgentPrefix + options_.node, wanted ? options_.zone : "", kNoOffset}}, {},
                  kAppendTimeout);
     registered_.store(wanted);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      state_.SetMember(wanted);
+    }
+    WakeNews();
     LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}, {"member", wanted}});
   } catch (const Error& error) {
     LogEvent(LogLevel::kWarning, "agent_not_registered", {{"error", error.what()}});
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -14,7 +14,9 @@
     Job& job = jobs_[id];
     job.spec = entry.spec;
     job.progress = entry.progress;
-    job.inherited = true;
+    // That a job begins is kept before its first start is ordered, so nothing of one that is queued
+    // can be running anywhere.
+    job.inherited = entry.progress.state != JobState::kQueued;
   }
   // The planner before may not know yet that it has been followed, and may go on granting leases to
   // agents that are cut off together with it, as long as they trust an unconfirmed planner.
@@ -81,13 +83,17 @@
   if (MayStart(now)) orders.start_window = options_.start_window;
   for (const auto& [id, run] : worker.live) {
     if (run.phase == RunPhase::kStopping) orders.stops.push_back(id);
-    if (run.phase != RunPhase::kOrdered) continue;
+    if (run.phase != RunPhase::kOrdered || run.released_by > outbox_.kept()) continue;
     orders.starts.push_back({id, run.payload, run.checkpoint});
   }
   return orders;
 }
 
 void PoolPlanner::NoteKept() {
+  while (!releases_.empty() && releases_.begin()->first <= outbox_.kept()) {
+    ++workers_[releases_.begin()->second].version;
+    releases_.erase(releases_.begin());
+  }
   while (!unkept_.empty() && *unkept_.begin() <= outbox_.kept()) {
     unkept_.erase(unkept_.begin());
     changed_ = true;
@@ -135,6 +141,7 @@
   if (job->progress.state != JobState::kQueued) return;
   job->progress.state = JobState::kRunning;
   Save(job);
+  job->begun = job->changed;
 }
 
 void PoolPlanner::StopRun(WorkerState* worker, LiveRun* run) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -117,6 +117,8 @@
     JobProgress progress;
     // Nothing of the job is started until this is kept.
     Ticket accepted = 0;
+    // The record that tells that it may run; nothing is ordered before that is kept.
+    Ticket begun = 0;
     // Its newest record.
     Ticket changed = 0;
     // An older planner may have parts of it running.
@@ -218,6 +220,8 @@
   std::optional<Time> last_round_;
   // Submissions that are not kept yet.
   std::set<Ticket> unkept_;
+  // Workers for which starts wait for a record.
+  std::multimap<Ticket, std::string> releases_;
   std::map<std::string, int64_t> urgent_use_;
   int reclaims_left_ = 0;
 };
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -408,6 +408,9 @@
   const int64_t number = (epoch_ << kStartBits) + ++starts_;
   Job* job = unit.job;
   const StepSpec& step = job->spec.steps[static_cast<size_t>(unit.place.step)];
+  // A planner that follows starts queued jobs at once, without asking what runs; so nothing may run
+  // of a job that the store still has as queued.
+  MarkRunning(job);
   size_t next = 0;
   for (const int index : unit.waiting) {
     if (next >= placement.size()) break;
@@ -419,13 +422,18 @@
     run.fills = step.fills;
     run.since = now;
     run.payload = job->spec.payload;
+    run.released_by = job->begun;
     const auto saved =
         job->progress.checkpoints.find({place.occurrence, place.step, step.gang ? 0 : index});
     if (saved != job->progress.checkpoints.end()) run.checkpoint = saved->second;
     worker.live[run.run] = run;
     worker.left -= run.need;
     if (run.fills) worker.left.processor_millis += run.need.processor_millis;
-    ++worker.version;
+    if (run.released_by > outbox_.kept()) {
+      releases_.emplace(run.released_by, worker.node);
+    } else {
+      ++worker.version;
+    }
     job->runs[place] = {number, worker.node};
     LogEvent(LogLevel::kInfo, "run_placed",
              {{"job", job->spec.id},
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -123,6 +123,9 @@
   const PlannerOptions options;
   JobBook book;
   book.Apply({"j/j", EncodeSpec(BedJob("j", "batch", "one", BedStep(1, 1, seconds(2)))), 1});
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  book.Apply({"p/j", EncodeProgress(progress), 2});
   const Time now = Time(std::chrono::hours(1));
   PoolPlanner planner(options, 1, book, {"n", "missing"}, now);
   const auto placed_after = [&](Duration waited) {
@@ -139,6 +142,20 @@
   EXPECT_TRUE(placed_after(seconds(6)));
 }
 
+// An agent is gone while the planner changes, and a job waits of which nothing has begun. It need
+// not wait until that agent's leases are over: its beginning would be in the store.
+TEST(PoolPlanner, StartsAnInheritedJobAtOnceIfNothingOfItHasBegun) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.Submit(BedJob("runs", "batch", "one", BedStep(3, 8, seconds(3))));
+  bed.RunFor(milliseconds(500));
+  bed.Submit(BedJob("waits", "batch", "one", BedStep(1, 8, seconds(1))));
+  bed.RunFor(milliseconds(500));
+  bed.CutOff("w0-2");
+  bed.ReplacePlanner();
+  ASSERT_TRUE(bed.RunUntil("waits", JobState::kCompleted, seconds(6)));
+  EXPECT_EQ(bed.violations(), std::vector<std::string>());
+}
+
 // A worker is cut off and runs on. Its task starts elsewhere, but only after the lease has run out
 // there, since two runs at once would charge a household twice.
 TEST(PoolPlanner, StartsTasksOfACutOffWorkerElsewhereOnceItsLeaseIsOver) {
--- a/servers/pool/worker_roster.h
+++ b/servers/pool/worker_roster.h
@@ -29,6 +29,8 @@
   // Ordered, or first heard of.
   Time since{};
   std::string checkpoint;
+  // The start is ordered once this record is kept; see PoolPlanner::Start.
+  Ticket released_by = 0;
   // What the start hands over; empty for runs that were found running.
   std::string payload;
   // Its processors do not count.
--- a/tests/stand_ins/pool_bed.cc
+++ b/tests/stand_ins/pool_bed.cc
@@ -131,6 +131,7 @@
 void PoolBed::RestartAgent(const std::string& node) {
   Worker& one = worker(node);
   one.agent = std::make_unique<AgentState>(node, one.spec.zone, std::to_string(++incarnations_));
+  one.agent->SetMember(true);
 }
 
 void PoolBed::Drain(const std::string& node) { worker(node).draining = true; }
