--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -129,7 +129,7 @@
     return now - row.second.ordered > kRememberOrders && !Lists(running_, row.first);
   });
   std::erase_if(stops_, [this](const RunId& run) {
-    return starts_.count(run) == 0 && !Lists(running_, run);
+    return starts_.count(run) == 0 && stopped_at_.count(run) == 0 && !Lists(running_, run);
   });
 }
 
@@ -279,7 +279,9 @@
 
 void AgentState::TakeStopAnswer(const RunId& run, OrderAnswer answer, Time now) {
   if (answer == OrderAnswer::kTaken || answer == OrderAnswer::kOld) {
-    stopped_at_[run] = now;
+    // The planner repeats a stop until it hears what came of it. The first one counts: looks at the
+    // worker take longer than its polls, so that none would come late enough after the newest.
+    stopped_at_.try_emplace(run, now);
     return;
   }
   // Asked for again with the planner's next answer.
