Pool: Count an empty poll from its end though the store is a bit early

The store's wait ended a little before the reader's, so the poll counted from when it was asked and the view looked two seconds old. TopicFollower.CountsAnEmptyPoll... failed before.

--- a/servers/pool/topic_follower.cc
+++ b/servers/pool/topic_follower.cc
@@ -67,9 +67,11 @@
   for (const KeyedRecord& record : batch.records) on_record_(record);
   const Offset next = from + static_cast<Offset>(batch.records.size());
   if (next < batch.end) return next;
-  // An answer without records was made when the wait was over, not when it was asked for.
-  const bool waited = batch.records.empty() && LeaseClock().Now() - asked >= options_.wait;
-  on_caught_up_(next, waited ? asked + options_.wait : asked);
+  // An answer without records was made when the wait was over, not when it was asked for. Clocks
+  // differ, so that the store's wait may end a little early.
+  const Duration sure_wait = options_.wait * 9 / 10;
+  const bool waited = batch.records.empty() && LeaseClock().Now() - asked >= sure_wait;
+  on_caught_up_(next, waited ? asked + sure_wait : asked);
   return next;
 }
 
--- /dev/null
+++ b/servers/pool/topic_follower_test.cc
@@ -0,0 +1,91 @@
+#include "servers/pool/topic_follower.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <condition_variable>
+
+#include "modules/stand_ins/memory_keyed_log.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kWait = milliseconds(400);
+
+// A store whose clock runs a little fast, so that its waits end early by the reader's.
+class HastyLog : public MemoryKeyedLog {
+ public:
+  KeyedBatch Read(const std::string& topic, Offset from, Duration wait, Duration timeout) override {
+    return MemoryKeyedLog::Read(topic, from, wait * 95 / 100, timeout);
+  }
+};
+
+// Nothing is written, so polls end without records when their wait is over. Judged by when they
+// were asked for, the view would look up to two waits old, and an entry that is in touch all the
+// while would think that it is not, and never follow a planner that fell silent.
+TEST(TopicFollower, CountsAnEmptyPollFromItsEndThoughTheStoreIsABitEarly) {
+  HastyLog log;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<Duration> ages;
+  FollowerOptions options;
+  options.topic = "t";
+  options.wait = kWait;
+  {
+    const TopicFollower follower(
+        options, &log, [](const KeyedRecord& /*record*/) {},
+        [&](Offset /*end*/, Time asked) {
+          const std::lock_guard<std::mutex> lock(mutex);
+          ages.push_back(LeaseClock().Now() - asked);
+          changed.notify_all();
+        },
+        [] {});
+    std::unique_lock<std::mutex> lock(mutex);
+    changed.wait_for(lock, std::chrono::seconds(60), [&] { return ages.size() >= 3; });
+  }
+  ASSERT_GE(ages.size(), 3U);
+  // The first is the page; the polls' ends are known to within a tenth of the wait.
+  EXPECT_LT(ages[1], kWait / 2);
+  EXPECT_LT(ages[2], kWait / 2);
+}
+
+// The store has dropped the history that the reader wanted to go on from. It starts again from the
+// newest record of each key and misses none.
+TEST(TopicFollower, StartsAgainWhenTheHistoryIsDropped) {
+  MemoryKeyedLog log;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<std::string> seen;
+  int restarts = 0;
+  FollowerOptions options;
+  options.topic = "t";
+  options.wait = milliseconds(50);
+  {
+    const TopicFollower follower(
+        options, &log,
+        [&](const KeyedRecord& record) {
+          const std::lock_guard<std::mutex> lock(mutex);
+          seen.push_back(record.value);
+          changed.notify_all();
+        },
+        [](Offset /*end*/, Time /*asked*/) {},
+        [&] {
+          const std::lock_guard<std::mutex> lock(mutex);
+          ++restarts;
+          changed.notify_all();
+        });
+    std::unique_lock<std::mutex> lock(mutex);
+    changed.wait_for(lock, std::chrono::seconds(60), [&] { return restarts == 1; });
+    log.Append("t", {{"k", "one"}}, {}, milliseconds(100));
+    log.DropHistory("t");
+    log.Append("t", {{"k", "two"}}, {}, milliseconds(100));
+    changed.wait_for(lock, std::chrono::seconds(60),
+                     [&] { return !seen.empty() && seen.back() == "two"; });
+  }
+  EXPECT_EQ(seen.back(), "two");
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
