--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -62,8 +62,9 @@
   Duration longest{};
   for (const StepSpec& step : spec.steps) {
     Duration begin{};
-    for (const int earlier : step.after)
+    for (const int earlier : step.after) {
       begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+    }
     ends.push_back(begin + step.estimate);
     longest = std::max(longest, ends.back());
   }
@@ -246,7 +247,7 @@
     if (step.most_per_worker > 0) {
       room.most_tasks = step.most_per_worker - TasksOnWorker(*unit.job, unit.place, node);
     }
-    rooms.push_back(std::move(room));
+    rooms.push_back(room);
   }
   if (empty) return rooms;
   for (const auto& [key, reservation] : reservations_) {
