--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -110,7 +110,7 @@
   return news;
 }
 
-void AgentState::WorkerFailed(OrderAnswer answer, Time /*now*/) {
+void AgentState::WorkerFailed(OrderAnswer answer) {
   if (!facts_.reachable) return;
   facts_.reachable = false;
   LogEvent(LogLevel::kWarning, "worker_lost",
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -24,7 +24,7 @@
   // after it. Returns whether there is anything that the planner should hear at once.
   bool TakeLists(const WorkerLists& lists, int64_t fence, Time sent, Time now);
   // The worker did not answer, or not as the one that is meant.
-  void WorkerFailed(OrderAnswer answer, Time now);
+  void WorkerFailed(OrderAnswer answer);
 
   // The planner. Orders of a lower epoch than the highest one seen are dropped.
   // `sent`: when the report was sent that these orders answer. Returns what is new to do.
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -195,7 +195,7 @@
     } else if (Stuck(now) && !planner_->Knows(spec.id)) {
       refused = Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "the store does not answer");
     } else {
-      const Ticket ticket = planner_->Submit(spec, now);
+      const Ticket ticket = planner_->Submit(spec);
       AddWaiter({spec.id, ticket, now, done});
     }
   }
@@ -211,7 +211,7 @@
     if (!planner_ || releasing_) {
       refused = NotPlanning();
     } else {
-      const CancelResult result = planner_->Cancel(id, LeaseClock().WallMillis(), now);
+      const CancelResult result = planner_->Cancel(id, LeaseClock().WallMillis());
       if (!result.known) {
         refused = Error(ErrorKind::kNotFound, Outcome::kNotRun, "no such job");
       } else {
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -99,7 +99,7 @@
     return state_.TakeLists(answer.lists, call.fence, sent, now);
   }
   const bool was_reachable = state_.worker().reachable;
-  state_.WorkerFailed(answer.answer, now);
+  state_.WorkerFailed(answer.answer);
   return was_reachable;
 }
 
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -37,7 +37,7 @@
   inherited_safe_at_ = std::min(inherited_safe_at_, now + options_.lease + options_.lease_margin);
 }
 
-Ticket PoolPlanner::Submit(const JobSpec& spec, Time /*now*/) {
+Ticket PoolPlanner::Submit(const JobSpec& spec) {
   Job* known = FindJob(spec.id);
   if (known != nullptr) return known->changed;
   Job& job = jobs_[spec.id];
@@ -57,7 +57,7 @@
   return true;
 }
 
-CancelResult PoolPlanner::Cancel(const std::string& id, int64_t wall_ms, Time /*now*/) {
+CancelResult PoolPlanner::Cancel(const std::string& id, int64_t wall_ms) {
   Job* job = FindJob(id);
   if (job == nullptr) return {false, 0};
   if (IsOver(job->progress.state)) return {true, job->changed};
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -77,11 +77,11 @@
   void PredecessorGone(Time now);
 
   // Takes a job in; idempotent by id. The job is accepted once the ticket is kept.
-  Ticket Submit(const JobSpec& spec, Time now);
+  Ticket Submit(const JobSpec& spec);
   bool Knows(const std::string& id) const { return jobs_.count(id) > 0; }
-  // Takes an accepted-to-be job back; false when its record may be on its way.
+  // Takes a submission back that is not accepted yet; false when its record may be on its way.
   bool WithdrawSubmission(const std::string& id);
-  CancelResult Cancel(const std::string& id, int64_t wall_ms, Time now);
+  CancelResult Cancel(const std::string& id, int64_t wall_ms);
 
   void TakeReport(const AgentReport& report, int64_t wall_ms, Time now);
   // Whether there is something that the agent has not been told.
@@ -148,10 +148,10 @@
 
   // Reports: pool_planner_reports.cc.
   void TakeFacts(const AgentReport& report, WorkerState* worker, Time now);
-  void TakeRunning(const AgentReport& report, WorkerState* worker, int64_t wall_ms, Time now);
+  void TakeRunning(const AgentReport& report, WorkerState* worker, Time now);
   void StopUnclearRuns(WorkerState* worker);
-  void Adopt(const RunningTask& running, WorkerState* worker, int64_t wall_ms, Time now);
-  void TakeResult(const StartResult& result, WorkerState* worker, int64_t wall_ms, Time now);
+  void Adopt(const RunningTask& running, WorkerState* worker, Time now);
+  void TakeResult(const StartResult& result, WorkerState* worker, Time now);
   void TakeEnd(const EndedTask& end, WorkerState* worker, int64_t wall_ms, Time now);
   void TakeDone(const EndedTask& end, Job* job, int64_t wall_ms);
   void TakeFailed(const EndedTask& end, Job* job, int64_t wall_ms);
@@ -183,7 +183,7 @@
   Placement PlaceUnit(const Unit& unit, PlaceWish* wish, Time now) const;
   int TasksOnWorker(const Job& job, const StepPlace& place, const std::string& node) const;
   bool MayStray(const Unit& unit, Time now) const;
-  bool TryReservation(const Unit& unit, int64_t wall_ms, Time now);
+  bool TryReservation(const Unit& unit, Time now);
   void TryUnit(const Unit& unit, Time now);
   // Keeps what is free for a gang that waits from those that come after it in this round.
   void HoldRoom(const Unit& unit, const PlaceWish& wish, Time now);
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -104,7 +104,7 @@
   BeginRound(now);
   const std::vector<Unit> units = CollectUnits(wall_ms, now);
   for (const Unit& unit : units) {
-    if (!TryReservation(unit, wall_ms, now)) TryUnit(unit, now);
+    if (!TryReservation(unit, now)) TryUnit(unit, now);
   }
   std::erase_if(reservations_, [now](const auto& row) { return now >= row.second.until; });
 }
@@ -267,7 +267,7 @@
   return waited > (unit.priority == 0 ? kUrgentStrayAfter : kStrayAfter);
 }
 
-bool PoolPlanner::TryReservation(const Unit& unit, int64_t /*wall_ms*/, Time now) {
+bool PoolPlanner::TryReservation(const Unit& unit, Time now) {
   const UnitKey key = {unit.job->spec.id, unit.place};
   const auto found = reservations_.find(key);
   if (found == reservations_.end()) return false;
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -50,8 +50,8 @@
               {"unheard", unheard_.size()},
               {"epoch", epoch_}});
   }
-  TakeRunning(report, &worker, wall_ms, now);
-  for (const StartResult& result : report.results) TakeResult(result, &worker, wall_ms, now);
+  TakeRunning(report, &worker, now);
+  for (const StartResult& result : report.results) TakeResult(result, &worker, now);
   for (const EndedTask& end : report.ended) TakeEnd(end, &worker, wall_ms, now);
   StopUnclearRuns(&worker);
   // A new process of the agent does not know what leases the one before has passed on.
@@ -95,12 +95,11 @@
   worker->facts = facts;
 }
 
-void PoolPlanner::TakeRunning(const AgentReport& report, WorkerState* worker, int64_t wall_ms,
-                              Time now) {
+void PoolPlanner::TakeRunning(const AgentReport& report, WorkerState* worker, Time now) {
   for (const RunningTask& running : report.running) {
     const auto known = worker->live.find(running.run);
     if (known == worker->live.end()) {
-      Adopt(running, worker, wall_ms, now);
+      Adopt(running, worker, now);
       continue;
     }
     known->second.checkpoint = running.checkpoint;
@@ -125,8 +124,7 @@
   }
 }
 
-void PoolPlanner::Adopt(const RunningTask& running, WorkerState* worker, int64_t /*wall_ms*/,
-                        Time now) {
+void PoolPlanner::Adopt(const RunningTask& running, WorkerState* worker, Time now) {
   const TaskId& task = running.run.task;
   LiveRun live;
   live.run = running.run;
@@ -156,8 +154,7 @@
             {"epoch", epoch_}});
 }
 
-void PoolPlanner::TakeResult(const StartResult& result, WorkerState* worker, int64_t /*wall_ms*/,
-                             Time now) {
+void PoolPlanner::TakeResult(const StartResult& result, WorkerState* worker, Time now) {
   const auto live = worker->live.find(result.run);
   if (live == worker->live.end()) return;
   Job* job = FindJob(result.run.task.job);
@@ -202,7 +199,7 @@
     const bool replaced = current != job->runs.end() && current->second.number != end.run.number;
     ForgetRun(end.run, job);
     if (end.kind == EndKind::kDone) {
-      judge_.RunDone(worker->node, task.job, now);
+      judge_.RunDone(worker->node);
       // A run that was given up when its lease ran out; another has been started since.
       if (!replaced) TakeDone(end, job, wall_ms);
     } else if (end.kind == EndKind::kFailed) {
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -205,7 +205,7 @@
     planner.Confirm(now);
     planner.SetOperatorState(std::make_shared<OperatorState>(BedOperators(0)), now);
     planner.TakeReport(Report("first", 1), 0, now);
-    planner.Submit(BedJob("j", "batch", "one", BedStep(1, 1, seconds(2))), now);
+    planner.Submit(BedJob("j", "batch", "one", BedStep(1, 1, seconds(2))));
     planner.outbox().Take();
     planner.outbox().Kept();
     planner.Plan(0, now);
--- a/servers/pool/worker_judge.cc
+++ b/servers/pool/worker_judge.cc
@@ -52,7 +52,7 @@
   Judge(worker, now);
 }
 
-void WorkerJudge::RunDone(const std::string& worker, const std::string& /*job*/, Time /*now*/) {
+void WorkerJudge::RunDone(const std::string& worker) {
   const auto found = sheets_.find(worker);
   if (found == sheets_.end()) return;
   found->second.failures.clear();
--- a/servers/pool/worker_judge.h
+++ b/servers/pool/worker_judge.h
@@ -14,7 +14,7 @@
 class WorkerJudge {
  public:
   void RunFailed(const std::string& worker, const std::string& job, Time now);
-  void RunDone(const std::string& worker, const std::string& job, Time now);
+  void RunDone(const std::string& worker);
   // The worker turned an order away or did not answer it.
   void OrderNotTaken(const std::string& worker, Time now);
   // A new life of a worker starts with a clean sheet.
--- a/tests/stand_ins/pool_bed.cc
+++ b/tests/stand_ins/pool_bed.cc
@@ -67,10 +67,10 @@
   JobSpec accepted = spec;
   accepted.accepted_ms = wall_ms();
   specs_[spec.id] = accepted;
-  planner_->Submit(accepted, now_);
+  planner_->Submit(accepted);
 }
 
-bool PoolBed::Cancel(const std::string& id) { return planner_->Cancel(id, wall_ms(), now_).known; }
+bool PoolBed::Cancel(const std::string& id) { return planner_->Cancel(id, wall_ms()).known; }
 
 void PoolBed::RunFor(Duration time) {
   const Time end = now_ + time;
