--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -183,6 +183,9 @@
   Placement PlaceUnit(const Unit& unit, PlaceWish* wish, Time now) const;
   int TasksOnWorker(const Job& job, const StepPlace& place, const std::string& node) const;
   bool MayStray(const Unit& unit, Time now) const;
+  // One more failed run fails the job, and it has not waited long yet: it should not be risked on a
+  // worker that has failed something lately.
+  bool GuardsLastTry(const Unit& unit, Time now) const;
   bool TryReservation(const Unit& unit, Time now);
   void TryUnit(const Unit& unit, Time now);
   // Keeps what is free for a gang that waits from those that come after it in this round.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -23,6 +23,10 @@
 // A gang that is not urgent lets smaller work pass for this long before it keeps free room for
 // itself; else it would wait for as long as small work keeps coming.
 constexpr Duration kHoldAfter = std::chrono::milliseconds(1000);
+// When several workers are sick at once, a sound job meets three of them in a row and is failed.
+// Its last try waits this long for a worker that has not failed anything lately; less than the 3 s
+// after which a job that stands still beside free workers counts as forgotten.
+constexpr Duration kGuardLastTry = std::chrono::milliseconds(2200);
 // Room that is being freed is held for the one it is freed for; a stop takes 0.4 s and two calls.
 constexpr Duration kReservationLimit = std::chrono::milliseconds(1500);
 // A job that takes this many times as long as it should is of no more use to its caller. Under a
@@ -232,12 +236,14 @@
 std::vector<WorkerRoom> PoolPlanner::RoomsFor(const Unit& unit, bool empty, Time now) const {
   const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
   const std::string& service = Terms(*unit.job).service;
+  const bool only_sound = !empty && GuardsLastTry(unit, now);
   std::vector<WorkerRoom> rooms;
   for (const auto& [node, worker] : workers_) {
     if (!worker.usable(now) || worker.facts.service != service) continue;
     if (operators_->zones_out.count(worker.zone) > 0) continue;
     if (!step.label.empty() && !Contains(worker.facts.labels, step.label)) continue;
     if (!empty && judge_.SetAside(node, now)) continue;
+    if (only_sound && judge_.Doubtful(node, now)) continue;
     WorkerRoom room;
     room.node = node;
     room.rack = worker.facts.rack;
@@ -261,6 +267,16 @@
   return rooms;
 }
 
+bool PoolPlanner::GuardsLastTry(const Unit& unit, Time now) const {
+  if (now - *unit.job->steps.at(unit.place).ready_since > kGuardLastTry) return false;
+  const int last = Terms(*unit.job).max_attempts - 1;
+  return std::any_of(unit.waiting.begin(), unit.waiting.end(), [&](int index) {
+    const auto failed =
+        unit.job->progress.failures.find({unit.place.occurrence, unit.place.step, index});
+    return failed != unit.job->progress.failures.end() && failed->second.count >= last;
+  });
+}
+
 bool PoolPlanner::MayStray(const Unit& unit, Time now) const {
   const StepState& state = unit.job->steps.at(unit.place);
   const Duration waited = now - *state.ready_since;
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -384,6 +384,25 @@
   for (const BedRun& run : bed.RunsOf("less")) EXPECT_GT(run.begun, last_begun);
 }
 
+// Two of three workers are sick and fail all that they are given, and the third is full for a
+// moment. A job that both have failed has one try left; spent on a sick worker as well, it would be
+// failed although nothing is wrong with it.
+TEST(PoolPlanner, KeepsTheLastTryForASoundWorker) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.fails = [](const RunId& run, const std::string& node) {
+    return run.task.job == "sound" && node != "w0-2";
+  };
+  bed.true_time = [](const TaskId& task) {
+    if (task.job == "sound") return milliseconds(300);
+    return task.index == 2 ? milliseconds(3000) : milliseconds(1500);
+  };
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("fills", "batch", "two", BedStep(3, 8, milliseconds(1500))));
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("sound", "batch", "one", BedStep(1, 1, milliseconds(300))));
+  EXPECT_TRUE(bed.RunUntil("sound", JobState::kCompleted, seconds(15)));
+}
+
 // A worker fails everything it is given and so looks idle. Jobs that keep coming must not all be
 // fed to it until they have no tries left.
 TEST(PoolPlanner, SetsAWorkerAsideThatFailsEverything) {
