Pool: Ask a silent store again sooner, withhold refusals that may be false, judge workers by speed

Workers that were slow or stuck went on getting work.

Change: polls ask without waiting while the store is lost, no pause after an append that timed out; an entry that could not say what became of a submission never calls it refused; workers whose runs crawl are left out.

--- a/servers/pool/job_front.cc
+++ b/servers/pool/job_front.cc
@@ -46,6 +46,19 @@
 }
 
 JobAnswer JobFront::Handle(const JobCall& call, Time now) {
+  JobAnswer answer = HandleCall(call, now);
+  if (call.kind != JobCall::Kind::kSubmit) return answer;
+  const std::string name = call.host + call.path;
+  if (answer.kind == JobAnswerKind::kUnknown) unresolved_.Note(name, LeaseClock().Now());
+  if (answer.kind == JobAnswerKind::kNotAccepted && unresolved_.Contains(name, now)) {
+    LogEvent(LogLevel::kWarning, "refusal_withheld",
+             {{"path", call.path}, {"reason", answer.message}});
+    answer.kind = JobAnswerKind::kUnknown;
+  }
+  return answer;
+}
+
+JobAnswer JobFront::HandleCall(const JobCall& call, Time now) {
   const std::shared_ptr<const OperatorState> state = operators_->state();
   if (state->config.version == 0) return NotAccepted("no configuration has been read yet");
   const Queue* queue = state->config.Route(call.host, call.path);
--- a/servers/pool/job_front.h
+++ b/servers/pool/job_front.h
@@ -16,6 +16,7 @@
 #include "core/plugin_registry.h"
 #include "servers/pool/planner_gate.h"
 #include "servers/pool/pool_view.h"
+#include "servers/pool/unresolved_calls.h"
 
 namespace turmericshift::pool {
 
@@ -86,6 +87,7 @@
   bool Ready(Time now) const;
 
  private:
+  JobAnswer HandleCall(const JobCall& call, Time now);
   JobAnswer HandleRouted(const JobCall& call, const Queue& queue, const std::string& workspace,
                          Time now);
   JobAnswer Submit(const JobCall& call, const Queue& queue, const std::string& id,
@@ -109,6 +111,7 @@
   Counter& refused_;
   Counter& unknown_;
   Distribution& submit_seconds_;
+  UnresolvedCalls unresolved_;
   std::mutex mutex_;
   std::shared_ptr<PlannerPort> port_;
   int64_t port_epoch_ = 0;
--- /dev/null
+++ b/servers/pool/job_front_test.cc
@@ -0,0 +1,98 @@
+#include "servers/pool/job_front.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "core/error.h"
+#include "modules/stand_ins/memory_keyed_log.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Operators that lay down one open queue, whatever the record says.
+class OneQueue : public OperatorDecoder {
+ public:
+  std::string topic() const override { return "keyed.operators"; }
+  void Apply(const KeyedRecord& /*record*/, OperatorState* state) const override {
+    Queue queue;
+    queue.name = "q";
+    queue.host = "plans.example";
+    queue.path_prefix = "/jobs/";
+    queue.open = true;
+    state->config.version = 1;
+    state->config.queues = {queue};
+  }
+};
+
+// A planner whose store is silent: it takes jobs in and never answers.
+class SilentGate : public PlannerGate {
+ public:
+  void Exchange(const AgentReport& /*report*/,
+                std::function<void(Attempt<AgentOrders>)> /*done*/) override {}
+  void Submit(const JobSpec& /*spec*/, std::function<void(Attempt<Done>)> /*done*/) override {}
+  void Cancel(const std::string& /*id*/, std::function<void(Attempt<Done>)> /*done*/) override {}
+};
+
+class NoConnector : public PlannerConnector {
+ public:
+  std::shared_ptr<PlannerPort> Connect(const std::string& /*address*/,
+                                       Duration /*limit*/) override {
+    throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "nobody there");
+  }
+};
+
+struct Front {
+  Front() {
+    log.Append("keyed.operators", {{"document", "1"}}, {}, std::chrono::seconds(1));
+    log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "e1", "here"})}}, {},
+               std::chrono::seconds(1));
+    JobFrontOptions options;
+    options.node = "e1";
+    front = std::make_unique<JobFront>(options, &work, &operators, &gate, &connector, &metrics);
+    while (operators.state()->config.version == 0 || work.duty().planner.epoch == 0) {
+      std::this_thread::yield();
+    }
+  }
+
+  JobAnswerKind Submit(const std::string& id, Duration patience) {
+    JobCall call;
+    call.kind = JobCall::Kind::kSubmit;
+    call.host = "plans.example";
+    call.path = "/jobs/" + id;
+    call.patience = patience;
+    call.read_body = [](JobSpec* spec) { spec->steps.emplace_back(); };
+    return front->Handle(call, LeaseClock().Now()).kind;
+  }
+
+  MemoryKeyedLog log;
+  WorkView work{&log};
+  OperatorView operators{&log, std::make_unique<OneQueue>()};
+  SilentGate gate;
+  NoConnector connector;
+  MetricsRegistry metrics;
+  std::unique_ptr<JobFront> front;
+};
+
+// The store goes silent as a job is on its way into it, and the caller is told that nobody knows. It
+// comes again with little patience left, too little to ask anyone. Were it told that its job never
+// runs, it would order anew, and be charged twice once the store is back.
+TEST(JobFront, DoesNotRefuseAJobThatItMayHaveTakenInBefore) {
+  Front front;
+  EXPECT_EQ(front.Submit("j", milliseconds(500)), JobAnswerKind::kUnknown);
+  EXPECT_EQ(front.Submit("j", milliseconds(100)), JobAnswerKind::kUnknown);
+  EXPECT_EQ(front.Submit("other", milliseconds(100)), JobAnswerKind::kNotAccepted);
+}
+
+TEST(UnresolvedCalls, ForgetsAfterAWhile) {
+  UnresolvedCalls calls;
+  const Time now = Time(std::chrono::hours(1));
+  calls.Note("a", now);
+  EXPECT_TRUE(calls.Contains("a", now + std::chrono::seconds(59)));
+  EXPECT_FALSE(calls.Contains("a", now + std::chrono::seconds(61)));
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -297,9 +297,12 @@
       writing_since_ = now;
     }
     Duration pause = kRetryPause;
+    Time tried = LeaseClock().Now();
     while (!WriteOnce(records, epoch, sequence)) {
-      std::this_thread::sleep_for(pause);
+      // A call that was waited for in vain has been a pause already.
+      if (LeaseClock().Now() - tried < options_.append_timeout) std::this_thread::sleep_for(pause);
       pause = std::min(2 * pause, kLongestRetryPause);
+      tried = LeaseClock().Now();
       const std::lock_guard<std::mutex> lock(mutex_);
       if (stopping_ || !planner_ || planner_->epoch() != epoch) break;
     }
--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -158,5 +158,22 @@
   EXPECT_NE(bed.StateOf("guessed-right"), JobState::kCompleted);
 }
 
+// A worker stands still for ten seconds with its health good. Its runs end no sooner for it, but
+// jobs that come meanwhile must not be put beside them to stand still as well.
+TEST(PoolLoad, PutsNothingOnAWorkerWhoseRunsStandStill) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("stuck", "batch", "one", BedStep(1, 1, seconds(8))));
+  bed.RunFor(seconds(2));
+  const std::string sick = bed.RunsOf("stuck").at(0).node;
+  bed.SetStuck(sick, true);
+  bed.RunFor(seconds(4));
+  bed.Submit(BedJob("later", "batch", "one", BedStep(2, 1, seconds(1))));
+  bed.RunFor(seconds(2));
+  EXPECT_EQ(bed.StateOf("later"), JobState::kCompleted);
+  bed.SetStuck(sick, false);
+  EXPECT_TRUE(bed.RunUntil("stuck", JobState::kCompleted, seconds(8)));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -1,6 +1,8 @@
 // What agents report: which workers there are, what runs, what became of starts, how runs ended.
 #include <algorithm>
 
+#include <string_view>
+
 #include "core/logging.h"
 #include "servers/pool/pool_planner.h"
 
@@ -14,6 +16,9 @@
 
 // After a start was turned away: the cause is mostly over within this.
 constexpr Duration kPauseAfterRefusal = std::chrono::milliseconds(150);
+// Runs of one job may crawl for its own sake; those of two are the worker's fault. Standing still is
+// no matter of estimates.
+constexpr size_t kJobsToJudgeSpeed = 2;
 
 }  // namespace
 
@@ -54,6 +59,7 @@
   for (const StartResult& result : report.results) TakeResult(result, &worker, now);
   for (const EndedTask& end : report.ended) TakeEnd(end, &worker, wall_ms, now);
   StopUnclearRuns(&worker);
+  JudgeSpeed(worker, now);
   // A new process of the agent does not know what leases the one before has passed on.
   const bool leases_known = now > worker.incarnation_since + options_.lease + options_.lease_margin;
   if (!worker.facts.reachable && leases_known && report.lease_left <= Duration::zero()) {
@@ -112,6 +118,27 @@
   }
 }
 
+// A worker that is slow or stuck shows nothing but that its runs crawl; it keeps its room and more
+// would be put there, to crawl as well. One run may be a wrong estimate, so that the best of all
+// jobs counts, and of two at least.
+void PoolPlanner::JudgeSpeed(const WorkerState& worker, Time now) {
+  if (!worker.facts.reachable) return;
+  std::map<std::string_view, double> speeds;
+  for (const auto& [id, run] : worker.live) {
+    if (run.phase != RunPhase::kRunning) continue;
+    const std::optional<double> speed = run.progress.Speed(run.estimate, now);
+    if (!speed) continue;
+    double& best = speeds.try_emplace(id.task.job, *speed).first->second;
+    best = std::max(best, *speed);
+  }
+  const bool still = std::all_of(speeds.begin(), speeds.end(),
+                                 [](const auto& row) { return row.second <= 0; });
+  if (speeds.size() < kJobsToJudgeSpeed && !(still && !speeds.empty())) return;
+  double best = 0;
+  for (const auto& [job, speed] : speeds) best = std::max(best, speed);
+  judge_.RunsAt(worker.node, best, now);
+}
+
 // What the worker lists neither as running nor as ended may still begin: the call that the agent's
 // process before sent can be carried out seconds later. A stop makes the worker refuse it then.
 void PoolPlanner::StopUnclearRuns(WorkerState* worker) {
--- a/servers/pool/run_progress.cc
+++ b/servers/pool/run_progress.cc
@@ -8,6 +8,11 @@
 // With less progress than this between two words, rounding to whole percents and the pause between
 // two looks at a worker (1 s) weigh more than the run's speed.
 constexpr int kLeastStep = 4;
+constexpr int kAllDone = 100;
+// A worker is looked at once a second and tells whole percents, so that a run of some ten seconds
+// says something new with every look; one of minutes takes a few seconds for each percent.
+constexpr Duration kStandstill = std::chrono::milliseconds(2500);
+constexpr int kStandstillShare = 20;
 // A run that is past its end by all that is known of it: it takes a little longer, and always some
 // share of what it has taken already, so that one that stands still is not waited for.
 constexpr Duration kLeastLeft = std::chrono::milliseconds(100);
@@ -19,14 +24,23 @@
   if (heard_ && percent <= heard_->percent) return;
   if (heard_ && !first_) first_ = Mark{percent, now};
   heard_ = Mark{percent, now};
+  before_newest_ = newest_;
   newest_ = *heard_;
 }
 
+std::optional<double> RunProgress::Speed(Duration expected, Time now) const {
+  if (!first_ || newest_.percent >= kAllDone) return std::nullopt;
+  if (now - newest_.at > std::max(kStandstill, expected / kStandstillShare)) return 0;
+  if (newest_.at == first_->at) return std::nullopt;
+  const double share = static_cast<double>(newest_.percent - before_newest_.percent) / kAllDone;
+  return share * Seconds(expected) / Seconds(newest_.at - before_newest_.at);
+}
+
 Duration RunProgress::Left(Duration estimate, Time since, Time now) const {
   Duration whole_left = estimate - (now - since);
   if (first_ && newest_.percent - first_->percent >= kLeastStep) {
     const Duration each = (newest_.at - first_->at) / (newest_.percent - first_->percent);
-    whole_left = each * (100 - newest_.percent) - (now - newest_.at);
+    whole_left = each * (kAllDone - newest_.percent) - (now - newest_.at);
   }
   if (whole_left >= kLeastLeft) return whole_left;
   return std::max(kLeastLeft, (now - since) / kOverdueShare);
--- a/servers/pool/run_progress_test.cc
+++ b/servers/pool/run_progress_test.cc
@@ -42,5 +42,19 @@
   EXPECT_EQ(progress.Left(seconds(10), kStart, kStart + seconds(40)), seconds(10));
 }
 
+// A worker takes five times as long as it should, and another stands still. Both look busy and whole
+// from outside; whatever is put there comes late.
+TEST(RunProgress, TellsHowFastARunGoes) {
+  RunProgress progress;
+  EXPECT_FALSE(progress.Speed(seconds(10), kStart));
+  progress.Note(0, kStart);
+  progress.Note(10, kStart + seconds(1));
+  progress.Note(20, kStart + seconds(2));
+  EXPECT_NEAR(*progress.Speed(seconds(10), kStart + seconds(2)), 1.0, 0.01);
+  progress.Note(22, kStart + seconds(3));
+  EXPECT_NEAR(*progress.Speed(seconds(10), kStart + seconds(3)), 0.2, 0.01);
+  EXPECT_EQ(*progress.Speed(seconds(10), kStart + seconds(6)), 0.0);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/topic_follower.cc
+++ b/servers/pool/topic_follower.cc
@@ -62,14 +62,16 @@
 
 Offset TopicFollower::ReadOn(Offset from) {
   const Time asked = LeaseClock().Now();
-  const KeyedBatch batch =
-      log_->Read(options_.topic, from, options_.wait, options_.wait + options_.patience);
+  // A store that may be away is asked for an answer at once: a call that hangs then ends sooner, and
+  // the next one finds the store back sooner.
+  const Duration wait = lost_since_ ? Duration::zero() : options_.wait;
+  const KeyedBatch batch = log_->Read(options_.topic, from, wait, wait + options_.patience);
   for (const KeyedRecord& record : batch.records) on_record_(record);
   const Offset next = from + static_cast<Offset>(batch.records.size());
   if (next < batch.end) return next;
   // An answer without records was made when the wait was over, not when it was asked for. Clocks
   // differ, so that the store's wait may end a little early.
-  const Duration sure_wait = options_.wait * 9 / 10;
+  const Duration sure_wait = wait * 9 / 10;
   const bool waited = batch.records.empty() && LeaseClock().Now() - asked >= sure_wait;
   on_caught_up_(next, waited ? asked + sure_wait : asked);
   return next;
--- a/servers/pool/worker_judge.cc
+++ b/servers/pool/worker_judge.cc
@@ -16,6 +16,11 @@
 constexpr int kMostDoublings = 2;
 // An order that is not taken is tried elsewhere for this long.
 constexpr Duration kNotTakenAside = std::chrono::milliseconds(700);
+// Below this share of the expected speed a worker is taken for slow or stuck: estimates are off by a
+// fifth, kinds of workers differ by a third, and troubled ones take four times as long or more.
+constexpr double kSluggish = 0.4;
+// Renewed with every report as long as what runs there crawls.
+constexpr Duration kSluggishAside = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -64,6 +69,12 @@
   sheet.aside_until = std::max(sheet.aside_until, now + kNotTakenAside);
 }
 
+void WorkerJudge::RunsAt(const std::string& worker, double speed, Time now) {
+  if (speed >= kSluggish) return;
+  Sheet& sheet = sheets_[worker];
+  sheet.aside_until = std::max(sheet.aside_until, now + kSluggishAside);
+}
+
 void WorkerJudge::Forget(const std::string& worker) { sheets_.erase(worker); }
 
 bool WorkerJudge::SetAside(const std::string& worker, Time now) const {
--- a/tests/stand_ins/pool_bed.cc
+++ b/tests/stand_ins/pool_bed.cc
@@ -35,6 +35,7 @@
   WorkerMillis lease_until = 0;
   int64_t ends = 0;
   bool draining = false;
+  bool stuck = false;
   std::map<RunId, Live> live;
   std::map<int64_t, EndedTask> ended;
   std::map<TaskId, int64_t> newest_over;
@@ -136,6 +137,8 @@
 
 void PoolBed::Drain(const std::string& node) { worker(node).draining = true; }
 
+void PoolBed::SetStuck(const std::string& node, bool stuck) { worker(node).stuck = stuck; }
+
 void PoolBed::SetOperators(const OperatorState& operators) { operators_ = operators; }
 
 const StepSpec* PoolBed::StepOf(const TaskId& task) const {
@@ -193,7 +196,7 @@
     } else if (step.gang && !GangComplete(run)) {
       if (now_ - live.alone_since > kGangWait) over.push_back({run, EndKind::kAlone});
     } else {
-      live.worked += kTick;
+      if (!worker->stuck) live.worked += kTick;
       live.alone_since = now_;
       if (live.worked < TimeOf(run.task)) continue;
       const bool failed = fails && fails(run, worker->spec.node);
--- a/tests/stand_ins/pool_bed.h
+++ b/tests/stand_ins/pool_bed.h
@@ -64,6 +64,8 @@
   // The agent's process is replaced; the worker runs on.
   void RestartAgent(const std::string& node);
   void Drain(const std::string& node);
+  // What runs at the worker makes no progress.
+  void SetStuck(const std::string& node, bool stuck);
   // Appends are not answered.
   void SetStoreDown(bool down) { store_down_ = down; }
   void SetOperators(const OperatorState& operators);
