Pool: Send unanswered orders again, and end the endless talk about workers that are gone

Change: an order is sent up to three times within the time that one was waited for; only the first try's refusal counts as proof. Lists of workers whose leases are over are not taken in.

--- a/servers/pool/job_front_test.cc
+++ b/servers/pool/job_front_test.cc
@@ -76,9 +76,9 @@
   std::unique_ptr<JobFront> front;
 };
 
-// The store goes silent as a job is on its way into it, and the caller is told that nobody knows. It
-// comes again with little patience left, too little to ask anyone. Were it told that its job never
-// runs, it would order anew, and be charged twice once the store is back.
+// The store goes silent as a job is on its way into it, and the caller is told that nobody knows.
+// It comes again with little patience left, too little to ask anyone. Were it told that its job
+// never runs, it would order anew, and be charged twice once the store is back.
 TEST(JobFront, DoesNotRefuseAJobThatItMayHaveTakenInBefore) {
   Front front;
   EXPECT_EQ(front.Submit("j", milliseconds(500)), JobAnswerKind::kUnknown);
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -27,6 +27,7 @@
     : options_(options),
       log_(log),
       worker_(worker),
+      sender_(worker, options.order_timeout),
       connector_(connector),
       starts_(metrics->counter("agent_starts")),
       start_failures_(metrics->counter("agent_start_failures")),
@@ -247,7 +248,7 @@
     return WakeNews();
   }
   const Time begun = LeaseClock().Now();
-  const OrderAnswer answer = worker_->Start(*call, options_.order_timeout);
+  const OrderAnswer answer = sender_.Start(*call);
   start_seconds_.Record(Seconds(LeaseClock().Now() - begun));
   (answer == OrderAnswer::kTaken ? starts_ : start_failures_).Add();
   LogEvent(answer == OrderAnswer::kTaken ? LogLevel::kInfo : LogLevel::kWarning, "start_answered",
@@ -277,7 +278,7 @@
     worker_id = state_.worker().id;
     fence = state_.epoch();
   }
-  const OrderAnswer answer = worker_->Stop(worker_id, run, fence, options_.order_timeout);
+  const OrderAnswer answer = sender_.Stop(worker_id, run, fence);
   LogEvent(LogLevel::kInfo, "stop_answered",
            {{"job", run.task.job},
             {"task", TaskName(run.task)},
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -15,6 +15,7 @@
 #include "core/thread.h"
 #include "core/thread_pool.h"
 #include "servers/pool/agent_state.h"
+#include "servers/pool/order_sender.h"
 #include "servers/pool/planner_gate.h"
 #include "servers/pool/pool_view.h"
 
@@ -32,8 +33,9 @@
   Duration hold_wait = std::chrono::milliseconds(1000);
   // How long a look at the list of members waits for a change.
   Duration members_wait = std::chrono::seconds(4);
-  // One order to the worker, which stands beside the agent, takes milliseconds.
-  Duration order_timeout = std::chrono::milliseconds(800);
+  // One try of an order to the worker, which stands beside the agent and answers in milliseconds.
+  // Three of them stay within the time that a gang is given to begin (1.3 s).
+  Duration order_timeout = std::chrono::milliseconds(270);
 };
 
 class PoolAgent : public WorkerSink {
@@ -66,6 +68,7 @@
   const PoolAgentOptions options_;
   KeyedLog* const log_;
   PoolWorker* const worker_;
+  const OrderSender sender_;
   PlannerConnector* const connector_;
   Counter& starts_;
   Counter& start_failures_;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -170,7 +170,7 @@
   void TakeFacts(const AgentReport& report, WorkerState* worker, Time now);
   void TakeRunning(const AgentReport& report, WorkerState* worker, Time now);
   void StopUnclearRuns(WorkerState* worker);
-  void JudgeSpeed(const WorkerState& worker, Time now);
+  void JudgeStandstill(const WorkerState& worker, Time now);
   void Adopt(const RunningTask& running, WorkerState* worker, Time now);
   void TakeResult(const StartResult& result, WorkerState* worker, Time now);
   void TakeEnd(const EndedTask& end, WorkerState* worker, int64_t wall_ms, Time now);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -1,8 +1,6 @@
 // What agents report: which workers there are, what runs, what became of starts, how runs ended.
 #include <algorithm>
 
-#include <string_view>
-
 #include "core/logging.h"
 #include "servers/pool/pool_planner.h"
 
@@ -16,9 +14,6 @@
 
 // After a start was turned away: the cause is mostly over within this.
 constexpr Duration kPauseAfterRefusal = std::chrono::milliseconds(150);
-// Runs of one job may crawl for its own sake; those of two are the worker's fault. Standing still is
-// no matter of estimates.
-constexpr size_t kJobsToJudgeSpeed = 2;
 
 }  // namespace
 
@@ -55,16 +50,18 @@
               {"unheard", unheard_.size()},
               {"epoch", epoch_}});
   }
-  TakeRunning(report, &worker, now);
+  // A new process of the agent does not know what leases the one before has passed on.
+  const bool leases_known = now > worker.incarnation_since + options_.lease + options_.lease_margin;
+  const bool over =
+      !worker.facts.reachable && leases_known && report.lease_left <= Duration::zero();
+  // The list of a worker that is gone is an old one. Taken for news, each report would have its
+  // runs stopped anew, be answered at once and follow the next one within milliseconds.
+  if (!over) TakeRunning(report, &worker, now);
   for (const StartResult& result : report.results) TakeResult(result, &worker, now);
   for (const EndedTask& end : report.ended) TakeEnd(end, &worker, wall_ms, now);
   StopUnclearRuns(&worker);
-  JudgeSpeed(worker, now);
-  // A new process of the agent does not know what leases the one before has passed on.
-  const bool leases_known = now > worker.incarnation_since + options_.lease + options_.lease_margin;
-  if (!worker.facts.reachable && leases_known && report.lease_left <= Duration::zero()) {
-    LoseRuns(&worker, "the worker is away and its lease has run out", now);
-  }
+  JudgeStandstill(worker, now);
+  if (over) LoseRuns(&worker, "the worker is away and its lease has run out", now);
 }
 
 void PoolPlanner::TakeFacts(const AgentReport& report, WorkerState* worker, Time now) {
@@ -118,25 +115,17 @@
   }
 }
 
-// A worker that is slow or stuck shows nothing but that its runs crawl; it keeps its room and more
-// would be put there, to crawl as well. One run may be a wrong estimate, so that the best of all
-// jobs counts, and of two at least.
-void PoolPlanner::JudgeSpeed(const WorkerState& worker, Time now) {
+// A worker that is stuck shows nothing but that its runs get no further; it seems to have room, and
+// more would be put there to stand still as well.
+void PoolPlanner::JudgeStandstill(const WorkerState& worker, Time now) {
   if (!worker.facts.reachable) return;
-  std::map<std::string_view, double> speeds;
+  int running = 0;
   for (const auto& [id, run] : worker.live) {
     if (run.phase != RunPhase::kRunning) continue;
-    const std::optional<double> speed = run.progress.Speed(run.estimate, now);
-    if (!speed) continue;
-    double& best = speeds.try_emplace(id.task.job, *speed).first->second;
-    best = std::max(best, *speed);
+    ++running;
+    if (!run.progress.StandsStill(run.estimate, now)) return;
   }
-  const bool still = std::all_of(speeds.begin(), speeds.end(),
-                                 [](const auto& row) { return row.second <= 0; });
-  if (speeds.size() < kJobsToJudgeSpeed && !(still && !speeds.empty())) return;
-  double best = 0;
-  for (const auto& [job, speed] : speeds) best = std::max(best, speed);
-  judge_.RunsAt(worker.node, best, now);
+  if (running > 0) judge_.StandsStill(worker.node, now);
 }
 
 // What the worker lists neither as running nor as ended may still begin: the call that the agent's
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -263,6 +263,28 @@
   EXPECT_FALSE(one.has_run());
 }
 
+// A worker is gone with all that it ran, and its agent goes on reporting the last list it has seen.
+// Were that taken for news each time, planner and agent would talk to each other without a pause,
+// thousands of times a second, and the log would fill.
+TEST(PoolPlanner, HasNothingMoreToSayOfAWorkerThatIsGone) {
+  OneWorker one;
+  AgentReport started = Report("first", 2);
+  started.running = {{one.run(), ""}};
+  one.planner.TakeReport(started, 0, one.now);
+  AgentReport gone = started;
+  gone.worker.reachable = false;
+  const Time later = one.now + seconds(10);
+  for (int sequence = 3; sequence < 6; ++sequence) {
+    gone.sequence = sequence;
+    one.planner.TakeReport(gone, 0, later);
+    gone.orders_seen = one.planner.Orders("n", later).version;
+  }
+  EXPECT_FALSE(one.has_run());
+  gone.sequence = 6;
+  one.planner.TakeReport(gone, 0, later);
+  EXPECT_FALSE(one.planner.HasNews("n"));
+}
+
 TEST(PoolPlanner, FailsAJobWhoseTaskHasFailedAsOftenAsItsQueueAllows) {
   PoolBed bed(BedRacks(1), BedOperators(0));
   bed.fails = [](const RunId& /*run*/, const std::string& /*node*/) { return true; };
--- a/servers/pool/run_progress.cc
+++ b/servers/pool/run_progress.cc
@@ -24,16 +24,12 @@
   if (heard_ && percent <= heard_->percent) return;
   if (heard_ && !first_) first_ = Mark{percent, now};
   heard_ = Mark{percent, now};
-  before_newest_ = newest_;
   newest_ = *heard_;
 }
 
-std::optional<double> RunProgress::Speed(Duration expected, Time now) const {
-  if (!first_ || newest_.percent >= kAllDone) return std::nullopt;
-  if (now - newest_.at > std::max(kStandstill, expected / kStandstillShare)) return 0;
-  if (newest_.at == first_->at) return std::nullopt;
-  const double share = static_cast<double>(newest_.percent - before_newest_.percent) / kAllDone;
-  return share * Seconds(expected) / Seconds(newest_.at - before_newest_.at);
+bool RunProgress::StandsStill(Duration expected, Time now) const {
+  if (!first_ || newest_.percent >= kAllDone) return false;
+  return now - newest_.at > std::max(kStandstill, expected / kStandstillShare);
 }
 
 Duration RunProgress::Left(Duration estimate, Time since, Time now) const {
--- a/servers/pool/run_progress.h
+++ b/servers/pool/run_progress.h
@@ -14,9 +14,9 @@
   // The worker said that `percent` (0 to 100) of the work is done. Repeats of a word say nothing.
   void Note(int percent, Time now);
 
-  // How fast the run goes, as of the newest word: 1 if it takes `expected` in all, less if it takes
-  // longer, 0 if it has stood still for seconds. Empty while that can't be told.
-  std::optional<double> Speed(Duration expected, Time now) const;
+  // Whether the run, which should take `expected` in all, has begun and got no further for longer
+  // than the pauses between two words of it.
+  bool StandsStill(Duration expected, Time now) const;
 
   // How long the run will still take. `estimate`: the whole of it, while nothing better is known;
   // `since`: when it was ordered.
@@ -31,7 +31,6 @@
   // The first word of a run is often of a moment before it began, so the second one counts.
   std::optional<Mark> heard_;
   std::optional<Mark> first_;
-  Mark before_newest_;
   Mark newest_;
 };
 
--- a/servers/pool/topic_follower.cc
+++ b/servers/pool/topic_follower.cc
@@ -62,8 +62,8 @@
 
 Offset TopicFollower::ReadOn(Offset from) {
   const Time asked = LeaseClock().Now();
-  // A store that may be away is asked for an answer at once: a call that hangs then ends sooner, and
-  // the next one finds the store back sooner.
+  // A store that may be away is asked for an answer at once: a call that hangs then ends sooner,
+  // and the next one finds the store back sooner.
   const Duration wait = lost_since_ ? Duration::zero() : options_.wait;
   const KeyedBatch batch = log_->Read(options_.topic, from, wait, wait + options_.patience);
   for (const KeyedRecord& record : batch.records) on_record_(record);
--- a/servers/pool/unresolved_calls.cc
+++ b/servers/pool/unresolved_calls.cc
@@ -5,8 +5,8 @@
 namespace turmericshift::pool {
 namespace {
 
-// Callers come again within their deadline of some seconds, and a record that is to be kept is within
-// the store's longest outage.
+// Callers come again within their deadline of some seconds, and a record that is to be kept is
+// within the store's longest outage.
 constexpr Duration kRemember = std::chrono::seconds(60);
 // Bounds what an outage under load can take up; the oldest go first.
 constexpr size_t kMost = 4096;
--- a/servers/pool/worker_judge.h
+++ b/servers/pool/worker_judge.h
@@ -17,8 +17,8 @@
   void RunDone(const std::string& worker);
   // The worker turned an order away or did not answer it.
   void OrderNotTaken(const std::string& worker, Time now);
-  // What runs at the worker goes at `speed` of what is expected, at best.
-  void RunsAt(const std::string& worker, double speed, Time now);
+  // Nothing that runs at the worker gets any further.
+  void StandsStill(const std::string& worker, Time now);
   // A new life of a worker starts with a clean sheet.
   void Forget(const std::string& worker);
 
