Pool: Give a late job its last call before it is of no use

Change: within a priority, a late job that would be of no use when passed over for 1.5 s more goes first.

--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -158,6 +158,27 @@
   EXPECT_NE(bed.StateOf("guessed-right"), JobState::kCompleted);
 }
 
+// A job is late already, and others that can still be in time keep coming and go first. Passed over
+// until it is of no use to its caller, it would never be served; served just before that, it costs
+// the others a second of the time they have.
+TEST(PoolLoad, ServesALateJobBeforeItIsOfNoUse) {
+  PoolBed bed(BedRacks(1), BedOperators(0));
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("fills", "urgent", "one", BedStep(3, 8, seconds(5))));
+  bed.RunFor(milliseconds(500));
+  const Time submitted = bed.now();
+  bed.Submit(BedJob("late", "urgent", "one", Gang(BedStep(3, 8, seconds(1)))));
+  bed.RunFor(seconds(4));
+  for (int job = 0; job < 16; ++job) {
+    const StepSpec step = Gang(BedStep(3, 8, seconds(1)));
+    bed.Submit(BedJob("more-" + std::to_string(job), "urgent", "one", step));
+    if (job >= 2) bed.RunFor(seconds(1));
+  }
+  // Its queue allows it three times its second and one more, and three times that at the very most.
+  ASSERT_FALSE(bed.RunsOf("late").empty());
+  EXPECT_LE(BegunAfter(bed, "late", submitted), seconds(11));
+}
+
 // A worker stands still for ten seconds with its health good. Its runs end no sooner for it, but
 // jobs that come meanwhile must not be put beside them to stand still as well.
 TEST(PoolLoad, PutsNothingOnAWorkerWhoseRunsStandStill) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -133,8 +133,9 @@
     std::map<TaskPlace, TaskRun> runs;
     std::map<StepPlace, StepState> steps;
   };
-  // What a job can still be, were it started now.
-  enum class Prospect { kInTime, kLate, kUseless };
+  // What a job can still be, were it started now. In the order in which work of one priority goes:
+  // the last call is for one that is late and would soon be of no use.
+  enum class Prospect { kLastCall, kInTime, kLate, kUseless };
   // Tasks of one step that could start now.
   struct Unit {
     Job* job = nullptr;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -22,6 +22,9 @@
 // burst that the pool can't carry, starting in the order of due times would make every job late;
 // those that can still be in time go before those that can't, and these before the useless ones.
 constexpr int64_t kUselessAfter = 3;
+// Room for a late job is found within this as a rule. Passed over for longer it would be of no use
+// to its caller at all, while those that go after it have time left.
+constexpr Duration kLastCall = std::chrono::milliseconds(1500);
 // With so much of the pool free nothing may stand still for the sake of a better place: a job that
 // does for 3 s while under half of the pool is in use counts as forgotten.
 constexpr double kIdleShare = 0.4;
@@ -193,7 +196,8 @@
   const int64_t over_ms = wall_ms + Millis(unit.chain);
   if (over_ms <= unit.due_ms) return Prospect::kInTime;
   const int64_t useless_ms = unit.begun_ms + kUselessAfter * (unit.due_ms - unit.begun_ms);
-  return over_ms <= useless_ms ? Prospect::kLate : Prospect::kUseless;
+  if (over_ms > useless_ms) return Prospect::kUseless;
+  return over_ms + Millis(kLastCall) > useless_ms ? Prospect::kLastCall : Prospect::kLate;
 }
 
 Duration PoolPlanner::ExpectedTime(const Job& job, const StepSpec& step) const {
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -59,7 +59,7 @@
 double PoolPlanner::GainOfNow(const Unit& unit, Duration wait, int64_t wall_ms) {
   const auto worth = [](Prospect prospect) {
     if (prospect == Prospect::kInTime) return 1.0;
-    return prospect == Prospect::kLate ? kWorthOfLate : 0.0;
+    return prospect == Prospect::kUseless ? 0.0 : kWorthOfLate;
   };
   const int64_t wait_ms = duration_cast<std::chrono::milliseconds>(wait).count();
   return worth(ProspectOf(unit, wall_ms)) - worth(ProspectOf(unit, wall_ms + wait_ms));
