--- a/core/clock.h
+++ b/core/clock.h
@@ -44,6 +44,11 @@
 
 inline double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+// `duration` times `factor`.
+inline Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 inline Duration FromSeconds(double seconds) {
   return duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -67,6 +67,7 @@
   entry_options.planner.planner.lease =
       std::min(kLongestLease, settings.longest_lease - kLeaseReserve);
   entry_options.planner.planner.status_limit = settings.status_kept + kStatusSlack;
+  entry_options.planner.planner.stray_factor = settings.stray_factor;
   pool::PoolEntry entry(entry_options, log.get(),
                         pool::OperatorDecoderRegistry::Instance().Create(settings.adapter),
                         door.get(), &connector, &metrics);
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -34,6 +34,9 @@
           }};
 }
 
+// Beyond this a task away from its data would as good as never end.
+constexpr double kMostStrayFactor = 1000;
+
 // A time that a platform gives as a bare number in `unit`, whole or not.
 IniKey PlatformTimeKey(const std::string& name, double low, double high, Duration unit,
                        Duration* time) {
@@ -183,7 +186,10 @@
         {PlatformTimeKey("longest_lease_ms", kLeastLeaseMillis, kMostSeconds * 1000,
                          std::chrono::milliseconds(1), &settings.longest_lease),
          PlatformTimeKey("status_kept_s", 0, kMostSeconds, std::chrono::seconds(1),
-                         &settings.status_kept)}}});
+                         &settings.status_kept),
+         {"stray_factor", false, [&settings](const std::string& factor) {
+            settings.stray_factor = ParseNumber(factor, 1, kMostStrayFactor);
+          }}}}});
   return settings;
 }
 
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -91,6 +91,8 @@
   Duration status_kept = std::chrono::seconds(120);
   // From the signal to stop until the process is killed.
   Duration stop_limit = std::chrono::seconds(6);
+  // Tasks away from their data, and gangs torn over racks, take so many times as long.
+  double stray_factor = 3;
 };
 
 // An agent of a pool on such a platform.
--- a/main/settings/process_settings_test.cc
+++ b/main/settings/process_settings_test.cc
@@ -58,7 +58,9 @@
 
 TEST(PoolSettings, ReadAnEntry) {
   const PoolEntrySettings settings = ParsePoolEntrySettings(
-      "entry.ini", std::string(kPoolEntry) + "[limits]\nlongest_lease_ms = 10000\n");
+      "entry.ini",
+      std::string(kPoolEntry) + "[limits]\nlongest_lease_ms = 10000\nstray_factor = 2.5\n");
+  EXPECT_EQ(settings.stray_factor, 2.5);
   EXPECT_EQ(settings.callers.port, 80);
   EXPECT_EQ(settings.sessions.address, "10.0.0.1");
   EXPECT_EQ(settings.stop_limit, std::chrono::milliseconds(6500));
@@ -75,8 +77,9 @@
 }
 
 TEST(PoolSettings, RefuseWhatIsWrong) {
-  for (const char* more : {"[limits]\nlongest_lease_ms = 5\n", "[limits]\nstatus_kept_s = soon\n",
-                           "[odd]\nkey = 1\n", "[limits]\nodd = 1\n"}) {
+  for (const char* more :
+       {"[limits]\nlongest_lease_ms = 5\n", "[limits]\nstatus_kept_s = soon\n",
+        "[limits]\nstray_factor = 0\n", "[odd]\nkey = 1\n", "[limits]\nodd = 1\n"}) {
     EXPECT_THROW(ParsePoolEntrySettings("entry.ini", std::string(kPoolEntry) + more), Error)
         << more;
   }
--- a/servers/pool/job_front.cc
+++ b/servers/pool/job_front.cc
@@ -137,6 +137,11 @@
   spec.accepted_ms = LeaseClock().WallMillis();
   JobAnswer answer;
   try {
+    const size_t most = operators_->state()->config.max_body_bytes;
+    if (call.body_bytes > most) {
+      throw Error(ErrorKind::kInvalidInput,
+                  "the body is larger than " + std::to_string(most) + " bytes");
+    }
     call.read_body(&spec);
   } catch (const Error& error) {
     answer.kind = JobAnswerKind::kBadRequest;
--- a/servers/pool/job_front.h
+++ b/servers/pool/job_front.h
@@ -30,6 +30,7 @@
   std::string key;
   // How long the caller waits.
   Duration patience = std::chrono::seconds(3);
+  size_t body_bytes = 0;
   // Reads the body's payload, steps and schedule into a job; throws Error(kInvalidInput).
   std::function<void(JobSpec*)> read_body;
 };
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -52,8 +52,8 @@
   // Ended jobs are known for so long.
   Duration status_limit = std::chrono::seconds(130);
   // Tasks away from their data, and gangs over several racks that want one, take so many times as
-  // long. The users' platform gives it (farX).
-  int stray_factor = 3;
+  // long.
+  double stray_factor = 3;
   // What one append may carry.
   size_t append_bytes = size_t{1} << 20;
 };
--- a/servers/pool/pool_planner_holding.cc
+++ b/servers/pool/pool_planner_holding.cc
@@ -72,7 +72,7 @@
   // No rack would ever hold it, so that waiting for one is pointless.
   if (!FitsOneRack(strict, RoomsFor(unit, true, now))) return true;
   const std::optional<RoomForecast> forecast = ForecastRoom(strict, FutureRoomsFor(unit, now));
-  return !forecast || forecast->in > unit.expected * (options_.stray_factor - 1);
+  return !forecast || forecast->in > Scaled(unit.expected, options_.stray_factor - 1);
 }
 
 void PoolPlanner::HoldRoom(const Unit& unit, const PlaceWish& wish, Time now) {
@@ -96,7 +96,7 @@
 void PoolPlanner::LeaveHeldRoom(const Unit& unit, std::vector<WorkerRoom>* rooms, Time now) const {
   if (holds_.empty()) return;
   const UnitKey key = {unit.job->spec.id, unit.place};
-  const Time over_at = now + std::chrono::duration_cast<Duration>(unit.expected * kEstimateMargin);
+  const Time over_at = now + Scaled(unit.expected, kEstimateMargin);
   for (WorkerRoom& room : *rooms) {
     const auto hold = holds_.find(std::string(room.node));
     if (hold == holds_.end() || hold->second.key == key) continue;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -86,6 +86,7 @@
   std::map<int, int> waiting;
   for (const Unit& unit : units) ++waiting[unit.priority];
   std::vector<std::string> steps;
+  steps.reserve(waiting.size());
   for (const auto& [priority, count] : waiting) {
     steps.push_back(std::to_string(priority) + ":" + std::to_string(count));
   }
@@ -376,7 +377,7 @@
     run.since = now;
     run.payload = job->spec.payload;
     const bool away = !step.data_rack.empty() && worker.facts.rack != step.data_rack;
-    run.estimate = unit.expected * (torn || away ? options_.stray_factor : 1);
+    run.estimate = Scaled(unit.expected, torn || away ? options_.stray_factor : 1.0);
     run.released_by = job->begun;
     const auto saved =
         job->progress.checkpoints.find({place.occurrence, place.step, step.gang ? 0 : index});
--- a/servers/pool/room_forecast.cc
+++ b/servers/pool/room_forecast.cc
@@ -24,8 +24,9 @@
   std::vector<Event> events;
   for (size_t i = 0; i < group.size(); ++i) {
     if (group[i]->now.most_tasks <= 0) continue;
-    for (const Freeing& freeing : *group[i]->freeing)
+    for (const Freeing& freeing : *group[i]->freeing) {
       events.push_back({freeing.in, i, &freeing.room});
+    }
   }
   std::sort(events.begin(), events.end(),
             [](const Event& left, const Event& right) { return left.in < right.in; });
--- a/servers/pool/run_times.cc
+++ b/servers/pool/run_times.cc
@@ -37,7 +37,7 @@
   const double seconds = known.actual.squares < known.ratio.squares
                              ? std::exp(known.actual.mean)
                              : Seconds(estimate) * std::exp(known.ratio.mean);
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  return FromSeconds(seconds);
 }
 
 }  // namespace turmericshift::pool
