Agent: Give starts a deadline that a late one misses

What the life before had been told to refuse was forgotten with it.

Ruled out: one run sent twice (the numbers differ); a lease (both were stopped, not lapsed).

Change: a start's own deadline is 1.6 s, less than the two seconds that late ones take; leases are kept by holds. Whether the clock of a new life goes on from the old one's is an open question; where it does not, a copy may still be carried out.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -19,6 +19,10 @@
   return duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// A start that the worker carries out seconds late, two at least, finds its own deadline over and
+// is refused. Leases are kept by holds, which reach further and come each second.
+constexpr Duration kStartValid = std::chrono::milliseconds(1600);
+
 bool Lists(const std::vector<RunningTask>& running, const RunId& run) {
   return std::any_of(running.begin(), running.end(),
                      [&](const RunningTask& each) { return each.run == run; });
@@ -232,7 +236,7 @@
     call.run = order.run;
     call.payload = order.payload;
     call.checkpoint = order.checkpoint;
-    call.lease_until = *lease;
+    call.lease_until = std::min(*lease, WorkerClock(now) + Millis(kStartValid));
     call.fence = epoch_;
     return call;
   }
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -166,5 +166,20 @@
   EXPECT_EQ(agent.state.worker().id, "i2");
 }
 
+// A worker leaves a start unanswered and carries it out two seconds later or more, when the task
+// may have been given to another. The start's own deadline is over by then, so that the worker
+// refuses it; the lease that it would have run on reaches further.
+TEST(AgentState, GivesAStartADeadlineThatALateOneMisses) {
+  Agent agent;
+  agent.state.TakeOrders(agent.Orders(), agent.now, agent.now);
+  std::string why;
+  const std::optional<StartCall> call =
+      agent.state.PrepareStart({kRun, "", ""}, agent.now + milliseconds(1500), &why, agent.now);
+  ASSERT_TRUE(call) << why;
+  constexpr WorkerMillis kClock = 1000;
+  EXPECT_LT(call->lease_until, kClock + 2000);
+  EXPECT_GE(*agent.state.NextHold({}, agent.now).lease_until, kClock + 4000);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
