Agent: Count the leases of orders that are still under way

The planner gave the task to another worker 126 ms after the first.

Ruled out: the order's repetition by itself: before it a start was waited for during 0.8 s as well.

Change: a lease counts from when a call that carries it is sent; a refused connection takes it back.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -51,6 +51,7 @@
   clock_.reset();
   lists_epoch_ = 0;
   passed_on_until_ = Time{};
+  leases_sent_.clear();
 }
 
 void AgentState::TakeAnnouncement(const WorkerAnnouncement& announcement) {
@@ -170,7 +171,11 @@
   report.orders_seen = orders_seen_;
   report.worker = facts_;
   if (!member_) report.worker.id.clear();
-  report.lease_left = std::max(Duration::zero(), passed_on_until_ - now);
+  Time passed_on_until = passed_on_until_;
+  if (!leases_sent_.empty()) {
+    passed_on_until = std::max(passed_on_until, LeaseOver(*leases_sent_.rbegin(), now));
+  }
+  report.lease_left = std::max(Duration::zero(), passed_on_until - now);
   report.running = running_;
   for (const auto& [number, end] : ended_) {
     if (report.ended.size() >= kMostEndsReported) break;
@@ -209,12 +214,21 @@
   return call;
 }
 
+Time AgentState::LeaseOver(WorkerMillis lease_until, Time now) const {
+  const Duration left = std::chrono::milliseconds(lease_until - WorkerClock(now));
+  return now + Scaled(left, kClockSlack);
+}
+
+void AgentState::LeaseSent(std::optional<WorkerMillis> lease_until) {
+  if (lease_until) leases_sent_.insert(*lease_until);
+}
+
 void AgentState::NoteLease(std::optional<WorkerMillis> lease_until, OrderAnswer answer, Time now) {
-  if (!lease_until || answer == OrderAnswer::kAway) return;
-  const Duration left = std::chrono::milliseconds(*lease_until - WorkerClock(now));
-  passed_on_until_ = std::max(
-      passed_on_until_,
-      now + Duration(static_cast<int64_t>(static_cast<double>(left.count()) * kClockSlack)));
+  if (!lease_until) return;
+  const auto sent = leases_sent_.find(*lease_until);
+  if (sent != leases_sent_.end()) leases_sent_.erase(sent);
+  if (answer == OrderAnswer::kAway) return;
+  passed_on_until_ = std::max(passed_on_until_, LeaseOver(*lease_until, now));
 }
 
 std::optional<StartCall> AgentState::PrepareStart(const StartOrder& order, Time until,
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -40,6 +40,9 @@
 
   // The next hold: what is acknowledged, and until when runs may go on.
   HoldCall NextHold(Duration wait, Time now) const;
+  // A call that passes a lease until `lease_until` on is about to be sent: what runs may have it
+  // from now on, long before an answer comes.
+  void LeaseSent(std::optional<WorkerMillis> lease_until);
   // A call that was to pass a lease until `lease_until` on has been answered so. A worker that
   // refused the connection has not got it.
   void NoteLease(std::optional<WorkerMillis> lease_until, OrderAnswer answer, Time now);
@@ -77,6 +80,8 @@
   // Forgets orders that no answer on its way can repeat any more.
   void ForgetOldOrders(Time now);
   void SetResult(const RunId& run, StartOutcome outcome, const std::string& reason);
+  // When a lease until `lease_until` has surely run out.
+  Time LeaseOver(WorkerMillis lease_until, Time now) const;
   // The worker's clock at `now` is at least this.
   WorkerMillis WorkerClock(Time now) const;
   std::optional<WorkerMillis> LeaseUntil(Time now) const;
@@ -98,6 +103,8 @@
   Time lease_until_{};
   // Whatever got a lease from this agent has run out by then.
   Time passed_on_until_{};
+  // Leases of calls that are under way.
+  std::multiset<WorkerMillis> leases_sent_;
   // The worker's clock as of the newest answer, and when that came.
   std::optional<WorkerMillis> clock_;
   Time clock_at_{};
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -181,5 +181,22 @@
   EXPECT_GE(*agent.state.NextHold({}, agent.now).lease_until, kClock + 4000);
 }
 
+// A start is under way to a worker that has just come back from a crash, and a look at it goes
+// unanswered at the same time. Told that no lease is left there, the planner would give the task to
+// another worker while this one begins it.
+TEST(AgentState, CountsTheLeaseOfAStartThatIsStillUnderWay) {
+  Agent agent;
+  agent.state.TakeOrders(agent.Orders(), agent.now, agent.now);
+  std::string why;
+  const std::optional<StartCall> call =
+      agent.state.PrepareStart({kRun, "", ""}, agent.now + milliseconds(1500), &why, agent.now);
+  ASSERT_TRUE(call) << why;
+  agent.state.LeaseSent(call->lease_until);
+  agent.state.WorkerFailed(OrderAnswer::kUnanswered);
+  EXPECT_GE(agent.state.Report(Duration::zero(), agent.now).lease_left, milliseconds(1600));
+  agent.state.NoteLease(call->lease_until, OrderAnswer::kAway, agent.now);
+  EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).lease_left, Duration::zero());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -90,6 +90,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const Time now = LeaseClock().Now();
     call = state_.NextHold(wait, now);
+    state_.LeaseSent(call.lease_until);
   }
   const Time sent = LeaseClock().Now();
   const HoldAnswer answer = worker_->Hold(call, wait + kHoldPatience);
@@ -238,7 +239,11 @@
       call.reset();
       why = "the agent is not among the members yet";
     }
-    if (!call) state_.StartNotSent(order.run, why);
+    if (!call) {
+      state_.StartNotSent(order.run, why);
+    } else {
+      state_.LeaseSent(call->lease_until);
+    }
   }
   const std::string task = TaskName(order.run.task);
   if (!call) {
