--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -49,6 +49,16 @@
     });
   }
 
+  // The call of a start that has just been ordered.
+  StartCall Prepared(const RunId& run) {
+    state.TakeOrders(Orders(), now, now);
+    std::string why;
+    const std::optional<StartCall> call =
+        state.PrepareStart({run, "", ""}, now + milliseconds(1500), &why, now);
+    EXPECT_TRUE(call) << why;
+    return call.value_or(StartCall());
+  }
+
   Time now = Time(std::chrono::hours(1));
   AgentState state;
 };
@@ -171,13 +181,9 @@
 // refuses it; the lease that it would have run on reaches further.
 TEST(AgentState, GivesAStartADeadlineThatALateOneMisses) {
   Agent agent;
-  agent.state.TakeOrders(agent.Orders(), agent.now, agent.now);
-  std::string why;
-  const std::optional<StartCall> call =
-      agent.state.PrepareStart({kRun, "", ""}, agent.now + milliseconds(1500), &why, agent.now);
-  ASSERT_TRUE(call) << why;
+  const StartCall call = agent.Prepared(kRun);
   constexpr WorkerMillis kClock = 1000;
-  EXPECT_LT(call->lease_until, kClock + 2000);
+  EXPECT_LT(call.lease_until, kClock + 2000);
   EXPECT_GE(*agent.state.NextHold({}, agent.now).lease_until, kClock + 4000);
 }
 
@@ -186,15 +192,11 @@
 // another worker while this one begins it.
 TEST(AgentState, CountsTheLeaseOfAStartThatIsStillUnderWay) {
   Agent agent;
-  agent.state.TakeOrders(agent.Orders(), agent.now, agent.now);
-  std::string why;
-  const std::optional<StartCall> call =
-      agent.state.PrepareStart({kRun, "", ""}, agent.now + milliseconds(1500), &why, agent.now);
-  ASSERT_TRUE(call) << why;
-  agent.state.LeaseSent(call->lease_until);
+  const StartCall call = agent.Prepared(kRun);
+  agent.state.LeaseSent(call.lease_until);
   agent.state.WorkerFailed(OrderAnswer::kUnanswered);
   EXPECT_GE(agent.state.Report(Duration::zero(), agent.now).lease_left, milliseconds(1600));
-  agent.state.NoteLease(call->lease_until, OrderAnswer::kAway, agent.now);
+  agent.state.NoteLease(call.lease_until, OrderAnswer::kAway, agent.now);
   EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).lease_left, Duration::zero());
 }
 
--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -133,18 +133,6 @@
   return wish.step->gang ? PlaceGang(wish, workers) : PlaceSingles(wish, workers);
 }
 
-Placement PlacePart(const PlaceWish& wish, const std::vector<WorkerRoom>& workers) {
-  if (!wish.step->one_rack || wish.may_stray) {
-    return Fill(All(workers), *wish.step, wish.tasks);
-  }
-  Placement most;
-  for (const auto& [rack, group] : ByRack(workers)) {
-    Placement placement = Fill(group, *wish.step, wish.tasks);
-    if (placement.size() > most.size()) most = std::move(placement);
-  }
-  return most;
-}
-
 bool FitsOneRack(const PlaceWish& wish, const std::vector<WorkerRoom>& empty_workers) {
   PlaceWish strict = wish;
   strict.may_stray = false;
--- a/servers/pool/placer.h
+++ b/servers/pool/placer.h
@@ -49,10 +49,6 @@
 // Empty when nothing fits.
 Placement Place(const PlaceWish& wish, const std::vector<WorkerRoom>& workers);
 
-// Where tasks of a gang that does not fit now would stand as far as there is room: in the rack that
-// holds most of them if the gang wants one, anywhere otherwise. Shorter than the gang.
-Placement PlacePart(const PlaceWish& wish, const std::vector<WorkerRoom>& workers);
-
 // How many tasks of `need` fit into `room`, at most `most`.
 int FitCount(const Room& room, const Room& need, int most);
 
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -1,9 +1,9 @@
-// Who goes next, where, and who has to make way.
+// Who goes next and where. Whom it stops for that: pool_planner_reclaiming.cc; what is kept free
+// for those that wait: pool_planner_holding.cc.
 //
-// Load patterns: bursts of urgent gangs over a pool full of long tasks (they go first and, within
-// their workspace's guarantee, stop the work that loses least); many small tasks beside gangs that
-// want one rack (small ones fill broken workers first, a gang that has waited long holds a rack);
-// jobs whose data rack is full (they wait a little, since elsewhere they take three times as long).
+// Load pattern: more work than the pool can carry. Within a priority those that can still be in
+// time go before those that can't, but for late ones that would soon be of no use; workers that
+// fail what they are given get none of it, nor a sound job's last try.
 #include <algorithm>
 #include <tuple>
 #include <utility>
