Pool: Keep workers aside in one place; drop a bound that could not bite

Read once more: two copies of keeping a worker aside are one; the limit of a reclaim is never above its own bound; a comment said usable workers where all are counted; a test's topic was named as the platform names its own. Behaviour is as it was.

--- a/servers/pool/job_front_test.cc
+++ b/servers/pool/job_front_test.cc
@@ -15,7 +15,7 @@
 // Operators that lay down one open queue, whatever the record says.
 class OneQueue : public OperatorDecoder {
  public:
-  std::string topic() const override { return "keyed.operators"; }
+  std::string topic() const override { return "documents"; }
   void Apply(const KeyedRecord& /*record*/, OperatorState* state) const override {
     Queue queue;
     queue.name = "q";
@@ -46,7 +46,7 @@
 
 struct Front {
   Front() {
-    log.Append("keyed.operators", {{"document", "1"}}, {}, std::chrono::seconds(1));
+    log.Append("documents", {{"document", "1"}}, {}, std::chrono::seconds(1));
     log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "e1", "here"})}}, {},
                std::chrono::seconds(1));
     JobFrontOptions options;
--- a/servers/pool/pool_planner_holding.cc
+++ b/servers/pool/pool_planner_holding.cc
@@ -17,7 +17,7 @@
 // The others do while the pool is idle: leaving workers idle for 3 s beside a task that waits
 // counts as a job forgotten.
 constexpr Duration kIdleStrayAfter = std::chrono::milliseconds(2200);
-// At most so many of the usable workers, one in this many, are kept for units that wait; else a few
+// At most one in so many workers is kept for units that wait; else a few
 // wide gangs would empty the pool.
 constexpr size_t kMostHeldShare = 2;
 // Callers' estimates are taken this much longer when a task is to end before a gang begins.
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -151,7 +151,7 @@
             {"entitled", unit.entitled},
             {"stops", plan->stops.size()},
             {"lost_core_s", plan->cost},
-            {"limit_core_s", std::min(limit, kNoLimit)},
+            {"limit_core_s", limit},
             {"epoch", epoch_}});
 }
 
--- a/servers/pool/worker_judge.cc
+++ b/servers/pool/worker_judge.cc
@@ -61,14 +61,17 @@
   found->second.times_aside = 0;
 }
 
-void WorkerJudge::OrderNotTaken(const std::string& worker, Time now) {
+void WorkerJudge::KeepAside(const std::string& worker, Time until) {
   Sheet& sheet = sheets_[worker];
-  sheet.aside_until = std::max(sheet.aside_until, now + kNotTakenAside);
+  sheet.aside_until = std::max(sheet.aside_until, until);
+}
+
+void WorkerJudge::OrderNotTaken(const std::string& worker, Time now) {
+  KeepAside(worker, now + kNotTakenAside);
 }
 
 void WorkerJudge::StandsStill(const std::string& worker, Time now) {
-  Sheet& sheet = sheets_[worker];
-  sheet.aside_until = std::max(sheet.aside_until, now + kStillAside);
+  KeepAside(worker, now + kStillAside);
 }
 
 void WorkerJudge::Forget(const std::string& worker) { sheets_.erase(worker); }
--- a/servers/pool/worker_judge.h
+++ b/servers/pool/worker_judge.h
@@ -41,6 +41,8 @@
   // Jobs that failed lately at this worker and have not failed elsewhere.
   int BlamedJobs(const std::string& worker, const Sheet& sheet, Time now) const;
   void Judge(const std::string& worker, Time now);
+  // Until then at least.
+  void KeepAside(const std::string& worker, Time until);
 
   std::map<std::string, Sheet> sheets_;
 };
