Pool: Decide on the planner's duty by the same view that the claim is made from

An entry decided to claim by a look at an empty topic, read another's claim before it copied the view, and claimed on top of it under the next epoch. The store had to grant that, since the claim named the newest end. The duty of a planner that had just begun ended at once.

Ruled out: two claims under one number (the log shows "the sequence does not follow" for the third), a planner fallen silent (0.3 ms between the two).

Change: the claim's own copy of the view tells once more whether the duty is wanted.

The window can't be forced without a hook between two lines, so the standing test is the one that failed.

--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -47,6 +47,7 @@
                        const MembersView* members, PlannerConnector* connector,
                        PlannerService* service)
     : options_(options),
+      patience_(options.silence + ShareOf(options.node, options.spread)),
       log_(log),
       work_(work),
       members_(members),
@@ -58,7 +59,6 @@
 DutyKeeper::~DutyKeeper() { stopping_.store(true); }
 
 void DutyKeeper::Run() {
-  const Duration patience = options_.silence + ShareOf(options_.node, options_.spread);
   while (!stopping_.load()) {
     std::this_thread::sleep_for(kTick);
     const Time now = LeaseClock().Now();
@@ -73,28 +73,36 @@
       continue;
     }
     if (leaving_.load()) continue;
-    const bool mine = duty.planner.node == options_.node && !duty.planner.address.empty();
-    // A record of this entry's own that it does not act on: from a life before, or from a claim
-    // whose answer was lost. Nobody plans, and nobody else need wait to find out.
-    if (mine || ShouldClaim(duty, in_touch_since_, patience, options_.view_limit, now)) Claim(now);
+    if (Wants(duty, now)) Claim(now);
   }
 }
 
+bool DutyKeeper::Wants(const DutyView& duty, Time now) const {
+  // A record of this entry's own that it does not act on: from a life before, or from a claim
+  // whose answer was lost. Nobody plans, and nobody else need wait to find out.
+  const bool mine = duty.planner.node == options_.node && !duty.planner.address.empty();
+  if (mine) return duty.freshness.within(options_.view_limit, now);
+  return ShouldClaim(duty, in_touch_since_, patience_, options_.view_limit, now);
+}
+
 void DutyKeeper::Claim(Time now) {
-  Offset end = 0;
-  const JobBook book = work_->book(&end);
-  if (!work_->freshness().within(options_.view_limit, now)) return;
+  DutyView basis;
+  const JobBook book = work_->book(&basis);
+  // Another entry's claim may have been read since the last look. A claim on top of it would hold,
+  // being made from the newest view, and end the duty of a planner that has just begun: one notices
+  // by two planners within a tick and by callers that are told "unknown" twice.
+  if (!Wants(basis, now)) return;
   const int64_t epoch = std::max(book.planner().epoch, refused_epoch_) + 1;
   const int64_t sequence = FirstSequence();
   try {
     log_->Append(
         kWorkTopic,
         {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
-        {end, kPlannerProducer, epoch, sequence}, kClaimTimeout);
+        {basis.end, kPlannerProducer, epoch, sequence}, kClaimTimeout);
   } catch (const Error& error) {
     if (error.kind() == ErrorKind::kFenced) refused_epoch_ = epoch;
     LogEvent(LogLevel::kInfo, "claim_failed",
-             {{"epoch", epoch}, {"end", end}, {"error", error.what()}});
+             {{"epoch", epoch}, {"end", basis.end}, {"error", error.what()}});
     return;
   }
   duty_since_ = now;
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -51,6 +51,7 @@
 
  private:
   void Run();
+  bool Wants(const DutyView& duty, Time now) const;
   void Claim(Time now);
   // Tells agents where the planner is, until it is in the store.
   void Announce();
@@ -60,6 +61,7 @@
   void AskPredecessor();
 
   const DutyOptions options_;
+  const Duration patience_;
   KeyedLog* const log_;
   const WorkView* const work_;
   const MembersView* const members_;
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -52,12 +52,16 @@
 
 DutyView WorkView::duty() const {
   const std::lock_guard<std::mutex> lock(mutex_);
+  return DutyLocked();
+}
+
+DutyView WorkView::DutyLocked() const {
   return {book_.planner(), end_, freshness_, newest_record_at_};
 }
 
-JobBook WorkView::book(Offset* end) const {
+JobBook WorkView::book(DutyView* duty) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  *end = end_;
+  *duty = DutyLocked();
   return book_;
 }
 
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -46,8 +46,8 @@
   explicit WorkView(KeyedLog* log);
 
   DutyView duty() const;
-  // A copy of everything, and where it ends.
-  JobBook book(Offset* end) const;
+  // A copy of everything, and what a claim made from it rests on, as of the same moment.
+  JobBook book(DutyView* duty) const;
   // Empty when the job is unknown to this view.
   std::optional<JobState> StateOf(const std::string& id) const;
   int Waiting(const std::string& queue) const;
@@ -57,6 +57,7 @@
   void TakeRecord(const KeyedRecord& record);
   void CaughtUp(Offset end, Time asked);
   void Restart();
+  DutyView DutyLocked() const;
 
   mutable std::mutex mutex_;
   JobBook book_;
