Pool: Count failed runs by their numbers, in whatever order they are heard

Two runs failed at two workers while the store lost answers; neither failure was kept. The planner was paused, and its successor heard of the later failure first (run), then of the earlier one, which it took for one that was counted already, since only the newest number was kept beside the count.

Ruled out: an end that was never listed (both are in the successor's log), a failure dropped for a lapsed lease.

Change: the numbers themselves are kept, at most as many as the queue allows tries. Lasting tasks, whose failures have no limit, keep none.

The new test fails without the change. Records of the old form are refused by the decoder; no pool runs anywhere whose records would have to be carried over.

--- a/servers/pool/job_book_test.cc
+++ b/servers/pool/job_book_test.cc
@@ -38,12 +38,12 @@
   JobProgress progress;
   progress.state = JobState::kRunning;
   progress.done[{0, 0}] = {0, 2};
-  progress.failures[{0, 0, 1}] = {2, 77};
+  progress.failures[{0, 0, 1}] = {54, 77};
   progress.checkpoints[{0, 0, 1}] = "00ab";
   const JobProgress read = DecodeProgress(EncodeProgress(progress));
   EXPECT_EQ(EncodeProgress(read), EncodeProgress(progress));
   EXPECT_TRUE(read.task_done({0, 0, 2}));
-  EXPECT_EQ(read.failures.at({0, 0, 1}).newest_run, 77);
+  EXPECT_EQ(read.failures.at({0, 0, 1}), (std::set<int64_t>{54, 77}));
 }
 
 TEST(JobRecords, RefuseBytesThatAreNoRecord) {
--- a/servers/pool/job_progress.h
+++ b/servers/pool/job_progress.h
@@ -27,19 +27,16 @@
   auto operator<=>(const StepPlace&) const = default;
 };
 
-// Ends are reported until they are known to be kept, so a new planner hears again of some that are
-// counted already. Run numbers rise, so the newest one counted tells them apart.
-struct FailureCount {
-  int count = 0;
-  int64_t newest_run = 0;
-};
-
 struct JobProgress {
   JobState state = JobState::kQueued;
   // Tasks that ended done. A gang that ended done counts all its tasks.
   std::map<StepPlace, std::set<int>> done;
-  // Runs that ended failed; a gang's are counted at index 0.
-  std::map<TaskPlace, FailureCount> failures;
+  // Numbers of the runs that ended failed; a gang's are counted at index 0. Ends are reported until
+  // they are known to be kept, so a new planner hears again of some that are counted already, and
+  // of others for the first time, in any order. A count beside the newest number misses an older
+  // failure that is heard later, and the task is run more often than its queue allows. There are at
+  // most as many as its queue allows tries.
+  std::map<TaskPlace, std::set<int64_t>> failures;
   // Newest saved state of tasks that were interrupted; a gang's at index 0.
   std::map<TaskPlace, std::string> checkpoints;
   // Milliseconds since 1970 when the job ended; 0 while it has not.
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -124,9 +124,8 @@
   }
   if (!done.empty()) out["done"] = std::move(done);
   json failures = json::array();
-  for (const auto& [place, failed] : progress.failures) {
-    failures.push_back(
-        {place.occurrence, place.step, place.index, failed.count, failed.newest_run});
+  for (const auto& [place, runs] : progress.failures) {
+    failures.push_back({place.occurrence, place.step, place.index, runs});
   }
   if (!failures.empty()) out["failures"] = std::move(failures);
   json checkpoints = json::array();
@@ -147,8 +146,8 @@
       progress.done[{row.at(0).get<int>(), row.at(1).get<int>()}] = row.at(2).get<std::set<int>>();
     }
     for (const json& row : in.value("failures", json::array())) {
-      progress.failures[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] = {
-          row.at(3).get<int>(), row.at(4).get<int64_t>()};
+      progress.failures[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
+          row.at(3).get<std::set<int64_t>>();
     }
     for (const json& row : in.value("checkpoints", json::array())) {
       progress.checkpoints[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -294,11 +294,11 @@
 
 bool PoolPlanner::GuardsLastTry(const Unit& unit, Time now) const {
   if (now - *unit.job->steps.at(unit.place).ready_since > kGuardLastTry) return false;
-  const int last = Terms(*unit.job).max_attempts - 1;
+  const size_t last = static_cast<size_t>(std::max(Terms(*unit.job).max_attempts - 1, 0));
   return std::any_of(unit.waiting.begin(), unit.waiting.end(), [&](int index) {
     const auto failed =
         unit.job->progress.failures.find({unit.place.occurrence, unit.place.step, index});
-    return failed != unit.job->progress.failures.end() && failed->second.count >= last;
+    return failed != unit.job->progress.failures.end() && failed->second.size() >= last;
   });
 }
 
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -275,11 +275,11 @@
 void PoolPlanner::TakeFailed(const EndedTask& end, Job* job, int64_t wall_ms) {
   const TaskId& task = end.run.task;
   const StepSpec& step = *FindStep(*job, task);
-  FailureCount& failed = job->progress.failures[KeptAt(step, task)];
-  if (end.run.number <= failed.newest_run) return;
-  failed.newest_run = end.run.number;
-  ++failed.count;
-  if (!step.lasting && failed.count >= Terms(*job).max_attempts) {
+  // A lasting task is started again however often it fails.
+  if (step.lasting) return;
+  std::set<int64_t>& failed = job->progress.failures[KeptAt(step, task)];
+  if (!failed.insert(end.run.number).second) return;
+  if (static_cast<int>(failed.size()) >= Terms(*job).max_attempts) {
     EndJob(job, JobState::kFailed, wall_ms);
     return;
   }
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -308,6 +308,33 @@
   EXPECT_EQ(bed.violations(), std::vector<std::string>());
 }
 
+// A task fails at two workers while the store is away, and the planner dies before either failure is
+// kept. Its successor hears the later failure first. Were the earlier one taken for one that is
+// counted already, the task would be run once more than its queue allows.
+TEST(PoolPlanner, CountsFailuresInWhateverOrderTheyAreHeard) {
+  JobBook book;
+  book.Apply({"j/j", EncodeSpec(BedJob("j", "batch", "one", BedStep(1, 1, seconds(1)))), 1});
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  book.Apply({"p/j", EncodeProgress(progress), 2});
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(PlannerOptions(), 1, book, {"n", "m"}, now);
+  planner.SetOperatorState(std::make_shared<OperatorState>(BedOperators(0)), now);
+  const auto fails = [&](const std::string& node, int64_t sequence, int64_t run) {
+    AgentReport report = Report("first", sequence);
+    report.node = node;
+    report.ended = {{sequence, {{"j", 0, 0, 0}, run}, EndKind::kFailed, ""}};
+    planner.TakeReport(report, 0, now);
+  };
+  fails("n", 1, 20);
+  fails("m", 1, 10);
+  fails("m", 2, 10);
+  fails("n", 2, 30);
+  const std::vector<KeyedRecord> records = planner.outbox().Take();
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(DecodeProgress(records[0].value).state, JobState::kFailed);
+}
+
 // The store answers nobody for nine seconds. What runs goes on; nothing new is begun that could not
 // be recorded, and no job is shown as done before that is kept.
 TEST(PoolPlanner, LetsRunsGoOnWhileTheStoreIsAway) {
