Core: Write a last line when a process crashes

A crash showed as a log that breaks off, which nobody can tell from a loss of power. Now standard output ends with one JSON line `crashed`: the signal and the call stack as addresses within the program.

--- a/main/main.cc
+++ b/main/main.cc
@@ -1,6 +1,7 @@
 #include <cstdio>
 #include <exception>
 
+#include "core/crash_report.h"
 #include "core/error.h"
 #include "core/logging.h"
 #include "main/commands.h"
@@ -12,6 +13,7 @@
   using turmericshift::Dispatch;
   using turmericshift::ErrorKind;
   using turmericshift::Words;
+  turmericshift::InstallCrashReport();
   try {
     // Roles that serve replace the identity with their own.
     turmericshift::InitLogging("turmericshift", {"command", "", ""});
