Rpc: Let a session finish the calls that come while it ends

The call stack of each: a call queued by another thread was run by the loop's last turns, after the connection had been dropped, and asked the destroyed connection for its first capability.

Ruled out: memory (processes at 4 MB), stack overflow (a line was written), the order of members.

Change: calls are counted; a session that ends lets no more in, and its loop lives until those under way are finished, which fail at once since the connection is gone.

--- a/rpc/session.cc
+++ b/rpc/session.cc
@@ -1,5 +1,6 @@
 #include "rpc/session.h"
 
+#include <kj/debug.h>
 #include <kj/io.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +14,12 @@
 namespace {
 
 constexpr size_t kSessionStackBytes = size_t{256} * 1024;
+// Calls that end with the connection do so within a few turns of the loop.
+constexpr kj::Duration kBetweenLooks = 1 * kj::MILLISECONDS;
+
+void LogFailure(const kj::Exception& exception) {
+  LogEvent(LogLevel::kWarning, "session_failed", {{"error", exception.getDescription().cStr()}});
+}
 
 }  // namespace
 
@@ -73,16 +80,19 @@
       started_ = true;
     }
     changed_.notify_all();
-    client->onDisconnect().exclusiveJoin(kj::mv(stop.promise)).wait(io.waitScope);
+    client->onDisconnect()
+        .exclusiveJoin(kj::mv(stop.promise))
+        .catch_([](kj::Exception&& exception) { LogFailure(exception); })
+        .wait(io.waitScope);
     closed_.store(true);
-    // Dropping the connection queues events for those who still wait on it. The loop refuses to be
-    // destroyed with events in its queue, which leaks them and is logged as a failed session; so
-    // they are run here.
+    // Calls that other threads have queued run after the connection has gone, and must not find it
+    // any more: the process would crash.
+    client_ = nullptr;
     client = nullptr;
-    io.waitScope.poll();
+    FinishCalls(&io);
   } catch (const kj::Exception& exception) {
     closed_.store(true);
-    LogEvent(LogLevel::kWarning, "session_failed", {{"error", exception.getDescription().cStr()}});
+    LogFailure(exception);
   }
   std::function<void()> callback;
   {
@@ -94,22 +104,47 @@
   if (callback) callback();
 }
 
-const kj::Executor& Session::executor() const {
+void Session::EnterCall() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (!started_ || ended_) throw Error(ErrorKind::kConnectionLost, "the session has ended");
-  return *executor_;
+  if (!started_ || ending_ || ended_) {
+    throw Error(ErrorKind::kConnectionLost, "the session has ended");
+  }
+  ++calls_;
+}
+
+void Session::LeaveCall() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  --calls_;
+}
+
+void Session::FinishCalls(kj::AsyncIoContext* io) {
+  while (true) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      ending_ = true;
+      if (calls_ == 0) break;
+    }
+    io->provider->getTimer().afterDelay(kBetweenLooks).wait(io->waitScope);
+  }
+  // Dropping the connection queues events for those who still wait on it. The loop refuses to be
+  // destroyed with events in its queue, which leaks them and is logged as a failed session.
+  io->waitScope.poll();
 }
 
-capnp::Capability::Client Session::Bootstrap() { return client_->bootstrap(); }
+capnp::Capability::Client Session::Bootstrap() {
+  if (client_ == nullptr) {
+    kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the connection has just ended"));
+  }
+  return client_->bootstrap();
+}
 
 void Session::Close() {
   if (closed_.exchange(true)) return;
   try {
-    executor().executeSync([this] { stop_->fulfill(); });
-  } catch (const kj::Exception&) {
-    // The loop has ended by itself meanwhile.
+    const InCall in_call(this);
+    executor_->executeSync([this] { stop_->fulfill(); });
   } catch (const Error&) {
-    // As above.
+    // The connection has ended by itself meanwhile.
   }
 }
 
--- a/rpc/session.h
+++ b/rpc/session.h
@@ -37,8 +37,9 @@
   // Call from other threads only. Throws Error: kConnectionLost, kDeadlineExceeded.
   template <typename Body>
   auto Call(Body&& body, Duration timeout) {
+    const InCall in_call(this);
     try {
-      return executor().executeSync([&] {
+      return executor_->executeSync([&] {
         return timer_->timeoutAfter(static_cast<int64_t>(timeout.count()) * kj::NANOSECONDS,
                                     body());
       });
@@ -47,7 +48,8 @@
     }
   }
 
-  // The peer's first capability; use on the session's loop only, on the connecting side.
+  // The peer's first capability; use on the session's loop only, on the connecting side. Throws
+  // kj::Exception(DISCONNECTED) once the connection has ended.
   capnp::Capability::Client Bootstrap();
   // Drops a capability on the loop that owns it.
   template <typename Client>
@@ -66,20 +68,41 @@
   void OnClosed(std::function<void()> callback);
 
  private:
+  // While one lives, the loop lives as well. A thread that has handed something to a loop which is
+  // then destroyed may wait for it for good: an agent then hears of no planner any more.
+  class InCall {
+   public:
+    // Throws Error(kConnectionLost) once the session has begun to end.
+    explicit InCall(Session* session) : session_(session) { session_->EnterCall(); }
+    ~InCall() { session_->LeaveCall(); }
+    InCall(const InCall&) = delete;
+    InCall& operator=(const InCall&) = delete;
+
+   private:
+    Session* const session_;
+  };
+
   Session() = default;
   void Run(int fd, Side side, const MakeBootstrap& make_bootstrap);
-  const kj::Executor& executor() const;
+  void EnterCall();
+  void LeaveCall();
+  // Ends what has been handed to the loop, and lets nothing more in.
+  void FinishCalls(kj::AsyncIoContext* io);
 
   std::atomic<bool> closed_{false};
   std::atomic<bool> admitted_{false};
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   bool started_ = false;
+  // No more calls; those under way are being finished.
+  bool ending_ = false;
   bool ended_ = false;
+  int calls_ = 0;
   kj::Own<const kj::Executor> executor_;
   std::function<void()> on_closed_;
   // Owned by the thread's stack; valid while the loop runs.
   kj::Timer* timer_ = nullptr;
+  // Null again once the connection has ended; then used on the loop's thread only.
   capnp::TwoPartyClient* client_ = nullptr;
   kj::PromiseFulfiller<void>* stop_ = nullptr;
 };
@@ -88,12 +111,11 @@
 void Session::Release(std::unique_ptr<Client> client) {
   Client* raw = client.release();
   try {
-    executor().executeSync([raw] { delete raw; });
-  } catch (const kj::Exception&) {
-    // The loop has ended and with it the connection's tables; dropping the capability here would
-    // touch them from the wrong thread, so its few bytes are left.
+    const InCall in_call(this);
+    executor_->executeSync([raw] { delete raw; });
   } catch (const Error&) {
-    // As above: the loop never came to run.
+    // The loop ends or has ended and with it the connection's tables; dropping the capability here
+    // would touch them from the wrong thread, so its few bytes are left.
   }
 }
 
