Pool: Heed no late report of an agent's former process

Change: processes of an agent that have been replaced are remembered, 16 of them, and their reports dropped with a log line.

Test: PoolPlanner.HeedsNoLateReportOfAnAgentsFormerProcess fails without the change.

--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -168,6 +168,10 @@
   };
 
   // Reports: pool_planner_reports.cc.
+  // Notes which process of the agent reports. False for one that has been replaced: its connection
+  // may hold reports that are read after the first of its successor's, and whose lists and worker
+  // are those of before. Taken for news they would have what runs now taken for lost.
+  static bool TakeIncarnation(const AgentReport& report, WorkerState* worker, Time now);
   void TakeFacts(const AgentReport& report, WorkerState* worker, Time now);
   void TakeRunning(const AgentReport& report, WorkerState* worker, Time now);
   void StopUnclearRuns(WorkerState* worker);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -1,5 +1,6 @@
 // What agents report: which workers there are, what runs, what became of starts, how runs ended.
 #include <algorithm>
+#include <deque>
 
 #include "core/logging.h"
 #include "servers/pool/pool_planner.h"
@@ -12,6 +13,10 @@
   return {task.occurrence, task.step, step.gang ? 0 : task.index};
 }
 
+// Processes of one agent that are remembered as replaced. A report of one is on its way for seconds
+// at most, in which a process that crashes at each start is replaced some ten times.
+constexpr size_t kFormerIncarnations = 16;
+
 // After a start was turned away: the cause is mostly over within this.
 constexpr Duration kPauseAfterRefusal = std::chrono::milliseconds(150);
 
@@ -20,16 +25,7 @@
 void PoolPlanner::TakeReport(const AgentReport& report, int64_t wall_ms, Time now) {
   WorkerState& worker = workers_[report.node];
   worker.node = report.node;
-  if (worker.incarnation != report.incarnation) {
-    // A new process of the agent has seen none of the orders.
-    worker.incarnation = report.incarnation;
-    worker.incarnation_since = now;
-    worker.sequence = -1;
-    ++worker.version;
-    for (auto& [id, run] : worker.live) {
-      if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kUnclear;
-    }
-  }
+  if (!TakeIncarnation(report, &worker, now)) return;
   if (report.sequence <= worker.sequence) return;
   worker.sequence = report.sequence;
   worker.zone = report.zone;
@@ -64,6 +60,27 @@
   if (over) LoseRuns(&worker, "the worker is away and its lease has run out", now);
 }
 
+bool PoolPlanner::TakeIncarnation(const AgentReport& report, WorkerState* worker, Time now) {
+  if (worker->incarnation == report.incarnation) return true;
+  std::deque<std::string>& former = worker->former_incarnations;
+  if (std::find(former.begin(), former.end(), report.incarnation) != former.end()) {
+    LogEvent(LogLevel::kWarning, "report_late",
+             {{"node", report.node}, {"incarnation", report.incarnation}});
+    return false;
+  }
+  if (!worker->incarnation.empty()) former.push_back(worker->incarnation);
+  if (former.size() > kFormerIncarnations) former.pop_front();
+  // A new process of the agent has seen none of the orders.
+  worker->incarnation = report.incarnation;
+  worker->incarnation_since = now;
+  worker->sequence = -1;
+  ++worker->version;
+  for (auto& [id, run] : worker->live) {
+    if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kUnclear;
+  }
+  return true;
+}
+
 void PoolPlanner::TakeFacts(const AgentReport& report, WorkerState* worker, Time now) {
   const WorkerFacts& facts = report.worker;
   if (facts.born_ms != worker->facts.born_ms) {
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -263,6 +263,24 @@
   EXPECT_FALSE(one.has_run());
 }
 
+// The planner stood still, and a report of an agent's former process waits in its socket while the
+// new process is heard first, beside a worker that has been born again meanwhile. Taken for news,
+// the late report would look like one more life of the worker: what runs there would be taken for
+// lost and started elsewhere beside it.
+TEST(PoolPlanner, HeedsNoLateReportOfAnAgentsFormerProcess) {
+  OneWorker one;
+  AgentReport reborn = Report("second", 1);
+  reborn.worker.id = "i2";
+  reborn.worker.born_ms = 2;
+  one.planner.TakeReport(reborn, 0, one.now);
+  one.planner.Plan(0, one.now);
+  ASSERT_TRUE(one.has_run());
+  const RunId run = one.run();
+  one.planner.TakeReport(Report("first", 2), 0, one.now);
+  EXPECT_EQ(one.planner.workers().at("n").live.count(run), 1U);
+  EXPECT_EQ(one.planner.workers().at("n").facts.id, "i2");
+}
+
 // A worker is gone with all that it ran, and its agent goes on reporting the last list it has seen.
 // Were that taken for news each time, planner and agent would talk to each other without a pause,
 // thousands of times a second, and the log would fill.
@@ -308,8 +326,8 @@
   EXPECT_EQ(bed.violations(), std::vector<std::string>());
 }
 
-// A task fails at two workers while the store is away, and the planner dies before either failure is
-// kept. Its successor hears the later failure first. Were the earlier one taken for one that is
+// A task fails at two workers while the store is away, and the planner dies before either failure
+// is kept. Its successor hears the later failure first. Were the earlier one taken for one that is
 // counted already, the task would be run once more than its queue allows.
 TEST(PoolPlanner, CountsFailuresInWhateverOrderTheyAreHeard) {
   JobBook book;
--- a/servers/pool/worker_roster.h
+++ b/servers/pool/worker_roster.h
@@ -57,6 +57,8 @@
   std::string incarnation;
   // When the agent's process was first heard.
   Time incarnation_since{};
+  // The newest of the processes before it; see PoolPlanner::TakeIncarnation.
+  std::deque<std::string> former_incarnations;
   int64_t sequence = -1;
   WorkerFacts facts;
   // The lists under this planner's epoch have been heard, so nothing older can start there.
