Pool: Take the planner's duty up only with the list of agents read

Ruled out: an agent that was dropped from the list (it registered 19 ms before the claim, and the record from before the kill was there all the while); leases counted too short.

Change: no claim before the list has been read once, and the list is read again right after the claim, which costs one call of the store for each change of planner.

Test: DutyKeeper.TakesNoDutyUpBeforeItKnowsTheAgents fails without the change.

--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -78,6 +78,7 @@
 }
 
 bool DutyKeeper::Wants(const DutyView& duty, Time now) const {
+  if (!members_->freshness().asked) return false;
   // A record of this entry's own that it does not act on: from a life before, or from a claim
   // whose answer was lost. Nobody plans, and nobody else need wait to find out.
   const bool mine = duty.planner.node == options_.node && !duty.planner.address.empty();
@@ -94,11 +95,13 @@
   if (!Wants(basis, now)) return;
   const int64_t epoch = std::max(book.planner().epoch, refused_epoch_) + 1;
   const int64_t sequence = FirstSequence();
+  std::set<std::string> agents;
   try {
     log_->Append(
         kWorkTopic,
         {{kPlannerKey, EncodePlanner({epoch, options_.node, options_.address}), kNoOffset}},
         {basis.end, kPlannerProducer, epoch, sequence}, kClaimTimeout);
+    agents = ReadAgents();
   } catch (const Error& error) {
     if (error.kind() == ErrorKind::kFenced) refused_epoch_ = epoch;
     LogEvent(LogLevel::kInfo, "claim_failed",
@@ -107,7 +110,24 @@
   }
   duty_since_ = now;
   predecessor_ = book.planner();
-  service_->Begin(epoch, sequence, book, members_->agents(), now);
+  service_->Begin(epoch, sequence, book, agents, now);
+}
+
+// Read once more after the claim: an entry that has just started may know the jobs and not yet the
+// agents. It would wait for nobody, and start at once what still runs on workers that it has not
+// heard of; one notices by tasks that run twice after all processes were killed.
+std::set<std::string> DutyKeeper::ReadAgents() const {
+  std::set<std::string> agents = members_->agents();
+  const std::string prefix = kAgentPrefix;
+  std::string after;
+  while (true) {
+    const KeyedPage page = log_->Newest(kMembersTopic, after, kClaimTimeout);
+    for (const KeyedRecord& record : page.records) {
+      if (record.key.rfind(prefix, 0) == 0) agents.insert(record.key.substr(prefix.size()));
+      after = record.key;
+    }
+    if (!page.more || page.records.empty()) return agents;
+  }
 }
 
 void DutyKeeper::Announce() {
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <atomic>
+#include <set>
 #include <string>
 
 #include "core/thread.h"
@@ -52,6 +53,9 @@
  private:
   void Run();
   bool Wants(const DutyView& duty, Time now) const;
+  // Agents that may have something running, as the store has them now. Throws
+  // Error(kLogUnavailable).
+  std::set<std::string> ReadAgents() const;
   void Claim(Time now);
   // Tells agents where the planner is, until it is in the store.
   void Announce();
--- a/servers/pool/duty_keeper_test.cc
+++ b/servers/pool/duty_keeper_test.cc
@@ -119,6 +119,50 @@
   }
 }
 
+// A log whose list of members can't be read for a while.
+class HiddenMembers : public KeyedLog {
+ public:
+  explicit HiddenMembers(KeyedLog* log) : log_(log) {}
+
+  KeyedPage Newest(const std::string& topic, const std::string& after, Duration timeout) override {
+    if (topic == kMembersTopic && hidden_.load()) {
+      refused_.fetch_add(1);
+      throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "not now");
+    }
+    return log_->Newest(topic, after, timeout);
+  }
+  KeyedBatch Read(const std::string& topic, Offset from, Duration wait, Duration timeout) override {
+    return log_->Read(topic, from, wait, timeout);
+  }
+  Appended Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                  const AppendGuard& guard, Duration timeout) override {
+    return log_->Append(topic, records, guard, timeout);
+  }
+
+  void Show() { hidden_.store(false); }
+  int refused() const { return refused_.load(); }
+
+ private:
+  KeyedLog* const log_;
+  std::atomic<bool> hidden_{true};
+  std::atomic<int> refused_{0};
+};
+
+// All processes are killed while workers run on, and an entry is back that has read the jobs and
+// not yet the agents. Had it taken the duty up, it would have known of nobody to wait for, and have
+// started at once what still ran on the workers.
+TEST(DutyKeeper, TakesNoDutyUpBeforeItKnowsTheAgents) {
+  MemoryKeyedLog log;
+  log.Append(kMembersTopic, {{"agent/x", "a", kNoOffset}}, {}, std::chrono::seconds(1));
+  HiddenMembers hidden(&log);
+  Candidate entry(&hidden, "a");
+  constexpr int kTries = 20;
+  ASSERT_TRUE(Eventually([&] { return entry.service.epoch() > 0 || hidden.refused() >= kTries; }));
+  EXPECT_EQ(entry.service.epoch(), 0);
+  hidden.Show();
+  EXPECT_TRUE(Eventually([&] { return entry.service.epoch() > 0; }));
+}
+
 // The store turns the planner's VM away and serves the others. One of them takes over, and the old
 // planner learns of it as soon as the store answers it again.
 TEST(DutyKeeper, PassesOnWhenThePlannerLosesTheStore) {
