Tests: Soak a pool of real processes under faults drawn from a seed

The stand-in worker now has gangs, a slow clock, crashes and lapses; the relay has the faults of a network. Entries may listen on a port of the system's choice, and tell others another address than their own to reach them at (`sessions_reached_at`), which relays need and address translation too.

A trial batch before this met processes left behind by a killed one, at ports that were others' by then, and two pools mixed; processes now end with the soak that started them, and each soak has a loopback address of its own.

--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -75,7 +75,8 @@
   listener_options.address = settings.sessions.address;
   listener_options.port = settings.sessions.port;
   const PoolListener listener(listener_options, entry.gate());
-  entry.Join(settings.sessions.address + ":" + std::to_string(listener.port()));
+  const std::string listens_at = settings.sessions.address + ":" + std::to_string(listener.port());
+  entry.Join(settings.sessions_reached_at.empty() ? listens_at : settings.sessions_reached_at);
   LogEvent(LogLevel::kInfo, "started",
            {{"callers", entry.caller_port()},
             {"readiness", entry.readiness_port()},
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -29,7 +29,8 @@
 // "ip:port" in one word.
 IniKey EndpointKey(const std::string& name, ListenSettings* listen) {
   return {name, true, [listen](const std::string& text) {
-            const PeerAddress address = ParsePeerAddress(text);
+            constexpr int kAnyPort = 0;
+            const PeerAddress address = ParsePeerAddress(text, kAnyPort);
             *listen = {address.ip, address.port};
           }};
 }
@@ -179,7 +180,8 @@
        {"listen",
         true,
         {EndpointKey("callers", &settings.callers), EndpointKey("readiness", &settings.readiness),
-         EndpointKey("sessions", &settings.sessions)}},
+         EndpointKey("sessions", &settings.sessions),
+         TextKey("sessions_reached_at", kOptional, &settings.sessions_reached_at)}},
        {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
        {"limits",
         false,
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -84,6 +84,8 @@
   ListenSettings readiness;
   // Agents and other entries open their sessions here.
   ListenSettings sessions;
+  // Where they reach it, "ip:port", when an address translation lies between; empty: there itself.
+  std::string sessions_reached_at;
   std::string store_address;
   // How long workers let runs go on without word at most.
   Duration longest_lease = std::chrono::seconds(6);
--- a/main/settings/process_settings_test.cc
+++ b/main/settings/process_settings_test.cc
@@ -76,6 +76,18 @@
   EXPECT_NO_THROW(ParsePoolEntrySettings("entry.ini", kPoolEntry));
 }
 
+// Behind an address translation, sessions are reached elsewhere than where the entry listens, and
+// the system may choose the port to listen on.
+TEST(PoolSettings, TellWhereSessionsAreReached) {
+  const PoolEntrySettings settings = ParsePoolEntrySettings(
+      "entry.ini",
+      "[process]\nname = n\navailability_zone = a\nadapter = users\n[listen]\n"
+      "callers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\nsessions = 127.0.0.1:0\n"
+      "sessions_reached_at = 10.0.0.9:7000\n[store]\naddress = s:1\n");
+  EXPECT_EQ(settings.sessions.port, 0);
+  EXPECT_EQ(settings.sessions_reached_at, "10.0.0.9:7000");
+}
+
 TEST(PoolSettings, RefuseWhatIsWrong) {
   for (const char* more :
        {"[limits]\nlongest_lease_ms = 5\n", "[limits]\nstatus_kept_s = soon\n",
--- a/modules/stand_ins/fake_pool_worker.cc
+++ b/modules/stand_ins/fake_pool_worker.cc
@@ -8,45 +8,130 @@
 namespace {
 
 constexpr Duration kLookEvery = std::chrono::milliseconds(5);
+// A worker that has just been born does not begin at zero.
+constexpr WorkerMillis kFirstMillis = 1000;
 
 }  // namespace
 
+const GangBoard::Gang* GangBoard::Find(const RunId& run) const {
+  const auto found = gangs_.find(KeyOf(run));
+  return found == gangs_.end() ? nullptr : &found->second;
+}
+
+std::optional<Time> GangBoard::WorksSince(const RunId& run) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Gang* gang = Find(run);
+  return gang == nullptr ? std::nullopt : gang->works_since;
+}
+
+void GangBoard::Join(const RunId& run, int size, Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Gang& gang = gangs_[KeyOf(run)];
+  gang.present.insert(run.task.index);
+  const bool whole = static_cast<int>(gang.present.size()) == size;
+  if (whole && !gang.broken && !gang.works_since) gang.works_since = now;
+}
+
+void GangBoard::Leave(const RunId& run, EndKind kind) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Gang& gang = gangs_[KeyOf(run)];
+  gang.present.erase(run.task.index);
+  if (kind == EndKind::kDone) gang.done = true;
+  // A member that waited in vain for the others takes nobody with it that works.
+  if (kind != EndKind::kDone && gang.works_since && !gang.done) gang.broken = true;
+}
+
+bool GangBoard::Broken(const RunId& run) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Gang* gang = Find(run);
+  return gang != nullptr && gang->broken;
+}
+
+bool GangBoard::Done(const RunId& run) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Gang* gang = Find(run);
+  return gang != nullptr && gang->done;
+}
+
 WorkerMillis FakePoolWorker::Clock(Time now) const {
-  return duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  const std::chrono::duration<double, std::milli> lived = now - born_;
+  return kFirstMillis + static_cast<WorkerMillis>(lived.count() * options_.clock_rate);
 }
 
 void FakePoolWorker::End(const RunId& run, EndKind kind) {
+  const bool gang = live_.at(run).gang;
   live_.erase(run);
   newest_over_[run.task] = std::max(newest_over_[run.task], run.number);
   const EndedTask end = {++ends_, run, kind, ""};
   ended_[end.number] = end;
+  if (gang && board_ != nullptr) board_->Leave(run, kind);
+  if (watch_ != nullptr) watch_->Ended(end);
   changed_.notify_all();
 }
 
+std::optional<EndKind> FakePoolWorker::EndOf(const RunId& run, const Live& live, Time now) {
+  if (live.gang && board_->Done(run)) return EndKind::kDone;
+  if (live.gang && board_->Broken(run)) return EndKind::kBroken;
+  if (Clock(now) >= lease_until_) return EndKind::kLapsed;
+  Time works_since = live.begun;
+  if (live.gang) {
+    const std::optional<Time> whole = board_->WorksSince(run);
+    if (!whole && now - live.begun >= options_.gang_wait) return EndKind::kAlone;
+    if (!whole) return std::nullopt;
+    works_since = *whole;
+  }
+  if (now - works_since < live.takes) return std::nullopt;
+  const bool fails = watch_ != nullptr && watch_->Fails(run);
+  return fails ? EndKind::kFailed : EndKind::kDone;
+}
+
 void FakePoolWorker::Settle(Time now) {
-  const bool lapsed = Clock(now) >= lease_until_;
   const std::map<RunId, Live> live = live_;
   for (const auto& [run, state] : live) {
-    if (lapsed) {
-      End(run, EndKind::kLapsed);
-    } else if (now >= state.over_at) {
-      End(run, EndKind::kDone);
-    }
+    const std::optional<EndKind> kind = EndOf(run, state, now);
+    if (kind) End(run, *kind);
+  }
+  NoteLapse(now);
+}
+
+void FakePoolWorker::NoteLapse(Time now) {
+  const bool lapsed = Clock(now) >= lease_until_;
+  if (lapsed && !lapsed_ && watch_ != nullptr) watch_->LeaseLapsed();
+  lapsed_ = lapsed;
+}
+
+void FakePoolWorker::Look(Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Settle(now);
+}
+
+void FakePoolWorker::Crash() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  crashed_ = true;
+  for (const auto& [run, state] : live_) {
+    if (state.gang) board_->Leave(run, EndKind::kBroken);
   }
+  live_.clear();
 }
 
 OrderAnswer FakePoolWorker::Start(const StartCall& call, Duration /*timeout*/) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (crashed_) return OrderAnswer::kUnwell;
   const Time now = LeaseClock().Now();
   Settle(now);
   if (call.fence < fence_) return OrderAnswer::kFenced;
   fence_ = call.fence;
-  lease_until_ = std::max(lease_until_, call.lease_until);
   if (live_.count(call.run) > 0) return OrderAnswer::kTaken;
   const auto over = newest_over_.find(call.run.task);
-  if (over != newest_over_.end() && call.run.number <= over->second) return OrderAnswer::kOld;
-  if (Clock(now) >= call.lease_until) return OrderAnswer::kLate;
-  live_[call.run] = {now + ParseDuration(call.payload)};
+  const bool old = over != newest_over_.end() && call.run.number <= over->second;
+  if (!old && Clock(now) >= call.lease_until) return OrderAnswer::kLate;
+  lease_until_ = std::max(lease_until_, call.lease_until);
+  if (old) return OrderAnswer::kOld;
+  const int size = watch_ == nullptr ? 0 : watch_->GangSize(call.run.task);
+  const bool gang = board_ != nullptr && size > 0;
+  live_[call.run] = {now, ParseDuration(call.payload), gang};
+  if (gang) board_->Join(call.run, size, now);
+  if (watch_ != nullptr) watch_->Begun(call);
   begun_.push_back(call.run);
   return OrderAnswer::kTaken;
 }
@@ -54,7 +139,9 @@
 OrderAnswer FakePoolWorker::Stop(const std::string& /*worker_id*/, const RunId& run, int64_t fence,
                                  Duration /*timeout*/) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (crashed_) return OrderAnswer::kUnwell;
   if (fence < fence_) return OrderAnswer::kFenced;
+  fence_ = fence;
   newest_over_[run.task] = std::max(newest_over_[run.task], run.number);
   if (live_.count(run) > 0) End(run, EndKind::kStopped);
   return OrderAnswer::kTaken;
@@ -63,21 +150,25 @@
 HoldAnswer FakePoolWorker::Hold(const HoldCall& call, Duration /*timeout*/) {
   std::unique_lock<std::mutex> lock(mutex_);
   HoldAnswer answer;
-  if (call.fence < fence_) {
-    answer.answer = OrderAnswer::kFenced;
-    return answer;
-  }
+  answer.answer = crashed_ ? OrderAnswer::kUnwell : OrderAnswer::kFenced;
+  if (crashed_ || call.fence < fence_) return answer;
   fence_ = call.fence;
+  Settle(LeaseClock().Now());
   if (call.lease_until) lease_until_ = std::max(lease_until_, *call.lease_until);
   ended_.erase(ended_.begin(), ended_.upper_bound(call.ends_kept));
+  if (watch_ != nullptr) watch_->EndsKept(call.ends_kept);
   const Time until = LeaseClock().Now() + call.wait;
-  Settle(LeaseClock().Now());
   while (ended_.empty() && LeaseClock().Now() < until) {
     changed_.wait_for(lock, kLookEvery);
     Settle(LeaseClock().Now());
   }
+  // A life that has ended says nothing more; its empty list would look as if its runs were over.
+  if (crashed_) {
+    answer.answer = OrderAnswer::kUnwell;
+    return answer;
+  }
   answer.answer = OrderAnswer::kTaken;
-  answer.lists.born_ms = born_ms_;
+  answer.lists.born_ms = options_.born_ms;
   answer.lists.clock = Clock(LeaseClock().Now());
   for (const auto& row : live_) answer.lists.running.push_back({row.first, ""});
   for (const auto& row : ended_) answer.lists.ended.push_back(row.second);
--- a/rpc/rpc_entry_connector.cc
+++ b/rpc/rpc_entry_connector.cc
@@ -93,12 +93,13 @@
 
 }  // namespace
 
-PeerAddress ParsePeerAddress(const std::string& text) {
+PeerAddress ParsePeerAddress(const std::string& text, int least_port) {
   const size_t colon = text.rfind(':');
   if (colon == std::string::npos) {
     throw Error(ErrorKind::kInvalidInput, "'" + text + "' is not IP:port");
   }
-  return {text.substr(0, colon), static_cast<int>(ParseInteger(text.substr(colon + 1), 1, 65535))};
+  return {text.substr(0, colon),
+          static_cast<int>(ParseInteger(text.substr(colon + 1), least_port, 65535))};
 }
 
 RpcEntryConnector::RpcEntryConnector(const SharedKeys& keys, int max_requests)
--- a/rpc/rpc_entry_connector.h
+++ b/rpc/rpc_entry_connector.h
@@ -28,6 +28,7 @@
   std::string ip;
   int port = 0;
 };
-PeerAddress ParsePeerAddress(const std::string& text);
+// `least_port`: 0 where the system may choose one.
+PeerAddress ParsePeerAddress(const std::string& text, int least_port = 1);
 
 }  // namespace turmericshift
--- /dev/null
+++ b/tests/soak/soak_faults.cc
@@ -0,0 +1,235 @@
+#include "tests/soak/soak_faults.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <array>
+#include <thread>
+
+#include "core/logging.h"
+
+namespace turmericshift::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::array<std::pair<FaultKind, const char*>, 22> kNames = {{
+    {FaultKind::kKillEntry, "kill_entry"},
+    {FaultKind::kTermEntry, "term_entry"},
+    {FaultKind::kPauseEntry, "pause_entry"},
+    {FaultKind::kKillAgent, "kill_agent"},
+    {FaultKind::kTermAgent, "term_agent"},
+    {FaultKind::kPauseAgent, "pause_agent"},
+    {FaultKind::kEntryStoreWay, "entry_store_way"},
+    {FaultKind::kAgentStoreWay, "agent_store_way"},
+    {FaultKind::kSessionWay, "session_way"},
+    {FaultKind::kWorkerWay, "worker_way"},
+    {FaultKind::kCallerWay, "caller_way"},
+    {FaultKind::kStoreRefuses, "store_refuses"},
+    {FaultKind::kStoreSlow, "store_slow"},
+    {FaultKind::kStoreLosesAnswers, "store_loses_answers"},
+    {FaultKind::kStoreForgets, "store_forgets"},
+    {FaultKind::kWorkerCrash, "worker_crash"},
+    {FaultKind::kWorkerReborn, "worker_reborn"},
+    {FaultKind::kWorkerDrains, "worker_drains"},
+    {FaultKind::kZoneOut, "zone_out"},
+    {FaultKind::kDocument, "document"},
+    {FaultKind::kRollEntries, "roll_entries"},
+    {FaultKind::kKillAll, "kill_all"},
+}};
+
+constexpr std::array<RelayFault, 5> kWayFaults = {RelayFault::kSilent, RelayFault::kCutThere,
+                                                  RelayFault::kCutBack, RelayFault::kReset,
+                                                  RelayFault::kSlow};
+constexpr int kShortestPauseMs = 50;
+constexpr int kLongestPauseMs = 1500;
+constexpr int kShortestFaultMs = 200;
+constexpr int kLongestFaultMs = 6000;
+constexpr milliseconds kSlowStore{250};
+// The platform kills a process this long after it asked it to end.
+constexpr milliseconds kGrace{6000};
+constexpr milliseconds kRollGap{900};
+// Orders of an agent that stood still may be carried out so long after it goes on.
+constexpr milliseconds kOrdersOnTheirWay{2000};
+
+}  // namespace
+
+const char* FaultKindName(FaultKind kind) {
+  for (const auto& [each, name] : kNames) {
+    if (each == kind) return name;
+  }
+  return "unknown";
+}
+
+std::vector<Fault> DrawFaults(uint64_t seed, Duration length) {
+  std::mt19937_64 random(seed);
+  const auto between = [&](int low, int high) {
+    return low + static_cast<int>(random() % static_cast<uint64_t>(high - low + 1));
+  };
+  std::vector<Fault> faults;
+  Duration at{};
+  while (true) {
+    at += milliseconds(between(kShortestPauseMs, kLongestPauseMs));
+    if (at >= length) return faults;
+    Fault fault;
+    fault.at = at;
+    fault.lasts = milliseconds(between(kShortestFaultMs, kLongestFaultMs));
+    fault.kind = kNames[random() % kNames.size()].first;
+    fault.target = static_cast<uint32_t>(random());
+    fault.way = kWayFaults[random() % kWayFaults.size()];
+    faults.push_back(fault);
+  }
+}
+
+SoakEntry* FaultPlayer::EntryOf(const Fault& fault) const {
+  return system_->entries()[fault.target % system_->entries().size()].get();
+}
+
+SoakSide* FaultPlayer::SideOf(const Fault& fault) const {
+  return system_->sides()[fault.target % system_->sides().size()].get();
+}
+
+TcpRelay* FaultPlayer::WayOf(const Fault& fault) const {
+  switch (fault.kind) {
+    case FaultKind::kEntryStoreWay:
+      return EntryOf(fault)->store.get();
+    case FaultKind::kAgentStoreWay:
+      return SideOf(fault)->store.get();
+    case FaultKind::kSessionWay:
+      return EntryOf(fault)->sessions.get();
+    case FaultKind::kWorkerWay:
+      return SideOf(fault)->worker_way.get();
+    default:
+      return EntryOf(fault)->callers.get();
+  }
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::SignalSteps(const Fault& fault, SoakProcess* process,
+                                                        int first, int last) const {
+  std::vector<Step> steps = {{fault.at, [process, first] { process->Signal(first); }}};
+  if (last != 0) {
+    steps.push_back({fault.at + fault.lasts, [process, last] { process->Signal(last); }});
+  }
+  return steps;
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::TermSteps(const Fault& fault, SoakProcess* process) {
+  const auto life = std::make_shared<int>(0);
+  const auto ask = [process, life] {
+    *life = process->life();
+    process->Signal(SIGTERM);
+  };
+  const auto kill = [process, life] {
+    if (process->life() == *life) process->Signal(SIGKILL);
+  };
+  return {{fault.at, ask}, {fault.at + kGrace, kill}};
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::StoreSteps(const Fault& fault,
+                                                       const platform::StoreFaults& faults) {
+  return {{fault.at, [this, faults] { system_->store().SetFaults(faults); }},
+          {fault.at + fault.lasts, [this] { system_->store().SetFaults({}); }}};
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::WorkerSteps(const Fault& fault) {
+  SoakSide* side = SideOf(fault);
+  const bool same_id = fault.kind == FaultKind::kWorkerReborn;
+  return {{fault.at, [this, side] { system_->CrashWorker(side); }},
+          {fault.at + fault.lasts, [this, side, same_id] { system_->BearWorker(side, same_id); }}};
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::RollSteps(const Fault& fault) {
+  std::vector<Step> steps;
+  Fault one = fault;
+  for (const auto& entry : system_->entries()) {
+    const std::vector<Step> more = TermSteps(one, entry->process.get());
+    steps.insert(steps.end(), more.begin(), more.end());
+    one.at += kRollGap;
+  }
+  return steps;
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::StepsOf(const Fault& fault) {
+  const Duration end = fault.at + fault.lasts;
+  SoakSide* side = SideOf(fault);
+  switch (fault.kind) {
+    case FaultKind::kKillEntry:
+      return SignalSteps(fault, EntryOf(fault)->process.get(), SIGKILL, 0);
+    case FaultKind::kKillAgent:
+      return SignalSteps(fault, side->process.get(), SIGKILL, 0);
+    case FaultKind::kTermEntry:
+      return TermSteps(fault, EntryOf(fault)->process.get());
+    case FaultKind::kTermAgent:
+      return TermSteps(fault, side->process.get());
+    case FaultKind::kRollEntries:
+      return RollSteps(fault);
+    case FaultKind::kPauseEntry:
+      return SignalSteps(fault, EntryOf(fault)->process.get(), SIGSTOP, SIGCONT);
+    case FaultKind::kPauseAgent: {
+      std::vector<Step> steps = SignalSteps(fault, side->process.get(), SIGSTOP, SIGCONT);
+      const Duration disturbs = fault.lasts + kOrdersOnTheirWay;
+      steps.push_back(
+          {fault.at, [this, disturbs] { history_->Disturbed(LeaseClock().Now() + disturbs); }});
+      return steps;
+    }
+    case FaultKind::kStoreRefuses:
+      return StoreSteps(fault, {true, false, milliseconds(0)});
+    case FaultKind::kStoreLosesAnswers:
+      return StoreSteps(fault, {false, true, milliseconds(0)});
+    case FaultKind::kStoreSlow:
+      return StoreSteps(fault, {false, false, kSlowStore});
+    case FaultKind::kStoreForgets:
+      return {{fault.at, [this] { system_->DropHistory(); }}};
+    case FaultKind::kWorkerCrash:
+    case FaultKind::kWorkerReborn:
+      return WorkerSteps(fault);
+    case FaultKind::kWorkerDrains:
+      return {{fault.at, [side] { side->worker->SetDraining(true); }},
+              {end, [side] { side->worker->SetDraining(false); }}};
+    case FaultKind::kZoneOut: {
+      const std::string zone = side->zone;
+      return {{fault.at, [this, zone] { system_->SetZone(zone, true); }},
+              {end, [this, zone] { system_->SetZone(zone, false); }}};
+    }
+    case FaultKind::kDocument:
+      return {{fault.at, [this] { system_->PublishDocument(); }}};
+    case FaultKind::kKillAll: {
+      std::vector<Step> steps;
+      for (const auto& entry : system_->entries()) {
+        steps.push_back({fault.at, [&entry] { entry->process->Signal(SIGKILL); }});
+      }
+      for (const auto& each : system_->sides()) {
+        steps.push_back({fault.at, [&each] { each->process->Signal(SIGKILL); }});
+      }
+      return steps;
+    }
+    default: {
+      TcpRelay* way = WayOf(fault);
+      return {{fault.at, [way, fault] { way->SetFault(fault.way); }},
+              {end, [way] { way->SetFault(RelayFault::kNone); }}};
+    }
+  }
+}
+
+void FaultPlayer::Play(const std::vector<Fault>& faults) {
+  std::vector<Step> steps;
+  for (const Fault& fault : faults) {
+    for (Step& step : StepsOf(fault)) steps.push_back(std::move(step));
+    steps.push_back({fault.at, [fault] {
+                       LogEvent(LogLevel::kInfo, "fault",
+                                {{"kind", FaultKindName(fault.kind)},
+                                 {"target", fault.target},
+                                 {"way", static_cast<int>(fault.way)},
+                                 {"lasts_s", Seconds(fault.lasts)}});
+                     }});
+  }
+  std::stable_sort(steps.begin(), steps.end(),
+                   [](const Step& a, const Step& b) { return a.at < b.at; });
+  const Time begun = LeaseClock().Now();
+  for (const Step& step : steps) {
+    std::this_thread::sleep_for(begun + step.at - LeaseClock().Now());
+    step.act();
+  }
+}
+
+}  // namespace turmericshift::soak
--- /dev/null
+++ b/tests/soak/soak_faults.h
@@ -0,0 +1,83 @@
+// Draws faults from a seed and brings them about, each at its time and over after a while. They
+// overlap and come in series.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tests/soak/soak_system.h"
+
+namespace turmericshift::soak {
+
+enum class FaultKind {
+  kKillEntry,
+  kTermEntry,
+  kPauseEntry,
+  kKillAgent,
+  kTermAgent,
+  kPauseAgent,
+  kEntryStoreWay,
+  kAgentStoreWay,
+  kSessionWay,
+  kWorkerWay,
+  kCallerWay,
+  kStoreRefuses,
+  kStoreSlow,
+  kStoreLosesAnswers,
+  kStoreForgets,
+  kWorkerCrash,
+  kWorkerReborn,
+  kWorkerDrains,
+  kZoneOut,
+  kDocument,
+  kRollEntries,
+  kKillAll,
+};
+const char* FaultKindName(FaultKind kind);
+
+struct Fault {
+  Duration at{};
+  Duration lasts{};
+  FaultKind kind = FaultKind::kKillEntry;
+  // Which of the things that fit; taken modulo their number.
+  uint32_t target = 0;
+  RelayFault way = RelayFault::kSilent;
+};
+
+// Faults over `length`, in the order of time; the same for the same seed.
+std::vector<Fault> DrawFaults(uint64_t seed, Duration length);
+
+class FaultPlayer {
+ public:
+  // Both must outlive the player.
+  FaultPlayer(SoakSystem* system, SoakHistory* history) : system_(system), history_(history) {}
+  // Plays the faults in real time and returns when the last one is over.
+  void Play(const std::vector<Fault>& faults);
+
+ private:
+  struct Step {
+    Duration at{};
+    std::function<void()> act;
+  };
+
+  // What the fault does and, if it lasts, what ends it.
+  std::vector<Step> StepsOf(const Fault& fault);
+  std::vector<Step> SignalSteps(const Fault& fault, SoakProcess* process, int first,
+                                int last) const;
+  std::vector<Step> StoreSteps(const Fault& fault, const platform::StoreFaults& faults);
+  std::vector<Step> WorkerSteps(const Fault& fault);
+  std::vector<Step> RollSteps(const Fault& fault);
+  // A stop in order has to end the process within the platform's grace.
+  std::vector<Step> TermSteps(const Fault& fault, SoakProcess* process);
+  TcpRelay* WayOf(const Fault& fault) const;
+  SoakEntry* EntryOf(const Fault& fault) const;
+  SoakSide* SideOf(const Fault& fault) const;
+
+  SoakSystem* const system_;
+  SoakHistory* const history_;
+};
+
+}  // namespace turmericshift::soak
--- /dev/null
+++ b/tests/soak/soak_history.h
@@ -0,0 +1,109 @@
+// What callers and workers saw during a soak, and whether the promises were kept. Shared between
+// threads.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "modules/stand_ins/fake_pool_worker.h"
+#include "platform/soak/caller.h"
+
+namespace turmericshift::soak {
+
+// A job as its caller made it.
+struct SoakJob {
+  pool::JobSpec spec;
+  // So many runs of its first task end failed.
+  int failures = 0;
+};
+
+class SoakHistory {
+ public:
+  // `max_attempts`: failed runs of a task that its queue allows.
+  explicit SoakHistory(int max_attempts) : max_attempts_(max_attempts) {}
+
+  // What callers saw. A job is noted before it is first sent.
+  void Made(const SoakJob& job);
+  void Submitted(const std::string& id, platform::CallOutcome outcome, Time now);
+  void CancelSent(const std::string& id);
+  void Cancelled(const std::string& id, Time now);
+  // A call sent at `sent` was told this state.
+  void Shown(const std::string& id, pool::JobState state, Time now);
+  void ShownUnknown(const std::string& id, Time sent, Time now);
+
+  // What workers see: one watch for each life.
+  std::unique_ptr<pool::WorkerWatch> Watch(const std::string& node, const std::string& zone);
+  void LifeOver(pool::WorkerWatch* watch);
+
+  // What operators did.
+  void ZoneOut(const std::string& zone, Time now);
+  void ZoneIn(const std::string& zone);
+  // Bounds in time don't hold before `until`: a process beside a worker stood still.
+  void Disturbed(Time until);
+
+  void Violation(const std::string& what);
+  // Jobs that were accepted and not yet shown as over.
+  std::vector<std::string> Pending() const;
+  pool::JobSpec SpecOf(const std::string& id) const;
+  // What can only be told once everything is over.
+  void CheckWhole();
+  std::vector<std::string> violations() const;
+  // One line of figures.
+  std::string Summary() const;
+
+ private:
+  class LifeWatch;
+  struct JobRecord {
+    SoakJob job;
+    std::optional<Time> accepted;
+    bool unclear = false;
+    bool cancel_sent = false;
+    std::optional<Time> cancelled;
+    std::optional<pool::JobState> over;
+    int begun = 0;
+  };
+  // An end and the life that lists it.
+  struct ListedEnd {
+    LifeWatch* life = nullptr;
+    int64_t number = 0;
+    Time at{};
+  };
+  struct TaskRecord {
+    std::map<int64_t, LifeWatch*> live;
+    std::vector<ListedEnd> done;
+    std::vector<ListedEnd> failed;
+    std::vector<Time> begun;
+  };
+
+  void Begun(LifeWatch* life, const pool::StartCall& call);
+  void Ended(LifeWatch* life, const pool::EndedTask& end);
+  bool Fails(const pool::RunId& run);
+  int GangSize(const pool::TaskId& task);
+  void CheckBegin(const LifeWatch& life, const pool::StartCall& call, const JobRecord& job,
+                  Time now);
+  void CheckBounds(const LifeWatch& life, const pool::TaskId& task, const JobRecord& job, Time now);
+  void CheckJob(const std::string& id, const JobRecord& job);
+  void CheckTask(const pool::TaskId& task, const TaskRecord& record);
+  // Of these ends, when the `count`th that the system has taken in came about; empty if there are
+  // fewer. An end counts as taken in when its worker was told that it is kept, unless the worker's
+  // lease ran out between the two: the system may take the task for lost then.
+  static std::optional<Time> TakenIn(const std::vector<ListedEnd>& ends, int count);
+  bool StepDone(const pool::JobSpec& spec, int step) const;
+  void ViolationLocked(const std::string& what);
+
+  const int max_attempts_;
+  mutable std::mutex mutex_;
+  std::map<std::string, JobRecord> jobs_;
+  std::map<pool::TaskId, TaskRecord> tasks_;
+  std::map<std::string, Time> zones_out_;
+  Time disturbed_until_{};
+  int refused_ = 0;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace turmericshift::soak
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,137 @@
+// The fault soak: a pool of real processes under faults drawn from a seed, with the promises
+// checked from what callers and workers see. Exit code 0 when all were kept, 1 otherwise.
+#include <unistd.h>
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+#include "core/logging.h"
+#include "core/secret.h"
+#include "tests/soak/soak_callers.h"
+#include "tests/soak/soak_faults.h"
+#include "tests/soak/soak_history.h"
+#include "tests/soak/soak_system.h"
+
+namespace turmericshift::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kMostAttempts = 3;
+constexpr Duration kLookEvery = milliseconds(50);
+constexpr size_t kMostShown = 20;
+// For processes to start and a planner to be found.
+constexpr seconds kStartLimit{60};
+
+struct SoakOptions {
+  SoakSystemOptions system;
+  uint64_t seed = 1;
+  seconds length{15};
+  // After the last fault every accepted job has to end within this. A change of planner costs 15 s
+  // where agents can't be heard, and jobs wait for each other after it.
+  seconds ending{90};
+  int callers = 3;
+};
+
+bool WaitFor(Duration limit, const std::function<bool()>& condition) {
+  const Time until = LeaseClock().Now() + limit;
+  while (!condition()) {
+    if (LeaseClock().Now() >= until) return false;
+    std::this_thread::sleep_for(kLookEvery);
+  }
+  return true;
+}
+
+bool Serves(SoakSystem* system) {
+  pool::JobSpec nobodys;
+  nobodys.id = "unknown";
+  nobodys.queue = "batch";
+  pool::JobState state = pool::JobState::kQueued;
+  for (const auto& entry : system->entries()) {
+    const platform::CallOutcome outcome =
+        platform::Caller(entry->callers->port()).StateOf(nobodys, seconds(1), &state);
+    if (outcome != platform::CallOutcome::kUnknownJob) return false;
+  }
+  return true;
+}
+
+// A loopback address that no other soak on this machine has now.
+std::string OwnAddress() {
+  constexpr pid_t kOctet = 100;
+  const pid_t pid = getpid();
+  return "127." + std::to_string(1 + pid / kOctet / kOctet % kOctet) + "." +
+         std::to_string(1 + pid / kOctet % kOctet) + "." + std::to_string(1 + pid % kOctet);
+}
+
+int Soak(const SoakOptions& options) {
+  SoakHistory history(kMostAttempts);
+  {
+    SoakSystem system(options.system, &history);
+    if (!WaitFor(kStartLimit, [&] { return Serves(&system); })) {
+      history.Violation("the entries do not come to serve");
+    } else {
+      SoakCallers callers(options.seed, options.callers, &system, &history);
+      FaultPlayer(&system, &history).Play(DrawFaults(options.seed, options.length));
+      system.Heal();
+      callers.StopSubmitting();
+      WaitFor(options.ending, [&] { return history.Pending().empty(); });
+    }
+    history.CheckWhole();
+  }
+  const std::vector<std::string> violations = history.violations();
+  std::cout << "seed " << options.seed << ": " << history.Summary() << "\n";
+  const size_t shown = std::min(violations.size(), kMostShown);
+  for (size_t i = 0; i < shown; ++i) std::cout << "  VIOLATION " << violations[i] << "\n";
+  if (violations.size() > shown) {
+    std::cout << "  and " << violations.size() - shown << " more\n";
+  }
+  return violations.empty() ? 0 : 1;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options words("turmericshift_soak", "plays faults on a pool of real processes");
+  words.add_options()("binary", "the program under soak", cxxopts::value<std::string>())(
+      "seed", "draws jobs and faults", cxxopts::value<uint64_t>()->default_value("1"))(
+      "seconds", "how long faults come", cxxopts::value<int>()->default_value("15"))(
+      "entries", "processes", cxxopts::value<int>()->default_value("3"))(
+      "workers", "each with an agent's process", cxxopts::value<int>()->default_value("6"))(
+      "callers", "who hand jobs in", cxxopts::value<int>()->default_value("3"))(
+      "keep", "keeps the folder with settings and logs");
+  const cxxopts::ParseResult parsed = words.parse(argc, argv);
+  SoakOptions options;
+  options.system.binary = std::filesystem::absolute(parsed["binary"].as<std::string>());
+  options.system.entries = parsed["entries"].as<int>();
+  options.system.workers = parsed["workers"].as<int>();
+  options.callers = parsed["callers"].as<int>();
+  options.seed = parsed["seed"].as<uint64_t>();
+  options.length = seconds(parsed["seconds"].as<int>());
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / ("soak-" + RandomHex(6));
+  std::filesystem::create_directory(folder);
+  options.system.folder = folder;
+  options.system.ip = OwnAddress();
+  InitLogging("turmericshift_soak", {"soak", std::to_string(options.seed), ""});
+  const int code = Soak(options);
+  if (parsed.count("keep") > 0 || code != 0) {
+    std::cout << "  logs: " << folder.string() << "\n";
+  } else {
+    std::filesystem::remove_all(folder);
+  }
+  return code;
+}
+
+}  // namespace
+}  // namespace turmericshift::soak
+
+int main(int argc, char** argv) {
+  try {
+    return turmericshift::soak::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "soak: " << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/tests/soak/soak_process.cc
@@ -0,0 +1,111 @@
+#include "tests/soak/soak_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <thread>
+
+#include "core/logging.h"
+
+namespace turmericshift::soak {
+namespace {
+
+constexpr Duration kLookEvery = std::chrono::milliseconds(10);
+// The platform starts a process again after a short delay.
+constexpr Duration kRestartDelay = std::chrono::milliseconds(200);
+
+}  // namespace
+
+SoakProcess::SoakProcess(const SoakProcessOptions& options,
+                         std::function<void(const nlohmann::json&)> started,
+                         std::function<void(const std::string&)> ends_by_itself)
+    : options_(options),
+      started_(std::move(started)),
+      ends_by_itself_(std::move(ends_by_itself)),
+      thread_("process", [this] { Run(); }) {}
+
+SoakProcess::~SoakProcess() {
+  stopping_.store(true);
+  Signal(SIGKILL);
+}
+
+void SoakProcess::Signal(int signal) {
+  // The process is reaped under the same lock, so that its id can't be another's by now.
+  const std::lock_guard<std::mutex> lock(signal_mutex_);
+  const pid_t pid = pid_.load();
+  if (pid <= 0) return;
+  if (signal == SIGKILL || signal == SIGTERM) asked_to_end_.store(true);
+  kill(pid, signal);
+}
+
+pid_t SoakProcess::Spawn(const std::string& output) const {
+  std::vector<char*> arguments;
+  for (const std::string& word : options_.command) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  const pid_t pid = fork();
+  if (pid != 0) {
+    close(file);
+    return pid;
+  }
+  // Left behind by a soak that was killed, it would go on calling ports that are others' by now.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  dup2(file, STDOUT_FILENO);
+  dup2(file, STDERR_FILENO);
+  execv(arguments[0], arguments.data());
+  _exit(127);
+}
+
+bool SoakProcess::TellStarted(const std::string& output) const {
+  std::ifstream lines(output);
+  std::string line;
+  while (std::getline(lines, line)) {
+    const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
+    if (!event.is_object() || event.value("event", "") != "started") continue;
+    started_(event);
+    return true;
+  }
+  return false;
+}
+
+int SoakProcess::Attend(pid_t pid, const std::string& output) {
+  bool told = false;
+  while (true) {
+    if (!told) told = TellStarted(output);
+    {
+      const std::lock_guard<std::mutex> lock(signal_mutex_);
+      int status = 0;
+      if (waitpid(pid, &status, WNOHANG) == pid) {
+        pid_.store(0);
+        return status;
+      }
+    }
+    std::this_thread::sleep_for(kLookEvery);
+  }
+}
+
+void SoakProcess::Run() {
+  while (!stopping_.load()) {
+    const int life = life_.fetch_add(1) + 1;
+    const std::string output =
+        options_.folder + "/" + options_.name + "." + std::to_string(life) + ".log";
+    asked_to_end_.store(false);
+    const pid_t pid = Spawn(output);
+    pid_.store(pid);
+    // The owner may have looked for a process to end before there was one.
+    if (stopping_.load()) Signal(SIGKILL);
+    const int status = Attend(pid, output);
+    LogEvent(LogLevel::kInfo, "process_over",
+             {{"name", options_.name}, {"life", life}, {"status", status}});
+    if (!asked_to_end_.load()) ends_by_itself_(options_.name);
+    std::this_thread::sleep_for(kRestartDelay);
+  }
+}
+
+}  // namespace turmericshift::soak
--- /dev/null
+++ b/tests/soak/soak_system.h
@@ -0,0 +1,96 @@
+// A whole pool under soak: entries and agents as processes, store and workers of this process, and
+// a relay on each way between them.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "modules/stand_ins/memory_keyed_log.h"
+#include "platform/soak/store_front.h"
+#include "platform/soak/worker_front.h"
+#include "tests/soak/soak_history.h"
+#include "tests/soak/soak_process.h"
+#include "tests/stand_ins/tcp_relay.h"
+
+namespace turmericshift::soak {
+
+struct SoakSystemOptions {
+  // The program under soak.
+  std::string binary;
+  // For settings and logs.
+  std::string folder;
+  // Loopback address of the processes, another for each soak: a port that one has left may be
+  // another's by now, and who comes back to it must not meet a foreign pool.
+  std::string ip = "127.0.0.1";
+  int entries = 3;
+  int workers = 6;
+};
+
+// An entry and the ways to it and from it.
+struct SoakEntry {
+  std::string name;
+  std::unique_ptr<TcpRelay> callers;
+  std::unique_ptr<TcpRelay> sessions;
+  std::unique_ptr<TcpRelay> store;
+  // Last, so that it ends before its ways.
+  std::unique_ptr<SoakProcess> process;
+};
+
+// A worker with the agent beside it.
+struct SoakSide {
+  std::string name;
+  std::string zone;
+  std::unique_ptr<platform::WorkerFront> worker;
+  std::unique_ptr<TcpRelay> worker_way;
+  std::unique_ptr<TcpRelay> store;
+  std::unique_ptr<pool::WorkerWatch> life;
+  int lives = 0;
+  std::unique_ptr<SoakProcess> process;
+};
+
+class SoakSystem {
+ public:
+  // `history` must outlive the system.
+  SoakSystem(const SoakSystemOptions& options, SoakHistory* history);
+  ~SoakSystem();
+  SoakSystem(const SoakSystem&) = delete;
+  SoakSystem& operator=(const SoakSystem&) = delete;
+
+  const std::vector<std::unique_ptr<SoakEntry>>& entries() const { return entries_; }
+  const std::vector<std::unique_ptr<SoakSide>>& sides() const { return sides_; }
+  platform::StoreFront& store() { return store_front_; }
+  static const std::vector<std::string>& zones();
+
+  // The worker dies with all that it runs; it is away until BearWorker.
+  void CrashWorker(SoakSide* side);
+  void BearWorker(SoakSide* side, bool same_id);
+  void SetZone(const std::string& zone, bool out);
+  // The document again, under the next version.
+  void PublishDocument();
+  // The store forgets its history; the newest records stay.
+  void DropHistory();
+  // Ends every fault that lasts.
+  void Heal();
+
+ private:
+  void AddEntry(int number);
+  void AddSide(int number);
+  std::vector<std::string> CommandFor(const std::string& role, const std::string& name,
+                                      const std::string& settings) const;
+  void ProcessEndedByItself(const std::string& name);
+  void Append(const KeyedRecord& record);
+
+  const SoakSystemOptions options_;
+  SoakHistory* const history_;
+  MemoryKeyedLog log_;
+  pool::GangBoard board_;
+  platform::StoreFront store_front_;
+  int64_t version_ = 0;
+  // Lives that are over; their workers may still be in a call.
+  std::vector<std::unique_ptr<pool::WorkerWatch>> past_lives_;
+  std::vector<std::unique_ptr<SoakSide>> sides_;
+  std::vector<std::unique_ptr<SoakEntry>> entries_;
+};
+
+}  // namespace turmericshift::soak
--- a/tests/stand_ins/tcp_relay.cc
+++ b/tests/stand_ins/tcp_relay.cc
@@ -15,11 +15,12 @@
 
 constexpr int kPollMillis = 20;
 constexpr size_t kChunkBytes = 4096;
+constexpr useconds_t kSlowMicros = 200'000;
 
-sockaddr_in Loopback(int port) {
+sockaddr_in AddressOf(const std::string& ip, int port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
   address.sin_port = htons(static_cast<uint16_t>(port));
   return address;
 }
@@ -32,18 +33,25 @@
   return send(to, chunk.data(), static_cast<size_t>(size), MSG_NOSIGNAL) == size;
 }
 
+// Closes with a reset instead of an orderly end.
+void Reset(int fd) {
+  const linger at_once = {1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 }  // namespace
 
 struct TcpRelay::Pair {
   int near = -1;
   int far = -1;
   std::atomic<bool> silent{false};
+  std::atomic<bool> over{false};
   Thread thread;
 };
 
-TcpRelay::TcpRelay(int to) : to_(to) {
+TcpRelay::TcpRelay(int to, const std::string& ip) : ip_(ip), to_(to) {
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = Loopback(0);
+  sockaddr_in address = AddressOf("127.0.0.1", 0);
   socklen_t size = sizeof(address);
   const bool bound = bind(listener_, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
                      listen(listener_, SOMAXCONN) == 0 &&
@@ -65,15 +73,25 @@
   for (const auto& pair : pairs_) pair->silent.store(true);
 }
 
+void TcpRelay::DropOver() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::erase_if(pairs_, [](const auto& pair) { return pair->over.load(); });
+}
+
 void TcpRelay::Accept() {
   while (!stopping_.load()) {
+    DropOver();
     pollfd waiting{listener_, POLLIN, 0};
     if (poll(&waiting, 1, kPollMillis) <= 0) continue;
     auto pair = std::make_unique<Pair>();
     pair->near = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     pair->far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = Loopback(to_);
-    if (connect(pair->far, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    const sockaddr_in address = AddressOf(ip_, to_.load());
+    const bool refused =
+        fault_.load() == RelayFault::kReset ||
+        connect(pair->far, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0;
+    if (refused) {
+      Reset(pair->near);
       close(pair->near);
       close(pair->far);
       continue;
@@ -89,18 +107,26 @@
 void TcpRelay::Carry(Pair* pair) const {
   bool open = true;
   while (open && !stopping_.load()) {
-    std::array<pollfd, 2> ends{{{pair->near, POLLIN, 0}, {pair->far, POLLIN, 0}}};
-    // A silent pair is not read from, so that neither end learns anything.
-    if (pair->silent.load()) ends[0].events = ends[1].events = 0;
-    if (poll(ends.data(), ends.size(), kPollMillis) <= 0 || pair->silent.load()) {
-      if (pair->silent.load()) usleep(kPollMillis * 1000);
-      continue;
+    const RelayFault fault = fault_.load();
+    if (fault == RelayFault::kReset) {
+      Reset(pair->near);
+      Reset(pair->far);
+      break;
     }
+    // What is not carried is not read either, so that neither end learns anything.
+    const bool silent = pair->silent.load() || fault == RelayFault::kSilent;
+    const bool there = !silent && fault != RelayFault::kCutThere;
+    const bool back = !silent && fault != RelayFault::kCutBack;
+    std::array<pollfd, 2> ends{
+        {{there ? pair->near : -1, POLLIN, 0}, {back ? pair->far : -1, POLLIN, 0}}};
+    if (poll(ends.data(), ends.size(), kPollMillis) <= 0) continue;
+    if (fault == RelayFault::kSlow) usleep(kSlowMicros);
     if (ends[0].revents != 0) open = Pass(pair->near, pair->far);
     if (open && ends[1].revents != 0) open = Pass(pair->far, pair->near);
   }
   close(pair->near);
   close(pair->far);
+  pair->over.store(true);
 }
 
 }  // namespace turmericshift
--- a/tests/stand_ins/tcp_relay.h
+++ b/tests/stand_ins/tcp_relay.h
@@ -1,20 +1,35 @@
-// Stands between two ends of TCP connections and can lose track of those it has: they stay open
-// and carry nothing any more, while new ones work.
+// Stands between two ends of TCP connections and can lose track of those it has, so that they stay
+// open and carry nothing any more while new ones work; and has the faults of a network.
 #pragma once
 
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 #include "core/thread.h"
 
 namespace turmericshift {
 
+// What happens to all connections, old and new, while it is in force.
+enum class RelayFault {
+  kNone,
+  // Nothing is carried either way; what was sent arrives when the fault is over.
+  kSilent,
+  // Nothing is carried from those who connect, or back to them.
+  kCutThere,
+  kCutBack,
+  // Open connections are reset, new ones too.
+  kReset,
+  // Whatever is carried takes a fifth of a second longer.
+  kSlow,
+};
+
 class TcpRelay {
  public:
-  // Relays to the loopback port `to`.
-  explicit TcpRelay(int to);
+  // Relays to port `to` of the loopback address `ip`; 0: to nobody yet.
+  explicit TcpRelay(int to, const std::string& ip = "127.0.0.1");
   ~TcpRelay();
   TcpRelay(const TcpRelay&) = delete;
   TcpRelay& operator=(const TcpRelay&) = delete;
@@ -22,14 +37,21 @@
   int port() const { return port_; }
   // Every connection open now goes silent for good.
   void Silence();
+  void SetFault(RelayFault fault) { fault_.store(fault); }
+  // New connections go there.
+  void Retarget(int to) { to_.store(to); }
   int connections() const { return connections_.load(); }
 
  private:
   struct Pair;
   void Accept();
   void Carry(Pair* pair) const;
+  // Pairs whose connections have closed.
+  void DropOver();
 
-  const int to_;
+  const std::string ip_;
+  std::atomic<int> to_;
+  std::atomic<RelayFault> fault_{RelayFault::kNone};
   int listener_ = -1;
   int port_ = 0;
   std::atomic<bool> stopping_{false};
