Pool: Ask the advice service which workers may run a step, and hand its tickets on

A queue may let only those workers run its steps that a service of the platform names. Such jobs never started: each start was turned away for want of a ticket. Now the planner asks, one question at a time and for the steps first that go first, places by tickets that still hold, and has starts carry them; a ticket that is turned away is asked for again.

Tests: AdviceBook.*, PoolPlannerAdvice.* (a gang and single tasks on the named rack in 6 and 12 s with at most 8 questions and no start turned away; a guarantee back within 2.9 s on the one worker that is named), DecodeAdvice.

--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -10,6 +10,7 @@
 #include "main/commands.h"
 #include "main/settings/process_settings.h"
 #include "rpc/pool_session.h"
+#include "servers/pool/advice_asker.h"
 #include "servers/pool/pool_agent.h"
 #include "servers/pool/pool_entry.h"
 
@@ -71,6 +72,13 @@
   pool::PoolEntry entry(entry_options, log.get(),
                         pool::OperatorDecoderRegistry::Instance().Create(settings.adapter),
                         door.get(), &connector, &metrics);
+  std::unique_ptr<pool::AdviceService> advice;
+  std::optional<pool::AdviceAsker> asker;
+  if (!settings.advice_address.empty()) {
+    advice =
+        pool::AdviceServiceRegistry::Instance().Create(settings.adapter, settings.advice_address);
+    asker.emplace(advice.get(), entry.planner());
+  }
   PoolListenerOptions listener_options;
   listener_options.address = settings.sessions.address;
   listener_options.port = settings.sessions.port;
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -183,6 +183,7 @@
          EndpointKey("sessions", &settings.sessions),
          TextKey("sessions_reached_at", kOptional, &settings.sessions_reached_at)}},
        {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
+       {"advice", false, {TextKey("address", kRequired, &settings.advice_address)}},
        {"limits",
         false,
         {PlatformTimeKey("longest_lease_ms", kLeastLeaseMillis, kMostSeconds * 1000,
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -87,6 +87,8 @@
   // Where they reach it, "ip:port", when an address translation lies between; empty: there itself.
   std::string sessions_reached_at;
   std::string store_address;
+  // Where the advice service is asked; empty: there is none.
+  std::string advice_address;
   // How long workers let runs go on without word at most.
   Duration longest_lease = std::chrono::seconds(6);
   // Ended jobs can be asked for at least so long.
--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -68,6 +68,7 @@
   run @0 :PoolRun;
   payload @1 :Text;
   checkpoint @2 :Text;
+  ticket @3 :Text;
 }
 
 struct PoolOrders {
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -59,6 +59,8 @@
       return pool::StartOutcome::kRefused;
     case static_cast<int>(pool::StartOutcome::kNotRun):
       return pool::StartOutcome::kNotRun;
+    case static_cast<int>(pool::StartOutcome::kTicketRefused):
+      return pool::StartOutcome::kTicketRefused;
     default:
       throw Error(ErrorKind::kInvalidInput, "an outcome of a start that is none of ours");
   }
@@ -141,6 +143,7 @@
     Write(from.starts[i].run, starts[i].initRun());
     starts[i].setPayload(from.starts[i].payload);
     starts[i].setCheckpoint(from.starts[i].checkpoint);
+    starts[i].setTicket(from.starts[i].ticket);
   }
   auto stops = to.initStops(Count(from.stops));
   for (unsigned i = 0; i < from.stops.size(); ++i) Write(from.stops[i], stops[i]);
@@ -155,8 +158,8 @@
   orders.ends_kept = from.getEndsKept();
   orders.worker_born_ms = from.getWorkerBornMs();
   for (const auto start : from.getStarts()) {
-    orders.starts.push_back(
-        {Read(start.getRun()), Text(start.getPayload()), Text(start.getCheckpoint())});
+    orders.starts.push_back({Read(start.getRun()), Text(start.getPayload()),
+                             Text(start.getCheckpoint()), Text(start.getTicket())});
   }
   for (const auto stop : from.getStops()) orders.stops.push_back(Read(stop));
   return orders;
--- /dev/null
+++ b/servers/pool/advice_asker.h
@@ -0,0 +1,30 @@
+// Asks the advice service what the planner of this process wants to know, one question at a time:
+// the service answers a VM's calls in turn, and a second one would only wait there.
+#pragma once
+
+#include <atomic>
+
+#include "core/thread.h"
+#include "servers/pool/advice_service.h"
+#include "servers/pool/planner_service.h"
+
+namespace turmericshift::pool {
+
+class AdviceAsker {
+ public:
+  // Both must outlive the asker.
+  AdviceAsker(AdviceService* advice, PlannerService* planner);
+  ~AdviceAsker();
+  AdviceAsker(const AdviceAsker&) = delete;
+  AdviceAsker& operator=(const AdviceAsker&) = delete;
+
+ private:
+  void Run();
+
+  AdviceService* const advice_;
+  PlannerService* const planner_;
+  std::atomic<bool> stopping_{false};
+  Thread thread_;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/advice_book.cc
@@ -0,0 +1,102 @@
+#include "servers/pool/advice_book.h"
+
+#include <algorithm>
+
+namespace turmericshift::pool {
+namespace {
+
+// A start reaches its worker within a poll and a call, 50 ms as a rule; a ticket that runs out on
+// the way costs a refusal. Of short-lived tickets at most a quarter of their time is given up.
+constexpr Duration kOnTheWay = std::chrono::milliseconds(400);
+constexpr int kShareOnTheWay = 4;
+// Workers named in one call. The service takes time for each, and the platform reckons with so many
+// when it says how long a job should take.
+constexpr size_t kMostNamed = 30;
+// After a call that failed or was turned away: the service answers one call in some tens of
+// milliseconds.
+constexpr Duration kPause = std::chrono::milliseconds(100);
+
+Duration Margin(Duration valid) { return std::min(kOnTheWay, valid / kShareOnTheWay); }
+
+}  // namespace
+
+const AdviceBook::Verdict* AdviceBook::Find(const AdvisedStep& step,
+                                            const AdvisedWorker& worker) const {
+  const auto verdicts = verdicts_.find(step);
+  if (verdicts == verdicts_.end()) return nullptr;
+  const auto found = verdicts->second.find(worker);
+  return found == verdicts->second.end() ? nullptr : &found->second;
+}
+
+std::optional<std::string> AdviceBook::TicketFor(const AdvisedStep& step,
+                                                 const AdvisedWorker& worker, Time now) const {
+  const Verdict* verdict = Find(step, worker);
+  if (verdict == nullptr || verdict->ticket.empty()) return std::nullopt;
+  if (now >= verdict->asked + verdict->valid - Margin(verdict->valid)) return std::nullopt;
+  return verdict->ticket;
+}
+
+bool AdviceBook::MayRun(const AdvisedStep& step, const AdvisedWorker& worker) const {
+  const Verdict* verdict = Find(step, worker);
+  return verdict == nullptr || verdict->may_run;
+}
+
+void AdviceBook::Want(const AdvisedStep& step, const std::vector<AdvisedWorker>& workers,
+                      Time now) {
+  std::vector<AdvisedWorker> known_good;
+  std::vector<AdvisedWorker> unknown;
+  for (const AdvisedWorker& worker : workers) {
+    if (!MayRun(step, worker) || TicketFor(step, worker, now)) continue;
+    (Find(step, worker) != nullptr ? known_good : unknown).push_back(worker);
+  }
+  AdviceQuestion question = {step, std::move(known_good)};
+  question.workers.insert(question.workers.end(), unknown.begin(), unknown.end());
+  if (question.workers.size() > kMostNamed) question.workers.resize(kMostNamed);
+  if (!question.workers.empty()) wanted_.push_back(std::move(question));
+}
+
+std::optional<AdviceQuestion> AdviceBook::Next(Time now) {
+  if (asking_ || now < not_before_) return std::nullopt;
+  while (!wanted_.empty()) {
+    AdviceQuestion question = std::move(wanted_.front());
+    wanted_.erase(wanted_.begin());
+    // The answer to the question before may have come after this one was wanted.
+    std::erase_if(question.workers, [&](const AdvisedWorker& worker) {
+      return !MayRun(question.step, worker) || TicketFor(question.step, worker, now);
+    });
+    if (question.workers.empty()) continue;
+    asking_ = true;
+    return question;
+  }
+  return std::nullopt;
+}
+
+void AdviceBook::Take(const AdviceQuestion& question, const AdviceAnswer& answer, Time asked) {
+  asking_ = false;
+  std::map<std::string, std::string> tickets;
+  for (const AdviceTicket& good : answer.good) tickets[good.worker_id] = good.ticket;
+  Verdicts& verdicts = verdicts_[question.step];
+  for (const AdvisedWorker& worker : question.workers) {
+    const auto good = tickets.find(worker.id);
+    const bool may_run = good != tickets.end();
+    verdicts[worker] = {may_run, may_run ? good->second : "", asked, answer.valid};
+  }
+}
+
+void AdviceBook::Failed(Time now) {
+  asking_ = false;
+  not_before_ = now + kPause;
+}
+
+void AdviceBook::TicketRefused(const AdvisedStep& step, const AdvisedWorker& worker) {
+  const auto verdicts = verdicts_.find(step);
+  if (verdicts == verdicts_.end()) return;
+  const auto found = verdicts->second.find(worker);
+  if (found != verdicts->second.end()) found->second.ticket.clear();
+}
+
+void AdviceBook::Forget(const std::string& job) {
+  std::erase_if(verdicts_, [&](const auto& row) { return row.first.job == job; });
+}
+
+}  // namespace turmericshift::pool
--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -250,6 +250,7 @@
     call.run = order.run;
     call.payload = order.payload;
     call.checkpoint = order.checkpoint;
+    call.ticket = order.ticket;
     call.lease_until = std::min(*lease, WorkerClock(now) + Millis(kStartValid));
     call.fence = epoch_;
     return call;
@@ -286,6 +287,10 @@
       found->second.phase = StartPhase::kNotRunning;
       SetResult(run, StartOutcome::kRefused, OrderAnswerName(answer));
       return;
+    case OrderAnswer::kNoTicket:
+      found->second.phase = StartPhase::kNotRunning;
+      SetResult(run, StartOutcome::kTicketRefused, OrderAnswerName(answer));
+      return;
     case OrderAnswer::kUnwell:
     case OrderAnswer::kOtherLife:
     case OrderAnswer::kAway:
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -54,7 +54,7 @@
     state.TakeOrders(Orders(), now, now);
     std::string why;
     const std::optional<StartCall> call =
-        state.PrepareStart({run, "", ""}, now + milliseconds(1500), &why, now);
+        state.PrepareStart({run, "", "", ""}, now + milliseconds(1500), &why, now);
     EXPECT_TRUE(call) << why;
     return call.value_or(StartCall());
   }
@@ -94,7 +94,7 @@
 TEST(AgentState, SaysNothingOfAStartWithoutAnAnswerUntilItIsSettled) {
   Agent agent;
   AgentOrders orders = agent.Orders();
-  orders.starts = {{kRun, "payload", ""}};
+  orders.starts = {{kRun, "payload", "", ""}};
   ASSERT_EQ(agent.state.TakeOrders(orders, agent.now, agent.now).starts.size(), 1U);
   agent.state.TakeStartAnswer(kRun, OrderAnswer::kUnanswered);
   agent.Hold(agent.now, {});
@@ -107,7 +107,7 @@
 TEST(AgentState, CarriesAnOrderOutOnceThoughItIsRepeated) {
   Agent agent;
   AgentOrders orders = agent.Orders();
-  orders.starts = {{kRun, "payload", ""}};
+  orders.starts = {{kRun, "payload", "", ""}};
   EXPECT_EQ(agent.state.TakeOrders(orders, agent.now, agent.now).starts.size(), 1U);
   EXPECT_TRUE(agent.state.TakeOrders(orders, agent.now, agent.now).starts.empty());
 }
@@ -117,14 +117,14 @@
   Agent agent;
   agent.state.RaiseEpoch(2);
   AgentOrders orders = agent.Orders();
-  orders.starts = {{kRun, "payload", ""}};
+  orders.starts = {{kRun, "payload", "", ""}};
   EXPECT_TRUE(agent.state.TakeOrders(orders, agent.now, agent.now).starts.empty());
 }
 
 // The VM sleeps between an order and its being carried out, or the planner has been silent since.
 TEST(AgentState, StartsNothingThatIsOutOfDateOrWithoutALease) {
   Agent agent;
-  const StartOrder order = {kRun, "payload", ""};
+  const StartOrder order = {kRun, "payload", "", ""};
   std::string why;
   EXPECT_FALSE(agent.state.PrepareStart(order, agent.now + milliseconds(100), &why, agent.now));
   EXPECT_EQ(why, "no lease");
@@ -144,7 +144,7 @@
   agent.state.TakeAnnouncement(leaving);
   std::string why;
   EXPECT_FALSE(
-      agent.state.PrepareStart({kRun, "", ""}, agent.now + milliseconds(100), &why, agent.now));
+      agent.state.PrepareStart({kRun, "", "", ""}, agent.now + milliseconds(100), &why, agent.now));
 }
 
 // A worker refuses connections: it has not got the lease that a call was to bring. Counted as if it
--- a/servers/pool/job_model.h
+++ b/servers/pool/job_model.h
@@ -69,6 +69,8 @@
   double stretch = 1.0;
   // and so much more.
   Duration target_latency{};
+  // Only workers that the advice service names may run the queue's steps.
+  bool advised = false;
 };
 
 struct JobSpec {
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -51,11 +51,14 @@
 }
 
 json TermsToJson(const QueueTerms& terms) {
-  return {{"service", terms.service},
-          {"priority", terms.priority},
-          {"max_attempts", terms.max_attempts},
-          {"stretch", terms.stretch},
-          {"target_ms", duration_cast<std::chrono::milliseconds>(terms.target_latency).count()}};
+  json out = {
+      {"service", terms.service},
+      {"priority", terms.priority},
+      {"max_attempts", terms.max_attempts},
+      {"stretch", terms.stretch},
+      {"target_ms", duration_cast<std::chrono::milliseconds>(terms.target_latency).count()}};
+  if (terms.advised) out["advised"] = true;
+  return out;
 }
 
 QueueTerms TermsFromJson(const json& in) {
@@ -65,6 +68,7 @@
   terms.max_attempts = in.at("max_attempts").get<int>();
   terms.stretch = in.at("stretch").get<double>();
   terms.target_latency = std::chrono::milliseconds(in.at("target_ms").get<int64_t>());
+  terms.advised = in.value("advised", false);
   return terms;
 }
 
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -55,6 +55,7 @@
   }
   changed_.notify_all();
   to_write_.notify_all();
+  to_ask_.notify_all();
   End("the process stops");
 }
 
@@ -142,6 +143,33 @@
   return silent;
 }
 
+std::optional<AdviceQuestion> PlannerService::NextQuestion(Duration limit) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  std::optional<AdviceQuestion> question;
+  to_ask_.wait_for(lock, limit, [&] {
+    if (planner_) question = planner_->advice().Next(LeaseClock().Now());
+    return question.has_value() || stopping_;
+  });
+  return question;
+}
+
+void PlannerService::TakeAdvice(const AdviceQuestion& question, const AdviceAnswer& answer,
+                                Time asked) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!planner_) return;
+    planner_->advice().Take(question, answer, asked);
+    planner_->NoteAdvice();
+    dirty_ = true;
+  }
+  changed_.notify_all();
+}
+
+void PlannerService::AdviceFailed(Time now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (planner_) planner_->advice().Failed(now);
+}
+
 void PlannerService::Exchange(const AgentReport& report,
                               std::function<void(Attempt<AgentOrders>)> done) {
   const Time now = LeaseClock().Now();
@@ -273,6 +301,7 @@
       AnswerWaiters(now, &replies);
       jobs_.Set(static_cast<double>(planner_->job_count()));
       if (!planner_->outbox().empty()) to_write_.notify_all();
+      to_ask_.notify_all();
     }
     RunAll(replies);
   }
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -51,6 +51,10 @@
   // Writes what is left and gives the duty up in the store, so that a successor need not wait for
   // the silence; at most `limit`.
   void Release(Duration limit);
+  // Waits up to `limit` for something that the advice service should be asked.
+  std::optional<AdviceQuestion> NextQuestion(Duration limit);
+  void TakeAdvice(const AdviceQuestion& question, const AdviceAnswer& answer, Time asked);
+  void AdviceFailed(Time now);
   // The epoch while the duty is held; 0 otherwise.
   int64_t epoch() const;
   // Agents that have not been heard for `limit`, of those given.
@@ -100,6 +104,7 @@
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::condition_variable to_write_;
+  std::condition_variable to_ask_;
   std::unique_ptr<PoolPlanner> planner_;
   std::map<std::string, Poll> polls_;
   std::vector<Waiter> waiters_;
--- a/servers/pool/pool_config.h
+++ b/servers/pool/pool_config.h
@@ -21,8 +21,6 @@
   QueueTerms terms;
   // Callers need no key.
   bool open = false;
-  // Workers must be named by the advice service before a start.
-  bool advised = false;
 };
 
 struct Workspace {
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -40,6 +40,8 @@
   PoolEntry& operator=(const PoolEntry&) = delete;
 
   PlannerGate* gate() { return &service_; }
+  // For the one who asks the advice service on its behalf.
+  PlannerService* planner() { return &service_; }
   int caller_port() const { return callers_->port(); }
   int readiness_port() const { return readiness_->port(); }
   // Takes part in planning from now on; `address` is where sessions are opened.
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -48,6 +48,8 @@
   kRefused,
   // The worker or its agent is not well; it does not run.
   kNotRun,
+  // The worker does not take the ticket of the advice service; it does not run.
+  kTicketRefused,
 };
 
 struct StartResult {
@@ -101,6 +103,8 @@
   RunId run;
   std::string payload;
   std::string checkpoint;
+  // Of the advice service; empty where the queue asks none.
+  std::string ticket;
 };
 
 struct AgentOrders {
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -89,7 +89,7 @@
   for (const auto& [id, run] : worker.live) {
     if (run.phase == RunPhase::kStopping) orders.stops.push_back(id);
     if (run.phase != RunPhase::kOrdered || run.released_by > outbox_.kept()) continue;
-    orders.starts.push_back({id, run.payload, run.checkpoint});
+    orders.starts.push_back({id, run.payload, run.checkpoint, run.ticket});
   }
   return orders;
 }
@@ -137,6 +137,7 @@
   job->progress.state = state;
   job->progress.ended_ms = wall_ms;
   Save(job);
+  advice_.Forget(job->spec.id);
   StopJob(*job);
   LogEvent(LogLevel::kInfo, "job_ended",
            {{"job", job->spec.id}, {"state", JobStateName(state)}, {"epoch", epoch_}});
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "servers/pool/advice_book.h"
 #include "servers/pool/job_book.h"
 #include "servers/pool/outbox.h"
 #include "servers/pool/placer.h"
@@ -100,6 +101,11 @@
   // Records have been kept since the last call.
   void NoteKept();
 
+  // What the advice service should be asked now, and its answers.
+  AdviceBook& advice() { return advice_; }
+  // Advice has come in that bears on placing.
+  void NoteAdvice() { changed_ = true; }
+
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
   size_t job_count() const { return jobs_.size(); }
 
@@ -205,7 +211,13 @@
   static Prospect ProspectOf(const Unit& unit, int64_t wall_ms);
   void CollectStep(Job* job, const StepPlace& place, int64_t wall_ms, Time now,
                    std::vector<Unit>* units);
+  // Room on the workers that the unit may come to run on, on empty ones if `empty`.
   std::vector<WorkerRoom> RoomsFor(const Unit& unit, bool empty, Time now) const;
+  // Room on those on which it may be started at once: pool_planner_advice.cc.
+  std::vector<WorkerRoom> StartRoomsFor(const Unit& unit, Time now) const;
+  // Has the advice service asked about the workers that a unit without enough room might go to.
+  void WantAdvice(const Unit& unit, Time now);
+  static AdvisedWorker AdvisedWorkerOf(const WorkerState& worker);
   Placement PlaceUnit(const Unit& unit, PlaceWish* wish, Time now) const;
   int TasksOnWorker(const Job& job, const StepPlace& place, const std::string& node) const;
   // Whether a unit that wants one rack, or its data's, does better elsewhere now than by waiting.
@@ -257,6 +269,7 @@
   std::map<std::string, WorkerState> workers_;
   // Agents that must be heard before inherited work is started.
   std::set<std::string> unheard_;
+  AdviceBook advice_;
   Time inherited_safe_at_{};
   std::shared_ptr<const OperatorState> operators_ = std::make_shared<OperatorState>();
   std::optional<Time> operators_read_;
--- /dev/null
+++ b/servers/pool/pool_planner_advice.cc
@@ -0,0 +1,39 @@
+// Steps whose queue lets only some workers run them, known to an advice service alone.
+#include <algorithm>
+
+#include "servers/pool/pool_planner.h"
+
+namespace turmericshift::pool {
+
+AdvisedWorker PoolPlanner::AdvisedWorkerOf(const WorkerState& worker) {
+  return {worker.facts.id, worker.facts.born_ms};
+}
+
+std::vector<WorkerRoom> PoolPlanner::StartRoomsFor(const Unit& unit, Time now) const {
+  std::vector<WorkerRoom> rooms = RoomsFor(unit, false, now);
+  if (!Terms(*unit.job).advised) return rooms;
+  const AdvisedStep step = {unit.job->spec.id, unit.place};
+  std::erase_if(rooms, [&](const WorkerRoom& room) {
+    const WorkerState& worker = workers_.at(std::string(room.node));
+    return !advice_.TicketFor(step, AdvisedWorkerOf(worker), now);
+  });
+  return rooms;
+}
+
+void PoolPlanner::WantAdvice(const Unit& unit, Time now) {
+  if (!Terms(*unit.job).advised) return;
+  const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
+  std::vector<WorkerRoom> rooms = RoomsFor(unit, false, now);
+  // Those with room come first; the others matter where somebody can be stopped for the unit.
+  std::stable_partition(rooms.begin(), rooms.end(), [&](const WorkerRoom& room) {
+    return FitCount(room.free, step.need, room.most_tasks) > 0;
+  });
+  std::vector<AdvisedWorker> workers;
+  workers.reserve(rooms.size());
+  for (const WorkerRoom& room : rooms) {
+    workers.push_back(AdvisedWorkerOf(workers_.at(std::string(room.node))));
+  }
+  advice_.Want({unit.job->spec.id, unit.place}, workers, now);
+}
+
+}  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -118,6 +118,7 @@
   reclaims_left_ = kReclaimsPerRound;
   holds_.clear();
   freeing_.clear();
+  advice_.BeginRound();
   Room whole;
   Room left;
   for (auto& [node, worker] : workers_) {
@@ -266,6 +267,10 @@
     if (operators_->zones_out.count(worker.zone) > 0) continue;
     if (!step.label.empty() && !Contains(worker.facts.labels, step.label)) continue;
     if (!empty && judge_.SetAside(node, now)) continue;
+    if (Terms(*unit.job).advised &&
+        !advice_.MayRun({unit.job->spec.id, unit.place}, AdvisedWorkerOf(worker))) {
+      continue;
+    }
     if (only_sound && judge_.Doubtful(node, now)) continue;
     WorkerRoom room;
     room.node = node;
@@ -308,14 +313,17 @@
   if (found == reservations_.end()) return false;
   std::map<std::string, int> wanted;
   for (const std::string& node : found->second.placement) ++wanted[node];
-  const std::vector<WorkerRoom> rooms = RoomsFor(unit, false, now);
+  const std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
   const bool free = std::all_of(wanted.begin(), wanted.end(), [&](const auto& row) {
     return std::any_of(rooms.begin(), rooms.end(), [&](const WorkerRoom& room) {
       return room.node == row.first &&
              FitCount(room.free, found->second.need, room.most_tasks) >= row.second;
     });
   });
-  if (!free) return now < found->second.until;
+  if (!free) {
+    WantAdvice(unit, now);
+    return now < found->second.until;
+  }
   const Placement placement = found->second.placement;
   reservations_.erase(found);
   Start(unit, placement, now);
@@ -323,7 +331,7 @@
 }
 
 Placement PoolPlanner::PlaceUnit(const Unit& unit, PlaceWish* wish, Time now) const {
-  const std::vector<WorkerRoom> rooms = RoomsFor(unit, false, now);
+  const std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
   Placement placement = Place(*wish, rooms);
   const bool bound_to_rack = wish->step->one_rack || !wish->step->data_rack.empty();
   if (static_cast<int>(placement.size()) == wish->tasks || !bound_to_rack) return placement;
@@ -339,6 +347,7 @@
   const Placement placement = PlaceUnit(unit, &wish, now);
   if (!placement.empty()) Start(unit, placement, now);
   if (static_cast<int>(placement.size()) == wish.tasks) return;
+  WantAdvice(unit, now);
   TryReclaim(unit, wish, wall_ms, now);
   HoldRoom(unit, wish, now);
 }
@@ -376,6 +385,10 @@
     run.fills = step.fills;
     run.since = now;
     run.payload = job->spec.payload;
+    if (Terms(*job).advised) {
+      run.ticket =
+          advice_.TicketFor({job->spec.id, unit.place}, AdvisedWorkerOf(worker), now).value_or("");
+    }
     const bool away = !step.data_rack.empty() && worker.facts.rack != step.data_rack;
     run.estimate = Scaled(unit.expected, torn || away ? options_.stray_factor : 1.0);
     run.released_by = job->begun;
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -133,7 +133,7 @@
   const double limit = ReclaimLimit(unit, rest, wall_ms, now);
   if (limit <= 0) return;
   const std::optional<ReclaimPlan> plan =
-      ChooseVictims(rest, RoomsFor(unit, false, now), VictimsFor(unit, now));
+      ChooseVictims(rest, StartRoomsFor(unit, now), VictimsFor(unit, now));
   if (!plan || plan->cost > limit) return;
   for (const RunId& stop : plan->stops) {
     for (auto& [node, worker] : workers_) {
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -208,6 +208,9 @@
   const StepSpec* step = FindStep(*job, task);
   ForgetRun(result.run, job);
   if (!was_ordered) return;
+  if (result.outcome == StartOutcome::kTicketRefused) {
+    advice_.TicketRefused({task.job, {task.occurrence, task.step}}, AdvisedWorkerOf(*worker));
+  }
   if (result.outcome == StartOutcome::kNotRun) judge_.OrderNotTaken(worker->node, now);
   job->steps[{task.occurrence, task.step}].not_before = now + kPauseAfterRefusal;
   if (step != nullptr && step->gang) StopGang(*job, result.run);
--- a/servers/pool/pool_worker.cc
+++ b/servers/pool/pool_worker.cc
@@ -10,12 +10,13 @@
   const char* name;
 };
 
-constexpr std::array<AnswerName, 10> kAnswerNames = {{
+constexpr std::array<AnswerName, 11> kAnswerNames = {{
     {OrderAnswer::kTaken, "taken"},
     {OrderAnswer::kFenced, "fenced"},
     {OrderAnswer::kOld, "old"},
     {OrderAnswer::kLate, "late"},
     {OrderAnswer::kNoRoom, "no_room"},
+    {OrderAnswer::kNoTicket, "no_ticket"},
     {OrderAnswer::kUnwell, "unwell"},
     {OrderAnswer::kOtherLife, "other_life"},
     {OrderAnswer::kBad, "bad"},
--- a/servers/pool/pool_worker.h
+++ b/servers/pool/pool_worker.h
@@ -25,6 +25,8 @@
   // Its time was over when it was read.
   kLate,
   kNoRoom,
+  // The ticket of the advice service is missing, another's, or has run out.
+  kNoTicket,
   // The worker is unwell and has done nothing.
   kUnwell,
   // Another life of the worker answers at the address.
@@ -44,6 +46,8 @@
   RunId run;
   std::string payload;
   std::string checkpoint;
+  // Of the advice service; empty: none.
+  std::string ticket;
   WorkerMillis lease_until = 0;
   int64_t fence = 0;
 };
--- a/servers/pool/worker_roster.h
+++ b/servers/pool/worker_roster.h
@@ -42,6 +42,7 @@
   Ticket released_by = 0;
   // What the start hands over; empty for runs that were found running.
   std::string payload;
+  std::string ticket;
   // Its processors do not count.
   bool fills = false;
 };
--- a/tests/stand_ins/pool_bed.cc
+++ b/tests/stand_ins/pool_bed.cc
@@ -13,6 +13,8 @@
 constexpr int kTicksBetweenHolds = 5;
 constexpr Duration kStopTakes = std::chrono::milliseconds(200);
 constexpr Duration kGangWait = std::chrono::milliseconds(3000);
+constexpr Duration kAdviceTakes = std::chrono::milliseconds(100);
+constexpr Duration kTicketValid = std::chrono::milliseconds(3000);
 constexpr int64_t kWallStartMs = 1'700'000'000'000;
 
 }  // namespace
@@ -159,6 +161,39 @@
   planner_->SetOperatorState(std::make_shared<OperatorState>(operators_), now_);
   planner_->NoteKept();
   planner_->Plan(wall_ms(), now_);
+  TickAdvice();
+}
+
+void PoolBed::TickAdvice() {
+  if (question_ && now_ - asked_ >= kAdviceTakes) {
+    AdviceAnswer answer;
+    answer.valid = kTicketValid;
+    for (const AdvisedWorker& each : question_->workers) {
+      const std::string node = each.id.substr(0, each.id.find('/'));
+      if (advises && !advises(question_->step.job, node)) continue;
+      answer.good.push_back(
+          {each.id, question_->step.job + "@" + each.id + "@" +
+                        std::to_string(wall_ms() + kTicketValid.count() / 1000000)});
+    }
+    planner_->advice().Take(*question_, answer, asked_);
+    planner_->NoteAdvice();
+    question_.reset();
+  }
+  if (question_) return;
+  question_ = planner_->advice().Next(now_);
+  asked_ = now_;
+  if (question_) ++questions_;
+}
+
+bool PoolBed::TicketHolds(const Worker& worker, const StartCall& call) const {
+  const auto spec = specs_.find(call.run.task.job);
+  if (spec == specs_.end()) return true;
+  const Queue* queue = operators_.config.FindQueue(spec->second.queue);
+  if (queue == nullptr || !queue->terms.advised) return true;
+  const std::string wanted =
+      call.run.task.job + "@" + worker.spec.node + "/" + std::to_string(worker.born_ms) + "@";
+  if (call.ticket.rfind(wanted, 0) != 0) return false;
+  return wall_ms() < std::stoll(call.ticket.substr(wanted.size()));
 }
 
 void PoolBed::TickStore() {
@@ -254,6 +289,9 @@
     answer = OrderAnswer::kOld;
   } else if (wall_ms() >= call->lease_until) {
     answer = OrderAnswer::kLate;
+  } else if (!TicketHolds(*worker, *call)) {
+    answer = OrderAnswer::kNoTicket;
+    ++tickets_refused_;
   } else if (!free.Holds(StepOf(order.run.task)->need)) {
     answer = OrderAnswer::kNoRoom;
   }
--- a/tests/stand_ins/pool_bed.h
+++ b/tests/stand_ins/pool_bed.h
@@ -41,6 +41,8 @@
   std::function<Duration(const TaskId&)> true_time;
   // Whether a run ends failed.
   std::function<bool(const RunId&, const std::string& node)> fails;
+  // Whom the advice service names for an advised job; everybody unless set.
+  std::function<bool(const std::string& job, const std::string& node)> advises;
 
   void Submit(const JobSpec& spec);
   bool Cancel(const std::string& id);
@@ -53,6 +55,10 @@
   const std::vector<BedRun>& runs() const { return runs_; }
   std::vector<BedRun> RunsOf(const std::string& job) const;
   Time now() const { return now_; }
+  // Questions that the advice service has been asked.
+  int questions() const { return questions_; }
+  // Starts that a worker turned away for their ticket.
+  int tickets_refused() const { return tickets_refused_; }
 
   // The planner is gone at once and another takes over from what the store has kept.
   void ReplacePlanner();
@@ -78,6 +84,8 @@
 
   void Tick();
   void TickStore();
+  void TickAdvice();
+  bool TicketHolds(const Worker& worker, const StartCall& call) const;
   void TickWorker(Worker* worker);
   void TickAgent(Worker* worker);
   void StartRun(Worker* worker, const StartOrder& order, Time until);
@@ -101,6 +109,11 @@
   int ticks_ = 0;
   int incarnations_ = 0;
   bool store_down_ = false;
+  // What the advice service is asked now, and since when.
+  std::optional<AdviceQuestion> question_;
+  Time asked_{};
+  int questions_ = 0;
+  int tickets_refused_ = 0;
   std::set<std::string> cut_;
   std::vector<BedRun> runs_;
   std::set<TaskId> done_;
