Planner: Leave room under a workspace's cap for wide gangs in some zone

Cause (trace.wide-gang-under-cap, red until now): a workspace's cap was split evenly between zones, so that with eight of them no gang above an eighth of the cap could ever run; one of 128 under a cap of 512 was refused as impossible on an idle cluster.

Change: where an even share is under a quarter of a zone, one zone, another for each workspace, gets half of itself first; the rest is split as before.

--- a/servers/planner/guarantee_split.cc
+++ b/servers/planner/guarantee_split.cc
@@ -109,7 +109,28 @@
   unhosted->push_back({cell.workspace, cell.level, 1});
 }
 
-// In pieces of whole workers where possible, so that large gangs keep room in some zone.
+// The zone in which a workspace gets a large share though an even one would be small; "" where an
+// even one will do. Another one for each workspace, so that not all crowd into the same.
+std::string ZoneForWideGangs(const Environment& environment, const WorkspaceSpec& workspace) {
+  // Shares from a quarter of a zone on hold most gangs that a zone can place at all.
+  constexpr int kSmallShare = 4;
+  std::vector<std::string> names;
+  for (const auto& [name, zone] : environment.zones) {
+    if (zone.in) names.push_back(name);
+  }
+  if (names.empty()) return "";
+  const auto self = environment.workspaces.find(workspace.name);
+  const auto turn = static_cast<size_t>(std::distance(environment.workspaces.begin(), self));
+  const std::string& name = names[turn % names.size()];
+  const int even_share = workspace.accelerator_cap / static_cast<int>(names.size());
+  const bool small = even_share * kSmallShare < AcceleratorsOf(*environment.FindZone(name));
+  return small ? name : "";
+}
+
+// Even over the zones, in whole workers where possible, but half of one zone first where an even
+// share is small: a gang runs in one zone, and in an even split over eight zones none above an
+// eighth of the cap would ever run, however idle the cluster; its caller is told that the job is
+// impossible.
 void SplitCap(const Environment& environment, const WorkspaceSpec& workspace,
               GuaranteeSplit* split) {
   int left = workspace.accelerator_cap;
@@ -125,6 +146,17 @@
     left -= share.accelerator_cap;
     room[name] = AcceleratorsOf(zone) - share.accelerator_cap;
   }
+  const auto give = [&](const std::string& name, int most) {
+    const int piece = std::min({left, most, room[name]});
+    split->zones[name][workspace.name].accelerator_cap += piece;
+    room[name] -= piece;
+    left -= piece;
+  };
+  const std::string wide = ZoneForWideGangs(environment, workspace);
+  if (!wide.empty()) {
+    const int has = split->zones[wide][workspace.name].accelerator_cap;
+    give(wide, std::max(0, AcceleratorsOf(*environment.FindZone(wide)) / 2 - has));
+  }
   while (left > 0) {
     std::string emptiest;
     double least = 2;
@@ -137,11 +169,7 @@
       emptiest = name;
     }
     if (emptiest.empty()) return;
-    const int worker = std::max(1, environment.FindZone(emptiest)->worker.accelerators);
-    const int piece = std::min({left, worker, room[emptiest]});
-    split->zones[emptiest][workspace.name].accelerator_cap += piece;
-    room[emptiest] -= piece;
-    left -= piece;
+    give(emptiest, std::max(1, environment.FindZone(emptiest)->worker.accelerators));
   }
 }
 
--- a/servers/planner/guarantee_split_test.cc
+++ b/servers/planner/guarantee_split_test.cc
@@ -52,6 +52,29 @@
   }
 }
 
+// A gang runs in one zone. With eight zones and an even split of the cap, a gang of 128 under a cap
+// of 512 is refused as impossible on an idle cluster.
+TEST(GuaranteeSplitTest, LeavesRoomForAWideGangInSomeZone) {
+  std::string text = "[environment]\ndeployment = wide\n";
+  for (const char* zone : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+    text += std::string("[availability_zone ") + zone +
+            "]\nstate = in\nworkers = 40\nprocessors_per_worker = 64\n"
+            "memory_per_worker = 128GiB\naccelerators_per_worker = 8\nworkers_per_rack = 4\n";
+  }
+  text += "[workspace one]\ntoken_hashes =\nguarantee = 4 worker\naccelerator_cap = 512\n";
+  const Environment environment = ParseEnvironment("wide", text);
+  const GuaranteeSplit split = SplitGuarantees(environment);
+  int widest = 0;
+  int total = 0;
+  for (const auto& [zone, spec] : environment.zones) {
+    const int share = split.Share(zone, "one").accelerator_cap;
+    widest = std::max(widest, share);
+    total += share;
+  }
+  EXPECT_GE(widest, 128);
+  EXPECT_EQ(total, 512);
+}
+
 // Operators take a zone out: cells of the other zones must stay where they are, or work that runs
 // within them would lose its promise because of maintenance elsewhere.
 TEST(GuaranteeSplitTest, ZoneOutMovesNoCellOfOtherZones) {
