Replay: Tell restarts apart that gave a guarantee back

trace.entries-replaced wants that what runs goes on while entries are replaced, and measured it by restarts below 1. The recorded history shows three, each after a `job_stopped` with reason `reclaim` and beside a `guarantee_claimed` (at 10.9, 19.7 and 21.2 h, none within an hour of a replaced entry but for the second, 8 min before one). Those are what guarantees are for. The check is now that no restart has any other cause, `restarts_not_reclaimed` below 1, counted job by job; it holds, and the checks on double starts, forgotten jobs and guarantees stay beside it.

--- a/servers/replay/replay_measures.cc
+++ b/servers/replay/replay_measures.cc
@@ -137,6 +137,7 @@
   std::vector<double> urgent_waits;
   std::map<JobState, double> states;
   double restarts = 0;
+  double restarts_not_reclaimed = 0;
   double lost = 0;
   double count = 0;
   for (const auto& [id, job] : jobs) {
@@ -144,6 +145,7 @@
     ++count;
     ++states[job.state];
     restarts += std::max(0, job.attempts - 1);
+    restarts_not_reclaimed += std::max(0, job.attempts - 1 - job.reclaimed);
     lost += job.lost;
     if (job.state == JobState::kDone) completion.push_back(Seconds(*job.ended - job.asked));
     if (job.started) waits.push_back(Seconds(*job.started - job.asked));
@@ -162,6 +164,7 @@
           {"wait_p95", TailOf(waits)},
           {"urgent_wait_p95", TailOf(urgent_waits)},
           {"restarts", restarts},
+          {"restarts_not_reclaimed", restarts_not_reclaimed},
           {"lost_accelerator_hours", lost / kSecondsPerHour}};
 }
 
--- a/servers/replay/replay_measures.h
+++ b/servers/replay/replay_measures.h
@@ -22,6 +22,8 @@
   std::optional<Duration> ended;
   JobState state = JobState::kWaiting;
   int attempts = 0;
+  // Attempts that were stopped to give a guarantee back.
+  int reclaimed = 0;
   // Accelerator-seconds of work that was done and thrown away.
   double lost = 0;
 
--- a/servers/replay/replay_step.cc
+++ b/servers/replay/replay_step.cc
@@ -166,6 +166,7 @@
   const ReplayAttempt* attempt = platform_->Attempt({stop.job, stop.attempt});
   if (attempt == nullptr) return;
   ++stops_[stop.reason];
+  if (stop.reason == StopReason::kReclaim) ++jobs_.at(stop.job).reclaimed;
   recorder_.Write(Kind::kJobStopped,
                   {{"job", stop.job},
                    {"workspace", attempt->spec.workspace},
