Pool: Tell a planner that lost the store that it has been followed, and agents where to go

A successor took over within 1.2 s, but the old planner ended only when it could read the store again, 7.8 and 6.05 s later (`duty_ended` against `duty_taken`). Agents that had lost the store as well stayed with it, since they learn of planners from the store; the successor could neither use their workers nor begin anything again that they might run.

Change: the successor says so to its predecessor, which it reaches as a rule. That one plans no more from then on, tells agents that come to it who plans, and the successor need not wait for it.

--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -80,6 +80,8 @@
   workerBornMs @5 :Int64;
   starts @6 :List(PoolStart);
   stops @7 :List(PoolRun);
+  plannerEpoch @8 :Int64;
+  plannerAddress @9 :Text;
 }
 
 interface PoolGate {
@@ -87,4 +89,5 @@
   # `spec` is the job as the store keeps it.
   submit @1 (id :Text, spec :Text) -> (failure :Peer.Failure);
   cancel @2 (id :Text) -> (failure :Peer.Failure);
+  yield @3 (epoch :Int64, node :Text, address :Text) -> (failure :Peer.Failure);
 }
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -145,6 +145,8 @@
     starts[i].setCheckpoint(from.starts[i].checkpoint);
     starts[i].setTicket(from.starts[i].ticket);
   }
+  to.setPlannerEpoch(from.planner_epoch);
+  to.setPlannerAddress(from.planner_address);
   auto stops = to.initStops(Count(from.stops));
   for (unsigned i = 0; i < from.stops.size(); ++i) Write(from.stops[i], stops[i]);
 }
@@ -162,6 +164,8 @@
                              Text(start.getCheckpoint()), Text(start.getTicket())});
   }
   for (const auto stop : from.getStops()) orders.stops.push_back(Read(stop));
+  orders.planner_epoch = from.getPlannerEpoch();
+  orders.planner_address = Text(from.getPlannerAddress());
   return orders;
 }
 
--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -76,6 +76,16 @@
     });
   }
 
+  kj::Promise<void> yield(YieldContext context) override {
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<Attempt<pool::Done>>();
+    auto params = context.getParams();
+    gate_->Yield({params.getEpoch(), params.getNode().cStr(), params.getAddress().cStr()},
+                 Answer<pool::Done>(kj::mv(pair.fulfiller)));
+    return pair.promise.then([context](Attempt<pool::Done>&& attempt) mutable {
+      if (attempt.error) Write(*attempt.error, context.getResults().initFailure());
+    });
+  }
+
  private:
   pool::PlannerGate* const gate_;
 };
@@ -138,6 +148,20 @@
         .Take();
   }
 
+  void Yield(const pool::PlannerRecord& successor, Duration timeout) override {
+    session_
+        ->Call(
+            [&] {
+              auto call = Gate().yieldRequest();
+              call.setEpoch(successor.epoch);
+              call.setNode(successor.node);
+              call.setAddress(successor.address);
+              return call.send().then([](auto&& response) { return DoneOf(response); });
+            },
+            timeout)
+        .Take();
+  }
+
  private:
   wire::PoolGate::Client Gate() { return session_->Bootstrap().castAs<wire::PoolGate>(); }
 
--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -68,7 +68,7 @@
     if (epoch > 0) {
       if (duty.planner.epoch > epoch) service_->End("a newer planner has been read");
       if (announced_epoch_ < epoch) Announce();
-      if (predecessor_) AskPredecessor();
+      if (predecessor_) TellPredecessor();
       ForgetSilentAgents(now);
       continue;
     }
@@ -145,17 +145,20 @@
   }
 }
 
-void DutyKeeper::AskPredecessor() {
+void DutyKeeper::TellPredecessor() {
   const PlannerRecord before = *predecessor_;
   // A record without an address was written by the planner as it left, one of this node by a
   // process that has ended.
   bool gone = before.address.empty() || before.node == options_.node;
   if (!gone) {
     try {
-      connector_->Connect(before.address, kAskTimeout)->Cancel("", kAskTimeout);
+      const PlannerRecord self = {service_->epoch(), options_.node, options_.address};
+      connector_->Connect(before.address, kAskTimeout)->Yield(self, kAskTimeout);
+      gone = true;
     } catch (const Error& error) {
       // Only its own word counts: a refused connection may as well be a cut on the way.
-      gone = error.kind() == ErrorKind::kConflict;
+      LogEvent(LogLevel::kInfo, "predecessor_silent",
+               {{"epoch", before.epoch}, {"node", before.node}, {"error", error.what()}});
     }
   }
   if (gone) {
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -60,9 +60,10 @@
   // Tells agents where the planner is, until it is in the store.
   void Announce();
   void ForgetSilentAgents(Time now);
-  // Asks the planner before whether it still plans. Without its word inherited work has to wait for
-  // as long as an unconfirmed planner may be obeyed, some 15 s; with it for a lease, 5 s.
-  void AskPredecessor();
+  // Tells the planner before that it has been followed, so that it plans no more. Without its word
+  // inherited work has to wait for as long as an unconfirmed planner may be obeyed, some 15 s; with
+  // it for a lease, 5 s, or until all agents have come over.
+  void TellPredecessor();
 
   const DutyOptions options_;
   const Duration patience_;
--- a/servers/pool/duty_keeper_test.cc
+++ b/servers/pool/duty_keeper_test.cc
@@ -2,12 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <thread>
 
 #include "core/error.h"
 #include "modules/stand_ins/memory_keyed_log.h"
 #include "platform/operator_records.h"
+#include "servers/pool/local_port.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -63,9 +65,25 @@
   }
 };
 
+// Reaches entries of this process by the addresses that they announce.
+class Neighbours : public PlannerConnector {
+ public:
+  std::shared_ptr<PlannerPort> Connect(const std::string& address, Duration /*limit*/) override {
+    const auto found = gates_.find(address);
+    if (found == gates_.end()) throw Error(ErrorKind::kUnavailable, "nobody answers");
+    return std::make_shared<LocalPort>(found->second);
+  }
+  void Add(const std::string& address, PlannerGate* gate) { gates_[address] = gate; }
+
+ private:
+  std::map<std::string, PlannerGate*> gates_;
+};
+
 // One entry as far as the duty is concerned.
 struct Candidate {
-  Candidate(KeyedLog* log, const std::string& node)
+  Candidate(KeyedLog* log, const std::string& node) : Candidate(log, node, nullptr) {}
+  // `neighbours`: whom it reaches; null: nobody.
+  Candidate(KeyedLog* log, const std::string& node, Neighbours* neighbours)
       : work(log),
         operators(log, std::make_unique<platform::OperatorRecords>()),
         members(log, milliseconds(200)),
@@ -73,7 +91,10 @@
     DutyOptions options;
     options.node = node;
     options.address = node + ":1";
-    keeper = std::make_unique<DutyKeeper>(options, log, &work, &members, &connector, &service);
+    if (neighbours != nullptr) neighbours->Add(options.address, &service);
+    PlannerConnector* reached = &connector;
+    if (neighbours != nullptr) reached = neighbours;
+    keeper = std::make_unique<DutyKeeper>(options, log, &work, &members, reached, &service);
   }
 
   MetricsRegistry metrics;
@@ -178,6 +199,26 @@
   EXPECT_EQ(second.service.epoch(), 2);
 }
 
+// The store turns the planner's VM away for long, and everybody else still reaches that VM. Until
+// it learned that it had been followed, agents that had lost the store too stayed with it, and the
+// new planner could neither use their workers nor begin anything again that they might run.
+TEST(DutyKeeper, TellsAPlannerWithoutTheStoreThatItHasBeenFollowed) {
+  MemoryKeyedLog log;
+  FaultyKeyedLog way(&log);
+  Neighbours neighbours;
+  Candidate first(&way, "a", &neighbours);
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
+  Candidate second(&log, "b", &neighbours);
+  way.SetFaults({true, false});
+  ASSERT_TRUE(Eventually([&] { return second.service.epoch() == 2; }));
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 0; }));
+  AgentReport report;
+  report.node = "agent";
+  const AgentOrders orders = LocalPort(&first.service).Exchange(report, std::chrono::seconds(5));
+  EXPECT_EQ(orders.planner_epoch, 2);
+  EXPECT_EQ(orders.planner_address, "b:1");
+}
+
 // The answers of the store are lost though it does what it is asked. The planner sends the same
 // append again under the same number, and nothing is written twice.
 TEST(DutyKeeper, KeepsTheDutyWhileAnswersAreLost) {
--- a/servers/pool/job_front_test.cc
+++ b/servers/pool/job_front_test.cc
@@ -34,6 +34,8 @@
                 std::function<void(Attempt<AgentOrders>)> /*done*/) override {}
   void Submit(const JobSpec& /*spec*/, std::function<void(Attempt<Done>)> /*done*/) override {}
   void Cancel(const std::string& /*id*/, std::function<void(Attempt<Done>)> /*done*/) override {}
+  void Yield(const PlannerRecord& /*successor*/,
+             std::function<void(Attempt<Done>)> /*done*/) override {}
 };
 
 class NoConnector : public PlannerConnector {
--- a/servers/pool/local_port.cc
+++ b/servers/pool/local_port.cc
@@ -33,4 +33,8 @@
   WaitFor<Done>([&](auto done) { gate_->Cancel(id, done); }, timeout);
 }
 
+void LocalPort::Yield(const PlannerRecord& successor, Duration timeout) {
+  WaitFor<Done>([&](auto done) { gate_->Yield(successor, done); }, timeout);
+}
+
 }  // namespace turmericshift::pool
--- a/servers/pool/local_port.h
+++ b/servers/pool/local_port.h
@@ -11,6 +11,7 @@
   AgentOrders Exchange(const AgentReport& report, Duration timeout) override;
   void Submit(const JobSpec& spec, Duration timeout) override;
   void Cancel(const std::string& id, Duration timeout) override;
+  void Yield(const PlannerRecord& successor, Duration timeout) override;
 
  private:
   PlannerGate* const gate_;
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/attempt.h"
+#include "servers/pool/job_records.h"
 #include "servers/pool/pool_messages.h"
 
 namespace turmericshift::pool {
@@ -28,6 +29,9 @@
   // Calls `done` when the cancellation is in the store or the job was over. Errors: kNotFound, and
   // those of Submit.
   virtual void Cancel(const std::string& id, std::function<void(Attempt<Done>)> done) = 0;
+  // Another process has taken the duty over. Calls `done` once this one plans no more, whether it
+  // did or not.
+  virtual void Yield(const PlannerRecord& successor, std::function<void(Attempt<Done>)> done) = 0;
 };
 
 // The same for a caller that waits. Throws Error: those above; kConnectionLost, kDeadlineExceeded.
@@ -37,6 +41,7 @@
   virtual AgentOrders Exchange(const AgentReport& report, Duration timeout) = 0;
   virtual void Submit(const JobSpec& spec, Duration timeout) = 0;
   virtual void Cancel(const std::string& id, Duration timeout) = 0;
+  virtual void Yield(const PlannerRecord& successor, Duration timeout) = 0;
 };
 
 // Connects to planners by address within `limit`. Throws Error(kUnavailable).
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -176,7 +176,12 @@
   std::vector<Reply> replies;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!planner_) {
+    if (!planner_ && !successor_.address.empty()) {
+      AgentOrders elsewhere;
+      elsewhere.planner_epoch = successor_.epoch;
+      elsewhere.planner_address = successor_.address;
+      replies.push_back([done = std::move(done), elsewhere] { done({elsewhere, std::nullopt}); });
+    } else if (!planner_) {
       replies.push_back(Failed<AgentOrders>(std::move(done), NotPlanning()));
     } else {
       planner_->TakeReport(report, LeaseClock().WallMillis(), now);
@@ -251,6 +256,31 @@
   changed_.notify_all();
 }
 
+// A planner that has lost the store may still be reached by all others. Until it learns that it has
+// been followed it goes on granting leases, and agents that have lost the store as well stay with
+// it; the successor can start nothing on their workers, nor anything again that they may run. One
+// notices by a `duty_ended` that comes many seconds after the next `duty_taken`.
+void PlannerService::Yield(const PlannerRecord& successor,
+                           std::function<void(Attempt<Done>)> done) {
+  std::vector<Reply> replies;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (successor.epoch > successor_.epoch) successor_ = successor;
+    if (planner_ && successor.epoch > planner_->epoch()) {
+      EndLocked("a newer planner has said so", &replies);
+    }
+    if (planner_) {
+      replies.push_back(Failed<Done>(
+          std::move(done),
+          Error(ErrorKind::kConflict, Outcome::kNotRun, "this process plans under a newer epoch")));
+    } else {
+      replies.push_back(Succeeded(std::move(done)));
+    }
+  }
+  to_write_.notify_all();
+  RunAll(replies);
+}
+
 void PlannerService::AnswerPolls(Time now, std::vector<Reply>* replies) {
   for (auto poll = polls_.begin(); poll != polls_.end();) {
     if (!planner_->HasNews(poll->first) && now < poll->second.until) {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -64,6 +64,7 @@
   void Exchange(const AgentReport& report, std::function<void(Attempt<AgentOrders>)> done) override;
   void Submit(const JobSpec& spec, std::function<void(Attempt<Done>)> done) override;
   void Cancel(const std::string& id, std::function<void(Attempt<Done>)> done) override;
+  void Yield(const PlannerRecord& successor, std::function<void(Attempt<Done>)> done) override;
 
  private:
   using Reply = std::function<void()>;
@@ -106,6 +107,8 @@
   std::condition_variable to_write_;
   std::condition_variable to_ask_;
   std::unique_ptr<PoolPlanner> planner_;
+  // The newest planner that has told this process of itself.
+  PlannerRecord successor_;
   std::map<std::string, Poll> polls_;
   std::vector<Waiter> waiters_;
   bool dirty_ = false;
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/error.h"
 #include "core/logging.h"
 
 namespace turmericshift::pool {
@@ -142,7 +143,7 @@
       port = port_;
     }
     EnsureMember(LeaseClock().Now());
-    const PlannerRecord planner = members_.planner();
+    const PlannerRecord planner = NewestPlanner();
     try {
       if (port && planner.epoch > connected_epoch) port.reset();
       if (!port) {
@@ -172,6 +173,12 @@
   }
 }
 
+PlannerRecord PoolAgent::NewestPlanner() const {
+  const PlannerRecord read = members_.planner();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return told_of_.epoch > read.epoch ? told_of_ : read;
+}
+
 void PoolAgent::SendNews() {
   while (true) {
     std::shared_ptr<PlannerPort> port;
@@ -203,6 +210,13 @@
   }
   const AgentOrders orders = port->Exchange(
       report, wait > Duration::zero() ? wait + options_.poll_patience : kNewsTimeout);
+  if (!orders.planner_address.empty()) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (orders.planner_epoch > told_of_.epoch) {
+      told_of_ = {orders.planner_epoch, "", orders.planner_address};
+    }
+    throw Error(ErrorKind::kConflict, Outcome::kNotRun, "the pool is planned elsewhere now");
+  }
   AgentOrders todo;
   bool new_planner = false;
   {
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -56,6 +56,7 @@
   // One hold; returns whether the planner should hear of it at once.
   bool HoldOnce(Duration wait);
   // One exchange over `port`.
+  PlannerRecord NewestPlanner() const;
   void ExchangeOnce(PlannerPort* port, Duration wait);
   void CarryOut(const AgentOrders& todo, Time until);
   void StartOne(const StartOrder& order, Time until);
@@ -75,10 +76,12 @@
   Distribution& start_seconds_;
   MembersView members_;
 
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable changed_;
   AgentState state_;
   std::shared_ptr<PlannerPort> port_;
+  // The newest planner that one before it has told of; the store may be out of reach.
+  PlannerRecord told_of_;
   bool news_ = false;
   bool stopping_ = false;
   // Held while the membership is looked at and written.
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -122,6 +122,10 @@
   int64_t worker_born_ms = 0;
   std::vector<StartOrder> starts;
   std::vector<RunId> stops;
+  // Told by a process that plans no more and knows who does, all else being empty: the newest
+  // epoch and where its planner is reached, "ip:port".
+  int64_t planner_epoch = 0;
+  std::string planner_address;
 };
 
 // "ID.occurrence.step.index", as callers and workers know a task.
