Pool: Hand jobs on to the planner that an entry has been told of

It came to the entry that had planned and lost the store.

Change: an entry asks the newest planner that it has read or been told of.

Test: JobFront.GoesToThePlannerThatItHasBeenToldOf fails without the change.

--- a/servers/pool/job_front.cc
+++ b/servers/pool/job_front.cc
@@ -196,7 +196,10 @@
 }
 
 std::shared_ptr<PlannerPort> JobFront::Port(Duration limit) {
-  const PlannerRecord planner = work_->duty().planner;
+  // This entry may have lost the store and been told of a planner that it can't read of.
+  const PlannerRecord read = work_->duty().planner;
+  const PlannerRecord told = local_->Successor();
+  const PlannerRecord& planner = told.epoch > read.epoch ? told : read;
   if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "no planner");
   if (planner.node == options_.node) return std::make_shared<LocalPort>(local_);
   {
--- a/servers/pool/job_front_test.cc
+++ b/servers/pool/job_front_test.cc
@@ -38,6 +38,35 @@
              std::function<void(Attempt<Done>)> /*done*/) override {}
 };
 
+// A planner that has lost the store and been told who follows it.
+class FollowedGate : public SilentGate {
+ public:
+  PlannerRecord Successor() const override { return {2, "e2", "there"}; }
+  void Submit(const JobSpec& /*spec*/, std::function<void(Attempt<Done>)> done) override {
+    Attempt<Done> attempt;
+    attempt.error = Error(ErrorKind::kConflict, Outcome::kNotRun, "this process does not plan");
+    done(attempt);
+  }
+};
+
+// Takes everything in.
+class WillingPort : public PlannerPort {
+ public:
+  AgentOrders Exchange(const AgentReport& /*report*/, Duration /*timeout*/) override { return {}; }
+  void Submit(const JobSpec& /*spec*/, Duration /*timeout*/) override {}
+  void Cancel(const std::string& /*id*/, Duration /*timeout*/) override {}
+  void Yield(const PlannerRecord& /*successor*/, Duration /*timeout*/) override {}
+};
+
+// Reaches the planner at "there".
+class OneNeighbour : public PlannerConnector {
+ public:
+  std::shared_ptr<PlannerPort> Connect(const std::string& address, Duration /*limit*/) override {
+    if (address != "there") throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "nobody there");
+    return std::make_shared<WillingPort>();
+  }
+};
+
 class NoConnector : public PlannerConnector {
  public:
   std::shared_ptr<PlannerPort> Connect(const std::string& /*address*/,
@@ -47,13 +76,16 @@
 };
 
 struct Front {
-  Front() {
+  Front() : Front(std::make_unique<SilentGate>(), std::make_unique<NoConnector>()) {}
+  Front(std::unique_ptr<PlannerGate> planner, std::unique_ptr<PlannerConnector> neighbours)
+      : gate(std::move(planner)), connector(std::move(neighbours)) {
     log.Append("documents", {{"document", "1"}}, {}, std::chrono::seconds(1));
     log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "e1", "here"})}}, {},
                std::chrono::seconds(1));
     JobFrontOptions options;
     options.node = "e1";
-    front = std::make_unique<JobFront>(options, &work, &operators, &gate, &connector, &metrics);
+    front = std::make_unique<JobFront>(options, &work, &operators, gate.get(), connector.get(),
+                                       &metrics);
     while (operators.state()->config.version == 0 || work.duty().planner.epoch == 0) {
       std::this_thread::yield();
     }
@@ -72,8 +104,8 @@
   MemoryKeyedLog log;
   WorkView work{&log};
   OperatorView operators{&log, std::make_unique<OneQueue>()};
-  SilentGate gate;
-  NoConnector connector;
+  std::unique_ptr<PlannerGate> gate;
+  std::unique_ptr<PlannerConnector> connector;
   MetricsRegistry metrics;
   std::unique_ptr<JobFront> front;
 };
@@ -88,6 +120,14 @@
   EXPECT_EQ(front.Submit("other", milliseconds(100)), JobAnswerKind::kNotAccepted);
 }
 
+// The planner has lost the store and is followed, and its own view of the store still shows itself.
+// A caller that comes to it then waited until its patience was gone, and had none left to try
+// another entry.
+TEST(JobFront, GoesToThePlannerThatItHasBeenToldOf) {
+  Front front(std::make_unique<FollowedGate>(), std::make_unique<OneNeighbour>());
+  EXPECT_EQ(front.Submit("j", milliseconds(1000)), JobAnswerKind::kAccepted);
+}
+
 TEST(UnresolvedCalls, ForgetsAfterAWhile) {
   UnresolvedCalls calls;
   const Time now = Time(std::chrono::hours(1));
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -32,6 +32,8 @@
   // Another process has taken the duty over. Calls `done` once this one plans no more, whether it
   // did or not.
   virtual void Yield(const PlannerRecord& successor, std::function<void(Attempt<Done>)> done) = 0;
+  // The newest planner that has told this process of itself; epoch 0 while none has.
+  virtual PlannerRecord Successor() const { return {}; }
 };
 
 // The same for a caller that waits. Throws Error: those above; kConnectionLost, kDeadlineExceeded.
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -281,6 +281,11 @@
   RunAll(replies);
 }
 
+PlannerRecord PlannerService::Successor() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return successor_;
+}
+
 void PlannerService::AnswerPolls(Time now, std::vector<Reply>* replies) {
   for (auto poll = polls_.begin(); poll != polls_.end();) {
     if (!planner_->HasNews(poll->first) && now < poll->second.until) {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -65,6 +65,7 @@
   void Submit(const JobSpec& spec, std::function<void(Attempt<Done>)> done) override;
   void Cancel(const std::string& id, std::function<void(Attempt<Done>)> done) override;
   void Yield(const PlannerRecord& successor, std::function<void(Attempt<Done>)> done) override;
+  PlannerRecord Successor() const override;
 
  private:
   using Reply = std::function<void()>;
