--- a/servers/pool/advice_book.h
+++ b/servers/pool/advice_book.h
@@ -3,8 +3,8 @@
 // asking itself is AdviceAsker's.
 //
 // Load pattern: many steps wait at once, and the service answers one call at a time, each the later
-// the more workers it names. So a call names no more workers than a step needs to begin, the steps
-// that go first are asked for first, and nothing is asked again while the answer still holds.
+// the more workers it names. So a call names a bounded number of workers, the steps that go first
+// are asked for first, and nothing is asked again while the answer still holds.
 #pragma once
 
 #include <map>
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -193,6 +193,8 @@
     }
     outbox_.Put(kSpecPrefix + job->first, "");
     outbox_.Put(kProgressPrefix + job->first, "");
+    // An answer may have come in after the job was over.
+    advice_.Forget(job->first);
     job = jobs_.erase(job);
   }
 }
