--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -110,6 +110,7 @@
   }
   duty_since_ = now;
   predecessor_ = book.planner();
+  silence_logged_ = false;
   service_->Begin(epoch, sequence, book, agents, now);
 }
 
@@ -157,8 +158,12 @@
       gone = true;
     } catch (const Error& error) {
       // Only its own word counts: a refused connection may as well be a cut on the way.
-      LogEvent(LogLevel::kInfo, "predecessor_silent",
-               {{"epoch", before.epoch}, {"node", before.node}, {"error", error.what()}});
+      // It is tried ten times a second; one line says all.
+      if (!silence_logged_) {
+        LogEvent(LogLevel::kInfo, "predecessor_silent",
+                 {{"epoch", before.epoch}, {"node", before.node}, {"error", error.what()}});
+      }
+      silence_logged_ = true;
     }
   }
   if (gone) {
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -82,6 +82,8 @@
   Time duty_since_{};
   // The planner before, until it is known to plan no more.
   std::optional<PlannerRecord> predecessor_;
+  // That it can't be told has been logged.
+  bool silence_logged_ = false;
   Thread thread_;
 };
 
