Tests: Say topics, running jobs and settled questions in one place each

- The soak spelled the store's topics out again, among them the operators', which is the platform's name; it now takes the pool's own constants and the adapter's.
- A question's workers were sifted by the same condition in two places (AdviceBook::Settled).
- Two planner tests built the same book of a running job.
- Arguments that the soak's history did not use, an accessor nobody calls, a bare number in the crash report.

--- a/core/crash_report.cc
+++ b/core/crash_report.cc
@@ -15,6 +15,8 @@
 
 constexpr int kMostFrames = 32;
 constexpr size_t kLineBytes = 1024;
+// What one more frame and the end of the line take at most.
+constexpr int kFrameBytes = 40;
 constexpr std::array<int, 5> kSignals = {SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT};
 
 // Where the program was loaded; frames are told relative to it.
@@ -31,7 +33,7 @@
   std::array<char, kLineBytes> line{};
   int used = snprintf(line.data(), line.size(),
                       R"({"event":"crashed","level":"error","signal":%d,"frames":[)", signal);
-  for (int i = 0; i < count && used < static_cast<int>(kLineBytes) - 40; ++i) {
+  for (int i = 0; i < count && used < static_cast<int>(kLineBytes) - kFrameBytes; ++i) {
     const uintptr_t address = reinterpret_cast<uintptr_t>(frames[static_cast<size_t>(i)]);
     used += snprintf(line.data() + used, line.size() - static_cast<size_t>(used), "%s\"0x%zx\"",
                      i == 0 ? "" : ",", static_cast<size_t>(address - program_base));
--- a/servers/pool/advice_book.cc
+++ b/servers/pool/advice_book.cc
@@ -41,12 +41,16 @@
   return verdict == nullptr || verdict->may_run;
 }
 
+bool AdviceBook::Settled(const AdvisedStep& step, const AdvisedWorker& worker, Time now) const {
+  return !MayRun(step, worker) || TicketFor(step, worker, now);
+}
+
 void AdviceBook::Want(const AdvisedStep& step, const std::vector<AdvisedWorker>& workers,
                       Time now) {
   std::vector<AdvisedWorker> known_good;
   std::vector<AdvisedWorker> unknown;
   for (const AdvisedWorker& worker : workers) {
-    if (!MayRun(step, worker) || TicketFor(step, worker, now)) continue;
+    if (Settled(step, worker, now)) continue;
     (Find(step, worker) != nullptr ? known_good : unknown).push_back(worker);
   }
   AdviceQuestion question = {step, std::move(known_good)};
@@ -61,9 +65,8 @@
     AdviceQuestion question = std::move(wanted_.front());
     wanted_.erase(wanted_.begin());
     // The answer to the question before may have come after this one was wanted.
-    std::erase_if(question.workers, [&](const AdvisedWorker& worker) {
-      return !MayRun(question.step, worker) || TicketFor(question.step, worker, now);
-    });
+    std::erase_if(question.workers,
+                  [&](const AdvisedWorker& worker) { return Settled(question.step, worker, now); });
     if (question.workers.empty()) continue;
     asking_ = true;
     return question;
--- a/servers/pool/advice_book.h
+++ b/servers/pool/advice_book.h
@@ -54,6 +54,8 @@
   using Verdicts = std::map<AdvisedWorker, Verdict>;
 
   const Verdict* Find(const AdvisedStep& step, const AdvisedWorker& worker) const;
+  // Nothing is to be asked of the worker now.
+  bool Settled(const AdvisedStep& step, const AdvisedWorker& worker, Time now) const;
 
   std::map<AdvisedStep, Verdicts> verdicts_;
   std::vector<AdviceQuestion> wanted_;
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -43,6 +43,16 @@
   return report;
 }
 
+// What the store has of job "j", one task of `estimate`, that has begun.
+JobBook BookOfRunningJob(Duration estimate) {
+  JobBook book;
+  book.Apply({"j/j", EncodeSpec(BedJob("j", "batch", "one", BedStep(1, 1, estimate))), 1});
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  book.Apply({"p/j", EncodeProgress(progress), 2});
+  return book;
+}
+
 TEST(PoolPlanner, RunsStepsInTheirOrder) {
   PoolBed bed(BedRacks(2), BedOperators(0));
   JobSpec job = BedJob("j", "batch", "one", BedStep(3, 1, seconds(1)));
@@ -121,11 +131,7 @@
 // there waits; how long depends on whether the planner before is known to grant no more leases.
 TEST(PoolPlanner, WaitsShorterForAMissingAgentOnceThePlannerBeforeIsKnownToBeGone) {
   const PlannerOptions options;
-  JobBook book;
-  book.Apply({"j/j", EncodeSpec(BedJob("j", "batch", "one", BedStep(1, 1, seconds(2)))), 1});
-  JobProgress progress;
-  progress.state = JobState::kRunning;
-  book.Apply({"p/j", EncodeProgress(progress), 2});
+  const JobBook book = BookOfRunningJob(seconds(2));
   const Time now = Time(std::chrono::hours(1));
   PoolPlanner planner(options, 1, book, {"n", "missing"}, now);
   const auto placed_after = [&](Duration waited) {
@@ -330,11 +336,7 @@
 // is kept. Its successor hears the later failure first. Were the earlier one taken for one that is
 // counted already, the task would be run once more than its queue allows.
 TEST(PoolPlanner, CountsFailuresInWhateverOrderTheyAreHeard) {
-  JobBook book;
-  book.Apply({"j/j", EncodeSpec(BedJob("j", "batch", "one", BedStep(1, 1, seconds(1)))), 1});
-  JobProgress progress;
-  progress.state = JobState::kRunning;
-  book.Apply({"p/j", EncodeProgress(progress), 2});
+  const JobBook book = BookOfRunningJob(seconds(1));
   const Time now = Time(std::chrono::hours(1));
   PoolPlanner planner(PlannerOptions(), 1, book, {"n", "m"}, now);
   planner.SetOperatorState(std::make_shared<OperatorState>(BedOperators(0)), now);
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -114,9 +114,8 @@
     pool::JobState state = pool::JobState::kQueued;
     const platform::CallOutcome outcome =
         platform::Caller(AnyEntry(&random)).StateOf(history_->SpecOf(id), kPatience, &state);
-    const Time now = LeaseClock().Now();
-    if (outcome == platform::CallOutcome::kDone) history_->Shown(id, state, now);
-    if (outcome == platform::CallOutcome::kUnknownJob) history_->ShownUnknown(id, sent, now);
+    if (outcome == platform::CallOutcome::kDone) history_->Shown(id, state);
+    if (outcome == platform::CallOutcome::kUnknownJob) history_->ShownUnknown(id, sent);
   }
 }
 
--- a/tests/soak/soak_history.cc
+++ b/tests/soak/soak_history.cc
@@ -94,7 +94,7 @@
   return wanted.gang ? done > 0 : done == wanted.tasks;
 }
 
-void SoakHistory::Shown(const std::string& id, JobState state, Time /*now*/) {
+void SoakHistory::Shown(const std::string& id, JobState state) {
   const std::lock_guard<std::mutex> lock(mutex_);
   JobRecord& job = jobs_.at(id);
   const bool first = !job.over && pool::IsOver(state);
@@ -118,7 +118,7 @@
   }
 }
 
-void SoakHistory::ShownUnknown(const std::string& id, Time sent, Time /*now*/) {
+void SoakHistory::ShownUnknown(const std::string& id, Time sent) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const JobRecord& job = jobs_.at(id);
   if (job.accepted && sent - *job.accepted > kVisibleBound) {
--- a/tests/soak/soak_history.h
+++ b/tests/soak/soak_history.h
@@ -33,8 +33,8 @@
   void CancelSent(const std::string& id);
   void Cancelled(const std::string& id, Time now);
   // A call sent at `sent` was told this state.
-  void Shown(const std::string& id, pool::JobState state, Time now);
-  void ShownUnknown(const std::string& id, Time sent, Time now);
+  void Shown(const std::string& id, pool::JobState state);
+  void ShownUnknown(const std::string& id, Time sent);
 
   // What workers see: one watch for each life.
   std::unique_ptr<pool::WorkerWatch> Watch(const std::string& node, const std::string& zone);
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -40,7 +40,6 @@
   void Signal(int signal);
   // The process started again is another than the one that ran at `life`.
   int life() const { return life_.load(); }
-  bool running() const { return pid_.load() > 0; }
 
  private:
   void Run();
--- a/tests/soak/soak_system.cc
+++ b/tests/soak/soak_system.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 
 #include "platform/soak/caller.h"
+#include "servers/pool/pool_view.h"
 
 namespace turmericshift::soak {
 namespace {
@@ -135,7 +136,9 @@
 void SoakSystem::PublishDocument() { Append(platform::DocumentRecord(++version_)); }
 
 void SoakSystem::DropHistory() {
-  for (const char* topic : {"keyed.work", "keyed.members", "keyed.op"}) log_.DropHistory(topic);
+  log_.DropHistory(pool::kWorkTopic);
+  log_.DropHistory(pool::kMembersTopic);
+  log_.DropHistory(platform::OperatorsTopic());
 }
 
 void SoakSystem::Heal() {
