Pool: Heed no list of a worker that is older than the one at hand

When a planner is followed, the agent looks at its worker a second time while the first look still waits; the answers overtake each other, and the older list brought back runs whose ends the planner had taken in. It adopted them as running, for good.

Ruled out: an end that was not taken in (run_ended stands in the log 3 ms before run_adopted, under the same run), the planner's order of reports (rising), a second start.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -79,19 +79,29 @@
 bool AgentState::TakeLists(const WorkerLists& lists, int64_t fence, Time sent, Time now) {
   if (lists.born_ms < facts_.born_ms) return false;
   if (lists.born_ms > facts_.born_ms) NewLife(lists.born_ms);
-  bool news = lists_epoch_ != fence || !facts_.reachable;
+  // The worker has heard of the highest fence before the later of two answers was made, whichever
+  // of them is read first.
+  const int64_t lists_epoch = std::max(lists_epoch_, fence);
+  bool news = lists_epoch_ != lists_epoch || !facts_.reachable;
   facts_.reachable = true;
-  lists_epoch_ = fence;
-  clock_ = lists.clock;
-  clock_at_ = now;
-  running_ = lists.running;
+  lists_epoch_ = lists_epoch;
   for (const EndedTask& end : lists.ended) {
+    if (end.number <= ends_kept_) continue;
     news = ended_.emplace(end.number, end).second || news;
   }
   const auto has_ended = [this](const RunId& run) {
     return std::any_of(ended_.begin(), ended_.end(),
                        [&](const auto& row) { return row.second.run == run; });
   };
+  // Two looks at the worker may be under way at once, and their answers overtake each other. Taken
+  // for news, the older list would bring back a run whose end the planner has taken in; one notices
+  // by a task that nobody works on and that never starts again.
+  if (clock_ && lists.clock < *clock_) return news;
+  clock_ = lists.clock;
+  clock_at_ = now;
+  running_ = lists.running;
+  // Both answers may be of one millisecond of the worker's clock.
+  std::erase_if(running_, [&](const RunningTask& task) { return has_ended(task.run); });
   for (auto& [run, start] : starts_) {
     if (start.phase != StartPhase::kUncertain) continue;
     if (!Lists(running_, run) && !has_ended(run)) continue;
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -65,6 +65,44 @@
 
 const RunId kRun = {{"j", 0, 0, 0}, 7};
 
+// Two looks at the worker are under way at once, as when a planner has just been followed, and the
+// answers overtake each other: the one that was made first is read last. It lists a run that the
+// other has told the end of, and a planner that believed it would take the run for running for
+// good: its task never starts again, and the caller waits for a job that nobody works on.
+TEST(AgentState, HeedsNoListThatIsOlderThanTheOneItHas) {
+  Agent agent;
+  WorkerLists newer = agent.Lists({});
+  newer.clock = 1010;
+  newer.ended = {{1, kRun, EndKind::kStopped, ""}};
+  agent.state.TakeLists(newer, 1, agent.now, agent.now);
+  WorkerLists older = agent.Lists({{kRun, "", 40}});
+  older.clock = 1009;
+  agent.state.TakeLists(older, 1, agent.now, agent.now);
+  EXPECT_TRUE(agent.state.Report(Duration::zero(), agent.now).running.empty());
+}
+
+// Both answers were made within one millisecond of the worker's clock, so that it does not tell
+// which is the older one; the end does.
+TEST(AgentState, BelievesAnEndBeforeAListOfTheSameMoment) {
+  Agent agent;
+  WorkerLists newer = agent.Lists({});
+  newer.ended = {{1, kRun, EndKind::kStopped, ""}};
+  agent.state.TakeLists(newer, 1, agent.now, agent.now);
+  agent.Hold(agent.now, {{kRun, "", 40}});
+  EXPECT_TRUE(agent.state.Report(Duration::zero(), agent.now).running.empty());
+}
+
+// An answer under the planner before is read after one under the planner that followed it. The
+// planner would take the agent for unheard until the next look at the worker, a second later, and
+// start nothing that may still run there meanwhile.
+TEST(AgentState, GoesOnBeingHeardWhenAnAnswerToThePlannerBeforeComesLate) {
+  Agent agent;
+  agent.state.RaiseEpoch(2);
+  agent.state.TakeLists(agent.Lists({}), 2, agent.now, agent.now);
+  agent.state.TakeLists(agent.Lists({}), 1, agent.now, agent.now);
+  EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).epoch, 2);
+}
+
 // The planner takes a start back before the agent was told of it, and repeats the stop with every
 // answer until it hears what became of the run. Looks at the worker take longer than the planner's
 // polls; were each repetition to count as a new stop, no look would ever be late enough to settle
