Pool: Work limits out of the bounds that a deployment lays down

Cause: the bounds on reclaiming, stopping, waiting gangs, cancelling, zones out, keys and visibility were constants made for the first sites (2.9 s and 0.4 s); the new customer's are 3.4 s and 0.9 s, so that room freed after 0.9 s was held too shortly and a lease counted as run out before its stop.

For the earlier sites' bounds the limits are what they were, to the digit.

--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -2,8 +2,6 @@
 // to.
 #include <signal.h>
 
-#include <algorithm>
-
 #include "core/logging.h"
 #include "core/secret.h"
 #include "core/shutdown.h"
@@ -12,6 +10,7 @@
 #include "rpc/pool_session.h"
 #include "servers/pool/advice_asker.h"
 #include "servers/pool/pool_agent.h"
+#include "servers/pool/pool_bounds.h"
 #include "servers/pool/pool_entry.h"
 
 namespace turmericshift {
@@ -21,12 +20,6 @@
 // A caller's connection costs a thread; clients of one entry are a few dozen.
 constexpr int kMostConnections = 600;
 constexpr size_t kConnectionStackBytes = size_t{128} * 1024;
-// What a lease keeps of what workers grant at most, so that none is shortened there unseen.
-constexpr Duration kLeaseReserve = std::chrono::milliseconds(500);
-// Above this a lost worker's tasks wait longer and nothing is gained: a change of planner takes
-// three seconds.
-constexpr Duration kLongestLease = std::chrono::milliseconds(4000);
-constexpr Duration kStatusSlack = std::chrono::seconds(10);
 // Of the time that a stop may take, what is left for ending the process.
 constexpr Duration kStopReserve = std::chrono::milliseconds(700);
 
@@ -65,10 +58,11 @@
   entry_options.front.node = settings.name;
   entry_options.callers = HttpAt(settings.callers);
   entry_options.readiness = HttpAt(settings.readiness);
-  entry_options.planner.planner.lease =
-      std::min(kLongestLease, settings.longest_lease - kLeaseReserve);
-  entry_options.planner.planner.status_limit = settings.status_kept + kStatusSlack;
-  entry_options.planner.planner.stray_factor = settings.stray_factor;
+  entry_options.planner.planner = pool::PlannerOptionsWithin(settings.bounds);
+  pool::LimitWithin(settings.bounds, &entry_options.front);
+  for (const std::string& unmet : pool::UnmetBounds(settings.bounds)) {
+    LogEvent(LogLevel::kWarning, "bound_unmet", {{"reason", unmet}});
+  }
   pool::PoolEntry entry(entry_options, log.get(),
                         pool::OperatorDecoderRegistry::Instance().Create(settings.adapter),
                         door.get(), &connector, &metrics);
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -17,6 +17,8 @@
 constexpr double kLeastStopSeconds = 3.5;
 // Below this runs would lapse between two words of a planner that is well.
 constexpr double kLeastLeaseMillis = 1500;
+constexpr double kLeastBoundMillis = 1;
+constexpr double kMillisPerSecond = 1000;
 
 constexpr Presence kRequired = Presence::kRequired;
 constexpr Presence kOptional = Presence::kOptional;
@@ -47,6 +49,30 @@
           }};
 }
 
+// A bound in whole milliseconds.
+IniKey BoundKey(const std::string& name, Duration* bound) {
+  return PlatformTimeKey(name, kLeastBoundMillis, kMostSeconds * kMillisPerSecond,
+                         std::chrono::milliseconds(1), bound);
+}
+
+std::vector<IniKey> BoundKeys(pool::PoolBounds* bounds) {
+  return {PlatformTimeKey("longest_lease_ms", kLeastLeaseMillis, kMostSeconds * kMillisPerSecond,
+                          std::chrono::milliseconds(1), &bounds->longest_lease),
+          BoundKey("cancel_ms", &bounds->cancel),
+          BoundKey("zone_out_ms", &bounds->zone_out),
+          BoundKey("key_withdrawn_ms", &bounds->key_withdrawn),
+          BoundKey("visible_ms", &bounds->visible),
+          BoundKey("gang_wait_ms", &bounds->gang_wait),
+          BoundKey("stop_ms", &bounds->stop),
+          BoundKey("reclaim_ms", &bounds->reclaim),
+          BoundKey("restore_ms", &bounds->restore),
+          PlatformTimeKey("status_kept_s", 0, kMostSeconds, std::chrono::seconds(1),
+                          &bounds->status_kept),
+          {"stray_factor", false, [bounds](const std::string& factor) {
+             bounds->stray_factor = ParseNumber(factor, 1, kMostStrayFactor);
+           }}};
+}
+
 // One section that a role's settings may have.
 struct SectionRule {
   std::string kind;
@@ -184,15 +210,7 @@
          TextKey("sessions_reached_at", kOptional, &settings.sessions_reached_at)}},
        {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
        {"advice", false, {TextKey("address", kRequired, &settings.advice_address)}},
-       {"limits",
-        false,
-        {PlatformTimeKey("longest_lease_ms", kLeastLeaseMillis, kMostSeconds * 1000,
-                         std::chrono::milliseconds(1), &settings.longest_lease),
-         PlatformTimeKey("status_kept_s", 0, kMostSeconds, std::chrono::seconds(1),
-                         &settings.status_kept),
-         {"stray_factor", false, [&settings](const std::string& factor) {
-            settings.stray_factor = ParseNumber(factor, 1, kMostStrayFactor);
-          }}}}});
+       {"limits", false, BoundKeys(&settings.bounds)}});
   return settings;
 }
 
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/ini.h"
 #include "servers/jobs/job.h"
+#include "servers/pool/pool_bounds.h"
 
 namespace turmericshift {
 
@@ -89,14 +90,9 @@
   std::string store_address;
   // Where the advice service is asked; empty: there is none.
   std::string advice_address;
-  // How long workers let runs go on without word at most.
-  Duration longest_lease = std::chrono::seconds(6);
-  // Ended jobs can be asked for at least so long.
-  Duration status_kept = std::chrono::seconds(120);
+  pool::PoolBounds bounds;
   // From the signal to stop until the process is killed.
   Duration stop_limit = std::chrono::seconds(6);
-  // Tasks away from their data, and gangs torn over racks, take so many times as long.
-  double stray_factor = 3;
 };
 
 // An agent of a pool on such a platform.
--- a/main/settings/process_settings_test.cc
+++ b/main/settings/process_settings_test.cc
@@ -58,21 +58,32 @@
 
 TEST(PoolSettings, ReadAnEntry) {
   const PoolEntrySettings settings = ParsePoolEntrySettings(
-      "entry.ini",
-      std::string(kPoolEntry) + "[limits]\nlongest_lease_ms = 10000\nstray_factor = 2.5\n");
-  EXPECT_EQ(settings.stray_factor, 2.5);
+      "entry.ini", std::string(kPoolEntry) +
+                       "[limits]\nlongest_lease_ms = 10000\nstray_factor = 2.5\n"
+                       "cancel_ms = 3100\nzone_out_ms = 5100\nkey_withdrawn_ms = 5200\n"
+                       "visible_ms = 3300\ngang_wait_ms = 3400\nstop_ms = 900\n"
+                       "reclaim_ms = 3500\nrestore_ms = 250\n");
+  EXPECT_EQ(settings.bounds.cancel, std::chrono::milliseconds(3100));
+  EXPECT_EQ(settings.bounds.zone_out, std::chrono::milliseconds(5100));
+  EXPECT_EQ(settings.bounds.key_withdrawn, std::chrono::milliseconds(5200));
+  EXPECT_EQ(settings.bounds.visible, std::chrono::milliseconds(3300));
+  EXPECT_EQ(settings.bounds.gang_wait, std::chrono::milliseconds(3400));
+  EXPECT_EQ(settings.bounds.stop, std::chrono::milliseconds(900));
+  EXPECT_EQ(settings.bounds.reclaim, std::chrono::milliseconds(3500));
+  EXPECT_EQ(settings.bounds.restore, std::chrono::milliseconds(250));
+  EXPECT_EQ(settings.bounds.stray_factor, 2.5);
   EXPECT_EQ(settings.callers.port, 80);
   EXPECT_EQ(settings.sessions.address, "10.0.0.1");
   EXPECT_EQ(settings.stop_limit, std::chrono::milliseconds(6500));
-  EXPECT_EQ(settings.longest_lease, std::chrono::seconds(10));
-  EXPECT_EQ(settings.status_kept, std::chrono::seconds(120));
+  EXPECT_EQ(settings.bounds.longest_lease, std::chrono::seconds(10));
+  EXPECT_EQ(settings.bounds.status_kept, std::chrono::seconds(120));
 }
 
 // A platform that sets no bound leaves its key out; the defaults hold and the process starts.
 TEST(PoolSettings, ReadAnEntryWithoutLimits) {
-  EXPECT_EQ(
-      ParsePoolEntrySettings("entry.ini", std::string(kPoolEntry) + "[limits]\n").longest_lease,
-      std::chrono::seconds(6));
+  EXPECT_EQ(ParsePoolEntrySettings("entry.ini", std::string(kPoolEntry) + "[limits]\n")
+                .bounds.longest_lease,
+            std::chrono::seconds(6));
   EXPECT_NO_THROW(ParsePoolEntrySettings("entry.ini", kPoolEntry));
 }
 
--- a/servers/pool/job_front.h
+++ b/servers/pool/job_front.h
@@ -63,10 +63,9 @@
 
 struct JobFrontOptions {
   std::string node;
-  // Without word of the operators for so long, a key may have been taken away unheard of; it has to
-  // be refused 5 s after that at the latest.
+  // Without word of the operators for so long, a key may have been taken away unheard of.
   Duration key_limit = std::chrono::milliseconds(4000);
-  // Jobs taken in elsewhere have to be known after 3 s; a view older than this may miss one.
+  // A view older than this may miss a job taken in elsewhere that has to be known by now.
   Duration view_limit = std::chrono::milliseconds(2000);
   // Left of a caller's patience for the answer's way back.
   Duration reserve = std::chrono::milliseconds(250);
--- /dev/null
+++ b/servers/pool/pool_bounds_test.cc
@@ -0,0 +1,110 @@
+#include "servers/pool/pool_bounds.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/error.h"
+#include "servers/pool/job_front.h"
+#include "servers/pool/pool_planner.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kDraws = 2000;
+
+class BoundsDraw {
+ public:
+  explicit BoundsDraw(unsigned seed) : random_(seed) {}
+
+  PoolBounds Next() {
+    PoolBounds bounds;
+    bounds.longest_lease = Between(1500, 15000);
+    bounds.cancel = Between(1500, 8000);
+    bounds.zone_out = Between(1500, 9000);
+    bounds.key_withdrawn = Between(1600, 9000);
+    bounds.visible = Between(1600, 6000);
+    bounds.stop = Between(50, 1500);
+    bounds.gang_wait = bounds.stop + Between(750, 4000);
+    bounds.reclaim = bounds.stop + Between(500, 5000);
+    return bounds;
+  }
+
+ private:
+  Duration Between(int low, int high) {
+    return milliseconds(std::uniform_int_distribution<int>(low, high)(random_));
+  }
+
+  std::mt19937 random_;
+};
+
+// Another deployment lays down other bounds. Limits that stayed as they were for the first would
+// start tasks of cancelled jobs, or in zones that are out, or leave gangs waiting for a member.
+TEST(PoolBounds, AreKeptByTheLimitsWhateverTheyAre) {
+  BoundsDraw draw(1);
+  for (int i = 0; i < kDraws; ++i) {
+    const PoolBounds bounds = draw.Next();
+    const PlannerOptions options = PlannerOptionsWithin(bounds);
+    EXPECT_LT(options.lease, bounds.longest_lease);
+    EXPECT_LT(options.confirm_limit + options.start_window, bounds.cancel);
+    EXPECT_LT(options.document_limit + options.start_window, bounds.zone_out);
+    EXPECT_LT(options.gang_start_limit + bounds.stop, bounds.gang_wait);
+    // A lease on the slowest clock, and a stop on top.
+    EXPECT_GT(options.lease_margin, bounds.stop + options.lease / 50);
+    EXPECT_LT(options.owed_stray_after, bounds.reclaim);
+    EXPECT_LT(options.owed_patience, bounds.reclaim);
+    EXPECT_GT(options.reservation_limit, bounds.stop);
+    JobFrontOptions front;
+    LimitWithin(bounds, &front);
+    EXPECT_LT(front.key_limit, bounds.key_withdrawn);
+    EXPECT_LT(front.view_limit, bounds.visible);
+  }
+}
+
+// Room that others use must be theirs who are owed it within the bound: what is waited for first,
+// a stop and a start have to fit.
+TEST(PoolBounds, LeaveTimeToReclaimWhereItCanBeDone) {
+  BoundsDraw draw(2);
+  for (int i = 0; i < kDraws; ++i) {
+    const PoolBounds bounds = draw.Next();
+    const PlannerOptions options = PlannerOptionsWithin(bounds);
+    const Duration stop_and_start = bounds.stop + milliseconds(200);
+    if (!UnmetBounds(bounds).empty()) {
+      EXPECT_LT(bounds.reclaim, stop_and_start + milliseconds(300));
+      continue;
+    }
+    EXPECT_LE(options.owed_patience + stop_and_start, bounds.reclaim);
+    EXPECT_LE(options.owed_stray_after + stop_and_start, bounds.reclaim);
+  }
+}
+
+// A deployment whose bounds leave no time to work with is told so at the start. An entry that
+// started all the same would take jobs in and never begin one.
+TEST(PoolBounds, RefuseWhatLeavesNoTime) {
+  PoolBounds bounds;
+  bounds.cancel = milliseconds(600);
+  EXPECT_THROW(PlannerOptionsWithin(bounds), Error);
+  bounds = PoolBounds();
+  bounds.zone_out = milliseconds(600);
+  EXPECT_THROW(PlannerOptionsWithin(bounds), Error);
+  bounds = PoolBounds();
+  bounds.gang_wait = bounds.stop;
+  EXPECT_THROW(PlannerOptionsWithin(bounds), Error);
+  bounds = PoolBounds();
+  bounds.key_withdrawn = milliseconds(1000);
+  JobFrontOptions front;
+  EXPECT_THROW(LimitWithin(bounds, &front), Error);
+}
+
+TEST(PoolBounds, TellOfAGuaranteeThatComesTooLate) {
+  PoolBounds bounds;
+  EXPECT_TRUE(UnmetBounds(bounds).empty());
+  bounds.reclaim = bounds.stop;
+  EXPECT_EQ(UnmetBounds(bounds).size(), 1U);
+  EXPECT_EQ(PlannerOptionsWithin(bounds).owed_patience, Duration::zero());
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -29,13 +29,13 @@
 
 namespace turmericshift::pool {
 
+// Times within the bounds of a platform: pool_bounds.h works them out.
 struct PlannerOptions {
   // What a running task may outlive the last word of its planner by. Below what workers grant at
   // most; above the time that a successor needs to take over and reach the agents (silence of 1.4 s
   // at most, a claim, a poll of 0.5 s that ends by its patience of 0.7 s).
   Duration lease = std::chrono::milliseconds(4000);
-  // Added before a lease counts as run out: workers' clocks run up to 2% slow, and the stop takes
-  // its time.
+  // Added before a lease counts as run out: workers' clocks run slow, and the stop takes its time.
   Duration lease_margin = std::chrono::milliseconds(600);
   // How long an agent may go on obeying a planner whose duty nobody confirms.
   Duration unconfirmed_limit = std::chrono::seconds(10);
@@ -44,12 +44,21 @@
   // or the operators' documents were last read longer ago than this.
   Duration document_limit = std::chrono::milliseconds(2000);
   // Starts are carried out at most so long after the agent asked. Together with the two limits it
-  // stays below the bounds on cancelled jobs (3 s) and on zones that are out (5 s).
+  // stays below the bounds on cancelled jobs and on zones that are out.
   Duration start_window = std::chrono::milliseconds(1500);
-  // A gang whose members have not all started by then is stopped; its workers wait 3 s or more.
+  // A gang whose members have not all started by then is stopped; its workers wait longer.
   Duration gang_start_limit = std::chrono::milliseconds(1300);
   // A single start that is not answered by then is taken back.
   Duration start_limit = std::chrono::milliseconds(2500);
+  // An urgent gang within its workspace's guarantee that finds no rack goes over several after
+  // this, so that it begins within the bound on reclaiming with time to spare for the start.
+  Duration owed_stray_after = std::chrono::milliseconds(1300);
+  // Room that comes free by itself within this is waited for also by those to whom it is owed.
+  Duration owed_patience = std::chrono::milliseconds(800);
+  // Room that is being freed is held for so long for the one it is freed for.
+  Duration reservation_limit = std::chrono::milliseconds(1500);
+  // Going on from a saved state takes so long.
+  Duration restore = std::chrono::milliseconds(600);
   // Ended jobs are known for so long.
   Duration status_limit = std::chrono::seconds(130);
   // Tasks away from their data, and gangs over several racks that want one, take so many times as
--- a/servers/pool/pool_planner_holding.cc
+++ b/servers/pool/pool_planner_holding.cc
@@ -11,11 +11,8 @@
 namespace turmericshift::pool {
 namespace {
 
-// An urgent gang within its workspace's guarantee that finds no rack goes over several after this,
-// so that it begins within the bound on reclaiming (2.9 s) with a second to spare for the start.
-constexpr Duration kOwedStrayAfter = std::chrono::milliseconds(1300);
-// The others do while the pool is idle: leaving workers idle for 3 s beside a task that waits
-// counts as a job forgotten.
+// Gangs go over several racks after this while the pool is idle: leaving workers idle for 3 s
+// beside a task that waits counts as a job forgotten.
 constexpr Duration kIdleStrayAfter = std::chrono::milliseconds(2200);
 // At most one in so many workers is kept for units that wait; else a few
 // wide gangs would empty the pool.
@@ -67,7 +64,7 @@
 
 bool PoolPlanner::StraysNow(const Unit& unit, const PlaceWish& strict, Time now) const {
   const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
-  if (IsOwed(unit) && waited > kOwedStrayAfter) return true;
+  if (IsOwed(unit) && waited > options_.owed_stray_after) return true;
   if (idle_ && waited > kIdleStrayAfter) return true;
   // No rack would ever hold it, so that waiting for one is pointless.
   if (!FitsOneRack(strict, RoomsFor(unit, true, now))) return true;
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -12,14 +12,10 @@
 namespace turmericshift::pool {
 namespace {
 
-// Room that is being freed is held for the one it is freed for; a stop takes 0.4 s and two calls.
-constexpr Duration kReservationLimit = std::chrono::milliseconds(1500);
 // The same unit is weighed again after this, well within the bound on reclaiming.
 constexpr Duration kReclaimPause = std::chrono::milliseconds(300);
 // An accelerator weighs as much as so many cores in work thrown away; the operators' own price.
 constexpr double kCoresPerAccelerator = 8;
-// Reading a checkpoint back takes a quarter to over half a second of the gang's time.
-constexpr double kRestoreSeconds = 0.5;
 // Work that has been interrupted before is dearer to interrupt again, so that two urgent streams do
 // not stop the same job for ever.
 constexpr double kAgainFactor = 2.0;
@@ -34,13 +30,9 @@
 constexpr double kWorthOfLate = 0.2;
 // A guarantee is had back at any price.
 constexpr double kNoLimit = 1e9;
-// Room that comes free by itself before a guarantee would be missed is waited for: the operators'
-// bound is 2.9 s, a stop and a start take up to 0.6 s, and the forecast may be off by a second.
-constexpr Duration kOwedPatience = std::chrono::milliseconds(800);
-
 // Seconds of work that stopping the run throws away.
-double LostSeconds(const LiveRun& run, const StepSpec& step, Time now) {
-  if (step.checkpoints) return kRestoreSeconds;
+double LostSeconds(const LiveRun& run, const StepSpec& step, Duration restore, Time now) {
+  if (step.checkpoints) return Seconds(restore);
   return std::max(kLeastLostSeconds, Seconds(now - run.since));
 }
 
@@ -73,7 +65,7 @@
   const double gain = GainOfNow(unit, wait, wall_ms);
   if (unit.entitled) {
     const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
-    const bool comes_anyway = gain <= 0 && waited + wait < kOwedPatience;
+    const bool comes_anyway = gain <= 0 && waited + wait < options_.owed_patience;
     return comes_anyway ? 0 : kNoLimit;
   }
   const double worth = kWorthOfAJob + kWorthOfWork * OwnWork(rest, unit.expected);
@@ -101,7 +93,7 @@
       victim.run = id;
       victim.node = node;
       victim.need = run.need;
-      victim.cost = Cores(run.need) * LostSeconds(run, *step, now);
+      victim.cost = Cores(run.need) * LostSeconds(run, *step, options_.restore, now);
       const auto state = job->second.steps.find({id.task.occurrence, id.task.step});
       if (state != job->second.steps.end()) {
         victim.cost *= 1 + kAgainFactor * state->second.interrupted;
@@ -145,7 +137,7 @@
     }
   }
   reservations_[{unit.job->spec.id, unit.place}] = {plan->placement, wish.step->need,
-                                                    now + kReservationLimit};
+                                                    now + options_.reservation_limit};
   LogEvent(LogLevel::kInfo, "room_reclaimed",
            {{"job", unit.job->spec.id},
             {"entitled", unit.entitled},
--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -13,9 +13,27 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Every second history runs under bounds that no deployment has.
+PoolBounds DrawnBounds(unsigned seed) {
+  PoolBounds bounds;
+  if (seed % 2 == 0) return bounds;
+  std::mt19937 random(seed);
+  const auto between = [&](int low, int high) {
+    return milliseconds(std::uniform_int_distribution<int>(low, high)(random));
+  };
+  bounds.longest_lease = between(1500, 9000);
+  bounds.cancel = between(1800, 6000);
+  bounds.zone_out = between(1800, 8000);
+  bounds.stop = between(100, 1500);
+  bounds.gang_wait = bounds.stop + between(800, 3000);
+  bounds.reclaim = bounds.stop + between(500, 4000);
+  return bounds;
+}
+
 class History {
  public:
-  explicit History(unsigned seed) : random_(seed), bed_(BedRacks(2), BedOperators(8)) {
+  explicit History(unsigned seed)
+      : random_(seed), bed_(BedRacks(2), BedOperators(8), DrawnBounds(seed)) {
     for (const BedWorker& worker : BedRacks(2)) nodes_.push_back(worker.node);
     bed_.true_time = [](const TaskId& task) {
       return milliseconds(300 + 700 * ((task.index * 7 + task.step * 3) % 5));
--- a/tests/stand_ins/pool_bed.cc
+++ b/tests/stand_ins/pool_bed.cc
@@ -11,8 +11,8 @@
 constexpr Duration kTick = std::chrono::milliseconds(10);
 // Agents poll and hold this often; news goes out with the next tick.
 constexpr int kTicksBetweenHolds = 5;
-constexpr Duration kStopTakes = std::chrono::milliseconds(200);
-constexpr Duration kGangWait = std::chrono::milliseconds(3000);
+// Stops take half of the time that they may.
+constexpr int kStopShare = 2;
 constexpr Duration kAdviceTakes = std::chrono::milliseconds(100);
 constexpr Duration kTicketValid = std::chrono::milliseconds(3000);
 constexpr int64_t kWallStartMs = 1'700'000'000'000;
@@ -43,8 +43,12 @@
   std::map<TaskId, int64_t> newest_over;
 };
 
-PoolBed::PoolBed(const std::vector<BedWorker>& workers, const OperatorState& operators)
-    : operators_(operators), now_(Time(std::chrono::hours(1))) {
+PoolBed::PoolBed(const std::vector<BedWorker>& workers, const OperatorState& operators,
+                 const PoolBounds& bounds)
+    : bounds_(bounds),
+      options_(PlannerOptionsWithin(bounds)),
+      operators_(operators),
+      now_(Time(std::chrono::hours(1))) {
   std::set<std::string> nodes;
   for (const BedWorker& spec : workers) {
     auto worker = std::make_unique<Worker>();
@@ -54,7 +58,7 @@
     RestartAgent(spec.node);
     nodes.insert(spec.node);
   }
-  planner_ = std::make_unique<PoolPlanner>(PlannerOptions(), epoch_, book_, nodes, now_);
+  planner_ = std::make_unique<PoolPlanner>(options_, epoch_, book_, nodes, now_);
   planner_->Confirm(now_);
 }
 
@@ -105,7 +109,7 @@
 void PoolBed::ReplacePlanner() {
   std::set<std::string> nodes;
   for (const auto& row : workers_) nodes.insert(row.first);
-  planner_ = std::make_unique<PoolPlanner>(PlannerOptions(), ++epoch_, book_, nodes, now_);
+  planner_ = std::make_unique<PoolPlanner>(options_, ++epoch_, book_, nodes, now_);
   planner_->Confirm(now_);
 }
 
@@ -229,7 +233,7 @@
       if (step.checkpoints) live.checkpoint = std::to_string(live.worked.count());
       over.push_back({run, EndKind::kStopped});
     } else if (step.gang && !GangComplete(run)) {
-      if (now_ - live.alone_since > kGangWait) over.push_back({run, EndKind::kAlone});
+      if (now_ - live.alone_since > bounds_.gang_wait) over.push_back({run, EndKind::kAlone});
     } else {
       if (!worker->stuck) live.worked += kTick;
       live.alone_since = now_;
@@ -338,7 +342,7 @@
     const AgentOrders todo = agent.TakeOrders(orders, now_, now_);
     for (const RunId& stop : todo.stops) {
       const auto live = worker->live.find(stop);
-      if (live != worker->live.end()) live->second.stop_at = now_ + kStopTakes;
+      if (live != worker->live.end()) live->second.stop_at = now_ + bounds_.stop / kStopShare;
       int64_t& newest = worker->newest_over[stop.task];
       newest = std::max(newest, stop.number);
       agent.TakeStopAnswer(stop, OrderAnswer::kTaken, now_);
--- a/tests/stand_ins/pool_bed.h
+++ b/tests/stand_ins/pool_bed.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "servers/pool/agent_state.h"
+#include "servers/pool/pool_bounds.h"
 #include "servers/pool/pool_planner.h"
 
 namespace turmericshift::pool {
@@ -34,7 +35,8 @@
 
 class PoolBed {
  public:
-  PoolBed(const std::vector<BedWorker>& workers, const OperatorState& operators);
+  PoolBed(const std::vector<BedWorker>& workers, const OperatorState& operators,
+          const PoolBounds& bounds = {});
   ~PoolBed();
 
   // How long a run of a task takes on a sound worker; the step's estimate unless set.
@@ -98,6 +100,8 @@
   int64_t wall_ms() const;
   Worker& worker(const std::string& node);
 
+  const PoolBounds bounds_;
+  const PlannerOptions options_;
   OperatorState operators_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, JobSpec> specs_;
