Pool: Give wide steps the time that their due time leaves, and count only what is left of a chain

Hypothesis: a step that needs more than a quarter of the pool is due later (its longest chain counts it in several goes), and a job at its last step has only that before it. Taken for late at once, wide urgent steps had others' work thrown away for nothing.

Change: due times count such steps in waves, prospects the chain from the step on.

Test: PoolLoad.StopsNobodyForAnUrgentStep- ThatHasTimeForSeveralGoes fails without the change.

--- a/servers/pool/job_model.cc
+++ b/servers/pool/job_model.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 #include "core/error.h"
 
@@ -87,4 +88,23 @@
   return longest;
 }
 
+Duration ChainFrom(const JobSpec& spec, int step,
+                   const std::function<Duration(const StepSpec& step)>& time_of) {
+  // When each step ends, counted from the beginning of `step`; none for those that do not follow.
+  std::vector<std::optional<Duration>> ends(spec.steps.size());
+  Duration longest{};
+  for (size_t i = static_cast<size_t>(step); i < spec.steps.size(); ++i) {
+    std::optional<Duration> begin;
+    if (i == static_cast<size_t>(step)) begin = Duration::zero();
+    for (const int earlier : spec.steps[i].after) {
+      const std::optional<Duration>& end = ends[static_cast<size_t>(earlier)];
+      if (end) begin = std::max(begin.value_or(*end), *end);
+    }
+    if (!begin) continue;
+    ends[i] = *begin + time_of(spec.steps[i]);
+    longest = std::max(longest, *ends[i]);
+  }
+  return longest;
+}
+
 }  // namespace turmericshift::pool
--- a/servers/pool/job_model.h
+++ b/servers/pool/job_model.h
@@ -96,6 +96,9 @@
 // The longest chain of steps by `time_of` each.
 Duration LongestChain(const JobSpec& spec,
                       const std::function<Duration(const StepSpec& step)>& time_of);
+// The longest chain that begins with `step` (counted from 0), that step included.
+Duration ChainFrom(const JobSpec& spec, int step,
+                   const std::function<Duration(const StepSpec& step)>& time_of);
 
 // Names one task: occurrence, step and index within the step.
 struct TaskId {
--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -108,6 +108,19 @@
   EXPECT_FALSE(WasStopped(bed, "fills"));
 }
 
+// An urgent step is wider than its caller can expect the pool to give it at once, so that it has
+// time for several goes. Taken for one that has to run in one go it seems late at once, and the
+// work of the whole pool is thrown away for it.
+TEST(PoolLoad, StopsNobodyForAnUrgentStepThatHasTimeForSeveralGoes) {
+  PoolBed bed(BedRacks(2), BedOperators(0));
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("fills", "bulk", "two", BedStep(48, 1, seconds(4))));
+  bed.RunFor(milliseconds(500));
+  bed.Submit(BedJob("wide", "urgent", "one", BedStep(3, 8, seconds(1))));
+  EXPECT_TRUE(bed.RunUntil("wide", JobState::kCompleted, seconds(7)));
+  EXPECT_FALSE(WasStopped(bed, "fills"));
+}
+
 // The same, and the tasks run for a minute more. They can go on later from where they were, so that
 // an urgent caller need not come too late for them.
 TEST(PoolLoad, StopsSavedWorkForAnUrgentGangThatWouldBeTooLate) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -162,8 +162,8 @@
     // done.
     int64_t begun_ms = 0;
     int64_t due_ms = 0;
-    // What the job's chain of steps should take.
-    Duration chain{};
+    // What is left of the job's chain of steps should take, from this one on.
+    Duration rest{};
     // What one of the tasks should take.
     Duration expected{};
     Prospect prospect = Prospect::kInTime;
@@ -268,7 +268,9 @@
   void RefreshTerms(Job* job) const;
   // By what has been seen of the queue's tasks.
   Duration ExpectedTime(const Job& job, const StepSpec& step) const;
-  Duration ExpectedChain(const Job& job) const;
+  // What the job's longest chain of steps should take that a pool with room for it works on; its
+  // caller can't expect more of a step at once than a share of the pool.
+  Duration FairChain(const Job& job) const;
   static const StepSpec* FindStep(const Job& job, const TaskId& task);
 
   const PlannerOptions options_;
@@ -300,6 +302,8 @@
   std::map<std::string, int64_t> urgent_need_;
   // Over two fifths of the accelerators and of the processors are free.
   bool idle_ = false;
+  // What the workers of each service hold when nothing runs there, as of this round.
+  std::map<std::string, Room> capacity_;
   std::map<std::string, Hold> holds_;
   // Ends to come on each worker as of this round, made when first asked for.
   mutable std::map<std::string, std::vector<Freeing>> freeing_;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -22,6 +22,9 @@
 // burst that the pool can't carry, starting in the order of due times would make every job late;
 // those that can still be in time go before those that can't, and these before the useless ones.
 constexpr int64_t kUselessAfter = 3;
+// A step that needs more than one in so many of the pool's accelerators, processors or memory is
+// not expected to have them all at once: its job is due later accordingly.
+constexpr int64_t kFairShare = 4;
 // Room for a late job is found within this as a rule. Passed over for longer it would be of no use
 // to its caller at all, while those that go after it have time left.
 constexpr Duration kLastCall = std::chrono::milliseconds(1500);
@@ -45,6 +48,21 @@
   return duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// How many times the share of the pool that a step may have at once goes into `needed`.
+int64_t Waves(int64_t needed, int64_t whole) {
+  const int64_t share = std::max<int64_t>(whole / kFairShare, 1);
+  return whole == 0 ? 1 : (needed + share - 1) / share;
+}
+
+// In how many goes the step is done by a pool of `whole`. A gang is done in one.
+int64_t WavesOf(const StepSpec& step, const Room& whole) {
+  if (step.gang) return 1;
+  return std::max({int64_t{1},
+                   Waves(step.tasks * step.need.processor_millis, whole.processor_millis),
+                   Waves(step.tasks * step.need.memory_mib, whole.memory_mib),
+                   Waves(step.tasks * step.need.accelerators, whole.accelerators)});
+}
+
 }  // namespace
 
 bool PoolPlanner::MayStart(Time now) const {
@@ -118,12 +136,14 @@
   reclaims_left_ = kReclaimsPerRound;
   holds_.clear();
   freeing_.clear();
+  capacity_.clear();
   advice_.BeginRound();
   Room whole;
   Room left;
   for (auto& [node, worker] : workers_) {
     worker.left = worker.free();
     worker.tenants = TenantsOf(worker);
+    capacity_[worker.facts.service] += worker.facts.capacity;
     if (!worker.usable(now)) continue;
     whole += worker.facts.capacity;
     left += worker.left;
@@ -195,7 +215,7 @@
 }
 
 PoolPlanner::Prospect PoolPlanner::ProspectOf(const Unit& unit, int64_t wall_ms) {
-  const int64_t over_ms = wall_ms + Millis(unit.chain);
+  const int64_t over_ms = wall_ms + Millis(unit.rest);
   if (over_ms <= unit.due_ms) return Prospect::kInTime;
   const int64_t useless_ms = unit.begun_ms + kUselessAfter * (unit.due_ms - unit.begun_ms);
   if (over_ms > useless_ms) return Prospect::kUseless;
@@ -206,8 +226,12 @@
   return run_times_.Expect(job.spec.queue, step.estimate);
 }
 
-Duration PoolPlanner::ExpectedChain(const Job& job) const {
-  return LongestChain(job.spec, [&](const StepSpec& step) { return ExpectedTime(job, step); });
+Duration PoolPlanner::FairChain(const Job& job) const {
+  const auto found = capacity_.find(Terms(job).service);
+  const Room whole = found == capacity_.end() ? Room() : found->second;
+  return LongestChain(job.spec, [&](const StepSpec& step) {
+    return ExpectedTime(job, step) * WavesOf(step, whole);
+  });
 }
 
 void PoolPlanner::CollectStep(Job* job, const StepPlace& place, int64_t wall_ms, Time now,
@@ -237,10 +261,11 @@
   unit.begun_ms = schedule.occurrences > 0
                       ? schedule.first_due_ms + place.occurrence * schedule.interval_ms
                       : job->spec.accepted_ms;
-  unit.chain = ExpectedChain(*job);
+  unit.rest = ChainFrom(job->spec, place.step,
+                        [&](const StepSpec& later) { return ExpectedTime(*job, later); });
   unit.expected = ExpectedTime(*job, step);
   unit.due_ms = unit.begun_ms + Millis(terms.target_latency) +
-                static_cast<int64_t>(terms.stretch * static_cast<double>(Millis(unit.chain)));
+                static_cast<int64_t>(terms.stretch * static_cast<double>(Millis(FairChain(*job))));
   unit.prospect = ProspectOf(unit, wall_ms);
   if (terms.priority == 0) {
     const int64_t wanted = step.need.accelerators * static_cast<int64_t>(unit.waiting.size());
