Pool: Weigh who makes way by what being in time is worth to both sides

Hypothesis: being in time is a likelihood, since times are known only as far as their spread; a unit that is weighed by yes or no is reclaimed for too late, and nearly finished work is stopped whose own caller then comes late.

Change: job_worth says how likely a job is in time after a wait and what that is worth against thrown away work (by priority, and by size against the usual size of its queue, which is observed). Room is reclaimed for what the unit gains from beginning after a stop, as long as stops take of late, rather than when room comes free; a victim costs what is thrown away and what its own job is worth less.

--- /dev/null
+++ b/servers/pool/job_worth.cc
@@ -0,0 +1,61 @@
+#include "servers/pool/job_worth.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericshift::pool {
+namespace {
+
+// A job that comes late, and not too late to be of use, brings this share of its worth.
+constexpr double kShareWhenLate = 0.25;
+// Times are never known to the last digit; it also keeps the likelihood a smooth function.
+constexpr double kLeastSpread = 0.05;
+
+// Each core-second of a job of priority 0 that comes in time makes up for so many of others' work,
+constexpr double kWorthOfWork = 4;
+// of each lower priority for so many times less.
+constexpr double kWorthByPriority = 0.25;
+// Part of a job's worth that does not depend on its size, and the size that counts at the most, in
+// usual jobs of its queue.
+constexpr double kWorthOfAnySize = 0.3;
+constexpr double kMostSizes = 4;
+
+// An accelerator weighs as much as so many cores in work thrown away; the operators' own price.
+constexpr double kCoresPerAccelerator = 8;
+constexpr double kMillisPerCore = 1000;
+
+// Likelihood that a normal deviate is below `deviations`.
+double Normal(double deviations) { return 0.5 * std::erfc(-deviations / std::sqrt(2.0)); }
+
+}  // namespace
+
+double LikelyDone(const JobTiming& timing, double factor, Duration wait) {
+  // With times that are F times what is expected the job is done in time if
+  //   elapsed + wait + rest F <= factor (target + stretch chain F),
+  // that is, if F slack >= late, where both may be negative.
+  const double slack = factor * timing.stretch * Seconds(timing.chain) - Seconds(timing.rest);
+  const double late = Seconds(timing.elapsed + wait) - factor * Seconds(timing.target);
+  if (slack >= 0 && late <= 0) return 1;
+  if (slack <= 0 && late >= 0) return 0;
+  const double deviations = std::log(late / slack) / std::max(timing.spread, kLeastSpread);
+  return slack > 0 ? Normal(-deviations) : Normal(deviations);
+}
+
+double ExpectedShare(const JobTiming& timing, Duration wait) {
+  const double in_time = LikelyDone(timing, 1, wait);
+  const double of_use = std::max(in_time, LikelyDone(timing, kUselessAfter, wait));
+  return in_time + kShareWhenLate * (of_use - in_time);
+}
+
+double Cores(const Room& room) {
+  return static_cast<double>(room.processor_millis) / kMillisPerCore +
+         kCoresPerAccelerator * static_cast<double>(room.accelerators);
+}
+
+double WorthInTime(int priority, double work, double usual_work) {
+  const double most = kMostSizes * usual_work;
+  const double sized = kWorthOfAnySize * usual_work + (1 - kWorthOfAnySize) * work;
+  return kWorthOfWork * std::pow(kWorthByPriority, priority) * std::min(sized, most);
+}
+
+}  // namespace turmericshift::pool
--- a/servers/pool/pool_bounds.cc
+++ b/servers/pool/pool_bounds.cc
@@ -85,6 +85,7 @@
   const Duration spare = bounds.reclaim - bounds.stop - kStart;
   options.owed_stray_after = std::max(Duration::zero(), spare - kWeighAgain - kSecondTry);
   options.owed_patience = std::max(Duration::zero(), spare - kWeighAgain - kForecastError - kStart);
+  options.stop = bounds.stop;
   options.reservation_limit = bounds.stop + kReservationReserve;
   options.restore = bounds.restore;
   options.status_limit = bounds.status_kept + kStatusReserve;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -9,7 +9,11 @@
 
 PoolPlanner::PoolPlanner(const PlannerOptions& options, int64_t epoch, const JobBook& book,
                          const std::set<std::string>& nodes, Time now)
-    : options_(options), epoch_(epoch), outbox_(options.append_bytes), unheard_(nodes) {
+    : options_(options),
+      epoch_(epoch),
+      outbox_(options.append_bytes),
+      unheard_(nodes),
+      stop_takes_(options.stop) {
   for (const auto& [id, entry] : book.jobs()) {
     Job& job = jobs_[id];
     job.spec = entry.spec;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -17,6 +17,7 @@
 
 #include "servers/pool/advice_book.h"
 #include "servers/pool/job_book.h"
+#include "servers/pool/job_worth.h"
 #include "servers/pool/outbox.h"
 #include "servers/pool/placer.h"
 #include "servers/pool/pool_config.h"
@@ -55,6 +56,8 @@
   Duration owed_stray_after = std::chrono::milliseconds(1300);
   // Room that comes free by itself within this is waited for also by those to whom it is owed.
   Duration owed_patience = std::chrono::milliseconds(800);
+  // A stop takes so long at most.
+  Duration stop = std::chrono::milliseconds(400);
   // Room that is being freed is held for so long for the one it is freed for.
   Duration reservation_limit = std::chrono::milliseconds(1500);
   // Going on from a saved state takes so long.
@@ -162,8 +165,8 @@
     // done.
     int64_t begun_ms = 0;
     int64_t due_ms = 0;
-    // What is left of the job's chain of steps should take, from this one on.
-    Duration rest{};
+    // What bears on whether its job comes in time.
+    JobTiming timing;
     // What one of the tasks should take.
     Duration expected{};
     Prospect prospect = Prospect::kInTime;
@@ -194,6 +197,8 @@
   void Adopt(const RunningTask& running, WorkerState* worker, Time now);
   void TakeResult(const StartResult& result, WorkerState* worker, Time now);
   void TakeEnd(const EndedTask& end, WorkerState* worker, int64_t wall_ms, Time now);
+  // Learns from a stop that has ended the run how long stops take.
+  void NoteStop(const LiveRun& run, Time now);
   void TakeDone(const EndedTask& end, Job* job, int64_t wall_ms);
   void TakeFailed(const EndedTask& end, Job* job, int64_t wall_ms);
   void SaveCheckpoint(const RunId& run, const std::string& checkpoint, Job* job);
@@ -249,10 +254,12 @@
   // Stops others for the unit if that is owed to it or worth it: pool_planner_reclaiming.cc.
   void TryReclaim(const Unit& unit, const PlaceWish& wish, int64_t wall_ms, Time now);
   // Core-seconds of others' work that may be thrown away for the unit.
-  double ReclaimLimit(const Unit& unit, const PlaceWish& rest, int64_t wall_ms, Time now) const;
-  // How much better off the unit's caller is if it begins now than after `wait`; 0 to 1.
-  static double GainOfNow(const Unit& unit, Duration wait, int64_t wall_ms);
-  std::vector<Victim> VictimsFor(const Unit& unit, Time now) const;
+  double ReclaimLimit(const Unit& unit, const PlaceWish& rest, Time now) const;
+  // What stopping a run for a unit that takes its room for `away` costs, in core-seconds: what is
+  // thrown away, and what its own job is worth less for coming later.
+  double CostOfStop(const Job& job, const LiveRun& run, Duration away, int64_t wall_ms,
+                    Time now) const;
+  std::vector<Victim> VictimsFor(const Unit& unit, int64_t wall_ms, Time now) const;
   void Start(const Unit& unit, const Placement& placement, Time now);
   int64_t GuaranteedFor(const std::string& workspace) const;
   // Accelerators that the workspace's urgent jobs hold, as of this round.
@@ -266,6 +273,12 @@
   Job* FindJob(const std::string& id);
   static const QueueTerms& Terms(const Job& job) { return *job.terms; }
   void RefreshTerms(Job* job) const;
+  // Of a job whose step `place` comes next.
+  JobTiming TimingOf(const Job& job, const StepPlace& place, int64_t wall_ms) const;
+  // Core-seconds of all its steps.
+  double WorkOf(const Job& job) const;
+  // What it is worth to have the job in time, in core-seconds of others' work.
+  double WorthOf(const Job& job) const;
   // By what has been seen of the queue's tasks.
   Duration ExpectedTime(const Job& job, const StepSpec& step) const;
   // What the job's longest chain of steps should take that a pool with room for it works on; its
@@ -304,6 +317,10 @@
   bool idle_ = false;
   // What the workers of each service hold when nothing runs there, as of this round.
   std::map<std::string, Room> capacity_;
+  // What jobs of each queue take on the average, in core-seconds, as of this round.
+  std::map<std::string, double> usual_work_;
+  // What stops have taken of late.
+  Duration stop_takes_;
   std::map<std::string, Hold> holds_;
   // Ends to come on each worker as of this round, made when first asked for.
   mutable std::map<std::string, std::vector<Freeing>> freeing_;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -18,10 +18,6 @@
 // Its last try waits this long for a worker that has not failed anything lately; less than the 3 s
 // after which a job that stands still beside free workers counts as forgotten.
 constexpr Duration kGuardLastTry = std::chrono::milliseconds(2200);
-// A job that takes this many times as long as it should is of no more use to its caller. Under a
-// burst that the pool can't carry, starting in the order of due times would make every job late;
-// those that can still be in time go before those that can't, and these before the useless ones.
-constexpr int64_t kUselessAfter = 3;
 // A step that needs more than one in so many of the pool's accelerators, processors or memory is
 // not expected to have them all at once: its job is due later accordingly.
 constexpr int64_t kFairShare = 4;
@@ -48,6 +44,12 @@
   return duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// Milliseconds since 1970 when the job was handed in or its occurrence was due to begin.
+int64_t BegunMs(const JobSpec& spec, int occurrence) {
+  if (spec.schedule.occurrences == 0) return spec.accepted_ms;
+  return spec.schedule.first_due_ms + occurrence * spec.schedule.interval_ms;
+}
+
 // How many times the share of the pool that a step may have at once goes into `needed`.
 int64_t Waves(int64_t needed, int64_t whole) {
   const int64_t share = std::max<int64_t>(whole / kFairShare, 1);
@@ -152,6 +154,14 @@
               kIdleShare * static_cast<double>(whole.accelerators) &&
           static_cast<double>(left.processor_millis) >
               kIdleShare * static_cast<double>(whole.processor_millis);
+  std::map<std::string, std::pair<double, int>> work;
+  for (const auto& [id, job] : jobs_) {
+    auto& [sum, count] = work[job.spec.queue];
+    sum += WorkOf(job);
+    ++count;
+  }
+  usual_work_.clear();
+  for (const auto& [queue, row] : work) usual_work_[queue] = row.first / row.second;
   urgent_use_.clear();
   urgent_need_.clear();
   for (const auto& [id, job] : jobs_) {
@@ -215,7 +225,7 @@
 }
 
 PoolPlanner::Prospect PoolPlanner::ProspectOf(const Unit& unit, int64_t wall_ms) {
-  const int64_t over_ms = wall_ms + Millis(unit.rest);
+  const int64_t over_ms = wall_ms + Millis(unit.timing.rest);
   if (over_ms <= unit.due_ms) return Prospect::kInTime;
   const int64_t useless_ms = unit.begun_ms + kUselessAfter * (unit.due_ms - unit.begun_ms);
   if (over_ms > useless_ms) return Prospect::kUseless;
@@ -226,6 +236,30 @@
   return run_times_.Expect(job.spec.queue, step.estimate);
 }
 
+JobTiming PoolPlanner::TimingOf(const Job& job, const StepPlace& place, int64_t wall_ms) const {
+  JobTiming timing;
+  timing.elapsed = std::chrono::milliseconds(wall_ms - BegunMs(job.spec, place.occurrence));
+  timing.rest = ChainFrom(job.spec, place.step,
+                          [&](const StepSpec& step) { return ExpectedTime(job, step); });
+  timing.chain = FairChain(job);
+  timing.stretch = Terms(job).stretch;
+  timing.target = Terms(job).target_latency;
+  timing.spread = run_times_.SpreadOf(job.spec.queue);
+  return timing;
+}
+
+double PoolPlanner::WorkOf(const Job& job) const {
+  double work = 0;
+  for (const StepSpec& step : job.spec.steps) {
+    work += Cores(step.need) * step.tasks * Seconds(ExpectedTime(job, step));
+  }
+  return work;
+}
+
+double PoolPlanner::WorthOf(const Job& job) const {
+  return WorthInTime(Terms(job).priority, WorkOf(job), usual_work_.at(job.spec.queue));
+}
+
 Duration PoolPlanner::FairChain(const Job& job) const {
   const auto found = capacity_.find(Terms(job).service);
   const Room whole = found == capacity_.end() ? Room() : found->second;
@@ -257,15 +291,11 @@
   unit.job = job;
   unit.place = place;
   unit.priority = terms.priority;
-  const Schedule& schedule = job->spec.schedule;
-  unit.begun_ms = schedule.occurrences > 0
-                      ? schedule.first_due_ms + place.occurrence * schedule.interval_ms
-                      : job->spec.accepted_ms;
-  unit.rest = ChainFrom(job->spec, place.step,
-                        [&](const StepSpec& later) { return ExpectedTime(*job, later); });
+  unit.begun_ms = BegunMs(job->spec, place.occurrence);
+  unit.timing = TimingOf(*job, place, wall_ms);
   unit.expected = ExpectedTime(*job, step);
   unit.due_ms = unit.begun_ms + Millis(terms.target_latency) +
-                static_cast<int64_t>(terms.stretch * static_cast<double>(Millis(FairChain(*job))));
+                Millis(Scaled(unit.timing.chain, terms.stretch));
   unit.prospect = ProspectOf(unit, wall_ms);
   if (terms.priority == 0) {
     const int64_t wanted = step.need.accelerators * static_cast<int64_t>(unit.waiting.size());
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -14,20 +14,12 @@
 
 // The same unit is weighed again after this, well within the bound on reclaiming.
 constexpr Duration kReclaimPause = std::chrono::milliseconds(300);
-// An accelerator weighs as much as so many cores in work thrown away; the operators' own price.
-constexpr double kCoresPerAccelerator = 8;
 // Work that has been interrupted before is dearer to interrupt again, so that two urgent streams do
 // not stop the same job for ever.
 constexpr double kAgainFactor = 2.0;
 // Starting again what has just been started wastes the start as well.
 constexpr double kLeastLostSeconds = 0.3;
 
-// Borrowed room: an urgent job that comes in time instead of late is worth so many core-seconds of
-// others' work, whatever its size, and so much for each core-second of its own. A job that comes
-// late is worth a fifth to its caller, and one that comes too late nothing.
-constexpr double kWorthOfAJob = 350;
-constexpr double kWorthOfWork = 1.4;
-constexpr double kWorthOfLate = 0.2;
 // A guarantee is had back at any price.
 constexpr double kNoLimit = 1e9;
 // Seconds of work that stopping the run throws away.
@@ -36,43 +28,44 @@
   return std::max(kLeastLostSeconds, Seconds(now - run.since));
 }
 
-double Cores(const Room& need) {
-  return static_cast<double>(need.processor_millis) / 1000 +
-         kCoresPerAccelerator * static_cast<double>(need.accelerators);
-}
-
-// Core-seconds that the tasks to place take.
-double OwnWork(const PlaceWish& wish, Duration each) {
-  return Cores(wish.step->need) * wish.tasks * Seconds(each);
-}
-
 }  // namespace
 
-double PoolPlanner::GainOfNow(const Unit& unit, Duration wait, int64_t wall_ms) {
-  const auto worth = [](Prospect prospect) {
-    if (prospect == Prospect::kInTime) return 1.0;
-    return prospect == Prospect::kUseless ? 0.0 : kWorthOfLate;
-  };
-  const int64_t wait_ms = duration_cast<std::chrono::milliseconds>(wait).count();
-  return worth(ProspectOf(unit, wall_ms)) - worth(ProspectOf(unit, wall_ms + wait_ms));
-}
-
-double PoolPlanner::ReclaimLimit(const Unit& unit, const PlaceWish& rest, int64_t wall_ms,
-                                 Time now) const {
+double PoolPlanner::ReclaimLimit(const Unit& unit, const PlaceWish& rest, Time now) const {
   const std::optional<RoomForecast> forecast = ForecastRoom(rest, FutureRoomsFor(unit, now));
   // Far beyond any time of use, for what never fits.
   const Duration wait = forecast ? forecast->in : Duration(std::chrono::hours(1));
-  const double gain = GainOfNow(unit, wait, wall_ms);
+  const double gain =
+      std::max(0.0, ExpectedShare(unit.timing, stop_takes_) - ExpectedShare(unit.timing, wait));
   if (unit.entitled) {
     const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
-    const bool comes_anyway = gain <= 0 && waited + wait < options_.owed_patience;
+    const bool comes_anyway = waited + wait < options_.owed_patience;
     return comes_anyway ? 0 : kNoLimit;
   }
-  const double worth = kWorthOfAJob + kWorthOfWork * OwnWork(rest, unit.expected);
-  return gain * worth / (1 + unit.priority);
+  return gain * WorthOf(*unit.job);
+}
+
+double PoolPlanner::CostOfStop(const Job& job, const LiveRun& run, Duration away, int64_t wall_ms,
+                               Time now) const {
+  const StepPlace place = {run.run.task.occurrence, run.run.task.step};
+  const StepSpec& step = job.spec.steps[static_cast<size_t>(place.step)];
+  JobTiming timing = TimingOf(job, place, wall_ms);
+  const Duration whole = ExpectedTime(job, step);
+  const Duration left = run.progress.Left(run.estimate, run.since, now);
+  const Duration later = timing.rest - whole;
+  timing.rest = later + left;
+  const double share_now = ExpectedShare(timing, Duration::zero());
+  timing.rest = later + (step.checkpoints ? left + options_.restore : whole);
+  const double share_then = ExpectedShare(timing, stop_takes_ + away);
+  double loss = std::max(0.0, share_now - share_then) * WorthOf(job);
+  // The members of a gang are stopped together and lose it once.
+  if (step.gang) loss /= step.tasks;
+  double thrown = Cores(run.need) * LostSeconds(run, step, options_.restore, now);
+  const auto state = job.steps.find(place);
+  if (state != job.steps.end()) thrown *= 1 + kAgainFactor * state->second.interrupted;
+  return thrown + loss;
 }
 
-std::vector<Victim> PoolPlanner::VictimsFor(const Unit& unit, Time now) const {
+std::vector<Victim> PoolPlanner::VictimsFor(const Unit& unit, int64_t wall_ms, Time now) const {
   std::vector<Victim> victims;
   for (const auto& [node, worker] : workers_) {
     for (const auto& [id, run] : worker.live) {
@@ -93,11 +86,7 @@
       victim.run = id;
       victim.node = node;
       victim.need = run.need;
-      victim.cost = Cores(run.need) * LostSeconds(run, *step, options_.restore, now);
-      const auto state = job->second.steps.find({id.task.occurrence, id.task.step});
-      if (state != job->second.steps.end()) {
-        victim.cost *= 1 + kAgainFactor * state->second.interrupted;
-      }
+      victim.cost = CostOfStop(job->second, run, unit.expected, wall_ms, now);
       if (step->gang) {
         victim.gang = id.task.job + "/" + std::to_string(id.task.occurrence) + "/" +
                       std::to_string(id.task.step);
@@ -122,10 +111,10 @@
       rest.tasks += unit.job->runs.count({unit.place.occurrence, unit.place.step, index}) == 0;
     }
   }
-  const double limit = ReclaimLimit(unit, rest, wall_ms, now);
+  const double limit = ReclaimLimit(unit, rest, now);
   if (limit <= 0) return;
   const std::optional<ReclaimPlan> plan =
-      ChooseVictims(rest, StartRoomsFor(unit, now), VictimsFor(unit, now));
+      ChooseVictims(rest, StartRoomsFor(unit, now), VictimsFor(unit, wall_ms, now));
   if (!plan || plan->cost > limit) return;
   for (const RunId& stop : plan->stops) {
     for (auto& [node, worker] : workers_) {
@@ -133,6 +122,7 @@
       if (live == worker.live.end()) continue;
       Job* job = FindJob(stop.task.job);
       ++job->steps[{stop.task.occurrence, stop.task.step}].interrupted;
+      live->second.stopping_since = now;
       StopRun(&worker, &live->second);
     }
   }
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -233,6 +233,7 @@
   std::optional<Duration> clean_time;
   if (live != worker->live.end()) {
     if (live->second.clean) clean_time = now - live->second.since;
+    if (asked_to_stop && end.kind == EndKind::kStopped) NoteStop(live->second, now);
     worker->live.erase(live);
   }
   const TaskId& task = end.run.task;
@@ -273,6 +274,12 @@
   NoteKept();
 }
 
+void PoolPlanner::NoteStop(const LiveRun& run, Time now) {
+  constexpr int kMemory = 16;
+  if (!run.stopping_since) return;
+  stop_takes_ += (now - *run.stopping_since - stop_takes_) / kMemory;
+}
+
 void PoolPlanner::TakeDone(const EndedTask& end, Job* job, int64_t wall_ms) {
   const TaskId& task = end.run.task;
   const StepSpec& step = *FindStep(*job, task);
--- a/servers/pool/run_times.cc
+++ b/servers/pool/run_times.cc
@@ -13,6 +13,10 @@
 // Keeps logarithms in bounds.
 constexpr double kLeastSeconds = 0.001;
 
+// What is assumed of a queue of which little is known: half of the callers are off by more than
+// three fifths.
+constexpr double kUnknownSpread = 0.7;
+
 }  // namespace
 
 void RunTimes::Spread::Add(double value, int count) {
@@ -40,4 +44,10 @@
   return FromSeconds(seconds);
 }
 
+double RunTimes::SpreadOf(const std::string& queue) const {
+  const auto found = queues_.find(queue);
+  if (found == queues_.end() || found->second.count < kLeastRuns) return kUnknownSpread;
+  return std::sqrt(std::min(found->second.actual.squares, found->second.ratio.squares));
+}
+
 }  // namespace turmericshift::pool
--- a/servers/pool/run_times.h
+++ b/servers/pool/run_times.h
@@ -19,6 +19,10 @@
   // has been the better guide; the estimate while little is known.
   Duration Expect(const std::string& queue, Duration estimate) const;
 
+  // How far true times lie off the expected ones: the standard deviation of the logarithm of their
+  // ratio.
+  double SpreadOf(const std::string& queue) const;
+
  private:
   // Mean and spread of logarithms of seconds, or of ratios: times spread by factors.
   struct Spread {
--- a/servers/pool/worker_roster.h
+++ b/servers/pool/worker_roster.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
   bool saved = false;
   // Begun from nothing, where it takes no longer than it must: its time tells of others.
   bool clean = false;
+  // When it was asked to stop for another's sake.
+  std::optional<Time> stopping_since;
   // The start is ordered once this record is kept; see PoolPlanner::Start.
   Ticket released_by = 0;
   // What the start hands over; empty for runs that were found running.
