Pool: Let each mechanism of the policy be left out by name

Cause: what a mechanism is worth can only be said by leaving it out, and that took an edit. [policy] off names them, checked at the start; guards that keep promises are not among them. No behaviour changes with none off.

Test: PoolSettings.TellWhatThePolicyLeavesOut, .RefuseWhatIsWrong.

--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -1,6 +1,8 @@
 #include "main/settings/process_settings.h"
 
 #include <algorithm>
+#include <iterator>
+#include <sstream>
 
 #include "core/error.h"
 #include "core/ini_keys.h"
@@ -73,6 +75,15 @@
            }}};
 }
 
+// Names of mechanisms, apart by spaces.
+IniKey MechanismsKey(const std::string& name, pool::MechanismsOff* off) {
+  return {name, false, [off](const std::string& text) {
+            std::istringstream words(text);
+            const std::vector<std::string> names{std::istream_iterator<std::string>(words), {}};
+            *off = pool::MechanismsFromNames(names);
+          }};
+}
+
 // One section that a role's settings may have.
 struct SectionRule {
   std::string kind;
@@ -210,6 +221,7 @@
          TextKey("sessions_reached_at", kOptional, &settings.sessions_reached_at)}},
        {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
        {"advice", false, {TextKey("address", kRequired, &settings.advice_address)}},
+       {"policy", false, {MechanismsKey("off", &settings.mechanisms_off)}},
        {"limits", false, BoundKeys(&settings.bounds)}});
   return settings;
 }
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/ini.h"
 #include "servers/jobs/job.h"
+#include "servers/pool/mechanism.h"
 #include "servers/pool/pool_bounds.h"
 
 namespace turmericshift {
@@ -91,6 +92,8 @@
   // Where the advice service is asked; empty: there is none.
   std::string advice_address;
   pool::PoolBounds bounds;
+  // Left out of the policy.
+  pool::MechanismsOff mechanisms_off;
   // From the signal to stop until the process is killed.
   Duration stop_limit = std::chrono::seconds(6);
 };
--- a/main/settings/process_settings_test.cc
+++ b/main/settings/process_settings_test.cc
@@ -99,10 +99,17 @@
   EXPECT_EQ(settings.sessions_reached_at, "10.0.0.9:7000");
 }
 
+TEST(PoolSettings, TellWhatThePolicyLeavesOut) {
+  const PoolEntrySettings settings = ParsePoolEntrySettings(
+      "entry.ini", std::string(kPoolEntry) + "[policy]\noff = last_call hold_room\n");
+  const pool::MechanismsOff off = {pool::Mechanism::kLastCall, pool::Mechanism::kHoldRoom};
+  EXPECT_EQ(settings.mechanisms_off, off);
+}
+
 TEST(PoolSettings, RefuseWhatIsWrong) {
-  for (const char* more :
-       {"[limits]\nlongest_lease_ms = 5\n", "[limits]\nstatus_kept_s = soon\n",
-        "[limits]\nstray_factor = 0\n", "[odd]\nkey = 1\n", "[limits]\nodd = 1\n"}) {
+  for (const char* more : {"[policy]\noff = luck\n", "[limits]\nlongest_lease_ms = 5\n",
+                           "[limits]\nstatus_kept_s = soon\n", "[limits]\nstray_factor = 0\n",
+                           "[odd]\nkey = 1\n", "[limits]\nodd = 1\n"}) {
     EXPECT_THROW(ParsePoolEntrySettings("entry.ini", std::string(kPoolEntry) + more), Error)
         << more;
   }
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -18,6 +18,7 @@
 #include "servers/pool/advice_book.h"
 #include "servers/pool/job_book.h"
 #include "servers/pool/job_worth.h"
+#include "servers/pool/mechanism.h"
 #include "servers/pool/outbox.h"
 #include "servers/pool/placer.h"
 #include "servers/pool/pool_config.h"
@@ -68,6 +69,8 @@
   // Tasks away from their data, and gangs over several racks that want one, take so many times as
   // long.
   double stray_factor = 3;
+  // Left out of the policy.
+  MechanismsOff off;
   // What one append may carry.
   size_t append_bytes = size_t{1} << 20;
 };
@@ -215,6 +218,8 @@
   void Save(Job* job);
   void EndJob(Job* job, JobState state, int64_t wall_ms);
 
+  bool Uses(Mechanism mechanism) const { return options_.off.count(mechanism) == 0; }
+
   // Planning: pool_planner_planning.cc.
   bool MayStart(Time now) const;
   bool InheritedIsSafe(Time now) const;
@@ -223,7 +228,7 @@
   void DropOldJobs(int64_t wall_ms);
   std::vector<Unit> CollectUnits(int64_t wall_ms, Time now);
   // Of a unit that begins at `wall_ms` (milliseconds since 1970).
-  static Prospect ProspectOf(const Unit& unit, int64_t wall_ms);
+  Prospect ProspectOf(const Unit& unit, int64_t wall_ms) const;
   void CollectStep(Job* job, const StepPlace& place, int64_t wall_ms, Time now,
                    std::vector<Unit>* units);
   // Room on the workers that the unit may come to run on, on empty ones if `empty`.
--- a/servers/pool/pool_planner_holding.cc
+++ b/servers/pool/pool_planner_holding.cc
@@ -68,11 +68,13 @@
   if (idle_ && waited > kIdleStrayAfter) return true;
   // No rack would ever hold it, so that waiting for one is pointless.
   if (!FitsOneRack(strict, RoomsFor(unit, true, now))) return true;
+  if (!Uses(Mechanism::kStrayByForecast)) return false;
   const std::optional<RoomForecast> forecast = ForecastRoom(strict, FutureRoomsFor(unit, now));
   return !forecast || forecast->in > Scaled(unit.expected, options_.stray_factor - 1);
 }
 
 void PoolPlanner::HoldRoom(const Unit& unit, const PlaceWish& wish, Time now) {
+  if (!Uses(Mechanism::kHoldRoom)) return;
   const UnitKey key = {unit.job->spec.id, unit.place};
   if (reservations_.count(key) > 0) return;
   if (!wish.step->gang && wish.step->need.accelerators < kHoldFromAccelerators) return;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -242,15 +242,17 @@
   return units;
 }
 
-PoolPlanner::Prospect PoolPlanner::ProspectOf(const Unit& unit, int64_t wall_ms) {
+PoolPlanner::Prospect PoolPlanner::ProspectOf(const Unit& unit, int64_t wall_ms) const {
   const int64_t over_ms = wall_ms + Millis(unit.timing.rest);
   if (over_ms <= unit.due_ms) return Prospect::kInTime;
   const int64_t useless_ms = unit.begun_ms + kUselessAfter * (unit.due_ms - unit.begun_ms);
   if (over_ms > useless_ms) return Prospect::kUseless;
+  if (!Uses(Mechanism::kLastCall)) return Prospect::kLate;
   return over_ms + Millis(kLastCall) > useless_ms ? Prospect::kLastCall : Prospect::kLate;
 }
 
 Duration PoolPlanner::ExpectedTime(const Job& job, const StepSpec& step) const {
+  if (!Uses(Mechanism::kLearnedTimes)) return step.estimate;
   return run_times_.Expect(job.spec.queue, step.estimate);
 }
 
@@ -262,7 +264,7 @@
   timing.chain = FairChain(job);
   timing.stretch = Terms(job).stretch;
   timing.target = Terms(job).target_latency;
-  timing.spread = run_times_.SpreadOf(job.spec.queue);
+  if (Uses(Mechanism::kLikelihood)) timing.spread = run_times_.SpreadOf(job.spec.queue);
   return timing;
 }
 
@@ -282,7 +284,7 @@
   const auto found = capacity_.find(Terms(job).service);
   const Room whole = found == capacity_.end() ? Room() : found->second;
   return LongestChain(job.spec, [&](const StepSpec& step) {
-    return ExpectedTime(job, step) * WavesOf(step, whole);
+    return ExpectedTime(job, step) * (Uses(Mechanism::kWideInGoes) ? WavesOf(step, whole) : 1);
   });
 }
 
@@ -333,7 +335,7 @@
 std::vector<WorkerRoom> PoolPlanner::RoomsFor(const Unit& unit, bool empty, Time now) const {
   const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
   const std::string& service = Terms(*unit.job).service;
-  const bool only_sound = !empty && GuardsLastTry(unit, now);
+  const bool only_sound = !empty && Uses(Mechanism::kLastTry) && GuardsLastTry(unit, now);
   std::vector<WorkerRoom> rooms;
   for (const auto& [node, worker] : workers_) {
     if (!worker.usable(now) || worker.facts.service != service) continue;
@@ -350,7 +352,7 @@
     room.rack = worker.facts.rack;
     room.free = empty ? worker.facts.capacity : worker.left;
     room.doubtful = judge_.Doubtful(node, now);
-    room.tenants = empty ? Tenants::kNone : worker.tenants;
+    room.tenants = empty || !Uses(Mechanism::kLikeWithLike) ? Tenants::kNone : worker.tenants;
     room.most_tasks = static_cast<int>(unit.waiting.size());
     if (step.most_per_worker > 0) {
       room.most_tasks = step.most_per_worker - TasksOnWorker(*unit.job, unit.place, node);
@@ -431,7 +433,7 @@
 
 int PoolPlanner::SpareTasks(const Unit& unit, Time now) const {
   const int all = static_cast<int>(unit.waiting.size());
-  if (unit.priority == 0) return all;
+  if (unit.priority == 0 || !Uses(Mechanism::kUrgentReserve)) return all;
   if (!CanWait(unit.timing)) return all;
   // A job that stands still for longer beside idle workers counts as forgotten.
   const Time ready_since = *unit.job->steps.at(unit.place).ready_since;
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -38,10 +38,11 @@
       std::max(0.0, ExpectedShare(unit.timing, stop_takes_) - ExpectedShare(unit.timing, wait));
   if (unit.entitled) {
     const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
-    const bool comes_anyway = waited + wait < options_.owed_patience;
+    const bool comes_anyway =
+        Uses(Mechanism::kOwedPatience) && waited + wait < options_.owed_patience;
     return comes_anyway ? 0 : kNoLimit;
   }
-  return gain * WorthOf(*unit.job);
+  return Uses(Mechanism::kBorrowedRoom) ? gain * WorthOf(*unit.job) : 0;
 }
 
 double PoolPlanner::CostOfStop(const Job& job, const LiveRun& run, Duration away, int64_t wall_ms,
@@ -57,11 +58,14 @@
   timing.rest = later + (step.checkpoints ? left + options_.restore : whole);
   const double share_then = ExpectedShare(timing, stop_takes_ + away);
   double loss = std::max(0.0, share_now - share_then) * WorthOf(job);
+  if (!Uses(Mechanism::kLossOfStopped)) loss = 0;
   // The members of a gang are stopped together and lose it once.
   if (step.gang) loss /= step.tasks;
   double thrown = Cores(run.need) * LostSeconds(run, step, options_.restore, now);
   const auto state = job.steps.find(place);
-  if (state != job.steps.end()) thrown *= 1 + kAgainFactor * state->second.interrupted;
+  if (state != job.steps.end() && Uses(Mechanism::kRepeatPrice)) {
+    thrown *= 1 + kAgainFactor * state->second.interrupted;
+  }
   return thrown + loss;
 }
 
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -142,7 +142,7 @@
     ++running;
     if (!run.progress.StandsStill(run.estimate, now)) return;
   }
-  if (running > 0) judge_.StandsStill(worker.node, now);
+  if (running > 0 && Uses(Mechanism::kStandstill)) judge_.StandsStill(worker.node, now);
 }
 
 // What the worker lists neither as running nor as ended may still begin: the call that the agent's
@@ -249,7 +249,7 @@
       // A run that was given up when its lease ran out; another has been started since.
       if (!replaced) TakeDone(end, job, wall_ms);
     } else if (end.kind == EndKind::kFailed) {
-      judge_.RunFailed(worker->node, task.job, now);
+      if (Uses(Mechanism::kWorkerJudge)) judge_.RunFailed(worker->node, task.job, now);
       SaveCheckpoint(end.run, end.checkpoint, job);
       TakeFailed(end, job, wall_ms);
     } else {
