--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -162,6 +162,25 @@
   EXPECT_TRUE(bed.RunUntil("urgent", JobState::kCompleted, seconds(5)));
 }
 
+// Two gangs that have run equally long fill the pool when an urgent one comes. The first had waited
+// long before it began and would be late if it had to begin again, the other has time left. Were
+// only the work that is thrown away weighed, either might be stopped, and a caller would wait in
+// vain for whom the other could have made way at no loss.
+TEST(PoolLoad, StopsTheOneWhoseCallerLosesLeast) {
+  PoolBed bed(BedRacks(2), BedOperators(0));
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("fills", "batch", "two", Gang(BedStep(6, 8, seconds(18)))));
+  bed.RunFor(milliseconds(200));
+  bed.Submit(BedJob("pressed", "batch", "two", Gang(BedStep(3, 8, seconds(10)))));
+  bed.RunFor(milliseconds(17500));
+  bed.Submit(BedJob("at-ease", "batch", "two", Gang(BedStep(3, 8, seconds(10)))));
+  bed.RunFor(seconds(4));
+  bed.Submit(BedJob("urgent", "urgent", "one", Gang(BedStep(3, 8, seconds(2)))));
+  ASSERT_TRUE(bed.RunUntil("urgent", JobState::kCompleted, seconds(7)));
+  EXPECT_FALSE(WasStopped(bed, "pressed"));
+  EXPECT_TRUE(WasStopped(bed, "at-ease"));
+}
+
 // Half of the small tasks can be stopped without loss and half can't. Mixed on every worker, whole
 // ones can't be had back but by throwing work away; kept to their like, some can.
 TEST(PoolLoad, KeepsTasksThatStopWithoutLossOnWorkersOfTheirOwn) {
