Pool: Let an object of its own say what a job is worth and when it is due

PoolPlanner decided, kept books and appraised jobs. JobAppraiser has what is learned of queues and of the pool and answers for times, due times and worth; no behaviour changes.

--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -13,6 +13,7 @@
       epoch_(epoch),
       outbox_(options.append_bytes),
       unheard_(nodes),
+      appraiser_(options.off),
       stop_takes_(options.stop) {
   for (const auto& [id, entry] : book.jobs()) {
     Job& job = jobs_[id];
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -16,8 +16,8 @@
 #include <vector>
 
 #include "servers/pool/advice_book.h"
+#include "servers/pool/job_appraiser.h"
 #include "servers/pool/job_book.h"
-#include "servers/pool/job_worth.h"
 #include "servers/pool/mechanism.h"
 #include "servers/pool/outbox.h"
 #include "servers/pool/placer.h"
@@ -25,7 +25,6 @@
 #include "servers/pool/pool_messages.h"
 #include "servers/pool/reclaimer.h"
 #include "servers/pool/room_forecast.h"
-#include "servers/pool/run_times.h"
 #include "servers/pool/urgent_reserve.h"
 #include "servers/pool/worker_judge.h"
 #include "servers/pool/worker_roster.h"
@@ -281,17 +280,6 @@
   Job* FindJob(const std::string& id);
   static const QueueTerms& Terms(const Job& job) { return *job.terms; }
   void RefreshTerms(Job* job) const;
-  // Of a job whose step `place` comes next.
-  JobTiming TimingOf(const Job& job, const StepPlace& place, int64_t wall_ms) const;
-  // Core-seconds of all its steps.
-  double WorkOf(const Job& job) const;
-  // What it is worth to have the job in time, in core-seconds of others' work.
-  double WorthOf(const Job& job) const;
-  // By what has been seen of the queue's tasks.
-  Duration ExpectedTime(const Job& job, const StepSpec& step) const;
-  // What the job's longest chain of steps should take that a pool with room for it works on; its
-  // caller can't expect more of a step at once than a share of the pool.
-  Duration FairChain(const Job& job) const;
   static const StepSpec* FindStep(const Job& job, const TaskId& task);
 
   const PlannerOptions options_;
@@ -307,7 +295,7 @@
   std::optional<Time> operators_read_;
   std::optional<Time> confirmed_;
   WorkerJudge judge_;
-  RunTimes run_times_;
+  JobAppraiser appraiser_;
   std::map<UnitKey, Reservation> reservations_;
   int64_t starts_ = 0;
   // Something that bears on placing has changed since the last round.
@@ -328,10 +316,6 @@
   bool idle_ = false;
   // Since when nearly half of all workers is idle, also of those that may not be used now.
   std::optional<Time> half_idle_since_;
-  // What the workers of each service hold when nothing runs there, as of this round.
-  std::map<std::string, Room> capacity_;
-  // What jobs of each queue take on the average, in core-seconds, as of this round.
-  std::map<std::string, double> usual_work_;
   // What stops have taken of late.
   Duration stop_takes_;
   std::map<std::string, Hold> holds_;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -18,9 +18,6 @@
 // Its last try waits this long for a worker that has not failed anything lately; less than the 3 s
 // after which a job that stands still beside free workers counts as forgotten.
 constexpr Duration kGuardLastTry = std::chrono::milliseconds(2200);
-// A step that needs more than one in so many of the pool's accelerators, processors or memory is
-// not expected to have them all at once: its job is due later accordingly.
-constexpr int64_t kFairShare = 4;
 // Room for a late job is found within this as a rule. Passed over for longer it would be of no use
 // to its caller at all, while those that go after it have time left.
 constexpr Duration kLastCall = std::chrono::milliseconds(1500);
@@ -48,12 +45,6 @@
   return duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-// Milliseconds since 1970 when the job was handed in or its occurrence was due to begin.
-int64_t BegunMs(const JobSpec& spec, int occurrence) {
-  if (spec.schedule.occurrences == 0) return spec.accepted_ms;
-  return spec.schedule.first_due_ms + occurrence * spec.schedule.interval_ms;
-}
-
 // The share of a pool that is free in whatever there is least of.
 double FreeShare(const Room& free, const Room& whole) {
   const auto share = [](int64_t part, int64_t all) {
@@ -63,21 +54,6 @@
                   share(free.processor_millis, whole.processor_millis));
 }
 
-// How many times the share of the pool that a step may have at once goes into `needed`.
-int64_t Waves(int64_t needed, int64_t whole) {
-  const int64_t share = std::max<int64_t>(whole / kFairShare, 1);
-  return whole == 0 ? 1 : (needed + share - 1) / share;
-}
-
-// In how many goes the step is done by a pool of `whole`. A gang is done in one.
-int64_t WavesOf(const StepSpec& step, const Room& whole) {
-  if (step.gang) return 1;
-  return std::max({int64_t{1},
-                   Waves(step.tasks * step.need.processor_millis, whole.processor_millis),
-                   Waves(step.tasks * step.need.memory_mib, whole.memory_mib),
-                   Waves(step.tasks * step.need.accelerators, whole.accelerators)});
-}
-
 }  // namespace
 
 bool PoolPlanner::MayStart(Time now) const {
@@ -151,15 +127,15 @@
   reclaims_left_ = kReclaimsPerRound;
   holds_.clear();
   freeing_.clear();
-  capacity_.clear();
   advice_.BeginRound();
   pool_ = PoolRoom();
   Room all;
   Room all_left;
+  std::map<std::string, Room> capacity;
   for (auto& [node, worker] : workers_) {
     worker.left = worker.free();
     worker.tenants = TenantsOf(worker);
-    capacity_[worker.facts.service] += worker.facts.capacity;
+    capacity[worker.facts.service] += worker.facts.capacity;
     all += worker.facts.capacity;
     all_left += worker.left;
     if (!worker.usable(now)) continue;
@@ -172,14 +148,9 @@
   } else if (!half_idle_since_) {
     half_idle_since_ = now;
   }
-  std::map<std::string, std::pair<double, int>> work;
-  for (const auto& [id, job] : jobs_) {
-    auto& [sum, count] = work[job.spec.queue];
-    sum += WorkOf(job);
-    ++count;
-  }
-  usual_work_.clear();
-  for (const auto& [queue, row] : work) usual_work_[queue] = row.first / row.second;
+  appraiser_.SetCapacity(capacity);
+  appraiser_.BeginJobs();
+  for (const auto& [id, job] : jobs_) appraiser_.NoteJob(job.spec);
   urgent_use_.clear();
   urgent_need_.clear();
   Room demand;
@@ -251,43 +222,6 @@
   return over_ms + Millis(kLastCall) > useless_ms ? Prospect::kLastCall : Prospect::kLate;
 }
 
-Duration PoolPlanner::ExpectedTime(const Job& job, const StepSpec& step) const {
-  if (!Uses(Mechanism::kLearnedTimes)) return step.estimate;
-  return run_times_.Expect(job.spec.queue, step.estimate);
-}
-
-JobTiming PoolPlanner::TimingOf(const Job& job, const StepPlace& place, int64_t wall_ms) const {
-  JobTiming timing;
-  timing.elapsed = std::chrono::milliseconds(wall_ms - BegunMs(job.spec, place.occurrence));
-  timing.rest = ChainFrom(job.spec, place.step,
-                          [&](const StepSpec& step) { return ExpectedTime(job, step); });
-  timing.chain = FairChain(job);
-  timing.stretch = Terms(job).stretch;
-  timing.target = Terms(job).target_latency;
-  if (Uses(Mechanism::kLikelihood)) timing.spread = run_times_.SpreadOf(job.spec.queue);
-  return timing;
-}
-
-double PoolPlanner::WorkOf(const Job& job) const {
-  double work = 0;
-  for (const StepSpec& step : job.spec.steps) {
-    work += Cores(step.need) * step.tasks * Seconds(ExpectedTime(job, step));
-  }
-  return work;
-}
-
-double PoolPlanner::WorthOf(const Job& job) const {
-  return WorthInTime(Terms(job).priority, WorkOf(job), usual_work_.at(job.spec.queue));
-}
-
-Duration PoolPlanner::FairChain(const Job& job) const {
-  const auto found = capacity_.find(Terms(job).service);
-  const Room whole = found == capacity_.end() ? Room() : found->second;
-  return LongestChain(job.spec, [&](const StepSpec& step) {
-    return ExpectedTime(job, step) * (Uses(Mechanism::kWideInGoes) ? WavesOf(step, whole) : 1);
-  });
-}
-
 void PoolPlanner::CollectStep(Job* job, const StepPlace& place, int64_t wall_ms, Time now,
                               std::vector<Unit>* units) {
   const StepSpec& step = job->spec.steps[static_cast<size_t>(place.step)];
@@ -312,8 +246,8 @@
   unit.place = place;
   unit.priority = terms.priority;
   unit.begun_ms = BegunMs(job->spec, place.occurrence);
-  unit.timing = TimingOf(*job, place, wall_ms);
-  unit.expected = ExpectedTime(*job, step);
+  unit.timing = appraiser_.TimingOf(job->spec, terms, place, wall_ms);
+  unit.expected = appraiser_.ExpectedTime(job->spec, step);
   unit.due_ms = unit.begun_ms + Millis(terms.target_latency) +
                 Millis(Scaled(unit.timing.chain, terms.stretch));
   unit.prospect = ProspectOf(unit, wall_ms);
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -42,22 +42,24 @@
         Uses(Mechanism::kOwedPatience) && waited + wait < options_.owed_patience;
     return comes_anyway ? 0 : kNoLimit;
   }
-  return Uses(Mechanism::kBorrowedRoom) ? gain * WorthOf(*unit.job) : 0;
+  return Uses(Mechanism::kBorrowedRoom)
+             ? gain * appraiser_.WorthOf(unit.job->spec, Terms(*unit.job))
+             : 0;
 }
 
 double PoolPlanner::CostOfStop(const Job& job, const LiveRun& run, Duration away, int64_t wall_ms,
                                Time now) const {
   const StepPlace place = {run.run.task.occurrence, run.run.task.step};
   const StepSpec& step = job.spec.steps[static_cast<size_t>(place.step)];
-  JobTiming timing = TimingOf(job, place, wall_ms);
-  const Duration whole = ExpectedTime(job, step);
+  JobTiming timing = appraiser_.TimingOf(job.spec, Terms(job), place, wall_ms);
+  const Duration whole = appraiser_.ExpectedTime(job.spec, step);
   const Duration left = run.progress.Left(run.estimate, run.since, now);
   const Duration later = timing.rest - whole;
   timing.rest = later + left;
   const double share_now = ExpectedShare(timing, Duration::zero());
   timing.rest = later + (step.checkpoints ? left + options_.restore : whole);
   const double share_then = ExpectedShare(timing, stop_takes_ + away);
-  double loss = std::max(0.0, share_now - share_then) * WorthOf(job);
+  double loss = std::max(0.0, share_now - share_then) * appraiser_.WorthOf(job.spec, Terms(job));
   if (!Uses(Mechanism::kLossOfStopped)) loss = 0;
   // The members of a gang are stopped together and lose it once.
   if (step.gang) loss /= step.tasks;
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -245,7 +245,7 @@
     ForgetRun(end.run, job);
     if (end.kind == EndKind::kDone) {
       judge_.RunDone(worker->node);
-      if (clean_time) run_times_.Note(job->spec.queue, step->estimate, *clean_time);
+      if (clean_time) appraiser_.NoteRun(job->spec.queue, step->estimate, *clean_time);
       // A run that was given up when its lease ran out; another has been started since.
       if (!replaced) TakeDone(end, job, wall_ms);
     } else if (end.kind == EndKind::kFailed) {
