Pool: Keep no lasting task waiting for urgent jobs to come

Cause, found by reading: room is kept free from units that can wait, and a step whose tasks last until they are cancelled looked like one; it serves from its start on. Test: PoolLoad.KeepsNoLastingTaskWaitingForUrgentJobs, fails without.

--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -140,6 +140,22 @@
   EXPECT_TRUE(bed.RunUntil("batch", JobState::kCompleted, seconds(46)));
 }
 
+// A service of the customer's own runs until it is cancelled. Kept waiting for urgent jobs that may
+// come, it would be missed by its users for as long.
+TEST(PoolLoad, KeepsNoLastingTaskWaitingForUrgentJobs) {
+  PoolBed bed(BedRacks(2), BedOperators(0));
+  bed.RunFor(milliseconds(100));
+  bed.Submit(BedJob("seen", "urgent", "one", Gang(BedStep(2, 8, seconds(2)))));
+  ASSERT_TRUE(bed.RunUntil("seen", JobState::kCompleted, seconds(4)));
+  const Time submitted = bed.now();
+  StepSpec service = BedStep(48, 1, seconds(15));
+  service.lasting = true;
+  bed.Submit(BedJob("service", "bulk", "two", service));
+  bed.RunFor(seconds(1));
+  EXPECT_EQ(bed.RunsOf("service").size(), 48U);
+  EXPECT_LE(BegunAfter(bed, "service", submitted), milliseconds(200));
+}
+
 // Nobody has urgent work, so that room kept for it would only make others wait.
 TEST(PoolLoad, KeepsNoRoomWhereNoUrgentJobsCome) {
   PoolBed bed(BedRacks(2), BedOperators(0));
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -1,9 +1,10 @@
 // Who goes next and where. Whom it stops for that: pool_planner_reclaiming.cc; what is kept free
 // for those that wait: pool_planner_holding.cc.
 //
-// Load pattern: more work than the pool can carry. Within a priority those that can still be in
-// time go before those that can't, but for late ones that would soon be of no use; workers that
-// fail what they are given get none of it, nor a sound job's last try.
+// Load patterns: urgent jobs with little time in a pool that others with more have filled (the
+// others leave room as long as they can wait); more work than the pool can carry. Within a priority
+// those that can still be in time go before those that can't, but for late ones that would soon be
+// of no use; workers that fail what they are given get none of it, nor a sound job's last try.
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -37,6 +38,7 @@
 // What waits beside what is free is logged so often while anything waits: enough to see why a job
 // waited, and no more under load than at rest.
 constexpr Duration kLogQueueEvery = std::chrono::seconds(1);
+
 bool Contains(const std::vector<std::string>& list, const std::string& value) {
   return std::find(list.begin(), list.end(), value) != list.end();
 }
@@ -367,15 +369,16 @@
 
 int PoolPlanner::SpareTasks(const Unit& unit, Time now) const {
   const int all = static_cast<int>(unit.waiting.size());
+  const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
   if (unit.priority == 0 || !Uses(Mechanism::kUrgentReserve)) return all;
-  if (!CanWait(unit.timing)) return all;
+  // Tasks that last serve from their start on, so that none of their waiting is free.
+  if (step.lasting || !CanWait(unit.timing)) return all;
   // A job that stands still for longer beside idle workers counts as forgotten.
   const Time ready_since = *unit.job->steps.at(unit.place).ready_since;
   if (half_idle_since_ && unit.job->runs.empty() &&
       now - std::max(*half_idle_since_, ready_since) > kIdleWait) {
     return all;
   }
-  const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
   return reserve_.TasksBeside(pool_, step.need, all, now);
 }
 
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -1,9 +1,9 @@
 // Who has to make way, for whom, and for how much.
 //
 // Load pattern: bursts of urgent gangs over a pool full of long tasks. Within their workspace's
-// guarantee they have the room back within the operators' bound; beyond it, others' work is stopped
-// only where being in time is worth more than what is thrown away. Nothing is stopped for a unit
-// that is still in time when it waits for what ends anyway.
+// guarantee they have the room back within the operators' bound; beyond it, others are stopped only
+// where that is likely to gain more than it costs: against waiting for what ends anyway, and with
+// what those who are stopped lose by coming later.
 #include <algorithm>
 
 #include "core/logging.h"
@@ -22,6 +22,7 @@
 
 // A guarantee is had back at any price.
 constexpr double kNoLimit = 1e9;
+
 // Seconds of work that stopping the run throws away.
 double LostSeconds(const LiveRun& run, const StepSpec& step, Duration restore, Time now) {
   if (step.checkpoints) return Seconds(restore);
