--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -1,8 +1,6 @@
 #include "main/settings/process_settings.h"
 
 #include <algorithm>
-#include <iterator>
-#include <sstream>
 
 #include "core/error.h"
 #include "core/ini_keys.h"
@@ -77,9 +75,9 @@
 
 // Names of mechanisms, apart by spaces.
 IniKey MechanismsKey(const std::string& name, pool::MechanismsOff* off) {
-  return {name, false, [off](const std::string& text) {
-            std::istringstream words(text);
-            const std::vector<std::string> names{std::istream_iterator<std::string>(words), {}};
+  return {name, false, [name, off](const std::string& text) {
+            std::vector<std::string> names;
+            WordsKey(name, kOptional, &names).assign(text);
             *off = pool::MechanismsFromNames(names);
           }};
 }
--- a/servers/pool/mechanism.cc
+++ b/servers/pool/mechanism.cc
@@ -28,13 +28,6 @@
 
 }  // namespace
 
-const char* MechanismName(Mechanism mechanism) {
-  for (const auto& [known, name] : kNames) {
-    if (known == mechanism) return name;
-  }
-  return "unknown";
-}
-
 Mechanism MechanismFromName(const std::string& name) {
   std::string names;
   for (const auto& [mechanism, known] : kNames) {
--- a/servers/pool/mechanism.h
+++ b/servers/pool/mechanism.h
@@ -40,7 +40,6 @@
   // A job's last try waits for a worker that has not failed lately.
   kLastTry,
 };
-const char* MechanismName(Mechanism mechanism);
 // Throws Error(kInvalidInput) that lists the names there are.
 Mechanism MechanismFromName(const std::string& name);
 
