--- a/main/register_modules.cc
+++ b/main/register_modules.cc
@@ -4,6 +4,7 @@
 #include "main/benches/bench_gangs.h"
 #include "main/benches/bench_requests.h"
 #include "main/benches/capacity_bench.h"
+#include "main/benches/pool_rounds_bench.h"
 #include "main/benches/replay_bench.h"
 #include "modules/http_log/register_types.h"
 #include "modules/http_target/register_types.h"
@@ -27,6 +28,7 @@
   RegisterPlatformTypes();
   RegisterRequestBench();
   RegisterCapacityBench();
+  RegisterPoolRoundsBench();
   RegisterReplayBench();
 }
 
