--- a/main/benches/pool_rounds_bench.cc
+++ b/main/benches/pool_rounds_bench.cc
@@ -65,7 +65,8 @@
       nodes.insert(worker.node);
       workers_.push_back(worker);
     }
-    planner_ = std::make_unique<PoolPlanner>(pool::PlannerOptions(), 1, pool::JobBook(), nodes, now_);
+    planner_ =
+        std::make_unique<PoolPlanner>(pool::PlannerOptions(), 1, pool::JobBook(), nodes, now_);
     operators_ = std::make_shared<OperatorState>(Operators(workers));
   }
 
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -45,6 +45,8 @@
   RpcPlannerConnector connector;
   pool::PoolEntryOptions entry_options;
   entry_options.node = settings.name;
+  entry_options.zone = settings.availability_zone;
+  entry_options.vm = settings.vm;
   entry_options.front.node = settings.name;
   entry_options.callers = HttpAt(settings.callers);
   entry_options.readiness = HttpAt(settings.readiness);
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -38,6 +38,9 @@
 }
 
 // Beyond this a task away from its data would as good as never end.
+constexpr double kMostProcessorShare = 1024;
+constexpr double kMostProcessorSpeed = 1024;
+constexpr double kMostLinkMbit = 1e6;
 constexpr double kMostStrayFactor = 1000;
 
 // A time that a platform gives as a bare number in `unit`, whole or not.
@@ -73,6 +76,17 @@
            }}};
 }
 
+IniKey VmKey(const std::string& name, double most, double* target) {
+  return {name, false,
+          [target, most](const std::string& text) { *target = ParseNumber(text, 0, most); }};
+}
+
+std::vector<IniKey> VmKeys(pool::VmResources* vm) {
+  return {VmKey("processor_share", kMostProcessorShare, &vm->processor_share),
+          VmKey("processor_speed", kMostProcessorSpeed, &vm->processor_speed),
+          VmKey("link_mbit_s", kMostLinkMbit, &vm->link_mbit_s)};
+}
+
 // Names of mechanisms, apart by spaces.
 IniKey MechanismsKey(const std::string& name, pool::MechanismsOff* off) {
   return {name, false, [name, off](const std::string& text) {
@@ -219,6 +233,7 @@
          TextKey("sessions_reached_at", kOptional, &settings.sessions_reached_at)}},
        {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
        {"advice", false, {TextKey("address", kRequired, &settings.advice_address)}},
+       {"vm", false, VmKeys(&settings.vm)},
        {"policy", false, {MechanismsKey("off", &settings.mechanisms_off)}},
        {"limits", false, BoundKeys(&settings.bounds)}});
   return settings;
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -9,6 +9,7 @@
 #include "core/ini.h"
 #include "servers/jobs/job.h"
 #include "servers/pool/mechanism.h"
+#include "servers/pool/planning_capacity.h"
 #include "servers/pool/pool_bounds.h"
 
 namespace turmericshift {
@@ -91,6 +92,8 @@
   std::string store_address;
   // Where the advice service is asked; empty: there is none.
   std::string advice_address;
+  // What this VM has; decides who plans the pool.
+  pool::VmResources vm;
   pool::PoolBounds bounds;
   // Left out of the policy.
   pool::MechanismsOff mechanisms_off;
--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -82,6 +82,7 @@
   stops @7 :List(PoolRun);
   plannerEpoch @8 :Int64;
   plannerAddress @9 :Text;
+  lateNanos @10 :Int64;
 }
 
 interface PoolGate {
@@ -90,4 +91,7 @@
   submit @1 (id :Text, spec :Text) -> (failure :Peer.Failure);
   cancel @2 (id :Text) -> (failure :Peer.Failure);
   yield @3 (epoch :Int64, node :Text, address :Text) -> (failure :Peer.Failure);
+  offer @4 () -> (failure :Peer.Failure);
+  # The gate of the planner of this epoch or a newer one, for callers that can't reach it themselves.
+  planner @5 (epoch :Int64) -> (failure :Peer.Failure, gate :PoolGate);
 }
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -136,6 +136,7 @@
   to.setVersion(from.version);
   to.setLeaseNanos(from.lease.count());
   to.setStartWindowNanos(from.start_window.count());
+  to.setLateNanos(from.late.count());
   to.setEndsKept(from.ends_kept);
   to.setWorkerBornMs(from.worker_born_ms);
   auto starts = to.initStarts(Count(from.starts));
@@ -157,6 +158,7 @@
   orders.version = from.getVersion();
   orders.lease = Duration(from.getLeaseNanos());
   orders.start_window = Duration(from.getStartWindowNanos());
+  orders.late = Duration(from.getLateNanos());
   orders.ends_kept = from.getEndsKept();
   orders.worker_born_ms = from.getWorkerBornMs();
   for (const auto start : from.getStarts()) {
--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -9,6 +9,7 @@
 #include "core/error.h"
 #include "core/logging.h"
 #include "rpc/convert.h"
+#include "rpc/planner_relay.h"
 #include "rpc/pool_convert.h"
 #include "rpc/rpc_entry_connector.h"
 #include "rpc/sockets.h"
@@ -37,7 +38,19 @@
 
 class PoolGateService final : public wire::PoolGate::Server {
  public:
-  explicit PoolGateService(pool::PlannerGate* gate) : gate_(gate) {}
+  PoolGateService(pool::PlannerGate* gate, PlannerRelay* relay) : gate_(gate), relay_(relay) {}
+
+  kj::Promise<void> planner(PlannerContext context) override {
+    const pool::PlannerRecord known = gate_->KnownPlanner();
+    if (known.epoch < context.getParams().getEpoch() || known.address.empty()) {
+      const Error error(ErrorKind::kUnavailable, Outcome::kNotRun, "no such planner is known here");
+      Write(error, context.getResults().initFailure());
+      return kj::READY_NOW;
+    }
+    return relay_->GateAt(known.address).then([context](wire::PoolGate::Client&& gate) mutable {
+      context.getResults().setGate(kj::mv(gate));
+    });
+  }
 
   kj::Promise<void> exchange(ExchangeContext context) override {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Attempt<pool::AgentOrders>>();
@@ -78,6 +91,14 @@
     });
   }
 
+  kj::Promise<void> offer(OfferContext context) override {
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<Attempt<pool::Done>>();
+    gate_->Offer(Answer<pool::Done>(kj::mv(pair.fulfiller)));
+    return pair.promise.then([context](Attempt<pool::Done>&& attempt) mutable {
+      if (attempt.error) Write(*attempt.error, context.getResults().initFailure());
+    });
+  }
+
   kj::Promise<void> yield(YieldContext context) override {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Attempt<pool::Done>>();
     auto params = context.getParams();
@@ -90,13 +111,30 @@
 
  private:
   pool::PlannerGate* const gate_;
+  PlannerRelay* const relay_;
 };
 
 class RpcPlannerPort final : public pool::PlannerPort {
  public:
-  explicit RpcPlannerPort(std::shared_ptr<Session> session) : session_(std::move(session)) {}
+  // `relayed_epoch`: the session leads to an entry that passes calls on to the planner of this
+  // epoch; none: to the planner itself.
+  RpcPlannerPort(std::shared_ptr<Session> session, std::optional<int64_t> relayed_epoch)
+      : session_(std::move(session)), relayed_epoch_(relayed_epoch) {}
   ~RpcPlannerPort() override { session_->Close(); }
 
+  bool relayed() const override { return relayed_epoch_.has_value(); }
+
+  // Throws Error unless the entry reaches the planner.
+  void CheckRelay(Duration timeout) {
+    session_
+        ->Call(
+            [&] {
+              return AskForGate().send().then([](auto&& response) { return DoneOf(response); });
+            },
+            timeout)
+        .Take();
+  }
+
   pool::AgentOrders Exchange(const pool::AgentReport& report, Duration timeout) override {
     return session_
         ->Call(
@@ -140,6 +178,17 @@
         .Take();
   }
 
+  void Offer(Duration timeout) override {
+    session_
+        ->Call(
+            [&] {
+              return Gate().offerRequest().send().then(
+                  [](auto&& response) { return DoneOf(response); });
+            },
+            timeout)
+        .Take();
+  }
+
   void Yield(const pool::PlannerRecord& successor, Duration timeout) override {
     session_
         ->Call(
@@ -155,7 +204,17 @@
   }
 
  private:
-  wire::PoolGate::Client Gate() { return session_->Bootstrap().castAs<wire::PoolGate>(); }
+  capnp::Request<wire::PoolGate::PlannerParams, wire::PoolGate::PlannerResults> AskForGate() {
+    auto request = session_->Bootstrap().castAs<wire::PoolGate>().plannerRequest();
+    request.setEpoch(*relayed_epoch_);
+    return request;
+  }
+
+  // A relayed gate is used before it has come: the two calls leave together.
+  wire::PoolGate::Client Gate() {
+    if (relayed_epoch_) return AskForGate().send().getGate();
+    return session_->Bootstrap().castAs<wire::PoolGate>();
+  }
 
   template <typename Response>
   static Attempt<pool::Done> DoneOf(Response& response) {
@@ -166,6 +225,7 @@
   }
 
   const std::shared_ptr<Session> session_;
+  const std::optional<int64_t> relayed_epoch_;
 };
 
 }  // namespace
@@ -238,7 +298,8 @@
     auto receiver = io.lowLevelProvider->wrapListenSocketFd(
         kj::mv(socket), kj::LowLevelAsyncIoProvider::NetworkFilter::getAllAllowed());
     // Only VMs of the system reach these ports; the platform keeps them closed to all others.
-    capnp::TwoPartyServer server(kj::heap<PoolGateService>(gate));
+    PlannerRelay relay(io.lowLevelProvider.get());
+    capnp::TwoPartyServer server(kj::heap<PoolGateService>(gate, &relay));
     Acceptor acceptor(receiver.get(), &server, &io.provider->getTimer(), &accept_failures_);
     auto served = acceptor.Run().eagerlyEvaluate([](kj::Exception&& exception) {
       LogEvent(LogLevel::kError, "sessions_ended", {{"error", exception.getDescription().cStr()}});
@@ -260,14 +321,29 @@
   changed_.notify_all();
 }
 
-std::shared_ptr<pool::PlannerPort> RpcPlannerConnector::Connect(const std::string& address,
-                                                                Duration limit) {
+namespace {
+
+std::shared_ptr<Session> OpenSession(const std::string& address, Duration limit) {
   const PeerAddress peer = ParsePeerAddress(address);
   const auto limit_ms = duration_cast<std::chrono::milliseconds>(limit).count();
   const int fd = ConnectSocket(peer.ip, peer.port, static_cast<int>(limit_ms));
   LimitSilence(fd);
-  return std::make_shared<RpcPlannerPort>(
-      Session::Open(fd, Session::Side::kConnecting, "planner-session", nullptr));
+  return Session::Open(fd, Session::Side::kConnecting, "planner-session", nullptr);
+}
+
+}  // namespace
+
+std::shared_ptr<pool::PlannerPort> RpcPlannerConnector::Connect(const std::string& address,
+                                                                Duration limit) {
+  return std::make_shared<RpcPlannerPort>(OpenSession(address, limit), std::nullopt);
+}
+
+std::shared_ptr<pool::PlannerPort> RpcPlannerConnector::ConnectThrough(const std::string& relay,
+                                                                       int64_t epoch,
+                                                                       Duration limit) {
+  auto port = std::make_shared<RpcPlannerPort>(OpenSession(relay, limit), epoch);
+  port->CheckRelay(limit);
+  return port;
 }
 
 }  // namespace turmericshift
--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -15,6 +15,14 @@
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
 constexpr Duration kCheckAgentsEvery = std::chrono::seconds(5);
+constexpr Duration kCheckListedEvery = std::chrono::seconds(2);
+// The list of members is waited for up to 4 s at a time.
+constexpr Duration kMembersLimit = std::chrono::seconds(6);
+// Before a planner hands the duty on: all agents have come over by then.
+constexpr Duration kSettleFirst = std::chrono::seconds(1);
+constexpr Duration kOfferTimeout = std::chrono::milliseconds(150);
+constexpr size_t kOffersAtOnce = 2;
+constexpr Duration kReleaseLimit = std::chrono::milliseconds(900);
 
 // This entry's share of the spread: the same at all times, different between entries.
 Duration ShareOf(const std::string& node, Duration spread) {
@@ -33,14 +41,14 @@
 
 }  // namespace
 
-bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit,
-                 Time now) {
+bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit, Time now,
+                 Duration head_start) {
   if (!duty.freshness.within(view_limit, now)) return false;
-  // Nobody has ever planned, or the last planner has said that it leaves.
-  if (duty.planner.address.empty()) return true;
-  if (!duty.newest_record_at) return true;
   // Silence counts only while this entry could have heard something.
-  return now - std::max(*duty.newest_record_at, since) > patience;
+  const Duration silence = now - std::max(duty.newest_record_at.value_or(since), since);
+  // Nobody has ever planned, or the last planner has said that it leaves.
+  if (duty.planner.address.empty() || !duty.newest_record_at) return silence >= head_start;
+  return silence > patience + head_start;
 }
 
 DutyKeeper::DutyKeeper(const DutyOptions& options, KeyedLog* log, const WorkView* work,
@@ -53,6 +61,7 @@
       members_(members),
       connector_(connector),
       service_(service),
+      reach_(options.node, options.zone, members, connector),
       in_touch_since_(LeaseClock().Now()),
       thread_("duty", [this] { Run(); }) {}
 
@@ -64,12 +73,16 @@
     const Time now = LeaseClock().Now();
     const DutyView duty = work_->duty();
     if (!duty.freshness.within(options_.view_limit, now)) in_touch_since_ = now;
+    const bool would_claim = !leaving_.load() && duty.freshness.within(options_.view_limit, now);
+    service_->NoteDuty(duty.planner, would_claim);
+    if (!leaving_.load()) EnsureListed(now);
     const int64_t epoch = service_->epoch();
     if (epoch > 0) {
       if (duty.planner.epoch > epoch) service_->End("a newer planner has been read");
       if (announced_epoch_ < epoch) Announce();
       if (predecessor_) TellPredecessor();
       ForgetSilentAgents(now);
+      OfferDuty(now);
       continue;
     }
     if (leaving_.load()) continue;
@@ -83,7 +96,67 @@
   // whose answer was lost. Nobody plans, and nobody else need wait to find out.
   const bool mine = duty.planner.node == options_.node && !duty.planner.address.empty();
   if (mine) return duty.freshness.within(options_.view_limit, now);
-  return ShouldClaim(duty, in_touch_since_, patience_, options_.view_limit, now);
+  const Duration head_start = BetterEntries().empty() ? Duration::zero() : options_.head_start;
+  return ShouldClaim(duty, in_touch_since_, patience_, options_.view_limit, now, head_start);
+}
+
+std::vector<EntryRecord> DutyKeeper::BetterEntries() const {
+  std::vector<EntryRecord> better;
+  const int agents = static_cast<int>(members_->agent_count());
+  if (options_.planning_capacity >= agents) return better;
+  for (const auto& [node, entry] : members_->entries()) {
+    if (node == options_.node) continue;
+    if (!LeavesPlanningTo(entry.planning_capacity, options_.planning_capacity, agents)) continue;
+    better.push_back(entry);
+  }
+  std::stable_sort(better.begin(), better.end(), [](const auto& left, const auto& right) {
+    return left.planning_capacity > right.planning_capacity;
+  });
+  return better;
+}
+
+void DutyKeeper::EnsureListed(Time now) {
+  if (now - listed_checked_ < kCheckListedEvery) return;
+  if (!members_->freshness().within(kMembersLimit, now)) return;
+  listed_checked_ = now;
+  const EntryRecord self = {options_.node, options_.zone, options_.address,
+                            options_.planning_capacity};
+  const std::map<std::string, EntryRecord> entries = members_->entries();
+  const auto listed = entries.find(options_.node);
+  if (listed != entries.end() && listed->second == self) return;
+  try {
+    log_->Append(kMembersTopic, {{kEntryPrefix + options_.node, EncodeEntry(self), kNoOffset}}, {},
+                 kAskTimeout);
+    LogEvent(LogLevel::kInfo, "entry_listed",
+             {{"address", self.address}, {"planning_capacity", self.planning_capacity}});
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kWarning, "entry_not_listed", {{"error", error.what()}});
+  }
+}
+
+void DutyKeeper::OfferDuty(Time now) {
+  if (leaving_.load() || predecessor_ || now - duty_since_ < kSettleFirst) return;
+  if (now - offered_ < options_.offer_every) return;
+  offered_ = now;
+  std::vector<EntryRecord> better = BetterEntries();
+  if (better.size() > kOffersAtOnce) better.resize(kOffersAtOnce);
+  for (const EntryRecord& entry : better) {
+    try {
+      connector_->Connect(entry.address, kOfferTimeout)->Offer(kOfferTimeout);
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kInfo, "duty_not_accepted",
+               {{"node", entry.node}, {"error", error.what()}});
+      continue;
+    }
+    LogEvent(LogLevel::kInfo, "duty_handed_on",
+             {{"epoch", service_->epoch()},
+              {"node", entry.node},
+              {"planning_capacity", options_.planning_capacity},
+              {"its_capacity", entry.planning_capacity},
+              {"agents", members_->agent_count()}});
+    service_->Release(kReleaseLimit);
+    return;
+  }
 }
 
 void DutyKeeper::Claim(Time now) {
@@ -154,7 +227,7 @@
   if (!gone) {
     try {
       const PlannerRecord self = {service_->epoch(), options_.node, options_.address};
-      connector_->Connect(before.address, kAskTimeout)->Yield(self, kAskTimeout);
+      reach_.Connect(before, kAskTimeout, LeaseClock().Now())->Yield(self, kAskTimeout);
       gone = true;
     } catch (const Error& error) {
       // Only its own word counts: a refused connection may as well be a cut on the way.
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -8,9 +8,12 @@
 #include <atomic>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/thread.h"
+#include "servers/pool/planner_reach.h"
 #include "servers/pool/planner_service.h"
+#include "servers/pool/planning_capacity.h"
 #include "servers/pool/pool_view.h"
 
 namespace turmericshift::pool {
@@ -19,11 +22,18 @@
   std::string node;
   // Where agents and entries open sessions to this entry, "ip:port".
   std::string address;
+  std::string zone;
+  // What this entry's VM can carry; see planning_capacity.h.
+  int planning_capacity = kAnyPool;
   // A planner that has written nothing for so long is taken for gone. It writes every 0.25 s, and a
   // slow store takes up to 0.4 s for each append and as much for the read that shows it.
   Duration silence = std::chrono::milliseconds(1200);
   // Entries wait apart from each other by up to this, so that seldom two claim at once.
   Duration spread = std::chrono::milliseconds(200);
+  // Entries with a VM that is better for this pool have so much time to claim before this one.
+  Duration head_start = std::chrono::milliseconds(600);
+  // A planner on a weak VM looks this often for a better one that takes the duty over.
+  Duration offer_every = std::chrono::seconds(1);
   // A claim rests on a view that is no older than this.
   Duration view_limit = std::chrono::milliseconds(1500);
   // Agents that have not been heard for so long are no longer waited for by a successor,
@@ -35,9 +45,9 @@
 
 // Whether an entry whose view is `duty` claims at `now`. `since`: from when on the entry has been
 // in touch with the store without a gap. `patience`: silence to wait for, with this entry's share
-// of the spread.
-bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit,
-                 Time now);
+// of the spread. `head_start`: what others have before this one claims.
+bool ShouldClaim(const DutyView& duty, Time since, Duration patience, Duration view_limit, Time now,
+                 Duration head_start = Duration::zero());
 
 class DutyKeeper {
  public:
@@ -53,6 +63,12 @@
  private:
   void Run();
   bool Wants(const DutyView& duty, Time now) const;
+  // Entries whose VMs would carry the pool better than this one, the best first.
+  std::vector<EntryRecord> BetterEntries() const;
+  // Has this entry stand in the store's list of members.
+  void EnsureListed(Time now);
+  // Gives the duty up in order if a better entry takes it over.
+  void OfferDuty(Time now);
   // Agents that may have something running, as the store has them now. Throws
   // Error(kLogUnavailable).
   std::set<std::string> ReadAgents() const;
@@ -72,6 +88,7 @@
   const MembersView* const members_;
   PlannerConnector* const connector_;
   PlannerService* const service_;
+  PlannerReach reach_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
   int64_t announced_epoch_ = 0;
@@ -79,6 +96,8 @@
   int64_t refused_epoch_ = 0;
   Time in_touch_since_{};
   Time agents_checked_{};
+  Time listed_checked_{};
+  Time offered_{};
   Time duty_since_{};
   // The planner before, until it is known to plan no more.
   std::optional<PlannerRecord> predecessor_;
--- a/servers/pool/duty_keeper_test.cc
+++ b/servers/pool/duty_keeper_test.cc
@@ -83,7 +83,7 @@
 struct Candidate {
   Candidate(KeyedLog* log, const std::string& node) : Candidate(log, node, nullptr) {}
   // `neighbours`: whom it reaches; null: nobody.
-  Candidate(KeyedLog* log, const std::string& node, Neighbours* neighbours)
+  Candidate(KeyedLog* log, const std::string& node, Neighbours* neighbours, int capacity = kAnyPool)
       : work(log),
         operators(log, std::make_unique<platform::OperatorRecords>()),
         members(log, milliseconds(200)),
@@ -91,6 +91,7 @@
     DutyOptions options;
     options.node = node;
     options.address = node + ":1";
+    options.planning_capacity = capacity;
     if (neighbours != nullptr) neighbours->Add(options.address, &service);
     PlannerConnector* reached = &connector;
     if (neighbours != nullptr) reached = neighbours;
@@ -140,6 +141,53 @@
   }
 }
 
+constexpr int kWeak = 1;
+
+// Two agents are listed, more than a weak entry can plan for.
+void ListAgents(MemoryKeyedLog* log) {
+  for (const char* key : {"agent/x", "agent/y"}) {
+    log->Append(kMembersTopic, {{key, "a", kNoOffset}}, {}, std::chrono::seconds(1));
+  }
+}
+
+TEST(ShouldClaim, LeavesABetterVmAHeadStart) {
+  DutyView view = View(milliseconds(100), milliseconds(1300));
+  EXPECT_FALSE(ShouldClaim(view, Time{}, kPatience, kViewLimit, kNow, milliseconds(600)));
+  view.planner.address.clear();
+  view.newest_record_at = kNow - milliseconds(500);
+  EXPECT_FALSE(ShouldClaim(view, Time{}, kPatience, kViewLimit, kNow, milliseconds(600)));
+  EXPECT_TRUE(ShouldClaim(View(milliseconds(100), milliseconds(1900)), Time{}, kPatience,
+                          kViewLimit, kNow, milliseconds(600)));
+}
+
+// A pool of hundreds of workers came to be planned by whichever entry claimed first, and one with
+// an eighth of a core never caught up again.
+TEST(DutyKeeper, HandsTheDutyOnToABetterVm) {
+  MemoryKeyedLog log;
+  ListAgents(&log);
+  Neighbours neighbours;
+  Candidate weak(&log, "a", &neighbours, kWeak);
+  ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == 1; }));
+  Candidate strong(&log, "b", &neighbours);
+  ASSERT_TRUE(Eventually([&] { return strong.service.epoch() == 2; }));
+  EXPECT_EQ(weak.service.epoch(), 0);
+}
+
+// The only better VM is listed and gone. The pool would be planned by nobody if it were waited for.
+TEST(DutyKeeper, PlansOnAWeakVmWhereTheBetterOneIsGone) {
+  MemoryKeyedLog log;
+  ListAgents(&log);
+  const EntryRecord gone = {"gone", "a", "gone:1", kAnyPool};
+  log.Append(kMembersTopic, {{"entry/gone", EncodeEntry(gone), kNoOffset}}, {},
+             std::chrono::seconds(1));
+  Candidate weak(&log, "a", nullptr, kWeak);
+  ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == 1; }));
+  // It is offered to the other in vain.
+  ASSERT_TRUE(Eventually([&] { return weak.members.entries().size() == 2; }));
+  const Time end = LeaseClock().Now() + milliseconds(2500);
+  while (LeaseClock().Now() < end) ASSERT_EQ(weak.service.epoch(), 1);
+}
+
 // The first planner loses the store, and `second` takes the duty over.
 void PassTheDuty(FaultyKeyedLog* way_of_first, const Candidate& second) {
   way_of_first->SetFaults({true, false});
--- a/servers/pool/job_front.cc
+++ b/servers/pool/job_front.cc
@@ -19,13 +19,13 @@
 }  // namespace
 
 JobFront::JobFront(const JobFrontOptions& options, const WorkView* work,
-                   const OperatorView* operators, PlannerGate* local, PlannerConnector* connector,
+                   const OperatorView* operators, PlannerGate* local, PlannerReach* reach,
                    MetricsRegistry* metrics)
     : options_(options),
       work_(work),
       operators_(operators),
       local_(local),
-      connector_(connector),
+      reach_(reach),
       accepted_(metrics->counter("jobs_accepted")),
       refused_(metrics->counter("calls_refused")),
       unknown_(metrics->counter("calls_unknown")),
@@ -211,7 +211,7 @@
     if (port_ && port_epoch_ == planner.epoch) return port_;
   }
   std::shared_ptr<PlannerPort> port =
-      connector_->Connect(planner.address, std::min(limit, kConnectLimit));
+      reach_->Connect(planner, std::min(limit, kConnectLimit), LeaseClock().Now());
   const std::lock_guard<std::mutex> lock(mutex_);
   port_ = port;
   port_epoch_ = planner.epoch;
--- a/servers/pool/job_front.h
+++ b/servers/pool/job_front.h
@@ -16,6 +16,7 @@
 #include "core/metrics.h"
 #include "core/plugin_registry.h"
 #include "servers/pool/planner_gate.h"
+#include "servers/pool/planner_reach.h"
 #include "servers/pool/pool_view.h"
 #include "servers/pool/unresolved_calls.h"
 
@@ -81,7 +82,7 @@
  public:
   // `local`: the planner of this process, used when the duty is here.
   JobFront(const JobFrontOptions& options, const WorkView* work, const OperatorView* operators,
-           PlannerGate* local, PlannerConnector* connector, MetricsRegistry* metrics);
+           PlannerGate* local, PlannerReach* reach, MetricsRegistry* metrics);
 
   JobAnswer Handle(const JobCall& call, Time now);
   // Every call has its answer by then, also one whose caller would wait longer: the process ends.
@@ -109,7 +110,7 @@
   const WorkView* const work_;
   const OperatorView* const operators_;
   PlannerGate* const local_;
-  PlannerConnector* const connector_;
+  PlannerReach* const reach_;
   Counter& accepted_;
   Counter& refused_;
   Counter& unknown_;
--- a/servers/pool/job_front_test.cc
+++ b/servers/pool/job_front_test.cc
@@ -63,6 +63,7 @@
   void Submit(const JobSpec& /*spec*/, Duration /*timeout*/) override {}
   void Cancel(const std::string& /*id*/, Duration /*timeout*/) override {}
   void Yield(const PlannerRecord& /*successor*/, Duration /*timeout*/) override {}
+  void Offer(Duration /*timeout*/) override {}
 };
 
 // Reaches the planner at "there".
@@ -91,8 +92,7 @@
                std::chrono::seconds(1));
     JobFrontOptions options;
     options.node = "e1";
-    front = std::make_unique<JobFront>(options, &work, &operators, gate.get(), connector.get(),
-                                       &metrics);
+    front = std::make_unique<JobFront>(options, &work, &operators, gate.get(), &reach, &metrics);
     while (operators.state()->config.version == 0 || work.duty().planner.epoch == 0) {
       std::this_thread::yield();
     }
@@ -113,6 +113,8 @@
   OperatorView operators{&log, std::make_unique<OneQueue>()};
   std::unique_ptr<PlannerGate> gate;
   std::unique_ptr<PlannerConnector> connector;
+  MembersView members{&log, std::chrono::milliseconds(200)};
+  PlannerReach reach{"e1", "a", &members, connector.get()};
   MetricsRegistry metrics;
   std::unique_ptr<JobFront> front;
 };
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -174,4 +174,20 @@
   });
 }
 
+std::string EncodeEntry(const EntryRecord& entry) {
+  return json({{"node", entry.node},
+               {"zone", entry.zone},
+               {"address", entry.address},
+               {"planning_capacity", entry.planning_capacity}})
+      .dump();
+}
+
+EntryRecord DecodeEntry(const std::string& bytes) {
+  return Decoded("entry record", [&] {
+    const json in = json::parse(bytes);
+    return EntryRecord{in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
+                       in.at("address").get<std::string>(), in.at("planning_capacity").get<int>()};
+  });
+}
+
 }  // namespace turmericshift::pool
--- a/servers/pool/job_records.h
+++ b/servers/pool/job_records.h
@@ -27,13 +27,27 @@
   std::string address;
 };
 
+// An entry, as it tells the others of itself.
+struct EntryRecord {
+  std::string node;
+  std::string zone;
+  // Where its sessions are opened, "ip:port".
+  std::string address;
+  // Agents that it can plan for; see planning_capacity.h.
+  int planning_capacity = 0;
+
+  bool operator==(const EntryRecord&) const = default;
+};
+
 std::string EncodeSpec(const JobSpec& spec);
 std::string EncodeProgress(const JobProgress& progress);
 std::string EncodePlanner(const PlannerRecord& planner);
+std::string EncodeEntry(const EntryRecord& entry);
 
 // Throw Error(kInvalidInput) for bytes that are no such record.
 JobSpec DecodeSpec(const std::string& id, const std::string& bytes);
 JobProgress DecodeProgress(const std::string& bytes);
 PlannerRecord DecodePlanner(const std::string& bytes);
+EntryRecord DecodeEntry(const std::string& bytes);
 
 }  // namespace turmericshift::pool
--- a/servers/pool/local_port.cc
+++ b/servers/pool/local_port.cc
@@ -37,4 +37,8 @@
   WaitFor<Done>([&](auto done) { gate_->Yield(successor, done); }, timeout);
 }
 
+void LocalPort::Offer(Duration timeout) {
+  WaitFor<Done>([&](auto done) { gate_->Offer(done); }, timeout);
+}
+
 }  // namespace turmericshift::pool
--- a/servers/pool/local_port.h
+++ b/servers/pool/local_port.h
@@ -12,6 +12,7 @@
   void Submit(const JobSpec& spec, Duration timeout) override;
   void Cancel(const std::string& id, Duration timeout) override;
   void Yield(const PlannerRecord& successor, Duration timeout) override;
+  void Offer(Duration timeout) override;
 
  private:
   PlannerGate* const gate_;
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -32,6 +32,15 @@
   // Another process has taken the duty over. Calls `done` once this one plans no more, whether it
   // did or not.
   virtual void Yield(const PlannerRecord& successor, std::function<void(Attempt<Done>)> done) = 0;
+  // The planner is too weak for the pool and asks whether this process would take the duty over
+  // once it is free. Calls `done` with kConflict if it would not.
+  virtual void Offer(std::function<void(Attempt<Done>)> done) {
+    done(AttemptOf<Done>([]() -> Done {
+      throw Error(ErrorKind::kConflict, Outcome::kNotRun, "this process takes no duty over");
+    }));
+  }
+  // The newest planner that this process knows of; epoch 0 while it knows none.
+  virtual PlannerRecord KnownPlanner() const { return {}; }
   // The newest planner that has told this process of itself; epoch 0 while none has.
   virtual PlannerRecord Successor() const { return {}; }
 };
@@ -40,10 +49,13 @@
 class PlannerPort {
  public:
   virtual ~PlannerPort() = default;
+  // Calls pass through another entry.
+  virtual bool relayed() const { return false; }
   virtual AgentOrders Exchange(const AgentReport& report, Duration timeout) = 0;
   virtual void Submit(const JobSpec& spec, Duration timeout) = 0;
   virtual void Cancel(const std::string& id, Duration timeout) = 0;
   virtual void Yield(const PlannerRecord& successor, Duration timeout) = 0;
+  virtual void Offer(Duration timeout) = 0;
 };
 
 // Connects to planners by address within `limit`. Throws Error(kUnavailable).
@@ -51,6 +63,11 @@
  public:
   virtual ~PlannerConnector() = default;
   virtual std::shared_ptr<PlannerPort> Connect(const std::string& address, Duration limit) = 0;
+  // By way of the entry at `relay`, to the planner of `epoch` or a newer one.
+  virtual std::shared_ptr<PlannerPort> ConnectThrough(const std::string& relay, int64_t /*epoch*/,
+                                                      Duration /*limit*/) {
+    throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "no way through " + relay);
+  }
 };
 
 }  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/planner_lateness.h
@@ -0,0 +1,44 @@
+// How far the planner is behind its agents, and how much it may take on.
+//
+// Load pattern: a planner that is held up, or that has more to do than its VM can. Agents poll
+// again as soon as they are answered, so that the time which most of them have been waited for is
+// time that their reports lie unread here. Taken for silence of theirs, starts are taken back and
+// leases run out that are well, and placing all of it anew makes the planner later still.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "core/clock.h"
+
+namespace turmericshift::pool {
+
+class PlannerLateness {
+ public:
+  // The agent's poll has been answered.
+  void Answered(const std::string& node, Time now) { waiting_since_[node] = now; }
+  // A report of the agent has come that will be answered by `answer_by`.
+  void Heard(const std::string& node, Time answer_by) { waiting_since_[node] = answer_by; }
+  // Looks at the agents anew; call at least each tenth of a second.
+  void Update(Time now);
+
+  // What most agents have been waited for. It falls by no more than a second each second, so that
+  // reports which are still being read are not yet taken for missing.
+  Duration late() const { return late_; }
+  // Too late to begin what can be left for a moment.
+  bool sheds() const;
+  // Whether more may be started beside `under_way` starts that have not been answered.
+  bool MayStartMore(int under_way) const { return under_way < most_under_way_; }
+
+ private:
+  void Pace(Time now);
+
+  // When each agent was last left to act; in the future while its poll waits here.
+  std::map<std::string, Time> waiting_since_;
+  Duration late_{};
+  Time updated_{};
+  Time paced_{};
+  int most_under_way_ = 400;
+};
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/planner_reach.cc
@@ -0,0 +1,90 @@
+#include "servers/pool/planner_reach.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "core/error.h"
+#include "core/logging.h"
+
+namespace turmericshift::pool {
+namespace {
+
+constexpr size_t kRelaysTried = 3;
+constexpr Duration kRelayLimit = std::chrono::milliseconds(300);
+// After the straight way has failed it is left alone for so long.
+constexpr Duration kStraightAgainAfter = std::chrono::seconds(3);
+
+}  // namespace
+
+std::vector<EntryRecord> RelaysTo(const PlannerRecord& planner,
+                                  const std::map<std::string, EntryRecord>& entries,
+                                  const std::string& zone, const std::string& self) {
+  const auto planner_entry = entries.find(planner.node);
+  const std::string far_zone = planner_entry == entries.end() ? "" : planner_entry->second.zone;
+  std::vector<EntryRecord> thirds;
+  std::vector<EntryRecord> others;
+  for (const auto& [node, entry] : entries) {
+    if (node == self || node == planner.node) continue;
+    (entry.zone != zone && entry.zone != far_zone ? thirds : others).push_back(entry);
+  }
+  const size_t first = std::hash<std::string>()(self);
+  for (std::vector<EntryRecord>* list : {&thirds, &others}) {
+    if (list->empty()) continue;
+    const auto middle = static_cast<std::ptrdiff_t>(first % list->size());
+    std::rotate(list->begin(), list->begin() + middle, list->end());
+  }
+  thirds.insert(thirds.end(), others.begin(), others.end());
+  return thirds;
+}
+
+PlannerReach::PlannerReach(const std::string& node, const std::string& zone,
+                           const MembersView* members, PlannerConnector* connector)
+    : node_(node), zone_(zone), members_(members), connector_(connector) {}
+
+bool PlannerReach::StraightFailedLately(const std::string& address, Time now) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return address == failed_address_ && now - failed_at_ < kStraightAgainAfter;
+}
+
+std::shared_ptr<PlannerPort> PlannerReach::Connect(const PlannerRecord& planner, Duration limit,
+                                                   Time now) {
+  if (StraightFailedLately(planner.address, now)) {
+    try {
+      return ConnectThroughOthers(planner, limit);
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kInfo, "relays_failed",
+               {{"epoch", planner.epoch}, {"error", error.what()}});
+    }
+  }
+  try {
+    return connector_->Connect(planner.address, limit);
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kInfo, "planner_unreached",
+             {{"epoch", planner.epoch}, {"address", planner.address}, {"error", error.what()}});
+    const std::lock_guard<std::mutex> lock(mutex_);
+    failed_address_ = planner.address;
+    failed_at_ = now;
+  }
+  return ConnectThroughOthers(planner, limit);
+}
+
+std::shared_ptr<PlannerPort> PlannerReach::ConnectThroughOthers(const PlannerRecord& planner,
+                                                                Duration limit) {
+  std::vector<EntryRecord> relays = RelaysTo(planner, members_->entries(), zone_, node_);
+  if (relays.size() > kRelaysTried) relays.resize(kRelaysTried);
+  std::string failure = "no entry is known that might reach the planner";
+  for (const EntryRecord& relay : relays) {
+    try {
+      std::shared_ptr<PlannerPort> port =
+          connector_->ConnectThrough(relay.address, planner.epoch, std::min(limit, kRelayLimit));
+      LogEvent(LogLevel::kInfo, "planner_reached_through",
+               {{"epoch", planner.epoch}, {"relay", relay.node}});
+      return port;
+    } catch (const Error& error) {
+      failure = relay.node + ": " + error.what();
+    }
+  }
+  throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, failure);
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/servers/pool/planner_reach.h
@@ -0,0 +1,49 @@
+// The way to the planner: straight, or by way of an entry in a third zone.
+//
+// Load pattern: two zones that can't reach each other while a third reaches both. The planner is on
+// the far side for a part of the agents and entries, whose leases would run out although a path
+// exists.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "servers/pool/planner_gate.h"
+#include "servers/pool/pool_view.h"
+
+namespace turmericshift::pool {
+
+// Entries that may reach a planner which `self` in `zone` can't, the likeliest first: those of
+// third zones. Nodes start at different places of the list, so that they spread over the entries.
+std::vector<EntryRecord> RelaysTo(const PlannerRecord& planner,
+                                  const std::map<std::string, EntryRecord>& entries,
+                                  const std::string& zone, const std::string& self);
+
+class PlannerReach {
+ public:
+  // `members` must outlive it.
+  PlannerReach(const std::string& node, const std::string& zone, const MembersView* members,
+               PlannerConnector* connector);
+
+  // Throws Error(kUnavailable) when neither way leads there. Takes some three times `limit` at
+  // most.
+  std::shared_ptr<PlannerPort> Connect(const PlannerRecord& planner, Duration limit, Time now);
+
+ private:
+  std::shared_ptr<PlannerPort> ConnectThroughOthers(const PlannerRecord& planner, Duration limit);
+  bool StraightFailedLately(const std::string& address, Time now) const;
+
+  const std::string node_;
+  const std::string zone_;
+  const MembersView* const members_;
+  PlannerConnector* const connector_;
+  mutable std::mutex mutex_;
+  // The newest planner that could not be reached straight, and when that was tried.
+  std::string failed_address_;
+  Time failed_at_{};
+};
+
+}  // namespace turmericshift::pool
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -15,6 +15,11 @@
 // to be flooded, and one that is back should be noticed soon.
 constexpr Duration kRetryPause = std::chrono::milliseconds(50);
 constexpr Duration kLongestRetryPause = std::chrono::milliseconds(200);
+// After a round of planning the deciding thread rests for so many times as long as it took,
+constexpr int kPauseForRound = 2;
+constexpr Duration kLongestRoundPause = std::chrono::milliseconds(50);
+// but not for one as short as this.
+constexpr Duration kShortRound = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -26,6 +31,8 @@
       appends_(metrics->counter("store_appends")),
       append_failures_(metrics->counter("store_append_failures")),
       append_seconds_(metrics->distribution("store_append_seconds")),
+      round_seconds_(metrics->distribution("planner_round_seconds")),
+      late_seconds_(metrics->gauge("planner_late_seconds")),
       jobs_(metrics->gauge("planner_jobs")),
       epoch_gauge_(metrics->gauge("planner_epoch")),
       decider_("decide", [this] { Decide(); }),
@@ -152,6 +159,7 @@
                               std::function<void(Attempt<AgentOrders>)> done) {
   const Time now = LeaseClock().Now();
   Replies replies;
+  bool to_plan = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!planner_ && !successor_.address.empty()) {
@@ -162,7 +170,9 @@
     } else if (!planner_) {
       replies.push_back(Failed(std::move(done), NotPlanning()));
     } else {
+      const int64_t news = planner_->news();
       planner_->TakeReport(report, LeaseClock().WallMillis(), now);
+      to_plan = planner_->changed() || planner_->news() != news || !planner_->outbox().empty();
       const auto earlier = polls_.find(report.node);
       if (earlier != polls_.end() && report.wait > Duration::zero()) {
         // The agent has given that poll up; its connection may be gone.
@@ -170,15 +180,17 @@
             Succeeded(std::move(earlier->second.done), planner_->Orders(report.node, now)));
         polls_.erase(earlier);
       }
-      if (report.wait > Duration::zero()) {
+      if (report.wait > Duration::zero() && !planner_->HasNews(report.node)) {
         polls_[report.node] = {std::move(done), now + report.wait};
       } else {
         replies.push_back(Succeeded(std::move(done), planner_->Orders(report.node, now)));
+        if (report.wait > Duration::zero()) planner_->NoteAnswered(report.node, now);
       }
-      dirty_ = true;
+      dirty_ = dirty_ || to_plan;
     }
   }
-  changed_.notify_all();
+  // Most polls bring nothing to decide on, and waking a thread costs more than taking them in.
+  if (to_plan) changed_.notify_all();
   RunAll(replies);
 }
 
@@ -236,6 +248,31 @@
   RunAll(replies);
 }
 
+void PlannerService::Offer(std::function<void(Attempt<Done>)> done) {
+  Replies replies;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (would_claim_) {
+      replies.push_back(Succeeded(std::move(done), Done{}));
+    } else {
+      const Error refusal(ErrorKind::kConflict, Outcome::kNotRun, "this entry claims no duty now");
+      replies.push_back(Failed(std::move(done), refusal));
+    }
+  }
+  RunAll(replies);
+}
+
+void PlannerService::NoteDuty(const PlannerRecord& planner, bool would_claim) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  read_planner_ = planner;
+  would_claim_ = would_claim;
+}
+
+PlannerRecord PlannerService::KnownPlanner() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return successor_.epoch > read_planner_.epoch ? successor_ : read_planner_;
+}
+
 PlannerRecord PlannerService::Successor() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return successor_;
@@ -248,6 +285,7 @@
       continue;
     }
     replies->push_back(Succeeded(std::move(poll->second.done), planner_->Orders(poll->first, now)));
+    planner_->NoteAnswered(poll->first, now);
     poll = polls_.erase(poll);
   }
 }
@@ -255,6 +293,7 @@
 void PlannerService::Decide() {
   while (true) {
     Replies replies;
+    Time begun{};
     {
       std::unique_lock<std::mutex> lock(mutex_);
       changed_.wait_for(lock, kTick, [this] { return dirty_ || stopping_; });
@@ -262,6 +301,7 @@
       dirty_ = false;
       if (!planner_) continue;
       const Time now = LeaseClock().Now();
+      begun = now;
       const Freshness read = operators_->freshness();
       if (read.asked) planner_->SetOperatorState(operators_->state(), *read.asked);
       planner_->NoteKept();
@@ -269,13 +309,24 @@
       AnswerPolls(now, &replies);
       intake_.Answer(writing_since_, planner_.get(), now, &replies);
       jobs_.Set(static_cast<double>(planner_->job_count()));
+      late_seconds_.Set(Seconds(planner_->late()));
       if (!planner_->outbox().empty()) to_write_.notify_all();
       to_ask_.notify_all();
     }
     RunAll(replies);
+    const Duration took = LeaseClock().Now() - begun;
+    round_seconds_.Record(Seconds(took));
+    PauseAfter(took);
   }
 }
 
+// Agents' polls and callers are read meanwhile, so that a round of planning that takes long weighs
+// more news instead of keeping them waiting.
+void PlannerService::PauseAfter(Duration round) {
+  if (round < kShortRound) return;
+  std::this_thread::sleep_for(std::min(round * kPauseForRound, kLongestRoundPause));
+}
+
 void PlannerService::Write() {
   while (true) {
     std::vector<KeyedRecord> records;
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -56,6 +56,8 @@
   std::optional<AdviceQuestion> NextQuestion(Duration limit);
   void TakeAdvice(const AdviceQuestion& question, const AdviceAnswer& answer, Time asked);
   void AdviceFailed(Time now);
+  // What this entry has read of the duty, and whether it would claim it if it were free.
+  void NoteDuty(const PlannerRecord& planner, bool would_claim);
   // The epoch while the duty is held; 0 otherwise.
   int64_t epoch() const;
   // Agents that have not been heard for `limit`, of those given.
@@ -66,6 +68,8 @@
   void Submit(const JobSpec& spec, std::function<void(Attempt<Done>)> done) override;
   void Cancel(const std::string& id, std::function<void(Attempt<Done>)> done) override;
   void Yield(const PlannerRecord& successor, std::function<void(Attempt<Done>)> done) override;
+  void Offer(std::function<void(Attempt<Done>)> done) override;
+  PlannerRecord KnownPlanner() const override;
   PlannerRecord Successor() const override;
 
  private:
@@ -75,6 +79,7 @@
   };
 
   void Decide();
+  static void PauseAfter(Duration round);
   void Write();
   // One append and what follows from its answer; false when the duty is lost.
   bool WriteOnce(const std::vector<KeyedRecord>& records, int64_t epoch, int64_t sequence);
@@ -92,6 +97,8 @@
   Counter& appends_;
   Counter& append_failures_;
   Distribution& append_seconds_;
+  Distribution& round_seconds_;
+  Gauge& late_seconds_;
   Gauge& jobs_;
   Gauge& epoch_gauge_;
 
@@ -104,6 +111,8 @@
   PlannerRecord successor_;
   std::map<std::string, Poll> polls_;
   JobIntake intake_{options_.stuck_after};
+  PlannerRecord read_planner_;
+  bool would_claim_ = false;
   bool dirty_ = false;
   bool releasing_ = false;
   bool stopping_ = false;
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -19,6 +19,12 @@
 constexpr Duration kHoldPatience = std::chrono::milliseconds(800);
 constexpr Duration kNewsTimeout = std::chrono::milliseconds(700);
 constexpr Duration kCheckMemberEvery = std::chrono::seconds(2);
+// A way through another entry is given up for the straight one after this, in case that is back.
+constexpr Duration kStraightAgainAfter = std::chrono::seconds(5);
+// A late planner is waited for so many times as long as it said, and so long at most: runs go on
+// for 4 s without its word.
+constexpr int kLatePatience = 2;
+constexpr Duration kLongestLatePatience = std::chrono::milliseconds(1300);
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(1200);
 
 }  // namespace
@@ -34,6 +40,7 @@
       start_failures_(metrics->counter("agent_start_failures")),
       start_seconds_(metrics->distribution("agent_start_seconds")),
       members_(log, options.members_wait),
+      reach_(options.node, options.zone, &members_, connector),
       state_(options.node, options.zone, options.incarnation),
       orders_("orders", kOrderThreads),
       worker_thread_("worker", [this] { TalkWithWorker(); }),
@@ -135,6 +142,7 @@
 
 void PoolAgent::TalkWithPlanner() {
   int64_t connected_epoch = 0;
+  Time connected_at{};
   while (true) {
     std::shared_ptr<PlannerPort> port;
     {
@@ -145,16 +153,20 @@
     EnsureMember(LeaseClock().Now());
     const PlannerRecord planner = NewestPlanner();
     try {
+      const Time now = LeaseClock().Now();
       if (port && planner.epoch > connected_epoch) port.reset();
+      if (port && port->relayed() && now - connected_at > kStraightAgainAfter) port.reset();
       if (!port) {
         if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, "no planner is known");
-        port = connector_->Connect(planner.address, kConnectLimit);
+        port = reach_.Connect(planner, kConnectLimit, now);
+        connected_at = now;
         connected_epoch = planner.epoch;
         const std::lock_guard<std::mutex> lock(mutex_);
         port_ = port;
         state_.RaiseEpoch(planner.epoch);
-        LogEvent(LogLevel::kInfo, "planner_connected",
-                 {{"epoch", planner.epoch}, {"address", planner.address}});
+        LogEvent(
+            LogLevel::kInfo, "planner_connected",
+            {{"epoch", planner.epoch}, {"address", planner.address}, {"relayed", port->relayed()}});
       }
       ExchangeOnce(port.get(), options_.poll_wait);
     } catch (const Error& error) {
@@ -208,8 +220,7 @@
     sent = LeaseClock().Now();
     report = state_.Report(wait, sent);
   }
-  const AgentOrders orders = port->Exchange(
-      report, wait > Duration::zero() ? wait + options_.poll_patience : kNewsTimeout);
+  const AgentOrders orders = port->Exchange(report, AnswerLimit(wait));
   if (!orders.planner_address.empty()) {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (orders.planner_epoch > told_of_.epoch) {
@@ -224,6 +235,7 @@
     const int64_t before = state_.epoch();
     state_.ReportTaken(report);
     todo = state_.TakeOrders(orders, sent, LeaseClock().Now());
+    planner_late_ = orders.late;
     new_planner = state_.epoch() != before || report.epoch != state_.epoch();
   }
   if (new_planner) {
@@ -235,6 +247,14 @@
   CarryOut(todo, sent + orders.start_window);
 }
 
+// A planner that is late has not lost this agent: asked anew over another connection it would only
+// have more to read.
+Duration PoolAgent::AnswerLimit(Duration wait) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const Duration late = std::min(kLatePatience * planner_late_, kLongestLatePatience);
+  return wait > Duration::zero() ? wait + options_.poll_patience + late : kNewsTimeout + late;
+}
+
 void PoolAgent::CarryOut(const AgentOrders& todo, Time until) {
   for (const RunId& run : todo.stops) orders_.Submit([this, run] { StopOne(run); });
   for (const StartOrder& order : todo.starts) {
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -17,6 +17,7 @@
 #include "servers/pool/agent_state.h"
 #include "servers/pool/order_sender.h"
 #include "servers/pool/planner_gate.h"
+#include "servers/pool/planner_reach.h"
 #include "servers/pool/pool_view.h"
 
 namespace turmericshift::pool {
@@ -58,6 +59,8 @@
   // One exchange over `port`.
   PlannerRecord NewestPlanner() const;
   void ExchangeOnce(PlannerPort* port, Duration wait);
+  // How long an answer is waited for that the planner may hold back for `wait`.
+  Duration AnswerLimit(Duration wait) const;
   void CarryOut(const AgentOrders& todo, Time until);
   void StartOne(const StartOrder& order, Time until);
   void StopOne(const RunId& run);
@@ -75,6 +78,7 @@
   Counter& start_failures_;
   Distribution& start_seconds_;
   MembersView members_;
+  PlannerReach reach_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
@@ -82,6 +86,8 @@
   std::shared_ptr<PlannerPort> port_;
   // The newest planner that one before it has told of; the store may be out of reach.
   PlannerRecord told_of_;
+  // How far the planner said that it is behind.
+  Duration planner_late_{};
   bool news_ = false;
   bool stopping_ = false;
   // Held while the membership is looked at and written.
--- a/servers/pool/pool_bounds.cc
+++ b/servers/pool/pool_bounds.cc
@@ -82,6 +82,8 @@
       NotBelow("the time that members of a gang wait",
                std::min(kLongestGangStart, bounds.gang_wait - bounds.stop - kStopOrderReserve),
                kLeastGangStart);
+  options.longest_gang_start =
+      std::max(options.gang_start_limit, bounds.gang_wait - bounds.stop - kStopOrderReserve);
   const Duration spare = bounds.reclaim - bounds.stop - kStart;
   options.owed_stray_after = std::max(Duration::zero(), spare - kWeighAgain - kSecondTry);
   options.owed_patience = std::max(Duration::zero(), spare - kWeighAgain - kForecastError - kStart);
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -25,8 +25,9 @@
       work_(log),
       operators_(log, std::move(decoder)),
       members_(log, options.members_wait),
+      reach_(options.node, options.zone, &members_, connector),
       service_(options.planner, log, &operators_, metrics),
-      front_(options.front, &work_, &operators_, &service_, connector, metrics) {
+      front_(options.front, &work_, &operators_, &service_, &reach_, metrics) {
   callers_ = std::make_unique<HttpServer>(options.callers, [this](const HttpRequest& request) {
     return door_->Handle(request, &front_, LeaseClock().Now());
   });
@@ -43,6 +44,8 @@
   DutyOptions duty = options_.duty;
   duty.node = options_.node;
   duty.address = address;
+  duty.zone = options_.zone;
+  duty.planning_capacity = PlanningCapacity(options_.vm);
   duty_ = std::make_unique<DutyKeeper>(duty, log_, &work_, &members_, connector_, &service_);
 }
 
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -17,6 +17,8 @@
 
 struct PoolEntryOptions {
   std::string node;
+  std::string zone;
+  VmResources vm;
   HttpServerOptions callers;
   HttpServerOptions readiness;
   PlannerServiceOptions planner;
@@ -62,6 +64,7 @@
   WorkView work_;
   OperatorView operators_;
   MembersView members_;
+  PlannerReach reach_;
   PlannerService service_;
   std::unique_ptr<DutyKeeper> duty_;
   JobFront front_;
--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -274,5 +274,91 @@
   EXPECT_TRUE(bed.RunUntil("stuck", JobState::kCompleted, seconds(8)));
 }
 
+// A pool of 240 agents whose planner takes so many reports a second, with more work than it can
+// carry and gangs among it.
+class BusyPlanner : public testing::Test {
+ protected:
+  static constexpr int kRacks = 80;
+
+  BusyPlanner() : bed_(BedRacks(kRacks), BedOperators(0)) {
+    bed_.true_time = [](const TaskId& task) { return milliseconds(4000 + 500 * (task.index % 5)); };
+    bed_.SetReportsPerTick(kReportsPerTick);
+    bed_.RunFor(seconds(3));
+  }
+
+  void Submit() {
+    StepSpec step = BedStep(8, 4, seconds(5));
+    step.gang = jobs_ % 2 == 0;
+    const char* queue = jobs_ % 3 == 0 ? "urgent" : "batch";
+    bed_.Submit(BedJob("job-" + std::to_string(jobs_), queue, "two", step));
+    ++jobs_;
+  }
+
+  // Jobs of eight tasks each, half of them gangs, for `time`.
+  void LoadFor(Duration time) {
+    const Time end = bed_.now() + time;
+    while (bed_.now() < end) {
+      Submit();
+      bed_.RunFor(milliseconds(120));
+    }
+  }
+
+  int EndedSince(Time since, EndKind how) const {
+    int ended = 0;
+    for (const BedRun& run : bed_.runs()) ended += run.over && run.ended > since && run.how == how;
+    return ended;
+  }
+
+  // Half as many again as the agents send under this load.
+  static constexpr int kReportsPerTick = 12;
+  PoolBed bed_;
+  int jobs_ = 0;
+};
+
+// The planner stood still for two seconds. It took its agents for silent, took back what they had
+// begun, and placed all of it anew, which kept it late for good.
+TEST_F(BusyPlanner, TakesNothingBackForAStallOfItsOwn) {
+  LoadFor(seconds(6));
+  for (int job = 0; job < 20; ++job) Submit();
+  bed_.RunFor(milliseconds(20));
+  const Time stalled = bed_.now();
+  bed_.SetPlannerHeldUp(true);
+  bed_.RunFor(seconds(2));
+  bed_.SetPlannerHeldUp(false);
+  LoadFor(seconds(6));
+  EXPECT_EQ(EndedSince(stalled, EndKind::kStopped), 0);
+  EXPECT_EQ(EndedSince(stalled, EndKind::kLapsed), 0);
+  EXPECT_EQ(EndedSince(stalled, EndKind::kAlone), 0);
+  EXPECT_EQ(bed_.planner_late(), Duration::zero());
+  EXPECT_EQ(bed_.violations(), std::vector<std::string>());
+}
+
+// For ten seconds the planner can read a sixth of what its agents send, then all of it again.
+TEST_F(BusyPlanner, RecoversByItselfOnceTheLoadIsOver) {
+  LoadFor(seconds(4));
+  bed_.SetReportsPerTick(kReportsPerTick / 6);
+  LoadFor(seconds(10));
+  bed_.SetReportsPerTick(kReportsPerTick);
+  LoadFor(seconds(6));
+  const Time calm = bed_.now();
+  LoadFor(seconds(6));
+  EXPECT_EQ(bed_.planner_late(), Duration::zero());
+  EXPECT_EQ(EndedSince(calm, EndKind::kStopped), 0);
+  EXPECT_EQ(EndedSince(calm, EndKind::kLapsed), 0);
+  EXPECT_EQ(bed_.violations(), std::vector<std::string>());
+}
+
+// A planner's successor meets all agents and everything that runs at once.
+TEST_F(BusyPlanner, LosesNoLeaseToASuccessor) {
+  LoadFor(seconds(6));
+  const Time replaced = bed_.now();
+  bed_.ReplacePlanner();
+  LoadFor(seconds(8));
+  EXPECT_EQ(EndedSince(replaced, EndKind::kLapsed), 0);
+  EXPECT_EQ(EndedSince(replaced, EndKind::kAlone), 0);
+  EXPECT_EQ(bed_.planner_late(), Duration::zero());
+  EXPECT_EQ(bed_.violations(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -122,6 +122,8 @@
   int64_t worker_born_ms = 0;
   std::vector<StartOrder> starts;
   std::vector<RunId> stops;
+  // How far the planner is behind; its next answers take so much longer.
+  Duration late{};
   // Told by a process that plans no more and knows who does, all else being empty: the newest
   // epoch and where its planner is reached, "ip:port".
   int64_t planner_epoch = 0;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -90,6 +90,7 @@
   orders.version = worker.version;
   orders.ends_kept = worker.ends_kept;
   orders.worker_born_ms = worker.facts.born_ms;
+  orders.late = lateness_.late();
   if (confirmed_ && now - *confirmed_ < options_.unconfirmed_limit) {
     orders.lease = options_.lease;
   }
@@ -104,7 +105,7 @@
 
 void PoolPlanner::NoteKept() {
   while (!releases_.empty() && releases_.begin()->first <= outbox_.kept()) {
-    ++workers_[releases_.begin()->second].version;
+    NoteNews(&workers_[releases_.begin()->second]);
     releases_.erase(releases_.begin());
   }
   while (!unkept_.empty() && *unkept_.begin() <= outbox_.kept()) {
@@ -115,11 +116,16 @@
     while (!worker.ends.empty() && worker.ends.front().ticket <= outbox_.kept()) {
       worker.ends_kept = worker.ends.front().number;
       worker.ends.pop_front();
-      ++worker.version;
+      NoteNews(&worker);
     }
   }
 }
 
+void PoolPlanner::NoteNews(WorkerState* worker) {
+  ++worker->version;
+  ++news_;
+}
+
 PoolPlanner::Job* PoolPlanner::FindJob(const std::string& id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
@@ -161,7 +167,7 @@
 void PoolPlanner::StopRun(WorkerState* worker, LiveRun* run) {
   if (run->phase == RunPhase::kStopping) return;
   run->phase = RunPhase::kStopping;
-  ++worker->version;
+  NoteNews(worker);
 }
 
 void PoolPlanner::StopGang(const Job& job, const RunId& member) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -21,6 +21,7 @@
 #include "servers/pool/mechanism.h"
 #include "servers/pool/outbox.h"
 #include "servers/pool/placer.h"
+#include "servers/pool/planner_lateness.h"
 #include "servers/pool/pool_config.h"
 #include "servers/pool/pool_messages.h"
 #include "servers/pool/reclaimer.h"
@@ -50,6 +51,8 @@
   Duration start_window = std::chrono::milliseconds(1500);
   // A gang whose members have not all started by then is stopped; its workers wait longer.
   Duration gang_start_limit = std::chrono::milliseconds(1300);
+  // The same at most, whatever the planner is late by: they would be waiting alone by then.
+  Duration longest_gang_start = std::chrono::milliseconds(2100);
   // A single start that is not answered by then is taken back.
   Duration start_limit = std::chrono::milliseconds(2500);
   // An urgent gang within its workspace's guarantee that finds no rack goes over several after
@@ -110,6 +113,13 @@
   void TakeReport(const AgentReport& report, int64_t wall_ms, Time now);
   // Whether there is something that the agent has not been told.
   bool HasNews(const std::string& node) const;
+  // Rises whenever there is something new for any agent.
+  int64_t news() const { return news_; }
+  // A round of planning may bring something new.
+  bool changed() const { return changed_; }
+  // The agent's poll is answered.
+  void NoteAnswered(const std::string& node, Time now) { lateness_.Answered(node, now); }
+  Duration late() const { return lateness_.late(); }
   // The answer to one of the agent's reports. The lease in it counts from that report on.
   AgentOrders Orders(const std::string& node, Time now);
 
@@ -195,7 +205,7 @@
   // Notes which process of the agent reports. False for one that has been replaced: its connection
   // may hold reports that are read after the first of its successor's, and whose lists and worker
   // are those of before. Taken for news they would have what runs now taken for lost.
-  static bool TakeIncarnation(const AgentReport& report, WorkerState* worker, Time now);
+  bool TakeIncarnation(const AgentReport& report, WorkerState* worker, Time now);
   void TakeFacts(const AgentReport& report, WorkerState* worker, Time now);
   void TakeRunning(const AgentReport& report, WorkerState* worker, Time now);
   void StopUnclearRuns(WorkerState* worker);
@@ -213,6 +223,8 @@
   // The run is over or was never begun; its task may start again.
   void ForgetRun(const RunId& run, Job* job);
   void StopRun(WorkerState* worker, LiveRun* run);
+  // There is something that the agent has not been told.
+  void NoteNews(WorkerState* worker);
   // Stops what else runs of a gang's run.
   void StopGang(const Job& job, const RunId& member);
   void StopJob(const Job& job);
@@ -227,6 +239,8 @@
   bool InheritedIsSafe(Time now) const;
   void ExpireLeases(Time now);
   void TakeBackLateStarts(Time now);
+  // How long a start may go unanswered; longer while it is this planner that is late.
+  Duration StartLimit(bool gang) const;
   void DropOldJobs(int64_t wall_ms);
   std::vector<Unit> CollectUnits(int64_t wall_ms, Time now);
   // Of a unit that begins at `wall_ms` (milliseconds since 1970).
@@ -325,6 +339,10 @@
   // Ends to come on each worker as of this round, made when first asked for.
   mutable std::map<std::string, std::vector<Freeing>> freeing_;
   int reclaims_left_ = 0;
+  PlannerLateness lateness_;
+  int64_t news_ = 0;
+  // Starts that have been ordered and not answered, as of this round.
+  int starts_under_way_ = 0;
 };
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_holding.cc
+++ b/servers/pool/pool_planner_holding.cc
@@ -68,7 +68,7 @@
   if (idle_ && waited > kIdleStrayAfter) return true;
   // No rack would ever hold it, so that waiting for one is pointless.
   if (!FitsOneRack(strict, RoomsFor(unit, true, now))) return true;
-  if (!Uses(Mechanism::kStrayByForecast)) return false;
+  if (!Uses(Mechanism::kStrayByForecast) || lateness_.sheds()) return false;
   const std::optional<RoomForecast> forecast = ForecastRoom(strict, FutureRoomsFor(unit, now));
   return !forecast || forecast->in > Scaled(unit.expected, options_.stray_factor - 1);
 }
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -71,6 +71,7 @@
 }
 
 void PoolPlanner::Plan(int64_t wall_ms, Time now) {
+  lateness_.Update(now);
   ExpireLeases(now);
   TakeBackLateStarts(now);
   DropOldJobs(wall_ms);
@@ -79,6 +80,7 @@
   const std::vector<Unit> units = CollectUnits(wall_ms, now);
   LogQueue(units, now);
   for (const Unit& unit : units) {
+    if (!lateness_.MayStartMore(starts_under_way_)) break;
     if (!TryReservation(unit, now)) TryUnit(unit, wall_ms, now);
   }
   std::erase_if(reservations_, [now](const auto& row) { return now >= row.second.until; });
@@ -106,6 +108,8 @@
   }
   LogEvent(LogLevel::kInfo, "queue",
            {{"waiting", steps},
+            {"late_s", Seconds(lateness_.late())},
+            {"starts_under_way", starts_under_way_},
             {"workers", usable},
             {"accelerators", whole.accelerators},
             {"accelerators_free", free.accelerators},
@@ -137,7 +141,11 @@
   Room all;
   Room all_left;
   std::map<std::string, Room> capacity;
+  starts_under_way_ = 0;
   for (auto& [node, worker] : workers_) {
+    for (const auto& [id, run] : worker.live) {
+      starts_under_way_ += run.phase == RunPhase::kOrdered;
+    }
     worker.left = worker.free();
     worker.tenants = TenantsOf(worker);
     capacity[worker.facts.service] += worker.facts.capacity;
@@ -174,13 +182,19 @@
 
 void PoolPlanner::ExpireLeases(Time now) {
   for (auto& [node, worker] : workers_) {
-    const bool lapsed = now > worker.lease_until + options_.lease_margin;
+    // What a late planner has not read yet is no silence of the agent's.
+    const bool lapsed = now > worker.lease_until + options_.lease_margin + lateness_.late();
     if (!worker.known || !lapsed) continue;
     worker.known = false;
     LoseRuns(&worker, "the agent has not been heard for a lease", now);
   }
 }
 
+Duration PoolPlanner::StartLimit(bool gang) const {
+  if (!gang) return options_.start_limit + lateness_.late();
+  return std::min(options_.gang_start_limit + lateness_.late(), options_.longest_gang_start);
+}
+
 void PoolPlanner::TakeBackLateStarts(Time now) {
   for (auto& [node, worker] : workers_) {
     for (auto& [id, run] : worker.live) {
@@ -188,10 +202,14 @@
       Job* job = FindJob(id.task.job);
       const StepSpec* step = job == nullptr ? nullptr : FindStep(*job, id.task);
       const bool gang = step != nullptr && step->gang;
-      if (now - run.since < (gang ? options_.gang_start_limit : options_.start_limit)) continue;
+      if (now - run.since < StartLimit(gang)) continue;
       LogEvent(LogLevel::kWarning, "start_late",
-               {{"job", id.task.job}, {"task", TaskName(id.task)}, {"node", node}});
-      judge_.OrderNotTaken(node, now);
+               {{"job", id.task.job},
+                {"task", TaskName(id.task)},
+                {"node", node},
+                {"unheard_s", Seconds(now - worker.heard)},
+                {"planner_late_s", Seconds(lateness_.late())}});
+      if (lateness_.late() == Duration::zero()) judge_.OrderNotTaken(node, now);
       StopRun(&worker, &run);
       if (gang) StopGang(*job, id);
     }
@@ -367,7 +385,7 @@
   if (static_cast<int>(placement.size()) == wish.tasks) return;
   WantAdvice(unit, now);
   TryReclaim(unit, wish, wall_ms, now);
-  HoldRoom(unit, wish, now);
+  if (!lateness_.sheds()) HoldRoom(unit, wish, now);
 }
 
 int PoolPlanner::SpareTasks(const Unit& unit, Time now) const {
@@ -440,7 +458,7 @@
     if (run.released_by > outbox_.kept()) {
       releases_.emplace(run.released_by, worker.node);
     } else {
-      ++worker.version;
+      NoteNews(&worker);
     }
     job->runs[place] = {number, worker.node};
     LogEvent(LogLevel::kInfo, "run_placed",
@@ -452,6 +470,7 @@
               {"waited_s", Seconds(now - *job->steps.at(unit.place).ready_since)},
               {"epoch", epoch_}});
   }
+  starts_under_way_ += static_cast<int>(next);
   if (next > 0) job->steps.at(unit.place).ready_since.reset();
   if (unit.priority == 0) {
     urgent_use_[job->spec.workspace] += step.need.accelerators * static_cast<int64_t>(next);
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -108,6 +108,7 @@
   StepState& state = unit.job->steps.at(unit.place);
   const bool just_tried = state.reclaim_tried && now - *state.reclaim_tried < kReclaimPause;
   if (reclaims_left_ == 0 || just_tried) return;
+  if (lateness_.sheds() && !unit.entitled) return;
   --reclaims_left_;
   state.reclaim_tried = now;
   PlaceWish rest = wish;
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -28,6 +28,7 @@
   if (!TakeIncarnation(report, &worker, now)) return;
   if (report.sequence <= worker.sequence) return;
   worker.sequence = report.sequence;
+  if (report.wait > Duration::zero()) lateness_.Heard(report.node, now + report.wait);
   worker.zone = report.zone;
   worker.heard = now;
   // The answer will grant a lease from here on, and a planner before may have granted one just now.
@@ -74,7 +75,7 @@
   worker->incarnation = report.incarnation;
   worker->incarnation_since = now;
   worker->sequence = -1;
-  ++worker->version;
+  NoteNews(worker);
   for (auto& [id, run] : worker->live) {
     if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kUnclear;
   }
@@ -92,7 +93,7 @@
     worker->ends.clear();
     worker->ends_seen = 0;
     worker->ends_kept = 0;
-    ++worker->version;
+    NoteNews(worker);
     judge_.Forget(worker->node);
     LogEvent(LogLevel::kInfo, "worker_reported",
              {{"node", report.node},
@@ -181,7 +182,7 @@
     job->runs[place] = {running.run.number, worker->node};
     MarkRunning(job);
   }
-  ++worker->version;
+  NoteNews(worker);
   changed_ = true;
   worker->live[running.run] = live;
   LogEvent(LogLevel::kInfo, wanted ? "run_adopted" : "run_unwanted",
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -147,9 +147,23 @@
       [this] {
         const std::lock_guard<std::mutex> lock(mutex_);
         agents_.clear();
+        entries_.clear();
       });
 }
 
+void MembersView::TakeEntry(const KeyedRecord& record) {
+  const std::string node = record.key.substr(std::string(kEntryPrefix).size());
+  if (record.value.empty()) {
+    entries_.erase(node);
+    return;
+  }
+  try {
+    entries_[node] = DecodeEntry(record.value);
+  } catch (const Error& error) {
+    LogBadRecord(kMembersTopic, record, error);
+  }
+}
+
 void MembersView::TakeRecord(const KeyedRecord& record) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const std::string prefix = kAgentPrefix;
@@ -162,6 +176,7 @@
     }
     return;
   }
+  if (record.key.rfind(kEntryPrefix, 0) == 0) return TakeEntry(record);
   if (record.key != kPlannerKey || record.value.empty()) return;
   try {
     PlannerRecord planner = DecodePlanner(record.value);
@@ -185,6 +200,16 @@
   return agents_;
 }
 
+size_t MembersView::agent_count() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return agents_.size();
+}
+
+std::map<std::string, EntryRecord> MembersView::entries() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return entries_;
+}
+
 Freshness MembersView::freshness() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return freshness_;
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -17,9 +17,10 @@
 
 inline constexpr const char* kWorkTopic = "keyed.work";
 inline constexpr const char* kMembersTopic = "keyed.members";
-// Keys of the members topic: "agent/NODE" for each agent that may have something running, and
-// kPlannerKey.
+// Keys of the members topic: "agent/NODE" for each agent that may have something running,
+// "entry/NODE" for each entry, and kPlannerKey.
 inline constexpr const char* kAgentPrefix = "agent/";
+inline constexpr const char* kEntryPrefix = "entry/";
 // Writers of the work topic take turns by epoch under this name.
 inline constexpr const char* kPlannerProducer = "planner";
 
@@ -98,14 +99,19 @@
 
   PlannerRecord planner() const;
   std::set<std::string> agents() const;
+  size_t agent_count() const;
+  // By node; an entry that is gone stays listed.
+  std::map<std::string, EntryRecord> entries() const;
   Freshness freshness() const;
 
  private:
   void TakeRecord(const KeyedRecord& record);
+  void TakeEntry(const KeyedRecord& record);
 
   mutable std::mutex mutex_;
   PlannerRecord planner_;
   std::set<std::string> agents_;
+  std::map<std::string, EntryRecord> entries_;
   Freshness freshness_;
   std::unique_ptr<TopicFollower> follower_;
 };
--- a/tests/stand_ins/pool_bed.cc
+++ b/tests/stand_ins/pool_bed.cc
@@ -8,11 +8,16 @@
 namespace turmericshift::pool {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr Duration kTick = std::chrono::milliseconds(10);
 // Agents poll and hold this often; news goes out with the next tick.
 constexpr int kTicksBetweenHolds = 5;
 // Stops take half of the time that they may.
 constexpr int kStopShare = 2;
+constexpr Duration kPollWait = std::chrono::milliseconds(500);
+constexpr Duration kPollPatience = std::chrono::milliseconds(1200);
+constexpr Duration kLatePatience = std::chrono::milliseconds(1300);
 constexpr Duration kAdviceTakes = std::chrono::milliseconds(100);
 constexpr Duration kTicketValid = std::chrono::milliseconds(3000);
 constexpr int64_t kWallStartMs = 1'700'000'000'000;
@@ -41,6 +46,11 @@
   std::map<RunId, Live> live;
   std::map<int64_t, EndedTask> ended;
   std::map<TaskId, int64_t> newest_over;
+  // While a poll is out, when it was sent.
+  std::optional<Time> poll_sent;
+  // Something has come about that the planner should hear of at once.
+  bool news = false;
+  Duration planner_late{};
 };
 
 PoolBed::PoolBed(const std::vector<BedWorker>& workers, const OperatorState& operators,
@@ -162,9 +172,12 @@
   for (auto& row : workers_) TickWorker(row.second.get());
   BreakGangs();
   for (auto& row : workers_) TickAgent(row.second.get());
-  planner_->SetOperatorState(std::make_shared<OperatorState>(operators_), now_);
-  planner_->NoteKept();
-  planner_->Plan(wall_ms(), now_);
+  if (!planner_held_up_) {
+    planner_->SetOperatorState(std::make_shared<OperatorState>(operators_), now_);
+    planner_->NoteKept();
+    planner_->Plan(wall_ms(), now_);
+    ReadReports();
+  }
   TickAdvice();
 }
 
@@ -201,7 +214,7 @@
 }
 
 void PoolBed::TickStore() {
-  if (store_down_) return;
+  if (store_down_ || planner_held_up_) return;
   planner_->Confirm(now_);
   for (KeyedRecord& record : planner_->outbox().Take()) {
     record.offset = offset_++;
@@ -281,6 +294,7 @@
 
 void PoolBed::StartRun(Worker* worker, const StartOrder& order, Time until) {
   std::string why;
+  worker->news = true;
   const std::optional<StartCall> call = worker->agent->PrepareStart(order, until, &why, now_);
   if (!call) return worker->agent->StartNotSent(order.run, why);
   OrderAnswer answer = OrderAnswer::kTaken;
@@ -322,8 +336,7 @@
   runs_.push_back({order.run, worker->spec.node, now_, {}, EndKind::kDone, false});
 }
 
-void PoolBed::TickAgent(Worker* worker) {
-  AgentState& agent = *worker->agent;
+void PoolBed::Announce(Worker* worker) {
   WorkerAnnouncement announcement;
   announcement.sequence = ++worker->sequence;
   announcement.facts.id = worker->spec.node + "/" + std::to_string(worker->born_ms);
@@ -333,24 +346,89 @@
   announcement.facts.labels = {"plain", worker->spec.rack};
   announcement.facts.capacity = worker->spec.capacity;
   announcement.facts.draining = worker->draining;
-  agent.TakeAnnouncement(announcement);
-  if (cut_.count(worker->spec.node) == 0) {
+  worker->agent->TakeAnnouncement(announcement);
+}
+
+void PoolBed::TakeOrders(Worker* worker, const AgentOrders& orders, Time sent) {
+  AgentState& agent = *worker->agent;
+  const AgentOrders todo = agent.TakeOrders(orders, sent, now_);
+  for (const RunId& stop : todo.stops) {
+    const auto live = worker->live.find(stop);
+    if (live != worker->live.end()) live->second.stop_at = now_ + bounds_.stop / kStopShare;
+    int64_t& newest = worker->newest_over[stop.task];
+    newest = std::max(newest, stop.number);
+    agent.TakeStopAnswer(stop, OrderAnswer::kTaken, now_);
+  }
+  for (const StartOrder& start : todo.starts) {
+    StartRun(worker, start, sent + orders.start_window);
+  }
+}
+
+void PoolBed::SendReport(Worker* worker) {
+  if (worker->news) {
+    worker->news = false;
+    mailbox_.push_back({worker->spec.node, worker->agent->Report(Duration::zero(), now_), now_});
+  }
+  const Duration patience = kPollPatience + std::min(2 * worker->planner_late, kLatePatience);
+  if (worker->poll_sent && now_ - *worker->poll_sent < patience) return;
+  worker->poll_sent = now_;
+  mailbox_.push_back({worker->spec.node, worker->agent->Report(kPollWait, now_), now_});
+}
+
+void PoolBed::ReadReports() {
+  for (int left = reports_per_tick_.value_or(0); left > 0 && !mailbox_.empty(); --left) {
+    SentReport sent = std::move(mailbox_.front());
+    mailbox_.pop_front();
+    planner_->TakeReport(sent.report, wall_ms(), now_);
+    if (sent.report.wait == Duration::zero()) {
+      Answer(sent);
+    } else {
+      const std::string node = sent.node;
+      held_[node] = {std::move(sent), now_ + kPollWait};
+    }
+  }
+  for (auto held = held_.begin(); held != held_.end();) {
+    const auto& [poll, until] = held->second;
+    if (now_ < until && !planner_->HasNews(poll.node)) {
+      ++held;
+      continue;
+    }
+    planner_->NoteAnswered(poll.node, now_);
+    Answer(poll);
+    held = held_.erase(held);
+  }
+}
+
+void PoolBed::Answer(const SentReport& sent) {
+  const AgentOrders orders = planner_->Orders(sent.node, now_);
+  Worker& to = worker(sent.node);
+  if (sent.report.wait > Duration::zero()) {
+    // The agent has given that connection up.
+    if (to.poll_sent != sent.sent) return;
+    to.poll_sent.reset();
+  }
+  to.planner_late = orders.late;
+  to.agent->ReportTaken(sent.report);
+  TakeOrders(&to, orders, sent.sent);
+}
+
+void PoolBed::TickAgent(Worker* worker) {
+  AgentState& agent = *worker->agent;
+  Announce(worker);
+  if (reports_per_tick_) {
+    SendReport(worker);
+  } else if (cut_.count(worker->spec.node) == 0) {
     const AgentReport report = agent.Report(Duration::zero(), now_);
     planner_->TakeReport(report, wall_ms(), now_);
     agent.ReportTaken(report);
     const AgentOrders orders = planner_->Orders(worker->spec.node, now_);
-    const AgentOrders todo = agent.TakeOrders(orders, now_, now_);
-    for (const RunId& stop : todo.stops) {
-      const auto live = worker->live.find(stop);
-      if (live != worker->live.end()) live->second.stop_at = now_ + bounds_.stop / kStopShare;
-      int64_t& newest = worker->newest_over[stop.task];
-      newest = std::max(newest, stop.number);
-      agent.TakeStopAnswer(stop, OrderAnswer::kTaken, now_);
-    }
-    for (const StartOrder& start : todo.starts) {
-      StartRun(worker, start, now_ + orders.start_window);
-    }
+    TakeOrders(worker, orders, now_);
   }
+  TickHold(worker);
+}
+
+void PoolBed::TickHold(Worker* worker) {
+  AgentState& agent = *worker->agent;
   if (ticks_ % kTicksBetweenHolds != 0 || agent.epoch() == 0) return;
   const HoldCall hold = agent.NextHold(Duration::zero(), now_);
   if (hold.fence < worker->fence) return;
@@ -368,7 +446,7 @@
     lists.running.push_back({run, live.checkpoint, percent});
   }
   for (const auto& [number, end] : worker->ended) lists.ended.push_back(end);
-  agent.TakeLists(lists, hold.fence, now_, now_);
+  worker->news = agent.TakeLists(lists, hold.fence, now_, now_) || worker->news;
 }
 
 StepSpec BedStep(int tasks, int accelerators, Duration estimate) {
--- a/tests/stand_ins/pool_bed.h
+++ b/tests/stand_ins/pool_bed.h
@@ -3,6 +3,7 @@
 // way.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,6 +75,13 @@
   void Drain(const std::string& node);
   // What runs at the worker makes no progress.
   void SetStuck(const std::string& node, bool stuck);
+  // The planner takes so many reports each hundredth of a second, in the order in which they came;
+  // the others wait. Agents poll each half second and, unanswered for 1.2 s, ask anew, as the real
+  // ones do; the report that they gave up is read all the same.
+  void SetReportsPerTick(int reports) { reports_per_tick_ = reports; }
+  // The planner does nothing at all.
+  void SetPlannerHeldUp(bool held_up) { planner_held_up_ = held_up; }
+  Duration planner_late() const { return planner_->late(); }
   // Appends are not answered.
   void SetStoreDown(bool down) { store_down_ = down; }
   void SetOperators(const OperatorState& operators);
@@ -83,6 +91,11 @@
 
  private:
   struct Worker;
+  struct SentReport {
+    std::string node;
+    AgentReport report;
+    Time sent{};
+  };
 
   void Tick();
   void TickStore();
@@ -90,6 +103,13 @@
   bool TicketHolds(const Worker& worker, const StartCall& call) const;
   void TickWorker(Worker* worker);
   void TickAgent(Worker* worker);
+  void Announce(Worker* worker);
+  void TakeOrders(Worker* worker, const AgentOrders& orders, Time sent);
+  // Agents and planner that talk by SetReportsPerTick.
+  void SendReport(Worker* worker);
+  void ReadReports();
+  void Answer(const SentReport& sent);
+  void TickHold(Worker* worker);
   void StartRun(Worker* worker, const StartOrder& order, Time until);
   void EndRun(Worker* worker, const RunId& run, EndKind how);
   void BreakGangs();
@@ -119,6 +139,12 @@
   int questions_ = 0;
   int tickets_refused_ = 0;
   std::set<std::string> cut_;
+  // Without a number every report is taken at once.
+  std::optional<int> reports_per_tick_;
+  bool planner_held_up_ = false;
+  std::deque<SentReport> mailbox_;
+  // Polls that wait for news, and until when.
+  std::map<std::string, std::pair<SentReport, Time>> held_;
   std::vector<BedRun> runs_;
   std::set<TaskId> done_;
   std::vector<std::string> violations_;
