Pool: Read a topic that changes all the time in fewer calls

After news the next read of the work topic now waits 2 ms for each entry that reads it (110 ms with 55 of them, 120 at most), the members' 0.4 s.

--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -51,7 +51,7 @@
   return silence > patience + head_start;
 }
 
-DutyKeeper::DutyKeeper(const DutyOptions& options, KeyedLog* log, const WorkView* work,
+DutyKeeper::DutyKeeper(const DutyOptions& options, KeyedLog* log, WorkView* work,
                        const MembersView* members, PlannerConnector* connector,
                        PlannerService* service)
     : options_(options),
@@ -122,6 +122,7 @@
   const EntryRecord self = {options_.node, options_.zone, options_.address,
                             options_.planning_capacity};
   const std::map<std::string, EntryRecord> entries = members_->entries();
+  work_->SetReaders(entries.size());
   const auto listed = entries.find(options_.node);
   if (listed != entries.end() && listed->second == self) return;
   try {
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -51,8 +51,8 @@
 
 class DutyKeeper {
  public:
-  DutyKeeper(const DutyOptions& options, KeyedLog* log, const WorkView* work,
-             const MembersView* members, PlannerConnector* connector, PlannerService* service);
+  DutyKeeper(const DutyOptions& options, KeyedLog* log, WorkView* work, const MembersView* members,
+             PlannerConnector* connector, PlannerService* service);
   ~DutyKeeper();
   DutyKeeper(const DutyKeeper&) = delete;
   DutyKeeper& operator=(const DutyKeeper&) = delete;
@@ -84,7 +84,7 @@
   const DutyOptions options_;
   const Duration patience_;
   KeyedLog* const log_;
-  const WorkView* const work_;
+  WorkView* const work_;
   const MembersView* const members_;
   PlannerConnector* const connector_;
   PlannerService* const service_;
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -1,5 +1,6 @@
 #include "servers/pool/pool_view.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/logging.h"
@@ -7,6 +8,14 @@
 namespace turmericshift::pool {
 namespace {
 
+// All entries together make some 500 reads a second of a topic that changes all the time, however
+// many they are.
+constexpr Duration kGapPerReader = std::chrono::milliseconds(2);
+// A planner's sign of life comes by this later, and has to come before it is taken for gone.
+constexpr Duration kLongestGap = std::chrono::milliseconds(120);
+// When all processes start, each of the members' records would otherwise be read apart by all.
+constexpr Duration kMembersGap = std::chrono::milliseconds(400);
+
 void LogBadRecord(const char* topic, const KeyedRecord& record, const Error& error) {
   LogEvent(
       LogLevel::kWarning, "record_skipped",
@@ -15,6 +24,10 @@
 
 }  // namespace
 
+void WorkView::SetReaders(size_t entries) {
+  follower_->SetGap(std::min(kGapPerReader * static_cast<int64_t>(entries), kLongestGap));
+}
+
 WorkView::WorkView(KeyedLog* log) {
   FollowerOptions options;
   options.topic = kWorkTopic;
@@ -138,6 +151,7 @@
   FollowerOptions options;
   options.topic = kMembersTopic;
   options.wait = wait;
+  options.gap = std::min(kMembersGap, wait);
   follower_ = std::make_unique<TopicFollower>(
       options, log, [this](const KeyedRecord& record) { TakeRecord(record); },
       [this](Offset /*end*/, Time asked) {
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -53,6 +53,8 @@
   std::optional<JobState> StateOf(const std::string& id) const;
   int Waiting(const std::string& queue) const;
   Freshness freshness() const;
+  // So many entries read the topic; each of them reads the less often the more they are.
+  void SetReaders(size_t entries);
 
  private:
   void TakeRecord(const KeyedRecord& record);
--- a/servers/pool/topic_follower.h
+++ b/servers/pool/topic_follower.h
@@ -20,6 +20,9 @@
   Duration patience = std::chrono::milliseconds(700);
   // Pause after a failed call: the store may be refusing everyone, and is not to be flooded.
   Duration pause = std::chrono::milliseconds(100);
+  // After news the next poll is sent no sooner than this, so that what comes in quick succession is
+  // read in one call.
+  Duration gap{};
 };
 
 class TopicFollower {
@@ -34,6 +37,8 @@
   TopicFollower(const FollowerOptions& options, KeyedLog* log, OnRecord on_record,
                 OnCaughtUp on_caught_up, OnRestart on_restart);
   ~TopicFollower();
+  // Changes FollowerOptions::gap.
+  void SetGap(Duration gap) { gap_.store(gap); }
   TopicFollower(const TopicFollower&) = delete;
   TopicFollower& operator=(const TopicFollower&) = delete;
 
@@ -41,7 +46,7 @@
   void Run();
   // Reads the newest record of each key; returns the offset to go on from.
   Offset ReadNewest();
-  // One long poll; returns the offset to go on from.
+  // One long poll, and the gap after news; returns the offset to go on from.
   Offset ReadOn(Offset from);
   void NoteFailure(const Error& error, Time now);
   void NoteSuccess(Time now);
@@ -52,6 +57,7 @@
   const OnCaughtUp on_caught_up_;
   const OnRestart on_restart_;
   std::atomic<bool> stopping_{false};
+  std::atomic<Duration> gap_;
   // When the store was lost; only the follower's thread uses it.
   std::optional<Time> lost_since_;
   Thread thread_;
--- a/servers/pool/topic_follower_test.cc
+++ b/servers/pool/topic_follower_test.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <thread>
 
 #include "modules/stand_ins/memory_keyed_log.h"
 
@@ -51,6 +52,38 @@
   EXPECT_LT(ages[2], kWait / 2);
 }
 
+class CountingLog : public MemoryKeyedLog {
+ public:
+  KeyedBatch Read(const std::string& topic, Offset from, Duration wait, Duration timeout) override {
+    reads.fetch_add(1);
+    return MemoryKeyedLog::Read(topic, from, wait, timeout);
+  }
+  std::atomic<int> reads{0};
+};
+
+// Hundreds of processes start at once and each writes a record. Each of the others woke for every
+// one of them, and the store had to answer the square of their number.
+TEST(TopicFollower, ReadsNewsThatComesInQuickSuccessionInOneCall) {
+  constexpr int kRecords = 200;
+  CountingLog log;
+  std::atomic<int> seen{0};
+  FollowerOptions options;
+  options.topic = "t";
+  options.wait = kWait;
+  options.gap = milliseconds(300);
+  {
+    const TopicFollower follower(
+        options, &log, [&](const KeyedRecord& /*record*/) { seen.fetch_add(1); },
+        [](Offset /*end*/, Time /*asked*/) {}, [] {});
+    while (log.reads.load() == 0) std::this_thread::yield();
+    for (int record = 0; record < kRecords; ++record) {
+      log.Append("t", {{std::to_string(record), "value"}}, {}, milliseconds(100));
+    }
+    while (seen.load() < kRecords) std::this_thread::yield();
+    EXPECT_LT(log.reads.load(), kRecords / 2);
+  }
+}
+
 // The store has dropped the history that the reader wanted to go on from. It starts again from the
 // newest record of each key and misses none.
 TEST(TopicFollower, StartsAgainWhenTheHistoryIsDropped) {
