--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -61,7 +61,6 @@
       members_(members),
       connector_(connector),
       service_(service),
-      reach_(options.node, options.zone, members, connector),
       in_touch_since_(LeaseClock().Now()),
       thread_("duty", [this] { Run(); }) {}
 
@@ -228,7 +227,7 @@
   if (!gone) {
     try {
       const PlannerRecord self = {service_->epoch(), options_.node, options_.address};
-      reach_.Connect(before, kAskTimeout, LeaseClock().Now())->Yield(self, kAskTimeout);
+      connector_->Connect(before.address, kAskTimeout)->Yield(self, kAskTimeout);
       gone = true;
     } catch (const Error& error) {
       // Only its own word counts: a refused connection may as well be a cut on the way.
--- a/servers/pool/duty_keeper.h
+++ b/servers/pool/duty_keeper.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "core/thread.h"
-#include "servers/pool/planner_reach.h"
 #include "servers/pool/planner_service.h"
 #include "servers/pool/planning_capacity.h"
 #include "servers/pool/pool_view.h"
@@ -88,7 +87,6 @@
   const MembersView* const members_;
   PlannerConnector* const connector_;
   PlannerService* const service_;
-  PlannerReach reach_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> leaving_{false};
   int64_t announced_epoch_ = 0;
