Pool: Go through another entry only where the planner is silent

A VM that refuses is reached: nobody else is asked. Where it is silent, two others are, and none once the planner has been followed: looking on kept agents from the successor for 0.9 s. The members' topic is read again after 1 ms for each member, 0.3 s at most, so that small pools hear of a new planner at once.

--- a/rpc/sockets.cc
+++ b/rpc/sockets.cc
@@ -58,13 +58,16 @@
   const int begun = connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   if (begun != 0) {
     pollfd waiting{fd, POLLOUT, 0};
-    int failure = 0;
+    int failure = errno;
     socklen_t size = sizeof(failure);
-    const bool answered = errno == EINPROGRESS && poll(&waiting, 1, limit_ms) == 1 &&
-                          getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size) == 0;
-    if (!answered || failure != 0) {
+    const bool under_way = failure == EINPROGRESS;
+    const bool silent = under_way && poll(&waiting, 1, limit_ms) != 1;
+    if (under_way && !silent) getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size);
+    if (silent || failure != 0) {
       close(fd);
-      throw Error(ErrorKind::kUnavailable, "nothing answers at " + ip + ":" + std::to_string(port));
+      const std::string peer = ip + ":" + std::to_string(port);
+      if (silent) throw Error(ErrorKind::kDeadlineExceeded, Outcome::kNotRun, peer + " is silent");
+      throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "nothing answers at " + peer);
     }
   }
   return fd;
--- a/rpc/sockets.h
+++ b/rpc/sockets.h
@@ -12,7 +12,7 @@
 int BoundPort(int fd);
 
 // Connects to `ip`:`port` within `limit_ms`; the socket does not block. Throws Error: kInvalidInput
-// for no IPv4 address, kUnavailable.
+// for no IPv4 address, kUnavailable where nobody listens, kDeadlineExceeded where nothing answers.
 int ConnectSocket(const std::string& ip, int port, int limit_ms);
 
 // Has the kernel give a connection up whose peer answers nothing: a VM without power sends no
--- a/servers/pool/planner_reach.cc
+++ b/servers/pool/planner_reach.cc
@@ -9,7 +9,7 @@
 namespace turmericshift::pool {
 namespace {
 
-constexpr size_t kRelaysTried = 3;
+constexpr size_t kRelaysTried = 2;
 constexpr Duration kRelayLimit = std::chrono::milliseconds(300);
 // After the straight way has failed it is left alone for so long.
 constexpr Duration kStraightAgainAfter = std::chrono::seconds(3);
@@ -41,14 +41,14 @@
                            const MembersView* members, PlannerConnector* connector)
     : node_(node), zone_(zone), members_(members), connector_(connector) {}
 
-bool PlannerReach::StraightFailedLately(const std::string& address, Time now) const {
+bool PlannerReach::StraightWasSilent(const PlannerRecord& planner, Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return address == failed_address_ && now - failed_at_ < kStraightAgainAfter;
+  return planner.epoch == silent_epoch_ && now - silent_at_ < kStraightAgainAfter;
 }
 
 std::shared_ptr<PlannerPort> PlannerReach::Connect(const PlannerRecord& planner, Duration limit,
                                                    Time now) {
-  if (StraightFailedLately(planner.address, now)) {
+  if (StraightWasSilent(planner, now)) {
     try {
       return ConnectThroughOthers(planner, limit);
     } catch (const Error& error) {
@@ -59,11 +59,13 @@
   try {
     return connector_->Connect(planner.address, limit);
   } catch (const Error& error) {
-    LogEvent(LogLevel::kInfo, "planner_unreached",
+    // A VM that refuses is reached; its process is not there for anybody.
+    if (error.kind() != ErrorKind::kDeadlineExceeded) throw;
+    LogEvent(LogLevel::kInfo, "planner_silent",
              {{"epoch", planner.epoch}, {"address", planner.address}, {"error", error.what()}});
     const std::lock_guard<std::mutex> lock(mutex_);
-    failed_address_ = planner.address;
-    failed_at_ = now;
+    silent_epoch_ = planner.epoch;
+    silent_at_ = now;
   }
   return ConnectThroughOthers(planner, limit);
 }
@@ -74,6 +76,8 @@
   if (relays.size() > kRelaysTried) relays.resize(kRelaysTried);
   std::string failure = "no entry is known that might reach the planner";
   for (const EntryRecord& relay : relays) {
+    // Most silent planners are gone, and followed within two seconds.
+    if (members_->planner().epoch > planner.epoch) break;
     try {
       std::shared_ptr<PlannerPort> port =
           connector_->ConnectThrough(relay.address, planner.epoch, std::min(limit, kRelayLimit));
--- a/servers/pool/planner_reach.h
+++ b/servers/pool/planner_reach.h
@@ -28,22 +28,22 @@
   PlannerReach(const std::string& node, const std::string& zone, const MembersView* members,
                PlannerConnector* connector);
 
-  // Throws Error(kUnavailable) when neither way leads there. Takes some three times `limit` at
-  // most.
+  // Other entries are asked where the planner's address is silent, not where it refuses. Takes some
+  // twice `limit` at most. Throws Error(kUnavailable) when neither way leads there.
   std::shared_ptr<PlannerPort> Connect(const PlannerRecord& planner, Duration limit, Time now);
 
  private:
   std::shared_ptr<PlannerPort> ConnectThroughOthers(const PlannerRecord& planner, Duration limit);
-  bool StraightFailedLately(const std::string& address, Time now) const;
+  bool StraightWasSilent(const PlannerRecord& planner, Time now) const;
 
   const std::string node_;
   const std::string zone_;
   const MembersView* const members_;
   PlannerConnector* const connector_;
   mutable std::mutex mutex_;
-  // The newest planner that could not be reached straight, and when that was tried.
-  std::string failed_address_;
-  Time failed_at_{};
+  // The newest planner to which the straight way was silent, and when that was tried.
+  int64_t silent_epoch_ = 0;
+  Time silent_at_{};
 };
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -14,7 +14,12 @@
 // A planner's sign of life comes by this later, and has to come before it is taken for gone.
 constexpr Duration kLongestGap = std::chrono::milliseconds(120);
 // When all processes start, each of the members' records would otherwise be read apart by all.
-constexpr Duration kMembersGap = std::chrono::milliseconds(400);
+constexpr Duration kGapPerMember = std::chrono::milliseconds(1);
+constexpr Duration kLongestMembersGap = std::chrono::milliseconds(300);
+
+Duration GapFor(size_t count, Duration each, Duration longest) {
+  return std::min(each * static_cast<int64_t>(count), longest);
+}
 
 void LogBadRecord(const char* topic, const KeyedRecord& record, const Error& error) {
   LogEvent(
@@ -24,13 +29,10 @@
 
 }  // namespace
 
-void WorkView::SetReaders(size_t entries) {
-  follower_->SetGap(std::min(kGapPerReader * static_cast<int64_t>(entries), kLongestGap));
-}
-
 WorkView::WorkView(KeyedLog* log) {
   FollowerOptions options;
   options.topic = kWorkTopic;
+  options.gap = [this] { return GapFor(readers_.load(), kGapPerReader, kLongestGap); };
   follower_ = std::make_unique<TopicFollower>(
       options, log, [this](const KeyedRecord& record) { TakeRecord(record); },
       [this](Offset end, Time asked) { CaughtUp(end, asked); }, [this] { Restart(); });
@@ -151,7 +153,7 @@
   FollowerOptions options;
   options.topic = kMembersTopic;
   options.wait = wait;
-  options.gap = std::min(kMembersGap, wait);
+  options.gap = [this] { return GapFor(size(), kGapPerMember, kLongestMembersGap); };
   follower_ = std::make_unique<TopicFollower>(
       options, log, [this](const KeyedRecord& record) { TakeRecord(record); },
       [this](Offset /*end*/, Time asked) {
@@ -219,6 +221,11 @@
   return agents_.size();
 }
 
+size_t MembersView::size() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return agents_.size() + entries_.size();
+}
+
 std::map<std::string, EntryRecord> MembersView::entries() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return entries_;
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -2,6 +2,7 @@
 // each with how fresh it is. Shared between threads.
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -54,7 +55,7 @@
   int Waiting(const std::string& queue) const;
   Freshness freshness() const;
   // So many entries read the topic; each of them reads the less often the more they are.
-  void SetReaders(size_t entries);
+  void SetReaders(size_t entries) { readers_.store(entries); }
 
  private:
   void TakeRecord(const KeyedRecord& record);
@@ -69,6 +70,7 @@
   Offset end_ = 0;
   Freshness freshness_;
   std::optional<Time> newest_record_at_;
+  std::atomic<size_t> readers_{0};
   // Last, so that it is stopped first.
   std::unique_ptr<TopicFollower> follower_;
 };
@@ -102,6 +104,8 @@
   PlannerRecord planner() const;
   std::set<std::string> agents() const;
   size_t agent_count() const;
+  // Agents and entries.
+  size_t size() const;
   // By node; an entry that is gone stays listed.
   std::map<std::string, EntryRecord> entries() const;
   Freshness freshness() const;
--- a/servers/pool/topic_follower.cc
+++ b/servers/pool/topic_follower.cc
@@ -14,7 +14,6 @@
       on_record_(std::move(on_record)),
       on_caught_up_(std::move(on_caught_up)),
       on_restart_(std::move(on_restart)),
-      gap_(options.gap),
       thread_("follow", [this] { Run(); }) {}
 
 TopicFollower::~TopicFollower() { stopping_.store(true); }
@@ -75,8 +74,7 @@
   const Duration sure_wait = wait * 9 / 10;
   const bool waited = batch.records.empty() && LeaseClock().Now() - asked >= sure_wait;
   on_caught_up_(next, waited ? asked + sure_wait : asked);
-  const Duration gap = gap_.load();
-  if (!batch.records.empty() && gap > Duration::zero()) std::this_thread::sleep_for(gap);
+  if (!batch.records.empty() && options_.gap) std::this_thread::sleep_for(options_.gap());
   return next;
 }
 
--- a/servers/pool/topic_follower.h
+++ b/servers/pool/topic_follower.h
@@ -22,7 +22,8 @@
   Duration pause = std::chrono::milliseconds(100);
   // After news the next poll is sent no sooner than this, so that what comes in quick succession is
   // read in one call.
-  Duration gap{};
+  // None while it is not set; called on the follower's thread.
+  std::function<Duration()> gap;
 };
 
 class TopicFollower {
@@ -37,8 +38,6 @@
   TopicFollower(const FollowerOptions& options, KeyedLog* log, OnRecord on_record,
                 OnCaughtUp on_caught_up, OnRestart on_restart);
   ~TopicFollower();
-  // Changes FollowerOptions::gap.
-  void SetGap(Duration gap) { gap_.store(gap); }
   TopicFollower(const TopicFollower&) = delete;
   TopicFollower& operator=(const TopicFollower&) = delete;
 
@@ -57,7 +56,6 @@
   const OnCaughtUp on_caught_up_;
   const OnRestart on_restart_;
   std::atomic<bool> stopping_{false};
-  std::atomic<Duration> gap_;
   // When the store was lost; only the follower's thread uses it.
   std::optional<Time> lost_since_;
   Thread thread_;
