--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -37,6 +37,9 @@
              std::function<void(Attempt<pool::Done>)> done) override {
     done({pool::Done(), std::nullopt});
   }
+  void Offer(std::function<void(Attempt<pool::Done>)> done) override {
+    done({pool::Done(), std::nullopt});
+  }
 };
 
 // Takes all descriptors that the process may still have, but for one, while it lives.
--- a/servers/burn/burn_format.cc
+++ b/servers/burn/burn_format.cc
@@ -115,8 +115,8 @@
             ", budget left " + Percent(row.budget_left) + ";";
     for (size_t index = 0; index < kWindowPairs.size(); ++index) {
       text += " ";
-      text += PairName(kWindowPairs.at(index)) + " " + Number(row.pairs.at(index).short_rate) + "/" +
-              Number(row.pairs.at(index).long_rate);
+      text += PairName(kWindowPairs.at(index)) + " " + Number(row.pairs.at(index).short_rate) +
+              "/" + Number(row.pairs.at(index).long_rate);
     }
     if (!row.causes.empty()) text += "; " + CausesText(row);
     text += "\n";
--- a/servers/pool/job_front_test.cc
+++ b/servers/pool/job_front_test.cc
@@ -40,6 +40,7 @@
   void Cancel(const std::string& /*id*/, std::function<void(Attempt<Done>)> /*done*/) override {}
   void Yield(const PlannerRecord& /*successor*/,
              std::function<void(Attempt<Done>)> /*done*/) override {}
+  void Offer(std::function<void(Attempt<Done>)> /*done*/) override {}
 
  private:
   std::atomic<int> submissions_{0};
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -34,11 +34,7 @@
   virtual void Yield(const PlannerRecord& successor, std::function<void(Attempt<Done>)> done) = 0;
   // The planner is too weak for the pool and asks whether this process would take the duty over
   // once it is free. Calls `done` with kConflict if it would not.
-  virtual void Offer(std::function<void(Attempt<Done>)> done) {
-    done(AttemptOf<Done>([]() -> Done {
-      throw Error(ErrorKind::kConflict, Outcome::kNotRun, "this process takes no duty over");
-    }));
-  }
+  virtual void Offer(std::function<void(Attempt<Done>)> done) = 0;
   // The newest planner that this process knows of; epoch 0 while it knows none.
   virtual PlannerRecord KnownPlanner() const { return {}; }
   // The newest planner that has told this process of itself; epoch 0 while none has.
