--- a/servers/pool/duty_keeper.cc
+++ b/servers/pool/duty_keeper.cc
@@ -22,7 +22,6 @@
 constexpr Duration kSettleFirst = std::chrono::seconds(1);
 constexpr Duration kOfferTimeout = std::chrono::milliseconds(150);
 constexpr size_t kOffersAtOnce = 2;
-constexpr Duration kReleaseLimit = std::chrono::milliseconds(900);
 
 // This entry's share of the spread: the same at all times, different between entries.
 Duration ShareOf(const std::string& node, Duration spread) {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -21,6 +21,9 @@
 
 namespace turmericshift::pool {
 
+// Giving the duty up in order takes this at most.
+inline constexpr Duration kReleaseLimit = std::chrono::milliseconds(900);
+
 struct PlannerServiceOptions {
   PlannerOptions planner;
   // A sign of life is written when nothing else has been for so long. Followers wait several times
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -8,7 +8,6 @@
 namespace turmericshift::pool {
 namespace {
 
-constexpr Duration kReleaseLimit = std::chrono::milliseconds(900);
 // For the last answers to go out.
 constexpr Duration kAnswerReserve = std::chrono::milliseconds(300);
 
