--- a/main/benches/bench_control.cc
+++ b/main/benches/bench_control.cc
@@ -208,7 +208,7 @@
   record.spec.workspace = "weekly-boxes";
   record.spec.key = "job-" + std::to_string(number);
   record.spec.payload = std::string(200, 'x');
-  record.zone = "a";
+  record.zone = std::string("a");
   return record;
 }
 
--- a/main/benches/bench_gangs.cc
+++ b/main/benches/bench_gangs.cc
@@ -57,7 +57,7 @@
     record.spec.shape = {1, int64_t{1} << 30, 4};
     record.spec.urgent = true;
     record.spec.payload = run_time;
-    record.zone = kZone;
+    record.zone = std::string(kZone);
     const Time begun = DefaultClock().Now();
     cluster_->log().Append("jobs", EncodeRecords({record}), {});
     const std::string job = JobId(kWorkspace, key);
@@ -121,7 +121,7 @@
     figures.back().aim = "below 1.2 s";
     figures.push_back(MachineFigure("start_after_planner_death", "s", takeovers));
     figures.push_back(MachineFigure("gang_kept_by_successor", "share", kept));
-    figures.back().aim = "1";
+    figures.back().aim = std::string("1");
     return figures;
   }
 };
--- a/servers/replay/replayer.h
+++ b/servers/replay/replayer.h
@@ -96,7 +96,7 @@
   Time NextTime() const;
   void Integrate(Time until);
   Duration SinceStart() const { return now_ - start_; }
-  std::string FreshId() { return "r" + std::to_string(next_sequence_); }
+  std::string FreshId() { return std::string("r").append(std::to_string(next_sequence_)); }
 
   const Trace trace_;
   const std::string policy_;
