--- a/tests/fuzz/parsers_fuzz.cc
+++ b/tests/fuzz/parsers_fuzz.cc
@@ -19,11 +19,14 @@
 namespace turmericshift {
 namespace {
 
+// The last of them stands for two.
+constexpr uint8_t kPlatformParsers = 8;
+
 // What comes from the users' platform and from the store.
 void ParsePlatform(uint8_t parser, const std::string& text) {
   pool::JobSpec spec;
   pool::OperatorState state;
-  switch (parser % 8) {
+  switch (parser % kPlatformParsers) {
     case 0:
       platform::DecodeJob(text, &spec);
       break;
@@ -46,7 +49,11 @@
       pool::DecodeProgress(text);
       break;
     default:
-      pool::DecodePlanner(text);
+      if (parser / kPlatformParsers % 2 == 1) {
+        pool::DecodeEntry(text);
+      } else {
+        pool::DecodePlanner(text);
+      }
       break;
   }
 }
