--- a/servers/pool/planner_lateness.cc
+++ b/servers/pool/planner_lateness.cc
@@ -16,7 +16,6 @@
 // once it is not.
 constexpr Duration kPaceEvery = std::chrono::milliseconds(300);
 constexpr int kLeastUnderWay = 16;
-constexpr int kMostUnderWay = 400;
 constexpr int kRaise = 32;
 
 }  // namespace
--- a/servers/pool/planner_lateness.h
+++ b/servers/pool/planner_lateness.h
@@ -31,6 +31,9 @@
   bool MayStartMore(int under_way) const { return under_way < most_under_way_; }
 
  private:
+  // A step of hundreds of tasks begins at once while the planner is in time.
+  static constexpr int kMostUnderWay = 400;
+
   void Pace(Time now);
 
   // When each agent was last left to act; in the future while its poll waits here.
@@ -38,7 +41,7 @@
   Duration late_{};
   Time updated_{};
   Time paced_{};
-  int most_under_way_ = 400;
+  int most_under_way_ = kMostUnderWay;
 };
 
 }  // namespace turmericshift::pool
