Rpc: Keep one link to the planner for callers that come at once

Read over once more: of agents that asked a relay at the same moment each opened a connection to the planner, and the later one replaced the link of the earlier, which cut the polls under way there. They share the link now. No test shows it failing before. The relay makes its socket address by the piece that ConnectSocket has.

--- a/rpc/planner_relay.h
+++ b/rpc/planner_relay.h
@@ -21,19 +21,21 @@
   kj::Promise<wire::PoolGate::Client> GateAt(const std::string& address);
 
  private:
-  struct Link {
+  struct PlannerLink {
     kj::Own<kj::AsyncIoStream> stream;
     kj::Own<capnp::TwoPartyClient> client;
     kj::Promise<void> watch = kj::READY_NOW;
     bool lost = false;
   };
 
-  wire::PoolGate::Client Take(const std::string& address, kj::Own<kj::AsyncIoStream> stream);
+  bool LinkedTo(const std::string& address) const;
+  wire::PoolGate::Client LinkedGate();
+  void Link(const std::string& address, kj::Own<kj::AsyncIoStream> stream);
 
   kj::LowLevelAsyncIoProvider* const provider_;
   // The newest planner that somebody has asked for.
   std::string address_;
-  kj::Own<Link> link_;
+  kj::Own<PlannerLink> link_;
 };
 
 }  // namespace turmericshift
--- a/rpc/sockets.cc
+++ b/rpc/sockets.cc
@@ -47,15 +47,20 @@
   return ntohs(address.sin_port);
 }
 
-int ConnectSocket(const std::string& ip, int port, int limit_ms) {
+sockaddr_in SocketAddress(const std::string& ip, int port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(port));
   if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
     throw Error(ErrorKind::kInvalidInput, ip + " is not an IPv4 address");
   }
+  return address;
+}
+
+int ConnectSocket(const std::string& ip, int port, int limit_ms) {
+  const sockaddr_in address = SocketAddress(ip, port);
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  const int begun = connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  const int begun = connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   if (begun != 0) {
     pollfd waiting{fd, POLLOUT, 0};
     int failure = errno;
--- a/rpc/sockets.h
+++ b/rpc/sockets.h
@@ -1,6 +1,8 @@
 // TCP sockets of sessions.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <string>
 
 namespace turmericshift {
@@ -11,6 +13,9 @@
 // The port that a listening socket got.
 int BoundPort(int fd);
 
+// Throws Error(kInvalidInput) for no IPv4 address.
+sockaddr_in SocketAddress(const std::string& ip, int port);
+
 // Connects to `ip`:`port` within `limit_ms`; the socket does not block. Throws Error: kInvalidInput
 // for no IPv4 address, kUnavailable where nobody listens, kDeadlineExceeded where nothing answers.
 int ConnectSocket(const std::string& ip, int port, int limit_ms);
