Core: Give connecting a limit of its own, and a port to one process alone

What callers saw: a call whose peer lets nobody in (frozen with a full queue, behind a cut) waited for the whole limit of its answer and was told "unknown", although nothing of it had left; an operator's command then asked no other entry.

Cause: one limit for connecting and answering; the library's time-out was taken for "may have run" also before the first byte. And HTTP ports were opened with SO_REUSEPORT (the HTTP library's meaning of "address reuse"), so that two processes could listen on one port and share its callers, a hung one among them.

Change: connecting has 2 s, as for sessions, within the call's limit; a call of which no byte has left is not_run.

--- a/core/http_client.cc
+++ b/core/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <strings.h>
 
+#include <algorithm>
 #include <memory>
 #include <mutex>
 
@@ -33,6 +34,12 @@
   return handle.get();
 }
 
+// At least 1, as the library takes 0 for no limit.
+long WholeMillis(Duration duration) {  // NOLINT(google-runtime-int): the library's type
+  const auto millis = duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<long>(std::max<int64_t>(1, millis));  // NOLINT(google-runtime-int)
+}
+
 size_t TakeBody(char* bytes, size_t size, size_t count, void* user) {
   auto* receiver = static_cast<Receiver*>(user);
   if (receiver->reply.body.size() + size * count > receiver->max_bytes) {
@@ -56,7 +63,15 @@
   return size * count;
 }
 
-[[noreturn]] void ThrowFor(CURLcode code, const HttpCall& call, const Receiver& receiver) {
+// Whether any byte of the request has left.
+bool HasSent(CURL* handle) {
+  long request_bytes = 0;  // NOLINT(google-runtime-int): the library's type
+  curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return request_bytes > 0;
+}
+
+[[noreturn]] void ThrowFor(CURLcode code, bool sent, const HttpCall& call,
+                           const Receiver& receiver) {
   const std::string what = call.method + " " + call.url + ": " + curl_easy_strerror(code);
   if (receiver.too_large) throw Error(ErrorKind::kAnswerCut, what + " (answer too large)");
   switch (code) {
@@ -67,7 +82,7 @@
     case CURLE_UNSUPPORTED_PROTOCOL:
       throw Error(ErrorKind::kInvalidInput, what);
     case CURLE_OPERATION_TIMEDOUT:
-      throw Error(ErrorKind::kDeadlineExceeded, Outcome::kUnknown, what);
+      throw Error(ErrorKind::kDeadlineExceeded, sent ? Outcome::kUnknown : Outcome::kNotRun, what);
     case CURLE_PARTIAL_FILE:
       throw Error(ErrorKind::kAnswerCut, Outcome::kUnknown, what);
     default:
@@ -95,8 +110,8 @@
   // Without this, a body of over 1 KiB waits a second for a "100 Continue" that few servers send.
   raw_list = curl_slist_append(raw_list, "Expect:");
   const std::unique_ptr<curl_slist, ListDeleter> list(raw_list);
-  const auto timeout_ms =
-      std::max<int64_t>(1, duration_cast<std::chrono::milliseconds>(call.timeout).count());
+  const long timeout_ms = WholeMillis(call.timeout);                              // NOLINT
+  const long connect_ms = std::min(timeout_ms, WholeMillis(call.connect_limit));  // NOLINT
   curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, list.get());
@@ -105,7 +120,8 @@
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
   curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_ms));  // NOLINT
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &TakeBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &receiver);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &TakeHeader);
@@ -116,7 +132,7 @@
                      static_cast<curl_off_t>(call.body.size()));
   }
   const CURLcode code = curl_easy_perform(handle);
-  if (code != CURLE_OK) ThrowFor(code, call, receiver);
+  if (code != CURLE_OK) ThrowFor(code, HasSent(handle), call, receiver);
   long status = 0;  // NOLINT(google-runtime-int): the library's type
   curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
   receiver.reply.status = static_cast<int>(status);
--- a/core/http_client.h
+++ b/core/http_client.h
@@ -20,6 +20,8 @@
   std::vector<HttpHeader> headers;
   std::string body;
   Duration timeout = std::chrono::seconds(10);
+  // Part of `timeout` within which the connection must stand.
+  Duration connect_limit = std::chrono::seconds(2);
   size_t max_answer_bytes = size_t{16} << 20;
   // Never reuses a connection. libcurl sends a request again by itself, also a POST, when a reused
   // connection ends before the first byte of the answer, and so might run it twice.
@@ -36,7 +38,8 @@
 };
 
 // Performs the call on the calling thread's own handle, which keeps its connection open.
-// Throws Error: kUnavailable with outcome not_run when no connection was made; kConnectionLost,
+// Throws Error: kUnavailable with outcome not_run when the connection was refused,
+// kDeadlineExceeded with not_run when none stood in time; kConnectionLost,
 // kDeadlineExceeded or kAnswerCut with outcome unknown when the request may have been received.
 HttpReply PerformHttp(const HttpCall& call);
 
--- /dev/null
+++ b/core/http_client_test.cc
@@ -0,0 +1,87 @@
+#include "core/http_client.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <vector>
+
+#include "core/error.h"
+#include "core/listen_socket.h"
+
+namespace turmericshift {
+namespace {
+
+HttpCall CallTo(int port) {
+  HttpCall call;
+  call.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+  return call;
+}
+
+// A peer whose queue of connections is full: those that come are not let in, and get no answer.
+class FullListener {
+ public:
+  FullListener() : listener_(ListenSocket("127.0.0.1", 0)) {
+    constexpr int kWaiting = 4;
+    listen(listener_, 0);
+    const sockaddr_in address = SocketAddress("127.0.0.1", port());
+    for (int i = 0; i < kWaiting; ++i) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+      waiting_.push_back(fd);
+    }
+  }
+  ~FullListener() {
+    for (const int fd : waiting_) close(fd);
+    close(listener_);
+  }
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+
+  int port() const { return BoundPort(listener_); }
+
+ private:
+  const int listener_;
+  std::vector<int> waiting_;
+};
+
+Error FailureOf(const HttpCall& call) {
+  try {
+    PerformHttp(call);
+  } catch (const Error& error) {
+    return error;
+  }
+  return {ErrorKind::kInternal, "the call went through"};
+}
+
+// A call that never reached its peer was told to have an unknown outcome, and was not sent elsewhere.
+TEST(HttpClientTest, WithoutAConnectionNothingWasRun) {
+  const FullListener peer;
+  HttpCall call = CallTo(peer.port());
+  call.timeout = std::chrono::milliseconds(100);
+  const Error failure = FailureOf(call);
+  EXPECT_EQ(failure.kind(), ErrorKind::kDeadlineExceeded);
+  EXPECT_EQ(failure.outcome(), Outcome::kNotRun);
+}
+
+// The limit for an answer of minutes must not hold up a call that finds no connection.
+TEST(HttpClientTest, AConnectionHasALimitOfItsOwn) {
+  const FullListener peer;
+  HttpCall call = CallTo(peer.port());
+  call.timeout = std::chrono::hours(1);
+  call.connect_limit = std::chrono::milliseconds(100);
+  EXPECT_EQ(FailureOf(call).outcome(), Outcome::kNotRun);
+}
+
+TEST(HttpClientTest, ARequestThatGotNoAnswerMayHaveRun) {
+  const int listener = ListenSocket("127.0.0.1", 0);
+  HttpCall call = CallTo(BoundPort(listener));
+  call.timeout = std::chrono::milliseconds(100);
+  const Error failure = FailureOf(call);
+  EXPECT_EQ(failure.kind(), ErrorKind::kDeadlineExceeded);
+  EXPECT_EQ(failure.outcome(), Outcome::kUnknown);
+  close(listener);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -1,6 +1,5 @@
 #include "core/http_server.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <linux/filter.h>
 #include <microhttpd.h>
@@ -19,6 +18,7 @@
 #include <thread>
 #include <utility>
 
+#include "core/listen_socket.h"
 #include "core/logging.h"
 
 namespace turmericshift {
@@ -215,26 +215,21 @@
     : state_(std::make_unique<State>()) {
   state_->options = options;
   state_->handler = std::move(handler);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(options.port));
-  if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
-    throw Error(ErrorKind::kInvalidInput, options.address + " is not an IPv4 address");
-  }
+  const int listener = ListenSocket(options.address, options.port);
   const unsigned flags =
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
   state_->daemon = MHD_start_daemon(
-      flags, 0, nullptr, nullptr, &State::OnAccess, state_.get(), MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_NOTIFY_COMPLETED, &State::OnCompleted, state_.get(), MHD_OPTION_NOTIFY_CONNECTION,
-      &State::OnConnection, state_.get(), MHD_OPTION_CONNECTION_LIMIT,
+      flags, 0, nullptr, nullptr, &State::OnAccess, state_.get(), MHD_OPTION_LISTEN_SOCKET,
+      listener, MHD_OPTION_NOTIFY_COMPLETED, &State::OnCompleted, state_.get(),
+      MHD_OPTION_NOTIFY_CONNECTION, &State::OnConnection, state_.get(), MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(options.max_connections), MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(options.idle_timeout.count()), MHD_OPTION_THREAD_STACK_SIZE,
-      options.stack_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      options.stack_bytes, MHD_OPTION_END);
   if (state_->daemon == nullptr) {
-    throw Error(ErrorKind::kUnavailable,
-                "can't listen on " + options.address + ":" + std::to_string(options.port));
+    close(listener);
+    throw Error(ErrorKind::kUnavailable, "the HTTP server does not start");
   }
-  port_ = MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  port_ = BoundPort(listener);
 }
 
 HttpServer::~HttpServer() {
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -1,8 +1,6 @@
 #include "core/http_server.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,6 +12,7 @@
 #include "core/digest.h"
 #include "core/error.h"
 #include "core/http_client.h"
+#include "core/listen_socket.h"
 
 namespace turmericshift {
 namespace {
@@ -30,17 +29,9 @@
   return call;
 }
 
-sockaddr_in LoopbackAddress(int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 int ConnectTo(int port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  const sockaddr_in address = LoopbackAddress(port);
+  const sockaddr_in address = SocketAddress("127.0.0.1", port);
   EXPECT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
   return fd;
 }
@@ -134,7 +125,7 @@
 void CallUntilRefused(int port, std::atomic<int>* unanswered) {
   while (true) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = LoopbackAddress(port);
+    const sockaddr_in address = SocketAddress("127.0.0.1", port);
     if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
       EXPECT_EQ(errno, ECONNREFUSED);
       close(fd);
--- a/rpc/gate_listener.cc
+++ b/rpc/gate_listener.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 #include "core/error.h"
+#include "core/listen_socket.h"
 #include "core/logging.h"
 #include "core/secret.h"
 #include "rpc/convert.h"
--- a/rpc/planner_relay.cc
+++ b/rpc/planner_relay.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include "core/listen_socket.h"
 #include "rpc/rpc_entry_connector.h"
 #include "rpc/sockets.h"
 
--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "core/listen_socket.h"
 #include "core/logging.h"
 #include "rpc/convert.h"
 #include "rpc/planner_relay.h"
--- a/rpc/sockets.cc
+++ b/rpc/sockets.cc
@@ -1,6 +1,5 @@
 #include "rpc/sockets.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -10,11 +9,11 @@
 #include <cerrno>
 
 #include "core/error.h"
+#include "core/listen_socket.h"
 
 namespace turmericshift {
 namespace {
 
-constexpr int kBacklog = 512;
 // Bytes sent and not acknowledged for so long end the connection.
 constexpr unsigned kUnacknowledgedMillis = 3000;
 // An idle connection is probed after this many seconds, and given up after so many probes.
@@ -24,39 +23,6 @@
 
 }  // namespace
 
-int ListenSocket(const std::string& address, int port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(static_cast<uint16_t>(port));
-  const bool valid = inet_pton(AF_INET, address.c_str(), &to.sin_addr) == 1;
-  if (!valid || bind(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)) != 0 ||
-      listen(fd, kBacklog) != 0) {
-    close(fd);
-    throw Error(ErrorKind::kUnavailable, "can't listen on " + address + ":" + std::to_string(port));
-  }
-  return fd;
-}
-
-int BoundPort(int fd) {
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  return ntohs(address.sin_port);
-}
-
-sockaddr_in SocketAddress(const std::string& ip, int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
-    throw Error(ErrorKind::kInvalidInput, ip + " is not an IPv4 address");
-  }
-  return address;
-}
-
 int ConnectSocket(const std::string& ip, int port, int limit_ms) {
   const sockaddr_in address = SocketAddress(ip, port);
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
--- a/rpc/sockets.h
+++ b/rpc/sockets.h
@@ -1,21 +1,10 @@
 // TCP sockets of sessions.
 #pragma once
 
-#include <netinet/in.h>
-
 #include <string>
 
 namespace turmericshift {
 
-// Listens on `address` (IPv4); port 0 lets the system choose. Throws Error(kUnavailable).
-int ListenSocket(const std::string& address, int port);
-
-// The port that a listening socket got.
-int BoundPort(int fd);
-
-// Throws Error(kInvalidInput) for no IPv4 address.
-sockaddr_in SocketAddress(const std::string& ip, int port);
-
 // Connects to `ip`:`port` within `limit_ms`; the socket does not block. Throws Error: kInvalidInput
 // for no IPv4 address, kUnavailable where nobody listens, kDeadlineExceeded where nothing answers.
 int ConnectSocket(const std::string& ip, int port, int limit_ms);
