Tests: Tell each step of a shell test and when it began and ended

The output of the operations_test that hung leaves 16 stops, 16 starts and 4 publishes open, since most steps drop what they print. Starts, stops, waits and commands now tell of themselves on the standard error that the test was started with; the tests stay as they are. A test that is cut off shows its last step. A process's log is emptied before the process runs: "listening" could be read from its predecessor's lines, and the port with it.

--- a/tests/process_lib.sh
+++ b/tests/process_lib.sh
@@ -13,9 +13,20 @@
 }
 trap cleanup EXIT
 
+# Where the steps are told; a command's own output may be dropped.
+exec {steps}>&2
+begun_us=${EPOCHREALTIME/[.,]/}
+
+# step WORDS...: tells what begins or has ended, and when. A test that is cut off shows where it was.
+step() {
+  local us=$((${EPOCHREALTIME/[.,]/} - begun_us))
+  printf '[%4d.%03d s] %s\n' $((us / 1000000)) $((us / 1000 % 1000)) "$*" >&"$steps"
+}
+
 # Runs the rest of the words every 50 ms until they succeed, for at most 30 s.
 await() {
-  local deadline=$((SECONDS + 30))
+  local deadline=$((SECONDS + 30)) tries=1 awaiting=yes
+  step "await $*"
   until "$@" >/dev/null 2>&1; do
     if [ $SECONDS -ge $deadline ]; then
       echo "did not come about: $*" >&2
@@ -23,7 +34,9 @@
       exit 1
     fi
     sleep 0.05
+    tries=$((tries + 1))
   done
+  step "came about at try $tries: $*"
 }
 
 # threads_of PID: each thread's name, state and place in the kernel.
@@ -57,16 +70,23 @@
 
 # stop NAME: a planned stop; the process's exit status.
 stop() {
+  local status=0
+  step "stop $1"
   kill -TERM "$(cat "$work/$1.pid")"
-  await_end "$1"
+  await_end "$1" || status=$?
+  step "ended with status $status: $1"
+  return $status
 }
 
 # start NAME WORDS...: starts a process whose log goes to NAME.log.
 start() {
   local name=$1
   shift
-  "$binary" "$@" >"$work/$name.log" 2>&1 &
+  # Emptied before the process runs: its predecessor's lines would be taken for its own.
+  : >"$work/$name.log"
+  "$binary" "$@" >"$work/$name.log" 2>&1 {steps}>&- &
   echo $! >"$work/$name.pid"
+  step "started $name"
 }
 
 # port NAME KIND: the port of that kind that the process listens on.
@@ -123,8 +143,17 @@
 }
 
 # The two below want $operators and $callers: "IP:port IP:port …".
-as_operator() { "$binary" "$@" --entries "$operators" --token-file "$work/operator"; }
-as_caller() { "$binary" "$@" --entries "$callers" --token-file "$work/token"; }
+as_operator() { command_step "$@" --entries "$operators" --token-file "$work/operator"; }
+as_caller() { command_step "$@" --entries "$callers" --token-file "$work/token"; }
+
+# command_step WORDS...: runs one command of the binary. An await tells of its tries itself.
+command_step() {
+  local status=0
+  [ -n "${awaiting:-}" ] || step "command: $1 ${2:-}"
+  "$binary" "$@" || status=$?
+  [ -n "${awaiting:-}" ] || step "status $status: $1 ${2:-}"
+  return $status
+}
 
 # document ZONE...: an environment with one worker in each zone, for workspace boxes and service
 # planner; its token is in $work/token.
