--- a/core/http_client_test.cc
+++ b/core/http_client_test.cc
@@ -27,7 +27,7 @@
     const sockaddr_in address = SocketAddress("127.0.0.1", port());
     for (int i = 0; i < kWaiting; ++i) {
       const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+      static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
       waiting_.push_back(fd);
     }
   }
@@ -54,7 +54,7 @@
   return {ErrorKind::kInternal, "the call went through"};
 }
 
-// A call that never reached its peer was told to have an unknown outcome, and was not sent elsewhere.
+// A call that never reached its peer was called unknown, and was not sent elsewhere.
 TEST(HttpClientTest, WithoutAConnectionNothingWasRun) {
   const FullListener peer;
   HttpCall call = CallTo(peer.port());
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -150,9 +150,9 @@
       answers.fetch_add(1);
       return Echo(request);
     });
-    std::vector<std::thread> callers;
-    for (int i = 0; i < kCallers; ++i) {
-      callers.emplace_back([&] { CallUntilRefused(server.port(), &unanswered); });
+    std::vector<std::thread> callers(kCallers);
+    for (std::thread& caller : callers) {
+      caller = std::thread([&] { CallUntilRefused(server.port(), &unanswered); });
     }
     while (answers.load() < kAnswersBeforeTheStop) std::this_thread::yield();
     server.StopAccepting();
