Main: Have operators' commands get past entries that do not answer

Cause: one limit of 90 s for every call, which held the wait for "in force" as well; silence was an outcome like any other, and an unknown outcome is not tried elsewhere, though every change but a request without a key could be settled.

Change: CallPlan decides which entries a call goes to. After a second of silence one more entry is asked, then two, four and so on, while the first may still answer; the first good answer counts, and the next call begins there. Changes of the configuration carry an id (`change`), under which a second copy takes effect once and gets the first one's answer, also where that is a conflict: a version names the change that made it, and a fold remembers the verdicts of its newest records for the writers of second copies. The change is told before the wait for "in force", which asks any entry. An entry of which no agent has heard for 5 s is "silent" and fails no wait: it acts through agents only. A promotion still wants all. `--timeout` bounds a command (30 s and `--wait`), status 4; an unknown outcome has status 5 and names the `--change` to send again. After 2 s of silence standard error tells who is asked.

--- a/core/error.cc
+++ b/core/error.cc
@@ -18,8 +18,8 @@
      "read the current state and decide again"},
     {ErrorKind::kImpossible, "impossible", 422, ExitCode::kFailed, Outcome::kNotRun, false,
      "ask for a shape that the environment can hold"},
-    {ErrorKind::kDeadlineExceeded, "deadline_exceeded", 504, ExitCode::kUnavailable,
-     Outcome::kUnknown, true, "send it again with a later deadline"},
+    {ErrorKind::kDeadlineExceeded, "deadline_exceeded", 504, ExitCode::kTimedOut, Outcome::kUnknown,
+     true, "send it again with a later deadline"},
     {ErrorKind::kCancelled, "cancelled", 499, ExitCode::kFailed, Outcome::kNotRun, false,
      "nothing; the caller gave up"},
     {ErrorKind::kOverloaded, "overloaded", 429, ExitCode::kUnavailable, Outcome::kNotRun, true,
@@ -36,7 +36,7 @@
      "nothing; a newer holder has taken over"},
     {ErrorKind::kStale, "stale", 503, ExitCode::kUnavailable, Outcome::kNotRun, true,
      "come back when the process has read the newest configuration"},
-    {ErrorKind::kConnectionLost, "connection_lost", 502, ExitCode::kUnavailable, Outcome::kUnknown,
+    {ErrorKind::kConnectionLost, "connection_lost", 502, ExitCode::kUnknown, Outcome::kUnknown,
      true, "ask again with the same idempotency key"},
     {ErrorKind::kTargetFailed, "target_failed", 502, ExitCode::kFailed, Outcome::kUnknown, false,
      "see the target's own log"},
@@ -54,6 +54,12 @@
 
 const ErrorAnswer& AnswerFor(ErrorKind kind) { return kAnswers.at(static_cast<size_t>(kind)); }
 
+ExitCode ExitCodeFor(const Error& error) {
+  const ExitCode code = AnswerFor(error.kind()).exit_code;
+  const bool says_not_run = code == ExitCode::kUnavailable;
+  return says_not_run && error.outcome() != Outcome::kNotRun ? ExitCode::kUnknown : code;
+}
+
 ErrorKind ErrorKindFromName(const std::string& name) {
   for (const ErrorAnswer& answer : kAnswers) {
     if (name == answer.name) return answer.kind;
--- a/core/error.h
+++ b/core/error.h
@@ -39,7 +39,17 @@
 enum class Outcome { kNotRun, kRan, kUnknown };
 
 // Exit codes of the binary, as documented in `turmericshift --help`.
-enum class ExitCode { kDone = 0, kFailed = 1, kUsage = 2, kUnavailable = 3 };
+enum class ExitCode {
+  kDone = 0,
+  kFailed = 1,
+  kUsage = 2,
+  // Nothing was done.
+  kUnavailable = 3,
+  // The time was up.
+  kTimedOut = 4,
+  // It may have been done or not.
+  kUnknown = 5,
+};
 
 // One row of the table from error kind to answer.
 struct ErrorAnswer {
@@ -58,6 +68,11 @@
 // The row of `kind`. Total: every kind has one.
 const ErrorAnswer& AnswerFor(ErrorKind kind);
 
+class Error;
+// What a command that ends with `error` exits with: the table's code, but never one that says
+// "nothing was done" of an outcome that isn't known.
+ExitCode ExitCodeFor(const Error& error);
+
 // The kind whose name is `name`; kInternal for a name that is none of ours.
 ErrorKind ErrorKindFromName(const std::string& name);
 
--- a/core/error_test.cc
+++ b/core/error_test.cc
@@ -25,5 +25,15 @@
   EXPECT_EQ(OutcomeFromName("not_run"), Outcome::kNotRun);
 }
 
+// The help says of status 3 that nothing was done; an entry that was lost may have done it.
+TEST(ErrorTest, AnUnknownOutcomeNeverExitsAsNotRun) {
+  const Error log_silent(ErrorKind::kLogUnavailable, Outcome::kUnknown, "no answer");
+  const Error log_away(ErrorKind::kLogUnavailable, Outcome::kNotRun, "refused");
+  EXPECT_EQ(ExitCodeFor(log_silent), ExitCode::kUnknown);
+  EXPECT_EQ(ExitCodeFor(log_away), ExitCode::kUnavailable);
+  EXPECT_EQ(ExitCodeFor(Error(ErrorKind::kConnectionLost, "reset")), ExitCode::kUnknown);
+  EXPECT_EQ(ExitCodeFor(Error(ErrorKind::kDeadlineExceeded, "silent")), ExitCode::kTimedOut);
+}
+
 }  // namespace
 }  // namespace turmericshift
--- a/main/commands.cc
+++ b/main/commands.cc
@@ -49,7 +49,7 @@
     }
     std::printf("\nexample:\n  %s %s --help\n", prefix.c_str(), commands.front().name.c_str());
     std::printf("\nexit codes: 0 done, 1 the thing asked for failed, 2 bad input or usage,\n");
-    std::printf("            3 unavailable, so not run\n");
+    std::printf("            3 unavailable, so not run, 4 the time was up, 5 outcome unknown\n");
     return words.empty() ? ExitCode::kUsage : ExitCode::kDone;
   }
   for (const Command& command : commands) {
--- a/main/commands/api_client.cc
+++ b/main/commands/api_client.cc
@@ -1,18 +1,23 @@
 #include "main/commands/api_client.h"
 
+#include <condition_variable>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
+#include <mutex>
 #include <sstream>
+#include <utility>
 
+#include "core/attempt.h"
 #include "core/error.h"
 #include "core/http_client.h"
+#include "core/thread.h"
 #include "core/units.h"
 
 namespace turmericshift {
 namespace {
 
-// Longer than any wait that the API allows.
-constexpr Duration kLongestAnswer = std::chrono::seconds(90);
+constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
 constexpr int kFirstErrorStatus = 400;
 
 std::string OptionOrVariable(const CommandOptions& options, const std::string& option,
@@ -24,6 +29,11 @@
   throw Error(ErrorKind::kInvalidInput, "give --" + option + " or set " + variable);
 }
 
+Time EndOf(const CommandOptions& options, Time now, Duration extra) {
+  const std::string timeout = options.value("timeout");
+  return now + (timeout.empty() ? kDefaultTimeout + extra : ParseDuration(timeout));
+}
+
 Error ErrorFromReply(const HttpReply& reply) {
   const nlohmann::json json = nlohmann::json::parse(reply.body, nullptr, false);
   if (!json.is_object()) {
@@ -33,49 +43,58 @@
           json.value("detail", "")};
 }
 
-}  // namespace
-
-void AddApiOptions(CommandOptions* options) {
-  options->Value("entries", "entries to ask, 'IP:port IP:port …'")
-      .Value("token-file", "file that holds the token")
-      .Flag("json", "print JSON");
-}
-
-void AddWaitOption(CommandOptions* options, const std::string& default_wait) {
-  options->Value("wait", "wait until it is in force everywhere, at most so long", default_wait);
+HttpReply PerformOrThrow(const HttpCall& call) {
+  HttpReply reply = PerformHttp(call);
+  if (reply.status >= kFirstErrorStatus) throw ErrorFromReply(reply);
+  return reply;
 }
 
-std::string WaitArgument(const CommandOptions& options) {
-  const auto wait = duration_cast<std::chrono::milliseconds>(ParseDuration(options.value("wait")));
-  return "&wait_ms=" + std::to_string(wait.count());
-}
+}  // namespace
 
-ExitCode PrintInForce(const CommandOptions& options, const nlohmann::json& answer) {
-  const nlohmann::json in_force = answer.value("in_force", nlohmann::json::object());
-  const bool complete = in_force.value("complete", false);
-  if (!options.flag("json")) {
-    const nlohmann::json zones = in_force.value("zones", nlohmann::json::object());
-    for (const auto& [name, zone] : zones.items()) {
-      std::printf("  %-20s in force at %d agents and %d entries", name.c_str(),
-                  zone.value("agents_in_force", 0), zone.value("entries_in_force", 0));
-      for (const nlohmann::json& behind : zone.value("behind", nlohmann::json::array())) {
-        std::printf(", not at %s", behind.get<std::string>().c_str());
-      }
-      std::printf("\n");
+// What entries have answered to one call. Shared with the threads that ask, which may outlive it.
+struct ApiClient::Answers {
+  struct Answer {
+    size_t entry = 0;
+    Attempt<HttpReply> reply;
+  };
+
+  void Put(Answer answer) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      list.push_back(std::move(answer));
     }
+    changed.notify_all();
   }
-  for (const nlohmann::json& warning : answer.value("warnings", nlohmann::json::array())) {
-    std::fprintf(stderr, "warning: %s\n", warning.get<std::string>().c_str());
+
+  // The next answer, if one comes until then.
+  std::optional<Answer> WaitUntil(Time limit) {
+    std::unique_lock<std::mutex> lock(mutex);
+    changed.wait_until(lock, limit, [this] { return !list.empty(); });
+    if (list.empty()) return std::nullopt;
+    Answer answer = std::move(list.front());
+    list.pop_front();
+    return answer;
   }
-  const bool waited = ParseDuration(options.value("wait")) > Duration::zero();
-  return waited && !complete ? ExitCode::kFailed : ExitCode::kDone;
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<Answer> list;
+};
+
+void AddApiOptions(CommandOptions* options) {
+  options->Value("entries", "entries to ask, 'IP:port IP:port …'")
+      .Value("token-file", "file that holds the token")
+      .Value("timeout", "the command ends by then, with status 4; default: 30s, and --wait on top")
+      .Flag("json", "print JSON");
 }
 
-ApiClient::ApiClient(const CommandOptions& options)
+ApiClient::ApiClient(const CommandOptions& options, Time now, Duration extra)
     : ApiClient(OptionOrVariable(options, "entries", "TURMERICSHIFT_ENTRIES"),
-                OptionOrVariable(options, "token-file", "TURMERICSHIFT_TOKEN_FILE")) {}
+                OptionOrVariable(options, "token-file", "TURMERICSHIFT_TOKEN_FILE"),
+                EndOf(options, now, extra)) {}
 
-ApiClient::ApiClient(const std::string& entries, const std::string& token_file) {
+ApiClient::ApiClient(const std::string& entries, const std::string& token_file, Time until)
+    : until_(until) {
   std::istringstream words(entries);
   std::string word;
   while (words >> word) entries_.push_back(word);
@@ -84,35 +103,68 @@
   token_ = lines.front();
 }
 
-nlohmann::json ApiClient::Call(const std::string& method, const std::string& path,
-                               const std::string& body) const {
+nlohmann::json ApiClient::Read(const std::string& path) {
+  return CallJson("GET", path, "", CallKind::kRead);
+}
+
+nlohmann::json ApiClient::Change(const std::string& method, const std::string& path,
+                                 const std::string& body) {
+  return CallJson(method, path, body, CallKind::kRepeatable);
+}
+
+nlohmann::json ApiClient::CallJson(const std::string& method, const std::string& path,
+                                   const std::string& body, CallKind kind) {
   HttpCall call;
   call.method = method;
   call.body = body;
-  call.timeout = kLongestAnswer;
-  nlohmann::json json = nlohmann::json::parse(Perform(call, path).body, nullptr, false);
+  CallLimits limits;
+  limits.patience = patience_;
+  limits.total = until_ - DefaultClock().Now();
+  nlohmann::json json =
+      nlohmann::json::parse(Perform(call, path, kind, limits).body, nullptr, false);
   if (json.is_discarded()) throw Error(ErrorKind::kInternal, "the entry's answer is no JSON");
   return json;
 }
 
-HttpReply ApiClient::Perform(HttpCall call, const std::string& path) const {
+HttpReply ApiClient::Perform(HttpCall call, const std::string& path, CallKind kind,
+                             CallLimits limits) {
   call.headers.push_back({"Authorization", "Bearer " + token_});
-  Error last(ErrorKind::kUnavailable, "no entry is named");
-  for (const std::string& entry : entries_) {
-    try {
-      call.url = "http://";
-      call.url += entry;
-      call.url += path;
-      HttpReply reply = PerformHttp(call);
-      if (reply.status >= kFirstErrorStatus) throw ErrorFromReply(reply);
-      return reply;
-    } catch (const Error& error) {
-      const bool next = error.outcome() == Outcome::kNotRun && AnswerFor(error.kind()).retryable;
-      if (!next) throw;
-      last = error;
+  const Time begun = DefaultClock().Now();
+  const auto answers = std::make_shared<Answers>();
+  CallPlan plan(entries_.size(), first_, kind, limits, begun);
+  while (true) {
+    const Time now = DefaultClock().Now();
+    for (const size_t entry : plan.TakeDue(now)) {
+      Ask(answers, entry, call, path, begun + limits.total - now);
     }
+    if (plan.over(now)) throw plan.failure(now);
+    if (plan.TakeNotice(now)) TellSilence(plan, call.method + " " + path);
+    std::optional<Answers::Answer> answer = answers->WaitUntil(plan.next_look());
+    if (!answer) continue;
+    if (!answer->reply.error) {
+      first_ = answer->entry;
+      return answer->reply.Take();
+    }
+    plan.Failed(answer->entry, *answer->reply.error);
   }
-  throw last;
+}
+
+void ApiClient::Ask(const std::shared_ptr<Answers>& answers, size_t entry, const HttpCall& call,
+                    const std::string& path, Duration left) const {
+  HttpCall own = call;
+  own.url = "http://" + entries_[entry] + path;
+  own.timeout = left;
+  Thread thread("ask-entry", [answers, entry, own] {
+    answers->Put({entry, AttemptOf<HttpReply>([&own] { return PerformOrThrow(own); })});
+  });
+  thread.Detach();
+}
+
+void ApiClient::TellSilence(const CallPlan& plan, const std::string& what) const {
+  std::string who;
+  for (const size_t entry : plan.silent()) who += " " + entries_[entry];
+  std::fprintf(stderr, "no answer yet to %s from%s\n", what.substr(0, what.find('?')).c_str(),
+               who.c_str());
 }
 
 std::string UrlEscape(const std::string& text) {
--- /dev/null
+++ b/main/commands/config_change.cc
@@ -0,0 +1,96 @@
+#include "main/commands/config_change.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <thread>
+
+#include "core/secret.h"
+#include "core/units.h"
+
+namespace turmericshift {
+namespace {
+
+constexpr size_t kIdBytes = 16;
+constexpr Duration kLookPause = std::chrono::milliseconds(100);
+
+using Json = nlohmann::json;
+
+std::string IdOf(const CommandOptions& options) {
+  const std::string given = options.value("change");
+  return given.empty() ? RandomHex(kIdBytes) : given;
+}
+
+void PrintNames(const char* what, const Json& names) {
+  for (const Json& name : names) std::printf(", %s %s", what, name.get<std::string>().c_str());
+}
+
+}  // namespace
+
+void ConfigChange::AddOptions(CommandOptions* options, const std::string& default_wait) {
+  options->Value("wait", "wait until it is in force everywhere, at most so long", default_wait)
+      .Value("change", "id of the change; sent again under its id it takes effect once");
+}
+
+Duration ConfigChange::WaitOf(const CommandOptions& options) {
+  return ParseDuration(options.value("wait"));
+}
+
+ConfigChange::ConfigChange(const CommandOptions& options, ApiClient* client)
+    : options_(options), client_(client), id_(IdOf(options)) {}
+
+Json ConfigChange::Post(const std::string& path, const std::string& query,
+                        const std::string& body) {
+  try {
+    Json answer =
+        client_->Change("POST", path + query + "&wait_ms=0&change=" + UrlEscape(id_), body);
+    for (const Json& warning : answer.value("warnings", Json::array())) {
+      std::fprintf(stderr, "warning: %s\n", warning.get<std::string>().c_str());
+    }
+    return answer;
+  } catch (const Error& error) {
+    if (error.outcome() != Outcome::kUnknown) throw;
+    throw Error(error.kind(), error.outcome(),
+                std::string(error.what()) +
+                    "\n  it may have been done, or be done later; send it again with --change " +
+                    id_);
+  }
+}
+
+ExitCode ConfigChange::WaitInForce(const Json& accepted, Time now) {
+  const Duration wait = WaitOf(options_);
+  const Time limit = std::min(now + wait, client_->until());
+  const auto version = accepted.value("version", int64_t{0});
+  Json in_force = accepted.value("in_force", Json::object());
+  std::fflush(stdout);
+  while (!InForceWhereHeard(in_force) && DefaultClock().Now() + kLookPause < limit) {
+    std::this_thread::sleep_for(kLookPause);
+    in_force = ReportOf(version);
+  }
+  if (!options_.flag("json")) Print(in_force);
+  if (wait == Duration::zero() || InForceWhereHeard(in_force)) return ExitCode::kDone;
+  return now + wait > client_->until() ? ExitCode::kTimedOut : ExitCode::kFailed;
+}
+
+Json ConfigChange::ReportOf(int64_t version) {
+  return client_->Read("/v1/config/in-force?version=" + std::to_string(version));
+}
+
+void ConfigChange::Print(const Json& in_force) const {
+  const Json zones = in_force.value("zones", Json::object());
+  for (const auto& [name, zone] : zones.items()) {
+    std::printf("  %-20s in force at %d agents and %d entries", name.c_str(),
+                zone.value("agents_in_force", 0), zone.value("entries_in_force", 0));
+    PrintNames("not at", zone.value("behind", Json::array()));
+    PrintNames("silent:", zone.value("silent", Json::array()));
+    std::printf("\n");
+  }
+}
+
+bool InForceWhereHeard(const Json& in_force) {
+  const Json zones = in_force.value("zones", Json::object());
+  return !zones.empty() && std::all_of(zones.begin(), zones.end(), [](const Json& zone) {
+    return zone.value("behind", Json::array()).empty();
+  });
+}
+
+}  // namespace turmericshift
--- a/main/commands/config_command.cc
+++ b/main/commands/config_command.cc
@@ -1,11 +1,11 @@
 // turmericshift config check|publish|promote|show|history
 #include <cstdio>
-#include <thread>
 
 #include "core/digest.h"
 #include "core/units.h"
 #include "main/commands.h"
 #include "main/commands/api_client.h"
+#include "main/commands/config_change.h"
 #include "servers/config/environment.h"
 #include "servers/config/guarantee_check.h"
 
@@ -49,9 +49,9 @@
 }
 
 // The version that the present one has; 0 before the first.
-int64_t PresentVersion(const ApiClient& client) {
+int64_t PresentVersion(ApiClient* client) {
   try {
-    return client.Call("GET", kConfigPath).value("version", int64_t{0});
+    return client->Read(kConfigPath).value("version", int64_t{0});
   } catch (const Error& error) {
     if (error.kind() == ErrorKind::kNotFound) return 0;
     throw;
@@ -59,23 +59,24 @@
 }
 
 // The query of a publication, from the options that `publish` and `promote` share.
-std::string PublishQuery(const CommandOptions& options, const ApiClient& client) {
+std::string PublishQuery(const CommandOptions& options, ApiClient* client) {
   const std::string parent = options.value("parent").empty()
                                  ? std::to_string(PresentVersion(client))
                                  : options.value("parent");
-  std::string query = "?parent=" + UrlEscape(parent) +
-                      "&author=" + UrlEscape(options.value("author")) + WaitArgument(options);
+  std::string query =
+      "?parent=" + UrlEscape(parent) + "&author=" + UrlEscape(options.value("author"));
   if (!options.value("zone-states").empty()) {
     query += "&zone_states=" + UrlEscape(options.value("zone-states"));
   }
   return query;
 }
 
-ExitCode Send(const CommandOptions& options, const ApiClient& client, const std::string& query,
+ExitCode Send(const CommandOptions& options, ApiClient* client, const std::string& query,
               const std::string& text) {
-  const nlohmann::json answer = client.Call("POST", kConfigPath + query, text);
+  ConfigChange change(options, client);
+  const nlohmann::json answer = change.Post(kConfigPath, query, text);
   Print(options, answer);
-  return PrintInForce(options, answer);
+  return change.WaitInForce(answer, DefaultClock().Now());
 }
 
 ExitCode Publish(const Words& words) {
@@ -85,12 +86,12 @@
   options.Value("author", "who publishes", "operator")
       .Value("parent", "version that the document was made from; default: the present one");
   options.Value("zone-states", "replace: the document may change zones' states; keep: it may not");
-  AddWaitOption(&options);
+  ConfigChange::AddOptions(&options, "0s");
   if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
   const std::string text = ReadFileText(options.operands()[0]);
   ParseEnvironment(options.operands()[0], text);
-  const ApiClient client(options);
-  return Send(options, client, PublishQuery(options, client), text);
+  ApiClient client(options, DefaultClock().Now(), ConfigChange::WaitOf(options));
+  return Send(options, &client, PublishQuery(options, &client), text);
 }
 
 ExitCode Promote(const Words& words) {
@@ -106,17 +107,17 @@
       .Value("from-token-file", "file that holds that environment's operator token");
   options.Value("zone-states", "replace: the document may change zones' states; keep: it may not",
                 "keep");
-  AddWaitOption(&options);
+  ConfigChange::AddOptions(&options, "0s");
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
-  const ApiClient trial(options.value("from-entries"), options.value("from-token-file"));
-  const nlohmann::json shown = trial.Call("GET", kConfigPath);
+  ApiClient client(options, DefaultClock().Now(), ConfigChange::WaitOf(options));
+  ApiClient trial(options.value("from-entries"), options.value("from-token-file"), client.until());
+  const nlohmann::json shown = trial.Read(kConfigPath);
   const std::string version = std::to_string(shown.value("version", int64_t{0}));
   const nlohmann::json statement =
-      trial.Call("GET", std::string(kConfigPath) + "/statement?version=" + version);
-  const ApiClient client(options);
-  const std::string query = PublishQuery(options, client) + "&trial_version=" + version +
+      trial.Read(std::string(kConfigPath) + "/statement?version=" + version);
+  const std::string query = PublishQuery(options, &client) + "&trial_version=" + version +
                             "&trial_proof=" + UrlEscape(statement.value("proof", ""));
-  return Send(options, client, query, shown.value("text", ""));
+  return Send(options, &client, query, shown.value("text", ""));
 }
 
 ExitCode Show(const Words& words) {
@@ -127,7 +128,7 @@
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
   const std::string version = options.value("version");
   const std::string path = version.empty() ? "" : "/versions/" + UrlEscape(version);
-  const nlohmann::json answer = ApiClient(options).Call("GET", kConfigPath + path);
+  const nlohmann::json answer = ApiClient(options, DefaultClock().Now()).Read(kConfigPath + path);
   if (options.flag("json")) {
     Print(options, answer);
   } else {
@@ -141,7 +142,8 @@
                          "turmericshift config history --json");
   AddApiOptions(&options);
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
-  Print(options, ApiClient(options).Call("GET", std::string(kConfigPath) + "/history"));
+  Print(options,
+        ApiClient(options, DefaultClock().Now()).Read(std::string(kConfigPath) + "/history"));
   return ExitCode::kDone;
 }
 
--- a/main/commands/job_command.cc
+++ b/main/commands/job_command.cc
@@ -38,7 +38,7 @@
   const std::string text = ReadFileText(options.operands()[0], kMaxJobFileBytes);
   // Checked here too, so that a mistake is found without an entry.
   ParseJobSpec(text);
-  Print(options, ApiClient(options).Call("POST", kJobsPath, text));
+  Print(options, ApiClient(options, DefaultClock().Now()).Change("POST", kJobsPath, text));
   return ExitCode::kDone;
 }
 
@@ -48,7 +48,7 @@
   AddApiOptions(&options);
   if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
   const std::string path = std::string(kJobsPath) + "/" + UrlEscape(options.operands()[0]);
-  Print(options, ApiClient(options).Call("GET", path));
+  Print(options, ApiClient(options, DefaultClock().Now()).Read(path));
   return ExitCode::kDone;
 }
 
@@ -57,7 +57,7 @@
                          "turmericshift job list --json");
   AddApiOptions(&options);
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
-  Print(options, ApiClient(options).Call("GET", kJobsPath));
+  Print(options, ApiClient(options, DefaultClock().Now()).Read(kJobsPath));
   return ExitCode::kDone;
 }
 
@@ -66,9 +66,9 @@
                          "turmericshift job cancel weekly-boxes recipe-batch");
   AddApiOptions(&options);
   if (!options.Parse(words, 1, 10000)) return ExitCode::kDone;
-  const ApiClient client(options);
+  ApiClient client(options, DefaultClock().Now());
   for (const std::string& key : options.operands()) {
-    Print(options, client.Call("DELETE", std::string(kJobsPath) + "/" + UrlEscape(key)));
+    Print(options, client.Change("DELETE", std::string(kJobsPath) + "/" + UrlEscape(key)));
   }
   return ExitCode::kDone;
 }
--- a/main/commands/operator_commands.cc
+++ b/main/commands/operator_commands.cc
@@ -4,6 +4,7 @@
 #include "core/secret.h"
 #include "main/commands.h"
 #include "main/commands/api_client.h"
+#include "main/commands/config_change.h"
 #include "servers/config/environment.h"
 
 namespace turmericshift {
@@ -17,19 +18,20 @@
                          "turmericshift zone " + state + " --author ilona buda-a");
   AddApiOptions(&options);
   options.Value("author", "who asks for it", "operator");
-  AddWaitOption(&options, "5s");
+  ConfigChange::AddOptions(&options, "5s");
   if (!options.Parse(words, 1, 1)) return ExitCode::kDone;
   const std::string& zone = options.operands()[0];
-  const nlohmann::json answer = ApiClient(options).Call(
-      "POST", "/v1/zones/" + UrlEscape(zone) + "/" + state +
-                  "?author=" + UrlEscape(options.value("author")) + WaitArgument(options));
+  ApiClient client(options, DefaultClock().Now(), ConfigChange::WaitOf(options));
+  ConfigChange change(options, &client);
+  const nlohmann::json answer = change.Post("/v1/zones/" + UrlEscape(zone) + "/" + state,
+                                            "?author=" + UrlEscape(options.value("author")), "");
   if (options.flag("json")) {
     std::printf("%s\n", answer.dump(2).c_str());
   } else {
     std::printf("availability zone %s is %s as of version %d\n", zone.c_str(), state.c_str(),
                 answer.value("version", 0));
   }
-  return PrintInForce(options, answer);
+  return change.WaitInForce(answer, DefaultClock().Now());
 }
 
 ExitCode ZoneOut(const Words& words) { return SetZone("out", words); }
@@ -39,7 +41,7 @@
   CommandOptions options("zone show", "list the availability zones", "", "turmericshift zone show");
   AddApiOptions(&options);
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
-  const nlohmann::json config = ApiClient(options).Call("GET", "/v1/config");
+  const nlohmann::json config = ApiClient(options, DefaultClock().Now()).Read("/v1/config");
   const Environment environment = ParseEnvironment("document in force", config.value("text", ""));
   nlohmann::json zones = nlohmann::json::object();
   for (const auto& [name, zone] : environment.zones) zones[name] = zone.in ? "in" : "out";
@@ -66,7 +68,7 @@
   CommandOptions options("status", "show what an entry knows", "", "turmericshift status --json");
   AddApiOptions(&options);
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
-  const nlohmann::json status = ApiClient(options).Call("GET", "/v1/status");
+  const nlohmann::json status = ApiClient(options, DefaultClock().Now()).Read("/v1/status");
   if (options.flag("json")) {
     std::printf("%s\n", status.dump(2).c_str());
     return ExitCode::kDone;
--- a/main/main.cc
+++ b/main/main.cc
@@ -8,28 +8,36 @@
 #include "main/commands.h"
 #include "main/register_modules.h"
 
-int main(int argc, char** argv) {
-  using turmericshift::AnswerFor;
-  using turmericshift::Commands;
-  using turmericshift::Dispatch;
-  using turmericshift::ErrorKind;
-  using turmericshift::Words;
-  // Before anything else: the platform may tell a daemon of changed settings while it starts.
-  if (argc > 1 && turmericshift::IsDaemon(argv[1])) turmericshift::IgnoreHangUpAndPipe();
-  turmericshift::InstallCrashReport();
+namespace turmericshift {
+namespace {
+
+ExitCode Run(int argc, char** argv) {
   try {
     // Roles that serve replace the identity with their own.
-    turmericshift::InitLogging("turmericshift", {"command", "", ""});
-    turmericshift::RegisterModules();
+    InitLogging("turmericshift", {"command", "", ""});
+    RegisterModules();
     const Words words(argv + 1, argv + argc);
-    return static_cast<int>(Dispatch("turmericshift", Commands(), words));
-  } catch (const turmericshift::Error& error) {
-    const turmericshift::ErrorAnswer& answer = AnswerFor(error.kind());
+    return Dispatch("turmericshift", Commands(), words);
+  } catch (const Error& error) {
+    const ErrorAnswer& answer = AnswerFor(error.kind());
     std::fprintf(stderr, "turmericshift: %s\n  (%s, %s; next: %s)\n", error.what(), answer.name,
                  OutcomeName(error.outcome()), answer.advice);
-    return static_cast<int>(answer.exit_code);
+    return ExitCodeFor(error);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "turmericshift: %s\n", error.what());
-    return static_cast<int>(AnswerFor(ErrorKind::kInternal).exit_code);
+    return AnswerFor(ErrorKind::kInternal).exit_code;
   }
 }
+
+}  // namespace
+}  // namespace turmericshift
+
+int main(int argc, char** argv) {
+  // Before anything else: the platform may tell a daemon of changed settings while it starts.
+  if (argc > 1 && turmericshift::IsDaemon(argv[1])) turmericshift::IgnoreHangUpAndPipe();
+  turmericshift::InstallCrashReport();
+  const turmericshift::ExitCode code = turmericshift::Run(argc, argv);
+  std::fflush(nullptr);
+  // Threads that still wait for a silent entry must not meet the end of what they use.
+  turmericshift::EndProcess(static_cast<int>(code));
+}
--- a/servers/entry/config_api.cc
+++ b/servers/entry/config_api.cc
@@ -1,6 +1,7 @@
 #include "servers/entry/config_api.h"
 
 #include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -20,12 +21,14 @@
 constexpr int64_t kLongestWaitMs = 60000;
 // An operator who takes a zone out wants to know that it is out.
 constexpr int64_t kZoneWaitMs = 5000;
+constexpr size_t kMostChangeIdBytes = 64;
 constexpr const char* kConfigPath = "/v1/config";
 constexpr const char* kVersionsPath = "/v1/config/versions/";
 constexpr const char* kZonesPath = "/v1/zones/";
 
 nlohmann::json VersionJson(const ConfigVersion& version) {
   return {{"version", version.version},
+          {"change", version.change},
           {"digest", version.digest},
           {"author", version.author},
           {"published_ms", version.wall_ms}};
@@ -152,11 +155,24 @@
   }
 }
 
+std::string ConfigApi::ChangeId(const HttpRequest& request) {
+  const std::string change = request.argument("change");
+  if (change.empty()) return NewRecordId();
+  const bool plain = std::all_of(change.begin(), change.end(), [](unsigned char letter) {
+    return std::isalnum(letter) != 0 || letter == '-';
+  });
+  if (!plain || change.size() > kMostChangeIdBytes) {
+    throw Error(ErrorKind::kInvalidInput, "a change's id has letters, digits and '-', at most " +
+                                              std::to_string(kMostChangeIdBytes));
+  }
+  return change;
+}
+
 HttpResponse ConfigApi::Publish(const HttpRequest& request) {
   const Environment environment = ParseEnvironment("document", request.body);
   RequireGuarantees("document", CheckGuarantees(environment));
   ConfigPublished record;
-  record.id = NewRecordId();
+  record.id = ChangeId(request);
   record.parent = RequiredNumber(request, "parent");
   record.version = record.parent + 1;
   record.text = request.body;
@@ -177,12 +193,9 @@
   if (state != "in" && state != "out") {
     throw Error(ErrorKind::kInvalidInput, "use /v1/zones/NAME/in or /v1/zones/NAME/out");
   }
-  ZoneChanged record{NewRecordId(),
-                     rest.substr(0, slash),
-                     state == "in",
-                     request.argument("author"),
-                     DefaultClock().WallMillis(),
-                     entry_->options_.environment};
+  ZoneChanged record{
+      ChangeId(request),          rest.substr(0, slash),       state == "in",
+      request.argument("author"), DefaultClock().WallMillis(), entry_->options_.environment};
   if (Current()->environment->FindZone(record.zone) == nullptr) {
     throw Error(ErrorKind::kNotFound, "no availability zone named '" + record.zone + "'");
   }
@@ -190,20 +203,34 @@
 }
 
 std::shared_ptr<const ConfigVersion> ConfigApi::Accept(const Record& record) {
-  const Written written = entry_->config_stream_.Write(record, kRecordTimeout);
-  if (!written.verdict.accepted) throw Error(ErrorKind::kConflict, written.verdict.reason);
-  std::shared_ptr<const ConfigVersion> accepted = Current();
-  for (const auto& version : entry_->config_fold_.history()) {
-    if (version->sequence == written.sequence) accepted = version;
-  }
+  if (auto earlier = entry_->config_fold_.FindChange(RecordId(record))) return earlier;
+  std::shared_ptr<const ConfigVersion> accepted = Write(record);
   LogEvent(LogLevel::kInfo, "config_accepted",
            {{"version", accepted->version},
+            {"change", accepted->change},
             {"digest", accepted->digest},
             {"author", accepted->author},
             {"zones_out", accepted->environment->ZonesOut()}});
   return accepted;
 }
 
+std::shared_ptr<const ConfigVersion> ConfigApi::Write(const Record& record) {
+  try {
+    const Written written = entry_->config_stream_.Write(record, kRecordTimeout);
+    if (!written.verdict.accepted) throw Error(ErrorKind::kConflict, written.verdict.reason);
+  } catch (const Error& error) {
+    // A copy that another entry sent may have been applied just before this one was awaited.
+    auto earlier = entry_->config_fold_.FindChange(RecordId(record));
+    if (!earlier) throw;
+    LogEvent(LogLevel::kInfo, "config_change_found",
+             {{"change", earlier->change}, {"error", error.what()}});
+    return earlier;
+  }
+  // Newer than the history only if so many changes came at once that it has left it again.
+  auto accepted = entry_->config_fold_.FindChange(RecordId(record));
+  return accepted ? accepted : Current();
+}
+
 HttpResponse ConfigApi::AnswerAccepted(const HttpRequest& request, const ConfigVersion& version,
                                        int64_t default_wait_ms) const {
   const std::string wait = request.argument("wait_ms");
--- a/servers/entry/config_api.h
+++ b/servers/entry/config_api.h
@@ -10,9 +10,10 @@
 //        &zone_states=keep              zones stay in or out as they are, whatever it says
 //        &trial_version=&trial_proof=   the trial's statement, where promotion asks for one
 //        &wait_ms=M                     answers once all have it in force, at most after M
+//        &change=ID                     sent again under its ID, to any entry, it takes effect once
 //   GET  /v1/config/statement?version=N says, provably, that all of this environment has N in force
 //   POST /v1/zones/NAME/out             takes the zone out on whatever document is newest
-//   POST /v1/zones/NAME/in              brings it back; both take author and wait_ms
+//   POST /v1/zones/NAME/in              brings it back; both take author, wait_ms and change
 #pragma once
 
 #include <memory>
@@ -54,8 +55,12 @@
   // The current version. Throws Error(kNotFound).
   std::shared_ptr<const ConfigVersion> Current() const;
   InForceReport Report(int64_t version) const;
-  // Writes the record; returns the version it made. Throws Error(kConflict) if it is void.
+  // The id that the request gives its change; a new one if it gives none. Throws Error.
+  static std::string ChangeId(const HttpRequest& request);
+  // Writes the record; returns the version it made, also when an earlier copy made it. Throws
+  // Error(kConflict) if it is void.
   std::shared_ptr<const ConfigVersion> Accept(const Record& record);
+  std::shared_ptr<const ConfigVersion> Write(const Record& record);
   // Waits until all have the version, at most as long as the request says, and answers.
   HttpResponse AnswerAccepted(const HttpRequest& request, const ConfigVersion& version,
                               int64_t default_wait_ms) const;
--- a/servers/entry/config_api_test.cc
+++ b/servers/entry/config_api_test.cc
@@ -143,6 +143,77 @@
   EXPECT_EQ(after.at("zones").at("a").at("entries_in_force"), 1);
 }
 
+// An operator's command sends a change to a second entry when the first one is silent.
+TEST(ConfigApiTest, AChangeSentToTwoEntriesTakesEffectOnce) {
+  MemoryLog log;
+  TestEntry one(&log, "", "one");
+  TestEntry two(&log, "", "two");
+  const std::string publish = "/v1/config?parent=0&change=first";
+  EXPECT_EQ(one.Call("POST", publish, Document()).json.at("version"), 1);
+  const Answer again = two.Call("POST", publish, Document());
+  EXPECT_EQ(again.status, 201);
+  EXPECT_EQ(again.json.at("version"), 1);
+  EXPECT_EQ(again.json.at("change"), "first");
+  const std::string out = "/v1/zones/a/out?wait_ms=0&change=second";
+  EXPECT_EQ(two.Call("POST", out).json.at("version"), 2);
+  EXPECT_EQ(one.Call("POST", out).json.at("version"), 2);
+  EXPECT_EQ(one.Call("GET", "/v1/config/history").json.size(), 2U);
+}
+
+// The first entry wakes up and sends the change once more, after another operator has undone it.
+TEST(ConfigApiTest, ALateCopyOfAChangeUndoesNothing) {
+  MemoryLog log;
+  TestEntry one(&log, "", "one");
+  TestEntry two(&log, "", "two");
+  one.Call("POST", "/v1/config?parent=0", Document());
+  const std::string out = "/v1/zones/a/out?wait_ms=0&change=out";
+  EXPECT_EQ(two.Call("POST", out).status, 201);
+  EXPECT_EQ(two.Call("POST", "/v1/zones/a/in?wait_ms=0").json.at("version"), 3);
+  EXPECT_EQ(one.Call("POST", out).json.at("version"), 2);
+  EXPECT_EQ(one.Call("GET", "/v1/config").json.at("version"), 3);
+}
+
+// A change that was void is void for every entry that is asked for it, also when it would not be
+// now.
+TEST(ConfigApiTest, AVoidChangeIsVoidAtEveryEntry) {
+  MemoryLog log;
+  TestEntry one(&log, "", "one");
+  TestEntry two(&log, "", "two");
+  one.Call("POST", "/v1/config?parent=0", Document());
+  const std::string in = "/v1/zones/a/in?wait_ms=0&change=in";
+  const Answer first = one.Call("POST", in);
+  EXPECT_EQ(first.status, 409);
+  EXPECT_EQ(one.Call("POST", "/v1/zones/a/out?wait_ms=0").status, 201);
+  const Answer second = two.Call("POST", in);
+  EXPECT_EQ(second.status, 409);
+  EXPECT_EQ(second.json.at("detail"), first.json.at("detail"));
+  EXPECT_EQ(two.Call("GET", "/v1/config").json.at("version"), 2);
+}
+
+TEST(ConfigApiTest, IdsOfChangesAreShortAndPlain) {
+  MemoryLog log;
+  TestEntry one(&log, "", "one");
+  EXPECT_EQ(one.Call("POST", "/v1/config?parent=0&change=a%20b", Document()).status, 400);
+  const std::string longest(64, 'x');
+  EXPECT_EQ(one.Call("POST", "/v1/config?parent=0&change=x" + longest, Document()).status, 400);
+  EXPECT_EQ(one.Call("POST", "/v1/config?parent=0&change=" + longest, Document()).status, 201);
+}
+
+// An entry that hangs held up every wait for "in force", though it can do nothing without agents.
+TEST(ConfigApiTest, AnEntryOfWhichNoAgentHearsIsNamedAsSilent) {
+  MemoryLog log;
+  TestEntry one(&log, "", "one");
+  const TestEntry two(&log, "", "two");
+  one.Beat(0);
+  ASSERT_EQ(one.Call("POST", "/v1/config?parent=0", Document()).status, 201);
+  one.Beat(1);
+  const nlohmann::json report = one.Call("GET", "/v1/config/in-force?version=1").json;
+  EXPECT_EQ(report.at("zones").at("a").at("silent"), nlohmann::json({"two"}));
+  EXPECT_TRUE(report.at("zones").at("a").at("behind").empty());
+  // For a promotion everybody must have it.
+  EXPECT_FALSE(report.at("complete").get<bool>());
+}
+
 // A document that no trial ran must not reach production, whatever an operator types.
 TEST(ConfigApiTest, ProductionTakesOnlyWhatTheTrialHadInForce) {
   MemoryLog trial_log;
--- a/servers/entry/in_force.cc
+++ b/servers/entry/in_force.cc
@@ -6,8 +6,9 @@
 namespace turmericshift {
 
 bool InForceReport::complete() const {
-  return !zones.empty() && std::all_of(zones.begin(), zones.end(),
-                                       [](const auto& zone) { return zone.second.behind.empty(); });
+  return !zones.empty() && std::all_of(zones.begin(), zones.end(), [](const auto& zone) {
+    return zone.second.behind.empty() && zone.second.silent.empty();
+  });
 }
 
 std::string InForceReport::ToJson() const {
@@ -15,7 +16,8 @@
   for (const auto& [name, zone] : zones) {
     list[name] = {{"agents_in_force", zone.agents},
                   {"entries_in_force", zone.entries},
-                  {"behind", zone.behind}};
+                  {"behind", zone.behind},
+                  {"silent", zone.silent}};
   }
   return nlohmann::json({{"version", version}, {"complete", complete()}, {"zones", list}}).dump();
 }
@@ -36,11 +38,12 @@
   }
   for (const MemberJoined& member : members) {
     ZoneInForce& zone = report.zones[member.zone];
-    const bool has = std::any_of(peers.begin(), peers.end(), [&](const PeerState& peer) {
-      return peer.entry.process == member.process && peer.config_version >= version &&
-             now - peer.heard <= kInForceSilence;
+    const auto peer = std::find_if(peers.begin(), peers.end(), [&](const PeerState& each) {
+      return each.entry.process == member.process && now - each.heard <= kInForceSilence;
     });
-    if (has) {
+    if (peer == peers.end()) {
+      zone.silent.push_back(member.process);
+    } else if (peer->config_version >= version) {
       ++zone.entries;
     } else {
       zone.behind.push_back(member.process);
--- a/servers/entry/in_force.h
+++ b/servers/entry/in_force.h
@@ -14,20 +14,24 @@
 struct ZoneInForce {
   int agents = 0;
   int entries = 0;
-  // Process names of agents and entries that run an older version, or were not heard of late.
+  // Process names of entries that run an older version, and of agents that do or were not heard of
+  // late.
   std::vector<std::string> behind;
+  // Entries of which no agent has heard of late. Entries act through agents only, and read the log
+  // before they serve again.
+  std::vector<std::string> silent;
 };
 
 struct InForceReport {
   int64_t version = 0;
   std::map<std::string, ZoneInForce> zones;
 
-  // Nobody known is behind, and at least one process has it.
+  // Nobody known is behind or silent, and at least one process has it.
   bool complete() const;
   std::string ToJson() const;
 };
 
-// An agent or entry counts as behind unless it was heard within kInForceSilence.
+// Heard of late: within this.
 inline constexpr Duration kInForceSilence = std::chrono::seconds(5);
 
 InForceReport ReportInForce(int64_t version, const std::vector<AgentState>& agents,
--- a/servers/state/config_fold.cc
+++ b/servers/state/config_fold.cc
@@ -63,6 +63,7 @@
   version.wall_ms = published.wall_ms;
   version.text = published.text;
   version.sequence = sequence;
+  version.change = published.id;
   version.environment = std::make_shared<const Environment>(
       ParseEnvironment("version " + std::to_string(published.version), published.text));
   if (before != nullptr) {
@@ -98,6 +99,7 @@
   version.wall_ms = change.wall_ms;
   version.text = WithZoneState(before->text, change.zone, change.in);
   version.sequence = sequence;
+  version.change = change.id;
   Append(std::move(version));
   return {};
 }
@@ -132,6 +134,7 @@
                         {"author", version->author},
                         {"wall_ms", version->wall_ms},
                         {"sequence", version->sequence},
+                        {"change", version->change},
                         {"text", version->text}});
   }
   return {{"environment", environment_name_}, {"versions", versions}};
@@ -147,6 +150,7 @@
     version.author = each.at("author").get<std::string>();
     version.wall_ms = each.at("wall_ms").get<int64_t>();
     version.sequence = each.at("sequence").get<Sequence>();
+    version.change = each.value("change", "");
     version.text = each.at("text").get<std::string>();
     Append(std::move(version));
   }
@@ -170,6 +174,14 @@
   return nullptr;
 }
 
+std::shared_ptr<const ConfigVersion> ConfigFold::FindChange(const std::string& change) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const auto& each : history_) {
+    if (!change.empty() && each->change == change) return each;
+  }
+  return nullptr;
+}
+
 std::string ConfigFold::environment_name() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return environment_name_;
--- a/servers/state/config_fold.h
+++ b/servers/state/config_fold.h
@@ -20,6 +20,7 @@
   std::string text;
   // Of the record that made this version.
   Sequence sequence = kNoSequence;
+  std::string change;
   // Never null once a version was accepted.
   std::shared_ptr<const Environment> environment;
 };
@@ -36,6 +37,8 @@
   std::vector<std::shared_ptr<const ConfigVersion>> history() const;
   // Null when the version is not in the history.
   std::shared_ptr<const ConfigVersion> Find(int64_t version) const;
+  // The version that the record of this id made; null when none in the history.
+  std::shared_ptr<const ConfigVersion> FindChange(const std::string& change) const;
   // Name of the environment whose documents this stream holds; "" while none was given.
   std::string environment_name() const;
   // Waits until a version of at least `version` is in force here; returns whether it is.
--- a/servers/state/fold_host.cc
+++ b/servers/state/fold_host.cc
@@ -5,13 +5,34 @@
 #include "core/error.h"
 
 namespace turmericshift {
+namespace {
+
+constexpr size_t kRecentVerdicts = 256;
+
+}  // namespace
+
+void FoldHost::RecentVerdicts::Add(const std::string& id, const Written& written) {
+  known_[id] = written;
+  order_.push_back(id);
+  if (order_.size() <= kRecentVerdicts) return;
+  known_.erase(order_.front());
+  order_.pop_front();
+}
+
+const Written* FoldHost::RecentVerdicts::Find(const std::string& id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? nullptr : &found->second;
+}
 
 std::vector<AppliedRecord> FoldHost::Apply(const LogEntry& entry) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<AppliedRecord> applied;
   for (const PlacedRecord& placed : DecodeRecords(entry.bytes)) {
     const std::string& id = RecordId(placed.record);
-    if (!window_.Add(id)) continue;
+    if (!window_.Add(id)) {
+      if (const Written* first = recent_.Find(id)) applied.push_back({id, *first, true});
+      continue;
+    }
     const Sequence sequence = SequenceOf(entry.offset, placed.place);
     if (const auto* part = std::get_if<SnapshotPart>(&placed.record)) {
       if (const auto whole = assembler_.Add(*part)) {
@@ -21,6 +42,7 @@
       continue;
     }
     applied.push_back({id, {sequence, fold_->Apply(placed.record, sequence)}});
+    recent_.Add(id, applied.back().written);
   }
   next_ = entry.offset + 1;
   return applied;
--- a/servers/state/fold_host.h
+++ b/servers/state/fold_host.h
@@ -2,9 +2,11 @@
 // No threads and no log here, so that tests can cut a stream anywhere.
 #pragma once
 
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "servers/platform/log_service.h"
@@ -22,7 +24,9 @@
 
 struct AppliedRecord {
   std::string id;
+  // Of the first copy, if this is a repeated one.
   Written written;
+  bool repeated = false;
 };
 
 class FoldHost {
@@ -30,7 +34,8 @@
   // `fold` must outlive the host.
   FoldHost(const std::string& stream, Fold* fold) : stream_(stream), fold_(fold) {}
 
-  // The entry must be the one at next(). Returns its records, without repeated ones.
+  // The entry must be the one at next(). Returns its records; repeated ones only if the first copy
+  // was applied here a short while ago.
   std::vector<AppliedRecord> Apply(const LogEntry& entry);
 
   // The state after every entry before next().
@@ -47,12 +52,25 @@
   SnapshotState newest_snapshot() const;
 
  private:
+  // What became of the newest records, for the writers of second copies.
+  class RecentVerdicts {
+   public:
+    void Add(const std::string& id, const Written& written);
+    // Null for one that is not known.
+    const Written* Find(const std::string& id) const;
+
+   private:
+    std::deque<std::string> order_;
+    std::unordered_map<std::string, Written> known_;
+  };
+
   const std::string stream_;
   Fold* const fold_;
   // Held while the fold changes, so that a snapshot belongs to one offset.
   mutable std::mutex mutex_;
   Offset next_ = 0;
   RecordWindow window_;
+  RecentVerdicts recent_;
   SnapshotAssembler assembler_;
   SnapshotState newest_snapshot_;
 };
--- /dev/null
+++ b/servers/state/fold_host_test.cc
@@ -0,0 +1,58 @@
+#include "servers/state/fold_host.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace turmericshift {
+namespace {
+
+// Takes in the first record of each author.
+class OncePerAuthor : public Fold {
+ public:
+  FoldVerdict Apply(const Record& record, Sequence /*sequence*/) override {
+    const bool first = std::get<ZoneChanged>(record).author != last_;
+    last_ = std::get<ZoneChanged>(record).author;
+    return first ? FoldVerdict{} : FoldVerdict{false, "again by " + last_};
+  }
+  nlohmann::json Snapshot() const override { return last_; }
+  void Restore(const nlohmann::json& state) override { last_ = state.get<std::string>(); }
+
+ private:
+  std::string last_;
+};
+
+LogEntry EntryOf(Offset offset, const std::string& id, const std::string& author) {
+  return {offset, EncodeRecords({ZoneChanged{id, "a", true, author, 0, ""}})};
+}
+
+// A change was sent to two entries; the writer of the second copy waited in vain for its record.
+TEST(FoldHostTest, ASecondCopyCarriesTheVerdictOfTheFirst) {
+  OncePerAuthor fold;
+  FoldHost host("config", &fold);
+  host.Apply(EntryOf(0, "one", "kati"));
+  host.Apply(EntryOf(1, "two", "kati"));
+  host.Apply(EntryOf(2, "three", "angus"));
+  const std::vector<AppliedRecord> again = host.Apply(EntryOf(3, "two", "kati"));
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_TRUE(again[0].repeated);
+  EXPECT_FALSE(again[0].written.verdict.accepted);
+  EXPECT_EQ(again[0].written.verdict.reason, "again by kati");
+  EXPECT_EQ(again[0].written.sequence, SequenceOf(1, 0));
+  EXPECT_EQ(fold.Snapshot(), "angus");
+}
+
+// Memory must not grow with the stream.
+TEST(FoldHostTest, VerdictsOfLongAgoAreForgotten) {
+  OncePerAuthor fold;
+  FoldHost host("config", &fold);
+  constexpr Offset kMany = 1000;
+  for (Offset offset = 0; offset < kMany; ++offset) {
+    host.Apply(EntryOf(offset, "id" + std::to_string(offset), "kati"));
+  }
+  EXPECT_TRUE(host.Apply(EntryOf(kMany, "id0", "kati")).empty());
+  EXPECT_EQ(host.Apply(EntryOf(kMany + 1, "id999", "kati")).size(), 1U);
+}
+
+}  // namespace
+}  // namespace turmericshift
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -284,7 +284,7 @@
   const std::vector<AppliedRecord> applied = host_.Apply(entry);
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const AppliedRecord& record : applied) {
-    if (!record.written.verdict.accepted) voids_->Add();
+    if (!record.written.verdict.accepted && !record.repeated) voids_->Add();
     const auto found = waiting_.find(record.id);
     if (found == waiting_.end()) continue;
     found->second->written = record.written;
