Soak: Give operators' commands while entries are frozen, killed, stopped and cut off

Checked: each command ends within 10 s and is settled, as long as one entry serves; a change said done is in the history as the version that was told, one said not done never is; versions have no gaps and no change makes two.

--- /dev/null
+++ b/tests/soak/operator_history.cc
@@ -0,0 +1,81 @@
+#include "tests/soak/operator_history.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/error.h"
+
+namespace turmericshift::soak {
+namespace {
+
+// For a command, however many entries are silent; its wait for "in force" included.
+constexpr Duration kCommandBound = std::chrono::seconds(10);
+
+constexpr auto kDone = static_cast<int>(ExitCode::kDone);
+constexpr auto kFailed = static_cast<int>(ExitCode::kFailed);
+
+std::string Describe(const CommandEnd& end) {
+  return end.what + " (change '" + end.change + "', status " + std::to_string(end.status) +
+         ", version " + std::to_string(end.version) + ", " + std::to_string(Seconds(end.took)) +
+         " s)";
+}
+
+}  // namespace
+
+void OperatorHistory::Ended(const CommandEnd& end) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ends_.push_back(end);
+  longest_ = std::max(longest_, end.took);
+  if (end.took > kCommandBound) AddViolation("too long: " + Describe(end));
+  if (end.status != kDone && end.status != kFailed) AddViolation("not settled: " + Describe(end));
+  if (end.change.empty() && end.status != kDone) AddViolation("not read: " + Describe(end));
+}
+
+void OperatorHistory::Violation(const std::string& what) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  AddViolation(what);
+}
+
+void OperatorHistory::CheckWhole(const nlohmann::json& history) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::map<std::string, int64_t> versions;
+  int64_t last = 0;
+  for (const nlohmann::json& each : history) {
+    const auto version = each.at("version").get<int64_t>();
+    if (last != 0 && version != last + 1) AddViolation("no version after " + std::to_string(last));
+    last = version;
+    const bool first = versions.emplace(each.at("change").get<std::string>(), version).second;
+    if (!first) AddViolation("made twice: " + each.dump());
+  }
+  for (const CommandEnd& end : ends_) {
+    if (!end.change.empty()) CheckChange(end, versions);
+  }
+}
+
+void OperatorHistory::CheckChange(const CommandEnd& end,
+                                  const std::map<std::string, int64_t>& versions) {
+  const auto found = versions.find(end.change);
+  const int64_t made = found == versions.end() ? 0 : found->second;
+  // A change that was accepted tells its version, also when the wait after it has failed.
+  if (end.version != 0 && made != end.version) AddViolation("said done, is not: " + Describe(end));
+  if (end.version == 0 && end.status == kFailed && made != 0) {
+    AddViolation("said not done, is done: " + Describe(end));
+  }
+}
+
+std::vector<std::string> OperatorHistory::violations() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return violations_;
+}
+
+std::string OperatorHistory::Summary() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto made = std::count_if(ends_.begin(), ends_.end(),
+                                  [](const CommandEnd& end) { return end.version != 0; });
+  return std::to_string(ends_.size()) + " commands, " + std::to_string(made) +
+         " changes made, longest " + std::to_string(Seconds(longest_)) + " s";
+}
+
+void OperatorHistory::AddViolation(const std::string& what) { violations_.push_back(what); }
+
+}  // namespace turmericshift::soak
--- /dev/null
+++ b/tests/soak/operator_pool.h
@@ -0,0 +1,55 @@
+// Entries and agents of one environment as processes, with what operators need to reach them.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "modules/stand_ins/log_server.h"
+#include "modules/stand_ins/memory_log.h"
+#include "tests/soak/operator_soak.h"
+#include "tests/soak/soak_process.h"
+#include "tests/stand_ins/tcp_relay.h"
+
+namespace turmericshift::soak {
+
+inline constexpr size_t kEntryCount = 3;
+
+class OperatorPool {
+ public:
+  struct Entry {
+    std::unique_ptr<TcpRelay> operators;
+    std::unique_ptr<TcpRelay> sessions;
+    std::unique_ptr<SoakProcess> process;
+  };
+
+  // `ends_by_itself` hears of processes that end without having been asked to.
+  OperatorPool(const OperatorSoakOptions& options,
+               std::function<void(const std::string&)> ends_by_itself);
+
+  std::vector<std::unique_ptr<Entry>>& entries() { return entries_; }
+  // Whether the entry answers operators and is ready, as far as it can be before a document was
+  // published.
+  bool Serves(size_t entry, bool published) const;
+  // "IP:port" of an entry as operators reach it.
+  std::string AddressOf(size_t entry) const;
+  std::string token_file() const { return options_.folder + "/operator"; }
+  std::string document() const { return options_.folder + "/environment.ini"; }
+
+ private:
+  void WriteFiles() const;
+  void AddEntry(size_t number);
+  void AddAgent(size_t number);
+  std::vector<std::string> CommandFor(const std::string& role, const std::string& name,
+                                      const std::string& settings) const;
+
+  const OperatorSoakOptions options_;
+  const std::function<void(const std::string&)> ends_by_itself_;
+  MemoryLog log_;
+  LogServer log_server_;
+  std::vector<std::unique_ptr<Entry>> entries_;
+  std::vector<std::unique_ptr<SoakProcess>> agents_;
+};
+
+}  // namespace turmericshift::soak
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -10,6 +10,7 @@
 
 #include "core/logging.h"
 #include "core/secret.h"
+#include "tests/soak/operator_soak.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_faults.h"
 #include "tests/soak/soak_history.h"
@@ -114,6 +115,7 @@
       "workers", "each with an agent's process", cxxopts::value<int>()->default_value("6"))(
       "callers", "who hand jobs in", cxxopts::value<int>()->default_value("3"))(
       "series", "signals and changes in series besides")("hang-ups", "SIGHUP among the series")(
+      "operators", "plays operators' commands under faults of entries instead")(
       "keep", "keeps the folder with settings and logs");
   const cxxopts::ParseResult parsed = words.parse(argc, argv);
   SoakOptions options;
@@ -131,7 +133,10 @@
   options.system.folder = folder;
   options.system.ip = OwnAddress();
   InitLogging("turmericshift_soak", {"soak", std::to_string(options.seed), ""});
-  const int code = Soak(options);
+  const OperatorSoakOptions operators = {options.system.binary, folder, options.system.ip,
+                                         options.seed, options.length};
+  const bool plays_operators = parsed.count("operators") > 0;
+  const int code = plays_operators ? RunOperatorSoak(operators) : Soak(options);
   if (parsed.count("keep") > 0 || code != 0) {
     std::cout << "  logs: " << folder.string() << "\n";
   } else {
--- a/tests/soak/soak_process.cc
+++ b/tests/soak/soak_process.cc
@@ -73,7 +73,7 @@
   std::string line;
   while (std::getline(lines, line)) {
     const nlohmann::json event = nlohmann::json::parse(line, nullptr, false);
-    if (!event.is_object() || event.value("event", "") != "started") continue;
+    if (!event.is_object() || event.value("event", "") != options_.started_event) continue;
     started_(event);
     return true;
   }
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -22,6 +22,8 @@
   std::vector<std::string> command;
   // Gets a file for the standard output of each life.
   std::string folder;
+  // The line that says where it listens.
+  std::string started_event = "started";
 };
 
 class SoakProcess {
