Pool: Don't take the silence of most agents for the planner's own lateness

Cause: lateness is the middle of the times that agents have been waited for; with more than half of them gone the middle one is gone too.

Change: agents that came back in the last 2 s speak for the planner: if a quarter of the pool did, it is no later than most of them were waited for. Reports that lay unread in a stall come back late and say so; returns from before a stall (looks at the agents more than 0.3 s apart) are forgotten.

Tests: PlannerLateness.BlamesManySilentAgentsOnThemselvesWhileOthersComeBackAtOnce failed before (3.77 s); two more hold what must stay late.

--- a/servers/pool/planner_lateness_test.cc
+++ b/servers/pool/planner_lateness_test.cc
@@ -82,5 +82,50 @@
   EXPECT_TRUE(lateness.MayStartMore(kMany));
 }
 
+// Looks at the agents each tenth of a second for `length`, while agents `from` to 19 come back at
+// once, hold their polls for 200 ms and are answered.
+void PassWithReturns(PlannerLateness* lateness, int from, Time begin, Duration length) {
+  constexpr int kTenthsHeld = 2;
+  for (int tenth = 0; begin + milliseconds(100) * tenth <= begin + length; ++tenth) {
+    const Time now = begin + milliseconds(100) * tenth;
+    for (int agent = from; agent < 20 && tenth % kTenthsHeld == 0; ++agent) {
+      lateness->Answered(Node(agent), now);
+      lateness->Returned(Node(agent), now + milliseconds(10));
+      lateness->Heard(Node(agent), now + milliseconds(100) * kTenthsHeld);
+    }
+    lateness->Update(now + milliseconds(20));
+  }
+}
+
+// Most of the pool loses power at once, and the planner, idle, gave up holding room and waited
+// longer before it started the lost tasks again.
+TEST(PlannerLateness, BlamesManySilentAgentsOnThemselvesWhileOthersComeBackAtOnce) {
+  PlannerLateness lateness = Holding(20, kNow);
+  lateness.Update(kNow);
+  for (int tenth = 1; tenth <= 40; ++tenth) {
+    PassWithReturns(&lateness, 12, kNow + milliseconds(100) * tenth, Duration::zero());
+    EXPECT_EQ(lateness.late(), Duration::zero()) << tenth;
+  }
+}
+
+TEST(PlannerLateness, SeesAStallAfterAgentsHaveComeBackAtOnce) {
+  PlannerLateness lateness = Holding(20, kNow);
+  PassWithReturns(&lateness, 0, kNow, seconds(2));
+  lateness.Update(kNow + seconds(4));
+  EXPECT_GT(lateness.late(), milliseconds(1700));
+}
+
+// After a stall the reports are read one after the other; those that have been read came late.
+TEST(PlannerLateness, StaysLateWhileReportsThatCameInAStallAreRead) {
+  PlannerLateness lateness = Holding(20, kNow);
+  const Time end = kNow + seconds(2);
+  for (int agent = 0; agent < 8; ++agent) {
+    lateness.Returned(Node(agent), end);
+    lateness.Heard(Node(agent), end + milliseconds(500));
+  }
+  lateness.Update(end);
+  EXPECT_GT(lateness.late(), milliseconds(1800));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -28,6 +28,7 @@
   if (!TakeIncarnation(report, &worker, now)) return;
   if (report.sequence <= worker.sequence) return;
   worker.sequence = report.sequence;
+  lateness_.Returned(report.node, now);
   if (report.wait > Duration::zero()) lateness_.Heard(report.node, now + report.wait);
   worker.zone = report.zone;
   worker.heard = now;
