--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -14,6 +14,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <system_error>
 #include <thread>
 #include <utility>
@@ -94,6 +95,9 @@
   std::condition_variable drained;
   int in_flight = 0;
   int open_connections = 0;
+  // Descriptors of connections that were taken from the queue and that the daemon has not begun
+  // yet.
+  std::set<int> taken;
 
   HttpResponse Answer(const Exchange& exchange) const {
     try {
@@ -148,17 +152,22 @@
     return Send(connection, state->Answer(*exchange), state->stopping.load());
   }
 
-  static void OnConnection(void* self, MHD_Connection* /*connection*/, void** /*context*/,
+  static void OnConnection(void* self, MHD_Connection* connection, void** /*context*/,
                            MHD_ConnectionNotificationCode code) {
     auto* state = static_cast<State*>(self);
+    const bool started = code == MHD_CONNECTION_NOTIFY_STARTED;
     const std::lock_guard<std::mutex> lock(state->mutex);
-    state->open_connections += code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1;
+    state->open_connections += started ? 1 : -1;
+    if (started) {
+      state->taken.erase(
+          MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+    }
     state->drained.notify_all();
   }
 
   // Connections that the kernel has accepted wait in the listening socket's queue. The end of the
   // socket resets them, and a caller who has sent a request already gets no answer to it.
-  void TakeQueued(MHD_socket listener) const {
+  void TakeQueued(MHD_socket listener) {
     while (true) {
       sockaddr_in address{};
       socklen_t size = sizeof(address);
@@ -166,11 +175,22 @@
                              SOCK_CLOEXEC | SOCK_NONBLOCK);
       if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
       if (fd < 0) return;
-      // The library closes what it doesn't take.
-      if (MHD_add_connection(daemon, fd, reinterpret_cast<sockaddr*>(&address), size) != MHD_YES) {
-        LogEvent(LogLevel::kWarning, "connection_not_taken", {{"reason", "limit of connections"}});
-      }
+      Add(fd, address);
+    }
+  }
+
+  // Hands a connection to the daemon, whose thread begins it later.
+  void Add(int fd, const sockaddr_in& address) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      taken.insert(fd);
     }
+    const auto* peer = reinterpret_cast<const sockaddr*>(&address);
+    if (MHD_add_connection(daemon, fd, peer, sizeof(address)) == MHD_YES) return;
+    // The library has closed it.
+    LogEvent(LogLevel::kWarning, "connection_not_taken", {{"reason", "limit of connections"}});
+    const std::lock_guard<std::mutex> lock(mutex);
+    taken.erase(fd);
   }
 
   static void OnCompleted(void* self, MHD_Connection* /*connection*/, void** user,
@@ -266,6 +286,7 @@
 bool HttpServer::Drain(Duration limit) {
   const Time until = DefaultClock().Now() + limit;
   std::unique_lock<std::mutex> lock(state_->mutex);
+  state_->drained.wait_until(lock, until, [this] { return state_->taken.empty(); });
   state_->drained.wait_for(lock, std::min(limit, kRequestGrace),
                            [this] { return state_->open_connections == 0; });
   return state_->drained.wait_until(lock, until, [this] { return state_->in_flight == 0; });
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -144,10 +144,13 @@
   constexpr int kCallers = 64;
   constexpr int kAnswersBeforeTheStop = 100;
   std::atomic<int> unanswered{0};
+  std::atomic<int> late{0};
   for (int round = 0; round < kRounds; ++round) {
     std::atomic<int> answers{0};
-    HttpServer server({}, [&answers](const HttpRequest& request) {
+    std::atomic<bool> drained{false};
+    HttpServer server({}, [&](const HttpRequest& request) {
       answers.fetch_add(1);
+      if (drained.load()) late.fetch_add(1);
       return Echo(request);
     });
     std::vector<std::thread> callers(kCallers);
@@ -157,9 +160,12 @@
     while (answers.load() < kAnswersBeforeTheStop) std::this_thread::yield();
     server.StopAccepting();
     EXPECT_TRUE(server.Drain(std::chrono::seconds(60)));
+    drained.store(true);
     for (std::thread& caller : callers) caller.join();
   }
   EXPECT_EQ(unanswered.load(), 0);
+  // A process ends once it has drained.
+  EXPECT_EQ(late.load(), 0);
 }
 
 TEST(HttpServerTest, NonsenseIsRefusedAndTheServerGoesOn) {
