Main: Tell in JSON who has a change in force once the wait is over

JSON comes after the wait now, with what was accepted on standard error before it; a report that can't be had ends the wait, and is told.

Tests: ApiClientTest.JsonOutputStaysClean looks at `in_force`; AChangeStaysToldWhenNoEntryIsLeftInTheWait is new.

--- a/main/commands/api_client_test.cc
+++ b/main/commands/api_client_test.cc
@@ -6,9 +6,11 @@
 #include <atomic>
 #include <cstdio>
 #include <memory>
+#include <thread>
 
 #include "core/http_server.h"
 #include "core/listen_socket.h"
+#include "core/thread.h"
 #include "main/commands.h"
 
 namespace turmericshift {
@@ -198,8 +200,25 @@
   const std::string entries = one.address() + " " + two.address();
   EXPECT_EQ(RunZone(With({"out", "a", "--wait", "300s", "--json"}, entries)), ExitCode::kDone);
   const Json told = Json::parse(testing::internal::GetCapturedStdout(), nullptr, false);
-  EXPECT_FALSE(told.is_discarded());
+  ASSERT_FALSE(told.is_discarded());
   EXPECT_EQ(told.value("version", 0), 7);
+  // As it was when the wait was over.
+  EXPECT_TRUE(told.at("in_force").at("zones").at("a").at("behind").empty());
+}
+
+// The change is made, and then no entry can be reached: "not run" would be untrue.
+TEST_F(ApiClientTest, AChangeStaysToldWhenNoEntryIsLeftInTheWait) {
+  auto entry = std::make_unique<ServingEntry>(1000000);
+  const std::string address = entry->address();
+  Thread end("end", [&entry] {
+    while (entry->calls() < 2) std::this_thread::yield();
+    entry.reset();
+  });
+  testing::internal::CaptureStdout();
+  EXPECT_EQ(RunZone(With({"out", "a", "--wait", "10s"}, address)), ExitCode::kFailed);
+  const std::string told = testing::internal::GetCapturedStdout();
+  EXPECT_EQ(told.rfind("availability zone a is out as of version 7\n", 0), 0U) << told;
+  end.Join();
 }
 
 // The rollback procedure publishes an old document at the version that is present.
--- a/main/commands/config_change.cc
+++ b/main/commands/config_change.cc
@@ -24,6 +24,17 @@
   for (const Json& name : names) std::printf(", %s %s", what, name.get<std::string>().c_str());
 }
 
+void PrintInForce(const Json& in_force) {
+  const Json zones = in_force.value("zones", Json::object());
+  for (const auto& [name, zone] : zones.items()) {
+    std::printf("  %-20s in force at %d agents and %d entries", name.c_str(),
+                zone.value("agents_in_force", 0), zone.value("entries_in_force", 0));
+    PrintNames("not at", zone.value("behind", Json::array()));
+    PrintNames("silent:", zone.value("silent", Json::array()));
+    std::printf("\n");
+  }
+}
+
 }  // namespace
 
 void ConfigChange::AddOptions(CommandOptions* options, const std::string& default_wait) {
@@ -56,34 +67,38 @@
   }
 }
 
-ExitCode ConfigChange::WaitInForce(const Json& accepted, Time now) {
+ExitCode ConfigChange::Finish(const Json& accepted, const std::string& headline, Time now) {
   const Duration wait = WaitOf(options_);
-  const Time limit = std::min(now + wait, client_->until());
-  const auto version = accepted.value("version", int64_t{0});
-  Json in_force = accepted.value("in_force", Json::object());
-  std::fflush(stdout);
-  while (!InForceWhereHeard(in_force) && DefaultClock().Now() + kLookPause < limit) {
-    std::this_thread::sleep_for(kLookPause);
-    in_force = ReportOf(version);
+  const bool json = options_.flag("json");
+  if (!json || wait > Duration::zero()) {
+    std::fprintf(json ? stderr : stdout, "%s\n", headline.c_str());
+    std::fflush(stdout);
+  }
+  const Json in_force = AwaitInForce(accepted, std::min(now + wait, client_->until()));
+  if (json) {
+    Json whole = accepted;
+    whole["in_force"] = in_force;
+    std::printf("%s\n", whole.dump(2).c_str());
+  } else {
+    PrintInForce(in_force);
   }
-  if (!options_.flag("json")) Print(in_force);
   if (wait == Duration::zero() || InForceWhereHeard(in_force)) return ExitCode::kDone;
   return now + wait > client_->until() ? ExitCode::kTimedOut : ExitCode::kFailed;
 }
 
-Json ConfigChange::ReportOf(int64_t version) {
-  return client_->Read("/v1/config/in-force?version=" + std::to_string(version));
-}
-
-void ConfigChange::Print(const Json& in_force) const {
-  const Json zones = in_force.value("zones", Json::object());
-  for (const auto& [name, zone] : zones.items()) {
-    std::printf("  %-20s in force at %d agents and %d entries", name.c_str(),
-                zone.value("agents_in_force", 0), zone.value("entries_in_force", 0));
-    PrintNames("not at", zone.value("behind", Json::array()));
-    PrintNames("silent:", zone.value("silent", Json::array()));
-    std::printf("\n");
+Json ConfigChange::AwaitInForce(const Json& accepted, Time limit) {
+  const std::string version = std::to_string(accepted.value("version", int64_t{0}));
+  Json in_force = accepted.value("in_force", Json::object());
+  try {
+    while (!InForceWhereHeard(in_force) && DefaultClock().Now() + kLookPause < limit) {
+      std::this_thread::sleep_for(kLookPause);
+      in_force = client_->Read("/v1/config/in-force?version=" + version);
+    }
+  } catch (const Error& error) {
+    std::fprintf(stderr, "version %s was accepted; who has it in force can't be told: %s\n",
+                 version.c_str(), error.what());
   }
+  return in_force;
 }
 
 bool InForceWhereHeard(const Json& in_force) {
--- a/main/commands/config_change.h
+++ b/main/commands/config_change.h
@@ -22,14 +22,16 @@
   // Posts the change; `query` begins with '?'. An entry that has the change already answers for it.
   // Throws Error; one with an unknown outcome names the change's id.
   nlohmann::json Post(const std::string& path, const std::string& query, const std::string& body);
-  // Waits until the version is in force, at most as long as `--wait` says, and prints by zone who
-  // has it. kFailed when somebody who was heard of late is behind, kTimedOut when the command's
-  // time is up before `--wait` is over.
-  ExitCode WaitInForce(const nlohmann::json& accepted, Time now);
+  // Tells that the change was accepted, in the words of `headline`, waits until the version is in
+  // force, at most as long as `--wait` says, and tells who has it. What was accepted is told before
+  // the wait, on standard error where standard output is to be JSON.
+  // kFailed when somebody who was heard of late is behind, kTimedOut when the command's time is up
+  // before `--wait` is over.
+  ExitCode Finish(const nlohmann::json& accepted, const std::string& headline, Time now);
 
  private:
-  nlohmann::json ReportOf(int64_t version);
-  void Print(const nlohmann::json& in_force) const;
+  // The newest report of who has the version in force, once all have it or the time is up.
+  nlohmann::json AwaitInForce(const nlohmann::json& accepted, Time limit);
 
   const CommandOptions& options_;
   ApiClient* const client_;
--- a/main/commands/config_command.cc
+++ b/main/commands/config_command.cc
@@ -14,19 +14,9 @@
 
 constexpr const char* kConfigPath = "/v1/config";
 
-void PrintVersion(const nlohmann::json& version) {
-  std::printf("version %lld  digest %s  by %s\n",
-              static_cast<long long>(version.value("version", 0)),  // NOLINT(google-runtime-int)
-              version.value("digest", "").c_str(), version.value("author", "").c_str());
-}
-
-void Print(const CommandOptions& options, const nlohmann::json& answer) {
-  if (options.flag("json")) {
-    std::printf("%s\n", answer.dump(2).c_str());
-    return;
-  }
-  if (!answer.is_array()) return PrintVersion(answer);
-  for (const nlohmann::json& version : answer) PrintVersion(version);
+std::string VersionLine(const nlohmann::json& version) {
+  return "version " + std::to_string(version.value("version", int64_t{0})) + "  digest " +
+         version.value("digest", "") + "  by " + version.value("author", "");
 }
 
 ExitCode Check(const Words& words) {
@@ -75,8 +65,7 @@
               const std::string& text) {
   ConfigChange change(options, client);
   const nlohmann::json answer = change.Post(kConfigPath, query, text);
-  Print(options, answer);
-  return change.WaitInForce(answer, DefaultClock().Now());
+  return change.Finish(answer, VersionLine(answer), DefaultClock().Now());
 }
 
 ExitCode Publish(const Words& words) {
@@ -130,7 +119,7 @@
   const std::string path = version.empty() ? "" : "/versions/" + UrlEscape(version);
   const nlohmann::json answer = ApiClient(options, DefaultClock().Now()).Read(kConfigPath + path);
   if (options.flag("json")) {
-    Print(options, answer);
+    std::printf("%s\n", answer.dump(2).c_str());
   } else {
     std::printf("%s", answer.value("text", "").c_str());
   }
@@ -142,8 +131,13 @@
                          "turmericshift config history --json");
   AddApiOptions(&options);
   if (!options.Parse(words, 0, 0)) return ExitCode::kDone;
-  Print(options,
-        ApiClient(options, DefaultClock().Now()).Read(std::string(kConfigPath) + "/history"));
+  const nlohmann::json history =
+      ApiClient(options, DefaultClock().Now()).Read(std::string(kConfigPath) + "/history");
+  if (options.flag("json")) {
+    std::printf("%s\n", history.dump(2).c_str());
+    return ExitCode::kDone;
+  }
+  for (const nlohmann::json& version : history) std::printf("%s\n", VersionLine(version).c_str());
   return ExitCode::kDone;
 }
 
--- a/main/commands/operator_commands.cc
+++ b/main/commands/operator_commands.cc
@@ -25,13 +25,9 @@
   ConfigChange change(options, &client);
   const nlohmann::json answer = change.Post("/v1/zones/" + UrlEscape(zone) + "/" + state,
                                             "?author=" + UrlEscape(options.value("author")), "");
-  if (options.flag("json")) {
-    std::printf("%s\n", answer.dump(2).c_str());
-  } else {
-    std::printf("availability zone %s is %s as of version %d\n", zone.c_str(), state.c_str(),
-                answer.value("version", 0));
-  }
-  return change.WaitInForce(answer, DefaultClock().Now());
+  const std::string headline = "availability zone " + zone + " is " + state + " as of version " +
+                               std::to_string(answer.value("version", 0));
+  return change.Finish(answer, headline, DefaultClock().Now());
 }
 
 ExitCode ZoneOut(const Words& words) { return SetZone("out", words); }
