Http: Turn handshakes off for a millisecond only when a server stops

The relay in front of the entry opens its connections one after the other, so that one whose handshake was dropped held up three more.

Change: 1 ms, longer than a round trip within a region.

Ruled out: requests that the entry had read (none is in its log), the HTTP library (drained, nothing in flight).

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -27,8 +27,9 @@
 
 // How long a connection that stands may take until its request has arrived, once the server stops.
 constexpr Duration kRequestGrace = std::chrono::seconds(1);
-// A handshake that had begun when new ones were turned off is over by then, also between regions.
-constexpr Duration kHandshakeGrace = std::chrono::milliseconds(20);
+// A handshake within a region that had begun when new ones were turned off is over by then. Callers
+// whose handshake comes meanwhile are refused a second later, when they ask again, so it is short.
+constexpr Duration kHandshakeGrace = std::chrono::milliseconds(1);
 
 // Has the listening socket drop the packets that open a connection. Handshakes under way go on.
 // Returns whether the system has taken the filter.
