Main: Fail a call as timed out when the command's time was used up before it

Found by reading: a call that begins after the command's time is up asked no entry and then read an error that there was not.

Test: CallPlan.WithoutTimeNothingIsDone.

--- a/main/commands/call_plan.cc
+++ b/main/commands/call_plan.cc
@@ -70,7 +70,7 @@
   const Outcome outcome = unsettled ? Outcome::kUnknown : Outcome::kNotRun;
   if (order_.empty()) return {ErrorKind::kUnavailable, outcome, "no entry is named"};
   const bool silence = CountOf(State::kAsked) > 0;
-  if (silence && now - begun_ >= limits_.total) {
+  if (!last_ || (silence && now - begun_ >= limits_.total)) {
     return {ErrorKind::kDeadlineExceeded, outcome, "no entry has answered in time"};
   }
   return {last_->kind(), outcome, last_->what()};
--- a/main/commands/call_plan_test.cc
+++ b/main/commands/call_plan_test.cc
@@ -135,6 +135,17 @@
   EXPECT_EQ(plan.TakeDue(kBegin + seconds(1)), Entries({0}));
 }
 
+// The call before has used up the command's time.
+TEST(CallPlan, WithoutTimeNothingIsDone) {
+  CallLimits limits;
+  limits.total = milliseconds(-1);
+  CallPlan plan(2, 0, CallKind::kRepeatable, limits, kBegin);
+  EXPECT_TRUE(plan.TakeDue(kBegin).empty());
+  EXPECT_TRUE(plan.over(kBegin));
+  EXPECT_EQ(plan.failure(kBegin).kind(), ErrorKind::kDeadlineExceeded);
+  EXPECT_EQ(plan.failure(kBegin).outcome(), Outcome::kNotRun);
+}
+
 TEST(CallPlan, WithoutEntriesNothingIsDone) {
   const CallPlan plan = PlanOf(0, CallKind::kRepeatable);
   EXPECT_TRUE(plan.over(kBegin));
