--- a/servers/state/fold_host.cc
+++ b/servers/state/fold_host.cc
@@ -1,6 +1,7 @@
 #include "servers/state/fold_host.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "core/error.h"
 
@@ -27,10 +28,11 @@
 std::vector<AppliedRecord> FoldHost::Apply(const LogEntry& entry) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<AppliedRecord> applied;
+  repeated_.clear();
   for (const PlacedRecord& placed : DecodeRecords(entry.bytes)) {
     const std::string& id = RecordId(placed.record);
     if (!window_.Add(id)) {
-      if (const Written* first = recent_.Find(id)) applied.push_back({id, *first, true});
+      if (const Written* first = recent_.Find(id)) repeated_.push_back({id, *first});
       continue;
     }
     const Sequence sequence = SequenceOf(entry.offset, placed.place);
@@ -48,6 +50,11 @@
   return applied;
 }
 
+std::vector<AppliedRecord> FoldHost::TakeRepeated() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::exchange(repeated_, {});
+}
+
 SnapshotState FoldHost::TakeSnapshot(int64_t wall_ms) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const nlohmann::json state = {{"fold", fold_->Snapshot()}, {"window", window_.Snapshot()}};
--- a/servers/state/fold_host.h
+++ b/servers/state/fold_host.h
@@ -24,9 +24,7 @@
 
 struct AppliedRecord {
   std::string id;
-  // Of the first copy, if this is a repeated one.
   Written written;
-  bool repeated = false;
 };
 
 class FoldHost {
@@ -34,9 +32,11 @@
   // `fold` must outlive the host.
   FoldHost(const std::string& stream, Fold* fold) : stream_(stream), fold_(fold) {}
 
-  // The entry must be the one at next(). Returns its records; repeated ones only if the first copy
-  // was applied here a short while ago.
+  // The entry must be the one at next(). Returns its records, without repeated ones.
   std::vector<AppliedRecord> Apply(const LogEntry& entry);
+  // The repeated records of the entry that was applied last, with what became of their first
+  // copies, as far as these were applied here a short while ago. Gives them once.
+  std::vector<AppliedRecord> TakeRepeated();
 
   // The state after every entry before next().
   SnapshotState TakeSnapshot(int64_t wall_ms) const;
@@ -71,6 +71,7 @@
   Offset next_ = 0;
   RecordWindow window_;
   RecentVerdicts recent_;
+  std::vector<AppliedRecord> repeated_;
   SnapshotAssembler assembler_;
   SnapshotState newest_snapshot_;
 };
--- a/servers/state/fold_host_test.cc
+++ b/servers/state/fold_host_test.cc
@@ -33,9 +33,10 @@
   host.Apply(EntryOf(0, "one", "kati"));
   host.Apply(EntryOf(1, "two", "kati"));
   host.Apply(EntryOf(2, "three", "angus"));
-  const std::vector<AppliedRecord> again = host.Apply(EntryOf(3, "two", "kati"));
+  EXPECT_TRUE(host.Apply(EntryOf(3, "two", "kati")).empty());
+  const std::vector<AppliedRecord> again = host.TakeRepeated();
   ASSERT_EQ(again.size(), 1U);
-  EXPECT_TRUE(again[0].repeated);
+  EXPECT_EQ(again[0].id, "two");
   EXPECT_FALSE(again[0].written.verdict.accepted);
   EXPECT_EQ(again[0].written.verdict.reason, "again by kati");
   EXPECT_EQ(again[0].written.sequence, SequenceOf(1, 0));
@@ -50,8 +51,10 @@
   for (Offset offset = 0; offset < kMany; ++offset) {
     host.Apply(EntryOf(offset, "id" + std::to_string(offset), "kati"));
   }
-  EXPECT_TRUE(host.Apply(EntryOf(kMany, "id0", "kati")).empty());
-  EXPECT_EQ(host.Apply(EntryOf(kMany + 1, "id999", "kati")).size(), 1U);
+  host.Apply(EntryOf(kMany, "id0", "kati"));
+  EXPECT_TRUE(host.TakeRepeated().empty());
+  host.Apply(EntryOf(kMany + 1, "id999", "kati"));
+  EXPECT_EQ(host.TakeRepeated().size(), 1U);
 }
 
 }  // namespace
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <utility>
 
 #include "core/error.h"
 #include "core/logging.h"
@@ -281,10 +282,13 @@
 
 void StreamClient::ApplyEntry(const LogEntry& entry) {
   read_bytes_->Add(static_cast<int64_t>(entry.bytes.size()));
-  const std::vector<AppliedRecord> applied = host_.Apply(entry);
+  std::vector<AppliedRecord> applied = host_.Apply(entry);
+  for (const AppliedRecord& record : applied) {
+    if (!record.written.verdict.accepted) voids_->Add();
+  }
+  for (AppliedRecord& record : host_.TakeRepeated()) applied.push_back(std::move(record));
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const AppliedRecord& record : applied) {
-    if (!record.written.verdict.accepted && !record.repeated) voids_->Add();
     const auto found = waiting_.find(record.id);
     if (found == waiting_.end()) continue;
     found->second->written = record.written;
