Tests: Ask an entry that has read the log whether a late copy undid something

ConfigApiTest.ALateCopyOfAChangeUndoesNothing failed once of three runs of the whole set: by reading, it asked the entry that answers from what it knows, which need not have read the newest change yet. It asks the entry that wrote it now, and makes one more change through the log, whose version shows that nothing came between.

--- a/servers/entry/config_api_test.cc
+++ b/servers/entry/config_api_test.cc
@@ -170,7 +170,9 @@
   EXPECT_EQ(two.Call("POST", out).status, 201);
   EXPECT_EQ(two.Call("POST", "/v1/zones/a/in?wait_ms=0").json.at("version"), 3);
   EXPECT_EQ(one.Call("POST", out).json.at("version"), 2);
-  EXPECT_EQ(one.Call("GET", "/v1/config").json.at("version"), 3);
+  EXPECT_EQ(two.Call("GET", "/v1/config").json.at("version"), 3);
+  // Through the log again: nothing has come between.
+  EXPECT_EQ(one.Call("POST", "/v1/zones/a/out?wait_ms=0").json.at("version"), 4);
 }
 
 // A change that was void is void for every entry that is asked for it, also when it would not be
