Agent: Give up an entry that answers no heartbeat on a new session

What operators would see: entries that accept sessions and answer no heartbeat (their handlers wait for a lock, say) keep all session threads of an agent: each thread connects to its entry again at once, for as long as the entry stays so. With as many such entries as an agent keeps sessions with, the agent hears no other entry, and its process does not join these threads either.

Cause: a heartbeat without an answer led to a new session with the same entry whether or not the entry had ever answered on the one before, and a connection alone reset the entry's back-off.

Found by the review of threads that can wait for good (which loop can go on for good while the process looks healthy); not seen in a run of the whole system.

Change: only a session on which a heartbeat was answered is replaced at once; otherwise the entry is marked as lost and another one is chosen. The back-off is reset by an answer. A session that goes silent in the middle is replaced as before (SilentConnectionTest).

--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -207,17 +207,18 @@
   bool reconnect = true;
   while (reconnect) {
     std::shared_ptr<EntryPort> port;
+    bool answered = false;
     try {
       port = connector_->Connect(address, options_.hello, this);
-      plan_.MarkOpened(address);
       LogEvent(LogLevel::kInfo, "entry_connected", {{"entry", address}});
       suspect.reset();
-      KeepSession(address, port.get());
+      KeepSession(address, port.get(), &answered);
       plan_.MarkReleased(address);
       reconnect = false;
     } catch (const Error& error) {
       LogEvent(LogLevel::kWarning, "entry_lost", {{"entry", address}, {"error", error.what()}});
-      reconnect = error.kind() == ErrorKind::kDeadlineExceeded && port;
+      // An entry that answers no heartbeat on a new session either is given up for now.
+      reconnect = error.kind() == ErrorKind::kDeadlineExceeded && answered;
       if (!reconnect) plan_.MarkLost(address, DefaultClock().Now());
       suspect = std::move(port);
     }
@@ -225,7 +226,7 @@
   }
 }
 
-void AgentServer::KeepSession(const std::string& address, EntryPort* port) {
+void AgentServer::KeepSession(const std::string& address, EntryPort* port, bool* answered) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     connected_.insert(address);
@@ -241,6 +242,8 @@
       heartbeat.observed = guard_.entry_statements(sent);
     }
     HeartbeatReply reply = port->Heartbeat(heartbeat, options_.heartbeat_timeout);
+    if (!*answered) plan_.MarkOpened(address);
+    *answered = true;
     guard_.HandleHeartbeatReply(reply, sent);
     ApplyLimits();
     plan_.UpdateEntries(reply.members, reply.planner_address);
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -67,9 +67,9 @@
   // Runs one session thread: opens sessions to the addresses that the plan selects.
   void RunSessions();
   void RunSession(const std::string& address);
-  // Sends heartbeats until the session is no longer wanted or the agent stops. Throws if the
-  // session is lost.
-  void KeepSession(const std::string& address, EntryPort* port);
+  // Sends heartbeats until the session is no longer wanted or the agent stops. Sets `answered` once
+  // the entry has answered one. Throws if the session is lost.
+  void KeepSession(const std::string& address, EntryPort* port, bool* answered);
   void RunExpiry();
   // Sleeps for `duration`. Returns early, with true, if the agent stops.
   bool Pause(Duration duration);
--- a/servers/agent/session_plan.h
+++ b/servers/agent/session_plan.h
@@ -28,7 +28,7 @@
 
   // Returns the address to connect to now and marks it as in use. Returns "" if there is none.
   std::string Choose(Time now);
-  // The connection is established. Resets the back-off of the address.
+  // The entry has answered a heartbeat on a new session. Resets the back-off of the address.
   void MarkOpened(const std::string& address);
   // The connection failed or was lost. The address is not tried again for a random time that grows
   // with each failure, so that the agents do not all reconnect to a restarted entry at the same
