Pool: Release a leadership that an entry gains while it leaves

What callers would see: after an ordered stop of the entry that was just becoming the planner, the pool has no planner until the silence time-out (1.2 s) has passed, and the process plans until it ends.

Cause: Leave turns claiming off and releases the leadership. If a claim is on its way to the store at that moment there is nothing to release yet; the claim succeeds afterwards, and nobody releases it.

Found by the review of what can stay behind when a process ends; not seen in a run of the whole system.

Change: an entry that has begun to leave releases a leadership as soon as it has gained it.

--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -192,6 +192,8 @@
   predecessor_ = table.planner();
   unreachable_logged_ = false;
   service_->BecomeActive(epoch, sequence, table, agents, now);
+  // The entry may have begun to leave during the claim, before there was a leadership to release.
+  if (leaving_.load()) service_->Release(kReleaseLimit);
 }
 
 // Agents are read again after the claim, because an entry that has just started may know the jobs
--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <future>
 #include <map>
 #include <memory>
 #include <thread>
@@ -197,16 +198,12 @@
   ASSERT_TRUE(Eventually([&] { return second.service.epoch() == 2; }));
 }
 
-// Log whose members topic can't be read until MakeReadable() is called.
-class UnreadableMembersLog : public KeyedLog {
+// Passes all calls on to another log.
+class ForwardingLog : public KeyedLog {
  public:
-  explicit UnreadableMembersLog(KeyedLog* log) : log_(log) {}
+  explicit ForwardingLog(KeyedLog* log) : log_(log) {}
 
   KeyedPage Newest(const std::string& topic, const std::string& after, Duration timeout) override {
-    if (topic == kMembersTopic && unreadable_.load()) {
-      refused_.fetch_add(1);
-      throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "not now");
-    }
     return log_->Newest(topic, after, timeout);
   }
   KeyedBatch Read(const std::string& topic, Offset from, Duration wait, Duration timeout) override {
@@ -217,15 +214,72 @@
     return log_->Append(topic, records, guard, timeout);
   }
 
+ private:
+  KeyedLog* const log_;
+};
+
+// Log whose members topic can't be read until MakeReadable() is called.
+class UnreadableMembersLog : public ForwardingLog {
+ public:
+  using ForwardingLog::ForwardingLog;
+
+  KeyedPage Newest(const std::string& topic, const std::string& after, Duration timeout) override {
+    if (topic == kMembersTopic && unreadable_.load()) {
+      refused_.fetch_add(1);
+      throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "not now");
+    }
+    return ForwardingLog::Newest(topic, after, timeout);
+  }
+
   void MakeReadable() { unreadable_.store(false); }
   int refused() const { return refused_.load(); }
 
  private:
-  KeyedLog* const log_;
   std::atomic<bool> unreadable_{true};
   std::atomic<int> refused_{0};
 };
 
+// Log that holds the first append to the work topic, a claim, until it is let through.
+class HeldClaimLog : public ForwardingLog {
+ public:
+  using ForwardingLog::ForwardingLog;
+
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    if (topic == kWorkTopic && !claimed_.exchange(true)) {
+      claim_.set_value();
+      let_through_.get_future().wait();
+    }
+    return ForwardingLog::Append(topic, records, guard, timeout);
+  }
+
+  void AwaitClaim() { claim_.get_future().wait(); }
+  void LetThrough() { let_through_.set_value(); }
+
+ private:
+  std::atomic<bool> claimed_{false};
+  std::promise<void> claim_;
+  std::promise<void> let_through_;
+};
+
+// An entry is asked to stop while its claim is on its way to the store. If it kept the leadership,
+// the pool would be without a planner from the end of the process until the silence time-out.
+TEST(PlannerElector, ReleasesALeadershipThatItGainsWhileLeaving) {
+  MemoryKeyedLog log;
+  HeldClaimLog held_log(&log);
+  Candidate entry(&held_log, "a");
+  held_log.AwaitClaim();
+  entry.elector->Leave();
+  entry.service.Release(kReleaseLimit);
+  held_log.LetThrough();
+  const auto released = [&] {
+    const PlannerRecord planner = entry.work.leadership().planner;
+    return planner.epoch == 1 && planner.address.empty();
+  };
+  EXPECT_TRUE(Eventually(released));
+  EXPECT_TRUE(Eventually([&] { return entry.service.epoch() == 0; }));
+}
+
 // All processes are killed while workers continue, and an entry restarts that has read the jobs but
 // not yet the agents. If it became leader now, it would wait for no agent and immediately restart
 // tasks that still run on the workers.
