Core: End a crashing process though its standard output is a full pipe

What an operator would see: a process whose log nobody reads crashes in one thread and does not end; the crashed thread keeps its locks, the others go on, and nothing is printed.

Cause: the handler of fatal signals writes its report with a blocking write.

Found by the review of threads that can wait for good.

Change: the report is written only if standard output takes it at once.

--- a/core/crash_report.cc
+++ b/core/crash_report.cc
@@ -2,6 +2,7 @@
 
 #include <execinfo.h>
 #include <link.h>
+#include <poll.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -39,9 +40,13 @@
                      i == 0 ? "" : ",", static_cast<size_t>(address - program_base));
   }
   used += snprintf(line.data() + used, line.size() - static_cast<size_t>(used), "]}\n");
-  // A failed write is ignored: there is no other place to report the crash.
-  const ssize_t written = write(STDOUT_FILENO, line.data(), static_cast<size_t>(used));
-  static_cast<void>(written);
+  // A write to a full pipe would block, and the process would go on without the crashed thread.
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  if (poll(&output, 1, 0) == 1) {
+    // A failed write is ignored: there is no other place to report the crash.
+    const ssize_t written = write(STDOUT_FILENO, line.data(), static_cast<size_t>(used));
+    static_cast<void>(written);
+  }
   raise(signal);
 }
 
