HTTP server: Answer unread requests of kept connections before a stop

Cause: Drain took the server for drained once no request was counted as in flight, a second after it stopped accepting. A request is counted when its headers have been read and parsed. One that lies in the connection's socket because its thread has no processor, or is half read, was not counted. The process ended, which resets the connection. Requests that came between Drain and the end of the process were even handed to the handler.

The server now compares, for each open connection, the number of bytes that the system has received (TCP_INFO) with the number at the end of the last request, and is not drained while one has more, or while a connection that it took from the queue has not been started. Then it shuts the open connections down under the same lock, so that later requests are not handled and callers see the end at once.

What no server can close: a request that is on its way when its idle connection ends is lost.

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -2,9 +2,11 @@
 
 #include <fcntl.h>
 #include <linux/filter.h>
+#include <linux/tcp.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +14,8 @@
 #include <array>
 #include <cerrno>
 #include <condition_variable>
+#include <cstdint>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -48,6 +52,21 @@
   return setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)) == 0;
 }
 
+// Number of bytes that the system has received on the connection, whether they were read or not; 0
+// if the connection has ended.
+uint64_t ReceivedBytes(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+  return info.tcpi_bytes_received;
+}
+
+uint64_t UnreadBytes(int fd) {
+  int unread = 0;
+  if (ioctl(fd, FIONREAD, &unread) != 0) return 0;
+  return static_cast<uint64_t>(unread);
+}
+
 // State of the request that a connection is receiving or answering.
 struct Exchange {
   HttpRequest request;
@@ -76,6 +95,10 @@
   return result;
 }
 
+int DescriptorOf(MHD_Connection* connection) {
+  return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
 std::string Find(const std::vector<HttpHeader>& list, const std::string& name) {
   for (const HttpHeader& each : list) {
     if (strcasecmp(each.name.c_str(), name.c_str()) == 0) return each.value;
@@ -96,7 +119,9 @@
   std::mutex mutex;
   std::condition_variable drained;
   int in_flight = 0;
-  int open_connections = 0;
+  // Open connections: descriptor, and number of bytes received up to the end of the last request.
+  // The library closes a descriptor only after it has reported the end of the connection.
+  std::map<int, uint64_t> answered_bytes;
   // Descriptors of connections that AddToDaemon passed on and that the daemon has not started yet.
   std::set<int> not_started;
 
@@ -112,12 +137,34 @@
     }
   }
 
-  void EndRequest() {
+  void EndRequest(int fd) {
     const std::lock_guard<std::mutex> lock(mutex);
     --in_flight;
+    // Unread bytes belong to the next request. Bytes that arrive between the two calls must count
+    // as unread, so the total is taken first.
+    const uint64_t received = ReceivedBytes(fd);
+    const uint64_t unread = UnreadBytes(fd);
+    const auto connection = answered_bytes.find(fd);
+    if (connection != answered_bytes.end()) {
+      connection->second = received - std::min(received, unread);
+    }
     drained.notify_all();
   }
 
+  // Whether a request, or the first part of one, has arrived that has not been answered. The thread
+  // of its connection may not have read it yet. Requires `mutex`.
+  bool HasUnansweredRequest() const {
+    if (in_flight > 0 || !not_started.empty()) return true;
+    return std::any_of(answered_bytes.begin(), answered_bytes.end(), [](const auto& connection) {
+      return ReceivedBytes(connection.first) > connection.second;
+    });
+  }
+
+  // Ends the open connections, so that requests sent from now on are not read. Requires `mutex`.
+  void ShutDownConnections() const {
+    for (const auto& [fd, answered] : answered_bytes) shutdown(fd, SHUT_RDWR);
+  }
+
   static MHD_Result OnAccess(void* self, MHD_Connection* connection, const char* url,
                              const char* method, const char* /*version*/, const char* data,
                              size_t* data_size, void** user) {
@@ -156,12 +203,13 @@
   static void OnConnection(void* self, MHD_Connection* connection, void** /*context*/,
                            MHD_ConnectionNotificationCode code) {
     auto* state = static_cast<State*>(self);
-    const bool started = code == MHD_CONNECTION_NOTIFY_STARTED;
+    const int fd = DescriptorOf(connection);
     const std::lock_guard<std::mutex> lock(state->mutex);
-    state->open_connections += started ? 1 : -1;
-    if (started) {
-      state->not_started.erase(
-          MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      state->answered_bytes[fd] = 0;
+      state->not_started.erase(fd);
+    } else {
+      state->answered_bytes.erase(fd);
     }
     state->drained.notify_all();
   }
@@ -194,11 +242,12 @@
     not_started.erase(fd);
   }
 
-  static void OnCompleted(void* self, MHD_Connection* /*connection*/, void** user,
+  static void OnCompleted(void* self, MHD_Connection* connection, void** user,
                           MHD_RequestTerminationCode /*code*/) {
     const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*user));
     *user = nullptr;
-    if (exchange && exchange->counted) static_cast<State*>(self)->EndRequest();
+    if (!exchange || !exchange->counted) return;
+    static_cast<State*>(self)->EndRequest(DescriptorOf(connection));
   }
 };
 
@@ -289,8 +338,11 @@
   std::unique_lock<std::mutex> lock(state_->mutex);
   state_->drained.wait_until(lock, until, [this] { return state_->not_started.empty(); });
   state_->drained.wait_for(lock, std::min(limit, kRequestGracePeriod),
-                           [this] { return state_->open_connections == 0; });
-  return state_->drained.wait_until(lock, until, [this] { return state_->in_flight == 0; });
+                           [this] { return state_->answered_bytes.empty(); });
+  const bool drained =
+      state_->drained.wait_until(lock, until, [this] { return !state_->HasUnansweredRequest(); });
+  if (drained) state_->ShutDownConnections();
+  return drained;
 }
 
 }  // namespace turmericshift
--- a/core/http_server.h
+++ b/core/http_server.h
@@ -76,8 +76,8 @@
   // Accepts the connections in the kernel's queue and refuses new connections. Open connections are
   // closed after their next response.
   void StopAccepting();
-  // Waits, for `limit` at most, until no request is in flight; returns whether this was reached. An
-  // open connection without a request gets up to a second to send one.
+  // Waits, for `limit` at most, until all requests that have arrived are answered, then ends open
+  // connections; returns whether this was reached. An idle connection gets up to 1 s for a request.
   bool Drain(Duration limit);
 
  private:
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -1,11 +1,16 @@
 #include "core/http_server.h"
 
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <pthread.h>
+#include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <cerrno>
+#include <future>
 #include <thread>
 #include <vector>
 
@@ -40,6 +45,68 @@
   EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
 }
 
+// Sends the bytes and waits until the server's system has received them; the server itself may not
+// have read them yet.
+void SendUntilReceived(int fd, const std::string& bytes) {
+  SendAll(fd, bytes);
+  int not_received = 1;
+  while (not_received > 0) {
+    ASSERT_EQ(ioctl(fd, SIOCOUTQ, &not_received), 0);
+    std::this_thread::yield();
+  }
+}
+
+// Reads the answer "ok" to a request whose connection stays open.
+void ReadOk(int fd) {
+  std::string answer;
+  char buffer[4096];
+  while (answer.find("\r\n\r\nok") == std::string::npos) {
+    const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
+    ASSERT_GT(got, 0);
+    answer.append(buffer, static_cast<size_t>(got));
+  }
+}
+
+constexpr const char* kOkRequest = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok";
+
+// Holds a thread in a signal handler, as if it had no processor, until destroyed.
+class HeldThread {
+ public:
+  explicit HeldThread(pthread_t thread) {
+    EXPECT_EQ(pipe(held_), 0);
+    EXPECT_EQ(pipe(release_), 0);
+    struct sigaction action {};
+    action.sa_handler = &Hold;
+    EXPECT_EQ(sigaction(SIGUSR1, &action, &previous_), 0);
+    EXPECT_EQ(pthread_kill(thread, SIGUSR1), 0);
+    char byte = 0;
+    EXPECT_EQ(read(held_[0], &byte, 1), 1);
+  }
+  ~HeldThread() {
+    EXPECT_EQ(write(release_[1], "", 1), 1);
+    char byte = 0;
+    EXPECT_EQ(read(held_[0], &byte, 1), 1);
+    sigaction(SIGUSR1, &previous_, nullptr);
+    for (const int fd : {held_[0], held_[1], release_[0], release_[1]}) close(fd);
+  }
+  HeldThread(const HeldThread&) = delete;
+  HeldThread& operator=(const HeldThread&) = delete;
+
+ private:
+  static void Hold(int /*signal*/) {
+    const int error = errno;
+    char byte = 0;
+    if (write(held_[1], "", 1) == 1 && read(release_[0], &byte, 1) == 1) {
+      static_cast<void>(write(held_[1], "", 1) == 1);
+    }
+    errno = error;
+  }
+
+  static inline int held_[2] = {};
+  static inline int release_[2] = {};
+  struct sigaction previous_ {};
+};
+
 // Reads until the server closes the connection, then closes `fd`.
 std::string ReadAll(int fd) {
   std::string answer;
@@ -121,6 +188,62 @@
   EXPECT_NE(ReadAll(fd).find("200 OK"), std::string::npos);
 }
 
+// A request lies unread on a kept connection because the connection's thread has no processor. The
+// server took itself for drained, the process ended, and the caller got no response.
+TEST(HttpServerTest, DrainWaitsForAnUnreadRequestOfAKeptConnection) {
+  std::promise<pthread_t> thread;
+  std::atomic<int> requests{0};
+  HttpServer server({}, [&](const HttpRequest& request) {
+    if (requests.fetch_add(1) == 0) thread.set_value(pthread_self());
+    return Echo(request);
+  });
+  const int fd = ConnectTo(server.port());
+  SendAll(fd, kOkRequest);
+  ReadOk(fd);
+  {
+    const HeldThread held(thread.get_future().get());
+    SendUntilReceived(fd, kOkRequest);
+    server.StopAccepting();
+    EXPECT_FALSE(server.Drain(Duration::zero()));
+  }
+  EXPECT_TRUE(server.Drain(std::chrono::seconds(60)));
+  EXPECT_EQ(requests.load(), 2);
+  EXPECT_NE(ReadAll(fd).find("200 OK"), std::string::npos);
+}
+
+// Requests were counted from the end of their headers on, so the server took itself for drained
+// while a request was read.
+TEST(HttpServerTest, DrainWaitsForTheRestOfARequest) {
+  HttpServer server({}, &Echo);
+  const int fd = ConnectTo(server.port());
+  const std::string request = kOkRequest;
+  SendUntilReceived(fd, request.substr(0, request.size() / 2));
+  server.StopAccepting();
+  EXPECT_FALSE(server.Drain(Duration::zero()));
+  SendAll(fd, request.substr(request.size() / 2));
+  EXPECT_TRUE(server.Drain(std::chrono::seconds(60)));
+  EXPECT_NE(ReadAll(fd).find("200 OK"), std::string::npos);
+}
+
+// A request that came on a kept connection after the server was drained was still handled, while
+// the process ended; its caller could not know whether it was run.
+TEST(HttpServerTest, HandlesNoRequestOfAKeptConnectionAfterDrain) {
+  std::atomic<int> requests{0};
+  HttpServer server({}, [&](const HttpRequest& request) {
+    requests.fetch_add(1);
+    return Echo(request);
+  });
+  const int fd = ConnectTo(server.port());
+  SendAll(fd, kOkRequest);
+  ReadOk(fd);
+  server.StopAccepting();
+  EXPECT_TRUE(server.Drain(std::chrono::seconds(60)));
+  const std::string request = kOkRequest;
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  EXPECT_EQ(ReadAll(fd), "");
+  EXPECT_EQ(requests.load(), 1);
+}
+
 // Sends requests, each on a new connection, until a connection is refused. Counts the requests
 // whose connection was accepted and that got no response.
 void CallUntilRefused(int port, std::atomic<int>* unanswered) {
