Soak: Count an entry's grace from a SIGTERM that it received

Cause: the check, not the entry. A SIGTERM to a process that is being restarted reaches nobody, but TermSteps took note of the incarnation that was just being started. When another fault asked the same incarnation later, the check found it running after one SIGTERM and killed it, 6 s after the one that nobody got.

All entries were killed at 4.606 s (last line of the first life 598.967, so the faults began at 594.361; the stop of entry-12 drawn for 606.437 was logged at 606.462). entry-0 was to be asked at 600.511 and 601.710 by term_entry_twice; its second life logged its first line at 602.268. The rolling restart asked it at 606.257, and the check of the first fault was due at 606.511; the last line is of 606.522. All steps run in this order on one thread, and the check speaks only if exactly one SIGTERM was sent to the life that it noted: so neither of the first two was sent, and the third was, 254 ms before. Ruled out by this: a signal that waits for the end of the start (it would count), and an entry without a processor for 6 s (it logged 192 lines in its last second). A lost log line is not needed to explain it.

SoakProcess::Signal now returns the incarnation that received the signal, and StopRequest checks that one. The check is as strict for every process that was asked, and stricter in this case: the later stop's grace was not checked before, since the process had been killed. The violation says how long ago the process was asked.

--- a/tests/soak/operator_soak.cc
+++ b/tests/soak/operator_soak.cc
@@ -193,9 +193,11 @@
     SoakProcess* const process = target.process.get();
     switch (kind) {
       case Kind::kKill:
-        return process->Signal(SIGKILL);
+        process->Signal(SIGKILL);
+        return;
       case Kind::kStop:
-        return process->Signal(SIGTERM);
+        process->Signal(SIGTERM);
+        return;
       case Kind::kFreeze:
         return Freeze(process, lasts);
       case Kind::kStopFrozen:
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "core/logging.h"
+#include "core/units.h"
 
 namespace turmericshift::soak {
 namespace {
@@ -147,15 +148,13 @@
 }
 
 std::vector<FaultPlayer::Step> FaultPlayer::TermSteps(const Fault& fault, SoakProcess* process) {
-  const auto incarnation = std::make_shared<int>(0);
-  const auto ask = [process, incarnation] {
-    *incarnation = process->incarnation();
-    process->Signal(SIGTERM);
-  };
-  const auto kill = [this, process, incarnation] {
-    if (!process->runs(*incarnation)) return;
-    if (process->stops_gracefully(*incarnation)) {
-      history_->RecordViolation(process->name() + " outlives its grace");
+  const auto stop = std::make_shared<StopRequest>(process);
+  const auto ask = [stop] { stop->Send(); };
+  const auto kill = [this, process, stop] {
+    if (!stop->StillRuns()) return;
+    if (stop->Outlived()) {
+      history_->RecordViolation(process->name() + " outlives its grace: asked " +
+                                FormatDuration(LeaseClock().Now() - stop->sent_at()) + " ago");
     }
     process->Signal(SIGKILL);
   };
--- a/tests/soak/soak_process.cc
+++ b/tests/soak/soak_process.cc
@@ -33,15 +33,16 @@
   Signal(SIGKILL);
 }
 
-void SoakProcess::Signal(int signal) {
+int SoakProcess::Signal(int signal) {
   // The process is reaped under the same lock, so its id cannot have been reused.
   const std::lock_guard<std::mutex> lock(signal_mutex_);
   const pid_t pid = pid_.load();
-  if (pid <= 0) return;
+  if (pid <= 0) return 0;
   if (signal == SIGKILL || signal == SIGTERM) end_requested_.store(true);
   if (signal == SIGTERM) sigterm_count_.fetch_add(1);
   if (signal == SIGKILL || signal == SIGSTOP) interrupted_.store(true);
   kill(pid, signal);
+  return incarnation_.load();
 }
 
 bool SoakProcess::stops_gracefully(int incarnation) const {
@@ -116,4 +117,15 @@
   }
 }
 
+void StopRequest::Send() {
+  sent_at_ = LeaseClock().Now();
+  incarnation_ = process_->Signal(SIGTERM);
+}
+
+bool StopRequest::StillRuns() const { return process_->runs(incarnation_); }
+
+bool StopRequest::Outlived() const {
+  return StillRuns() && process_->stops_gracefully(incarnation_);
+}
+
 }  // namespace turmericshift::soak
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -39,8 +39,9 @@
   SoakProcess& operator=(const SoakProcess&) = delete;
 
   const std::string& name() const { return options_.name; }
-  // Sends a signal to the current incarnation, if it is running.
-  void Signal(int signal);
+  // Sends a signal to the current incarnation, if it is running; returns its number, or 0 if none
+  // runs.
+  int Signal(int signal);
   // Number of the current incarnation; each restart increments it.
   int incarnation() const { return incarnation_.load(); }
   bool runs(int incarnation) const { return incarnation_.load() == incarnation && pid_.load() > 0; }
@@ -67,4 +68,26 @@
   Thread thread_;
 };
 
+// A graceful stop of a process: SIGTERM, after which it must end within the platform's grace
+// period.
+class StopRequest {
+ public:
+  // `process` must outlive this object.
+  explicit StopRequest(SoakProcess* process) : process_(process) {}
+
+  // Sends SIGTERM to the current incarnation, if it is running.
+  void Send();
+  // Whether the incarnation that received the signal still runs.
+  bool StillRuns() const;
+  // Whether it still runs, and received no other signal that disturbs its stop.
+  bool Outlived() const;
+  Time sent_at() const { return sent_at_; }
+
+ private:
+  SoakProcess* const process_;
+  // 0 if no process received the signal.
+  int incarnation_ = 0;
+  Time sent_at_{};
+};
+
 }  // namespace turmericshift::soak
