Rpc: Close the socket of a session that can't start

Callers: an entry that lacks threads or descriptors for a moment kept the socket of each session that it could not start. The peer saw an open connection that never answers, and the descriptor was lost.

Cause: Session::Open passed the descriptor to the thread as a number, and Session::Run wrapped it only after setupAsyncIo. If either failed, nobody closed it.

Change: the socket is owned from the first statement of Open, then of Run.

--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -1,8 +1,6 @@
 #include "rpc/pool_session.h"
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -12,6 +10,7 @@
 
 #include "core/error.h"
 #include "rpc/sockets.h"
+#include "tests/stand_ins/descriptor_shortage.h"
 
 namespace turmericshift {
 namespace {
@@ -42,38 +41,6 @@
   }
 };
 
-// Uses up all descriptors of the process except one during its lifetime.
-class DescriptorShortage {
- public:
-  DescriptorShortage() {
-    getrlimit(RLIMIT_NOFILE, &before_);
-    rlimit low = before_;
-    low.rlim_cur = kLimit;
-    setrlimit(RLIMIT_NOFILE, &low);
-    for (int fd = open("/dev/null", O_RDONLY); fd >= 0; fd = open("/dev/null", O_RDONLY)) {
-      taken_.push_back(fd);
-    }
-    FreeOne();
-  }
-  ~DescriptorShortage() {
-    for (const int fd : taken_) close(fd);
-    setrlimit(RLIMIT_NOFILE, &before_);
-  }
-  DescriptorShortage(const DescriptorShortage&) = delete;
-  DescriptorShortage& operator=(const DescriptorShortage&) = delete;
-
- private:
-  static constexpr rlim_t kLimit = 256;
-
-  void FreeOne() {
-    close(taken_.back());
-    taken_.pop_back();
-  }
-
-  rlimit before_{};
-  std::vector<int> taken_;
-};
-
 // If a brief lack of descriptors ended the accept loop for good, agents could no longer reach a
 // planner that is still active.
 TEST(PoolListener, AcceptsSessionsAgainAfterALackOfDescriptors) {
--- a/rpc/session.cc
+++ b/rpc/session.cc
@@ -40,12 +40,15 @@
 
 std::shared_ptr<Session> Session::Open(int fd, Side side, const std::string& thread_name,
                                        const MakeBootstrap& make_bootstrap) {
+  kj::AutoCloseFd socket(fd);
   const std::shared_ptr<Session> session(new Session);
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   Thread thread(
       thread_name, [session, fd, side, make_bootstrap] { session->Run(fd, side, make_bootstrap); },
       kSessionStackBytes);
+  // The thread closes it.
+  socket.release();
   thread.Detach();
   std::unique_lock<std::mutex> lock(session->mutex_);
   session->changed_.wait(lock, [&session] { return session->started_ || session->ended_; });
@@ -55,9 +58,10 @@
 Session::~Session() = default;
 
 void Session::Run(int fd, Side side, const MakeBootstrap& make_bootstrap) {
+  kj::AutoCloseFd owned_fd(fd);
   try {
     kj::AsyncIoContext io = kj::setupAsyncIo();
-    auto socket = io.lowLevelProvider->wrapSocketFd(kj::AutoCloseFd(fd));
+    auto socket = io.lowLevelProvider->wrapSocketFd(kj::mv(owned_fd));
     // The connecting side chose its peer, so it does not limit what the peer sends.
     if (side == Side::kConnecting) Admit();
     auto stream = kj::heap<AdmissionStream>(socket.get(), &admitted_);
--- a/rpc/session.h
+++ b/rpc/session.h
@@ -28,8 +28,8 @@
   // empty on the connecting side.
   using MakeBootstrap = std::function<capnp::Capability::Client(Session*)>;
 
-  // Takes over the connected socket `fd`. Returns when the event loop runs or the
-  // session has failed.
+  // Takes over the connected socket `fd`. Returns when the event loop runs or the session has
+  // failed. Throws Error(kUnavailable) if no thread can be started; the socket is then closed.
   static std::shared_ptr<Session> Open(int fd, Side side, const std::string& thread_name,
                                        const MakeBootstrap& make_bootstrap);
   ~Session();
