Rpc: End a session's loop in one way, whatever exception ends it

Callers: an exception that is not the library's (Error, bad_alloc), thrown by the bootstrap factory or by a destructor of the connection, left the session without its end: Session::Open, with the accept loop of the entry, and WaitClosed waited forever.

Change: Serve holds the connection. Whatever it throws is logged, then FinishCalls runs the loop until no call is left, then the loop is destroyed, and the end is always signalled. FinishCalls allocates nothing. It does not run in a destructor, because the library logs its exceptions instead of throwing them while the stack unwinds, and calls would not fail. OnClosed had no caller and is removed.

--- a/rpc/session.cc
+++ b/rpc/session.cc
@@ -16,10 +16,14 @@
 constexpr size_t kSessionStackBytes = size_t{256} * 1024;
 // How often FinishCalls checks for calls in flight. They fail within a few turns of the loop once
 // the connection has ended.
-constexpr kj::Duration kFinishCallsInterval = 1 * kj::MILLISECONDS;
+constexpr Duration kFinishCallsInterval = std::chrono::milliseconds(1);
 
-void LogFailure(const kj::Exception& exception) {
-  LogEvent(LogLevel::kWarning, "session_failed", {{"error", exception.getDescription().cStr()}});
+// Runs `body` and logs the exception that it throws, of whatever type.
+template <typename Body>
+void LogExceptions(Body&& body) {
+  KJ_IF_MAYBE (exception, kj::runCatchingExceptions(body)) {
+    LogEvent(LogLevel::kWarning, "session_failed", {{"error", exception->getDescription().cStr()}});
+  }
 }
 
 }  // namespace
@@ -58,55 +62,60 @@
 Session::~Session() = default;
 
 void Session::Run(int fd, Side side, const MakeBootstrap& make_bootstrap) {
-  kj::AutoCloseFd owned_fd(fd);
-  try {
+  KJ_DEFER(SignalEnded());
+  kj::AutoCloseFd socket(fd);
+  LogExceptions([&] {
     kj::AsyncIoContext io = kj::setupAsyncIo();
-    auto socket = io.lowLevelProvider->wrapSocketFd(kj::mv(owned_fd));
-    // The connecting side chose its peer, so it does not limit what the peer sends.
-    if (side == Side::kConnecting) Admit();
-    auto stream = kj::heap<AdmissionStream>(socket.get(), &admitted_);
-    auto stop = kj::newPromiseAndFulfiller<void>();
-    kj::Maybe<capnp::Capability::Client> bootstrap;
-    if (make_bootstrap) bootstrap = make_bootstrap(this);
-    const auto wire_side = side == Side::kConnecting ? capnp::rpc::twoparty::Side::CLIENT
-                                                     : capnp::rpc::twoparty::Side::SERVER;
-    kj::Own<capnp::TwoPartyClient> client;
-    KJ_IF_MAYBE (capability, bootstrap) {
-      client = kj::heap<capnp::TwoPartyClient>(*stream, kj::mv(*capability), wire_side);
-    } else {
-      client = kj::heap<capnp::TwoPartyClient>(*stream);
-    }
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      executor_ = kj::getCurrentThreadExecutor().addRef();
-      timer_ = &io.provider->getTimer();
-      client_ = client.get();
-      stop_ = stop.fulfiller.get();
-      started_ = true;
-    }
-    changed_.notify_all();
-    client->onDisconnect()
-        .exclusiveJoin(kj::mv(stop.promise))
-        .catch_([](kj::Exception&& exception) { LogFailure(exception); })
-        .wait(io.waitScope);
-    closed_.store(true);
-    // Calls that other threads have queued still run after the connection has ended. If they used
-    // the destroyed connection, the process would crash.
-    client_ = nullptr;
-    client = nullptr;
+    LogExceptions([&] { Serve(&io, kj::mv(socket), side, make_bootstrap); });
+    // Whatever ended the connection, the loop must outlive the calls. Not in a destructor: while an
+    // exception unwinds the stack, the library logs its exceptions instead of throwing them, and
+    // calls would not fail.
     FinishCalls(&io);
-  } catch (const kj::Exception& exception) {
-    closed_.store(true);
-    LogFailure(exception);
+  });
+}
+
+void Session::Serve(kj::AsyncIoContext* io, kj::AutoCloseFd fd, Side side,
+                    const MakeBootstrap& make_bootstrap) {
+  auto socket = io->lowLevelProvider->wrapSocketFd(kj::mv(fd));
+  // The connecting side chose its peer, so it does not limit what the peer sends.
+  if (side == Side::kConnecting) Admit();
+  AdmissionStream stream(socket.get(), &admitted_);
+  auto stop = kj::newPromiseAndFulfiller<void>();
+  kj::Maybe<capnp::Capability::Client> bootstrap;
+  if (make_bootstrap) bootstrap = make_bootstrap(this);
+  const auto wire_side = side == Side::kConnecting ? capnp::rpc::twoparty::Side::CLIENT
+                                                   : capnp::rpc::twoparty::Side::SERVER;
+  kj::Own<capnp::TwoPartyClient> client;
+  KJ_IF_MAYBE (capability, bootstrap) {
+    client = kj::heap<capnp::TwoPartyClient>(stream, kj::mv(*capability), wire_side);
+  } else {
+    client = kj::heap<capnp::TwoPartyClient>(stream);
+  }
+  // Calls that other threads have queued still run after the connection has ended. If they used
+  // the destroyed connection, the process would crash.
+  KJ_DEFER({
+    client_ = nullptr;
+    stop_ = nullptr;
+  });
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    executor_ = kj::getCurrentThreadExecutor().addRef();
+    timer_ = &io->provider->getTimer();
+    client_ = client.get();
+    stop_ = stop.fulfiller.get();
+    started_ = true;
   }
-  std::function<void()> callback;
+  changed_.notify_all();
+  client->onDisconnect().exclusiveJoin(kj::mv(stop.promise)).wait(io->waitScope);
+}
+
+void Session::SignalEnded() {
+  closed_.store(true);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     ended_ = true;
-    callback = std::move(on_closed_);
   }
   changed_.notify_all();
-  if (callback) callback();
 }
 
 void Session::EnterCall() {
@@ -119,21 +128,19 @@
 
 void Session::LeaveCall() {
   const std::lock_guard<std::mutex> lock(mutex_);
-  --calls_;
+  if (--calls_ == 0) changed_.notify_all();
 }
 
 void Session::FinishCalls(kj::AsyncIoContext* io) {
-  while (true) {
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      ending_ = true;
-      if (calls_ == 0) break;
-    }
-    io->provider->getTimer().afterDelay(kFinishCallsInterval).wait(io->waitScope);
-  }
-  // Destroying the connection queues events for promises that still wait for it. If the loop were
-  // destroyed with events in its queue, they would leak, and a session failure would be logged.
-  io->waitScope.poll();
+  std::unique_lock<std::mutex> lock(mutex_);
+  ending_ = true;
+  do {
+    lock.unlock();
+    // Also runs the events that the destruction of the connection has queued. If the loop were
+    // destroyed with events in its queue, they would leak.
+    io->waitScope.poll();
+    lock.lock();
+  } while (!changed_.wait_for(lock, kFinishCallsInterval, [this] { return calls_ == 0; }));
 }
 
 capnp::Capability::Client Session::Bootstrap() {
@@ -147,7 +154,9 @@
   if (closed_.exchange(true)) return;
   try {
     const CallGuard call_guard(this);
-    executor_->executeSync([this] { stop_->fulfill(); });
+    executor_->executeSync([this] {
+      if (stop_ != nullptr) stop_->fulfill();
+    });
   } catch (const Error&) {
     // The connection has already ended by itself.
   }
@@ -158,15 +167,4 @@
   changed_.wait(lock, [this] { return ended_; });
 }
 
-void Session::OnClosed(std::function<void()> callback) {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (!ended_) {
-      on_closed_ = std::move(callback);
-      return;
-    }
-  }
-  callback();
-}
-
 }  // namespace turmericshift
--- a/rpc/session.h
+++ b/rpc/session.h
@@ -4,6 +4,7 @@
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
+#include <kj/io.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -66,9 +67,6 @@
   bool admitted() const { return admitted_.load(); }
   // Waits until the session's thread has ended.
   void WaitClosed();
-  // Sets a callback that runs once, on the session's thread, when the connection has ended. If it
-  // has already ended, the callback runs immediately on the caller's thread.
-  void OnClosed(std::function<void()> callback);
 
  private:
   // Keeps the loop alive while a thread waits for it. If a loop were destroyed with work of another
@@ -87,10 +85,14 @@
 
   Session() = default;
   void Run(int fd, Side side, const MakeBootstrap& make_bootstrap);
+  // Serves the connection until it ends or is closed.
+  void Serve(kj::AsyncIoContext* io, kj::AutoCloseFd fd, Side side,
+             const MakeBootstrap& make_bootstrap);
   void EnterCall();
   void LeaveCall();
   // Rejects new calls and runs the loop until all calls in flight have ended.
   void FinishCalls(kj::AsyncIoContext* io);
+  void SignalEnded();
 
   std::atomic<bool> closed_{false};
   std::atomic<bool> admitted_{false};
@@ -102,11 +104,11 @@
   bool ended_ = false;
   int calls_ = 0;
   kj::Own<const kj::Executor> executor_;
-  std::function<void()> on_closed_;
   // Owned by the thread's stack; valid while the loop runs.
   kj::Timer* timer_ = nullptr;
   // Null again once the connection has ended. After the start it is used on the loop's thread only.
   capnp::TwoPartyClient* client_ = nullptr;
+  // Like `client_`.
   kj::PromiseFulfiller<void>* stop_ = nullptr;
 };
 
