Rpc: Close sessions and release capabilities without waiting for a loop

Suspected at callers: two entries' sessions of which each closes or releases something of the other on its own loop waited for each other forever; neither a deadline nor the end of the connections frees them, since both run on the loops that wait. A session's loop closes another one when an agent replaces its session (AgentDirectory::Open, Drop). Besides, a session that its bootstrap factory closed was marked as closed and never ended, and later Close calls did nothing.

Change: Close fulfils a promise across threads, which exists before the bootstrap is made. With this, only Call waits for a loop.

--- a/rpc/session.cc
+++ b/rpc/session.cc
@@ -6,6 +6,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <utility>
+
 #include "core/logging.h"
 #include "core/thread.h"
 #include "rpc/admission_stream.h"
@@ -76,11 +78,15 @@
 
 void Session::Serve(kj::AsyncIoContext* io, kj::AutoCloseFd fd, Side side,
                     const MakeBootstrap& make_bootstrap) {
+  auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stop_ = kj::mv(stop.fulfiller);
+  }
   auto socket = io->lowLevelProvider->wrapSocketFd(kj::mv(fd));
   // The connecting side chose its peer, so it does not limit what the peer sends.
   if (side == Side::kConnecting) Admit();
   AdmissionStream stream(socket.get(), &admitted_);
-  auto stop = kj::newPromiseAndFulfiller<void>();
   kj::Maybe<capnp::Capability::Client> bootstrap;
   if (make_bootstrap) bootstrap = make_bootstrap(this);
   const auto wire_side = side == Side::kConnecting ? capnp::rpc::twoparty::Side::CLIENT
@@ -93,16 +99,12 @@
   }
   // Calls that other threads have queued still run after the connection has ended. If they used
   // the destroyed connection, the process would crash.
-  KJ_DEFER({
-    client_ = nullptr;
-    stop_ = nullptr;
-  });
+  KJ_DEFER(client_ = nullptr);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     executor_ = kj::getCurrentThreadExecutor().addRef();
     timer_ = &io->provider->getTimer();
     client_ = client.get();
-    stop_ = stop.fulfiller.get();
     started_ = true;
   }
   changed_.notify_all();
@@ -135,7 +137,9 @@
   std::unique_lock<std::mutex> lock(mutex_);
   ending_ = true;
   do {
+    const std::vector<std::function<void()>> released = std::exchange(released_, {});
     lock.unlock();
+    for (const auto& destroy : released) LogExceptions(destroy);
     // Also runs the events that the destruction of the connection has queued. If the loop were
     // destroyed with events in its queue, they would leak.
     io->waitScope.poll();
@@ -151,15 +155,9 @@
 }
 
 void Session::Close() {
-  if (closed_.exchange(true)) return;
-  try {
-    const CallGuard call_guard(this);
-    executor_->executeSync([this] {
-      if (stop_ != nullptr) stop_->fulfill();
-    });
-  } catch (const Error&) {
-    // The connection has already ended by itself.
-  }
+  closed_.store(true);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (stop_.get() != nullptr) stop_->fulfill();
 }
 
 void Session::WaitClosed() {
--- a/rpc/session.h
+++ b/rpc/session.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/error.h"
@@ -54,11 +55,13 @@
   // Returns the peer's bootstrap capability. For the connecting side, on the session's loop only.
   // Throws kj::Exception(DISCONNECTED) once the connection has ended.
   capnp::Capability::Client Bootstrap();
-  // Destroys a capability on the loop that owns it.
+  // Destroys a capability on the loop that owns it, once the connection has ended. May be called
+  // from any thread and does not wait.
   template <typename Client>
   void Release(std::unique_ptr<Client> client);
 
   // Ends the connection; calls in flight fail. May be called from any thread and more than once.
+  // Does not wait, because two loops that close each other's sessions would wait forever.
   void Close();
   bool closed() const { return closed_.load(); }
   // Marks the peer as authenticated. Until then, an accepting session reads only as much as the
@@ -108,21 +111,20 @@
   kj::Timer* timer_ = nullptr;
   // Null again once the connection has ended. After the start it is used on the loop's thread only.
   capnp::TwoPartyClient* client_ = nullptr;
-  // Like `client_`.
-  kj::PromiseFulfiller<void>* stop_ = nullptr;
+  // Ends the connection.
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop_;
+  // Destroy the capabilities that were released.
+  std::vector<std::function<void()>> released_;
 };
 
 template <typename Client>
 void Session::Release(std::unique_ptr<Client> client) {
   Client* raw = client.release();
-  try {
-    const CallGuard call_guard(this);
-    executor_->executeSync([raw] { delete raw; });
-  } catch (const Error&) {
-    // The loop is ending or has ended, and the connection's tables with it. Destroying the
-    // capability on this thread would access those tables from the wrong thread, so its few bytes
-    // are leaked.
-  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  // Once the connection's tables are destroyed, destroying the capability would access them, so its
+  // few bytes are leaked.
+  if (ending_ || ended_) return;
+  released_.emplace_back([raw] { delete raw; });
 }
 
 }  // namespace turmericshift
