--- a/rpc/session.h
+++ b/rpc/session.h
@@ -4,6 +4,7 @@
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
+#include <kj/io.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -11,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/error.h"
@@ -28,8 +30,8 @@
   // empty on the connecting side.
   using MakeBootstrap = std::function<capnp::Capability::Client(Session*)>;
 
-  // Takes over the connected socket `fd`. Returns when the event loop runs or the
-  // session has failed.
+  // Takes over the connected socket `fd`. Returns when the event loop runs or the session has
+  // failed. Throws Error(kUnavailable) if no thread can be started; the socket is then closed.
   static std::shared_ptr<Session> Open(int fd, Side side, const std::string& thread_name,
                                        const MakeBootstrap& make_bootstrap);
   ~Session();
@@ -53,11 +55,13 @@
   // Returns the peer's bootstrap capability. For the connecting side, on the session's loop only.
   // Throws kj::Exception(DISCONNECTED) once the connection has ended.
   capnp::Capability::Client Bootstrap();
-  // Destroys a capability on the loop that owns it.
+  // Destroys a capability on the loop that owns it, once the connection has ended. May be called
+  // from any thread and does not wait.
   template <typename Client>
   void Release(std::unique_ptr<Client> client);
 
   // Ends the connection; calls in flight fail. May be called from any thread and more than once.
+  // Does not wait, because two loops that close each other's sessions would wait forever.
   void Close();
   bool closed() const { return closed_.load(); }
   // Marks the peer as authenticated. Until then, an accepting session reads only as much as the
@@ -66,9 +70,6 @@
   bool admitted() const { return admitted_.load(); }
   // Waits until the session's thread has ended.
   void WaitClosed();
-  // Sets a callback that runs once, on the session's thread, when the connection has ended. If it
-  // has already ended, the callback runs immediately on the caller's thread.
-  void OnClosed(std::function<void()> callback);
 
  private:
   // Keeps the loop alive while a thread waits for it. If a loop were destroyed with work of another
@@ -87,10 +88,14 @@
 
   Session() = default;
   void Run(int fd, Side side, const MakeBootstrap& make_bootstrap);
+  // Serves the connection until it ends or is closed.
+  void Serve(kj::AsyncIoContext* io, kj::AutoCloseFd fd, Side side,
+             const MakeBootstrap& make_bootstrap);
   void EnterCall();
   void LeaveCall();
   // Rejects new calls and runs the loop until all calls in flight have ended.
   void FinishCalls(kj::AsyncIoContext* io);
+  void SignalEnded();
 
   std::atomic<bool> closed_{false};
   std::atomic<bool> admitted_{false};
@@ -102,25 +107,24 @@
   bool ended_ = false;
   int calls_ = 0;
   kj::Own<const kj::Executor> executor_;
-  std::function<void()> on_closed_;
   // Owned by the thread's stack; valid while the loop runs.
   kj::Timer* timer_ = nullptr;
   // Null again once the connection has ended. After the start it is used on the loop's thread only.
   capnp::TwoPartyClient* client_ = nullptr;
-  kj::PromiseFulfiller<void>* stop_ = nullptr;
+  // Ends the connection.
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop_;
+  // Destroy the capabilities that were released.
+  std::vector<std::function<void()>> released_;
 };
 
 template <typename Client>
 void Session::Release(std::unique_ptr<Client> client) {
   Client* raw = client.release();
-  try {
-    const CallGuard call_guard(this);
-    executor_->executeSync([raw] { delete raw; });
-  } catch (const Error&) {
-    // The loop is ending or has ended, and the connection's tables with it. Destroying the
-    // capability on this thread would access those tables from the wrong thread, so its few bytes
-    // are leaked.
-  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  // Once the connection's tables are destroyed, destroying the capability would access them, so its
+  // few bytes are leaked.
+  if (ending_ || ended_) return;
+  released_.emplace_back([raw] { delete raw; });
 }
 
 }  // namespace turmericshift
