ApiClient: Cancel and join calls still in flight when a command ends

Cause: ApiClient sent each call in a detached thread, which outlived the command. A core shows the main thread in OPENSSL_cleanup, called by exit(), and the thread of the call, whose body had returned, in OpenSSL's destructor of its thread data (nptl_deallocate_tsd). libcurl initialises OpenSSL even for plain HTTP; its flag against that has had no effect since 7.57.

ApiClient now owns the threads of a call. Once the call has its answer, the others are cancelled through libcurl's multi interface, which can be woken from another thread, and joined. Waiting for their timeout instead could take 30 s.

The tests of HttpCanceller are new, as the class is.

--- a/core/http_client.cc
+++ b/core/http_client.cc
@@ -10,6 +10,47 @@
 #include "core/error.h"
 
 namespace turmericshift {
+
+// A transfer that Cancel can interrupt while it waits for the network.
+class CancellableTransfer {
+ public:
+  explicit CancellableTransfer(HttpCanceller* canceller)
+      : canceller_(canceller), multi_(curl_multi_init()) {
+    if (multi_ == nullptr) throw Error(ErrorKind::kInternal, "libcurl could not create a transfer");
+    const std::lock_guard<std::mutex> lock(canceller_->mutex_);
+    canceller_->transfer_ = multi_;
+  }
+  ~CancellableTransfer() {
+    {
+      const std::lock_guard<std::mutex> lock(canceller_->mutex_);
+      canceller_->transfer_ = nullptr;
+    }
+    curl_multi_cleanup(multi_);
+  }
+  CancellableTransfer(const CancellableTransfer&) = delete;
+  CancellableTransfer& operator=(const CancellableTransfer&) = delete;
+
+  CURLcode Perform(CURL* handle) {
+    // libcurl returns earlier when one of its own timeouts expires.
+    constexpr int kMaxPollMs = 1000;
+    curl_multi_add_handle(multi_, handle);
+    int running = 1;
+    while (running > 0 && !canceller_->cancelled()) {
+      curl_multi_perform(multi_, &running);
+      if (running > 0) curl_multi_poll(multi_, nullptr, 0, kMaxPollMs, nullptr);
+    }
+    int left = 0;
+    const CURLMsg* end = curl_multi_info_read(multi_, &left);
+    const CURLcode code = end == nullptr ? CURLE_ABORTED_BY_CALLBACK : end->data.result;
+    curl_multi_remove_handle(multi_, handle);
+    return code;
+  }
+
+ private:
+  HttpCanceller* const canceller_;
+  CURLM* const multi_;
+};
+
 namespace {
 
 struct HandleDeleter {
@@ -83,6 +124,8 @@
       throw Error(ErrorKind::kInvalidInput, what);
     case CURLE_OPERATION_TIMEDOUT:
       throw Error(ErrorKind::kDeadlineExceeded, sent ? Outcome::kUnknown : Outcome::kNotRun, what);
+    case CURLE_ABORTED_BY_CALLBACK:
+      throw Error(ErrorKind::kCancelled, Outcome::kUnknown, what);
     case CURLE_PARTIAL_FILE:
       throw Error(ErrorKind::kAnswerCut, Outcome::kUnknown, what);
     default:
@@ -90,16 +133,7 @@
   }
 }
 
-}  // namespace
-
-std::string HttpReply::header(const std::string& name) const {
-  for (const HttpHeader& each : headers) {
-    if (strcasecmp(each.name.c_str(), name.c_str()) == 0) return each.value;
-  }
-  return "";
-}
-
-HttpReply PerformHttp(const HttpCall& call) {
+HttpReply Perform(const HttpCall& call, HttpCanceller* canceller) {
   CURL* handle = ThreadHandle();
   Receiver receiver;
   receiver.max_bytes = call.max_answer_bytes;
@@ -132,7 +166,8 @@
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(call.body.size()));
   }
-  const CURLcode code = curl_easy_perform(handle);
+  const CURLcode code = canceller == nullptr ? curl_easy_perform(handle)
+                                             : CancellableTransfer(canceller).Perform(handle);
   if (code != CURLE_OK) ThrowFor(code, HasSent(handle), call, receiver);
   long status = 0;  // NOLINT(google-runtime-int): the library's type
   curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
@@ -140,4 +175,30 @@
   return std::move(receiver.reply);
 }
 
+}  // namespace
+
+std::string HttpReply::header(const std::string& name) const {
+  for (const HttpHeader& each : headers) {
+    if (strcasecmp(each.name.c_str(), name.c_str()) == 0) return each.value;
+  }
+  return "";
+}
+
+void HttpCanceller::Cancel() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  cancelled_ = true;
+  if (transfer_ != nullptr) curl_multi_wakeup(transfer_);
+}
+
+bool HttpCanceller::cancelled() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return cancelled_;
+}
+
+HttpReply PerformHttp(const HttpCall& call) { return Perform(call, nullptr); }
+
+HttpReply PerformHttp(const HttpCall& call, HttpCanceller* canceller) {
+  return Perform(call, canceller);
+}
+
 }  // namespace turmericshift
--- a/core/http_client.h
+++ b/core/http_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -37,10 +38,29 @@
   std::string header(const std::string& name) const;
 };
 
+// Ends calls from another thread.
+class HttpCanceller {
+ public:
+  // Makes the running call and all later calls with this canceller end immediately.
+  void Cancel();
+  bool cancelled() const;
+
+ private:
+  friend class CancellableTransfer;
+
+  mutable std::mutex mutex_;
+  bool cancelled_ = false;
+  // The libcurl transfer of the running call; null if none is running.
+  void* transfer_ = nullptr;
+};
+
 // Performs the call on the calling thread's handle, which keeps its connections open for later
 // calls. Throws Error: kUnavailable with outcome not_run when the connection was refused,
 // kDeadlineExceeded with not_run when no connection was established in time; kConnectionLost,
 // kDeadlineExceeded or kAnswerCut with outcome unknown when the request may have been received.
 HttpReply PerformHttp(const HttpCall& call);
+// As above, on a connection of its own. Throws Error(kCancelled) with outcome unknown when
+// `canceller` ends the call. A canceller serves one call at a time and must outlive it.
+HttpReply PerformHttp(const HttpCall& call, HttpCanceller* canceller);
 
 }  // namespace turmericshift
--- a/core/http_client_test.cc
+++ b/core/http_client_test.cc
@@ -1,5 +1,6 @@
 #include "core/http_client.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,6 +9,7 @@
 
 #include "core/error.h"
 #include "core/listen_socket.h"
+#include "core/thread.h"
 
 namespace turmericshift {
 namespace {
@@ -45,9 +47,13 @@
   std::vector<int> pending_;
 };
 
-Error FailureOf(const HttpCall& call) {
+Error FailureOf(const HttpCall& call, HttpCanceller* canceller = nullptr) {
   try {
-    PerformHttp(call);
+    if (canceller == nullptr) {
+      PerformHttp(call);
+    } else {
+      PerformHttp(call, canceller);
+    }
   } catch (const Error& error) {
     return error;
   }
@@ -73,6 +79,46 @@
   EXPECT_EQ(FailureOf(call).outcome(), Outcome::kNotRun);
 }
 
+TEST(HttpClientTest, CancelEndsACallThatWaitsForItsResponse) {
+  const int listener = ListenSocket("127.0.0.1", 0);
+  HttpCall call = CallTo(BoundPort(listener));
+  call.timeout = std::chrono::hours(1);
+  HttpCanceller canceller;
+  int fd = -1;
+  Thread canceling("cancel", [&] {
+    fd = accept(listener, nullptr, nullptr);
+    char byte = 0;
+    EXPECT_EQ(recv(fd, &byte, sizeof(byte), 0), 1);
+    canceller.Cancel();
+  });
+  const Error failure = FailureOf(call, &canceller);
+  EXPECT_EQ(failure.kind(), ErrorKind::kCancelled);
+  EXPECT_EQ(failure.outcome(), Outcome::kUnknown);
+  canceling.Join();
+  close(fd);
+  close(listener);
+}
+
+TEST(HttpClientTest, CancelEndsACallThatWaitsForItsConnection) {
+  const FullListener peer;
+  HttpCall call = CallTo(peer.port());
+  call.timeout = std::chrono::hours(1);
+  call.connect_timeout = std::chrono::hours(1);
+  HttpCanceller canceller;
+  Thread canceling("cancel", [&canceller] { canceller.Cancel(); });
+  EXPECT_EQ(FailureOf(call, &canceller).kind(), ErrorKind::kCancelled);
+}
+
+TEST(HttpClientTest, CallAfterCancelSendsNothing) {
+  const int listener = ListenSocket("127.0.0.1", 0);
+  HttpCanceller canceller;
+  canceller.Cancel();
+  EXPECT_EQ(FailureOf(CallTo(BoundPort(listener)), &canceller).kind(), ErrorKind::kCancelled);
+  fcntl(listener, F_SETFL, O_NONBLOCK);
+  EXPECT_EQ(accept(listener, nullptr, nullptr), -1);
+  close(listener);
+}
+
 TEST(HttpClientTest, TimeoutAfterSendingIsUnknown) {
   const int listener = ListenSocket("127.0.0.1", 0);
   HttpCall call = CallTo(BoundPort(listener));
--- a/main/commands/api_client.cc
+++ b/main/commands/api_client.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
+#include <memory>
 #include <mutex>
 #include <sstream>
 #include <utility>
@@ -43,16 +44,15 @@
           json.value("detail", "")};
 }
 
-HttpReply PerformOrThrow(const HttpCall& call) {
-  HttpReply reply = PerformHttp(call);
+HttpReply PerformOrThrow(const HttpCall& call, HttpCanceller* canceller) {
+  HttpReply reply = PerformHttp(call, canceller);
   if (reply.status >= kFirstErrorStatus) throw ErrorFromReply(reply);
   return reply;
 }
 
 }  // namespace
 
-// Queue of the entries' replies to one call. Shared with the threads that send the call, which may
-// outlive the call.
+// Queue of the entries' replies to one call.
 struct ApiClient::ReplyQueue {
   struct EntryReply {
     size_t entry = 0;
@@ -82,6 +82,25 @@
   std::deque<EntryReply> list;
 };
 
+// Sends a call to one entry in a thread of its own. The destructor cancels the call if no reply has
+// arrived, so that the thread never outlives the command: at the process's exit, libcurl and the
+// libraries that it uses may already be cleaned up.
+class ApiClient::EntryCall {
+ public:
+  EntryCall(ReplyQueue* replies, size_t entry, const HttpCall& call)
+      : thread_("ask-entry", [this, replies, entry, call] {
+          replies->Push(
+              {entry, ResultOf<HttpReply>([&] { return PerformOrThrow(call, &canceller_); })});
+        }) {}
+  ~EntryCall() { canceller_.Cancel(); }
+  EntryCall(const EntryCall&) = delete;
+  EntryCall& operator=(const EntryCall&) = delete;
+
+ private:
+  HttpCanceller canceller_;
+  Thread thread_;
+};
+
 void AddApiOptions(CommandOptions* options) {
   options->Value("entries", "addresses of entries, 'IP:port IP:port …'")
       .Value("token-file", "file that holds the token")
@@ -132,16 +151,20 @@
                              CallLimits limits) {
   call.headers.push_back({"Authorization", "Bearer " + token_});
   const Time start = DefaultClock().Now();
-  const auto replies = std::make_shared<ReplyQueue>();
+  ReplyQueue replies;
+  std::vector<std::unique_ptr<EntryCall>> entry_calls;
   CallPlan plan(entries_.size(), preferred_entry_, kind, limits, start);
   while (true) {
     const Time now = DefaultClock().Now();
     for (const size_t entry : plan.TakeDueEntries(now)) {
-      SendTo(replies, entry, call, path, start + limits.timeout - now);
+      HttpCall entry_call = call;
+      entry_call.url = "http://" + entries_[entry] + path;
+      entry_call.timeout = start + limits.timeout - now;
+      entry_calls.push_back(std::make_unique<EntryCall>(&replies, entry, entry_call));
     }
     if (plan.finished(now)) throw plan.failure(now);
     if (plan.TakeSilenceNotice(now)) ReportUnanswered(plan, call.method + " " + path);
-    std::optional<ReplyQueue::EntryReply> entry_reply = replies->WaitUntil(plan.next_wakeup());
+    std::optional<ReplyQueue::EntryReply> entry_reply = replies.WaitUntil(plan.next_wakeup());
     if (!entry_reply) continue;
     if (!entry_reply->reply.error) {
       preferred_entry_ = entry_reply->entry;
@@ -151,18 +174,6 @@
   }
 }
 
-void ApiClient::SendTo(const std::shared_ptr<ReplyQueue>& replies, size_t entry,
-                       const HttpCall& call, const std::string& path, Duration timeout) const {
-  HttpCall entry_call = call;
-  entry_call.url = "http://" + entries_[entry] + path;
-  entry_call.timeout = timeout;
-  Thread thread("ask-entry", [replies, entry, entry_call] {
-    replies->Push(
-        {entry, ResultOf<HttpReply>([&entry_call] { return PerformOrThrow(entry_call); })});
-  });
-  thread.Detach();
-}
-
 void ApiClient::ReportUnanswered(const CallPlan& plan, const std::string& request) const {
   std::string addresses;
   for (const size_t entry : plan.unanswered()) addresses += " " + entries_[entry];
--- a/main/commands/api_client.h
+++ b/main/commands/api_client.h
@@ -45,11 +45,10 @@
 
  private:
   struct ReplyQueue;
+  class EntryCall;
 
   nlohmann::json CallJson(const std::string& method, const std::string& path,
                           const std::string& body, CallKind kind);
-  void SendTo(const std::shared_ptr<ReplyQueue>& replies, size_t entry, const HttpCall& call,
-              const std::string& path, Duration timeout) const;
   // Prints on standard error which entries have not answered yet.
   void ReportUnanswered(const CallPlan& plan, const std::string& request) const;
 
--- a/main/commands/api_client_test.cc
+++ b/main/commands/api_client_test.cc
@@ -1,9 +1,13 @@
 #include "main/commands/api_client.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <cstdio>
 #include <memory>
 #include <thread>
@@ -44,7 +48,28 @@
   SilentEntry& operator=(const SilentEntry&) = delete;
   std::string address() const { return "127.0.0.1:" + std::to_string(BoundPort(fd_)); }
 
+  // Whether all connections that were opened to it have been closed by their callers.
+  bool AllConnectionsClosed() const {
+    fcntl(fd_, F_SETFL, O_NONBLOCK);
+    bool all_closed = true;
+    for (int fd = accept(fd_, nullptr, nullptr); fd >= 0; fd = accept(fd_, nullptr, nullptr)) {
+      all_closed = ReadsToEnd(fd) && all_closed;
+      close(fd);
+    }
+    return all_closed;
+  }
+
  private:
+  // Returns false if the caller keeps the connection open; what it sent may arrive late.
+  static bool ReadsToEnd(int fd) {
+    const timeval limit = {5, 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    std::array<char, 4096> bytes{};
+    ssize_t count = 1;
+    while (count > 0) count = recv(fd, bytes.data(), bytes.size(), 0);
+    return count == 0 || errno == ECONNRESET;
+  }
+
   const int fd_;
 };
 
@@ -116,6 +141,14 @@
   EXPECT_EQ(two.last_change(), "x");
 }
 
+// A thread that still used libcurl while the process ended crashed it.
+TEST_F(ApiClientTest, NoCallContinuesAfterAnotherEntryAnswered) {
+  const SilentEntry one;
+  const ServingEntry two;
+  ClientOf(one.address() + " " + two.address()).Read("/v1/config");
+  EXPECT_TRUE(one.AllConnectionsClosed());
+}
+
 // Otherwise each call of a command would wait again for the same silent entry.
 TEST_F(ApiClientTest, NextCallStartsWithTheEntryThatAnswered) {
   const SilentEntry one;
--- a/main/main.cc
+++ b/main/main.cc
@@ -39,7 +39,7 @@
   turmericshift::InstallCrashReport();
   const turmericshift::ExitCode code = turmericshift::Run(argc, argv);
   std::fflush(nullptr);
-  // Ends without running static destructors, since detached threads may still wait for an entry
-  // that does not answer and would use destroyed objects.
+  // Ends without running static destructors, since detached threads of sessions may still run and
+  // would use destroyed objects.
   turmericshift::EndProcess(static_cast<int>(code));
 }
