Servers: End a server's threads if one of them can't be started

Cause: a constructor that starts several threads threw at the one that the system refused. The destructor does not run then, so nothing told the started threads to end, and their destructors joined them for good; the stop signals are blocked from the first statement on, and nobody waits for them yet. So it was in AgentServer, StreamClient (all entries), pool::PlannerService and pool::PoolAgent.

--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -35,16 +35,28 @@
   if (worker != nullptr) {
     gangs_ =
         std::make_unique<GangHost>(options.hello.worker, worker, &guard_, options.hello.process);
-    expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
   }
+  try {
+    StartThreads();
+  } catch (...) {
+    // The destructor does not run, and nothing else tells the started threads to end.
+    StopThreads();
+    throw;
+  }
+}
+
+AgentServer::~AgentServer() { StopThreads(); }
+
+void AgentServer::StartThreads() {
+  if (gangs_) expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
   // One thread more than sessions, so that a better session is opened before the session with the
   // lowest score is closed.
-  for (int index = 0; index <= options.max_sessions; ++index) {
+  for (int index = 0; index <= options_.max_sessions; ++index) {
     sessions_.emplace_back("agent-beat", [this] { RunSessions(); });
   }
 }
 
-AgentServer::~AgentServer() {
+void AgentServer::StopThreads() {
   std::vector<Thread> sessions;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/servers/agent/agent_server.h
+++ b/servers/agent/agent_server.h
@@ -64,6 +64,9 @@
   const std::string& zone() const { return options_.hello.zone; }
 
  private:
+  void StartThreads();
+  // Makes all threads end and joins them.
+  void StopThreads();
   // Runs one session thread: opens sessions to the addresses that the plan selects.
   void RunSessions();
   void RunSession(const std::string& address);
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -34,11 +34,23 @@
       round_seconds_(metrics->distribution("planner_round_seconds")),
       lag_seconds_(metrics->gauge("planner_late_seconds")),
       jobs_(metrics->gauge("planner_jobs")),
-      epoch_gauge_(metrics->gauge("planner_epoch")),
-      planning_thread_("decide", [this] { RunPlanningLoop(); }),
-      writer_thread_("write", [this] { RunWriteLoop(); }) {}
+      epoch_gauge_(metrics->gauge("planner_epoch")) {
+  try {
+    planning_thread_ = Thread("decide", [this] { RunPlanningLoop(); });
+    writer_thread_ = Thread("write", [this] { RunWriteLoop(); });
+  } catch (...) {
+    // The destructor does not run, and nothing else tells the started thread to end.
+    StopThreads();
+    throw;
+  }
+}
 
 PlannerService::~PlannerService() {
+  StopThreads();
+  StepDown("the process stops");
+}
+
+void PlannerService::StopThreads() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stopping_ = true;
@@ -46,7 +58,6 @@
   changed_.notify_all();
   write_ready_.notify_all();
   advice_ready_.notify_all();
-  StepDown("the process stops");
 }
 
 Error PlannerService::NotActiveError() {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -85,6 +85,8 @@
     Time until{};
   };
 
+  // Tells the threads to end. They are joined when they are destroyed.
+  void StopThreads();
   void RunPlanningLoop();
   static void PauseAfter(Duration round);
   void RunWriteLoop();
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -43,12 +43,21 @@
       members_(log, options.members_wait),
       router_(options.node, options.zone, &members_, connector),
       state_(options.node, options.zone, options.incarnation),
-      orders_("orders", kOrderThreads),
-      worker_thread_("worker", [this] { RunWorkerLoop(); }),
-      planner_thread_("planner", [this] { RunPlannerLoop(); }),
-      update_thread_("news", [this] { RunUpdateLoop(); }) {}
+      orders_("orders", kOrderThreads) {
+  try {
+    worker_thread_ = Thread("worker", [this] { RunWorkerLoop(); });
+    planner_thread_ = Thread("planner", [this] { RunPlannerLoop(); });
+    update_thread_ = Thread("news", [this] { RunUpdateLoop(); });
+  } catch (...) {
+    // The destructor does not run, and nothing else tells the started threads to end.
+    StopThreads();
+    throw;
+  }
+}
+
+PoolAgent::~PoolAgent() { StopThreads(); }
 
-PoolAgent::~PoolAgent() {
+void PoolAgent::StopThreads() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stopping_ = true;
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -52,6 +52,8 @@
   void WorkerLeft(const std::string& worker_id) override;
 
  private:
+  // Tells the threads to end. They are joined when they are destroyed.
+  void StopThreads();
   void RunWorkerLoop();
   void RunPlannerLoop();
   void RunUpdateLoop();
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -54,10 +54,13 @@
       group_size_(&metrics->distribution("log_group_records_" + name_)),
       write_seconds_(&metrics->distribution("log_write_seconds_" + name_)),
       random_(std::random_device{}()) {
-  for (int index = 0; index < kWriters; ++index) {
-    writers_.emplace_back("write-" + name_, [this] { RunWriter(); });
+  try {
+    StartThreads();
+  } catch (...) {
+    // The destructor does not run, and nothing else tells the started threads to end.
+    BeginStop();
+    throw;
   }
-  reader_ = Thread("read-" + name_, [this] { RunReader(); });
 }
 
 StreamClient::~StreamClient() {
@@ -66,6 +69,13 @@
   reader_.Join();
 }
 
+void StreamClient::StartThreads() {
+  for (int index = 0; index < kWriters; ++index) {
+    writers_.emplace_back("write-" + name_, [this] { RunWriter(); });
+  }
+  reader_ = Thread("read-" + name_, [this] { RunReader(); });
+}
+
 void StreamClient::BeginStop() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/servers/state/stream_client.h
+++ b/servers/state/stream_client.h
@@ -96,6 +96,7 @@
   struct PendingRecord;
   using Group = std::vector<std::shared_ptr<PendingRecord>>;
 
+  void StartThreads();
   void RunWriter();
   Group CollectGroup();
   void AppendGroup(const Group& group);
