Daemons: End when asked to stop during the start, and count the limit from then

A daemon that was asked to stop while it started went on starting first, for as long as its start waited: `entry`, whose keys file was a pipe, still ran 70 s after SIGTERM; trials of `agent` and `dev` still ran after 3 s. The time for a stop (the platform's grace) was counted from the end of the start.

Cause: ShutdownSignal blocks the signal, and nothing received it before Wait.

A thread receives the first signal from the first log line on. Until the process opens its first port the signal ends it with exit code 0; after that it is left to Wait, which returns when it came, so that the limit of the stop counts from there. `stop_asked` has the time of the signal and says whether it came during the start. `pool entry` and `pool agent` wait for nothing there; for them the change is the limit and the log line.

Not changed: before its settings are read a daemon ends by the signal's default action, as before its first statement.

--- a/core/shutdown.cc
+++ b/core/shutdown.cc
@@ -4,6 +4,10 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+
 #include "core/logging.h"
 #include "core/thread.h"
 
@@ -28,14 +32,41 @@
 
 }  // namespace
 
-ShutdownSignal::ShutdownSignal() {
+struct ShutdownSignal::State {
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool serving = false;
+  std::optional<Time> asked_at;
+
+  void ReceiveFirstSignal() {
+    WaitForStopSignal();
+    const std::lock_guard<std::mutex> lock(mutex);
+    asked_at = DefaultClock().Now();
+    LogEvent(LogLevel::kInfo, "stop_asked", {{"during_start", !serving}});
+    if (!serving) EndProcess(0);
+    changed.notify_all();
+  }
+};
+
+ShutdownSignal::ShutdownSignal() : state_(std::make_shared<State>()) {
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-void ShutdownSignal::Wait() {
-  WaitForStopSignal();
-  LogEvent(LogLevel::kInfo, "stop_asked");
+void ShutdownSignal::EndDuringStart() {
+  Thread receiver("stop-signal", [state = state_] { state->ReceiveFirstSignal(); });
+  receiver.Detach();
+}
+
+void ShutdownSignal::BeginServing() {
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  state_->serving = true;
+}
+
+Time ShutdownSignal::Wait() {
+  std::unique_lock<std::mutex> lock(state_->mutex);
+  state_->changed.wait(lock, [this] { return state_->asked_at.has_value(); });
+  return *state_->asked_at;
 }
 
 void ShutdownSignal::ExitOnNextSignal() {
--- a/core/shutdown.h
+++ b/core/shutdown.h
@@ -2,6 +2,10 @@
 // forces an exit.
 #pragma once
 
+#include <memory>
+
+#include "core/clock.h"
+
 namespace turmericshift {
 
 class ShutdownSignal {
@@ -11,11 +15,23 @@
   // the process dies with requests in flight.
   ShutdownSignal();
 
-  // Blocks until the first signal arrives.
-  void Wait();
+  // Until BeginServing, the first signal ends the process immediately with exit code 0, whatever
+  // the start waits for. Logs when a signal arrives, so call this after InitLogging.
+  void EndDuringStart();
+  // To be called before the first caller can connect. From now on the first signal is left to Wait.
+  void BeginServing();
+
+  // Blocks until the first signal arrives; returns when it arrived, which may be before this call.
+  // Requires EndDuringStart and BeginServing.
+  Time Wait();
 
   // From now on, another signal ends the process immediately with exit code 1.
   void ExitOnNextSignal();
+
+ private:
+  struct State;
+  // Shared with the thread that receives the first signal.
+  std::shared_ptr<State> state_;
 };
 
 // Ignores SIGHUP and SIGPIPE, which must not end a daemon, not even while it starts. SIGHUP
--- a/main/commands/dev_command.cc
+++ b/main/commands/dev_command.cc
@@ -39,11 +39,13 @@
   if (!options.Parse(args, 0, 1)) return ExitCode::kDone;
   ShutdownSignal signal;
   InitLogging("turmericshift", {"dev", "dev", ""});
+  signal.EndDuringStart();
   const DevDocument document =
       ReadDevDocument(options.operands().empty() ? kDefaultDevDocument : options.operands()[0]);
   DevOptions dev;
   dev.environment_text = document.text;
   dev.operator_token = RandomHex(kTokenBytes);
+  signal.BeginServing();
   const DevCluster cluster(dev);
   HttpCall publish;
   publish.method = "POST";
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -39,6 +39,7 @@
   ShutdownSignal signal;
   InitLogging("turmericshift", {"entry", settings.name, settings.availability_zone});
   LogToStandardOutput();
+  signal.EndDuringStart();
   MetricsRegistry metrics;
   const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   const auto endpoint = pool::CallerEndpointRegistry::Instance().Create(settings.adapter);
@@ -56,6 +57,7 @@
   for (const std::string& unmet : pool::UnattainableBounds(settings.bounds)) {
     LogEvent(LogLevel::kWarning, "bound_unmet", {{"reason", unmet}});
   }
+  signal.BeginServing();
   pool::PoolEntry entry(entry_options, log.get(),
                         pool::OperatorDecoderRegistry::Instance().Create(settings.adapter),
                         endpoint.get(), &connector, &metrics);
@@ -77,9 +79,10 @@
            {{"callers", entry.caller_port()},
             {"readiness", entry.readiness_port()},
             {"sessions", listener.port()}});
-  signal.Wait();
+  const Time asked_at = signal.Wait();
   signal.ExitOnNextSignal();
-  const bool drained = entry.Leave(settings.stop_limit - kExitReserve);
+  const Time until = asked_at + settings.stop_limit - kExitReserve;
+  const bool drained = entry.Leave(until - DefaultClock().Now());
   LogEvent(LogLevel::kInfo, "stopped", {{"drained", drained}});
   EndProcess(static_cast<int>(drained ? ExitCode::kDone : ExitCode::kFailed));
 }
@@ -93,6 +96,7 @@
   ShutdownSignal signal;
   InitLogging("turmericshift", {"agent", settings.name, settings.availability_zone});
   LogToStandardOutput();
+  signal.EndDuringStart();
   MetricsRegistry metrics;
   const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   const auto worker =
@@ -103,6 +107,7 @@
   agent_options.node = settings.name;
   agent_options.zone = settings.availability_zone;
   agent_options.incarnation = RandomHex(kIncarnationBytes);
+  signal.BeginServing();
   pool::PoolAgent agent(agent_options, log.get(), worker.get(), &connector, &metrics);
   HttpServer announcements(HttpAt(settings.announcements), [&](const HttpRequest& request) {
     if (request.path == "/metrics") return HttpResponse{200, metrics.Expose(), {}};
--- a/main/commands/process_commands.cc
+++ b/main/commands/process_commands.cc
@@ -78,12 +78,13 @@
 }
 
 // Waits for the stop signal and shuts the server down gracefully; a second signal ends the process
-// immediately. After the shutdown the process ends without joining threads that still wait.
+// immediately. `stop_limit` counts from the signal. After the shutdown the process ends without
+// joining threads that still wait.
 template <typename Server>
 [[noreturn]] void ServeUntilSignal(ShutdownSignal* signal, Server* server, Duration stop_limit) {
-  signal->Wait();
+  const Time until = signal->Wait() + stop_limit;
   signal->ExitOnNextSignal();
-  const bool drained = server->Leave(stop_limit);
+  const bool drained = server->Leave(until - DefaultClock().Now());
   LogEvent(drained ? LogLevel::kInfo : LogLevel::kWarning, "stopped", {{"drained", drained}});
   EndProcess(static_cast<int>(drained ? ExitCode::kDone : ExitCode::kFailed));
 }
@@ -101,6 +102,8 @@
   if (!options.Parse(args, 0, 0)) return ExitCode::kDone;
   ShutdownSignal signal;
   InitLogging("turmericshift", {"stand-in", "log", ""});
+  signal.EndDuringStart();
+  signal.BeginServing();
   MemoryLog log;
   const LogServer server(StandInHttp(options), &log);
   LogEvent(LogLevel::kInfo, "listening", {{"callers", server.port()}});
@@ -116,6 +119,8 @@
   if (!options.Parse(args, 0, 0)) return ExitCode::kDone;
   ShutdownSignal signal;
   InitLogging("turmericshift", {"stand-in", "target", ""});
+  signal.EndDuringStart();
+  signal.BeginServing();
   FakeTarget target(StandInHttp(options));
   target.SetFaults({ParseDuration(options.value("delay")), false});
   LogEvent(LogLevel::kInfo, "listening", {{"callers", target.port()}});
@@ -134,6 +139,7 @@
   ShutdownSignal signal;
   InitLogging("turmericshift", {"entry", settings.name, settings.availability_zone});
   LogToStandardOutput();
+  signal.EndDuringStart();
   MetricsRegistry metrics;
   const std::unique_ptr<LogService> log =
       LogServiceRegistry::Instance().Create(settings.log_client, settings.log_address);
@@ -142,7 +148,9 @@
   gate_options.port = settings.sessions.port;
   gate_options.keys = ReadKeys(settings.shared_keys_file);
   gate_options.max_sessions = settings.max_sessions;
-  EntryServer server(MakeEntryOptions(settings), log.get(), &metrics);
+  const EntryOptions entry_options = MakeEntryOptions(settings);
+  signal.BeginServing();
+  EntryServer server(entry_options, log.get(), &metrics);
   const GateListener gate(gate_options, &server);
   const std::string ip =
       settings.advertised_ip.empty() ? settings.sessions.address : settings.advertised_ip;
@@ -163,6 +171,7 @@
   ShutdownSignal signal;
   InitLogging("turmericshift", {"agent", settings.name, settings.availability_zone});
   LogToStandardOutput();
+  signal.EndDuringStart();
   MetricsRegistry metrics;
   std::unique_ptr<TargetService> target;
   if (!settings.target_address.empty()) {
@@ -175,8 +184,10 @@
         WorkerServiceRegistry::Instance().Create(settings.worker_client, settings.worker_address);
   }
   RpcEntryConnector connector(ReadKeys(settings.shared_keys_file), settings.connections);
+  const std::string operator_token = ReadSecret(settings.operator_token_file);
+  signal.BeginServing();
   AgentServer server(MakeAgentOptions(settings), &connector, target.get(), worker.get(), &metrics);
-  const AgentOperatorApi operators(&server, &metrics, ReadSecret(settings.operator_token_file));
+  const AgentOperatorApi operators(&server, &metrics, operator_token);
   std::unique_ptr<HttpServer> operator_http;
   if (!settings.operators.address.empty()) {
     HttpServerOptions http;
--- a/tests/signals_test.sh
+++ b/tests/signals_test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # A daemon that receives SIGHUP (changed settings) during its start must not end: the platform would
-# treat this as an unexpected exit. The settings are read from a pipe here, so that the daemon blocks in
-# the middle of its start.
+# treat this as an unexpected exit. A daemon that receives SIGTERM during its start must end, whatever
+# its start waits for. A file is read from a pipe here, so that the daemon blocks in the middle of its
+# start.
 set -euo pipefail
 source "$(dirname "$0")/process_lib.sh"
 
@@ -44,4 +45,23 @@
 address = $ip:1
 [store]
 address = $ip:1" pool agent
+
+# ends_during_start NAME PIPE WORDS...: starts the daemon, which reads PIPE, and asks it to stop.
+ends_during_start() {
+  local name=$1 pipe=$2
+  shift 2
+  mkfifo "$pipe"
+  start "$name" "$@"
+  await opens_pipe "$name"
+  stop "$name"
+  grep -q '"event":"stop_asked"' "$work/$name.log"
+}
+
+log_url="http://$ip:1"
+target_url="http://$ip:1"
+entry_settings a | sed "s|^shared_keys_file = .*|shared_keys_file = $work/entry-keys|" >"$work/entry.ini"
+ends_during_start entry "$work/entry-keys" entry "$work/entry.ini"
+agent_settings a "$ip:1" | sed "s|^shared_keys_file = .*|shared_keys_file = $work/agent-keys|" >"$work/agent.ini"
+ends_during_start agent "$work/agent-keys" agent "$work/agent.ini"
+ends_during_start dev "$work/document.ini" dev "$work/document.ini"
 echo "1 passed, 0 failed"
