Soak: Count a grace from the signal, not from its planned time

The grace now ends 6 s after the signal was sent, and the check waits for that. It is as strict: each process that received the signal is checked after the platform's 6 s.

--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -55,8 +55,6 @@
 constexpr int kMinFaultMs = 200;
 constexpr int kMaxFaultMs = 6000;
 constexpr milliseconds kStoreDelay{250};
-// The platform kills a process this long after SIGTERM.
-constexpr milliseconds kStopGracePeriod{6000};
 constexpr milliseconds kRollGap{900};
 constexpr milliseconds kAgentRollGap{150};
 constexpr milliseconds kDocumentGap{60};
@@ -152,9 +150,13 @@
   const auto ask = [stop] { stop->Send(); };
   const auto kill = [this, process, stop] {
     if (!stop->StillRuns()) return;
-    if (stop->Outlived()) {
-      history_->RecordViolation(process->name() + " outlives its grace: asked " +
-                                FormatDuration(LeaseClock().Now() - stop->sent_at()) + " ago");
+    // The signal may have been sent late, when this thread had no processor.
+    std::this_thread::sleep_for(stop->grace_ends_at() - LeaseClock().Now());
+    if (!stop->StillRuns()) return;
+    const Time now = LeaseClock().Now();
+    if (stop->Outlived(now)) {
+      history_->RecordViolation(process->name() + " outlives its grace by " +
+                                FormatDuration(now - stop->grace_ends_at()));
     }
     process->Signal(SIGKILL);
   };
--- a/tests/soak/soak_process.cc
+++ b/tests/soak/soak_process.cc
@@ -118,14 +118,16 @@
 }
 
 void StopRequest::Send() {
-  sent_at_ = LeaseClock().Now();
   incarnation_ = process_->Signal(SIGTERM);
+  sent_at_ = LeaseClock().Now();
 }
 
 bool StopRequest::StillRuns() const { return process_->runs(incarnation_); }
 
-bool StopRequest::Outlived() const {
-  return StillRuns() && process_->stops_gracefully(incarnation_);
+Time StopRequest::grace_ends_at() const { return sent_at_ + kStopGracePeriod; }
+
+bool StopRequest::Outlived(Time now) const {
+  return now >= grace_ends_at() && StillRuns() && process_->stops_gracefully(incarnation_);
 }
 
 }  // namespace turmericshift::soak
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -16,6 +16,9 @@
 
 namespace turmericshift::soak {
 
+// The platform kills a process this long after SIGTERM.
+inline constexpr Duration kStopGracePeriod = std::chrono::seconds(6);
+
 struct SoakProcessOptions {
   std::string name;
   // Program and arguments.
@@ -79,9 +82,11 @@
   void Send();
   // Whether the incarnation that received the signal still runs.
   bool StillRuns() const;
-  // Whether it still runs, and received no other signal that disturbs its stop.
-  bool Outlived() const;
-  Time sent_at() const { return sent_at_; }
+  // When the grace of the process that received the signal is over.
+  Time grace_ends_at() const;
+  // Whether it still runs at `now` although its grace is over, and received no other signal that
+  // disturbs its stop.
+  bool Outlived(Time now) const;
 
  private:
   SoakProcess* const process_;
--- a/tests/soak_process_test.cc
+++ b/tests/soak_process_test.cc
@@ -36,9 +36,11 @@
     StopRequest received(&process);
     received.Send();
     EXPECT_FALSE(unreceived.StillRuns());
-    EXPECT_FALSE(unreceived.Outlived());
+    EXPECT_FALSE(unreceived.Outlived(Time::max()));
     EXPECT_TRUE(received.StillRuns());
-    EXPECT_TRUE(received.Outlived());
+    EXPECT_TRUE(received.Outlived(received.grace_ends_at()));
+    // The signal may be sent late, so its grace counts from then.
+    EXPECT_FALSE(received.Outlived(received.grace_ends_at() - std::chrono::milliseconds(1)));
     close(reader);
   }
   std::filesystem::remove_all(folder);
