Soak: Log what the relay saw of a call that a stop cut

A call that an ordered stop cut could have been read by the entry, lie unread in its socket, lie in the relay before the entry, or have come after the entry's end; no log told these apart. The relay now logs connections that the target refuses, and, when the target ends a connection, how long ago data was forwarded that the target did not answer and how many bytes were not forwarded. The check is unchanged.

--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <thread>
 
+#include "core/logging.h"
 #include "core/units.h"
 
 namespace turmericshift::soak {
@@ -90,6 +91,11 @@
   const bool by_stop =
       entry->process->stops_gracefully(incarnation) && !entry->callers->HadFaultSince(sent);
   if (by_stop && waited > kUnreadRequestLimit) {
+    LogEvent(LogLevel::kWarning, "call_cut_by_stop",
+             {{"entry", entry->name},
+              {"relay", entry->callers->port()},
+              {"life", incarnation},
+              {"waited_s", Seconds(waited)}});
     history_->RecordViolation("a call was cut by the ordered stop of " + entry->name + " after " +
                               FormatDuration(waited));
   }
--- a/tests/stand_ins/tcp_relay.cc
+++ b/tests/stand_ins/tcp_relay.cc
@@ -3,12 +3,15 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <optional>
 
 #include "core/error.h"
+#include "core/logging.h"
 
 namespace turmericshift {
 namespace {
@@ -46,6 +49,8 @@
   int far = -1;
   std::atomic<bool> silent{false};
   std::atomic<bool> closed{false};
+  // When data was last forwarded, unless data came back since.
+  std::optional<Time> unanswered_since;
   Thread thread;
 };
 
@@ -100,6 +105,7 @@
         fault_.load() == RelayFault::kReset ||
         connect(pair->far, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0;
     if (refused) {
+      LogEvent(LogLevel::kInfo, "relay_refused", {{"port", port_}});
       Reset(pair->near);
       close(pair->near);
       close(pair->far);
@@ -113,6 +119,18 @@
   }
 }
 
+// Says whether data that the target has not answered was forwarded to it, or did not reach it.
+void TcpRelay::LogClosedByTarget(const Pair& pair) const {
+  int not_forwarded = 0;
+  ioctl(pair.near, FIONREAD, &not_forwarded);
+  if (!pair.unanswered_since && not_forwarded == 0) return;
+  nlohmann::json fields = {{"port", port_}, {"bytes_not_forwarded", not_forwarded}};
+  if (pair.unanswered_since) {
+    fields["unanswered_s"] = Seconds(LeaseClock().Now() - *pair.unanswered_since);
+  }
+  LogEvent(LogLevel::kInfo, "relay_closed_by_target", fields);
+}
+
 void TcpRelay::Forward(Pair* pair) const {
   bool open = true;
   while (open && !stopping_.load()) {
@@ -130,8 +148,15 @@
         {{forward ? pair->near : -1, POLLIN, 0}, {backward ? pair->far : -1, POLLIN, 0}}};
     if (poll(ends.data(), ends.size(), kPollMillis) <= 0) continue;
     if (fault == RelayFault::kSlow) usleep(kSlowMicros);
-    if (ends[0].revents != 0) open = CopyChunk(pair->near, pair->far);
-    if (open && ends[1].revents != 0) open = CopyChunk(pair->far, pair->near);
+    if (ends[0].revents != 0) {
+      open = CopyChunk(pair->near, pair->far);
+      pair->unanswered_since = LeaseClock().Now();
+    }
+    if (open && ends[1].revents != 0) {
+      open = CopyChunk(pair->far, pair->near);
+      if (open) pair->unanswered_since.reset();
+      if (!open) LogClosedByTarget(*pair);
+    }
   }
   close(pair->near);
   close(pair->far);
--- a/tests/stand_ins/tcp_relay.h
+++ b/tests/stand_ins/tcp_relay.h
@@ -50,6 +50,7 @@
   struct Pair;
   void Accept();
   void Forward(Pair* pair) const;
+  void LogClosedByTarget(const Pair& pair) const;
   // Removes pairs whose connections have closed.
   void RemoveClosedPairs();
 
