Soak: Don't take an entry that is about to stop for one that serves

Cause: the soak spares one entry at a time, so that a command can always be answered. Between two rounds of faults it waits until every entry reports that it is ready. An entry that was sent SIGTERM, or goes on after it was frozen in its stop, still reports so until it has noticed the signal. The next round then drew another entry to spare while this one stopped. No command can be answered then.

OperatorPool::Serves now first asks whether the current incarnation was sent SIGTERM or SIGKILL. The checks and the drawn faults stay as they are.

--- a/tests/soak/operator_pool.cc
+++ b/tests/soak/operator_pool.cc
@@ -82,6 +82,8 @@
 }
 
 bool OperatorPool::Serves(size_t entry, bool published) const {
+  // An entry that was just asked to stop may still report that it is ready.
+  if (entries_.at(entry)->process->end_requested()) return false;
   HttpCall call;
   call.url = "http://" + AddressOf(entry) + "/readyz";
   call.timeout = std::chrono::milliseconds(300);
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -44,6 +44,8 @@
   // Number of the current incarnation; each restart increments it.
   int incarnation() const { return incarnation_.load(); }
   bool runs(int incarnation) const { return incarnation_.load() == incarnation && pid_.load() > 0; }
+  // Whether the current incarnation received SIGTERM or SIGKILL, even if it has not yet reacted.
+  bool end_requested() const { return end_requested_.load(); }
   // Whether `incarnation` received one SIGTERM and neither SIGKILL nor SIGSTOP.
   bool stops_gracefully(int incarnation) const;
 
