Soak: Add cuts between a zone's processes and the others

The soak cut one way of one process at a time. `--cuts` draws faults that hit the ways of all processes of a zone at once: the sessions of its entries, the store from its entries and agents, or both, through the relays that are there. The checks stay as they are.

Not possible with these relays: telling agents of one zone from those of another at the same entry, as an entry's sessions share one relay.

--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<std::pair<FaultKind, const char*>, 28> kNames = {{
+constexpr std::array<std::pair<FaultKind, const char*>, 31> kNames = {{
     {FaultKind::kKillEntry, "kill_entry"},
     {FaultKind::kTermEntry, "term_entry"},
     {FaultKind::kPauseEntry, "pause_entry"},
@@ -42,9 +42,16 @@
     {FaultKind::kReloadEntry, "hang_up_entry"},
     {FaultKind::kRollAgents, "roll_agents"},
     {FaultKind::kDocuments, "documents"},
+    {FaultKind::kCutSessions, "cut_sessions"},
+    {FaultKind::kCutStore, "cut_store"},
+    {FaultKind::kCutZone, "cut_zone"},
 }};
-// DrawFaults draws from this many first rows of kNames, DrawSeries from the rows after them.
-constexpr size_t kSingleFaults = 22;
+// DrawFaults draws from the rows of kNames before kFirstSeries, DrawSeries from those before
+// kFirstCut, and DrawCuts from the remaining ones.
+constexpr size_t kFirstSeries = 22;
+constexpr size_t kFirstCut = 28;
+// Keeps the draws of cuts apart from those of the other faults of the same seed.
+constexpr uint64_t kCutSeed = uint64_t{1} << 63;
 
 constexpr std::array<RelayFault, 5> kRelayFaults = {RelayFault::kSilent, RelayFault::kDropForward,
                                                     RelayFault::kDropBackward, RelayFault::kReset,
@@ -107,11 +114,15 @@
 }  // namespace
 
 std::vector<Fault> DrawFaults(uint64_t seed, Duration length) {
-  return Draw(seed, length, 0, kSingleFaults);
+  return Draw(seed, length, 0, kFirstSeries);
 }
 
 std::vector<Fault> DrawSeries(uint64_t seed, Duration length) {
-  return Draw(~seed, length, kSingleFaults, kNames.size());
+  return Draw(~seed, length, kFirstSeries, kFirstCut);
+}
+
+std::vector<Fault> DrawCuts(uint64_t seed, Duration length) {
+  return Draw(seed ^ kCutSeed, length, kFirstCut, kNames.size());
 }
 
 SoakEntry* FaultPlayer::EntryOf(const Fault& fault) const {
@@ -137,6 +148,31 @@
   }
 }
 
+std::vector<TcpRelay*> FaultPlayer::RelaysAround(const Fault& fault) const {
+  const std::string& zone = SoakSystem::zones()[fault.target % SoakSystem::zones().size()];
+  const bool sessions = fault.kind != FaultKind::kCutStore;
+  const bool store = fault.kind != FaultKind::kCutSessions;
+  std::vector<TcpRelay*> relays;
+  for (const auto& entry : system_->entries()) {
+    if (entry->zone != zone) continue;
+    if (sessions) relays.push_back(entry->sessions.get());
+    if (store) relays.push_back(entry->store.get());
+  }
+  for (const auto& worker_node : system_->worker_nodes()) {
+    if (store && worker_node->zone == zone) relays.push_back(worker_node->store.get());
+  }
+  return relays;
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::RelaySteps(const Fault& fault,
+                                                       const std::vector<TcpRelay*>& relays) {
+  const auto set = [relays](RelayFault relay_fault) {
+    for (TcpRelay* relay : relays) relay->SetFault(relay_fault);
+  };
+  return {{fault.at, [set, fault] { set(fault.relay_fault); }},
+          {fault.at + fault.lasts, [set] { set(RelayFault::kNone); }}};
+}
+
 std::vector<FaultPlayer::Step> FaultPlayer::SignalSteps(const Fault& fault, SoakProcess* process,
                                                         int first, int last) {
   std::vector<Step> steps = {{fault.at, [process, first] { process->Signal(first); }}};
@@ -281,11 +317,12 @@
       }
       return steps;
     }
-    default: {
-      TcpRelay* relay = RelayOf(fault);
-      return {{fault.at, [relay, fault] { relay->SetFault(fault.relay_fault); }},
-              {end, [relay] { relay->SetFault(RelayFault::kNone); }}};
-    }
+    case FaultKind::kCutSessions:
+    case FaultKind::kCutStore:
+    case FaultKind::kCutZone:
+      return RelaySteps(fault, RelaysAround(fault));
+    default:
+      return RelaySteps(fault, {RelayOf(fault)});
   }
 }
 
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -42,6 +42,10 @@
   kReloadEntry,
   kRollAgents,
   kDocuments,
+  // Cuts around all processes of a zone; see DrawCuts.
+  kCutSessions,
+  kCutStore,
+  kCutZone,
 };
 const char* FaultKindName(FaultKind kind);
 
@@ -59,6 +63,8 @@
 // Draws signals, restarts and changes that each begin before the previous one has ended. They are
 // played in addition to the faults of DrawFaults, which do not change.
 std::vector<Fault> DrawSeries(uint64_t seed, Duration length);
+// Draws cuts between the processes of one zone and the rest. They are played in addition as well.
+std::vector<Fault> DrawCuts(uint64_t seed, Duration length);
 
 class FaultPlayer {
  public:
@@ -88,6 +94,9 @@
   // A graceful stop, which must end the process within the platform's grace period.
   std::vector<Step> TermSteps(const Fault& fault, SoakProcess* process);
   TcpRelay* RelayOf(const Fault& fault) const;
+  // The relays between the processes of the fault's zone and the others, as far as its kind goes.
+  std::vector<TcpRelay*> RelaysAround(const Fault& fault) const;
+  static std::vector<Step> RelaySteps(const Fault& fault, const std::vector<TcpRelay*>& relays);
   SoakEntry* EntryOf(const Fault& fault) const;
   SoakWorkerNode* WorkerNodeOf(const Fault& fault) const;
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -40,6 +40,8 @@
   bool series = false;
   // Includes SIGHUP, which ends a process that has not yet reached its first statement.
   bool sends_sighup = false;
+  // Adds cuts between groups of processes.
+  bool cuts = false;
 };
 
 bool WaitFor(Duration limit, const std::function<bool()>& condition) {
@@ -89,6 +91,10 @@
         }
         faults.insert(faults.end(), series.begin(), series.end());
       }
+      if (options.cuts) {
+        const std::vector<Fault> cuts = DrawCuts(options.seed, options.length);
+        faults.insert(faults.end(), cuts.begin(), cuts.end());
+      }
       FaultPlayer(&system, &history).Play(faults);
       system.Heal();
       callers.StopSubmitting();
@@ -116,6 +122,7 @@
       cxxopts::value<int>()->default_value("6"))("callers", "number of callers that submit jobs",
                                                  cxxopts::value<int>()->default_value("3"))(
       "series", "adds series of signals and changes")("hang-ups", "includes SIGHUP in the series")(
+      "cuts", "adds cuts between a zone's processes and the others")(
       "operators", "runs operators' commands under faults of entries instead")(
       "keep", "keeps the folder of settings and logs");
   const cxxopts::ParseResult parsed = words.parse(argc, argv);
@@ -126,6 +133,7 @@
   options.callers = parsed["callers"].as<int>();
   options.seed = parsed["seed"].as<uint64_t>();
   options.sends_sighup = parsed.count("hang-ups") > 0;
+  options.cuts = parsed.count("cuts") > 0;
   options.series = parsed.count("series") > 0;
   options.length = seconds(parsed["seconds"].as<int>());
   const std::filesystem::path folder =
--- a/tests/soak/soak_system.cc
+++ b/tests/soak/soak_system.cc
@@ -57,12 +57,12 @@
   entries_.push_back(std::make_unique<SoakEntry>());
   SoakEntry* entry = entries_.back().get();
   entry->name = "entry-" + std::to_string(number);
+  entry->zone = zones()[static_cast<size_t>(number) % zones().size()];
   entry->callers = std::make_unique<TcpRelay>(0, options_.ip);
   entry->sessions = std::make_unique<TcpRelay>(0, options_.ip);
   entry->store = std::make_unique<TcpRelay>(store_server_.port());
   const std::string settings =
-      "[process]\nname = " + entry->name +
-      "\navailability_zone = " + zones()[static_cast<size_t>(number) % zones().size()] +
+      "[process]\nname = " + entry->name + "\navailability_zone = " + entry->zone +
       "\nadapter = users\nstop_limit_s = " + std::to_string(kStopLimitSeconds) +
       "\n[listen]\ncallers = " + options_.ip + ":0\nreadiness = " + options_.ip +
       ":0\nsessions = " + options_.ip +
--- a/tests/soak/soak_system.h
+++ b/tests/soak/soak_system.h
@@ -30,6 +30,7 @@
 // An entry with the relays of its connections.
 struct SoakEntry {
   std::string name;
+  std::string zone;
   std::unique_ptr<TcpRelay> callers;
   std::unique_ptr<TcpRelay> sessions;
   std::unique_ptr<TcpRelay> store;
