Logging: Keep the log's identity until the process has ended

Threads may log until the process exits: those of sessions and of the forced exit are detached. The log's writer is never destroyed for that reason, but role, process and zone were a static object with a destructor. A line that was logged after it held freed memory ("role":"`\xf0\x0c…late\0-the-heap").

Nobody has reported it.

--- a/core/logging.cc
+++ b/core/logging.cc
@@ -12,12 +12,12 @@
 namespace turmericshift {
 namespace {
 
+// Identity and writer are never destroyed, since threads may log until the process exits.
 LogIdentity& Identity() {
-  static LogIdentity identity;
-  return identity;
+  static auto* const identity = new LogIdentity;
+  return *identity;
 }
 
-// The writer is never destroyed, since threads may log until the process exits.
 LogWriter*& Writer() {
   static LogWriter* writer = nullptr;
   return writer;
