Clock: Keep the clocks until the process has ended

The two clocks were static objects with a destructor. Threads that run on while the process exits read them, as each line of the log does. In a build without optimisation such a call ended the process: "pure virtual method called". With -O2 the compiler drops the destructor's only effect, so that the delivered program was not affected.

--- a/core/clock.cc
+++ b/core/clock.cc
@@ -17,14 +17,15 @@
 
 int64_t SuspendAwareClock::WallMillis() const { return DefaultClock().WallMillis(); }
 
+// The clocks are never destroyed, since threads may use them until the process exits.
 const Clock& LeaseClock() {
-  static const SuspendAwareClock clock;
-  return clock;
+  static const auto* const clock = new SuspendAwareClock;
+  return *clock;
 }
 
 const Clock& DefaultClock() {
-  static const SystemClock clock;
-  return clock;
+  static const auto* const clock = new SystemClock;
+  return *clock;
 }
 
 }  // namespace turmericshift
