Rpc: Free the port of a pool's listener that can't start

Callers: a process that could not start the thread of its listener (no memory for a stack) kept the socket: peers that connected to the port got no answer, and another attempt to listen failed with "Address already in use".

Cause: the descriptor was passed to the thread as a number and closed only there. Read, not shown: an exception that is not the library's, out of Serve before the start, left the constructor waiting forever; one while an accepted connection was set up ended the accept loop.

Change: the constructor owns the socket until the thread runs; Serve logs an exception of any type and always lets the constructor return; a connection that can't be set up counts as a failed accept.

--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -245,15 +245,13 @@
       : receiver_(receiver), server_(server), timer_(timer), failures_(failures) {}
 
   kj::Promise<void> Run() {
-    return receiver_->accept().then(
-        [this](kj::Own<kj::AsyncIoStream>&& stream) {
-          Take(kj::mv(stream));
-          return Run();
-        },
-        [this](kj::Exception&& exception) {
-          NoteFailure(exception);
-          return timer_->afterDelay(kAcceptRetryDelay).then([this] { return Run(); });
-        });
+    return receiver_->accept()
+        .then([this](kj::Own<kj::AsyncIoStream>&& stream) { Take(kj::mv(stream)); })
+        .then([this] { return Run(); },
+              [this](kj::Exception&& exception) {
+                NoteFailure(exception);
+                return timer_->afterDelay(kAcceptRetryDelay).then([this] { return Run(); });
+              });
   }
 
  private:
@@ -282,10 +280,12 @@
 };
 
 PoolListener::PoolListener(const PoolListenerOptions& options, pool::PlannerGate* gate) {
-  const int listener = ListenSocket(options.address, options.port);
+  kj::AutoCloseFd listener(ListenSocket(options.address, options.port));
   port_ = BoundPort(listener);
   thread_ = Thread(
-      "pool-sessions", [this, listener, gate] { Serve(listener, gate); }, kLoopStackBytes);
+      "pool-sessions", [this, fd = listener.get(), gate] { Serve(fd, gate); }, kLoopStackBytes);
+  // The thread closes it.
+  listener.release();
   std::unique_lock<std::mutex> lock(mutex_);
   changed_.wait(lock, [this] { return started_; });
   if (!stop_) throw Error(ErrorKind::kUnavailable, "sessions can't be served");
@@ -297,8 +297,12 @@
 }
 
 void PoolListener::Serve(int listener, pool::PlannerGate* gate) {
+  KJ_DEFER(SignalStarted({}));
   kj::AutoCloseFd socket(listener);
-  try {
+  const auto log_end = [](const kj::Exception& exception) {
+    LogEvent(LogLevel::kError, "sessions_ended", {{"error", exception.getDescription().cStr()}});
+  };
+  const auto serve = [&] {
     kj::AsyncIoContext io = kj::setupAsyncIo();
     auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
     auto receiver = io.lowLevelProvider->wrapListenSocketFd(
@@ -307,15 +311,11 @@
     PlannerRelay relay(io.lowLevelProvider.get());
     capnp::TwoPartyServer server(kj::heap<PoolGateService>(gate, &relay));
     Acceptor acceptor(receiver.get(), &server, &io.provider->getTimer(), &accept_failures_);
-    auto served = acceptor.Run().eagerlyEvaluate([](kj::Exception&& exception) {
-      LogEvent(LogLevel::kError, "sessions_ended", {{"error", exception.getDescription().cStr()}});
-    });
+    auto served = acceptor.Run().eagerlyEvaluate(log_end);
     SignalStarted(kj::mv(stop.fulfiller));
     stop.promise.wait(io.waitScope);
-  } catch (const kj::Exception& exception) {
-    LogEvent(LogLevel::kError, "sessions_ended", {{"error", exception.getDescription().cStr()}});
-    SignalStarted({});
-  }
+  };
+  KJ_IF_MAYBE (exception, kj::runCatchingExceptions(serve)) log_end(*exception);
 }
 
 void PoolListener::SignalStarted(kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop) {
--- a/rpc/pool_session.h
+++ b/rpc/pool_session.h
@@ -44,7 +44,7 @@
 
   void Serve(int listener, pool::PlannerGate* gate);
   // Lets the constructor return. `stop` ends the thread's loop; it is null if the loop did not
-  // start.
+  // start or has ended.
   void SignalStarted(kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop);
 
   int port_ = 0;
--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -11,6 +11,8 @@
 #include "core/error.h"
 #include "rpc/sockets.h"
 #include "tests/stand_ins/descriptor_shortage.h"
+#include "tests/stand_ins/hang_guard.h"
+#include "tests/stand_ins/thread_shortage.h"
 
 namespace turmericshift {
 namespace {
@@ -131,5 +133,26 @@
   EXPECT_EQ(planner_gate.cancels.load(), 2);
 }
 
+// A process that starts without enough descriptors must fail instead of waiting for its listener.
+TEST(PoolListener, FailsToStartWithoutDescriptors) {
+  RunGuarded([] {
+    EmptyGate gate;
+    const DescriptorShortage shortage;
+    EXPECT_THROW(PoolListener({}, &gate), Error);
+  });
+}
+
+// A listener that can't start must not keep its port, where peers would connect and get no answer.
+TEST(PoolListener, FreesItsPortIfItsThreadCantStart) {
+  EmptyGate gate;
+  PoolListenerOptions options;
+  options.port = PoolListener({}, &gate).port();
+  {
+    const ThreadShortage shortage;
+    EXPECT_THROW(PoolListener(options, &gate), Error);
+  }
+  EXPECT_NO_THROW(PoolListener(options, &gate));
+}
+
 }  // namespace
 }  // namespace turmericshift
