Rpc: Test results that reach a loop across threads while it ends

Operators saw operations_test wait forever (docs/incidents/operations-test-hang.md); it was read, not shown, that the loops of Offload and PoolListener end without waiting for results that other threads still fulfil.

Result: no fault. A result that comes after the loop is dropped, one that is queued is dropped with it, and a loop whose result is being written waits for the writing thread. So no code changes.

--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -1,14 +1,17 @@
 #include "rpc/pool_session.h"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <latch>
 #include <memory>
 #include <thread>
 #include <vector>
 
 #include "core/error.h"
+#include "core/listen_socket.h"
 #include "rpc/sockets.h"
 #include "tests/stand_ins/descriptor_shortage.h"
 #include "tests/stand_ins/hang_guard.h"
@@ -154,5 +157,118 @@
   EXPECT_NO_THROW(PoolListener(options, &gate));
 }
 
+// Keeps an exchange open, as a planner without orders does, and holds the listener's loop in a
+// cancel until the test lets it go on.
+class HoldingGate : public EmptyGate {
+ public:
+  using Done = std::function<void(Result<pool::AgentOrders>)>;
+
+  void Exchange(const pool::AgentReport& /*report*/, Done done) override {
+    exchange = std::move(done);
+    exchanging.count_down();
+  }
+  void Cancel(const std::string& /*id*/, std::function<void(Result<pool::Done>)> done) override {
+    cancelling.count_down();
+    go_on.wait();
+    done({pool::Done(), std::nullopt});
+  }
+  void Answer() { exchange({pool::AgentOrders(), std::nullopt}); }
+
+  Done exchange;
+  std::latch exchanging{1};
+  std::latch cancelling{1};
+  std::latch go_on{1};
+};
+
+// Ends a listener, whose loop is held, by `end`, which must let it go on.
+void EndDuringAnExchange(
+    const std::function<void(HoldingGate*, std::unique_ptr<PoolListener>)>& end) {
+  RunGuarded([&] {
+    HoldingGate gate;
+    auto listener = std::make_unique<PoolListener>(PoolListenerOptions(), &gate);
+    const auto port = RpcPlannerConnector().Connect(AddressOf(*listener), kCallTimeout);
+    const auto ignore_failure = [](const std::function<void()>& call) {
+      try {
+        call();
+      } catch (const Error& error) {
+        EXPECT_EQ(error.kind(), ErrorKind::kConnectionLost) << error.what();
+      }
+    };
+    Thread exchanger("exchanger",
+                     [&] { ignore_failure([&] { port->Exchange({}, kCallTimeout); }); });
+    gate.exchanging.wait();
+    Thread canceller("canceller",
+                     [&] { ignore_failure([&] { port->Cancel("j", kCallTimeout); }); });
+    gate.cancelling.wait();
+    end(&gate, std::move(listener));
+    exchanger.Join();
+    canceller.Join();
+  });
+}
+
+// The planner's thread answers after the listener is gone. If it used the listener's loop, the
+// process would crash.
+TEST(PoolListener, DropsAnAnswerThatComesAfterItsEnd) {
+  EndDuringAnExchange([](HoldingGate* gate, std::unique_ptr<PoolListener> listener) {
+    gate->go_on.count_down();
+    listener.reset();
+    gate->Answer();
+  });
+}
+
+// The answer is queued in the listener's loop when the listener ends.
+TEST(PoolListener, EndsWithAnAnswerQueued) {
+  EndDuringAnExchange([](HoldingGate* gate, std::unique_ptr<PoolListener> listener) {
+    gate->Answer();
+    Thread ender("ender", [&] { listener.reset(); });
+    gate->go_on.count_down();
+    ender.Join();
+  });
+}
+
+// The planner's thread answers while the listener's loop ends.
+TEST(PoolListener, EndsWhileAnAnswerComes) {
+  constexpr int kRounds = 50;
+  for (int round = 0; round < kRounds; ++round) {
+    EndDuringAnExchange([](HoldingGate* gate, std::unique_ptr<PoolListener> listener) {
+      std::latch both(2);
+      Thread answerer("answerer", [&] {
+        both.arrive_and_wait();
+        gate->Answer();
+      });
+      gate->go_on.count_down();
+      both.arrive_and_wait();
+      listener.reset();
+    });
+  }
+}
+
+// The entry that relays ends while the planner has not answered. The caller must not wait for its
+// deadline.
+TEST(PlannerRelay, FailsACallThatIsRelayedWhileItEnds) {
+  RunGuarded([] {
+    const int planner = ListenSocket("127.0.0.1", 0);
+    RelayingGate gate("127.0.0.1:" + std::to_string(BoundPort(planner)));
+    auto relay = std::make_unique<PoolListener>(PoolListenerOptions(), &gate);
+    const auto port =
+        RpcPlannerConnector().ConnectThrough(AddressOf(*relay), RelayingGate::kEpoch, kCallTimeout);
+    Thread caller("caller", [&] {
+      try {
+        port->Cancel("j", kCallTimeout);
+        ADD_FAILURE() << "did not fail";
+      } catch (const Error& error) {
+        EXPECT_EQ(error.kind(), ErrorKind::kConnectionLost) << error.what();
+      }
+    });
+    const int connection = accept(planner, nullptr, nullptr);
+    char byte = 0;
+    EXPECT_EQ(recv(connection, &byte, 1, 0), 1);
+    relay.reset();
+    caller.Join();
+    close(connection);
+    close(planner);
+  });
+}
+
 }  // namespace
 }  // namespace turmericshift
