GateListener: Go on after a failed accept or session

An entry that could not start a thread for 3 s while an agent connected took no agent any more: the error of Session::Open left Admit and Accept, and the thread `gate-accept` ended with one log line. Short of descriptors, the same loop spun without a line.

The loop now catches what one connection throws, logs the first failure of an episode with its reason and its end with the number, and waits 100 ms as PoolListener does. Overdue sessions are still closed meanwhile. FailureEpisode holds the rule for the log. ThreadStarter is the seam by which a test takes threads away: limits of the system do not bind root.

--- a/core/thread.cc
+++ b/core/thread.cc
@@ -1,5 +1,6 @@
 #include "core/thread.h"
 
+#include <atomic>
 #include <exception>
 #include <memory>
 #include <utility>
@@ -17,6 +18,14 @@
   std::function<void()> body;
 };
 
+std::atomic<ThreadStarter*> thread_starter{nullptr};
+
+ThreadStarter* CurrentThreadStarter() {
+  static ThreadStarter default_starter;
+  ThreadStarter* const replacement = thread_starter.load();
+  return replacement != nullptr ? replacement : &default_starter;
+}
+
 void* Run(void* argument) {
   const std::unique_ptr<Start> start(static_cast<Start*>(argument));
   pthread_setname_np(pthread_self(), start->name.substr(0, kMaxNameBytes).c_str());
@@ -31,12 +40,19 @@
 
 }  // namespace
 
+int ThreadStarter::Start(const std::string& /*name*/, pthread_t* handle,
+                         const pthread_attr_t* attributes, void* (*run)(void*), void* argument) {
+  return pthread_create(handle, attributes, run, argument);
+}
+
+void SetThreadStarter(ThreadStarter* starter) { thread_starter.store(starter); }
+
 Thread::Thread(const std::string& name, std::function<void()> body, size_t stack_bytes) {
   auto start = std::make_unique<Start>(Start{name, std::move(body)});
   pthread_attr_t attributes;
   pthread_attr_init(&attributes);
   pthread_attr_setstacksize(&attributes, stack_bytes);
-  const int failure = pthread_create(&handle_, &attributes, &Run, start.get());
+  const int failure = CurrentThreadStarter()->Start(name, &handle_, &attributes, &Run, start.get());
   pthread_attr_destroy(&attributes);
   if (failure != 0) throw Error(ErrorKind::kUnavailable, "can't create thread " + name);
   static_cast<void>(start.release());
--- a/core/thread.h
+++ b/core/thread.h
@@ -11,6 +11,19 @@
 
 inline constexpr size_t kDefaultStackBytes = size_t{256} * 1024;
 
+// Creates the threads of the process. Tests replace it to simulate a shortage of threads.
+class ThreadStarter {
+ public:
+  virtual ~ThreadStarter() = default;
+  // Creates the thread called `name` like pthread_create, with the same results.
+  virtual int Start(const std::string& name, pthread_t* handle, const pthread_attr_t* attributes,
+                    void* (*run)(void*), void* argument);
+};
+
+// Creates all further threads through `starter`, which must outlive its use; null restores the
+// default.
+void SetThreadStarter(ThreadStarter* starter);
+
 // A joinable thread. The destructor joins the thread, so the owner must make the body return first.
 class Thread {
  public:
--- a/rpc/gate_listener.cc
+++ b/rpc/gate_listener.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <system_error>
 
 #include "core/error.h"
 #include "core/listen_socket.h"
@@ -21,6 +23,8 @@
 
 constexpr size_t kNonceBytes = 16;
 constexpr int kPollMillis = 100;
+// Time between a failed accept and the next.
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
 constexpr int kPoolThreads = 16;
 constexpr Duration kHeartbeatTimeout = std::chrono::seconds(3);
 
@@ -129,16 +133,29 @@
 
 void GateListener::Accept() {
   while (!stopping_.load()) {
-    pollfd waiting{listener_, POLLIN, 0};
-    const bool connected = poll(&waiting, 1, kPollMillis) > 0;
-    const Time now = DefaultClock().Now();
-    CloseOverdue(now);
-    if (!connected) continue;
-    const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    if (fd >= 0) Admit(fd, now);
+    try {
+      AcceptOnce();
+    } catch (const std::exception& error) {
+      // If this loop ended, agents could no longer reach this entry although it is ready.
+      accept_failures_.fetch_add(1);
+      accept_episode_.NoteFailure(error.what());
+      SleepFor(kAcceptRetryDelay);
+    }
   }
 }
 
+void GateListener::AcceptOnce() {
+  pollfd waiting{listener_, POLLIN, 0};
+  const bool connected = poll(&waiting, 1, kPollMillis) > 0;
+  const Time now = DefaultClock().Now();
+  CloseOverdue(now);
+  if (!connected) return;
+  const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+  if (fd < 0) throw Error(ErrorKind::kUnavailable, std::generic_category().message(errno));
+  Admit(fd, now);
+  accept_episode_.NoteSuccess();
+}
+
 void GateListener::CloseOverdue(Time now) {
   std::vector<std::shared_ptr<Session>> overdue;
   {
--- a/rpc/gate_listener.h
+++ b/rpc/gate_listener.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
 
+#include "core/failure_episode.h"
 #include "core/thread.h"
 #include "core/thread_pool.h"
 #include "rpc/session.h"
@@ -45,6 +47,9 @@
   GateListener& operator=(const GateListener&) = delete;
 
   int port() const { return port_; }
+  // Number of connections that could not be accepted or served, usually for lack of descriptors or
+  // threads.
+  int64_t accept_failures() const { return accept_failures_.load(); }
 
  private:
   struct Accepted {
@@ -53,6 +58,10 @@
   };
 
   void Accept();
+  // Waits for a connection for a short time and takes it. Throws Error(kUnavailable) if it can't be
+  // accepted or served.
+  void AcceptOnce();
+  // Takes over `fd`.
   void Admit(int fd, Time now);
   // Closes connections that have not authenticated in time, and removes those that have ended.
   void CloseOverdue(Time now);
@@ -63,6 +72,8 @@
   int listener_ = -1;
   int port_ = 0;
   std::atomic<bool> stopping_{false};
+  std::atomic<int64_t> accept_failures_{0};
+  FailureEpisode accept_episode_{"accept"};
   std::mutex mutex_;
   std::vector<Accepted> sessions_;
   Thread thread_;
--- a/rpc/gate_listener_test.cc
+++ b/rpc/gate_listener_test.cc
@@ -7,8 +7,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <thread>
+
 #include "core/error.h"
 #include "rpc/rpc_entry_connector.h"
+#include "tests/stand_ins/descriptor_shortage.h"
+#include "tests/stand_ins/thread_shortage.h"
 
 namespace turmericshift {
 namespace {
@@ -16,6 +20,12 @@
 constexpr const char* kOldKey = "the-old-shared-key-4711";
 constexpr const char* kNewKey = "the-new-shared-key-0815";
 
+int CountOf(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++count;
+  return count;
+}
+
 class EchoPort : public EntryPort {
  public:
   HeartbeatReply Heartbeat(const AgentHeartbeat& heartbeat, Duration /*timeout*/) override {
@@ -132,5 +142,44 @@
   close(fd);
 }
 
+// If a brief lack of threads ended the accept loop, no agent could reach the entry any more, and
+// connections that never authenticate would stay open.
+TEST_F(GateListenerTest, AdmitsAgentsAgainAfterALackOfThreads) {
+  testing::internal::CaptureStderr();
+  Listen({kNewKey}, std::chrono::seconds(1));
+  {
+    const ThreadShortage shortage("agent-session");
+    const int connection = RawConnection();
+    while (shortage.refusals() == 0) std::this_thread::yield();
+    close(connection);
+  }
+  EXPECT_TRUE(Admits({kNewKey}));
+  const int silent = RawConnection();
+  EXPECT_TRUE(IsClosed(silent));
+  close(silent);
+  listener_.reset();
+  const std::string logged = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(CountOf(logged, "accept_failed"), 1) << logged;
+  EXPECT_EQ(CountOf(logged, "accept_recovered"), 1) << logged;
+}
+
+// Without a pause and a log line, an entry that lacks descriptors would use a whole processor and
+// nobody would know why.
+TEST_F(GateListenerTest, LogsALackOfDescriptorsOnceAndAdmitsAgentsAfterIt) {
+  testing::internal::CaptureStderr();
+  Listen({kNewKey});
+  {
+    const DescriptorShortage shortage;
+    const int connection = RawConnection();
+    while (listener_->accept_failures() < 3) std::this_thread::yield();
+    close(connection);
+  }
+  EXPECT_TRUE(Admits({kNewKey}));
+  listener_.reset();
+  const std::string logged = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(CountOf(logged, "accept_failed"), 1) << logged;
+  EXPECT_EQ(CountOf(logged, "accept_recovered"), 1) << logged;
+}
+
 }  // namespace
 }  // namespace turmericshift
