ThreadPool: Start the thread before the work is queued

Submit queued the work and then failed to start a thread for it: the caller was told of a failure and the work ran later all the same, or, as the pool's first, waited for the next Submit.

The thread is started first. If that fails and the pool has threads, the work waits for them and nothing is thrown; with no thread Submit throws Error(kUnavailable, not run) and queues nothing. An episode is logged once (thread_start_failed, _recovered). The Error of Thread says "not run" as well.

--- a/core/thread.cc
+++ b/core/thread.cc
@@ -54,7 +54,9 @@
   pthread_attr_setstacksize(&attributes, stack_bytes);
   const int failure = CurrentThreadStarter()->Start(name, &handle_, &attributes, &Run, start.get());
   pthread_attr_destroy(&attributes);
-  if (failure != 0) throw Error(ErrorKind::kUnavailable, "can't create thread " + name);
+  if (failure != 0) {
+    throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "can't create thread " + name);
+  }
   static_cast<void>(start.release());
   running_ = true;
 }
--- a/core/thread.h
+++ b/core/thread.h
@@ -29,7 +29,7 @@
  public:
   Thread() = default;
   // Names are truncated to 15 bytes, the kernel's limit.
-  // Throws Error(kUnavailable) if the system can't create another thread.
+  // Throws Error(kUnavailable, not run) if the system can't create another thread.
   Thread(const std::string& name, std::function<void()> body,
          size_t stack_bytes = kDefaultStackBytes);
   Thread(Thread&& other) noexcept;
--- a/core/thread_pool.cc
+++ b/core/thread_pool.cc
@@ -2,12 +2,16 @@
 
 #include <utility>
 
+#include "core/error.h"
 #include "core/logging.h"
 
 namespace turmericshift {
 
 ThreadPool::ThreadPool(const std::string& name, int max_threads, size_t stack_bytes)
-    : name_(name), max_threads_(max_threads), stack_bytes_(stack_bytes) {}
+    : name_(name),
+      max_threads_(max_threads),
+      stack_bytes_(stack_bytes),
+      thread_starts_("thread_start", {{"pool", name}}) {}
 
 ThreadPool::~ThreadPool() {
   {
@@ -20,13 +24,22 @@
 
 void ThreadPool::Submit(std::function<void()> work) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  const bool needs_thread = static_cast<int>(queue_.size()) >= idle_;
+  // The thread is started first: work must not run after the caller was told that it does not.
+  if (needs_thread && static_cast<int>(threads_.size()) < max_threads_) StartThread();
   queue_.push_back(std::move(work));
-  const bool needs_thread = static_cast<int>(queue_.size()) > idle_;
-  if (needs_thread && static_cast<int>(threads_.size()) < max_threads_) {
+  changed_.notify_one();
+}
+
+void ThreadPool::StartThread() {
+  try {
     threads_.emplace_back(
         name_, [this] { Run(); }, stack_bytes_);
+    thread_starts_.NoteSuccess();
+  } catch (const Error& error) {
+    thread_starts_.NoteFailure(error.what());
+    if (threads_.empty()) throw;
   }
-  changed_.notify_one();
 }
 
 void ThreadPool::Run() {
@@ -43,6 +56,9 @@
       work();
     } catch (const std::exception& error) {
       LogEvent(LogLevel::kError, "work_failed", {{"pool", name_}, {"error", error.what()}});
+    } catch (...) {
+      LogEvent(LogLevel::kError, "work_failed",
+               {{"pool", name_}, {"error", "an exception of an unknown type"}});
     }
     lock.lock();
   }
--- a/core/thread_pool.h
+++ b/core/thread_pool.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/failure_episode.h"
 #include "core/thread.h"
 
 namespace turmericshift {
@@ -21,10 +22,12 @@
   ThreadPool& operator=(const ThreadPool&) = delete;
 
   // Queues `work`. Never blocks and never drops work, so callers must limit how much work they
-  // submit.
+  // submit. If no further thread can be started, the work waits for the threads that the pool has;
+  // if it has none, throws Error(kUnavailable, not run) and does not queue the work.
   void Submit(std::function<void()> work);
 
  private:
+  void StartThread();
   void Run();
 
   const std::string name_;
@@ -34,6 +37,7 @@
   std::condition_variable changed_;
   bool stopping_ = false;
   int idle_ = 0;
+  FailureEpisode thread_starts_;
   std::deque<std::function<void()>> queue_;
   std::vector<Thread> threads_;
 };
