GangRunner: Keep the frame of a gang's calls when one is refused

CallAll left its frame when a call could not be submitted, while calls that were queued before still used it.

A refused call runs on the caller's thread, so that every member is called once and the frame stays until all have ended.

--- a/servers/planner/gang_runner.cc
+++ b/servers/planner/gang_runner.cc
@@ -168,7 +168,15 @@
     for (const std::string& worker : workers) call(worker);
     return batch.failures;
   }
-  for (const std::string& worker : workers) calls_.Submit([&call, worker] { call(worker); });
+  for (const std::string& worker : workers) {
+    try {
+      calls_.Submit([&call, worker] { call(worker); });
+    } catch (const std::exception&) {
+      // The pool has no thread. Calls that it has already taken use this frame, so it must not be
+      // left; the pool has logged the reason.
+      call(worker);
+    }
+  }
   std::unique_lock<std::mutex> lock(batch.mutex);
   batch.changed.wait(lock, [&batch] { return batch.pending == 0; });
   return batch.failures;
