ZonePlannerService: Recover from refused and failed work

The planner marks a claim, a renewal, a record or a stop as under way and then passes it to the executor. If the executor refused it, or the work threw anything but Error, the mark stayed: the zone was never claimed, a gang's lease never renewed, a job's end never recorded, and the destructor waited for work that did not exist.

Refused work stays with the service and is passed on in the next round. Work that throws ends the leadership or claim, so that the planner starts over from the log and the agents' reports. RunAsync no longer throws, so one completion can't drop the others. BecomeLeader makes the policy before it takes the epoch.

--- a/servers/planner/planner_simulation.h
+++ b/servers/planner/planner_simulation.h
@@ -45,6 +45,10 @@
   std::string planner() const;
   void KillEntry(const std::string& name);
   void SetLogDown(bool down);
+  // While set, the entries' executors refuse work.
+  void SetThreadsShort(bool threads_short) { threads_short_ = threads_short; }
+  // The next write of a record fails with an exception that is no Error.
+  void BreakNextWrite() { break_next_write_ = true; }
   // Interrupts the connections between the agent and these entries for `time`.
   void PartitionAgent(const std::string& agent, const std::set<std::string>& entries,
                       Duration time);
@@ -87,6 +91,8 @@
   bool faults_ = false;
   Duration pause_next_call_{};
   bool log_down_ = false;
+  bool threads_short_ = false;
+  bool break_next_write_ = false;
   int nested_pauses_ = 0;
   bool zone_in_ = true;
   Time zone_out_at_{};
--- a/servers/planner/planner_simulation_test.cc
+++ b/servers/planner/planner_simulation_test.cc
@@ -1,6 +1,7 @@
 #include "servers/planner/planner_simulation.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 #include "core/digest.h"
@@ -50,6 +51,15 @@
   return hello;
 }
 
+// Runs work as a ThreadPool does, which outlives an exception of its work.
+void RunWork(const std::function<void()>& work) {
+  try {
+    work();
+  } catch (const std::exception&) {
+    // The pool logs it.
+  }
+}
+
 }  // namespace
 
 struct PlannerSimulation::Entry {
@@ -88,6 +98,9 @@
   Writer(PlannerSimulation* simulation, Entry* entry) : simulation_(simulation), entry_(entry) {}
 
   WriteResult Write(const Record& record, Duration /*timeout*/) override {
+    if (std::exchange(simulation_->break_next_write_, false)) {
+      throw std::runtime_error("the write is broken");
+    }
     if (entry_->log_unreachable) {
       throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "the log is unreachable");
     }
@@ -325,8 +338,12 @@
   }
   for (auto& entry : entries_) {
     if (!entry->up || now < entry->paused_until) continue;
-    entry->service->Step(now);
-    for (const auto& work : std::exchange(entry->work, {})) work();
+    try {
+      entry->service->Step(now);
+    } catch (const Error&) {
+      // The next round follows, as in ZonePlannerManager.
+    }
+    for (const auto& work : std::exchange(entry->work, {})) RunWork(work);
   }
   Check();
 }
@@ -405,7 +422,13 @@
   entry->service = std::make_unique<ZonePlannerService>(
       options, entry->directory.get(), entry->writer.get(), entry->jobs.get(), entry->config.get(),
       entry->runner.get(),
-      [entry](std::function<void()> work) { entry->work.push_back(std::move(work)); }, &metrics_);
+      [this, entry](std::function<void()> work) {
+        if (threads_short_) {
+          throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "can't create a thread");
+        }
+        entry->work.push_back(std::move(work));
+      },
+      &metrics_);
 }
 
 void PlannerSimulation::StartAgent(Agent* agent) {
--- a/servers/planner/zone_planner_service.cc
+++ b/servers/planner/zone_planner_service.cc
@@ -53,7 +53,8 @@
       executor_(std::move(executor)),
       decide_seconds_(&metrics->distribution("planner_decide_seconds")),
       claim_rule_(options.process, options.own_zone, options.zone),
-      jitter_(static_cast<unsigned>(std::hash<std::string>()(options.process + options.zone))) {}
+      jitter_(static_cast<unsigned>(std::hash<std::string>()(options.process + options.zone))),
+      work_starts_("planner_work_start", {{"zone", options.zone}}) {}
 
 ZonePlannerService::~ZonePlannerService() {
   std::unique_lock<std::mutex> lock(completions_mutex_);
@@ -63,6 +64,7 @@
 void ZonePlannerService::Step(Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
   RunCompletions(now);
+  PassWaitingWork();
   const std::vector<AgentState> agents = directory_->Agents(options_.zone);
   if (!EnsureLeadership(agents, now)) return;
   const auto config = replicated_config_->current();
@@ -129,19 +131,48 @@
 }
 
 void ZonePlannerService::RunAsync(std::function<Completion()> work) {
-  {
-    const std::lock_guard<std::mutex> lock(completions_mutex_);
-    ++in_flight_;
-  }
-  executor_([this, work = std::move(work), epoch = epoch_] {
-    Completion completion = work();
+  waiting_work_.emplace_back([this, work = std::move(work), epoch = epoch_] {
+    Completion completion;
+    try {
+      completion = work();
+    } catch (const std::exception& error) {
+      LogEvent(LogLevel::kError, "planner_work_failed",
+               {{"zone", options_.zone}, {"error", error.what()}});
+      completion = [this](Time) { OnWorkFailed(); };
+    }
     const std::lock_guard<std::mutex> lock(completions_mutex_);
+    --in_flight_;
+    completions_changed_.notify_all();
     completions_.push_back([this, completion = std::move(completion), epoch](Time now) {
       if (epoch == epoch_) completion(now);
     });
-    --in_flight_;
-    completions_changed_.notify_all();
   });
+  PassWaitingWork();
+}
+
+void ZonePlannerService::PassWaitingWork() {
+  while (!waiting_work_.empty()) {
+    ChangeInFlight(1);
+    try {
+      executor_(waiting_work_.front());
+    } catch (const std::exception& error) {
+      ChangeInFlight(-1);
+      work_starts_.NoteFailure(error.what());
+      return;
+    }
+    work_starts_.NoteSuccess();
+    waiting_work_.pop_front();
+  }
+}
+
+void ZonePlannerService::ChangeInFlight(int change) {
+  const std::lock_guard<std::mutex> lock(completions_mutex_);
+  in_flight_ += change;
+}
+
+void ZonePlannerService::OnWorkFailed() {
+  claiming_ = false;
+  if (epoch_ != kNoSequence) StepDown("a call or record has failed in an unknown way");
 }
 
 void ZonePlannerService::RunCompletions(Time now) {
@@ -185,12 +216,12 @@
 }
 
 void ZonePlannerService::BecomeLeader(Sequence epoch, Time now) {
+  planner_ = std::make_unique<ZonePlanner>(
+      options_.zone, PlacementPolicyRegistry::Instance().Create(options_.policy));
   epoch_ = epoch;
   claimed_at_ = now;
   all_agents_reported_ = false;
   start_count_ = 0;
-  planner_ = std::make_unique<ZonePlanner>(
-      options_.zone, PlacementPolicyRegistry::Instance().Create(options_.policy));
   LogEvent(LogLevel::kInfo, "planner_duty_taken",
            {{"zone", options_.zone}, {"process", options_.process}, {"epoch", epoch}});
 }
@@ -207,6 +238,7 @@
   pending_records_.clear();
   reports_being_dropped_.clear();
   avoided_until_.clear();
+  waiting_work_.clear();
 }
 
 void ZonePlannerService::ReleaseLeadershipWhenIdle() {
--- a/servers/planner/zone_planner_service.h
+++ b/servers/planner/zone_planner_service.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "core/failure_episode.h"
 #include "core/metrics.h"
 #include "servers/entry/agent_directory.h"
 #include "servers/planner/claim_rule.h"
@@ -39,7 +41,8 @@
 
 class ZonePlannerService {
  public:
-  // Runs work that may block, either immediately or later, on any thread.
+  // Runs work that may block, either immediately or later, on any thread. If it throws, the work
+  // must not run; the service passes it again in its next round.
   using Executor = std::function<void(std::function<void()>)>;
 
   // All pointers must outlive the service.
@@ -80,8 +83,13 @@
   };
 
   // Runs `work` on the executor and its completion in the next round. The completion is skipped if
-  // the epoch has changed meanwhile.
+  // the epoch has changed meanwhile. If the work throws, the service steps down.
   void RunAsync(std::function<Completion()> work);
+  // Passes waiting work to the executor until the executor refuses it.
+  void PassWaitingWork();
+  void ChangeInFlight(int change);
+  // Ends the leadership or claim whose work has failed in an unknown way.
+  void OnWorkFailed();
   void RunCompletions(Time now);
   // Returns whether this entry is the active planner. Claims leadership if the claim rule says so.
   bool EnsureLeadership(const std::vector<AgentState>& agents, Time now);
@@ -170,6 +178,8 @@
   // Workers whose calls timed out, with the time until which they get no new work.
   std::map<std::string, Time> avoided_until_;
   std::minstd_rand jitter_;
+  std::deque<std::function<void()>> waiting_work_;
+  FailureEpisode work_starts_;
 
   mutable std::mutex completions_mutex_;
   std::condition_variable completions_changed_;
--- a/servers/planner/zone_planner_service_test.cc
+++ b/servers/planner/zone_planner_service_test.cc
@@ -105,6 +105,51 @@
   EXPECT_EQ(world.AttemptsReleased(job), 1U);
 }
 
+// No thread can be started for some seconds. Leases must be renewed as soon as there are threads
+// again, or the running gang would be lost.
+TEST_F(ZonePlannerServiceTest, GangRunsOnAfterALackOfThreads) {
+  PlannerSimulation world(1, {});
+  const std::string running = world.Submit(Spec("running", 4, "60s"));
+  world.Run(seconds(3), false);
+  world.SetThreadsShort(true);
+  const std::string waiting = world.Submit(Spec("waiting", 4, "5s"));
+  world.Run(seconds(4), false);
+  world.SetThreadsShort(false);
+  world.Run(seconds(70), false);
+  EXPECT_EQ(StateOf(world, running), JobState::kDone);
+  EXPECT_EQ(world.AttemptsReleased(running), 1U);
+  EXPECT_EQ(StateOf(world, waiting), JobState::kDone);
+  EXPECT_EQ(world.AttemptsReleased(waiting), 1U);
+  EXPECT_EQ(FirstViolation(world), "");
+}
+
+// No thread can be started while the other entries claim the zone of a dead planner. If a claim
+// were left half done, its entry would never plan the zone.
+TEST_F(ZonePlannerServiceTest, ZoneIsClaimedAfterALackOfThreads) {
+  PlannerSimulation world(1, {});
+  world.KillEntry("entry-0");
+  world.SetThreadsShort(true);
+  world.Run(seconds(15), false);
+  EXPECT_EQ(world.planner(), "");
+  world.SetThreadsShort(false);
+  world.Run(seconds(2), false);
+  EXPECT_NE(world.planner(), "");
+}
+
+// The record of a job's end fails with an exception that is no Error. The end must still be
+// recorded, or the job would stay open for good.
+TEST_F(ZonePlannerServiceTest, JobEndsAlthoughWorkFailsWithAnUnknownException) {
+  PlannerSimulation world(1, {});
+  const std::string job = world.Submit(Spec("weekly", 4, "5s"));
+  world.Run(seconds(2), false);
+  ASSERT_TRUE(world.Runs(job));
+  world.BreakNextWrite();
+  world.Run(seconds(30), false);
+  EXPECT_EQ(StateOf(world, job), JobState::kDone);
+  EXPECT_EQ(world.AttemptsReleased(job), 1U);
+  EXPECT_EQ(FirstViolation(world), "");
+}
+
 // Both a running job and a job that waits for room are cancelled.
 TEST_F(ZonePlannerServiceTest, CancelEndsRunningAndWaitingJobs) {
   PlannerSimulation world(1, {});
