PoolAgent: Let refused orders be repeated

Stops and starts are noted before they are submitted. If no thread could be started for them, the rest was dropped, and the planner's repetitions were taken for known: a stopped run went on for good. The same error out of the worker's loop ended it.

A stop that was refused is forgotten, so that the next answer asks for it again; a start is reported as not sent. What the loops repeat anyway is left to them. A member that nothing used is gone.

--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -36,7 +36,6 @@
       log_(log),
       worker_(worker),
       sender_(worker, options.order_timeout),
-      connector_(connector),
       starts_(metrics->counter("agent_starts")),
       start_failures_(metrics->counter("agent_start_failures")),
       start_seconds_(metrics->distribution("agent_start_seconds")),
@@ -80,7 +79,7 @@
                     before.draining != after.draining;
   }
   // The planner is informed immediately, so that it can use a new worker before the next poll.
-  if (report_needed) orders_.Submit([this] { EnsureMember(LeaseClock().Now()); });
+  if (report_needed) SubmitOrder([this] { EnsureMember(LeaseClock().Now()); });
   if (report_needed) RequestUpdate();
 }
 
@@ -89,7 +88,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     state_.HandleDeparture(worker_id);
   }
-  orders_.Submit([this] { EnsureMember(LeaseClock().Now()); });
+  SubmitOrder([this] { EnsureMember(LeaseClock().Now()); });
   RequestUpdate();
 }
 
@@ -136,7 +135,7 @@
       uncertain = state_.UncertainRuns();
       reachable = state_.worker().reachable;
     }
-    for (const RunId& run : uncertain) orders_.Submit([this, run] { StopOne(run); });
+    for (const RunId& run : uncertain) SubmitOrder([this, run] { StopOne(run); });
     Pause(reachable ? kHoldInterval : kRetryInterval);
   }
 }
@@ -243,7 +242,7 @@
   if (new_planner) {
     // The planner uses the worker only after the worker has been read under the planner's own
     // epoch.
-    orders_.Submit([this] {
+    SubmitOrder([this] {
       if (HoldOnce(Duration::zero())) RequestUpdate();
     });
   }
@@ -258,10 +257,29 @@
   return wait > Duration::zero() ? wait + options_.poll_grace_period + lag : kUpdateTimeout + lag;
 }
 
+bool PoolAgent::SubmitOrder(std::function<void()> work) {
+  try {
+    orders_.Submit(std::move(work));
+    return true;
+  } catch (const Error&) {
+    // The pool has logged it. The agent's loops and its planner repeat what is still needed.
+    return false;
+  }
+}
+
 void PoolAgent::ExecuteOrders(const AgentOrders& new_orders, Time until) {
-  for (const RunId& run : new_orders.stops) orders_.Submit([this, run] { StopOne(run); });
+  for (const RunId& run : new_orders.stops) {
+    if (SubmitOrder([this, run] { StopOne(run); })) continue;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    state_.HandleStopAnswer(run, OrderAnswer::kNotListening, LeaseClock().Now());
+  }
   for (const StartOrder& order : new_orders.starts) {
-    orders_.Submit([this, order, until] { StartOne(order, until); });
+    if (SubmitOrder([this, order, until] { StartOne(order, until); })) continue;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      state_.StartNotSent(order.run, "the agent lacks threads");
+    }
+    RequestUpdate();
   }
 }
 
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -62,6 +63,8 @@
   void ExchangeOnce(PlannerClient* client, Duration wait);
   // Time-out of an exchange whose answer the planner may hold back for `wait`.
   Duration ExchangeTimeout(Duration wait) const;
+  // Runs `work` on the pool for orders. Returns false if no thread can be started for it.
+  bool SubmitOrder(std::function<void()> work);
   void ExecuteOrders(const AgentOrders& new_orders, Time until);
   void StartOne(const StartOrder& order, Time until);
   void StopOne(const RunId& run);
@@ -75,7 +78,6 @@
   KeyedLog* const log_;
   PoolWorker* const worker_;
   const OrderSender sender_;
-  PlannerConnector* const connector_;
   Counter& starts_;
   Counter& start_failures_;
   Distribution& start_seconds_;
