ZonePlannerManager: Try a zone again whose thread can't start

A zone was listed before its thread started. If the start failed, the thread `planners` ended: that zone and all later ones had no planner at this entry for good.

--- a/servers/planner/zone_planner_manager.cc
+++ b/servers/planner/zone_planner_manager.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 
 #include "core/error.h"
+#include "core/failure_episode.h"
 #include "core/logging.h"
 #include "core/thread_pool.h"
 
@@ -93,26 +94,40 @@
 }
 
 void ZonePlannerManager::Run() {
+  FailureEpisode zone_starts("planner_start");
   std::unique_lock<std::mutex> lock(mutex_);
   while (!stopping_) {
-    if (const auto config = replicated_config_->current()) {
-      for (const auto& [name, spec] : config->environment->zones) {
-        if (zones_.count(name) != 0) continue;
-        PlannerOptions options;
-        options.zone = name;
-        options.process = options_.process;
-        options.own_zone = options_.own_zone;
-        options.policy = options_.policy;
-        auto zone = std::make_unique<ManagedZone>(options, this);
-        ManagedZone* const running = zone.get();
-        zones_[name] = std::move(zone);
-        running->thread = Thread("planner", [this, running] { RunZone(running); });
-      }
+    try {
+      StartMissingZones();
+      zone_starts.NoteSuccess();
+    } catch (const Error& error) {
+      zone_starts.NoteFailure(error.what());
     }
     changed_.wait_for(lock, kZoneRefreshInterval, [this] { return stopping_; });
   }
 }
 
+void ZonePlannerManager::StartMissingZones() {
+  const auto config = replicated_config_->current();
+  if (!config) return;
+  for (const auto& [name, spec] : config->environment->zones) {
+    if (zones_.count(name) != 0) continue;
+    PlannerOptions options;
+    options.zone = name;
+    options.process = options_.process;
+    options.own_zone = options_.own_zone;
+    options.policy = options_.policy;
+    ManagedZone* const zone = (zones_[name] = std::make_unique<ManagedZone>(options, this)).get();
+    try {
+      zone->thread = Thread("planner", [this, zone] { RunZone(zone); });
+    } catch (const Error&) {
+      // Otherwise the zone would never be tried again.
+      zones_.erase(name);
+      throw;
+    }
+  }
+}
+
 void ZonePlannerManager::RunZone(ManagedZone* zone) {
   int64_t seen_changes = -1;
   Time next_step_at = DefaultClock().Now();
--- a/servers/planner/zone_planner_manager.h
+++ b/servers/planner/zone_planner_manager.h
@@ -48,6 +48,9 @@
   struct ManagedZone;
 
   void Run();
+  // Starts planners for the zones of the document that have none. Throws Error(kUnavailable) if a
+  // planner's thread can't be started.
+  void StartMissingZones();
   void RunZone(ManagedZone* zone);
   // Null if the zone has no planner here.
   const ManagedZone* Find(const std::string& zone) const;
@@ -63,7 +66,7 @@
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   bool stopping_ = false;
-  // Elements are never removed, so pointers that Find returns stay valid.
+  // Elements with a running thread are never removed, so pointers that Find returns stay valid.
   std::map<std::string, std::unique_ptr<ManagedZone>> zones_;
   Thread thread_;
 };
