HttpLogService: Report JSON of another type as a failed call

An answer with status 200 and JSON of another type threw a type error that is no Error out of Append and FirstKept: the writer's or reader's thread of the stream ended. It is Error(kLogUnavailable, unknown) now, so that the stream client counts and retries it. An answer to an append without an offset counts as failed too; the protocol always has one, and readers ignore records that were appended twice.

--- a/modules/http_log/http_log_service.cc
+++ b/modules/http_log/http_log_service.cc
@@ -40,6 +40,16 @@
   return json;
 }
 
+// Throws Error(kLogUnavailable) if the answer has no such offset. An exception of another type
+// would not count as a failed call.
+Offset ReadOffset(const nlohmann::json& json, const char* name) {
+  try {
+    return json.at(name).get<Offset>();
+  } catch (const nlohmann::json::exception& error) {
+    throw Error(ErrorKind::kLogUnavailable, Outcome::kUnknown, error.what());
+  }
+}
+
 }  // namespace
 
 Offset HttpLogService::Append(const std::string& stream, const std::string& bytes,
@@ -49,8 +59,7 @@
   call.url = Url(stream) + "/entries";
   call.body = bytes;
   call.timeout = timeout;
-  const nlohmann::json json = ParseReply(Perform(call));
-  return json.value("offset", kNoOffset);
+  return ReadOffset(ParseReply(Perform(call)), "offset");
 }
 
 LogBatch HttpLogService::Read(const std::string& stream, Offset from, Duration wait,
@@ -80,7 +89,7 @@
   HttpCall call;
   call.url = Url(stream);
   call.timeout = timeout;
-  return ParseReply(Perform(call)).value("first_kept", Offset{0});
+  return ReadOffset(ParseReply(Perform(call)), "first_kept");
 }
 
 std::string HttpLogService::Url(const std::string& stream) const {
