Thread: End the process without an essential thread

An exception that left a thread's body was one log line, whatever the thread did, and the process looked healthy: without `decide` a pool stands still while its planner's heartbeats keep others from taking over.

Each thread states its role.

--- a/core/log_writer.cc
+++ b/core/log_writer.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 LogWriter::LogWriter(int fd, size_t max_lines)
-    : fd_(fd), max_lines_(max_lines), thread_("log", [this] { Run(); }) {}
+    : fd_(fd), max_lines_(max_lines), thread_(ThreadRole::kEssential, "log", [this] { Run(); }) {}
 
 LogWriter::~LogWriter() {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/core/thread_pool.cc
+++ b/core/thread_pool.cc
@@ -34,7 +34,7 @@
 void ThreadPool::StartThread() {
   try {
     threads_.emplace_back(
-        name_, [this] { Run(); }, stack_bytes_);
+        ThreadRole::kEssential, name_, [this] { Run(); }, stack_bytes_);
     thread_starts_.NoteSuccess();
   } catch (const Error& error) {
     thread_starts_.NoteFailure(error.what());
--- a/rpc/gate_listener.cc
+++ b/rpc/gate_listener.cc
@@ -111,7 +111,7 @@
   if (options.keys.keys.empty()) throw Error(ErrorKind::kInvalidInput, "no shared key is set");
   listener_ = ListenSocket(options.address, options.port);
   port_ = BoundPort(listener_);
-  thread_ = Thread("gate-accept", [this] { Accept(); });
+  thread_ = Thread(ThreadRole::kEssential, "gate-accept", [this] { Accept(); });
 }
 
 GateListener::~GateListener() {
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -35,12 +35,12 @@
   if (worker != nullptr) {
     gangs_ =
         std::make_unique<GangHost>(options.hello.worker, worker, &guard_, options.hello.process);
-    expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
+    expiry_ = Thread(ThreadRole::kEssential, "agent-expiry", [this] { RunExpiry(); });
   }
   // One thread more than sessions, so that a better session is opened before the session with the
   // lowest score is closed.
   for (int index = 0; index <= options.max_sessions; ++index) {
-    sessions_.emplace_back("agent-beat", [this] { RunSessions(); });
+    sessions_.emplace_back(ThreadRole::kEssential, "agent-beat", [this] { RunSessions(); });
   }
 }
 
--- a/servers/entry/entry_server.cc
+++ b/servers/entry/entry_server.cc
@@ -76,7 +76,7 @@
   operator_http_ = std::make_unique<HttpServer>(
       options.operator_http,
       [this](const HttpRequest& request) { return OperatorApi(this).Handle(request); });
-  upkeep_ = Thread("entry-upkeep", [this] { RunUpkeep(); });
+  upkeep_ = Thread(ThreadRole::kEssential, "entry-upkeep", [this] { RunUpkeep(); });
 }
 
 EntryServer::~EntryServer() {
--- a/servers/planner/zone_planner_manager.cc
+++ b/servers/planner/zone_planner_manager.cc
@@ -50,7 +50,7 @@
       replicated_config_(replicated_config),
       metrics_(metrics),
       runner_(directory, kMaxCalls) {
-  thread_ = Thread("planners", [this] { Run(); });
+  thread_ = Thread(ThreadRole::kEssential, "planners", [this] { Run(); });
 }
 
 ZonePlannerManager::~ZonePlannerManager() {
@@ -119,7 +119,7 @@
     options.policy = options_.policy;
     ManagedZone* const zone = (zones_[name] = std::make_unique<ManagedZone>(options, this)).get();
     try {
-      zone->thread = Thread("planner", [this, zone] { RunZone(zone); });
+      zone->thread = Thread(ThreadRole::kEssential, "planner", [this, zone] { RunZone(zone); });
     } catch (const Error&) {
       // Otherwise the zone would never be tried again.
       zones_.erase(name);
--- a/servers/pool/advice_fetcher.cc
+++ b/servers/pool/advice_fetcher.cc
@@ -15,7 +15,9 @@
 }  // namespace
 
 AdviceFetcher::AdviceFetcher(AdviceService* advice, PlannerService* planner)
-    : advice_(advice), planner_(planner), thread_("advice", [this] { Run(); }) {}
+    : advice_(advice),
+      planner_(planner),
+      thread_(ThreadRole::kEssential, "advice", [this] { Run(); }) {}
 
 AdviceFetcher::~AdviceFetcher() { stopping_.store(true); }
 
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -63,7 +63,7 @@
       connector_(connector),
       service_(service),
       connected_since_(LeaseClock().Now()),
-      thread_("duty", [this] { Run(); }) {}
+      thread_(ThreadRole::kEssential, "duty", [this] { Run(); }) {}
 
 PlannerElector::~PlannerElector() { stopping_.store(true); }
 
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -35,8 +35,8 @@
       lag_seconds_(metrics->gauge("planner_late_seconds")),
       jobs_(metrics->gauge("planner_jobs")),
       epoch_gauge_(metrics->gauge("planner_epoch")),
-      planning_thread_("decide", [this] { RunPlanningLoop(); }),
-      writer_thread_("write", [this] { RunWriteLoop(); }) {}
+      planning_thread_(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); }),
+      writer_thread_(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); }) {}
 
 PlannerService::~PlannerService() {
   {
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -43,9 +43,9 @@
       router_(options.node, options.zone, &members_, connector),
       state_(options.node, options.zone, options.incarnation),
       orders_("orders", kOrderThreads),
-      worker_thread_("worker", [this] { RunWorkerLoop(); }),
-      planner_thread_("planner", [this] { RunPlannerLoop(); }),
-      update_thread_("news", [this] { RunUpdateLoop(); }) {}
+      worker_thread_(ThreadRole::kEssential, "worker", [this] { RunWorkerLoop(); }),
+      planner_thread_(ThreadRole::kEssential, "planner", [this] { RunPlannerLoop(); }),
+      update_thread_(ThreadRole::kEssential, "news", [this] { RunUpdateLoop(); }) {}
 
 PoolAgent::~PoolAgent() {
   {
--- a/servers/pool/topic_follower.cc
+++ b/servers/pool/topic_follower.cc
@@ -14,7 +14,7 @@
       on_record_(std::move(on_record)),
       on_caught_up_(std::move(on_caught_up)),
       on_restart_(std::move(on_restart)),
-      thread_("follow", [this] { Run(); }) {}
+      thread_(ThreadRole::kEssential, "follow", [this] { Run(); }) {}
 
 TopicFollower::~TopicFollower() { stopping_.store(true); }
 
--- a/servers/requests/target_sender.cc
+++ b/servers/requests/target_sender.cc
@@ -91,7 +91,7 @@
       resolved_by_question_(&metrics->counter("router_settled_by_question")),
       unknown_(&metrics->counter("router_outcomes_unknown")),
       outlier_detector_(options.outliers),
-      silence_watch_("silence-watch", [this] { RunSilenceWatch(); }) {}
+      silence_watch_(ThreadRole::kEssential, "silence-watch", [this] { RunSilenceWatch(); }) {}
 
 TargetSender::~TargetSender() {
   {
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -55,9 +55,9 @@
       write_seconds_(&metrics->distribution("log_write_seconds_" + name_)),
       random_(std::random_device{}()) {
   for (int index = 0; index < kWriters; ++index) {
-    writers_.emplace_back("write-" + name_, [this] { RunWriter(); });
+    writers_.emplace_back(ThreadRole::kEssential, "write-" + name_, [this] { RunWriter(); });
   }
-  reader_ = Thread("read-" + name_, [this] { RunReader(); });
+  reader_ = Thread(ThreadRole::kEssential, "read-" + name_, [this] { RunReader(); });
 }
 
 StreamClient::~StreamClient() {
