--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -151,7 +151,7 @@
   PoolListenerOptions options;
   options.port = PoolListener({}, &gate).port();
   {
-    const ThreadShortage shortage;
+    const ThreadShortage shortage("");
     EXPECT_THROW(PoolListener(options, &gate), Error);
   }
   EXPECT_NO_THROW(PoolListener(options, &gate));
--- a/rpc/session_end_test.cc
+++ b/rpc/session_end_test.cc
@@ -116,7 +116,7 @@
     const SocketPair sockets;
     ErrorKind kind = ErrorKind::kInternal;
     {
-      const ThreadShortage shortage;
+      const ThreadShortage shortage("");
       try {
         Session::Open(sockets.ends[0], Session::Side::kConnecting, "session", nullptr);
       } catch (const Error& error) {
--- a/servers/agent/agent_server.cc
+++ b/servers/agent/agent_server.cc
@@ -48,11 +48,11 @@
 AgentServer::~AgentServer() { StopThreads(); }
 
 void AgentServer::StartThreads() {
-  if (gangs_) expiry_ = Thread("agent-expiry", [this] { RunExpiry(); });
+  if (gangs_) expiry_ = Thread(ThreadRole::kEssential, "agent-expiry", [this] { RunExpiry(); });
   // One thread more than sessions, so that a better session is opened before the session with the
   // lowest score is closed.
   for (int index = 0; index <= options_.max_sessions; ++index) {
-    sessions_.emplace_back("agent-beat", [this] { RunSessions(); });
+    sessions_.emplace_back(ThreadRole::kEssential, "agent-beat", [this] { RunSessions(); });
   }
 }
 
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -36,8 +36,8 @@
       jobs_(metrics->gauge("planner_jobs")),
       epoch_gauge_(metrics->gauge("planner_epoch")) {
   try {
-    planning_thread_ = Thread("decide", [this] { RunPlanningLoop(); });
-    writer_thread_ = Thread("write", [this] { RunWriteLoop(); });
+    planning_thread_ = Thread(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); });
+    writer_thread_ = Thread(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); });
   } catch (...) {
     // The destructor does not run, and nothing else tells the started thread to end.
     StopThreads();
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -36,7 +36,6 @@
       log_(log),
       worker_(worker),
       sender_(worker, options.order_timeout),
-      connector_(connector),
       starts_(metrics->counter("agent_starts")),
       start_failures_(metrics->counter("agent_start_failures")),
       start_seconds_(metrics->distribution("agent_start_seconds")),
@@ -45,9 +44,9 @@
       state_(options.node, options.zone, options.incarnation),
       orders_("orders", kOrderThreads) {
   try {
-    worker_thread_ = Thread("worker", [this] { RunWorkerLoop(); });
-    planner_thread_ = Thread("planner", [this] { RunPlannerLoop(); });
-    update_thread_ = Thread("news", [this] { RunUpdateLoop(); });
+    worker_thread_ = Thread(ThreadRole::kEssential, "worker", [this] { RunWorkerLoop(); });
+    planner_thread_ = Thread(ThreadRole::kEssential, "planner", [this] { RunPlannerLoop(); });
+    update_thread_ = Thread(ThreadRole::kEssential, "news", [this] { RunUpdateLoop(); });
   } catch (...) {
     // The destructor does not run, and nothing else tells the started threads to end.
     StopThreads();
@@ -89,7 +88,7 @@
                     before.draining != after.draining;
   }
   // The planner is informed immediately, so that it can use a new worker before the next poll.
-  if (report_needed) orders_.Submit([this] { EnsureMember(LeaseClock().Now()); });
+  if (report_needed) SubmitOrder([this] { EnsureMember(LeaseClock().Now()); });
   if (report_needed) RequestUpdate();
 }
 
@@ -98,7 +97,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     state_.HandleDeparture(worker_id);
   }
-  orders_.Submit([this] { EnsureMember(LeaseClock().Now()); });
+  SubmitOrder([this] { EnsureMember(LeaseClock().Now()); });
   RequestUpdate();
 }
 
@@ -145,7 +144,7 @@
       uncertain = state_.UncertainRuns();
       reachable = state_.worker().reachable;
     }
-    for (const RunId& run : uncertain) orders_.Submit([this, run] { StopOne(run); });
+    for (const RunId& run : uncertain) SubmitOrder([this, run] { StopOne(run); });
     Pause(reachable ? kHoldInterval : kRetryInterval);
   }
 }
@@ -252,7 +251,7 @@
   if (new_planner) {
     // The planner uses the worker only after the worker has been read under the planner's own
     // epoch.
-    orders_.Submit([this] {
+    SubmitOrder([this] {
       if (HoldOnce(Duration::zero())) RequestUpdate();
     });
   }
@@ -267,10 +266,29 @@
   return wait > Duration::zero() ? wait + options_.poll_grace_period + lag : kUpdateTimeout + lag;
 }
 
+bool PoolAgent::SubmitOrder(std::function<void()> work) {
+  try {
+    orders_.Submit(std::move(work));
+    return true;
+  } catch (const Error&) {
+    // The pool has logged it. The agent's loops and its planner repeat what is still needed.
+    return false;
+  }
+}
+
 void PoolAgent::ExecuteOrders(const AgentOrders& new_orders, Time until) {
-  for (const RunId& run : new_orders.stops) orders_.Submit([this, run] { StopOne(run); });
+  for (const RunId& run : new_orders.stops) {
+    if (SubmitOrder([this, run] { StopOne(run); })) continue;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    state_.HandleStopAnswer(run, OrderAnswer::kNotListening, LeaseClock().Now());
+  }
   for (const StartOrder& order : new_orders.starts) {
-    orders_.Submit([this, order, until] { StartOne(order, until); });
+    if (SubmitOrder([this, order, until] { StartOne(order, until); })) continue;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      state_.StartNotSent(order.run, "the agent lacks threads");
+    }
+    RequestUpdate();
   }
 }
 
--- a/servers/state/stream_client.cc
+++ b/servers/state/stream_client.cc
@@ -71,9 +71,9 @@
 
 void StreamClient::StartThreads() {
   for (int index = 0; index < kWriters; ++index) {
-    writers_.emplace_back("write-" + name_, [this] { RunWriter(); });
+    writers_.emplace_back(ThreadRole::kEssential, "write-" + name_, [this] { RunWriter(); });
   }
-  reader_ = Thread("read-" + name_, [this] { RunReader(); });
+  reader_ = Thread(ThreadRole::kEssential, "read-" + name_, [this] { RunReader(); });
 }
 
 void StreamClient::BeginStop() {
--- a/tests/stand_ins/thread_shortage.h
+++ b/tests/stand_ins/thread_shortage.h
@@ -1,56 +1,33 @@
-// Lets the process start no thread.
+// A shortage of threads, as on a machine at its limit of threads or processes.
 #pragma once
 
-#include <sys/resource.h>
+#include <atomic>
+#include <string>
 
-#include <array>
-#include <latch>
-#include <memory>
-#include <vector>
-
-#include "core/error.h"
 #include "core/thread.h"
 
 namespace turmericshift {
 
-// Lets no thread start during its lifetime, for lack of address space for stacks.
-class ThreadShortage {
+// While it exists, no thread of the given name can be started; the empty name stands for all.
+class ThreadShortage : public ThreadStarter {
  public:
-  ThreadShortage() {
-    ReserveHeap();
-    threads_.reserve(kMaxThreads);
-    getrlimit(RLIMIT_AS, &before_);
-    rlimit low = before_;
-    low.rlim_cur = 1;
-    setrlimit(RLIMIT_AS, &low);
-    // The C library reuses the stacks of threads that have ended.
-    try {
-      while (true) threads_.emplace_back("filler", [this] { ended_.wait(); });
-    } catch (const Error&) {
-      return;
-    }
-  }
-  ~ThreadShortage() {
-    setrlimit(RLIMIT_AS, &before_);
-    ended_.count_down();
-  }
+  explicit ThreadShortage(std::string name) : name_(std::move(name)) { SetThreadStarter(this); }
+  ~ThreadShortage() override { SetThreadStarter(nullptr); }
   ThreadShortage(const ThreadShortage&) = delete;
   ThreadShortage& operator=(const ThreadShortage&) = delete;
 
+  // Starts up to `count` more threads of the name before the shortage begins.
+  void Allow(int count) { allowed_.store(count); }
+  // Number of threads that were not started.
+  int refusals() const { return refusals_.load(); }
+
+  int Start(const std::string& name, pthread_t* handle, const pthread_attr_t* attributes,
+            void* (*run)(void*), void* argument) override;
+
  private:
-  static constexpr size_t kMaxThreads = 1000;
-
-  // Leaves free blocks on the heap, which can't grow during the shortage.
-  static void ReserveHeap() {
-    constexpr size_t kBlocks = 1000;
-    constexpr size_t kBlockBytes = 1000;
-    std::vector<std::unique_ptr<std::array<char, kBlockBytes>>> blocks(kBlocks);
-    for (auto& block : blocks) block = std::make_unique<std::array<char, kBlockBytes>>();
-  }
-
-  rlimit before_{};
-  std::latch ended_{1};
-  std::vector<Thread> threads_;
+  const std::string name_;
+  std::atomic<int> allowed_{0};
+  std::atomic<int> refusals_{0};
 };
 
 }  // namespace turmericshift
--- a/tests/thread_shortage_test.cc
+++ b/tests/thread_shortage_test.cc
@@ -1,5 +1,7 @@
 // Servers that can't start all of their threads. Their constructors waited forever for the threads
 // that had started, with the stop signals blocked, so that the process did not end on SIGTERM.
+#include "tests/stand_ins/thread_shortage.h"
+
 #include <gtest/gtest.h>
 
 #include <memory>
@@ -15,7 +17,6 @@
 #include "servers/pool/pool_agent.h"
 #include "servers/state/replicated_members.h"
 #include "servers/state/stream_client.h"
-#include "tests/stand_ins/thread_limit.h"
 
 namespace turmericshift {
 namespace {
@@ -24,7 +25,8 @@
 template <typename Open>
 void ExpectUnavailableBelow(int threads, Open open) {
   for (int starts = 0; starts < threads; ++starts) {
-    const ThreadLimit limit(starts);
+    ThreadShortage shortage("");
+    shortage.Allow(starts);
     try {
       open();
       ADD_FAILURE() << "started with " << starts << " threads";
@@ -32,7 +34,8 @@
       EXPECT_EQ(error.kind(), ErrorKind::kUnavailable) << error.what();
     }
   }
-  const ThreadLimit limit(threads);
+  ThreadShortage shortage("");
+  shortage.Allow(threads);
   EXPECT_NO_THROW(open());
 }
 
@@ -44,7 +47,7 @@
   }
 };
 
-TEST(ThreadShortage, AgentServerFailsToStart) {
+TEST(ThreadShortageTest, AgentServerFailsToStart) {
   AgentOptions options;
   options.hello = {"worker-a", "1", "a", "rack-a", "", {}};
   options.entries = {"127.0.0.1:1"};
@@ -57,7 +60,7 @@
   });
 }
 
-TEST(ThreadShortage, StreamClientFailsToStart) {
+TEST(ThreadShortageTest, StreamClientFailsToStart) {
   StreamOptions options;
   options.long_poll_wait = std::chrono::milliseconds(1);
   MemoryLog log;
@@ -67,7 +70,7 @@
       3, [&] { const StreamClient client(Stream::kMembers, &log, &members, &metrics, options); });
 }
 
-TEST(ThreadShortage, PlannerServiceFailsToStart) {
+TEST(ThreadShortageTest, PlannerServiceFailsToStart) {
   MemoryKeyedLog log;
   const pool::OperatorView operators(&log, std::make_unique<platform::OperatorRecordDecoder>());
   MetricsRegistry metrics;
@@ -97,7 +100,7 @@
   }
 };
 
-TEST(ThreadShortage, PoolAgentFailsToStart) {
+TEST(ThreadShortageTest, PoolAgentFailsToStart) {
   pool::PoolAgentOptions options;
   options.members_wait = std::chrono::milliseconds(1);
   MemoryKeyedLog log;
