Shutdown: Stop without starting a thread

Callers: a process that can't start a thread when it is asked to stop cut them: no drain, no leadership or membership given up, status 3; main then joined all threads without a limit.

Cause: ExitOnNextSignal, the first step of a stop, started a thread and let its failure out.

Change: the thread that receives the first signal, which starts before the process serves, receives the next ones too. It is essential: without it SIGTERM has no effect.

--- a/core/shutdown.cc
+++ b/core/shutdown.cc
@@ -37,15 +37,34 @@
   std::condition_variable changed;
   bool serving = false;
   std::optional<Time> asked_at;
+  bool exits_on_next_signal = false;
+  bool asked_again = false;
 
-  void ReceiveFirstSignal() {
+  void ReceiveSignals() {
     WaitForStopSignal();
+    NoteFirstSignal();
+    while (true) {
+      WaitForStopSignal();
+      const std::lock_guard<std::mutex> lock(mutex);
+      asked_again = true;
+      ExitIfAskedAgain();
+    }
+  }
+
+  void NoteFirstSignal() {
     const std::lock_guard<std::mutex> lock(mutex);
     asked_at = DefaultClock().Now();
     LogEvent(LogLevel::kInfo, "stop_asked", {{"during_start", !serving}});
     if (!serving) EndProcess(0);
     changed.notify_all();
   }
+
+  // Requires `mutex`.
+  void ExitIfAskedAgain() const {
+    if (!exits_on_next_signal || !asked_again) return;
+    LogEvent(LogLevel::kWarning, "stop_cut");
+    _exit(kForcedExitCode);
+  }
 };
 
 ShutdownSignal::ShutdownSignal() : state_(std::make_shared<State>()) {
@@ -54,7 +73,8 @@
 }
 
 void ShutdownSignal::EndDuringStart() {
-  Thread receiver("stop-signal", [state = state_] { state->ReceiveFirstSignal(); });
+  Thread receiver(ThreadRole::kEssential, "stop-signal",
+                  [state = state_] { state->ReceiveSignals(); });
   receiver.Detach();
 }
 
@@ -70,12 +90,9 @@
 }
 
 void ShutdownSignal::ExitOnNextSignal() {
-  Thread cutter("cut-on-signal", [] {
-    WaitForStopSignal();
-    LogEvent(LogLevel::kWarning, "stop_cut");
-    _exit(kForcedExitCode);
-  });
-  cutter.Detach();
+  const std::lock_guard<std::mutex> lock(state_->mutex);
+  state_->exits_on_next_signal = true;
+  state_->ExitIfAskedAgain();
 }
 
 void IgnoreHangUpAndPipe() {
--- a/core/shutdown.h
+++ b/core/shutdown.h
@@ -25,12 +25,13 @@
   // Requires EndDuringStart and BeginServing.
   Time Wait();
 
-  // From now on, another signal ends the process immediately with exit code 1.
+  // From now on, another signal ends the process immediately with exit code 1; so does one that
+  // arrived since Wait returned. Requires EndDuringStart.
   void ExitOnNextSignal();
 
  private:
   struct State;
-  // Shared with the thread that receives the first signal.
+  // Shared with the thread that receives the signals.
   std::shared_ptr<State> state_;
 };
 
--- a/core/shutdown_test.cc
+++ b/core/shutdown_test.cc
@@ -6,6 +6,8 @@
 
 #include <cstdlib>
 
+#include "tests/stand_ins/thread_shortage.h"
+
 namespace turmericshift {
 namespace {
 
@@ -45,5 +47,23 @@
       testing::ExitedWithCode(kWaitedExitCode), "stop_asked");
 }
 
+// A process that can't start a thread is asked to stop. If the stop needed one, it would be cut: no
+// caller would get a response, and no leadership would be released.
+TEST_F(ShutdownSignalTest, StopsWithoutStartingAThread) {
+  EXPECT_EXIT(
+      {
+        ShutdownSignal signal;
+        signal.EndDuringStart();
+        signal.BeginServing();
+        const ThreadShortage shortage("");
+        kill(getpid(), SIGTERM);
+        signal.Wait();
+        signal.ExitOnNextSignal();
+        kill(getpid(), SIGTERM);
+        while (true) pause();
+      },
+      testing::ExitedWithCode(1), "stop_cut");
+}
+
 }  // namespace
 }  // namespace turmericshift
