Pool: End the process if its session loop ends by an exception

The thread pool-sessions serves all sessions of a pool's entry. An exception that is not the library's ended it with one log line while the process went on as ready. It is essential now, by the rule of core/thread.

--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -283,7 +283,8 @@
   kj::AutoCloseFd listener(ListenSocket(options.address, options.port));
   port_ = BoundPort(listener);
   thread_ = Thread(
-      "pool-sessions", [this, fd = listener.get(), gate] { Serve(fd, gate); }, kLoopStackBytes);
+      ThreadRole::kEssential, "pool-sessions",
+      [this, fd = listener.get(), gate] { Serve(fd, gate); }, kLoopStackBytes);
   // The thread closes it.
   listener.release();
   std::unique_lock<std::mutex> lock(mutex_);
