Agent: Report only document versions that entries hold

Cause: an entry that has not read the newest document states the newest version that it has heard of in its replies to heartbeats, without the digest, so that agents don't take its own document for the newest. Agents passed this version on as the one that the entry holds, and the other entries counted it as in force there.

Change: a version without a digest does not change what the entry is known to hold.

--- a/servers/agent/start_guard.cc
+++ b/servers/agent/start_guard.cc
@@ -18,6 +18,13 @@
 // share a broken path to the log.
 constexpr size_t kZonesThatAgree = 2;
 
+// The newest version of the document that the entry holds, as far as the reply tells; `known`: the
+// newest one that it was known to hold. An entry that lags behind states the newest version that it
+// has heard of, without a digest.
+int64_t HeldVersion(const HeartbeatReply& reply, int64_t known) {
+  return reply.config_digest.empty() ? known : reply.config_version;
+}
+
 }  // namespace
 
 StartGuard::StartGuard(const std::string& zone, const std::string& agent)
@@ -45,13 +52,13 @@
     // document that this agent does not receive.
     if (!reply.freshness.failing) {
       statements_.try_emplace(reply.self.process,
-                              EntryStatement{reply.self, reply.config_version, sent, false});
+                              EntryStatement{reply.self, HeldVersion(reply, 0), sent, false});
     }
     return;
   }
   EntryStatement& statement = statements_[reply.self.process];
   if (sent < statement.sent) return;
-  statement = {reply.self, reply.config_version, sent, reply.freshness.failing};
+  statement = {reply.self, HeldVersion(reply, statement.version), sent, reply.freshness.failing};
   // The age was measured after this heartbeat was sent, so the computed time is never too recent,
   // even if a process was paused in between.
   AdvanceFreshness(sent - reply.freshness.age);
--- a/servers/agent/start_guard.h
+++ b/servers/agent/start_guard.h
@@ -32,13 +32,15 @@
   std::shared_ptr<const Environment> environment() const;
   // Whether a reply to a heartbeat that was sent within `limit` has been received.
   bool received_reply_within(Duration limit, Time now) const;
-  // The last known document version of each entry and the age of its reply, for other entries.
+  // The last document version that each entry is known to hold and the age of its reply, for other
+  // entries.
   std::vector<ObservedEntry> entry_statements(Time now) const;
 
  private:
   // The last status that an entry reported about itself.
   struct EntryStatement {
     EntryMember entry;
+    // The newest document version that the entry is known to hold.
     int64_t version = 0;
     Time sent{};
     bool log_failing = false;
--- a/servers/agent/start_guard_test.cc
+++ b/servers/agent/start_guard_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "core/digest.h"
 #include "core/error.h"
 
@@ -57,6 +59,27 @@
   EXPECT_FALSE(MayStart(now_ + milliseconds(2901)));
 }
 
+// An entry that has not read the newest document states its version all the same, without a digest.
+// If agents reported that the entry holds it, the document would be said to be in force there.
+TEST_F(StartGuardTest, ReportsOnlyVersionsThatEntriesHold) {
+  guard_.HandleHeartbeatReply(MakeReply("a", 1, Duration{}, false), now_);
+  HeartbeatReply lagging = MakeReply("b", 1, Duration{}, false);
+  lagging.config_digest.clear();
+  lagging.config_text.clear();
+  guard_.HandleHeartbeatReply(lagging, now_);
+  const auto versions = [this] {
+    std::map<std::string, int64_t> held;
+    for (const ObservedEntry& each : guard_.entry_statements(now_)) {
+      held[each.entry.process] = each.config_version;
+    }
+    return held;
+  };
+  EXPECT_EQ(versions()["entry-a"], 1);
+  EXPECT_EQ(versions()["entry-b"], 0);
+  guard_.HandleHeartbeatReply(MakeReply("b", 1, Duration{}, false), now_ + milliseconds(1));
+  EXPECT_EQ(versions()["entry-b"], 1);
+}
+
 // One entry can't reach the log while others read it, so operators may take the zone out through
 // the other entries.
 TEST_F(StartGuardTest, OneEntryReportingLogFailureIsNotEnough) {
