--- a/rpc/session.h
+++ b/rpc/session.h
@@ -121,8 +121,8 @@
 void Session::Release(std::unique_ptr<Client> client) {
   Client* raw = client.release();
   const std::lock_guard<std::mutex> lock(mutex_);
-  // Once the connection's tables are destroyed, destroying the capability would access them, so its
-  // few bytes are leaked.
+  // Once the connection's tables are destroyed, destroying the capability would access them, so it
+  // is leaked, with the state of the connection that it refers to.
   if (ending_ || ended_) return;
   released_.emplace_back([raw] { delete raw; });
 }
