Pool: Log which start of a worker each order was for

Cause: logs named a worker's id, which two starts of a worker can share, but not the start that a run was placed for, an order was sent to, or lists were read from; runs that were given up were a number only. The hypotheses on tasks that run twice could not be told apart. Change: born_ms in run_placed, start_answered, start_not_sent, worker_known, worker_reported, run_adopted, run_unwanted and runs_lost; worker_read when a start of a worker is first read under an epoch; one run_given_up line for each run, with its phase.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -84,9 +84,19 @@
   // Two answers may be read out of order. The worker does not forget the highest fencing token that
   // it has seen, so the higher of the two epochs is kept.
   const int64_t lists_epoch = std::max(lists_epoch_, fence);
-  bool report_needed = lists_epoch_ != lists_epoch || !facts_.reachable;
+  const bool first_lists = lists_epoch_ != lists_epoch;
+  bool report_needed = first_lists || !facts_.reachable;
   facts_.reachable = true;
   lists_epoch_ = lists_epoch;
+  if (first_lists) {
+    LogEvent(LogLevel::kInfo, "worker_read",
+             {{"worker", facts_.id},
+              {"born_ms", facts_.start_time_ms},
+              {"epoch", lists_epoch_},
+              {"clock_ms", lists.clock},
+              {"running", lists.running.size()},
+              {"ended", lists.ended.size()}});
+  }
   for (const EndedTask& end : lists.ended) {
     if (end.number <= acked_ends_) continue;
     report_needed = ended_.emplace(end.number, end).second || report_needed;
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -295,9 +295,11 @@
 void PoolAgent::StartOne(const StartOrder& order, Time until) {
   std::optional<StartCall> call;
   std::string reason;
+  int64_t worker_start_time_ms = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const Time now = LeaseClock().Now();
+    worker_start_time_ms = state_.worker().start_time_ms;
     call = state_.PrepareStart(order, until, &reason, now);
     if (call && !registered_.load()) {
       call.reset();
@@ -315,6 +317,7 @@
              {{"job", order.run.task.job},
               {"task", task},
               {"run", order.run.number},
+              {"born_ms", worker_start_time_ms},
               {"reason", reason}});
     return RequestUpdate();
   }
@@ -327,6 +330,8 @@
            {{"job", order.run.task.job},
             {"task", task},
             {"run", order.run.number},
+            {"worker", call->worker_id},
+            {"born_ms", worker_start_time_ms},
             {"epoch", call->fence},
             {"answer", OrderAnswerName(answer)}});
   {
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -476,6 +476,7 @@
               {"task", TaskName(run.run.task)},
               {"run", number},
               {"node", worker.node},
+              {"born_ms", worker.facts.start_time_ms},
               {"rack", worker.facts.rack},
               {"waited_s", Seconds(now - *job->steps.at(unit.place).ready_since)},
               {"epoch", epoch_}});
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -45,6 +45,7 @@
     LogEvent(LogLevel::kInfo, "worker_known",
              {{"node", report.node},
               {"worker", worker.facts.id},
+              {"born_ms", worker.facts.start_time_ms},
               {"running", report.running.size()},
               {"unheard", unreported_agents_.size()},
               {"epoch", epoch_}});
@@ -92,6 +93,7 @@
     // worker.
     if (facts.start_time_ms == 0) return;
     if (worker->facts.start_time_ms != 0) DropLostRuns(worker, "the worker has restarted", now);
+    const int64_t former_start_time_ms = worker->facts.start_time_ms;
     worker->facts = facts;
     needs_planning_ = true;
     worker->ends.clear();
@@ -102,6 +104,8 @@
     LogEvent(LogLevel::kInfo, "worker_reported",
              {{"node", report.node},
               {"worker", facts.id},
+              {"born_ms", facts.start_time_ms},
+              {"before_ms", former_start_time_ms},
               {"rack", facts.rack},
               {"accelerators", facts.capacity.accelerators},
               {"processor_millis", facts.capacity.processor_millis}});
@@ -192,9 +196,11 @@
   needs_planning_ = true;
   worker->live[running.run] = live;
   LogEvent(LogLevel::kInfo, wanted ? "run_adopted" : "run_unwanted",
-           {{"task", TaskName(task)},
+           {{"job", task.job},
+            {"task", TaskName(task)},
             {"run", running.run.number},
             {"node", worker->node},
+            {"born_ms", worker->facts.start_time_ms},
             {"epoch", epoch_}});
 }
 
@@ -334,11 +340,21 @@
 void PoolPlanner::DropLostRuns(WorkerState* worker, const char* why, Time now) {
   if (worker->live.empty()) return;
   LogEvent(LogLevel::kWarning, "runs_lost",
-           {{"node", worker->node}, {"runs", worker->live.size()}, {"reason", why}});
+           {{"node", worker->node},
+            {"born_ms", worker->facts.start_time_ms},
+            {"runs", worker->live.size()},
+            {"reason", why}});
   const std::map<RunId, LiveRun> lost = std::move(worker->live);
   worker->live.clear();
   needs_planning_ = true;
   for (const auto& [id, run] : lost) {
+    LogEvent(LogLevel::kInfo, "run_given_up",
+             {{"job", id.task.job},
+              {"task", TaskName(id.task)},
+              {"run", id.number},
+              {"phase", RunPhaseName(run.phase)},
+              {"node", worker->node},
+              {"epoch", epoch_}});
     Job* job = FindJob(id.task.job);
     if (job == nullptr) continue;
     RemoveRun(id, job);
--- a/servers/pool/worker_state.cc
+++ b/servers/pool/worker_state.cc
@@ -1,5 +1,7 @@
 #include "servers/pool/worker_state.h"
 
+#include <array>
+
 namespace turmericshift::pool {
 namespace {
 
@@ -7,8 +9,27 @@
 // polls were lost.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(2200);
 
+struct PhaseName {
+  RunPhase phase;
+  const char* name;
+};
+
+constexpr std::array<PhaseName, 4> kPhaseNames = {{
+    {RunPhase::kOrdered, "ordered"},
+    {RunPhase::kUncertain, "uncertain"},
+    {RunPhase::kRunning, "running"},
+    {RunPhase::kStopping, "stopping"},
+}};
+
 }  // namespace
 
+const char* RunPhaseName(RunPhase phase) {
+  for (const PhaseName& row : kPhaseNames) {
+    if (row.phase == phase) return row.name;
+  }
+  return "";
+}
+
 Room WorkerState::free() const {
   Room room = facts.capacity;
   for (const auto& [id, run] : live) {
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -24,6 +24,7 @@
   kRunning,
   kStopping,
 };
+const char* RunPhaseName(RunPhase phase);
 
 struct LiveRun {
   RunId run;
