Tests: Model a pool worker's rules and the faults around it

PoolSimulation answered every call at once, gave a restarted worker a new ID and let its clock run on, so the random histories could not show what a call of a former life does in the next one. PoolFaults tells the simulation what happens to each call, exchange, announcement and restart; RandomFaults draws it from a seed and counts it. Orders that are not answered are tried again as OrderSender does.

Checked now as well: two runs of one gang with different numbers at once, and a start after an end that is acknowledged later.

--- /dev/null
+++ b/tests/stand_ins/pool_faults.cc
@@ -0,0 +1,122 @@
+#include "tests/stand_ins/pool_faults.h"
+
+#include <array>
+
+namespace turmericshift::pool {
+namespace {
+
+struct KindName {
+  FaultKind kind;
+  const char* name;
+};
+
+constexpr std::array<KindName, 9> kKindNames = {{
+    {FaultKind::kLateCalls, "late_calls"},
+    {FaultKind::kLostAnswers, "lost_answers"},
+    {FaultKind::kKeptIds, "kept_ids"},
+    {FaultKind::kSlowMessages, "slow_messages"},
+    {FaultKind::kReplacedAgents, "replaced_agents"},
+    {FaultKind::kCutWorkers, "cut_workers"},
+    {FaultKind::kSlowClocks, "slow_clocks"},
+    {FaultKind::kLateAnnouncements, "late_announcements"},
+    {FaultKind::kCallsBeforeTheFirst, "calls_before_the_first"},
+}};
+
+constexpr int kCallsPerLateCall = 20;
+constexpr int kCallsPerLostAnswer = 20;
+constexpr int kCallsPerSlowCall = 20;
+constexpr int kExchangesPerSlowExchange = 8;
+constexpr int kAnnouncementsPerLateOne = 4;
+constexpr int kRestartsPerDeparture = 3;
+constexpr int kTicksPerCut = 1500;
+constexpr int kLateCallMinMs = 2000;
+constexpr int kLateCallMaxMs = 12'000;
+constexpr int kSlowCallMaxMs = 250;
+constexpr int kSlowExchangeMaxMs = 1400;
+constexpr int kExchangeMaxMs = 20;
+constexpr int kAnnouncementMaxMs = 50;
+constexpr int kLateAnnouncementMaxMs = 2500;
+constexpr int kCutMinMs = 200;
+constexpr int kCutMaxMs = 8000;
+constexpr double kSlowClockRate = 0.98;
+
+}  // namespace
+
+const char* FaultKindName(FaultKind kind) {
+  for (const KindName& row : kKindNames) {
+    if (row.kind == kind) return row.name;
+  }
+  return "";
+}
+
+bool RandomFaults::Happens(FaultKind kind, int one_in) {
+  if (kinds_.count(kind) == 0) return false;
+  if (random_() % static_cast<unsigned>(one_in) != 0) return false;
+  ++counts_[kind];
+  return true;
+}
+
+Duration RandomFaults::Between(int low_ms, int high_ms) {
+  const unsigned range = static_cast<unsigned>(high_ms - low_ms + 1);
+  return std::chrono::milliseconds(low_ms + static_cast<int>(random_() % range));
+}
+
+CallFate RandomFaults::FateOfCall(const std::string& /*node*/, WorkerCall /*call*/) {
+  if (Happens(FaultKind::kLateCalls, kCallsPerLateCall)) {
+    const bool executed = random_() % 2 == 0;
+    if (!executed) return {std::nullopt, false};
+    return {Between(kLateCallMinMs, kLateCallMaxMs), false};
+  }
+  if (Happens(FaultKind::kLostAnswers, kCallsPerLostAnswer)) return {Duration::zero(), false};
+  if (Happens(FaultKind::kSlowMessages, kCallsPerSlowCall)) {
+    return {Between(1, kSlowCallMaxMs), true};
+  }
+  return {};
+}
+
+CallFate RandomFaults::FateOfCallInCut(const std::string& /*node*/) {
+  // The cut may swallow the call or its answer.
+  if (random_() % 2 == 0) return {std::nullopt, false};
+  return {Duration::zero(), false};
+}
+
+std::optional<ExchangeDelays> RandomFaults::DelaysOfExchange(const std::string& /*node*/) {
+  if (kinds_.count(FaultKind::kSlowMessages) == 0) return std::nullopt;
+  const bool slow = Happens(FaultKind::kSlowMessages, kExchangesPerSlowExchange);
+  const Duration total = Between(0, slow ? kSlowExchangeMaxMs : kExchangeMaxMs);
+  const int percent = static_cast<int>(random_() % 101);
+  const Duration report = total * percent / 100;
+  return ExchangeDelays{report, total - report};
+}
+
+std::optional<Duration> RandomFaults::DelayOfAnnouncement(const std::string& /*node*/) {
+  if (kinds_.count(FaultKind::kLateAnnouncements) == 0) return std::nullopt;
+  const bool late = Happens(FaultKind::kLateAnnouncements, kAnnouncementsPerLateOne);
+  return Between(0, late ? kLateAnnouncementMaxMs : kAnnouncementMaxMs);
+}
+
+std::optional<Duration> RandomFaults::DelayOfDeparture(const std::string& /*node*/) {
+  if (!Happens(FaultKind::kLateAnnouncements, kRestartsPerDeparture)) return std::nullopt;
+  return Between(0, kLateAnnouncementMaxMs);
+}
+
+bool RandomFaults::KeepsId(const std::string& /*node*/) { return Happens(FaultKind::kKeptIds, 2); }
+
+bool RandomFaults::ReplacesAgent(const std::string& /*node*/) {
+  return Happens(FaultKind::kReplacedAgents, 4);
+}
+
+std::optional<Duration> RandomFaults::CutOff(const std::string& /*node*/) {
+  if (!Happens(FaultKind::kCutWorkers, kTicksPerCut)) return std::nullopt;
+  return Between(kCutMinMs, kCutMaxMs);
+}
+
+double RandomFaults::ClockRate(const std::string& /*node*/) {
+  return Happens(FaultKind::kSlowClocks, 2) ? kSlowClockRate : 1.0;
+}
+
+bool RandomFaults::ExecutesBeforeTheFirst(const std::string& /*node*/) {
+  return Happens(FaultKind::kCallsBeforeTheFirst, 1);
+}
+
+}  // namespace turmericshift::pool
--- /dev/null
+++ b/tests/stand_ins/pool_faults.h
@@ -0,0 +1,113 @@
+// Faults of a simulated pool between agents, workers and planners: calls without an answer, late
+// messages, restarts. PoolSimulation asks for each event whether a fault happens.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "core/clock.h"
+
+namespace turmericshift::pool {
+
+// A kind of fault that RandomFaults draws.
+enum class FaultKind {
+  // Calls to a worker stay unanswered and are executed seconds later or never.
+  kLateCalls,
+  // Calls to a worker are executed, but their answers are lost.
+  kLostAnswers,
+  // Workers restart under the ID that they had.
+  kKeptIds,
+  // Reports, orders and calls to workers are in transit for some time.
+  kSlowMessages,
+  // Agents are replaced together with their workers' restarts and while calls are in transit.
+  kReplacedAgents,
+  // An agent cannot reach its worker.
+  kCutWorkers,
+  // Workers' clocks run 2% slow.
+  kSlowClocks,
+  // Announcements and departures arrive late, also in the worker's next life.
+  kLateAnnouncements,
+  // A call of a worker's former life is executed before the first call of an agent that knows the
+  // new life. Nothing that a scheduler sends can prevent it.
+  kCallsBeforeTheFirst,
+};
+const char* FaultKindName(FaultKind kind);
+
+enum class WorkerCall { kStart, kStop, kHold };
+
+// What happens to a call of an agent to its worker.
+struct CallFate {
+  // When the worker executes the call, counted from when it is sent; unset: never.
+  std::optional<Duration> executed_after = Duration::zero();
+  bool answered = true;
+};
+
+// Times in transit of an agent's report and of the planner's answer.
+struct ExchangeDelays {
+  Duration report{};
+  Duration answer{};
+};
+
+// No faults. Derived classes override what they change.
+class PoolFaults {
+ public:
+  virtual ~PoolFaults() = default;
+
+  virtual CallFate FateOfCall(const std::string& /*node*/, WorkerCall /*call*/) { return {}; }
+  // The fate of a call while the agent is cut off from its worker.
+  virtual CallFate FateOfCallInCut(const std::string& /*node*/) { return {std::nullopt, false}; }
+  // Unset: reports and answers take no time.
+  virtual std::optional<ExchangeDelays> DelaysOfExchange(const std::string& /*node*/) { return {}; }
+  // Unset: the agent always knows the worker's newest announcement.
+  virtual std::optional<Duration> DelayOfAnnouncement(const std::string& /*node*/) { return {}; }
+  // Called when a worker restarts: how late its departure from the former life arrives, if ever.
+  virtual std::optional<Duration> DelayOfDeparture(const std::string& /*node*/) { return {}; }
+  // Whether a worker that restarts keeps its ID.
+  virtual bool KeepsId(const std::string& /*node*/) { return false; }
+  // Whether the agent's process is replaced when its worker restarts, or while a call is in
+  // transit.
+  virtual bool ReplacesAgent(const std::string& /*node*/) { return false; }
+  // Called for each tick: for how long the agent is cut off from its worker from now on, if at all.
+  virtual std::optional<Duration> CutOff(const std::string& /*node*/) { return {}; }
+  virtual double ClockRate(const std::string& /*node*/) { return 1.0; }
+  // Called when a call of a former life would be executed before the first call of an agent that
+  // knows the worker's life. Returns whether it is executed; otherwise it waits for that first
+  // call.
+  virtual bool ExecutesBeforeTheFirst(const std::string& /*node*/) { return false; }
+};
+
+// Draws faults of the given kinds from a seed.
+class RandomFaults : public PoolFaults {
+ public:
+  RandomFaults(unsigned seed, const std::set<FaultKind>& kinds) : random_(seed), kinds_(kinds) {}
+
+  // From now on only what is already in transit happens.
+  void Stop() { kinds_.clear(); }
+  // How often each kind of fault has happened.
+  const std::map<FaultKind, int>& counts() const { return counts_; }
+
+  CallFate FateOfCall(const std::string& node, WorkerCall call) override;
+  CallFate FateOfCallInCut(const std::string& node) override;
+  std::optional<ExchangeDelays> DelaysOfExchange(const std::string& node) override;
+  std::optional<Duration> DelayOfAnnouncement(const std::string& node) override;
+  std::optional<Duration> DelayOfDeparture(const std::string& node) override;
+  bool KeepsId(const std::string& node) override;
+  bool ReplacesAgent(const std::string& node) override;
+  std::optional<Duration> CutOff(const std::string& node) override;
+  double ClockRate(const std::string& node) override;
+  bool ExecutesBeforeTheFirst(const std::string& node) override;
+
+ private:
+  // Draws whether a fault of this kind happens, and counts it.
+  bool Happens(FaultKind kind, int one_in);
+  Duration Between(int low_ms, int high_ms);
+
+  std::mt19937 random_;
+  std::set<FaultKind> kinds_;
+  std::map<FaultKind, int> counts_;
+};
+
+}  // namespace turmericshift::pool
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -21,31 +21,38 @@
 constexpr Duration kAdviceDelay = std::chrono::milliseconds(100);
 constexpr Duration kTicketValid = std::chrono::milliseconds(3000);
 constexpr int64_t kWallStartMs = 1'700'000'000'000;
+// How often and how long an agent tries an order that its worker leaves unanswered.
+constexpr int kMaxAttempts = 3;
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(270);
+constexpr Duration kHoldTimeout = std::chrono::milliseconds(800);
+// An agent abandons an exchange with a lagging planner after this time.
+constexpr Duration kSlowExchangeTimeout = std::chrono::milliseconds(2500);
+// One poll and one update.
+constexpr size_t kMaxSlowExchanges = 2;
+constexpr Duration kAnnouncementInterval = std::chrono::milliseconds(500);
 
 }  // namespace
 
 struct PoolSimulation::Worker {
-  struct Live {
-    RunId run;
-    std::string checkpoint;
-    Time started{};
-    Duration worked{};
-    Time incomplete_since{};
-    std::optional<Time> stop_at;
-  };
-
   SimulatedWorker spec;
   std::unique_ptr<AgentState> agent;
-  int64_t start_time_ms = 0;
+  std::unique_ptr<PoolWorkerModel> model;
+  // Number of the agent's process; an answer to a former process is not read.
+  int agent_process = 0;
+  // Number of the worker's life, and of the first life that had the current ID.
+  int life = 1;
+  int id_life = 1;
+  // Whether an agent that knows the worker's current life has called it.
+  bool called_in_life = false;
   int64_t sequence = 0;
-  int64_t fence = 0;
-  WorkerMillis lease_until = 0;
-  int64_t ends = 0;
   bool draining = false;
   bool stuck = false;
-  std::map<RunId, Live> live;
-  std::map<int64_t, EndedTask> ended;
-  std::map<TaskId, int64_t> newest_over;
+  Time cut_until{};
+  Time last_announcement{};
+  bool hold_in_flight = false;
+  std::set<RunId> stops_in_flight;
+  // When each exchange in flight was sent, by a number.
+  std::map<int, Time> slow_exchanges;
   // When the outstanding poll was sent; empty if there is none.
   std::optional<Time> poll_sent;
   // The agent has an update that it must report to the planner immediately.
@@ -54,16 +61,27 @@
 };
 
 PoolSimulation::PoolSimulation(const std::vector<SimulatedWorker>& workers,
-                               const OperatorState& operators, const PoolBounds& bounds)
+                               const OperatorState& operators, const PoolBounds& bounds,
+                               PoolFaults* faults)
     : bounds_(bounds),
       options_(PlannerOptionsFor(bounds)),
+      faults_(faults == nullptr ? &no_faults_ : faults),
       operators_(operators),
       now_(Time(std::chrono::hours(1))) {
   std::set<std::string> nodes;
   for (const SimulatedWorker& spec : workers) {
     auto worker = std::make_unique<Worker>();
     worker->spec = spec;
-    worker->start_time_ms = 1;
+    WorkerModelOptions model;
+    model.capacity = spec.capacity;
+    model.longest_lease = bounds.longest_lease;
+    model.stop_time = bounds.stop / kStopTimeDivisor;
+    model.clock_rate = faults_->ClockRate(spec.node);
+    worker->model =
+        std::make_unique<PoolWorkerModel>(model, spec.node + "/1", kWallStartMs, Time{});
+    worker->model->end_acknowledged = [this, one = worker.get()](const EndedTask& end) {
+      NoteAcknowledged(one, end);
+    };
     workers_[spec.node] = std::move(worker);
     RestartAgent(spec.node);
     nodes.insert(spec.node);
@@ -129,30 +147,39 @@
 
 void PoolSimulation::RestartWorker(const std::string& node) {
   Worker& one = worker(node);
-  const std::map<RunId, Worker::Live> lost = one.live;
+  const std::map<RunId, PoolWorkerModel::Run> lost = one.model->live();
   for (const auto& row : lost) EndRun(&one, row.first, EndKind::kLeaseExpired);
   ForgetUnreportedEnds(one);
-  one.start_time_ms += 1;
+  const std::string former_id = one.model->id();
+  ++one.life;
+  if (!faults_->KeepsId(node)) one.id_life = one.life;
+  one.model->Restart(node + "/" + std::to_string(one.id_life),
+                     std::max(wall_ms(), one.model->start_time_ms() + 1), now_);
   one.sequence = 0;
-  one.fence = 0;
-  one.lease_until = 0;
-  one.ends = 0;
-  one.ended.clear();
-  one.newest_over.clear();
+  one.called_in_life = false;
+  one.last_announcement = Time{};
+  if (const std::optional<Duration> delay = faults_->DelayOfDeparture(node)) {
+    Schedule(*delay, [&one, former_id] { one.agent->HandleDeparture(former_id); });
+  }
+  if (faults_->ReplacesAgent(node)) RestartAgent(node);
 }
 
 // Ends that were not acknowledged before the worker died or its lease expired are forgotten:
 // running their tasks again is correct.
 void PoolSimulation::ForgetUnreportedEnds(const Worker& worker) {
-  for (const auto& row : worker.ended) {
-    if (row.second.kind == EndKind::kDone) done_.erase(row.second.run.task);
-  }
+  std::erase_if(done_ends_, [&](const DoneEnd& end) {
+    return end.node == worker.spec.node && !end.acknowledged;
+  });
 }
 
 void PoolSimulation::RestartAgent(const std::string& node) {
   Worker& one = worker(node);
-  one.agent = std::make_unique<AgentState>(node, one.spec.zone, std::to_string(++incarnations_));
+  one.agent_process = ++incarnations_;
+  one.agent = std::make_unique<AgentState>(node, one.spec.zone, std::to_string(one.agent_process));
   one.agent->SetMember(true);
+  one.hold_in_flight = false;
+  one.stops_in_flight.clear();
+  one.slow_exchanges.clear();
 }
 
 void PoolSimulation::Drain(const std::string& node) { worker(node).draining = true; }
@@ -172,6 +199,8 @@
 void PoolSimulation::Tick() {
   now_ += kTick;
   ++ticks_;
+  RunDueEvents();
+  for (auto& row : workers_) TickCut(row.second.get());
   TickStore();
   for (auto& row : workers_) TickWorker(row.second.get());
   EndBrokenGangs();
@@ -185,6 +214,23 @@
   TickAdvice();
 }
 
+void PoolSimulation::Schedule(Duration delay, Event event) {
+  events_.emplace(now_ + delay, std::move(event));
+}
+
+void PoolSimulation::RunDueEvents() {
+  while (!events_.empty() && events_.begin()->first <= now_) {
+    const Event event = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    event();
+  }
+}
+
+void PoolSimulation::TickCut(Worker* worker) {
+  const std::optional<Duration> cut = faults_->CutOff(worker->spec.node);
+  if (cut) worker->cut_until = std::max(worker->cut_until, now_ + *cut);
+}
+
 void PoolSimulation::TickAdvice() {
   if (advice_request_ && now_ - advice_requested_at_ >= kAdviceDelay) {
     AdviceResponse answer;
@@ -211,8 +257,7 @@
   if (spec == specs_.end()) return true;
   const Queue* queue = operators_.config.FindQueue(spec->second.queue);
   if (queue == nullptr || !queue->terms.advised) return true;
-  const std::string wanted =
-      call.run.task.job + "@" + worker.spec.node + "/" + std::to_string(worker.start_time_ms) + "@";
+  const std::string wanted = call.run.task.job + "@" + worker.model->id() + "@";
   if (call.ticket.rfind(wanted, 0) != 0) return false;
   return wall_ms() < std::stoll(call.ticket.substr(wanted.size()));
 }
@@ -227,10 +272,16 @@
   planner_->outbox().MarkDurable();
 }
 
+TaskId PoolSimulation::UnitOf(const TaskId& task) const {
+  TaskId unit = task;
+  if (StepOf(task)->gang) unit.index = 0;
+  return unit;
+}
+
 bool PoolSimulation::GangComplete(const RunId& run) const {
   int present = 0;
   for (const auto& row : workers_) {
-    for (const auto& live : row.second->live) {
+    for (const auto& live : row.second->model->live()) {
       const RunId& other = live.first;
       present += other.number == run.number && other.task.job == run.task.job &&
                  other.task.occurrence == run.task.occurrence && other.task.step == run.task.step;
@@ -240,11 +291,12 @@
 }
 
 void PoolSimulation::TickWorker(Worker* worker) {
-  if (wall_ms() >= worker->lease_until) ForgetUnreportedEnds(*worker);
+  const bool lease_expired = worker->model->LeaseExpired(now_);
+  if (lease_expired) ForgetUnreportedEnds(*worker);
   std::vector<std::pair<RunId, EndKind>> ended_runs;
-  for (auto& [run, live] : worker->live) {
+  for (auto& [run, live] : worker->model->live()) {
     const StepSpec& step = *StepOf(run.task);
-    if (wall_ms() >= worker->lease_until) {
+    if (lease_expired) {
       ended_runs.push_back({run, EndKind::kLeaseExpired});
     } else if (live.stop_at && now_ >= *live.stop_at) {
       if (step.checkpoints) live.checkpoint = std::to_string(live.worked.count());
@@ -255,6 +307,7 @@
       }
     } else {
       if (!worker->stuck) live.worked += kTick;
+      live.percent = static_cast<int>(100 * live.worked / DurationOf(run.task));
       live.incomplete_since = now_;
       if (live.worked < DurationOf(run.task)) continue;
       const bool failed = fails && fails(run, worker->spec.node);
@@ -265,12 +318,8 @@
 }
 
 void PoolSimulation::EndRun(Worker* worker, const RunId& run, EndKind end_kind) {
-  const auto live = worker->live.find(run);
-  EndedTask end = {++worker->ends, run, end_kind, live->second.checkpoint};
-  worker->ended[end.number] = end;
-  worker->newest_over[run.task] = run.number;
-  worker->live.erase(live);
-  if (end_kind == EndKind::kDone) done_.insert(run.task);
+  worker->model->End(run, end_kind);
+  if (end_kind == EndKind::kDone) done_ends_.push_back({run, worker->spec.node});
   for (SimulatedRun& seen : runs_) {
     if (seen.finished || seen.run != run || seen.node != worker->spec.node) continue;
     seen.finished = true;
@@ -284,7 +333,7 @@
     if (!run.finished || run.ended != now_ || !StepOf(run.run.task)->gang) continue;
     for (auto& row : workers_) {
       std::vector<RunId> others;
-      for (const auto& live : row.second->live) {
+      for (const auto& live : row.second->model->live()) {
         const RunId& other = live.first;
         if (other.number == run.run.number && other.task.job == run.run.task.job) {
           others.push_back(other);
@@ -298,73 +347,159 @@
   }
 }
 
+void PoolSimulation::Call(Worker* worker, WorkerCall kind, Duration timeout,
+                          const std::function<OrderAnswer()>& execute,
+                          const AnswerHandler& complete) {
+  const std::string& node = worker->spec.node;
+  const CallFate fate =
+      now_ < worker->cut_until ? faults_->FateOfCallInCut(node) : faults_->FateOfCall(node, kind);
+  const AgentState& agent = *worker->agent;
+  const auto run = [worker, execute,
+                    knows_life = agent.worker().start_time_ms == worker->model->start_time_ms(),
+                    life = worker->life] {
+    worker->called_in_life = worker->called_in_life || (knows_life && life == worker->life);
+    return execute();
+  };
+  const auto reply = [worker, complete, process = worker->agent_process](OrderAnswer answer) {
+    if (process == worker->agent_process) complete(answer);
+  };
+  if (fate.executed_after == Duration::zero()) {
+    const OrderAnswer result = run();
+    if (fate.answered) return reply(result);
+  } else if (fate.executed_after) {
+    Schedule(*fate.executed_after, [=, this, life = worker->life] {
+      ExecuteDelayed(worker, life, [=] {
+        const OrderAnswer result = run();
+        if (fate.answered) reply(result);
+      });
+    });
+  }
+  if (!fate.answered) Schedule(timeout, [reply] { reply(OrderAnswer::kUnanswered); });
+  if (faults_->ReplacesAgent(node)) {
+    Schedule(timeout / 2, [this, node] { RestartAgent(node); });
+  }
+}
+
+void PoolSimulation::ExecuteDelayed(Worker* worker, int life, const Event& execute) {
+  const bool before_the_first = life != worker->life && !worker->called_in_life;
+  if (before_the_first && !faults_->ExecutesBeforeTheFirst(worker->spec.node)) {
+    return Schedule(kTick, [=, this] { ExecuteDelayed(worker, life, execute); });
+  }
+  calls_of_former_lives_ += life != worker->life;
+  execute();
+}
+
+void PoolSimulation::SendOrder(Worker* worker, WorkerCall kind, int attempt,
+                               const std::function<OrderAnswer()>& execute,
+                               const AnswerHandler& complete) {
+  Call(worker, kind, kOrderTimeout, execute, [=, this](OrderAnswer answer) {
+    if (answer == OrderAnswer::kUnanswered && attempt < kMaxAttempts) {
+      return SendOrder(worker, kind, attempt + 1, execute, complete);
+    }
+    // Only a refusal of the first attempt proves that nothing was executed.
+    const bool proven = attempt == 1 || answer == OrderAnswer::kAccepted;
+    complete(proven ? answer : OrderAnswer::kUnanswered);
+  });
+}
+
 void PoolSimulation::StartRun(Worker* worker, const StartOrder& order, Time until) {
   std::string reason;
   worker->has_update = true;
   const std::optional<StartCall> call = worker->agent->PrepareStart(order, until, &reason, now_);
   if (!call) return worker->agent->StartNotSent(order.run, reason);
-  OrderAnswer answer = OrderAnswer::kAccepted;
-  Room free = worker->spec.capacity;
-  for (const auto& live : worker->live) free -= StepOf(live.first.task)->need;
-  const auto newest = worker->newest_over.find(order.run.task);
-  if (call->fence < worker->fence) {
-    answer = OrderAnswer::kFenced;
-  } else if (newest != worker->newest_over.end() && order.run.number <= newest->second) {
-    answer = OrderAnswer::kStaleRun;
-  } else if (wall_ms() >= call->lease_until) {
-    answer = OrderAnswer::kExpired;
-  } else if (!TicketIsValid(*worker, *call)) {
-    answer = OrderAnswer::kTicketRejected;
-    ++rejected_tickets_;
-  } else if (!free.Holds(StepOf(order.run.task)->need)) {
-    answer = OrderAnswer::kNoRoom;
+  worker->agent->NoteLeaseSent(call->lease_until);
+  SendOrder(
+      worker, WorkerCall::kStart, 1, [this, worker, call] { return ExecuteStart(worker, *call); },
+      [this, worker, call](OrderAnswer answer) {
+        worker->agent->NoteLeaseAnswered(call->lease_until, answer, now_);
+        worker->agent->HandleStartAnswer(call->run, answer);
+        worker->has_update = true;
+      });
+}
+
+OrderAnswer PoolSimulation::ExecuteStart(Worker* worker, const StartCall& call) {
+  const bool present = worker->model->live().count(call.run) > 0;
+  const ModelTask task = {StepOf(call.run.task)->need, TicketIsValid(*worker, call)};
+  const OrderAnswer answer = worker->model->Start(call, task, now_);
+  rejected_tickets_ += answer == OrderAnswer::kTicketRejected;
+  if (answer != OrderAnswer::kAccepted || present) return answer;
+  PoolWorkerModel::Run& run = worker->model->live().at(call.run);
+  if (!call.checkpoint.empty()) run.worked = Duration(std::stoll(call.checkpoint));
+  NoteStarted(worker, call.run);
+  return answer;
+}
+
+void PoolSimulation::StopRun(Worker* worker, const RunId& run) {
+  if (!worker->agent->worker().reachable) {
+    return worker->agent->HandleStopAnswer(run, OrderAnswer::kNotListening, now_);
+  }
+  if (!worker->stops_in_flight.insert(run).second) return;
+  const std::string id = worker->agent->worker().id;
+  const int64_t fence = worker->agent->epoch();
+  SendOrder(
+      worker, WorkerCall::kStop, 1,
+      [this, worker, id, run, fence] { return worker->model->Stop(id, run, fence, now_); },
+      [this, worker, run](OrderAnswer answer) {
+        worker->stops_in_flight.erase(run);
+        worker->agent->HandleStopAnswer(run, answer, now_);
+      });
+}
+
+void PoolSimulation::NoteStarted(Worker* worker, const RunId& run) {
+  const std::string name = TaskName(run.task);
+  const TaskId unit = UnitOf(run.task);
+  for (DoneEnd& end : done_ends_) {
+    if (UnitOf(end.run.task) != unit) continue;
+    end.started_again = true;
+    if (end.acknowledged) violations_.push_back(name + " started after it was done");
   }
-  worker->agent->NoteLeaseAnswered(call->lease_until, answer, now_);
-  worker->agent->HandleStartAnswer(order.run, answer);
-  if (answer == OrderAnswer::kFenced) return;
-  worker->lease_until = std::max(worker->lease_until, call->lease_until);
-  worker->fence = std::max(worker->fence, call->fence);
-  if (answer != OrderAnswer::kAccepted) return;
-  const std::string name = TaskName(order.run.task);
-  if (done_.count(order.run.task) > 0) violations_.push_back(name + " started after it was done");
   for (const auto& row : workers_) {
-    for (const auto& live : row.second->live) {
-      if (live.first.task == order.run.task) violations_.push_back(name + " runs twice");
+    for (const auto& [other, live] : row.second->model->live()) {
+      if (UnitOf(other.task) != unit) continue;
+      const bool itself = other == run && row.second.get() == worker;
+      const bool member = other.number == run.number && other.task != run.task;
+      if (!itself && !member) violations_.push_back(name + " runs twice");
     }
   }
-  Worker::Live live;
-  live.run = order.run;
-  live.checkpoint = order.checkpoint;
-  live.started = now_;
-  live.incomplete_since = now_;
-  if (!order.checkpoint.empty()) live.worked = Duration(std::stoll(order.checkpoint));
-  worker->live[order.run] = live;
-  runs_.push_back({order.run, worker->spec.node, now_, {}, EndKind::kDone, false});
+  runs_.push_back({run, worker->spec.node, now_, {}, EndKind::kDone, false});
 }
 
-void PoolSimulation::Announce(Worker* worker) {
+void PoolSimulation::NoteAcknowledged(Worker* worker, const EndedTask& end) {
+  for (DoneEnd& done : done_ends_) {
+    if (done.run != end.run || done.node != worker->spec.node || done.acknowledged) continue;
+    done.acknowledged = true;
+    if (!done.started_again) continue;
+    violations_.push_back(TaskName(end.run.task) + " started after it was done");
+  }
+}
+
+WorkerAnnouncement PoolSimulation::AnnouncementOf(Worker* worker) const {
   WorkerAnnouncement announcement;
   announcement.sequence = ++worker->sequence;
-  announcement.facts.id = worker->spec.node + "/" + std::to_string(worker->start_time_ms);
-  announcement.facts.start_time_ms = worker->start_time_ms;
+  announcement.facts.id = worker->model->id();
+  announcement.facts.start_time_ms = worker->model->start_time_ms();
   announcement.facts.service = "plans";
   announcement.facts.rack = worker->spec.rack;
   announcement.facts.labels = {"plain", worker->spec.rack};
   announcement.facts.capacity = worker->spec.capacity;
   announcement.facts.draining = worker->draining;
-  worker->agent->HandleAnnouncement(announcement);
+  return announcement;
+}
+
+void PoolSimulation::Announce(Worker* worker) {
+  const std::optional<Duration> delay = faults_->DelayOfAnnouncement(worker->spec.node);
+  if (!delay) return worker->agent->HandleAnnouncement(AnnouncementOf(worker));
+  if (now_ - worker->last_announcement < kAnnouncementInterval) return;
+  worker->last_announcement = now_;
+  Schedule(*delay, [worker, announcement = AnnouncementOf(worker)] {
+    worker->agent->HandleAnnouncement(announcement);
+  });
 }
 
 void PoolSimulation::HandleOrders(Worker* worker, const AgentOrders& orders, Time sent) {
   AgentState& agent = *worker->agent;
   const AgentOrders todo = agent.HandleOrders(orders, sent, now_);
-  for (const RunId& stop : todo.stops) {
-    const auto live = worker->live.find(stop);
-    if (live != worker->live.end()) live->second.stop_at = now_ + bounds_.stop / kStopTimeDivisor;
-    int64_t& newest = worker->newest_over[stop.task];
-    newest = std::max(newest, stop.number);
-    agent.HandleStopAnswer(stop, OrderAnswer::kAccepted, now_);
-  }
+  for (const RunId& stop : todo.stops) StopRun(worker, stop);
   for (const StartOrder& start : todo.starts) {
     StartRun(worker, start, sent + orders.start_window);
   }
@@ -419,10 +554,37 @@
   HandleOrders(&to, orders, sent.sent);
 }
 
+void PoolSimulation::SendSlowReport(Worker* worker, const ExchangeDelays& delays) {
+  std::erase_if(worker->slow_exchanges,
+                [this](const auto& row) { return now_ - row.second > kSlowExchangeTimeout; });
+  if (worker->slow_exchanges.size() >= kMaxSlowExchanges) return;
+  if (!worker->slow_exchanges.empty() && !worker->has_update) return;
+  worker->has_update = false;
+  const std::string& node = worker->spec.node;
+  const int number = ++exchanges_;
+  const Time sent = now_;
+  worker->slow_exchanges[number] = sent;
+  const auto read_answer = [=, this](const AgentReport& report, const AgentOrders& orders) {
+    // The agent has abandoned the exchange or has been replaced.
+    if (worker->slow_exchanges.erase(number) == 0 || isolated_.count(node) > 0) return;
+    worker->agent->ReportDelivered(report);
+    HandleOrders(worker, orders, sent);
+  };
+  const AgentReport report = worker->agent->Report(Duration::zero(), now_);
+  Schedule(delays.report, [=, this] {
+    if (isolated_.count(node) > 0 || planner_paused_) return;
+    planner_->ApplyReport(report, wall_ms(), now_);
+    const AgentOrders orders = planner_->Orders(node, now_);
+    Schedule(delays.answer, [=] { read_answer(report, orders); });
+  });
+}
+
 void PoolSimulation::TickAgent(Worker* worker) {
   AgentState& agent = *worker->agent;
   Announce(worker);
-  if (reports_per_tick_) {
+  if (const std::optional<ExchangeDelays> delays = faults_->DelaysOfExchange(worker->spec.node)) {
+    SendSlowReport(worker, *delays);
+  } else if (reports_per_tick_) {
     SendReport(worker);
   } else if (isolated_.count(worker->spec.node) == 0) {
     const AgentReport report = agent.Report(Duration::zero(), now_);
@@ -435,25 +597,32 @@
 }
 
 void PoolSimulation::TickHold(Worker* worker) {
-  AgentState& agent = *worker->agent;
+  const AgentState& agent = *worker->agent;
   if (ticks_ % kTicksBetweenHoldCalls != 0 || agent.epoch() == 0) return;
-  const HoldCall hold = agent.NextHold(Duration::zero(), now_);
-  if (hold.fence < worker->fence) return;
-  worker->fence = hold.fence;
-  if (hold.lease_until) {
-    worker->lease_until = std::max(worker->lease_until, *hold.lease_until);
-    agent.NoteLeaseAnswered(hold.lease_until, OrderAnswer::kAccepted, now_);
-  }
-  worker->ended.erase(worker->ended.begin(), worker->ended.upper_bound(hold.acked_ends));
-  WorkerLists lists;
-  lists.start_time_ms = worker->start_time_ms;
-  lists.clock = wall_ms();
-  for (const auto& [run, live] : worker->live) {
-    const int percent = static_cast<int>(100 * live.worked / DurationOf(run.task));
-    lists.running.push_back({run, live.checkpoint, percent});
-  }
-  for (const auto& [number, end] : worker->ended) lists.ended.push_back(end);
-  worker->has_update = agent.HandleLists(lists, hold.fence, now_, now_) || worker->has_update;
+  for (const RunId& run : agent.UncertainRuns()) StopRun(worker, run);
+  if (!worker->hold_in_flight) SendHold(worker);
+}
+
+void PoolSimulation::SendHold(Worker* worker) {
+  const HoldCall call = worker->agent->NextHold(Duration::zero(), now_);
+  worker->agent->NoteLeaseSent(call.lease_until);
+  worker->hold_in_flight = true;
+  const auto lists = std::make_shared<WorkerLists>();
+  Call(
+      worker, WorkerCall::kHold, kHoldTimeout,
+      [this, worker, call, lists] {
+        const HoldAnswer answer = worker->model->Hold(call, now_);
+        *lists = answer.lists;
+        return answer.answer;
+      },
+      [this, worker, call, lists, sent = now_](OrderAnswer answer) {
+        AgentState& agent = *worker->agent;
+        worker->hold_in_flight = false;
+        agent.NoteLeaseAnswered(call.lease_until, answer, now_);
+        if (answer != OrderAnswer::kAccepted) return agent.WorkerFailed(answer);
+        worker->has_update =
+            agent.HandleLists(*lists, call.fence, sent, now_) || worker->has_update;
+      });
 }
 
 StepSpec SampleStep(int tasks, int accelerators, Duration estimate) {
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -13,6 +13,8 @@
 #include "servers/pool/agent_state.h"
 #include "servers/pool/pool_bounds.h"
 #include "servers/pool/pool_planner.h"
+#include "tests/stand_ins/pool_faults.h"
+#include "tests/stand_ins/pool_worker_model.h"
 
 namespace turmericshift::pool {
 
@@ -35,8 +37,9 @@
 
 class PoolSimulation {
  public:
+  // `faults` must outlive the simulation; null: no faults beside those that the test injects.
   PoolSimulation(const std::vector<SimulatedWorker>& workers, const OperatorState& operators,
-                 const PoolBounds& bounds = {});
+                 const PoolBounds& bounds = {}, PoolFaults* faults = nullptr);
   ~PoolSimulation();
 
   // Run time of a task on a healthy worker; the step's estimate if unset.
@@ -61,13 +64,16 @@
   int advice_requests() const { return advice_requests_; }
   // Number of starts that workers rejected because of an invalid ticket.
   int rejected_tickets() const { return rejected_tickets_; }
+  // Number of calls that reached a worker in a later life than they were sent in.
+  int calls_of_former_lives() const { return calls_of_former_lives_; }
 
   // Replaces the planner immediately; its successor recovers from the durable records.
   void ReplacePlanner();
   // Stops all messages between the agent and any planner; the worker keeps running.
   void Isolate(const std::string& node) { isolated_.insert(node); }
   void Heal(const std::string& node) { isolated_.erase(node); }
-  // The worker dies with all its runs and restarts as a new incarnation.
+  // The worker dies with all its runs and restarts as a new incarnation, under a new ID unless the
+  // faults make it keep the old one.
   void RestartWorker(const std::string& node);
   // Replaces the agent's process; the worker keeps running.
   void RestartAgent(const std::string& node);
@@ -96,23 +102,49 @@
     Time sent{};
   };
 
+  // Something that happens after a delay.
+  using Event = std::function<void()>;
+  using AnswerHandler = std::function<void(OrderAnswer answer)>;
+
   void Tick();
+  void RunDueEvents();
+  void Schedule(Duration delay, Event event);
+  void TickCut(Worker* worker);
   void TickStore();
   void TickAdvice();
   bool TicketIsValid(const Worker& worker, const StartCall& call) const;
   void TickWorker(Worker* worker);
   void TickAgent(Worker* worker);
+  WorkerAnnouncement AnnouncementOf(Worker* worker) const;
   void Announce(Worker* worker);
+  // Exchange of reports and orders whose messages take time.
+  void SendSlowReport(Worker* worker, const ExchangeDelays& delays);
   void HandleOrders(Worker* worker, const AgentOrders& orders, Time sent);
   // Exchange of reports and orders when SetReportsPerTick limits the planner.
   void SendReport(Worker* worker);
   void ReadReports();
   void Answer(const SentReport& sent);
   void TickHold(Worker* worker);
+  void SendHold(Worker* worker);
   void StartRun(Worker* worker, const StartOrder& order, Time until);
+  void StopRun(Worker* worker, const RunId& run);
+  OrderAnswer ExecuteStart(Worker* worker, const StartCall& call);
+  // Sends a call of the agent to its worker. `execute` carries it out at the worker; `complete` is
+  // called unless the agent's process is replaced before the answer.
+  void Call(Worker* worker, WorkerCall kind, Duration timeout,
+            const std::function<OrderAnswer()>& execute, const AnswerHandler& complete);
+  // Executes a call that was sent in the given life of the worker and has been in transit.
+  void ExecuteDelayed(Worker* worker, int life, const Event& execute);
+  // Sends an order as OrderSender does: up to kMaxAttempts times.
+  void SendOrder(Worker* worker, WorkerCall kind, int attempt,
+                 const std::function<OrderAnswer()>& execute, const AnswerHandler& complete);
+  void NoteStarted(Worker* worker, const RunId& run);
+  void NoteAcknowledged(Worker* worker, const EndedTask& end);
   void EndRun(Worker* worker, const RunId& run, EndKind end_kind);
   void EndBrokenGangs();
   void ForgetUnreportedEnds(const Worker& worker);
+  // The task that stands for all tasks that end together: for a gang its first one.
+  TaskId UnitOf(const TaskId& task) const;
   bool GangComplete(const RunId& run) const;
   const StepSpec* StepOf(const TaskId& task) const;
   Duration DurationOf(const TaskId& task) const;
@@ -121,6 +153,9 @@
 
   const PoolBounds bounds_;
   const PlannerOptions options_;
+  PoolFaults no_faults_;
+  PoolFaults* const faults_;
+  std::multimap<Time, Event> events_;
   OperatorState operators_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, JobSpec> specs_;
@@ -131,12 +166,14 @@
   Time now_{};
   int ticks_ = 0;
   int incarnations_ = 0;
+  int exchanges_ = 0;
   bool store_down_ = false;
   // The pending request to the advice service, and when it was sent.
   std::optional<AdviceRequest> advice_request_;
   Time advice_requested_at_{};
   int advice_requests_ = 0;
   int rejected_tickets_ = 0;
+  int calls_of_former_lives_ = 0;
   std::set<std::string> isolated_;
   // If unset, the planner reads each report immediately.
   std::optional<int> reports_per_tick_;
@@ -145,7 +182,15 @@
   // Polls that wait for pending orders, with the time at which they are answered anyway.
   std::map<std::string, std::pair<SentReport, Time>> waiting_polls_;
   std::vector<SimulatedRun> runs_;
-  std::set<TaskId> done_;
+  // A run that ended as done. Starting its task again is correct only if the end is never
+  // acknowledged.
+  struct DoneEnd {
+    RunId run;
+    std::string node;
+    bool acknowledged = false;
+    bool started_again = false;
+  };
+  std::vector<DoneEnd> done_ends_;
   std::vector<std::string> violations_;
 };
 
