Pool: Show how a worker's next life runs tasks twice

Callers' tasks that must run once run twice, or a job never ends, when a worker restarts while something of its former life is in transit. Six tests force the order of events; all fail on this code:

- a late start that the next life, under the same ID, executes: "runs twice"
- a late hold of the former life that acknowledges an end of the next one that nobody has read: the job never completes
- a late hold that extends the next life's lease to the longest one, while the planner counts the shorter one: "runs twice" 4.6 s after the cut
- a start sent by an agent that has not noticed the next life, given up with the former life's runs: "runs twice"
- the lease that such a start gives the next life: "runs twice"
- an answer with starts for the former life that the agent reads after the next life's first list, needing neither a late call nor a kept ID: "runs twice"

--- /dev/null
+++ b/servers/pool/worker_life_test.cc
@@ -0,0 +1,200 @@
+// Workers that restart, under a new ID or the old one, while calls and messages of their former
+// life are in transit.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/stand_ins/pool_simulation.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::vector<std::string> kNoViolations;
+
+// Faults that a test sets for the events to come.
+class ForcedFaults : public PoolFaults {
+ public:
+  // Each node's next call of this kind is executed late and not answered.
+  void DelayNextCall(const std::vector<std::string>& nodes, WorkerCall call, Duration delay) {
+    for (const std::string& node : nodes) next_fates_[{node, call}] = {delay, false};
+  }
+  // Each node's next call of this kind is lost.
+  void LoseNextCall(const std::vector<std::string>& nodes, WorkerCall call) {
+    for (const std::string& node : nodes) next_fates_[{node, call}] = {std::nullopt, false};
+  }
+  bool HasHappened() const { return next_fates_.empty(); }
+  // Cuts the node's agent off from its worker at the next tick.
+  void CutOffNode(const std::string& node, Duration time) { next_cuts_[node] = time; }
+  void DelayAnnouncements(Duration delay) { announcement_delay_ = delay; }
+  // Messages take time from now on; the next exchange takes as long as stated.
+  void DelayNextExchange(const ExchangeDelays& delays) {
+    slow_ = true;
+    next_delays_ = delays;
+  }
+
+  CallFate FateOfCall(const std::string& node, WorkerCall call) override {
+    const auto found = next_fates_.find({node, call});
+    if (found == next_fates_.end()) return {};
+    const CallFate fate = found->second;
+    next_fates_.erase(found);
+    return fate;
+  }
+  std::optional<ExchangeDelays> DelaysOfExchange(const std::string& /*node*/) override {
+    if (!slow_) return std::nullopt;
+    const ExchangeDelays delays = next_delays_.value_or(ExchangeDelays{});
+    next_delays_.reset();
+    return delays;
+  }
+  std::optional<Duration> DelayOfAnnouncement(const std::string& /*node*/) override {
+    return announcement_delay_;
+  }
+  bool KeepsId(const std::string& /*node*/) override { return true; }
+  std::optional<Duration> CutOff(const std::string& node) override {
+    const auto found = next_cuts_.find(node);
+    if (found == next_cuts_.end()) return std::nullopt;
+    const Duration time = found->second;
+    next_cuts_.erase(found);
+    return time;
+  }
+
+ private:
+  std::map<std::pair<std::string, WorkerCall>, CallFate> next_fates_;
+  std::map<std::string, Duration> next_cuts_;
+  std::optional<Duration> announcement_delay_;
+  bool slow_ = false;
+  std::optional<ExchangeDelays> next_delays_;
+};
+
+std::vector<SimulatedWorker> SampleWorkers(size_t count) {
+  std::vector<SimulatedWorker> workers = SampleRacks(1);
+  workers.resize(count);
+  return workers;
+}
+
+class WorkerLife : public testing::Test {
+ protected:
+  void Begin(size_t workers) {
+    simulation_ = std::make_unique<PoolSimulation>(SampleWorkers(workers), SampleOperatorState(0),
+                                                   PoolBounds{}, &faults_);
+    for (const SimulatedWorker& worker : SampleWorkers(workers)) nodes_.push_back(worker.node);
+    simulation_->RunFor(seconds(1));
+  }
+  void Submit(const std::string& id, Duration run_time) {
+    simulation_->Submit(SampleJob(id, "batch", "one", SampleStep(1, 1, run_time)));
+  }
+  void RestartAll() {
+    for (const std::string& node : nodes_) simulation_->RestartWorker(node);
+  }
+
+  ForcedFaults faults_;
+  std::unique_ptr<PoolSimulation> simulation_;
+  std::vector<std::string> nodes_;
+};
+
+// The late start fits the new life: same ID, same fence, and a deadline far ahead of its clock.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenTheNextLifeExecutesALateStart) {
+  Begin(2);
+  faults_.DelayNextCall(nodes_, WorkerCall::kStart, seconds(4));
+  Submit("j", seconds(20));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  simulation_->RestartWorker(simulation_->RunsOf("j")[0].node);
+  simulation_->RunFor(seconds(5));
+  EXPECT_EQ(simulation_->calls_of_former_lives(), 1);
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+  EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(30)));
+}
+
+// The late hold acknowledges ends of the former life, and the new life counts its ends anew.
+TEST_F(WorkerLife, ForgetsNoUnreadEndWhenTheNextLifeExecutesALateHold) {
+  Begin(1);
+  Submit("first", milliseconds(500));
+  ASSERT_TRUE(simulation_->RunUntil("first", JobState::kCompleted, seconds(5)));
+  simulation_->RunFor(seconds(1));
+  faults_.DelayNextCall(nodes_, WorkerCall::kHold, seconds(5));
+  simulation_->RunFor(seconds(1));
+  ASSERT_TRUE(faults_.HasHappened());
+  RestartAll();
+  Submit("second", seconds(3));
+  simulation_->RunFor(milliseconds(2500));
+  faults_.CutOffNode(nodes_[0], seconds(2));
+  simulation_->RunFor(milliseconds(2010));
+  EXPECT_EQ(simulation_->calls_of_former_lives(), 1);
+  EXPECT_TRUE(simulation_->RunUntil("second", JobState::kCompleted, seconds(20)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// By the new life's clock the late hold asks for the longest lease that the worker grants.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenALateHoldExtendsTheLeaseInTheNextLife) {
+  Begin(2);
+  faults_.DelayNextCall(nodes_, WorkerCall::kHold, seconds(4));
+  simulation_->RunFor(milliseconds(500));
+  ASSERT_TRUE(faults_.HasHappened());
+  RestartAll();
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(3300));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  simulation_->Isolate(simulation_->RunsOf("j")[0].node);
+  simulation_->RunFor(seconds(8));
+  EXPECT_EQ(simulation_->calls_of_former_lives(), 2);
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// The new life accepts the start. The announcement that follows tells the planner that all runs of
+// the former life are over, before a list shows that this one runs.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenAnAgentStartsItBeforeNoticingTheNextLife) {
+  Begin(2);
+  faults_.DelayAnnouncements(milliseconds(300));
+  faults_.LoseNextCall({nodes_[0]}, WorkerCall::kHold);
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_TRUE(faults_.HasHappened());
+  simulation_->RestartWorker(nodes_[0]);
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(200));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[0]);
+  simulation_->RunFor(seconds(2));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// By the new life's clock the start asks for the longest lease that the worker grants, and
+// the planner counts only the shorter one that it grants.
+TEST_F(WorkerLife, WaitsForTheLeaseThatTheNextLifeTookFromAnUnawareAgentsStart) {
+  Begin(2);
+  faults_.DelayAnnouncements(milliseconds(300));
+  faults_.LoseNextCall({nodes_[0]}, WorkerCall::kHold);
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_TRUE(faults_.HasHappened());
+  simulation_->RestartWorker(nodes_[0]);
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(200));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[0]);
+  simulation_->Isolate(nodes_[0]);
+  simulation_->RunFor(seconds(10));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// The answer carries a start for the former life and is read after the new life's first list.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenAnAnswerWithStartsArrivesInTheNextLife) {
+  Begin(1);
+  faults_.DelayNextExchange({milliseconds(100), milliseconds(600)});
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(200));
+  ASSERT_TRUE(simulation_->RunsOf("j").empty());
+  RestartAll();
+  simulation_->RunFor(seconds(2));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+  EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(30)));
+}
+
+}  // namespace
+}  // namespace turmericshift::pool
