Tests: Give the random histories faults that the protocol allows

The histories had no call without an answer, no restart under an old ID, no message in transit, no cut between an agent and its worker, and no late announcement, so they held on code on which a worker's next life runs tasks twice. A history now also runs under the kinds of fault that its seed draws from RandomFaults; a test checks that each kind happens, and that calls and answers of a former life arrive.

A call of a former life that would be executed before the first call of an agent that knows the new life waits for it, since no scheduler can prevent that; FaultKind::kCallsBeforeTheFirst lets it through.

--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -1,130 +1,50 @@
-// Random histories of a pool: jobs of all shapes while planners, agents, workers, connections and
-// the store fail in any order. Checked throughout: no task runs twice at the same time, or again
-// after it was done. Checked at the end: every job has ended.
+// Random histories of a pool; see tests/stand_ins/pool_history.h. Checked throughout: no task runs
+// twice at the same time, or again after it was done. Checked at the end: every job has ended.
 #include <gtest/gtest.h>
 
-#include <random>
-
-#include "tests/stand_ins/pool_simulation.h"
+#include "tests/stand_ins/pool_history.h"
 
 namespace turmericshift::pool {
 namespace {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
+const std::vector<std::string> kNone;
 
-// Every second history uses random bounds that no deployment has.
-PoolBounds RandomBounds(unsigned seed) {
-  PoolBounds bounds;
-  if (seed % 2 == 0) return bounds;
-  std::mt19937 random(seed);
-  const auto between = [&](int low, int high) {
-    return milliseconds(std::uniform_int_distribution<int>(low, high)(random));
-  };
-  bounds.longest_lease = between(1500, 9000);
-  bounds.cancel = between(1800, 6000);
-  bounds.zone_out = between(1800, 8000);
-  bounds.stop = between(100, 1500);
-  bounds.gang_wait = bounds.stop + between(800, 3000);
-  bounds.reclaim = bounds.stop + between(500, 4000);
-  return bounds;
+void ExpectRulesKept(const PoolHistoryResult& result) {
+  EXPECT_EQ(result.violations, kNone);
+  EXPECT_EQ(result.unfinished_jobs, kNone);
 }
 
-class History {
- public:
-  explicit History(unsigned seed)
-      : random_(seed), simulation_(SampleRacks(2), SampleOperatorState(8), RandomBounds(seed)) {
-    for (const SimulatedWorker& worker : SampleRacks(2)) nodes_.push_back(worker.node);
-    simulation_.actual_duration = [](const TaskId& task) {
-      return milliseconds(300 + 700 * ((task.index * 7 + task.step * 3) % 5));
-    };
-    simulation_.fails = [this](const RunId& /*run*/, const std::string& /*node*/) {
-      return Chance(20);
-    };
-  }
-
-  void Run() {
-    for (int step = 0; step < 120; ++step) {
-      if (Chance(3)) Submit();
-      if (Chance(6)) InjectFault();
-      simulation_.RunFor(milliseconds(Below(400)));
-    }
-    for (const std::string& node : nodes_) simulation_.Heal(node);
-    simulation_.SetStoreDown(false);
-    // Ended jobs are retained for 130 s, so all of them are still known.
-    simulation_.RunFor(seconds(90));
-  }
+class PoolHistory : public testing::TestWithParam<unsigned> {};
 
-  void Check(unsigned seed) {
-    EXPECT_EQ(simulation_.violations(), std::vector<std::string>()) << "seed " << seed;
-    for (const std::string& id : jobs_) {
-      EXPECT_TRUE(IsOver(simulation_.StateOf(id)))
-          << "seed " << seed << ": " << id << " is " << JobStateName(simulation_.StateOf(id));
-    }
-  }
+TEST_P(PoolHistory, RunsNoTaskTwiceAndEndsEveryJob) {
+  ExpectRulesKept(RunPoolHistory(GetParam(), {}));
+}
 
- private:
-  int Below(int limit) { return static_cast<int>(random_() % static_cast<unsigned>(limit)); }
-  bool Chance(int one_in) { return Below(one_in) == 0; }
+TEST_P(PoolHistory, KeepsItsRulesUnderFaultsThatTheProtocolAllows) {
+  ExpectRulesKept(RunPoolHistory(GetParam(), DrawFaultKinds(GetParam())));
+}
 
-  void Submit() {
-    const std::string id = "j" + std::to_string(jobs_.size());
-    StepSpec step = SampleStep(1 + Below(4), 1 + Below(8), milliseconds(1000));
-    step.gang = Chance(2);
-    step.one_rack = step.gang && Chance(2);
-    step.checkpoints = Chance(2);
-    // Six workers can hold a gang of at most six whole-worker tasks.
-    if (step.gang) step.tasks = 1 + Below(3);
-    const char* queues[] = {"urgent", "batch", "bulk"};
-    JobSpec job = SampleJob(id, queues[Below(3)], Chance(2) ? "one" : "two", step);
-    if (Chance(3)) {
-      StepSpec second = SampleStep(1 + Below(3), 1, milliseconds(500));
-      second.after = {0};
-      job.steps.push_back(second);
-    }
-    jobs_.push_back(id);
-    simulation_.Submit(job);
-    // Makes the submission durable; a job that never becomes durable was never acknowledged to its
-    // caller.
-    simulation_.SetStoreDown(false);
-    simulation_.RunFor(milliseconds(20));
+INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
+                         testing::PrintToStringParamName());
+
+// A history without a fault says nothing about it.
+TEST(PoolHistoryFaults, HappenInAllKinds) {
+  constexpr unsigned kHistories = 8;
+  std::map<FaultKind, int> counts;
+  int calls_of_former_lives = 0;
+  int starts_for_former_lives = 0;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    const PoolHistoryResult result = RunPoolHistory(seed, ToleratedFaultKinds());
+    for (const auto& [kind, count] : result.faults) counts[kind] += count;
+    calls_of_former_lives += result.calls_of_former_lives;
+    starts_for_former_lives += result.starts_for_former_lives;
   }
-
-  void InjectFault() {
-    const std::string& node = nodes_[static_cast<size_t>(Below(static_cast<int>(nodes_.size())))];
-    switch (Below(8)) {
-      case 0:
-        return simulation_.ReplacePlanner();
-      case 1:
-      case 2:
-        return simulation_.Isolate(node);
-      case 3:
-      case 4:
-        return simulation_.Heal(node);
-      case 5:
-        return simulation_.RestartWorker(node);
-      case 6:
-        return simulation_.RestartAgent(node);
-      default:
-        return simulation_.SetStoreDown(Chance(2));
-    }
+  for (const FaultKind kind : ToleratedFaultKinds()) {
+    EXPECT_GT(counts[kind], 0) << FaultKindName(kind);
   }
-
-  std::mt19937 random_;
-  PoolSimulation simulation_;
-  std::vector<std::string> nodes_;
-  std::vector<std::string> jobs_;
-};
-
-class PoolHistory : public testing::TestWithParam<unsigned> {};
-
-TEST_P(PoolHistory, RunsNoTaskTwiceAndEndsEveryJob) {
-  History history(GetParam());
-  history.Run();
-  history.Check(GetParam());
+  EXPECT_GT(calls_of_former_lives, 0);
+  EXPECT_GT(starts_for_former_lives, 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U));
-
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -47,8 +47,8 @@
     next_fates_.erase(found);
     return fate;
   }
-  std::optional<ExchangeDelays> DelaysOfExchange(const std::string& /*node*/) override {
-    if (!slow_) return std::nullopt;
+  bool ExchangesTakeTime() override { return slow_; }
+  ExchangeDelays DelaysOfExchange(const std::string& /*node*/) override {
     const ExchangeDelays delays = next_delays_.value_or(ExchangeDelays{});
     next_delays_.reset();
     return delays;
--- a/tests/stand_ins/pool_faults.cc
+++ b/tests/stand_ins/pool_faults.cc
@@ -22,13 +22,17 @@
     {FaultKind::kCallsBeforeTheFirst, "calls_before_the_first"},
 }};
 
+// One in this many kinds of fault is left out of a history.
+constexpr unsigned kKindsPerOmission = 4;
 constexpr int kCallsPerLateCall = 20;
 constexpr int kCallsPerLostAnswer = 20;
 constexpr int kCallsPerSlowCall = 20;
 constexpr int kExchangesPerSlowExchange = 8;
 constexpr int kAnnouncementsPerLateOne = 4;
 constexpr int kRestartsPerDeparture = 3;
+constexpr int kCallsPerReplacedAgent = 40;
 constexpr int kTicksPerCut = 1500;
+constexpr unsigned kTicksPerRestart = 6000;
 constexpr int kLateCallMinMs = 2000;
 constexpr int kLateCallMaxMs = 12'000;
 constexpr int kSlowCallMaxMs = 250;
@@ -49,6 +53,21 @@
   return "";
 }
 
+std::set<FaultKind> ToleratedFaultKinds() {
+  std::set<FaultKind> kinds;
+  for (const KindName& row : kKindNames) {
+    if (row.kind != FaultKind::kCallsBeforeTheFirst) kinds.insert(row.kind);
+  }
+  return kinds;
+}
+
+std::set<FaultKind> DrawFaultKinds(unsigned seed) {
+  std::mt19937 random(seed);
+  std::set<FaultKind> kinds = ToleratedFaultKinds();
+  std::erase_if(kinds, [&](FaultKind /*kind*/) { return random() % kKindsPerOmission == 0; });
+  return kinds;
+}
+
 bool RandomFaults::Happens(FaultKind kind, int one_in) {
   if (kinds_.count(kind) == 0) return false;
   if (random_() % static_cast<unsigned>(one_in) != 0) return false;
@@ -80,13 +99,12 @@
   return {Duration::zero(), false};
 }
 
-std::optional<ExchangeDelays> RandomFaults::DelaysOfExchange(const std::string& /*node*/) {
-  if (kinds_.count(FaultKind::kSlowMessages) == 0) return std::nullopt;
+ExchangeDelays RandomFaults::DelaysOfExchange(const std::string& /*node*/) {
   const bool slow = Happens(FaultKind::kSlowMessages, kExchangesPerSlowExchange);
   const Duration total = Between(0, slow ? kSlowExchangeMaxMs : kExchangeMaxMs);
   const int percent = static_cast<int>(random_() % 101);
   const Duration report = total * percent / 100;
-  return ExchangeDelays{report, total - report};
+  return {report, total - report};
 }
 
 std::optional<Duration> RandomFaults::DelayOfAnnouncement(const std::string& /*node*/) {
@@ -102,8 +120,16 @@
 
 bool RandomFaults::KeepsId(const std::string& /*node*/) { return Happens(FaultKind::kKeptIds, 2); }
 
-bool RandomFaults::ReplacesAgent(const std::string& /*node*/) {
-  return Happens(FaultKind::kReplacedAgents, 4);
+bool RandomFaults::RestartsWorker(const std::string& /*node*/) {
+  return kinds_.count(FaultKind::kKeptIds) > 0 && random_() % kTicksPerRestart == 0;
+}
+
+bool RandomFaults::ReplacesAgentAtRestart(const std::string& /*node*/) {
+  return Happens(FaultKind::kReplacedAgents, 2);
+}
+
+bool RandomFaults::ReplacesAgentInCall(const std::string& /*node*/) {
+  return Happens(FaultKind::kReplacedAgents, kCallsPerReplacedAgent);
 }
 
 std::optional<Duration> RandomFaults::CutOff(const std::string& /*node*/) {
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -18,7 +18,7 @@
   kLateCalls,
   // Calls to a worker are executed, but their answers are lost.
   kLostAnswers,
-  // Workers restart under the ID that they had.
+  // Workers restart more often, and every second time under the ID that they had.
   kKeptIds,
   // Reports, orders and calls to workers are in transit for some time.
   kSlowMessages,
@@ -35,6 +35,10 @@
   kCallsBeforeTheFirst,
 };
 const char* FaultKindName(FaultKind kind);
+// All kinds but kCallsBeforeTheFirst: the faults under which a scheduler can keep its rules.
+std::set<FaultKind> ToleratedFaultKinds();
+// The tolerated kinds that occur together in the history of `seed`.
+std::set<FaultKind> DrawFaultKinds(unsigned seed);
 
 enum class WorkerCall { kStart, kStop, kHold };
 
@@ -59,17 +63,21 @@
   virtual CallFate FateOfCall(const std::string& /*node*/, WorkerCall /*call*/) { return {}; }
   // The fate of a call while the agent is cut off from its worker.
   virtual CallFate FateOfCallInCut(const std::string& /*node*/) { return {std::nullopt, false}; }
-  // Unset: reports and answers take no time.
-  virtual std::optional<ExchangeDelays> DelaysOfExchange(const std::string& /*node*/) { return {}; }
+  // Whether reports and answers take time. If so, DelaysOfExchange is called for each of them.
+  virtual bool ExchangesTakeTime() { return false; }
+  virtual ExchangeDelays DelaysOfExchange(const std::string& /*node*/) { return {}; }
   // Unset: the agent always knows the worker's newest announcement.
   virtual std::optional<Duration> DelayOfAnnouncement(const std::string& /*node*/) { return {}; }
   // Called when a worker restarts: how late its departure from the former life arrives, if ever.
   virtual std::optional<Duration> DelayOfDeparture(const std::string& /*node*/) { return {}; }
   // Whether a worker that restarts keeps its ID.
   virtual bool KeepsId(const std::string& /*node*/) { return false; }
-  // Whether the agent's process is replaced when its worker restarts, or while a call is in
-  // transit.
-  virtual bool ReplacesAgent(const std::string& /*node*/) { return false; }
+  // Called for each tick: whether the worker restarts.
+  virtual bool RestartsWorker(const std::string& /*node*/) { return false; }
+  // Whether the agent's process is replaced when its worker restarts, or while a call that is not
+  // answered promptly is in transit.
+  virtual bool ReplacesAgentAtRestart(const std::string& /*node*/) { return false; }
+  virtual bool ReplacesAgentInCall(const std::string& /*node*/) { return false; }
   // Called for each tick: for how long the agent is cut off from its worker from now on, if at all.
   virtual std::optional<Duration> CutOff(const std::string& /*node*/) { return {}; }
   virtual double ClockRate(const std::string& /*node*/) { return 1.0; }
@@ -91,11 +99,14 @@
 
   CallFate FateOfCall(const std::string& node, WorkerCall call) override;
   CallFate FateOfCallInCut(const std::string& node) override;
-  std::optional<ExchangeDelays> DelaysOfExchange(const std::string& node) override;
+  bool ExchangesTakeTime() override { return kinds_.count(FaultKind::kSlowMessages) > 0; }
+  ExchangeDelays DelaysOfExchange(const std::string& node) override;
   std::optional<Duration> DelayOfAnnouncement(const std::string& node) override;
   std::optional<Duration> DelayOfDeparture(const std::string& node) override;
   bool KeepsId(const std::string& node) override;
-  bool ReplacesAgent(const std::string& node) override;
+  bool RestartsWorker(const std::string& node) override;
+  bool ReplacesAgentAtRestart(const std::string& node) override;
+  bool ReplacesAgentInCall(const std::string& node) override;
   std::optional<Duration> CutOff(const std::string& node) override;
   double ClockRate(const std::string& node) override;
   bool ExecutesBeforeTheFirst(const std::string& node) override;
--- /dev/null
+++ b/tests/stand_ins/pool_history.cc
@@ -0,0 +1,133 @@
+#include "tests/stand_ins/pool_history.h"
+
+#include <random>
+
+#include "tests/stand_ins/pool_simulation.h"
+
+namespace turmericshift::pool {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Every second history uses random bounds that no deployment has.
+PoolBounds RandomBounds(unsigned seed) {
+  PoolBounds bounds;
+  if (seed % 2 == 0) return bounds;
+  std::mt19937 random(seed);
+  const auto between = [&](int low, int high) {
+    return milliseconds(std::uniform_int_distribution<int>(low, high)(random));
+  };
+  bounds.longest_lease = between(1500, 9000);
+  bounds.cancel = between(1800, 6000);
+  bounds.zone_out = between(1800, 8000);
+  bounds.stop = between(100, 1500);
+  bounds.gang_wait = bounds.stop + between(800, 3000);
+  bounds.reclaim = bounds.stop + between(500, 4000);
+  return bounds;
+}
+
+class History {
+ public:
+  History(unsigned seed, const std::set<FaultKind>& kinds)
+      : random_(seed),
+        faults_(seed, kinds),
+        simulation_(SampleRacks(2), SampleOperatorState(8), RandomBounds(seed), &faults_) {
+    for (const SimulatedWorker& worker : SampleRacks(2)) nodes_.push_back(worker.node);
+    simulation_.actual_duration = [](const TaskId& task) {
+      return milliseconds(300 + 700 * ((task.index * 7 + task.step * 3) % 5));
+    };
+    simulation_.fails = [this](const RunId& /*run*/, const std::string& /*node*/) {
+      return Chance(20);
+    };
+  }
+
+  void Run() {
+    for (int step = 0; step < 120; ++step) {
+      if (Chance(3)) Submit();
+      if (Chance(6)) InjectFault();
+      simulation_.RunFor(milliseconds(Below(400)));
+    }
+    for (const std::string& node : nodes_) simulation_.Heal(node);
+    simulation_.SetStoreDown(false);
+    faults_.Stop();
+    // Ended jobs are retained for 130 s, so all of them are still known.
+    simulation_.RunFor(seconds(90));
+  }
+
+  PoolHistoryResult Result() const {
+    PoolHistoryResult result;
+    result.violations = simulation_.violations();
+    for (const std::string& id : jobs_) {
+      const JobState state = simulation_.StateOf(id);
+      if (!IsOver(state)) result.unfinished_jobs.push_back(id + " is " + JobStateName(state));
+    }
+    result.faults = faults_.counts();
+    result.calls_of_former_lives = simulation_.calls_of_former_lives();
+    result.starts_for_former_lives = simulation_.starts_for_former_lives();
+    return result;
+  }
+
+ private:
+  int Below(int limit) { return static_cast<int>(random_() % static_cast<unsigned>(limit)); }
+  bool Chance(int one_in) { return Below(one_in) == 0; }
+
+  void Submit() {
+    const std::string id = "j" + std::to_string(jobs_.size());
+    StepSpec step = SampleStep(1 + Below(4), 1 + Below(8), milliseconds(1000));
+    step.gang = Chance(2);
+    step.one_rack = step.gang && Chance(2);
+    step.checkpoints = Chance(2);
+    // Six workers can hold a gang of at most six whole-worker tasks.
+    if (step.gang) step.tasks = 1 + Below(3);
+    const char* queues[] = {"urgent", "batch", "bulk"};
+    JobSpec job = SampleJob(id, queues[Below(3)], Chance(2) ? "one" : "two", step);
+    if (Chance(3)) {
+      StepSpec second = SampleStep(1 + Below(3), 1, milliseconds(500));
+      second.after = {0};
+      job.steps.push_back(second);
+    }
+    jobs_.push_back(id);
+    simulation_.Submit(job);
+    // Makes the submission durable; a job that never becomes durable was never acknowledged to its
+    // caller.
+    simulation_.SetStoreDown(false);
+    simulation_.RunFor(milliseconds(20));
+  }
+
+  void InjectFault() {
+    const std::string& node = nodes_[static_cast<size_t>(Below(static_cast<int>(nodes_.size())))];
+    switch (Below(8)) {
+      case 0:
+        return simulation_.ReplacePlanner();
+      case 1:
+      case 2:
+        return simulation_.Isolate(node);
+      case 3:
+      case 4:
+        return simulation_.Heal(node);
+      case 5:
+        return simulation_.RestartWorker(node);
+      case 6:
+        return simulation_.RestartAgent(node);
+      default:
+        return simulation_.SetStoreDown(Chance(2));
+    }
+  }
+
+  std::mt19937 random_;
+  RandomFaults faults_;
+  PoolSimulation simulation_;
+  std::vector<std::string> nodes_;
+  std::vector<std::string> jobs_;
+};
+
+}  // namespace
+
+PoolHistoryResult RunPoolHistory(unsigned seed, const std::set<FaultKind>& kinds) {
+  History history(seed, kinds);
+  history.Run();
+  return history.Result();
+}
+
+}  // namespace turmericshift::pool
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -48,7 +48,8 @@
   bool draining = false;
   bool stuck = false;
   Time cut_until{};
-  Time last_announcement{};
+  // When the next announcement is sent, if announcements take time.
+  Time next_announcement{};
   bool hold_in_flight = false;
   std::set<RunId> stops_in_flight;
   // When each exchange in flight was sent, by a number.
@@ -157,11 +158,11 @@
                      std::max(wall_ms(), one.model->start_time_ms() + 1), now_);
   one.sequence = 0;
   one.called_in_life = false;
-  one.last_announcement = Time{};
+  one.next_announcement = Time{};
   if (const std::optional<Duration> delay = faults_->DelayOfDeparture(node)) {
     Schedule(*delay, [&one, former_id] { one.agent->HandleDeparture(former_id); });
   }
-  if (faults_->ReplacesAgent(node)) RestartAgent(node);
+  if (faults_->ReplacesAgentAtRestart(node)) RestartAgent(node);
 }
 
 // Ends that were not acknowledged before the worker died or its lease expired are forgotten:
@@ -200,7 +201,7 @@
   now_ += kTick;
   ++ticks_;
   RunDueEvents();
-  for (auto& row : workers_) TickCut(row.second.get());
+  for (auto& row : workers_) TickFaults(row.second.get());
   TickStore();
   for (auto& row : workers_) TickWorker(row.second.get());
   EndBrokenGangs();
@@ -226,7 +227,8 @@
   }
 }
 
-void PoolSimulation::TickCut(Worker* worker) {
+void PoolSimulation::TickFaults(Worker* worker) {
+  if (faults_->RestartsWorker(worker->spec.node)) RestartWorker(worker->spec.node);
   const std::optional<Duration> cut = faults_->CutOff(worker->spec.node);
   if (cut) worker->cut_until = std::max(worker->cut_until, now_ + *cut);
 }
@@ -375,7 +377,7 @@
     });
   }
   if (!fate.answered) Schedule(timeout, [reply] { reply(OrderAnswer::kUnanswered); });
-  if (faults_->ReplacesAgent(node)) {
+  if (faults_->ReplacesAgentInCall(node)) {
     Schedule(timeout / 2, [this, node] { RestartAgent(node); });
   }
 }
@@ -487,10 +489,10 @@
 }
 
 void PoolSimulation::Announce(Worker* worker) {
+  if (now_ < worker->next_announcement) return;
   const std::optional<Duration> delay = faults_->DelayOfAnnouncement(worker->spec.node);
   if (!delay) return worker->agent->HandleAnnouncement(AnnouncementOf(worker));
-  if (now_ - worker->last_announcement < kAnnouncementInterval) return;
-  worker->last_announcement = now_;
+  worker->next_announcement = now_ + kAnnouncementInterval;
   Schedule(*delay, [worker, announcement = AnnouncementOf(worker)] {
     worker->agent->HandleAnnouncement(announcement);
   });
@@ -554,19 +556,22 @@
   HandleOrders(&to, orders, sent.sent);
 }
 
-void PoolSimulation::SendSlowReport(Worker* worker, const ExchangeDelays& delays) {
+void PoolSimulation::SendSlowReport(Worker* worker) {
   std::erase_if(worker->slow_exchanges,
                 [this](const auto& row) { return now_ - row.second > kSlowExchangeTimeout; });
   if (worker->slow_exchanges.size() >= kMaxSlowExchanges) return;
   if (!worker->slow_exchanges.empty() && !worker->has_update) return;
   worker->has_update = false;
   const std::string& node = worker->spec.node;
+  const ExchangeDelays delays = faults_->DelaysOfExchange(node);
   const int number = ++exchanges_;
   const Time sent = now_;
   worker->slow_exchanges[number] = sent;
-  const auto read_answer = [=, this](const AgentReport& report, const AgentOrders& orders) {
+  const auto read_answer = [=, this, life = worker->life](const AgentReport& report,
+                                                          const AgentOrders& orders) {
     // The agent has abandoned the exchange or has been replaced.
     if (worker->slow_exchanges.erase(number) == 0 || isolated_.count(node) > 0) return;
+    starts_for_former_lives_ += life != worker->life && !orders.starts.empty();
     worker->agent->ReportDelivered(report);
     HandleOrders(worker, orders, sent);
   };
@@ -582,8 +587,8 @@
 void PoolSimulation::TickAgent(Worker* worker) {
   AgentState& agent = *worker->agent;
   Announce(worker);
-  if (const std::optional<ExchangeDelays> delays = faults_->DelaysOfExchange(worker->spec.node)) {
-    SendSlowReport(worker, *delays);
+  if (faults_->ExchangesTakeTime()) {
+    SendSlowReport(worker);
   } else if (reports_per_tick_) {
     SendReport(worker);
   } else if (isolated_.count(worker->spec.node) == 0) {
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -66,6 +66,9 @@
   int rejected_tickets() const { return rejected_tickets_; }
   // Number of calls that reached a worker in a later life than they were sent in.
   int calls_of_former_lives() const { return calls_of_former_lives_; }
+  // Number of answers with starts that were read in a later life of the worker than the report that
+  // they answer.
+  int starts_for_former_lives() const { return starts_for_former_lives_; }
 
   // Replaces the planner immediately; its successor recovers from the durable records.
   void ReplacePlanner();
@@ -109,7 +112,7 @@
   void Tick();
   void RunDueEvents();
   void Schedule(Duration delay, Event event);
-  void TickCut(Worker* worker);
+  void TickFaults(Worker* worker);
   void TickStore();
   void TickAdvice();
   bool TicketIsValid(const Worker& worker, const StartCall& call) const;
@@ -118,7 +121,7 @@
   WorkerAnnouncement AnnouncementOf(Worker* worker) const;
   void Announce(Worker* worker);
   // Exchange of reports and orders whose messages take time.
-  void SendSlowReport(Worker* worker, const ExchangeDelays& delays);
+  void SendSlowReport(Worker* worker);
   void HandleOrders(Worker* worker, const AgentOrders& orders, Time sent);
   // Exchange of reports and orders when SetReportsPerTick limits the planner.
   void SendReport(Worker* worker);
@@ -174,6 +177,7 @@
   int advice_requests_ = 0;
   int rejected_tickets_ = 0;
   int calls_of_former_lives_ = 0;
+  int starts_for_former_lives_ = 0;
   std::set<std::string> isolated_;
   // If unset, the planner reads each report immediately.
   std::optional<int> reports_per_tick_;
