Pool: Show how an unaware agent acknowledges ends of a worker's next life

A task whose run ended as done in a worker's next life runs again. The agent has not noticed that life yet, as the worker kept its ID and its announcement is late; its hold acknowledges the ends of the former life, and the worker forgets an end of the new one under the same number, unread. The test prints "second.0.0.0 started after it was done" on this code.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -183,6 +183,25 @@
   EXPECT_EQ(simulation_->violations(), kNoViolations);
 }
 
+// The hold acknowledges ends of the former life, among them the number of an end of the new life
+// that nobody has read.
+TEST_F(WorkerLife, RunsNoTaskAgainWhenAnUnawareAgentAcknowledgesItsEndUnread) {
+  Begin(1);
+  Submit("first", milliseconds(500));
+  ASSERT_TRUE(simulation_->RunUntil("first", JobState::kCompleted, seconds(5)));
+  simulation_->RunFor(seconds(1));
+  faults_.DelayAnnouncements(seconds(3));
+  faults_.LoseNextCall(nodes_, WorkerCall::kHold);
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_TRUE(faults_.HasHappened());
+  RestartAll();
+  Submit("second", milliseconds(300));
+  simulation_->RunFor(milliseconds(500));
+  ASSERT_EQ(simulation_->RunsOf("second").size(), 1U);
+  EXPECT_TRUE(simulation_->RunUntil("second", JobState::kCompleted, seconds(10)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 // The answer carries a start for the former life and is read after the new life's first list.
 TEST_F(WorkerLife, RunsNoTaskTwiceWhenAnAnswerWithStartsArrivesInTheNextLife) {
   Begin(1);
