HttpClient: Take no refusal of a resent request for proof

Callers saw: a start or hold that a worker had read was reported as not executed. The planner then starts the task elsewhere beside the run, and the lease of such a hold is not counted.

Cause: libcurl resends a request on its own, also a POST, when a reused connection closes before the answer begins. The resent copy may meet a refused connection (not_listening, "not run") or a refusal (503, 421, 400, 409), and these were taken for the answer to the first copy. The order sender's rule that only a first attempt's refusal is proof did not see these attempts.

Evidence: by reading, then by tests with a peer that reads the second request on a connection and drops it.

Change: the client counts the sends of a request.

--- a/core/http_client.cc
+++ b/core/http_client.cc
@@ -64,6 +64,8 @@
   HttpReply reply;
   size_t max_bytes = 0;
   bool too_large = false;
+  // How often libcurl has begun to send the request.
+  int times_sent = 0;
 };
 
 CURL* ThreadHandle() {
@@ -91,6 +93,13 @@
   return size * count;
 }
 
+// Called on each connection on which the request is about to be sent.
+int OnSend(void* user, char* /*peer_address*/, char* /*own_address*/, int /*peer_port*/,
+           int /*own_port*/) {
+  ++static_cast<Receiver*>(user)->times_sent;
+  return CURL_PREREQFUNC_OK;
+}
+
 size_t OnHeader(char* bytes, size_t size, size_t count, void* user) {
   auto* receiver = static_cast<Receiver*>(user);
   const std::string line(bytes, size * count);
@@ -104,20 +113,14 @@
   return size * count;
 }
 
-// Returns whether any byte of the request has been sent.
-bool HasSent(CURL* handle) {
-  long request_bytes = 0;  // NOLINT(google-runtime-int): the library's type
-  curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_bytes);
-  return request_bytes > 0;
-}
-
-[[noreturn]] void ThrowFor(CURLcode code, bool sent, const HttpCall& call,
-                           const Receiver& receiver) {
+[[noreturn]] void ThrowFor(CURLcode code, const HttpCall& call, const Receiver& receiver) {
   const std::string what = call.method + " " + call.url + ": " + curl_easy_strerror(code);
+  const bool sent = receiver.times_sent > 0;
   if (receiver.too_large) throw Error(ErrorKind::kAnswerCut, what + " (answer too large)");
   switch (code) {
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
+      if (sent) throw Error(ErrorKind::kConnectionLost, Outcome::kUnknown, what);
       throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, what);
     case CURLE_URL_MALFORMAT:
     case CURLE_UNSUPPORTED_PROTOCOL:
@@ -161,6 +164,8 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &receiver);
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &receiver);
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnSend);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, &receiver);
   if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -168,10 +173,11 @@
   }
   const CURLcode code = canceller == nullptr ? curl_easy_perform(handle)
                                              : CancellableTransfer(canceller).Perform(handle);
-  if (code != CURLE_OK) ThrowFor(code, HasSent(handle), call, receiver);
+  if (code != CURLE_OK) ThrowFor(code, call, receiver);
   long status = 0;  // NOLINT(google-runtime-int): the library's type
   curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
   receiver.reply.status = static_cast<int>(status);
+  receiver.reply.resent = receiver.times_sent > 1;
   return std::move(receiver.reply);
 }
 
--- a/core/http_client.h
+++ b/core/http_client.h
@@ -33,6 +33,9 @@
   int status = 0;
   std::string body;
   std::vector<HttpHeader> headers;
+  // Whether libcurl has resent the request on its own (see HttpCall::fresh_connection). An earlier
+  // copy may have been carried out even if this reply is a refusal.
+  bool resent = false;
 
   // Returns the value of the header `name` (case-insensitive), or "".
   std::string header(const std::string& name) const;
@@ -57,7 +60,8 @@
 // Performs the call on the calling thread's handle, which keeps its connections open for later
 // calls. Throws Error: kUnavailable with outcome not_run when the connection was refused,
 // kDeadlineExceeded with not_run when no connection was established in time; kConnectionLost,
-// kDeadlineExceeded or kAnswerCut with outcome unknown when the request may have been received.
+// kDeadlineExceeded or kAnswerCut with outcome unknown when the request may have been received,
+// also on an earlier connection.
 HttpReply PerformHttp(const HttpCall& call);
 // As above, on a connection of its own. Throws Error(kCancelled) with outcome unknown when
 // `canceller` ends the call. A canceller serves one call at a time and must outlive it.
--- a/core/http_client_test.cc
+++ b/core/http_client_test.cc
@@ -10,6 +10,7 @@
 #include "core/error.h"
 #include "core/listen_socket.h"
 #include "core/thread.h"
+#include "tests/stand_ins/dropping_peer.h"
 
 namespace turmericshift {
 namespace {
@@ -129,5 +130,13 @@
   close(listener);
 }
 
+// A request that the peer had read was reported as not run, because libcurl sent it again on its
+// own and the second connection was refused.
+TEST(HttpClientTest, RefusedConnectionOfAResentRequestIsUnknown) {
+  DroppingPeer peer(HttpAnswer(200, ""), "");
+  EXPECT_EQ(PerformHttp(CallTo(peer.port())).status, 200);
+  EXPECT_EQ(FailureOf(CallTo(peer.port())).outcome(), Outcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace turmericshift
