Agent: Convert no lease of a former incarnation with the new clock

Callers could see: tasks of a worker that started again and was lost soon after waited for good to be started elsewhere. Cause: a call that grants a lease was answered after the worker had started again; its expiry, on the former clock, was converted with the clock of the new incarnation, which starts anew, so that the lease seemed to last for as long as the former clock was ahead (10 hours in the test). Evidence: AgentState.CountsNoLeaseOfAFormerIncarnationByTheNewClock, which failed before. Change: calls to former incarnations are kept apart and their leases are not counted. Result: AgentState and PoolPlanner tests pass.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -53,7 +53,7 @@
   worker_clock_.reset();
   lists_epoch_ = 0;
   granted_lease_expiry_ = Time{};
-  leases_in_flight_.clear();
+  former_leases_in_flight_.merge(leases_in_flight_);
 }
 
 void AgentState::HandleAnnouncement(const WorkerAnnouncement& announcement) {
@@ -263,6 +263,11 @@
                                    Time now) {
   if (!lease_until) return;
   const auto sent = leases_in_flight_.find(*lease_until);
+  const auto sent_to_former = former_leases_in_flight_.find(*lease_until);
+  if (sent == leases_in_flight_.end() && sent_to_former != former_leases_in_flight_.end()) {
+    former_leases_in_flight_.erase(sent_to_former);
+    return;
+  }
   if (sent != leases_in_flight_.end()) leases_in_flight_.erase(sent);
   if (answer == OrderAnswer::kNotListening) return;
   granted_lease_expiry_ = std::max(granted_lease_expiry_, LeaseExpiry(*lease_until, now));
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -109,6 +109,8 @@
   Time granted_lease_expiry_{};
   // Expiry times of the leases granted by calls that have not been answered yet.
   std::multiset<WorkerMillis> leases_in_flight_;
+  // The same for calls to former incarnations of the worker. These leases refer to another clock.
+  std::multiset<WorkerMillis> former_leases_in_flight_;
   // The worker's clock in its newest answer, and when that answer arrived.
   std::optional<WorkerMillis> worker_clock_;
   Time worker_clock_read_at_{};
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -270,5 +270,18 @@
   EXPECT_FALSE(call && call->worker_id.empty());
 }
 
+// A lease on the former clock, answered after the restart, was converted with the new clock: it
+// seemed to last for as long as the former clock was ahead, and the worker's tasks waited for it.
+TEST(AgentState, CountsNoLeaseOfAFormerIncarnationByTheNewClock) {
+  Agent agent;
+  const WorkerMillis lease_until = 36'000'000;
+  agent.state.NoteLeaseSent(lease_until);
+  WorkerLists restarted = agent.Lists({});
+  restarted.start_time_ms = 2;
+  agent.state.HandleLists(restarted, 1, agent.now, agent.now);
+  agent.state.NoteLeaseAnswered(lease_until, OrderAnswer::kOtherIncarnation, agent.now);
+  EXPECT_LE(agent.state.Report(Duration::zero(), agent.now).lease_left, milliseconds(10'000));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
