Pool: Give each incarnation of a worker a fencing token of its own

Callers could see: a task run twice, at once or after it was done, or a job that never ends, when a worker started again under the ID that it had while an order of before was still under way. Cause: an order was bound to an incarnation of its worker only by what two of them can share: the ID, the planner's epoch as fencing token, a time on a clock that starts anew. A delayed start was carried out by the next incarnation; a delayed hold made it forget ends that nobody had read and gave it the longest lease, where planner and agent count a shorter one. The planner gave all runs up as soon as a newer start of the worker was announced. Change: an epoch owns a range of tokens, and the token rises with each incarnation: the agent raises it itself at the first sign of a new one, the planner counts along and tells an agent's next process. What ran before is given up only when the new incarnation's lists were read under its own token. Ends are acknowledged only by lists newer than the last start, and holds grant and acknowledge nothing until the planner has confirmed the token. After a restart under the same ID, planners count the longest lease.

--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -63,6 +63,8 @@
   ended @9 :List(PoolEnded);
   results @10 :List(PoolResult);
   waitNanos @11 :Int64;
+  # Fencing token under which the worker was last read.
+  fence @12 :Int64;
 }
 
 struct PoolStart {
@@ -87,6 +89,8 @@
   plannerAddress @9 :Text;
   # Planner lag: its next answers take this much longer.
   lateNanos @10 :Int64;
+  # Fencing token for the worker incarnation of `workerBornMs`; 0 from planners that use their epoch.
+  fence @11 :Int64;
 }
 
 interface PoolGate {
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -102,6 +102,7 @@
     results[i].setReason(from.results[i].reason);
   }
   to.setWaitNanos(from.wait.count());
+  to.setFence(from.fence);
 }
 
 pool::AgentReport Read(wire::PoolReport::Reader from) {
@@ -128,6 +129,7 @@
                               Text(result.getReason())});
   }
   report.wait = Duration(from.getWaitNanos());
+  report.fence = from.getFence();
   return report;
 }
 
@@ -139,6 +141,7 @@
   to.setLateNanos(from.lag.count());
   to.setEndsKept(from.acked_ends);
   to.setWorkerBornMs(from.worker_start_time_ms);
+  to.setFence(from.fence);
   auto starts = to.initStarts(Count(from.starts));
   for (unsigned i = 0; i < from.starts.size(); ++i) {
     Write(from.starts[i].run, starts[i].initRun());
@@ -161,6 +164,7 @@
   orders.lag = Duration(from.getLateNanos());
   orders.acked_ends = from.getEndsKept();
   orders.worker_start_time_ms = from.getWorkerBornMs();
+  orders.fence = from.getFence();
   for (const auto start : from.getStarts()) {
     orders.starts.push_back({Read(start.getRun()), Text(start.getPayload()),
                              Text(start.getCheckpoint()), Text(start.getTicket())});
--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/logging.h"
+#include "servers/pool/worker_fence.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -39,6 +40,11 @@
   LogEvent(
       LogLevel::kInfo, "worker_new_life",
       {{"worker", facts_.id}, {"born_ms", start_time_ms}, {"before_ms", facts_.start_time_ms}});
+  const int64_t former_start_time_ms =
+      facts_.start_time_ms != 0 ? facts_.start_time_ms : fence_confirmed_for_ms_;
+  const bool follows_known_incarnation =
+      former_start_time_ms != 0 && former_start_time_ms != start_time_ms;
+  if (planner_assigns_fences_ && follows_known_incarnation) fence_ = NextFence(fence_);
   facts_ = WorkerFacts();
   facts_.start_time_ms = start_time_ms;
   announced_sequence_ = -1;
@@ -51,7 +57,7 @@
   stopped_at_.clear();
   results_.clear();
   worker_clock_.reset();
-  lists_epoch_ = 0;
+  lists_fence_ = 0;
   granted_lease_expiry_ = Time{};
   former_leases_in_flight_.merge(leases_in_flight_);
 }
@@ -82,17 +88,18 @@
   if (lists.start_time_ms < facts_.start_time_ms) return false;
   if (lists.start_time_ms > facts_.start_time_ms) ResetForIncarnation(lists.start_time_ms);
   // Two answers may be read out of order. The worker does not forget the highest fencing token that
-  // it has seen, so the higher of the two epochs is kept.
-  const int64_t lists_epoch = std::max(lists_epoch_, fence);
-  const bool first_lists = lists_epoch_ != lists_epoch;
+  // it has seen, so the higher of the two is kept.
+  const int64_t lists_fence = std::max(lists_fence_, fence);
+  const bool first_lists = lists_fence_ != lists_fence;
   bool report_needed = first_lists || !facts_.reachable;
   facts_.reachable = true;
-  lists_epoch_ = lists_epoch;
+  lists_requested_at_ = std::max(lists_requested_at_, sent);
+  lists_fence_ = lists_fence;
   if (first_lists) {
     LogEvent(LogLevel::kInfo, "worker_read",
              {{"worker", facts_.id},
               {"born_ms", facts_.start_time_ms},
-              {"epoch", lists_epoch_},
+              {"fence", lists_fence_},
               {"clock_ms", lists.clock},
               {"running", lists.running.size()},
               {"ended", lists.ended.size()}});
@@ -150,6 +157,26 @@
   LogEvent(LogLevel::kInfo, "planner_obeyed", {{"epoch", epoch}, {"before", epoch_}});
   epoch_ = epoch;
   orders_seen_ = 0;
+  if (fence_ >= epoch) return;
+  fence_ = epoch;
+  fence_confirmed_for_ms_ = 0;
+}
+
+void AgentState::AdoptFence(const AgentOrders& orders) {
+  planner_assigns_fences_ = orders.fence > 0;
+  if (!planner_assigns_fences_) {
+    fence_confirmed_for_ms_ = facts_.start_time_ms;
+    return;
+  }
+  if (orders.worker_start_time_ms < facts_.start_time_ms) {
+    // The planner does not know this incarnation yet, but has assigned a token to a former one.
+    if (orders.worker_start_time_ms != 0) fence_ = std::max(fence_, NextFence(orders.fence));
+    return;
+  }
+  // An older answer, or an answer to a report without the token in use.
+  if (orders.fence < fence_) return;
+  fence_ = orders.fence;
+  fence_confirmed_for_ms_ = orders.worker_start_time_ms;
 }
 
 void AgentState::ForgetExpiredOrders(Time now) {
@@ -166,6 +193,7 @@
   ForgetExpiredOrders(now);
   if (orders.epoch < epoch_) return new_orders;
   RaiseEpoch(orders.epoch);
+  AdoptFence(orders);
   orders_seen_ = std::max(orders_seen_, orders.version);
   if (orders.lease > Duration::zero()) {
     lease_until_ = std::max(lease_until_, sent + orders.lease);
@@ -202,7 +230,8 @@
   report.zone = zone_;
   report.incarnation = incarnation_;
   report.sequence = ++report_sequence_;
-  report.epoch = lists_epoch_ == epoch_ ? epoch_ : 0;
+  report.epoch = is_read() ? epoch_ : 0;
+  report.fence = fence_;
   report.orders_seen = orders_seen_;
   report.worker = facts_;
   if (!member_) report.worker.id.clear();
@@ -243,10 +272,13 @@
 HoldCall AgentState::NextHold(Duration wait, Time now) const {
   HoldCall call;
   call.worker_id = facts_.id;
-  call.fence = epoch_;
-  call.acked_ends = acked_ends_;
-  call.lease_until = LeaseUntil(now);
-  call.wait = wait;
+  call.worker_start_time_ms = facts_.start_time_ms;
+  call.fence = fence_;
+  if (fence_confirmed()) {
+    call.lease_until = LeaseUntil(now);
+  }
+  if (fence_confirmed() && end_numbers_verified()) call.acked_ends = acked_ends_;
+  call.wait = end_numbers_verified() ? wait : Duration::zero();
   return call;
 }
 
@@ -274,7 +306,7 @@
 }
 
 std::optional<StartCall> AgentState::PrepareStart(const StartOrder& order, Time until,
-                                                  std::string* reason, Time now) const {
+                                                  std::string* reason, Time now) {
   const std::optional<WorkerMillis> lease = LeaseUntil(now);
   if (now >= until) {
     *reason = "the order is too old";
@@ -289,17 +321,19 @@
     *reason = "stopped before it was sent";
   } else if (!lease) {
     *reason = "no lease";
-  } else if (lists_epoch_ != epoch_) {
+  } else if (!is_read() || !fence_confirmed()) {
     *reason = "the worker has not been read under this planner";
   } else {
     StartCall call;
     call.worker_id = facts_.id;
+    call.worker_start_time_ms = facts_.start_time_ms;
     call.run = order.run;
     call.payload = order.payload;
     call.checkpoint = order.checkpoint;
     call.ticket = order.ticket;
     call.lease_until = std::min(*lease, WorkerClock(now) + Millis(kStartValidity));
-    call.fence = epoch_;
+    call.fence = fence_;
+    start_sent_at_ = now;
     return call;
   }
   return std::nullopt;
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -34,13 +34,20 @@
   // Notes that a planner of this epoch exists. Orders of older planners are ignored from now on.
   void RaiseEpoch(int64_t epoch);
   int64_t epoch() const { return epoch_; }
+  // Fencing token for calls to the worker; 0 while no planner is known.
+  int64_t fence() const { return fence_; }
+  // Whether the worker's lists have been read under the token in use.
+  bool is_read() const { return fence_ > 0 && lists_fence_ >= fence_; }
 
   // Returns the report to the planner, as of `now`.
   AgentReport Report(Duration wait, Time now);
   // Called when the planner has processed the report. Drops the start results that it contained.
   void ReportDelivered(const AgentReport& report);
 
-  // Returns the next hold, which acknowledges ends and renews the lease.
+  // Returns the next hold, which acknowledges ends and renews the lease. It does not wait if ends
+  // have to be acknowledged by the hold after it. It does neither until the
+  // planner has confirmed the token for this incarnation: another process of the agent might use
+  // the same token for the next incarnation, which would then accept a delayed hold.
   HoldCall NextHold(Duration wait, Time now) const;
   // Called before a call to the worker that grants a lease until `lease_until`. The worker may have
   // the lease from then on, long before its answer arrives.
@@ -52,7 +59,7 @@
   // Returns the call for an ordered start, including its lease, if it may be carried out now;
   // otherwise sets `reason`. `until`: when the order expires.
   std::optional<StartCall> PrepareStart(const StartOrder& order, Time until, std::string* reason,
-                                        Time now) const;
+                                        Time now);
   void HandleStartAnswer(const RunId& run, OrderAnswer answer);
   // Records that a start was not sent to the worker, and why.
   void StartNotSent(const RunId& run, const std::string& reason);
@@ -81,6 +88,16 @@
   };
 
   void ResetForIncarnation(int64_t start_time_ms);
+  // Whether the worker's ends have the numbers that this agent knows. A start that was sent after
+  // the newest lists were requested may have reached a new incarnation, which counts its ends anew.
+  bool end_numbers_verified() const {
+    return start_sent_at_ == Time{} || lists_requested_at_ > start_sent_at_;
+  }
+  // Uses the token that the planner assigned to this incarnation of the worker.
+  void AdoptFence(const AgentOrders& orders);
+  bool fence_confirmed() const {
+    return facts_.start_time_ms != 0 && fence_confirmed_for_ms_ == facts_.start_time_ms;
+  }
   // Forgets orders that no answer in flight can repeat any more.
   void ForgetExpiredOrders(Time now);
   void SetResult(const RunId& run, StartOutcome outcome, const std::string& reason);
@@ -100,7 +117,13 @@
   bool member_ = false;
 
   int64_t epoch_ = 0;
-  int64_t lists_epoch_ = 0;
+  int64_t fence_ = 0;
+  // Start time of the incarnation for which the planner has confirmed `fence_`; 0 if there is none.
+  int64_t fence_confirmed_for_ms_ = 0;
+  // Whether the planner assigns tokens to incarnations.
+  bool planner_assigns_fences_ = false;
+  // Highest token under which the lists of this incarnation have been read.
+  int64_t lists_fence_ = 0;
   int64_t orders_seen_ = 0;
   int64_t report_sequence_ = 0;
   // Expiry of the lease granted by the planner, by this agent's clock.
@@ -118,6 +141,9 @@
   std::vector<RunningTask> running_;
   std::map<int64_t, EndedTask> ended_;
   int64_t acked_ends_ = 0;
+  // When the newest lists were requested, and when the newest start was sent.
+  Time lists_requested_at_{};
+  Time start_sent_at_{};
 
   std::map<RunId, StartState> starts_;
   std::set<RunId> stops_;
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -7,6 +7,7 @@
 
 #include "core/logging.h"
 #include "core/secret.h"
+#include "servers/pool/worker_fence.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -173,7 +174,7 @@
   // succeed, being based on the newest view, and depose a planner that has just started. The
   // symptom is two planners within one tick, and callers that are told "unknown" twice.
   if (!ShouldClaimNow(basis, now)) return;
-  const int64_t epoch = std::max(table.planner().epoch, rejected_epoch_) + 1;
+  const int64_t epoch = NextEpoch(std::max(table.planner().epoch, rejected_epoch_));
   const int64_t sequence = RandomSequence();
   std::set<std::string> agents;
   try {
--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -11,6 +11,7 @@
 #include "modules/stand_ins/memory_keyed_log.h"
 #include "platform/operator_record_decoder.h"
 #include "servers/pool/local_planner_client.h"
+#include "servers/pool/worker_fence.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -20,6 +21,8 @@
 constexpr Duration kSilenceTimeout = milliseconds(1200);
 constexpr Duration kMaxViewAge = milliseconds(1500);
 const Time kNow = Time(std::chrono::hours(2));
+constexpr int64_t kFirstEpoch = NextEpoch(0);
+constexpr int64_t kSecondEpoch = NextEpoch(kFirstEpoch);
 
 LeadershipView View(Duration view_age, Duration silence) {
   LeadershipView view;
@@ -170,9 +173,9 @@
   ListAgents(&log);
   LocalConnector connected_entries;
   Candidate weak(&log, "a", &connected_entries, kWeakCapacity);
-  ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == 1; }));
+  ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == kFirstEpoch; }));
   Candidate strong(&log, "b", &connected_entries);
-  ASSERT_TRUE(Eventually([&] { return strong.service.epoch() == 2; }));
+  ASSERT_TRUE(Eventually([&] { return strong.service.epoch() == kSecondEpoch; }));
   EXPECT_EQ(weak.service.epoch(), 0);
 }
 
@@ -185,17 +188,17 @@
   log.Append(kMembersTopic, {{"entry/gone", EncodeEntry(missing_entry), kNoOffset}}, {},
              std::chrono::seconds(1));
   Candidate weak(&log, "a", nullptr, kWeakCapacity);
-  ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == 1; }));
+  ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == kFirstEpoch; }));
   // The weak entry offers its leadership to the missing one, which can't accept.
   ASSERT_TRUE(Eventually([&] { return weak.members.entries().size() == 2; }));
   const Time end = LeaseClock().Now() + milliseconds(2500);
-  while (LeaseClock().Now() < end) ASSERT_EQ(weak.service.epoch(), 1);
+  while (LeaseClock().Now() < end) ASSERT_EQ(weak.service.epoch(), kFirstEpoch);
 }
 
 // Makes the store reject the first planner and waits until `second` has taken over.
 void FailOver(FaultyKeyedLog* log_of_first, const Candidate& second) {
   log_of_first->SetFaults({true, false});
-  ASSERT_TRUE(Eventually([&] { return second.service.epoch() == 2; }));
+  ASSERT_TRUE(Eventually([&] { return second.service.epoch() == kSecondEpoch; }));
 }
 
 // Passes all calls on to another log.
@@ -274,7 +277,7 @@
   held_log.LetThrough();
   const auto released = [&] {
     const PlannerRecord planner = entry.work.leadership().planner;
-    return planner.epoch == 1 && planner.address.empty();
+    return planner.epoch == kFirstEpoch && planner.address.empty();
   };
   EXPECT_TRUE(Eventually(released));
   EXPECT_TRUE(Eventually([&] { return entry.service.epoch() == 0; }));
@@ -302,12 +305,12 @@
   MemoryKeyedLog log;
   FaultyKeyedLog faulty_log(&log);
   Candidate first(&faulty_log, "a");
-  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == kFirstEpoch; }));
   Candidate second(&log, "b");
   FailOver(&faulty_log, second);
   faulty_log.SetFaults({});
   ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 0; }));
-  EXPECT_EQ(second.service.epoch(), 2);
+  EXPECT_EQ(second.service.epoch(), kSecondEpoch);
 }
 
 // The store rejects the planner's VM for a long time, but agents and entries still reach that VM.
@@ -319,7 +322,7 @@
   FaultyKeyedLog faulty_log(&log);
   LocalConnector connected_entries;
   Candidate first(&faulty_log, "a", &connected_entries);
-  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == kFirstEpoch; }));
   Candidate second(&log, "b", &connected_entries);
   FailOver(&faulty_log, second);
   ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 0; }));
@@ -327,7 +330,7 @@
   report.node = "agent";
   const AgentOrders orders =
       LocalPlannerClient(&first.service).Exchange(report, std::chrono::seconds(5));
-  EXPECT_EQ(orders.planner_epoch, 2);
+  EXPECT_EQ(orders.planner_epoch, kSecondEpoch);
   EXPECT_EQ(orders.planner_address, "b:1");
 }
 
@@ -337,7 +340,7 @@
   MemoryKeyedLog log;
   FaultyKeyedLog faulty_log(&log);
   Candidate first(&faulty_log, "a");
-  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == kFirstEpoch; }));
   Candidate second(&log, "b");
   FailOver(&faulty_log, second);
   JobSpec job;
@@ -358,13 +361,13 @@
   MemoryKeyedLog log;
   FaultyKeyedLog faulty_log(&log);
   Candidate planner(&faulty_log, "a");
-  ASSERT_TRUE(Eventually([&] { return planner.service.epoch() == 1; }));
+  ASSERT_TRUE(Eventually([&] { return planner.service.epoch() == kFirstEpoch; }));
   faulty_log.SetFaults({false, true});
   std::this_thread::yield();
   faulty_log.SetFaults({});
   const int64_t appends = log.appends();
   ASSERT_TRUE(Eventually([&] { return log.appends() > appends + 1; }));
-  EXPECT_EQ(planner.service.epoch(), 1);
+  EXPECT_EQ(planner.service.epoch(), kFirstEpoch);
 }
 
 }  // namespace
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -79,14 +79,18 @@
 
 void PoolAgent::WorkerAnnounced(const WorkerAnnouncement& announcement) {
   bool report_needed = false;
+  bool read_needed = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const WorkerFacts before = state_.worker();
     state_.HandleAnnouncement(announcement);
     const WorkerFacts& after = state_.worker();
-    report_needed = before.id != after.id || before.start_time_ms != after.start_time_ms ||
-                    before.draining != after.draining;
+    const bool new_incarnation = before.start_time_ms != after.start_time_ms;
+    report_needed = before.id != after.id || new_incarnation || before.draining != after.draining;
+    read_needed = new_incarnation && state_.fence() > 0;
   }
+  // The worker refuses delayed orders for its former incarnation from its first hold on.
+  if (read_needed) SubmitOrder([this] { HoldAndReport(); });
   // The planner is informed immediately, so that it can use a new worker before the next poll.
   if (report_needed) SubmitOrder([this] { EnsureMember(LeaseClock().Now()); });
   if (report_needed) RequestUpdate();
@@ -122,6 +126,10 @@
   return was_reachable;
 }
 
+void PoolAgent::HoldAndReport() {
+  if (HoldOnce(Duration::zero())) RequestUpdate();
+}
+
 void PoolAgent::RunWorkerLoop() {
   while (true) {
     bool has_planner = false;
@@ -129,7 +137,7 @@
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       if (stopping_) return;
-      has_planner = state_.epoch() > 0;
+      has_planner = state_.fence() > 0;
     }
     // A worker refuses calls without the newest planner's epoch.
     if (!has_planner) {
@@ -239,22 +247,20 @@
     throw Error(ErrorKind::kConflict, Outcome::kNotRun, "the pool is planned elsewhere now");
   }
   AgentOrders new_orders;
-  bool new_planner = false;
+  bool read_needed = false;
+  bool report_needed = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const int64_t before = state_.epoch();
     state_.ReportDelivered(report);
     new_orders = state_.HandleOrders(orders, sent, LeaseClock().Now());
     planner_lag_ = orders.lag;
-    new_planner = state_.epoch() != before || report.epoch != state_.epoch();
-  }
-  if (new_planner) {
-    // The planner uses the worker only after the worker has been read under the planner's own
-    // epoch.
-    SubmitOrder([this] {
-      if (HoldOnce(Duration::zero())) RequestUpdate();
-    });
+    read_needed = !state_.is_read();
+    report_needed = state_.is_read() && report.epoch != state_.epoch();
   }
+  // The planner uses the worker only after the worker has been read under the token that this
+  // planner has assigned.
+  if (read_needed) SubmitOrder([this] { HoldAndReport(); });
+  if (report_needed) RequestUpdate();
   ExecuteOrders(new_orders, sent + orders.start_window);
 }
 
@@ -295,11 +301,9 @@
 void PoolAgent::StartOne(const StartOrder& order, Time until) {
   std::optional<StartCall> call;
   std::string reason;
-  int64_t worker_start_time_ms = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const Time now = LeaseClock().Now();
-    worker_start_time_ms = state_.worker().start_time_ms;
     call = state_.PrepareStart(order, until, &reason, now);
     if (call && !registered_.load()) {
       call.reset();
@@ -317,7 +321,7 @@
              {{"job", order.run.task.job},
               {"task", task},
               {"run", order.run.number},
-              {"born_ms", worker_start_time_ms},
+              {"ordered_for_ms", order.worker_start_time_ms},
               {"reason", reason}});
     return RequestUpdate();
   }
@@ -331,13 +335,23 @@
             {"task", task},
             {"run", order.run.number},
             {"worker", call->worker_id},
-            {"born_ms", worker_start_time_ms},
-            {"epoch", call->fence},
+            {"born_ms", call->worker_start_time_ms},
+            {"fence", call->fence},
             {"answer", OrderAnswerName(answer)}});
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     state_.NoteLeaseAnswered(call->lease_until, answer, LeaseClock().Now());
     state_.HandleStartAnswer(order.run, answer);
+    if (state_.worker().start_time_ms != call->worker_start_time_ms) {
+      LogEvent(LogLevel::kWarning, "order_of_former_incarnation",
+               {{"job", order.run.task.job},
+                {"task", task},
+                {"run", order.run.number},
+                {"born_ms", call->worker_start_time_ms},
+                {"now_born_ms", state_.worker().start_time_ms},
+                {"fence", call->fence},
+                {"answer", OrderAnswerName(answer)}});
+    }
   }
   RequestUpdate();
 }
@@ -353,14 +367,14 @@
       return;
     }
     worker_id = state_.worker().id;
-    fence = state_.epoch();
+    fence = state_.fence();
   }
   const OrderAnswer answer = sender_.Stop(worker_id, run, fence);
   LogEvent(LogLevel::kInfo, "stop_answered",
            {{"job", run.task.job},
             {"task", TaskName(run.task)},
             {"run", run.number},
-            {"epoch", fence},
+            {"fence", fence},
             {"answer", OrderAnswerName(answer)}});
   const std::lock_guard<std::mutex> lock(mutex_);
   state_.HandleStopAnswer(run, answer, LeaseClock().Now());
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -60,6 +60,8 @@
   void RunUpdateLoop();
   // Sends one hold. Returns whether the planner should be informed immediately.
   bool HoldOnce(Duration wait);
+  // Reads the worker's lists at once and reports them to the planner.
+  void HoldAndReport();
   // The newest planner known from the store or from a redirect.
   PlannerRecord NewestPlanner() const;
   void ExchangeOnce(PlannerClient* client, Duration wait);
--- a/servers/pool/pool_bounds.cc
+++ b/servers/pool/pool_bounds.cc
@@ -71,6 +71,7 @@
       "the longest lease", std::min(kMaxLease, bounds.longest_lease - kLeaseReserve), kMinLimit);
   options.lease_margin =
       Scaled(options.lease_duration, kClockSlack) + bounds.stop + kLeaseExpiryMargin;
+  options.longest_lease = Scaled(bounds.longest_lease, 1 + kClockSlack);
   const Duration cancel = bounds.cancel - kStartReserve;
   const Duration zone_out = bounds.zone_out - kStartReserve;
   options.start_window =
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -91,6 +91,9 @@
   // orders of older planners once the lists below have been read under this epoch. 0: not yet read
   // under the current epoch.
   int64_t epoch = 0;
+  // Fencing token that the agent uses for this incarnation of its worker; see worker_fence.h. 0
+  // from agents that use the epoch.
+  int64_t fence = 0;
   // Version of the newest orders received; see AgentOrders::version.
   int64_t orders_seen = 0;
   WorkerFacts worker;
@@ -110,7 +113,8 @@
   std::string checkpoint;
   // Ticket of the advice service; empty if the queue does not use advice.
   std::string ticket;
-  // Start time of the worker incarnation that the order is for; set by the agent on arrival. 0: any.
+  // Start time of the worker incarnation that the order is for; set by the agent on arrival. 0:
+  // any.
   int64_t worker_start_time_ms = 0;
 };
 
@@ -125,8 +129,11 @@
   Duration start_window{};
   // Ends up to this number are durable in the store and need not be reported again.
   int64_t acked_ends = 0;
-  // Start time of the worker incarnation that `acked_ends` refers to.
+  // Start time of the worker incarnation that `acked_ends`, `fence` and `starts` refer to.
   int64_t worker_start_time_ms = 0;
+  // Fencing token for calls to that incarnation; see worker_fence.h. 0 from planners that use their
+  // epoch.
+  int64_t fence = 0;
   std::vector<StartOrder> starts;
   std::vector<RunId> stops;
   // Planner lag: its next answers take this much longer.
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -96,6 +96,7 @@
   orders.version = worker.version;
   orders.acked_ends = worker.acked_ends;
   orders.worker_start_time_ms = worker.facts.start_time_ms;
+  orders.fence = worker.fence;
   orders.lag = planner_lag_.lag();
   if (leadership_confirmed_ && now - *leadership_confirmed_ < options_.unconfirmed_limit) {
     orders.lease = options_.lease_duration;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -44,6 +44,9 @@
   // Added to a lease before it counts as expired: workers' clocks may run slow, and the stop itself
   // takes time.
   Duration lease_margin = std::chrono::milliseconds(600);
+  // Longest lease that a worker grants, on a clock that may run slow. A delayed order for a former
+  // incarnation of a worker can grant it: the order's expiry refers to the former clock.
+  Duration longest_lease = std::chrono::milliseconds(6120);
   // How long an agent may obey a planner whose leadership is not confirmed.
   Duration unconfirmed_limit = std::chrono::seconds(10);
   // Nothing is started when this planner's leadership was last confirmed longer ago than this.
@@ -222,6 +225,16 @@
   // and describe an earlier state. Applied, they would make current runs look lost.
   bool AcceptIncarnation(const AgentReport& report, WorkerState* worker, Time now);
   void ApplyWorkerFacts(const AgentReport& report, WorkerState* worker, Time now);
+  // A newer incarnation of the worker has been reported. What ran on the former one stays known
+  // until the worker has been read under a new token: an order for the former incarnation may still
+  // be executed.
+  void BeginIncarnation(const WorkerFacts& facts, WorkerState* worker, Time now);
+  // Records the token that the agent uses for the worker's current incarnation.
+  void RecordFence(const AgentReport& report, WorkerState* worker) const;
+  // Whether the report contains the worker's lists as read under this planner's token.
+  bool ContainsLists(const AgentReport& report, const WorkerState& worker) const;
+  // Gives up the runs of a former incarnation that the report does not list as running.
+  void DropUnlistedRuns(const AgentReport& report, WorkerState* worker, Time now);
   void ApplyRunning(const AgentReport& report, WorkerState* worker, Time now);
   void StopUncertainRuns(WorkerState* worker);
   void CheckForStall(const WorkerState& worker, Time now);
@@ -235,6 +248,7 @@
   void SaveCheckpoint(const RunId& run, const std::string& checkpoint, Job* job);
   // Removes all runs of the worker, because they are known to be over.
   void DropLostRuns(WorkerState* worker, const char* why, Time now);
+  void DropRuns(const std::vector<RunId>& runs, WorkerState* worker, const char* why, Time now);
   // Removes a run that is over or never began, so that its task may start again.
   void RemoveRun(const RunId& run, Job* job);
   void StopRun(WorkerState* worker, LiveRun* run);
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -187,9 +187,12 @@
 void PoolPlanner::ExpireLeases(Time now) {
   for (auto& [node, worker] : workers_) {
     // Reports that a lagging planner has not read yet do not mean that the agent is silent.
-    const bool expired = now > worker.lease_until + options_.lease_margin + planner_lag_.lag();
-    if (!worker.lists_received || !expired) continue;
+    const Time lease_until = std::max(worker.lease_until, worker.former_lease_until);
+    const bool expired = now > lease_until + options_.lease_margin + planner_lag_.lag();
+    const bool known = worker.lists_received || !worker.live.empty();
+    if (!known || !expired) continue;
     worker.lists_received = false;
+    worker.former_lease_until = Time{};
     DropLostRuns(&worker, "no report from the agent within its lease", now);
   }
 }
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -4,6 +4,7 @@
 
 #include "core/logging.h"
 #include "servers/pool/pool_planner.h"
+#include "servers/pool/worker_fence.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -37,9 +38,11 @@
   worker.lease_until = std::max(worker.lease_until, now + options_.lease_duration);
   worker.acked_version = report.orders_seen;
   ApplyWorkerFacts(report, &worker, now);
-  if (report.epoch != epoch_ || report.worker.start_time_ms != worker.facts.start_time_ms) return;
+  RecordFence(report, &worker);
+  if (!ContainsLists(report, worker)) return;
   unreported_agents_.erase(report.node);
-  if (!worker.lists_received) {
+  const bool first_lists = !worker.lists_received;
+  if (first_lists) {
     worker.lists_received = true;
     needs_planning_ = true;
     LogEvent(LogLevel::kInfo, "worker_known",
@@ -48,18 +51,26 @@
               {"born_ms", worker.facts.start_time_ms},
               {"running", report.running.size()},
               {"unheard", unreported_agents_.size()},
+              {"fence", worker.fence},
               {"epoch", epoch_}});
   }
   // A new process of the agent does not know the leases that its predecessor has passed on.
   const bool leases_known =
       now > worker.incarnation_since + options_.lease_duration + options_.lease_margin;
-  const bool runs_over =
-      !worker.facts.reachable && leases_known && report.lease_left <= Duration::zero();
+  const bool runs_over = !worker.facts.reachable && leases_known &&
+                         report.lease_left <= Duration::zero() &&
+                         now > worker.former_lease_until + options_.lease_margin;
   // The list of a worker that is gone is outdated. If it were applied, each report would stop the
   // runs again, be answered immediately and be followed by the next one within milliseconds.
   if (!runs_over) ApplyRunning(report, &worker, now);
   for (const StartResult& result : report.results) ApplyStartResult(result, &worker, now);
   for (const EndedTask& end : report.ended) ApplyEnd(end, &worker, wall_ms, now);
+  if (first_lists) {
+    DropUnlistedRuns(report, &worker, now);
+    if (worker.former_lease_until > Time{}) {
+      worker.former_lease_until = now + options_.longest_lease;
+    }
+  }
   StopUncertainRuns(&worker);
   CheckForStall(worker, now);
   if (runs_over) DropLostRuns(&worker, "the worker is unreachable and its lease has expired", now);
@@ -92,23 +103,7 @@
     // An agent that has just started does not know its worker yet; nothing has changed on the
     // worker.
     if (facts.start_time_ms == 0) return;
-    if (worker->facts.start_time_ms != 0) DropLostRuns(worker, "the worker has restarted", now);
-    const int64_t former_start_time_ms = worker->facts.start_time_ms;
-    worker->facts = facts;
-    needs_planning_ = true;
-    worker->ends.clear();
-    worker->ends_seen = 0;
-    worker->acked_ends = 0;
-    NotePendingOrders(worker);
-    health_tracker_.Forget(worker->node);
-    LogEvent(LogLevel::kInfo, "worker_reported",
-             {{"node", report.node},
-              {"worker", facts.id},
-              {"born_ms", facts.start_time_ms},
-              {"before_ms", former_start_time_ms},
-              {"rack", facts.rack},
-              {"accelerators", facts.capacity.accelerators},
-              {"processor_millis", facts.capacity.processor_millis}});
+    BeginIncarnation(facts, worker, now);
     return;
   }
   if (facts.id.empty()) {
@@ -124,6 +119,60 @@
   worker->facts = facts;
 }
 
+void PoolPlanner::BeginIncarnation(const WorkerFacts& facts, WorkerState* worker, Time now) {
+  const WorkerFacts former = worker->facts;
+  if (former.start_time_ms != 0) {
+    worker->fence = NextFence(worker->fence);
+    if (IsLastFence(worker->fence)) {
+      LogEvent(LogLevel::kError, "worker_unusable",
+               {{"node", worker->node},
+                {"fence", worker->fence},
+                {"epoch", epoch_},
+                {"reason", "no fencing token of this epoch is left for its next restart"}});
+    }
+    worker->lists_received = false;
+    const bool may_have_former_id = facts.id.empty() || facts.id == former.id;
+    worker->former_lease_until = may_have_former_id ? now + options_.longest_lease : Time{};
+    for (auto& [id, run] : worker->live) {
+      if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kUncertain;
+    }
+  }
+  worker->facts = facts;
+  needs_planning_ = true;
+  worker->ends.clear();
+  worker->ends_seen = 0;
+  worker->acked_ends = 0;
+  NotePendingOrders(worker);
+  health_tracker_.Forget(worker->node);
+  LogEvent(LogLevel::kInfo, "worker_reported",
+           {{"node", worker->node},
+            {"worker", facts.id},
+            {"born_ms", facts.start_time_ms},
+            {"before_ms", former.start_time_ms},
+            {"runs_before", worker->live.size()},
+            {"fence", worker->fence},
+            {"rack", facts.rack},
+            {"accelerators", facts.capacity.accelerators},
+            {"processor_millis", facts.capacity.processor_millis}});
+}
+
+void PoolPlanner::RecordFence(const AgentReport& report, WorkerState* worker) const {
+  if (worker->fence == 0) worker->fence = epoch_;
+  if (report.worker.start_time_ms != worker->facts.start_time_ms) return;
+  // Until the agent has heard of this planner it uses a token of another epoch.
+  if (report.fence <= worker->fence || report.fence >= NextEpoch(epoch_)) return;
+  worker->fence = report.fence;
+}
+
+bool PoolPlanner::ContainsLists(const AgentReport& report, const WorkerState& worker) const {
+  if (report.epoch != epoch_) return false;
+  if (report.worker.start_time_ms != worker.facts.start_time_ms) return false;
+  // The next incarnation would have to share the token.
+  if (IsLastFence(worker.fence)) return false;
+  const bool agent_uses_epoch = report.fence == 0;
+  return agent_uses_epoch || report.fence >= worker.fence;
+}
+
 void PoolPlanner::ApplyRunning(const AgentReport& report, WorkerState* worker, Time now) {
   for (const RunningTask& running : report.running) {
     const auto known = worker->live.find(running.run);
@@ -337,15 +386,33 @@
   SaveProgress(job);
 }
 
+void PoolPlanner::DropUnlistedRuns(const AgentReport& report, WorkerState* worker, Time now) {
+  std::vector<RunId> unlisted;
+  for (const auto& [id, run] : worker->live) {
+    const bool listed =
+        std::any_of(report.running.begin(), report.running.end(),
+                    [&id = id](const RunningTask& running) { return running.run == id; });
+    if (!listed) unlisted.push_back(id);
+  }
+  DropRuns(unlisted, worker, "the worker has restarted", now);
+}
+
 void PoolPlanner::DropLostRuns(WorkerState* worker, const char* why, Time now) {
-  if (worker->live.empty()) return;
+  std::vector<RunId> runs;
+  for (const auto& [id, run] : worker->live) runs.push_back(id);
+  DropRuns(runs, worker, why, now);
+}
+
+void PoolPlanner::DropRuns(const std::vector<RunId>& runs, WorkerState* worker, const char* why,
+                           Time now) {
+  if (runs.empty()) return;
   LogEvent(LogLevel::kWarning, "runs_lost",
            {{"node", worker->node},
             {"born_ms", worker->facts.start_time_ms},
-            {"runs", worker->live.size()},
+            {"runs", runs.size()},
             {"reason", why}});
-  const std::map<RunId, LiveRun> lost = std::move(worker->live);
-  worker->live.clear();
+  std::map<RunId, LiveRun> lost;
+  for (const RunId& id : runs) lost.insert(worker->live.extract(id));
   needs_planning_ = true;
   for (const auto& [id, run] : lost) {
     LogEvent(LogLevel::kInfo, "run_given_up",
--- a/servers/pool/pool_worker.h
+++ b/servers/pool/pool_worker.h
@@ -43,6 +43,8 @@
 struct StartCall {
   // ID of the worker incarnation that the order is for; empty: any.
   std::string worker_id;
+  // Start time of that incarnation, as known to the agent; not sent to the worker.
+  int64_t worker_start_time_ms = 0;
   RunId run;
   std::string payload;
   std::string checkpoint;
@@ -54,6 +56,9 @@
 
 struct HoldCall {
   std::string worker_id;
+  // Start time of the incarnation that the call is for, as known to the agent; not sent to the
+  // worker.
+  int64_t worker_start_time_ms = 0;
   int64_t fence = 0;
   // The worker may discard ends up to this number, because they are durable in the store.
   int64_t acked_ends = 0;
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -67,13 +67,17 @@
   std::deque<std::string> former_incarnations;
   int64_t sequence = -1;
   WorkerFacts facts;
-  // The agent's task lists under this planner's epoch have been received, so no order of an older
-  // planner can start anything on the worker.
+  // Fencing token of this planner for the worker's current incarnation; see worker_fence.h.
+  int64_t fence = 0;
+  // The worker's task lists under `fence` have been received, so no order of an older planner or
+  // for a former incarnation can start anything on the worker.
   bool lists_received = false;
   // Time of the last report.
   Time last_report{};
   // All live runs have ended by this time unless a lease is renewed.
   Time lease_until{};
+  // The same for leases that a delayed order for a former incarnation may have granted.
+  Time former_lease_until{};
   std::map<RunId, LiveRun> live;
   // Processed ends, each with the ticket of the record that makes it durable.
   std::deque<RecordedEnd> ends;
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -142,7 +142,8 @@
 void PoolSimulation::ReplacePlanner() {
   std::set<std::string> nodes;
   for (const auto& row : workers_) nodes.insert(row.first);
-  planner_ = std::make_unique<PoolPlanner>(options_, ++epoch_, job_table_, nodes, now_);
+  epoch_ = NextEpoch(epoch_);
+  planner_ = std::make_unique<PoolPlanner>(options_, epoch_, job_table_, nodes, now_);
   planner_->ConfirmLeadership(now_);
 }
 
@@ -437,7 +438,7 @@
   }
   if (!worker->stops_in_flight.insert(run).second) return;
   const std::string id = worker->agent->worker().id;
-  const int64_t fence = worker->agent->epoch();
+  const int64_t fence = worker->agent->fence();
   SendOrder(
       worker, WorkerCall::kStop, 1,
       [this, worker, id, run, fence] { return worker->model->Stop(id, run, fence, now_); },
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -13,6 +13,7 @@
 #include "servers/pool/agent_state.h"
 #include "servers/pool/pool_bounds.h"
 #include "servers/pool/pool_planner.h"
+#include "servers/pool/worker_fence.h"
 #include "tests/stand_ins/pool_faults.h"
 #include "tests/stand_ins/pool_worker_model.h"
 
@@ -165,7 +166,7 @@
   std::unique_ptr<PoolPlanner> planner_;
   JobTable job_table_;
   Offset offset_ = 0;
-  int64_t epoch_ = 1;
+  int64_t epoch_ = NextEpoch(0);
   Time now_{};
   int ticks_ = 0;
   int incarnations_ = 0;
