Pool: Show how a late departure makes a worker's next life unusable

A worker that restarts under its ID gets no work any more once the departure of its former life arrives late: a departure names the ID only, the agent takes it for the new life's, reports that life as draining and takes itself off the members although the worker announces itself on. The test's job is not started within 30 s on this code.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -34,6 +34,8 @@
   // Cuts the node's agent off from its worker at the next tick.
   void CutOffNode(const std::string& node, Duration time) { next_cuts_[node] = time; }
   void DelayAnnouncements(Duration delay) { announcement_delay_ = delay; }
+  // Workers that restart announce that they have left, and that arrives late.
+  void DelayDepartures(Duration delay) { departure_delay_ = delay; }
   // Messages take time from now on; the next exchange takes as long as stated.
   void DelayNextExchange(const ExchangeDelays& delays) {
     slow_ = true;
@@ -56,6 +58,9 @@
   std::optional<Duration> DelayOfAnnouncement(const std::string& /*node*/) override {
     return announcement_delay_;
   }
+  std::optional<Duration> DelayOfDeparture(const std::string& /*node*/) override {
+    return departure_delay_;
+  }
   bool KeepsId(const std::string& /*node*/) override { return true; }
   std::optional<Duration> CutOff(const std::string& node) override {
     const auto found = next_cuts_.find(node);
@@ -69,6 +74,7 @@
   std::map<std::pair<std::string, WorkerCall>, CallFate> next_fates_;
   std::map<std::string, Duration> next_cuts_;
   std::optional<Duration> announcement_delay_;
+  std::optional<Duration> departure_delay_;
   bool slow_ = false;
   std::optional<ExchangeDelays> next_delays_;
 };
@@ -215,5 +221,16 @@
   EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(30)));
 }
 
+// Departures name an ID, which both lives share.
+TEST_F(WorkerLife, UsesTheNextLifeWhenTheFormerLifesDepartureArrivesLate) {
+  Begin(1);
+  faults_.DelayDepartures(milliseconds(500));
+  RestartAll();
+  simulation_->RunFor(seconds(1));
+  Submit("j", seconds(1));
+  EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(30)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
