Pool: Show how a late announcement of a former life ends current runs

A task runs twice: a new process of an agent hears a late announcement of its worker's former life first and reports that life; the planner takes any other start time for a restart, though this one is older, gives up the current life's runs and starts their tasks elsewhere. Needs neither a late call nor a kept ID.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -1,5 +1,5 @@
-// Workers that restart, under a new ID or the old one, while calls and messages of their former
-// life are in transit.
+// Workers that restart, under a new ID or the old one, or are cut off while calls and messages are
+// in transit.
 #include <gtest/gtest.h>
 
 #include <map>
@@ -232,5 +232,26 @@
   EXPECT_EQ(simulation_->violations(), kNoViolations);
 }
 
+// An agent that has just started believes the announcement, and the planner takes the former life
+// for a restart that ended the runs of the current one.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenANewAgentHearsALateAnnouncementOfAFormerLife) {
+  Begin(2);
+  faults_.DelayAnnouncements(seconds(3));
+  simulation_->RunFor(milliseconds(10));
+  faults_.DelayAnnouncements(milliseconds(10));
+  simulation_->RunFor(milliseconds(500));
+  simulation_->RestartWorker(nodes_[0]);
+  simulation_->RunFor(seconds(1));
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(1400));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[0]);
+  faults_.DelayAnnouncements(seconds(10));
+  faults_.LoseNextCall({nodes_[0]}, WorkerCall::kHold);
+  simulation_->RestartAgent(nodes_[0]);
+  simulation_->RunFor(seconds(2));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
