Pool: Show how lost answers let a new planner start a running task again

A task runs twice after a change of planner while a worker executes its agent's calls but none of its answers arrives: the agent goes on polling and gets leases, its holds renew them at the worker, and 14.6 s after its start the new planner starts the work anyway without that worker's lists.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -33,6 +33,8 @@
   bool HasHappened() const { return next_fates_.empty(); }
   // Cuts the node's agent off from its worker at the next tick.
   void CutOffNode(const std::string& node, Duration time) { next_cuts_[node] = time; }
+  // In a cut, workers execute the calls and only their answers are lost.
+  void LoseOnlyAnswersInCuts() { fate_in_cut_ = {Duration::zero(), false}; }
   void DelayAnnouncements(Duration delay) { announcement_delay_ = delay; }
   // Workers that restart announce that they have left, and that arrives late.
   void DelayDepartures(Duration delay) { departure_delay_ = delay; }
@@ -49,6 +51,7 @@
     next_fates_.erase(found);
     return fate;
   }
+  CallFate FateOfCallInCut(const std::string& /*node*/) override { return fate_in_cut_; }
   bool ExchangesTakeTime() override { return slow_; }
   ExchangeDelays DelaysOfExchange(const std::string& /*node*/) override {
     const ExchangeDelays delays = next_delays_.value_or(ExchangeDelays{});
@@ -73,6 +76,7 @@
  private:
   std::map<std::pair<std::string, WorkerCall>, CallFate> next_fates_;
   std::map<std::string, Duration> next_cuts_;
+  CallFate fate_in_cut_ = {std::nullopt, false};
   std::optional<Duration> announcement_delay_;
   std::optional<Duration> departure_delay_;
   bool slow_ = false;
@@ -253,5 +257,20 @@
   EXPECT_EQ(simulation_->violations(), kNoViolations);
 }
 
+// The agent's holds reach the worker and renew its lease, but no list ever tells the new planner
+// what runs there.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenOnlyAnswersOfAWorkerAreLostAcrossPlanners) {
+  Begin(2);
+  Submit("j", seconds(60));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  faults_.LoseOnlyAnswersInCuts();
+  faults_.CutOffNode(simulation_->RunsOf("j")[0].node, seconds(40));
+  simulation_->RunFor(milliseconds(10));
+  simulation_->ReplacePlanner();
+  simulation_->RunFor(seconds(20));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
