--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -1,5 +1,5 @@
-// Workers that restart, under a new ID or the old one, while calls and messages of their former
-// life are in transit.
+// Workers that restart, under a new ID or the old one, or are cut off while calls and messages are
+// in transit.
 #include <gtest/gtest.h>
 
 #include <map>
@@ -33,7 +33,11 @@
   bool HasHappened() const { return next_fates_.empty(); }
   // Cuts the node's agent off from its worker at the next tick.
   void CutOffNode(const std::string& node, Duration time) { next_cuts_[node] = time; }
+  // In a cut, workers execute the calls and only their answers are lost.
+  void LoseOnlyAnswersInCuts() { fate_in_cut_ = {Duration::zero(), false}; }
   void DelayAnnouncements(Duration delay) { announcement_delay_ = delay; }
+  // Workers that restart announce that they have left, and that arrives late.
+  void DelayDepartures(Duration delay) { departure_delay_ = delay; }
   // Messages take time from now on; the next exchange takes as long as stated.
   void DelayNextExchange(const ExchangeDelays& delays) {
     slow_ = true;
@@ -47,6 +51,7 @@
     next_fates_.erase(found);
     return fate;
   }
+  CallFate FateOfCallInCut(const std::string& /*node*/) override { return fate_in_cut_; }
   bool ExchangesTakeTime() override { return slow_; }
   ExchangeDelays DelaysOfExchange(const std::string& /*node*/) override {
     const ExchangeDelays delays = next_delays_.value_or(ExchangeDelays{});
@@ -56,6 +61,9 @@
   std::optional<Duration> DelayOfAnnouncement(const std::string& /*node*/) override {
     return announcement_delay_;
   }
+  std::optional<Duration> DelayOfDeparture(const std::string& /*node*/) override {
+    return departure_delay_;
+  }
   bool KeepsId(const std::string& /*node*/) override { return true; }
   std::optional<Duration> CutOff(const std::string& node) override {
     const auto found = next_cuts_.find(node);
@@ -68,7 +76,9 @@
  private:
   std::map<std::pair<std::string, WorkerCall>, CallFate> next_fates_;
   std::map<std::string, Duration> next_cuts_;
+  CallFate fate_in_cut_ = {std::nullopt, false};
   std::optional<Duration> announcement_delay_;
+  std::optional<Duration> departure_delay_;
   bool slow_ = false;
   std::optional<ExchangeDelays> next_delays_;
 };
@@ -215,5 +225,52 @@
   EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(30)));
 }
 
+// Departures name an ID, which both lives share.
+TEST_F(WorkerLife, UsesTheNextLifeWhenTheFormerLifesDepartureArrivesLate) {
+  Begin(1);
+  faults_.DelayDepartures(milliseconds(500));
+  RestartAll();
+  simulation_->RunFor(seconds(1));
+  Submit("j", seconds(1));
+  EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(30)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// An agent that has just started believes the announcement, and the planner takes the former life
+// for a restart that ended the runs of the current one.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenANewAgentHearsALateAnnouncementOfAFormerLife) {
+  Begin(2);
+  faults_.DelayAnnouncements(seconds(3));
+  simulation_->RunFor(milliseconds(10));
+  faults_.DelayAnnouncements(milliseconds(10));
+  simulation_->RunFor(milliseconds(500));
+  simulation_->RestartWorker(nodes_[0]);
+  simulation_->RunFor(seconds(1));
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(1400));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[0]);
+  faults_.DelayAnnouncements(seconds(10));
+  faults_.LoseNextCall({nodes_[0]}, WorkerCall::kHold);
+  simulation_->RestartAgent(nodes_[0]);
+  simulation_->RunFor(seconds(2));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// The agent's holds reach the worker and renew its lease, but no list ever tells the new planner
+// what runs there.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenOnlyAnswersOfAWorkerAreLostAcrossPlanners) {
+  Begin(2);
+  Submit("j", seconds(60));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  faults_.LoseOnlyAnswersInCuts();
+  faults_.CutOffNode(simulation_->RunsOf("j")[0].node, seconds(40));
+  simulation_->RunFor(milliseconds(10));
+  simulation_->ReplacePlanner();
+  simulation_->RunFor(seconds(20));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
