Pool: Refuse to become active after telling a successor otherwise

Callers saw: possible two runs of one task after a claim that took long. Cause: a claim is one append and then a read of the agents. If that takes longer than the silence time-out, another entry claims too and asks this process to step down. It answered that it had, since it was not active yet, and became active afterwards: it granted leases under its older epoch for up to 10 s, while its successor, on its word, started inherited tasks after 4.6 s. Evidence: PlannerServiceTest.DoesNotBecomeActiveAfterConfirmingThatItIsNot failed before (epoch 2 active, 0 expected). Change: BecomeActive does nothing if a newer planner has been in touch; both are decided under one lock.

--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -69,6 +69,8 @@
                                   const std::vector<PlannerRecord>& former) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    // The successor has been told that this process grants no leases.
+    if (successor_.epoch > epoch) return;
     planner_ =
         std::make_unique<PoolPlanner>(options_.planner, epoch, table, agents, LeaseClock().Now());
     planner_->ConfirmLeadership(requested_at);
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -45,9 +45,9 @@
   PlannerService(const PlannerService&) = delete;
   PlannerService& operator=(const PlannerService&) = delete;
 
-  // Becomes the active planner. The claim was written under `sequence`; `table` contains everything
-  // before the claim. `requested_at` is when the claim was sent. `former`: the former planners that
-  // the claim names.
+  // Becomes the active planner, unless a newer planner has been in touch. The claim was written
+  // under `sequence`; `table` contains everything before the claim. `requested_at` is when the
+  // claim was sent. `former`: the former planners that the claim names.
   void BecomeActive(int64_t epoch, int64_t sequence, const JobTable& table,
                     const std::set<std::string>& agents, Time requested_at,
                     const std::vector<PlannerRecord>& former = {});
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -155,6 +155,18 @@
   EXPECT_NE(repeat.Wait(), Outcome::kRan);
 }
 
+// A claim takes so long that a successor claims as well, asks this process to step down and is told
+// that it has. If the process became active after that, it would grant leases that the successor
+// does not wait for.
+TEST_F(PlannerServiceTest, DoesNotBecomeActiveAfterConfirmingThatItIsNot) {
+  const PlannerRecord successor = {3, "b", "b:1"};
+  LocalPlannerClient(&service_).Yield(successor, kAnswerLimit);
+  service_.BecomeActive(2, 1, JobTable(), {}, LeaseClock().Now());
+  EXPECT_EQ(service_.epoch(), 0);
+  service_.BecomeActive(4, 1, JobTable(), {}, LeaseClock().Now());
+  EXPECT_EQ(service_.epoch(), 4);
+}
+
 // A caller whose job becomes durable with the planner's last append must not be told "unknown" at a
 // planned stop.
 TEST_F(PlannerServiceTest, AnswersCallersOfLastAppendOnRelease) {
