Pool: Grant no leases beyond the wait to workers that were not read

Callers saw: possible two runs of one task some seconds after a change of planner. An agent whose worker can't be read under the new planner (its answers are lost) reports all the while, and was granted leases by the new planner itself with each answer. A hold that gets no answer may be carried out, so that a run went on under the new planner's lease when the same task was started elsewhere. Evidence: PoolPlanner.GrantsNoLeaseBeyondItsWaitToAWorkerThatWasNotRead failed before: the task was started while the newest lease was valid. Change: an agent that is listed and was not read gets a lease only if it ends, with its margin, before the wait does. An agent whose worker answers is read with its first poll, so that nothing changes for it.

--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -89,6 +89,16 @@
   return found != workers_.end() && found->second.version > found->second.acked_version;
 }
 
+// The runs of a worker that has not been read are not known, so that other agents may be ordered to
+// start the same tasks once inherited work may start. Leases granted here must have expired by
+// then.
+bool PoolPlanner::MayGrantLease(const std::string& node, Time now) const {
+  if (!leadership_confirmed_) return false;
+  if (now - *leadership_confirmed_ >= options_.unconfirmed_limit) return false;
+  if (unreported_agents_.count(node) == 0) return true;
+  return now + options_.lease_duration + options_.lease_margin <= inherited_start_time_;
+}
+
 AgentOrders PoolPlanner::Orders(const std::string& node, Time now) {
   WorkerState& worker = workers_[node];
   AgentOrders orders;
@@ -97,9 +107,7 @@
   orders.acked_ends = worker.acked_ends;
   orders.worker_start_time_ms = worker.facts.start_time_ms;
   orders.lag = planner_lag_.lag();
-  if (leadership_confirmed_ && now - *leadership_confirmed_ < options_.unconfirmed_limit) {
-    orders.lease = options_.lease_duration;
-  }
+  if (MayGrantLease(node, now)) orders.lease = options_.lease_duration;
   if (MayStart(now)) orders.start_window = options_.start_window;
   for (const auto& [id, run] : worker.live) {
     if (run.phase == RunPhase::kStopping) orders.stops.push_back(id);
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -253,6 +253,7 @@
 
   // Planning rounds; defined in pool_planner_planning.cc.
 
+  bool MayGrantLease(const std::string& node, Time now) const;
   bool MayStart(Time now) const;
   bool MayStartInherited(Time now) const;
   void ExpireLeases(Time now);
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -147,6 +147,34 @@
   EXPECT_TRUE(placed_after(seconds(6)));
 }
 
+// After a change of planner an agent is heard, but its worker's answers are lost, so that nobody
+// knows what runs there. The worker still takes the leases: if the new planner granted them to the
+// end, it would start a task elsewhere that runs under a lease of its own.
+TEST(PoolPlanner, GrantsNoLeaseBeyondItsWaitToAWorkerThatWasNotRead) {
+  const PlannerOptions options;
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(options, 1, TableOfRunningJob(seconds(2)), {"n", "unread"}, now);
+  planner.PredecessorGone(now + milliseconds(200));
+  Time lease_end = now;
+  int64_t sequence = 0;
+  for (Time then = now; then < now + seconds(10); then += milliseconds(100)) {
+    planner.ConfirmLeadership(then);
+    planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), then);
+    AgentReport unread = Report("first", ++sequence);
+    unread.node = "unread";
+    unread.epoch = 0;
+    planner.ApplyReport(unread, 0, then);
+    const Duration lease = planner.Orders("unread", then).lease;
+    if (lease > Duration::zero()) lease_end = then + lease;
+    planner.ApplyReport(Report("first", sequence), 0, then);
+    planner.Plan(0, then);
+    if (planner.workers().at("n").live.empty()) continue;
+    EXPECT_GE(then, lease_end + options.lease_margin);
+    return;
+  }
+  FAIL() << "the task was never started";
+}
+
 // An agent is gone while the planner changes, and a job waits of which nothing has begun. The job
 // need not wait for that agent's leases to expire: if any of it had begun, the store would show it.
 TEST(PoolPlanner, StartsAnInheritedQueuedJobImmediately) {
