Pool: Start nothing on agents that are not listed for a successor

Callers saw: possible two runs of one task after a planner had removed silent agents from the members, and died. Cause: a successor waits for the agents in the members topic only. (a) A planner that removed a silent agent and heard it again went on to start tasks on its worker before the agent was listed again, for as long as that agent lacked the store. (b) Removals carried no condition. A planner that had stood still and had not noticed its successor yet removed every agent, since it had heard none, while they worked for its successor; and a removal that the store carried out late removed an agent that had registered again. Change: a planner removes agents by one append that holds only if the topic ends as it has read it, with its own announcement as the newest one, so that neither an older planner's nor a late removal takes effect; and only while its leadership is confirmed. From before that append until it has read the topic beyond it, and the agents in it, it starts nothing on their workers. A new planner starts nothing before it has read the topic up to its own announcement, from which on no removal of a former planner can take effect. No message changed; a round of planning compares one pointer.

--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -15,6 +15,8 @@
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(300);
 constexpr Duration kAgentCheckInterval = std::chrono::seconds(5);
+// How often a removal of agents is repeated until the store has answered.
+constexpr Duration kRemovalRetryInterval = std::chrono::seconds(1);
 constexpr Duration kListedCheckInterval = std::chrono::seconds(2);
 // A poll of the members topic takes up to 4 s.
 constexpr Duration kMaxMembersAge = std::chrono::seconds(6);
@@ -89,7 +91,7 @@
       if (leadership.planner.epoch > epoch) service_->StepDown("a newer planner is active");
       if (announced_epoch_ < epoch) Announce();
       if (waiting_for_predecessors_) NotifyPredecessors(now);
-      ForgetSilentAgents(now);
+      RemoveSilentAgents(now);
       OfferLeadership(now);
       continue;
     }
@@ -267,20 +269,26 @@
   return true;
 }
 
-void PlannerElector::ForgetSilentAgents(Time now) {
+void PlannerElector::RemoveSilentAgents(Time now) {
   if (now - active_since_ < options_.agent_forget_grace_period) return;
-  if (now - agents_checked_at_ < kAgentCheckInterval) return;
+  const Duration interval = removal_unresolved_ ? kRemovalRetryInterval : kAgentCheckInterval;
+  if (now - agents_checked_at_ < interval) return;
   agents_checked_at_ = now;
-  const std::set<std::string> agents = members_->agents();
-  for (const std::string& node :
-       service_->UnresponsiveAgents(agents, options_.agent_silence_limit, now)) {
-    try {
-      log_->Append(kMembersTopic, {{kAgentPrefix + node, "", kNoOffset}}, {}, kClaimTimeout);
-      LogEvent(LogLevel::kInfo, "agent_forgotten", {{"node", node}});
-    } catch (const Error& error) {
-      LogEvent(LogLevel::kWarning, "agent_not_forgotten",
-               {{"node", node}, {"error", error.what()}});
-    }
+  const std::optional<AgentRemoval> removal =
+      service_->RemoveSilentAgents(options_.agent_silence_limit, now);
+  removal_unresolved_ = false;
+  if (!removal) return;
+  std::vector<KeyedRecord> records;
+  for (const std::string& node : removal->nodes) {
+    records.push_back({kAgentPrefix + node, "", kNoOffset});
+  }
+  try {
+    log_->Append(kMembersTopic, records, {removal->expected_end, "", 0, 0}, kClaimTimeout);
+    LogEvent(LogLevel::kInfo, "agents_removed", {{"nodes", removal->nodes}});
+  } catch (const Error& error) {
+    removal_unresolved_ = error.kind() != ErrorKind::kConflict;
+    LogEvent(LogLevel::kWarning, "agents_not_removed",
+             {{"nodes", removal->nodes}, {"error", error.what()}});
   }
 }
 
--- a/servers/pool/planner_elector.h
+++ b/servers/pool/planner_elector.h
@@ -85,7 +85,7 @@
   // Writes this planner's address to the members topic, where agents look it up. Repeated until it
   // succeeds.
   void Announce();
-  void ForgetSilentAgents(Time now);
+  void RemoveSilentAgents(Time now);
   // Notifies the former planners that they have been succeeded, so that they step down. Unless all
   // of them confirm, inherited work has to wait for as long as agents may still follow one of them,
   // about 15 s. If they confirm, the wait is one lease (5 s), or ends when all agents have reported
@@ -109,6 +109,8 @@
   int64_t rejected_epoch_ = 0;
   Time connected_since_{};
   Time agents_checked_at_{};
+  // Whether the outcome of the newest removal of agents is unknown.
+  bool removal_unresolved_ = false;
   Time listed_checked_at_{};
   Time last_offer_at_{};
   Time active_since_{};
--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -101,15 +101,13 @@
   Candidate(KeyedLog* log, const std::string& node) : Candidate(log, node, nullptr) {}
   // `connected_entries`: the entries that this candidate can reach; null: none.
   Candidate(KeyedLog* log, const std::string& node, LocalConnector* connected_entries,
-            int capacity = kUnlimitedCapacity, const PlannerServiceOptions& service_options = {})
+            const PlannerServiceOptions& service_options = {}, ElectorOptions options = {})
       : work(log),
         operators(log, std::make_unique<platform::OperatorRecordDecoder>()),
         members(log, milliseconds(200)),
-        service(service_options, log, &operators, &metrics) {
-    ElectorOptions options;
+        service(service_options, log, &operators, &members, &metrics) {
     options.node = node;
     options.address = node + ":1";
-    options.planning_capacity = capacity;
     if (connected_entries != nullptr) connected_entries->Add(options.address, &service);
     PlannerConnector* reached = &connector;
     if (connected_entries != nullptr) reached = connected_entries;
@@ -160,7 +158,11 @@
   }
 }
 
-constexpr int kWeakCapacity = 1;
+ElectorOptions WeakVm() {
+  ElectorOptions options;
+  options.planning_capacity = 1;
+  return options;
+}
 
 // Registers two agents, more than a weak entry can plan for.
 void ListAgents(MemoryKeyedLog* log) {
@@ -185,7 +187,7 @@
   MemoryKeyedLog log;
   ListAgents(&log);
   LocalConnector connected_entries;
-  Candidate weak(&log, "a", &connected_entries, kWeakCapacity);
+  Candidate weak(&log, "a", &connected_entries, {}, WeakVm());
   ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == 1; }));
   Candidate strong(&log, "b", &connected_entries);
   ASSERT_TRUE(Eventually([&] { return strong.service.epoch() == 2; }));
@@ -200,7 +202,7 @@
   const EntryRecord missing_entry = {"gone", "a", "gone:1", kUnlimitedCapacity};
   log.Append(kMembersTopic, {{"entry/gone", EncodeEntry(missing_entry), kNoOffset}}, {},
              std::chrono::seconds(1));
-  Candidate weak(&log, "a", nullptr, kWeakCapacity);
+  Candidate weak(&log, "a", nullptr, {}, WeakVm());
   ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == 1; }));
   // The weak entry offers its leadership to the missing one, which can't accept.
   ASSERT_TRUE(Eventually([&] { return weak.members.entries().size() == 2; }));
@@ -409,12 +411,12 @@
   InheritedTask task(&log);
   FaultyKeyedLog faulty_log(&log);
   LocalConnector connected_entries;
-  Candidate first(&faulty_log, "a", &connected_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate first(&faulty_log, "a", &connected_entries, ShortLeases());
   ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
   UnreadableAfterClaimLog claiming_log(&log);
   // Reaches no other entry.
   LocalConnector no_entries;
-  Candidate second(&claiming_log, "b", &no_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate second(&claiming_log, "b", &no_entries, ShortLeases());
   ASSERT_TRUE(Eventually([&] { return second.members.agent_count() == 2; }));
   faulty_log.SetFaults({true, false});
   ASSERT_TRUE(Eventually([&] { return claiming_log.claims() > 0; }));
@@ -431,14 +433,14 @@
   InheritedTask task(&log);
   FaultyKeyedLog faulty_log(&log);
   LocalConnector connected_entries;
-  Candidate first(&faulty_log, "a", &connected_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate first(&faulty_log, "a", &connected_entries, ShortLeases());
   ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
   LocalConnector no_entries;
-  Candidate second(&log, "b", &no_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate second(&log, "b", &no_entries, ShortLeases());
   FailOver(&faulty_log, second);
   second.elector->Leave();
   second.service.Release(kReleaseLimit);
-  Candidate third(&log, "c", &no_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate third(&log, "c", &no_entries, ShortLeases());
   ASSERT_TRUE(Eventually([&] { return third.service.epoch() == 3; }));
   EXPECT_EQ(first.service.epoch(), 1);
   EXPECT_FALSE(task.IsStartedWithin(kLongAfterLeases, &third.service));
@@ -451,18 +453,156 @@
   InheritedTask task(&log);
   FaultyKeyedLog faulty_log(&log);
   LocalConnector connected_entries;
-  Candidate first(&faulty_log, "a", &connected_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate first(&faulty_log, "a", &connected_entries, ShortLeases());
   ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
-  Candidate second(&log, "b", &connected_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate second(&log, "b", &connected_entries, ShortLeases());
   FailOver(&faulty_log, second);
   ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 0; }));
   second.elector->Leave();
   second.service.Release(kReleaseLimit);
-  Candidate third(&log, "c", &connected_entries, kUnlimitedCapacity, ShortLeases());
+  Candidate third(&log, "c", &connected_entries, ShortLeases());
   ASSERT_TRUE(Eventually([&] { return third.service.epoch() == 3; }));
   EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &third.service));
 }
 
+constexpr Duration kAgentSilenceLimit = milliseconds(300);
+
+// Agents are removed from the members soon after they were heard last.
+ElectorOptions ShortSilence() {
+  ElectorOptions options;
+  options.agent_silence_limit = kAgentSilenceLimit;
+  options.agent_forget_grace_period = milliseconds(500);
+  return options;
+}
+
+bool IsListed(MemoryKeyedLog* log, const std::string& node) {
+  const KeyedPage page = log->Newest(kMembersTopic, "", std::chrono::seconds(1));
+  return std::any_of(page.records.begin(), page.records.end(),
+                     [&](const KeyedRecord& record) { return record.key == kAgentPrefix + node; });
+}
+
+void ListAgent(MemoryKeyedLog* log, const std::string& node) {
+  log->Append(kMembersTopic, {{kAgentPrefix + node, "a", kNoOffset}}, {}, std::chrono::seconds(1));
+}
+
+// Log that never answers the first removal of agents and carries it out once asked to.
+class LateRemovalLog : public ForwardingLog {
+ public:
+  explicit LateRemovalLog(KeyedLog* log) : ForwardingLog(log) {}
+
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    const bool removal = topic == kMembersTopic && records.front().value.empty();
+    if (!removal) return ForwardingLog::Append(topic, records, guard, timeout);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!late_.empty()) return ForwardingLog::Append(topic, records, guard, timeout);
+    late_ = records;
+    guard_ = guard;
+    throw Error(ErrorKind::kLogUnavailable, Outcome::kUnknown, "no answer");
+  }
+
+  bool has_late_removal() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !late_.empty();
+  }
+  void CarryOut() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    try {
+      ForwardingLog::Append(kMembersTopic, late_, guard_, std::chrono::seconds(1));
+    } catch (const Error&) {
+      // Its condition no longer holds.
+    }
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<KeyedRecord> late_;
+  AppendGuard guard_;
+};
+
+// An agent that was silent is removed from the members and heard again. It has lost the store, so
+// it can't register again. If the planner started tasks on its worker and died, its successor would
+// start them elsewhere immediately, since it would wait for no agent that is not listed.
+TEST(PlannerElector, StartsNothingOnAnAgentThatWasRemovedFromTheMembers) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  Candidate planner(&log, "a", nullptr, ShortLeases(), ShortSilence());
+  ASSERT_TRUE(Eventually([&] { return !IsListed(&log, "n"); }));
+  EXPECT_FALSE(task.IsStartedWithin(std::chrono::seconds(1), &planner.service));
+  ListAgent(&log, "n");
+  EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &planner.service));
+}
+
+// The store leaves a removal unanswered and carries it out seconds later, when the agent is heard
+// and has registered again. A removal at that moment would hide the agent from a successor.
+TEST(PlannerElector, DoesNotRemoveAnAgentLateThatHasRegisteredAgain) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  LateRemovalLog late_log(&log);
+  Candidate planner(&late_log, "a", nullptr, ShortLeases(), ShortSilence());
+  ASSERT_TRUE(Eventually([&] { return late_log.has_late_removal(); }));
+  EXPECT_FALSE(task.IsStartedWithin(milliseconds(500), &planner.service));
+  ListAgent(&log, "n");
+  EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &planner.service));
+  late_log.CarryOut();
+  EXPECT_TRUE(IsListed(&log, "n"));
+}
+
+// Log that can be cut from all but the appends to the members topic.
+class FrozenReaderLog : public ForwardingLog {
+ public:
+  using ForwardingLog::ForwardingLog;
+
+  KeyedPage Newest(const std::string& topic, const std::string& after, Duration timeout) override {
+    RequireNotFrozen();
+    return ForwardingLog::Newest(topic, after, timeout);
+  }
+  KeyedBatch Read(const std::string& topic, Offset from, Duration wait, Duration timeout) override {
+    RequireNotFrozen();
+    KeyedBatch batch = ForwardingLog::Read(topic, from, wait, timeout);
+    RequireNotFrozen();
+    return batch;
+  }
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    if (topic != kMembersTopic) RequireNotFrozen();
+    return ForwardingLog::Append(topic, records, guard, timeout);
+  }
+
+  void Freeze() { frozen_.store(true); }
+
+ private:
+  void RequireNotFrozen() const {
+    if (!frozen_.load()) return;
+    throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "not now");
+  }
+
+  std::atomic<bool> frozen_{false};
+};
+
+// A planner stood still, has not noticed its successor yet, and has heard no agent for long. If it
+// removed the agents, which are at work for its successor, the next change of planner would wait
+// for none of them.
+TEST(PlannerElector, RemovesNoAgentsOfItsSuccessor) {
+  MemoryKeyedLog log;
+  FrozenReaderLog frozen_log(&log);
+  ElectorOptions options = ShortSilence();
+  options.agent_forget_grace_period = std::chrono::seconds(4);
+  Candidate first(&frozen_log, "a", nullptr, ShortLeases(), options);
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 1; }));
+  ListAgent(&log, "n");
+  ASSERT_TRUE(Eventually([&] { return first.members.agent_count() == 1; }));
+  frozen_log.Freeze();
+  Candidate second(&log, "b");
+  ASSERT_TRUE(Eventually([&] { return second.service.epoch() == 2; }));
+  const Time end = LeaseClock().Now() + std::chrono::seconds(5);
+  while (LeaseClock().Now() < end) {
+    ASSERT_TRUE(IsListed(&log, "n"));
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  EXPECT_EQ(first.service.epoch(), 1);
+}
+
 // The store rejects the planner's VM and serves the others. One of them takes over, and the old
 // planner learns of it as soon as the store answers it again.
 TEST(PlannerElector, FailsOverWhenPlannerLosesStore) {
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -24,10 +24,12 @@
 }  // namespace
 
 PlannerService::PlannerService(const PlannerServiceOptions& options, KeyedLog* log,
-                               const OperatorView* operators, MetricsRegistry* metrics)
+                               const OperatorView* operators, const MembersView* members,
+                               MetricsRegistry* metrics)
     : options_(options),
       log_(log),
       operators_(operators),
+      members_(members),
       appends_(metrics->counter("store_appends")),
       append_failures_(metrics->counter("store_append_failures")),
       append_seconds_(metrics->distribution("store_append_seconds")),
@@ -75,6 +77,9 @@
         std::make_unique<PoolPlanner>(options_.planner, epoch, table, agents, LeaseClock().Now());
     planner_->ConfirmLeadership(requested_at);
     former_planners_ = former;
+    removal_ = {};
+    membership_.reset();
+    UpdateListedAgentsLocked();
     epoch_gauge_.Set(static_cast<double>(epoch));
     sequence_ = sequence;
     releasing_ = false;
@@ -138,17 +143,36 @@
   return planner_ ? planner_->epoch() : 0;
 }
 
-std::vector<std::string> PlannerService::UnresponsiveAgents(const std::set<std::string>& agents,
-                                                            Duration limit, Time now) const {
+std::optional<AgentRemoval> PlannerService::RemoveSilentAgents(Duration limit, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<std::string> unresponsive;
-  if (!planner_) return unresponsive;
-  for (const std::string& node : agents) {
+  if (!planner_ || !planner_->LeadershipConfirmed(now)) return std::nullopt;
+  const std::shared_ptr<const Membership> membership = members_->membership();
+  if (!membership->IsCurrentFor(planner_->epoch())) return std::nullopt;
+  // The store may still carry out the newest removal.
+  if (membership->end <= removal_.expected_end) return removal_;
+  AgentRemoval removal = {{}, membership->end};
+  for (const std::string& node : membership->agents) {
     const auto known = planner_->workers().find(node);
     if (known != planner_->workers().end() && now - known->second.last_report < limit) continue;
-    unresponsive.push_back(node);
+    removal.nodes.insert(node);
   }
-  return unresponsive;
+  if (removal.nodes.empty()) return std::nullopt;
+  removal_ = removal;
+  membership_.reset();
+  UpdateListedAgentsLocked();
+  return removal;
+}
+
+void PlannerService::UpdateListedAgentsLocked() {
+  std::shared_ptr<const Membership> membership = members_->membership();
+  if (membership == membership_) return;
+  std::set<std::string> listed;
+  if (membership->IsCurrentFor(planner_->epoch())) listed = membership->agents;
+  if (membership->end <= removal_.expected_end) {
+    for (const std::string& node : removal_.nodes) listed.erase(node);
+  }
+  planner_->SetListedAgents(listed);
+  membership_ = std::move(membership);
 }
 
 std::optional<AdviceRequest> PlannerService::NextAdviceRequest(Duration limit) {
@@ -327,6 +351,7 @@
       begun = now;
       const Freshness read = operators_->freshness();
       if (read.requested_at) planner_->SetOperatorState(operators_->state(), *read.requested_at);
+      UpdateListedAgentsLocked();
       planner_->NoteDurable();
       planner_->Plan(LeaseClock().WallMillis(), now);
       AnswerPolls(now, &replies);
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -37,10 +37,17 @@
   Duration append_stall_timeout = std::chrono::milliseconds(700);
 };
 
+// Removal of agents from the members topic. Holds only if the topic ends at `expected_end`, so that
+// a removal which the store carries out late can't remove an agent that has registered again.
+struct AgentRemoval {
+  std::set<std::string> nodes;
+  Offset expected_end = kNoOffset;
+};
+
 class PlannerService : public PlannerGate {
  public:
   PlannerService(const PlannerServiceOptions& options, KeyedLog* log, const OperatorView* operators,
-                 MetricsRegistry* metrics);
+                 const MembersView* members, MetricsRegistry* metrics);
   ~PlannerService() override;
   PlannerService(const PlannerService&) = delete;
   PlannerService& operator=(const PlannerService&) = delete;
@@ -72,9 +79,10 @@
   void SetLeadershipView(const PlannerRecord& planner, bool would_claim);
   // Epoch of this process while it is the active planner; 0 otherwise.
   int64_t epoch() const;
-  // Returns those of `agents` from which no report has been received for `limit`.
-  std::vector<std::string> UnresponsiveAgents(const std::set<std::string>& agents, Duration limit,
-                                              Time now) const;
+  // Returns the removal of all listed agents from which no report has been received for `limit`, or
+  // the newest one if its outcome is not known yet. Nothing is started on their workers from now
+  // on, until the members topic lists them after that removal.
+  std::optional<AgentRemoval> RemoveSilentAgents(Duration limit, Time now);
 
   void Exchange(const AgentReport& report, std::function<void(Result<AgentOrders>)> done) override;
   void Submit(const JobSpec& spec, std::function<void(Result<Done>)> done) override;
@@ -103,6 +111,8 @@
   template <typename Take>
   void AcceptCall(JobIntake::OnDone done, Take&& take);
   void AnswerPolls(Time now, Replies* replies);
+  // Tells the planner which agents are listed in the members topic.
+  void UpdateListedAgentsLocked();
   void StepDownLocked(const char* reason, Replies* replies);
   // Error for callers while this process is not the active planner.
   static Error NotActiveError();
@@ -110,6 +120,7 @@
   const PlannerServiceOptions options_;
   KeyedLog* const log_;
   const OperatorView* const operators_;
+  const MembersView* const members_;
   Counter& appends_;
   Counter& append_failures_;
   Distribution& append_seconds_;
@@ -123,6 +134,10 @@
   std::condition_variable write_ready_;
   std::condition_variable advice_ready_;
   std::unique_ptr<PoolPlanner> planner_;
+  // The newest removal of agents by this planner.
+  AgentRemoval removal_;
+  // The membership that the planner was told of last; null if the planner has to be told again.
+  std::shared_ptr<const Membership> membership_;
   // Former planners named in this planner's record.
   std::vector<PlannerRecord> former_planners_;
   // The newest planner that has notified this process that it took over.
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -100,7 +100,8 @@
   OperatorView operators_{&log_, std::make_unique<platform::OperatorRecordDecoder>()};
   MetricsRegistry metrics_;
   Counter& failures_ = metrics_.counter("store_append_failures");
-  PlannerService service_{Options(), &faulty_log_, &operators_, &metrics_};
+  MembersView members_{&log_, milliseconds(200)};
+  PlannerService service_{Options(), &faulty_log_, &operators_, &members_, &metrics_};
 };
 
 // A job that was withdrawn for its first attempt must not be reported as accepted to the second.
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -25,7 +25,7 @@
       operators_(log, std::move(decoder)),
       members_(log, options.members_wait),
       router_(options.node, options.zone, &members_, connector),
-      service_(options.planner, log, &operators_, metrics),
+      service_(options.planner, log, &operators_, &members_, metrics),
       job_api_(options.job_api, &work_, &operators_, &service_, &router_, metrics) {
   callers_ = std::make_unique<HttpServer>(options.callers, [this](const HttpRequest& request) {
     return endpoint_->Handle(request, &job_api_, LeaseClock().Now());
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -51,6 +51,19 @@
       std::min(inherited_start_time_, now + options_.lease_duration + options_.lease_margin);
 }
 
+void PoolPlanner::SetListedAgents(const std::set<std::string>& nodes) {
+  listed_now_ = nodes;
+  for (auto& [node, worker] : workers_) {
+    const bool listed = IsListed(node);
+    needs_planning_ = needs_planning_ || listed != worker.listed;
+    worker.listed = listed;
+  }
+}
+
+bool PoolPlanner::IsListed(const std::string& node) const {
+  return !listed_now_ || listed_now_->count(node) > 0;
+}
+
 Ticket PoolPlanner::Submit(const JobSpec& spec) {
   Job* known = FindJob(spec.id);
   if (known != nullptr) return known->accepted_ticket;
@@ -108,7 +121,7 @@
   orders.worker_start_time_ms = worker.facts.start_time_ms;
   orders.lag = planner_lag_.lag();
   if (MayGrantLease(node, now)) orders.lease = options_.lease_duration;
-  if (MayStart(now)) orders.start_window = options_.start_window;
+  if (MayStart(now) && worker.listed) orders.start_window = options_.start_window;
   for (const auto& [id, run] : worker.live) {
     if (run.phase == RunPhase::kStopping) orders.stops.push_back(id);
     if (run.phase != RunPhase::kOrdered || run.start_after > outbox_.durable()) continue;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -109,6 +109,9 @@
   // Whether leadership was confirmed so recently that no other planner can have taken over since.
   bool LeadershipConfirmed(Time now) const;
   void SetOperatorState(std::shared_ptr<const OperatorState> state, Time sent);
+  // Sets the agents that are listed in the store beyond doubt. A successor waits for these only, so
+  // nothing is started on the worker of any other agent. Until the first call, all are listed.
+  void SetListedAgents(const std::set<std::string>& nodes);
   // Call when the previous planner has confirmed that it has stepped down, so that it grants no
   // leases from `now` on.
   void PredecessorGone(Time now);
@@ -253,6 +256,7 @@
 
   // Planning rounds; defined in pool_planner_planning.cc.
 
+  bool IsListed(const std::string& node) const;
   bool MayGrantLease(const std::string& node, Time now) const;
   bool MayStart(Time now) const;
   bool MayStartInherited(Time now) const;
@@ -331,6 +335,7 @@
   const Time started_at_;
   // Number of agents that were listed when this planner began.
   const size_t listed_agents_;
+  std::optional<std::set<std::string>> listed_now_;
   // Listed agents that must report before inherited work is started.
   std::set<std::string> unreported_agents_;
   AdviceCache advice_;
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -25,6 +25,7 @@
 void PoolPlanner::ApplyReport(const AgentReport& report, int64_t wall_ms, Time now) {
   WorkerState& worker = workers_[report.node];
   worker.node = report.node;
+  worker.listed = IsListed(report.node);
   if (!AcceptIncarnation(report, &worker, now)) return;
   if (report.sequence <= worker.sequence) return;
   worker.sequence = report.sequence;
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -164,10 +164,7 @@
   };
   follower_ = std::make_unique<TopicFollower>(
       options, log, [this](const KeyedRecord& record) { ApplyRecord(record); },
-      [this](Offset /*end*/, Time requested_at) {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        freshness_.requested_at = requested_at;
-      },
+      [this](Offset end, Time requested_at) { CaughtUp(end, requested_at); },
       [this] {
         const std::lock_guard<std::mutex> lock(mutex_);
         agents_.clear();
@@ -175,6 +172,19 @@
       });
 }
 
+void MembersView::CaughtUp(Offset end, Time requested_at) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  freshness_.requested_at = requested_at;
+  if (membership_->end == end && end > 0) return;
+  membership_ =
+      std::make_shared<const Membership>(Membership{planner_, planner_announced_at_, agents_, end});
+}
+
+std::shared_ptr<const Membership> MembersView::membership() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return membership_;
+}
+
 void MembersView::ApplyEntry(const KeyedRecord& record) {
   const std::string node = record.key.substr(std::string(kEntryPrefix).size());
   if (record.value.empty()) {
@@ -206,6 +216,7 @@
     PlannerRecord planner = DecodePlanner(record.value);
     if (planner.epoch < planner_.epoch) return;
     planner_ = std::move(planner);
+    planner_announced_at_ = record.offset;
   } catch (const Error& error) {
     LogSkippedRecord(kMembersTopic, record, error);
     return;
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -103,10 +103,26 @@
   std::unique_ptr<TopicFollower> follower_;
 };
 
+// The members topic as of one offset.
+struct Membership {
+  // The newest planner that has announced itself, and the offset of its announcement.
+  PlannerRecord planner;
+  Offset announced_at = kNoOffset;
+  std::set<std::string> agents;
+  // All records before this offset are reflected.
+  Offset end = 0;
+
+  // Whether the planner of `epoch` is the newest one and all that was written before its
+  // announcement is reflected. Conditional appends of former planners fail from then on.
+  bool IsCurrentFor(int64_t epoch) const { return planner.epoch == epoch && end > announced_at; }
+};
+
 class MembersView {
  public:
   explicit MembersView(KeyedLog* log, Duration wait);
 
+  std::shared_ptr<const Membership> membership() const;
+
   PlannerRecord planner() const;
   std::set<std::string> agents() const;
   size_t agent_count() const;
@@ -119,9 +135,12 @@
  private:
   void ApplyRecord(const KeyedRecord& record);
   void ApplyEntry(const KeyedRecord& record);
+  void CaughtUp(Offset end, Time requested_at);
 
   mutable std::mutex mutex_;
+  std::shared_ptr<const Membership> membership_ = std::make_shared<const Membership>();
   PlannerRecord planner_;
+  Offset planner_announced_at_ = kNoOffset;
   std::set<std::string> agents_;
   std::map<std::string, EntryRecord> entries_;
   Freshness freshness_;
--- a/servers/pool/worker_state.cc
+++ b/servers/pool/worker_state.cc
@@ -40,7 +40,7 @@
 }
 
 bool WorkerState::usable(Time now) const {
-  return lists_received && !facts.id.empty() && facts.reachable && !facts.draining &&
+  return listed && lists_received && !facts.id.empty() && facts.reachable && !facts.draining &&
          now - last_report < kReportTimeout;
 }
 
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -66,6 +66,8 @@
   // The most recent previous incarnations; see PoolPlanner::AcceptIncarnation.
   std::deque<std::string> former_incarnations;
   int64_t sequence = -1;
+  // Whether the agent is listed in the members topic; see PoolPlanner::SetListedAgents.
+  bool listed = true;
   WorkerFacts facts;
   // The agent's task lists under this planner's epoch have been received, so no order of an older
   // planner can start anything on the worker.
--- a/tests/thread_shortage_test.cc
+++ b/tests/thread_shortage_test.cc
@@ -73,9 +73,10 @@
 TEST(ThreadShortageTest, PlannerServiceFailsToStart) {
   MemoryKeyedLog log;
   const pool::OperatorView operators(&log, std::make_unique<platform::OperatorRecordDecoder>());
+  const pool::MembersView members(&log, std::chrono::milliseconds(1));
   MetricsRegistry metrics;
   ExpectUnavailableBelow(
-      2, [&] { const pool::PlannerService service({}, &log, &operators, &metrics); });
+      2, [&] { const pool::PlannerService service({}, &log, &operators, &members, &metrics); });
 }
 
 class NoWorker : public pool::PoolWorker {
