Agent: Start nothing while a removal from the members may take effect

Callers saw: possible two runs of one task after a worker left and started again, with a slow store and a change of planner. Cause: an agent removes itself from the members when its worker has left. If the store did not answer, the agent still counted as registered; for the next start of its worker it saw itself listed and registered no more, and the store could carry the removal out seconds later. Tasks ran on the worker of an agent that no successor waits for, until the agent's view showed it and the store took its registration. Evidence: PoolAgentTest.IsNotRemovedLateOnceItsWorkerHasStartedAgain failed before (no second registration in 30 s). Change: the removal holds only if the topic ends as the agent has read it, so that any later registration, of this process or of its successor, makes it void; the agent counts as not registered from before it sends the removal, and as soon as its view, beyond its registration, lacks it.

--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -377,25 +377,53 @@
   }
   // A process that has just started does not know its worker yet, which is no reason to deregister.
   if (!wanted && !gone) return;
-  if (wanted == registered_.load() && now - member_checked_at_ < kMemberCheckInterval) return;
-  member_checked_at_ = now;
-  const bool listed = members_.agents().count(options_.node) > 0;
-  // A registered agent may be missing from the list, because planners remove agents from which
-  // nothing has been received for ElectorOptions::agent_silence_limit.
-  if (wanted == registered_.load() && wanted == listed) return;
+  const std::shared_ptr<const Membership> membership = members_.membership();
+  const bool listed = membership->agents.count(options_.node) > 0;
+  // Planners remove agents from which nothing has been received for
+  // ElectorOptions::agent_silence_limit.
+  if (registered_.load() && !listed && membership->end > registered_at_) SetRegistered(false);
+  if (wanted) {
+    if (!registered_.load()) Register();
+    return;
+  }
+  if (!registered_.load() && !listed) return;
+  if (!registered_.load() && now - deregistered_at_ < kMemberCheckInterval) return;
+  deregistered_at_ = now;
+  Deregister(membership->end);
+}
+
+void PoolAgent::SetRegistered(bool registered) {
+  registered_.store(registered);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  state_.SetMember(registered);
+}
+
+void PoolAgent::Register() {
   try {
-    log_->Append(kMembersTopic,
-                 {{kAgentPrefix + options_.node, wanted ? options_.zone : "", kNoOffset}}, {},
-                 kAppendTimeout);
-    registered_.store(wanted);
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      state_.SetMember(wanted);
-    }
-    RequestUpdate();
-    LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}, {"member", wanted}});
+    const AppendResult result =
+        log_->Append(kMembersTopic, {{kAgentPrefix + options_.node, options_.zone, kNoOffset}}, {},
+                     kAppendTimeout);
+    registered_at_ = result.first;
   } catch (const Error& error) {
     LogEvent(LogLevel::kWarning, "agent_not_registered", {{"error", error.what()}});
+    return;
+  }
+  SetRegistered(true);
+  RequestUpdate();
+  LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}, {"member", true}});
+}
+
+// The store may carry the removal out late. Its condition fails once the agent, or another process
+// of it, has registered again; until then nothing is started.
+void PoolAgent::Deregister(Offset expected_end) {
+  SetRegistered(false);
+  RequestUpdate();
+  try {
+    log_->Append(kMembersTopic, {{kAgentPrefix + options_.node, "", kNoOffset}},
+                 {expected_end, "", 0, 0}, kAppendTimeout);
+    LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}, {"member", false}});
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kWarning, "agent_not_deregistered", {{"error", error.what()}});
   }
 }
 
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -74,6 +74,10 @@
   // Registers the agent in the members topic, so that a new planner waits for its report, or
   // removes it when its worker is gone.
   void EnsureMember(Time now);
+  void SetRegistered(bool registered);
+  void Register();
+  // Removes the agent from the members topic if the topic ends at `expected_end`.
+  void Deregister(Offset expected_end);
   void Pause(Duration pause);
 
   const PoolAgentOptions options_;
@@ -99,8 +103,11 @@
   bool stopping_ = false;
   // Held while the membership is checked and written.
   std::mutex member_mutex_;
+  // Whether the agent is listed in the members topic beyond doubt. Nothing is started otherwise.
   std::atomic<bool> registered_{false};
-  Time member_checked_at_{};
+  // Offset of the newest registration.
+  Offset registered_at_ = kNoOffset;
+  Time deregistered_at_{};
   ThreadPool orders_;
   // Declared last, so that the threads end before the members they use are destroyed.
   Thread worker_thread_;
--- a/servers/pool/pool_agent_test.cc
+++ b/servers/pool/pool_agent_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <thread>
 
 #include "core/error.h"
 #include "modules/stand_ins/memory_keyed_log.h"
@@ -119,5 +120,87 @@
   EXPECT_TRUE(worker.WaitUntilStopped(runs));
 }
 
+// Log that never answers the first removal of an agent and carries it out once asked to.
+class LateRemovalLog : public MemoryKeyedLog {
+ public:
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (late_.empty() && records.front().value.empty()) {
+        late_ = records;
+        guard_ = guard;
+        throw Error(ErrorKind::kLogUnavailable, Outcome::kUnknown, "no answer");
+      }
+    }
+    return MemoryKeyedLog::Append(topic, records, guard, timeout);
+  }
+
+  bool has_late_removal() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !late_.empty();
+  }
+  void CarryOut() {
+    try {
+      MemoryKeyedLog::Append(kMembersTopic, late_, guard_, kLimit);
+    } catch (const Error&) {
+      // Its condition no longer holds.
+    }
+  }
+  // Offset of the agent's registration; kNoOffset if there is none.
+  Offset RegisteredAt(const std::string& node) {
+    for (const KeyedRecord& record : Newest(kMembersTopic, "", kLimit).records) {
+      if (record.key == kAgentPrefix + node) return record.offset;
+    }
+    return kNoOffset;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<KeyedRecord> late_;
+  AppendGuard guard_;
+};
+
+template <typename Condition>
+bool Eventually(Condition&& condition) {
+  const Time end = LeaseClock().Now() + kLimit;
+  while (LeaseClock().Now() < end) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return false;
+}
+
+// A worker leaves and starts again while the store leaves the removal of its agent unanswered. If
+// the removal took effect on the agent of the new start, a new planner would not wait for it and
+// start its tasks elsewhere.
+TEST(PoolAgentTest, IsNotRemovedLateOnceItsWorkerHasStartedAgain) {
+  AgentOrders orders;
+  orders.epoch = kEpoch;
+  LateRemovalLog log;
+  log.Append(kMembersTopic,
+             {{kPlannerKey, EncodePlanner({kEpoch, "planner", "127.0.0.1:1"}), kNoOffset}}, {},
+             kLimit);
+  StopWatchWorker worker;
+  RepeatingPlanner planner(orders);
+  MetricsRegistry metrics;
+  PoolAgentOptions options;
+  options.node = "agent";
+  options.zone = "zone-a";
+  options.members_wait = std::chrono::milliseconds(50);
+  PoolAgent agent(options, &log, &worker, &planner, &metrics);
+  WorkerAnnouncement announcement = Announcement();
+  agent.WorkerAnnounced(announcement);
+  ASSERT_TRUE(Eventually([&] { return log.RegisteredAt("agent") != kNoOffset; }));
+  const Offset first = log.RegisteredAt("agent");
+  agent.WorkerLeft(announcement.facts.id);
+  ASSERT_TRUE(Eventually([&] { return log.has_late_removal(); }));
+  ++announcement.facts.start_time_ms;
+  agent.WorkerAnnounced(announcement);
+  ASSERT_TRUE(Eventually([&] { return log.RegisteredAt("agent") > first; }));
+  log.CarryOut();
+  EXPECT_NE(log.RegisteredAt("agent"), kNoOffset);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
