Agent: Stay listed while a worker that is said to have left answers

Callers saw: possible two runs of one task after a delayed message of a worker's departure and a change of planner. Cause: the message names the worker's id only, which a later start of the worker may share. Delayed beyond that start, it made the agent remove itself from the members at once, with tasks running, until the worker's next list (up to 1 s) showed them; a planner that claimed meanwhile waited for nobody there. Evidence: AgentState.IsNotGoneWhileItsWorkerAnswers failed before (gone right after the message). Change: an agent is gone only once its worker has stopped answering, which one that left does with the next hold. Left open: such a worker still counts as draining until it starts again, and is not used; a message that carries no start time can't be told from that of the current one.

--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -66,8 +66,9 @@
   const WorkerFacts& worker() const { return facts_; }
   // Whether the worker may have runs, so that a new planner has to wait for this agent's report.
   bool may_host_runs() const { return !running_.empty() || (!facts_.id.empty() && !departed_); }
-  // Whether the worker has left for good and nothing runs on it.
-  bool is_gone() const { return departed_ && running_.empty(); }
+  // Whether the worker has left for good and nothing runs on it. A worker that still answers has
+  // not: the announcement may be that of a former worker with the same id.
+  bool is_gone() const { return departed_ && running_.empty() && !facts_.reachable; }
   // Sets whether the agent is registered in the members topic. Until then its reports name no
   // worker, so that the planner starts nothing on its worker.
   void SetMember(bool member) { member_ = member; }
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -239,5 +239,20 @@
   EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).lease_left, Duration::zero());
 }
 
+// The message that a worker leaves was delayed, and another worker has started under the same id
+// since. An agent that counted as gone would be removed from the members with tasks running, and a
+// new planner would start them elsewhere.
+TEST(AgentState, IsNotGoneWhileItsWorkerAnswers) {
+  Agent agent;
+  agent.Hold(agent.now, {{kRun, "", 40}});
+  agent.state.HandleDeparture("i");
+  EXPECT_FALSE(agent.state.is_gone());
+  agent.Hold(agent.now, {{kRun, "", 50}});
+  EXPECT_TRUE(agent.state.may_host_runs());
+  agent.state.HandleDeparture("i");
+  agent.state.WorkerFailed(OrderAnswer::kNotListening);
+  EXPECT_TRUE(agent.state.is_gone());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
