Pool: Start nothing once the leadership is being released

Callers saw: possible two runs of one task at an ordered stop of the planner whose last append gets no answer. Cause: from the moment at which the release is in the store a successor may claim and read the agents. The planner that released went on to start tasks until it had the answer, also on agents that registered after its successor had read them, for whose lists the successor does not wait. Evidence: PlannerServiceTest.StartsNothingOnceItReleasesTheLeadership failed before (a start with a valid window after the release). Change: a planner that begins to release its leadership starts nothing more and sends no start that may be carried out.

--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -132,6 +132,7 @@
 void PlannerService::Release(Duration limit) {
   std::unique_lock<std::mutex> lock(mutex_);
   if (!planner_) return;
+  planner_->BeginRelease();
   planner_->outbox().Put(kPlannerKey, EncodePlanner({planner_->epoch(), "", "", former_planners_}));
   releasing_ = true;
   write_ready_.notify_all();
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -182,5 +182,41 @@
   release.Join();
 }
 
+// A planner releases the leadership, and the store's answer is lost. A successor may have read the
+// agents by now and would not wait for one that registers later, so nothing may be started there.
+TEST_F(PlannerServiceTest, StartsNothingOnceItReleasesTheLeadership) {
+  JobTable table;
+  table.Apply({"j/j", EncodeSpec(Job("j")), 1});
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  table.Apply({"p/j", EncodeProgress(progress), 2});
+  log_.Append(kMembersTopic, {{kPlannerKey, EncodePlanner({2, "a", "a:1"}), kNoOffset}}, {},
+              kAnswerLimit);
+  service_.BecomeActive(2, 1, table, {}, LeaseClock().Now());
+  WaitForAppends(2);
+  faulty_log_.SetFaults({false, true});
+  Thread release("release", [this] { service_.Release(kReleaseLimit); });
+  while (!RejectsCalls()) std::this_thread::yield();
+  log_.Append(kMembersTopic, {{"agent/n", "a", kNoOffset}}, {}, kAnswerLimit);
+  AgentReport report;
+  report.node = "n";
+  report.incarnation = "1";
+  report.epoch = 2;
+  report.worker.id = "w";
+  report.worker.start_time_ms = 1;
+  report.worker.capacity = {64'000, 131'072, 8};
+  report.worker.reachable = true;
+  const Time end = LeaseClock().Now() + kReleaseLimit / 2;
+  while (LeaseClock().Now() < end) {
+    ++report.sequence;
+    const AgentOrders orders = LocalPlannerClient(&service_).Exchange(report, kAnswerLimit);
+    const bool may_start = !orders.starts.empty() && orders.start_window > Duration::zero();
+    ASSERT_FALSE(may_start);
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  faulty_log_.SetFaults({});
+  release.Join();
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -108,6 +108,9 @@
   void ConfirmLeadership(Time sent);
   // Whether leadership was confirmed so recently that no other planner can have taken over since.
   bool LeadershipConfirmed(Time now) const;
+  // Call before the leadership is released in the store. Nothing is started from then on: a
+  // successor may already have read the agents, and waits for those only.
+  void BeginRelease() { releasing_ = true; }
   void SetOperatorState(std::shared_ptr<const OperatorState> state, Time sent);
   // Sets the agents that are listed in the store beyond doubt. A successor waits for these only, so
   // nothing is started on the worker of any other agent. Until the first call, all are listed.
@@ -343,6 +346,7 @@
   std::shared_ptr<const OperatorState> operator_state_ = std::make_shared<OperatorState>();
   std::optional<Time> operator_state_read_;
   std::optional<Time> leadership_confirmed_;
+  bool releasing_ = false;
   WorkerHealthTracker health_tracker_;
   JobEstimator estimator_;
   std::map<UnitKey, ReclaimReservation> reclaim_reservations_;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -66,7 +66,7 @@
 }
 
 bool PoolPlanner::MayStart(Time now) const {
-  return LeadershipConfirmed(now) && operator_state_read_ &&
+  return !releasing_ && LeadershipConfirmed(now) && operator_state_read_ &&
          now - *operator_state_read_ < options_.document_age_limit;
 }
 
