Pool: Grant no leases for reports that are not used

Callers saw: possible two runs of one task after an agent was replaced while a planner was new or stood still. Cause: reports of an agent's former process are dropped, but were answered with leases and orders all the same. Where the first report of the former process was read after the first one of the current process, a planner that had heard of neither took the current one for the former, for good: it gave the runs up for silence, 4.6 s later, and started their tasks elsewhere, while every answer to the reports that it dropped let them go on. Evidence: PlannerServiceTest.GrantsNoLeaseForAReportThatItDoesNotUse and PoolPlanner.HeedsAnAgentAgainWhoseFormerProcessWasReadLast; both failed with the two conditions taken out. Change: a report that is not used is refused. A process that was taken for a former one is heeded again once the one taken for the current has been silent for as long as its runs are kept, so that the worker isn't lost to the pool.

--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -218,23 +218,7 @@
     } else if (!planner_) {
       replies.push_back(Failed(std::move(done), NotActiveError()));
     } else {
-      const int64_t orders_version = planner_->orders_version();
-      planner_->ApplyReport(report, LeaseClock().WallMillis(), now);
-      replan = planner_->needs_planning() || planner_->orders_version() != orders_version ||
-               !planner_->outbox().empty();
-      const auto earlier = polls_.find(report.node);
-      if (earlier != polls_.end() && report.wait > Duration::zero()) {
-        // The agent has abandoned its earlier poll; the connection of that poll may be gone.
-        replies.push_back(
-            Succeeded(std::move(earlier->second.done), planner_->Orders(report.node, now)));
-        polls_.erase(earlier);
-      }
-      if (report.wait > Duration::zero() && !planner_->HasPendingOrders(report.node)) {
-        polls_[report.node] = {std::move(done), now + report.wait};
-      } else {
-        replies.push_back(Succeeded(std::move(done), planner_->Orders(report.node, now)));
-        if (report.wait > Duration::zero()) planner_->NotePollAnswered(report.node, now);
-      }
+      replan = HandleReport(report, std::move(done), now, &replies);
       replan_needed_ = replan_needed_ || replan;
     }
   }
@@ -243,6 +227,33 @@
   RunAll(replies);
 }
 
+bool PlannerService::HandleReport(const AgentReport& report,
+                                  std::function<void(Result<AgentOrders>)> done, Time now,
+                                  Replies* replies) {
+  const int64_t orders_version = planner_->orders_version();
+  if (!planner_->ApplyReport(report, LeaseClock().WallMillis(), now)) {
+    const Error refusal(ErrorKind::kConflict, Outcome::kNotRun,
+                        "another process of the agent has reported since");
+    replies->push_back(Failed(std::move(done), refusal));
+    return false;
+  }
+  const auto earlier = polls_.find(report.node);
+  if (earlier != polls_.end() && report.wait > Duration::zero()) {
+    // The agent has abandoned its earlier poll; the connection of that poll may be gone.
+    replies->push_back(
+        Succeeded(std::move(earlier->second.done), planner_->Orders(report.node, now)));
+    polls_.erase(earlier);
+  }
+  if (report.wait > Duration::zero() && !planner_->HasPendingOrders(report.node)) {
+    polls_[report.node] = {std::move(done), now + report.wait};
+  } else {
+    replies->push_back(Succeeded(std::move(done), planner_->Orders(report.node, now)));
+    if (report.wait > Duration::zero()) planner_->NotePollAnswered(report.node, now);
+  }
+  return planner_->needs_planning() || planner_->orders_version() != orders_version ||
+         !planner_->outbox().empty();
+}
+
 template <typename Take>
 void PlannerService::AcceptCall(JobIntake::OnDone done, Take&& take) {
   Replies replies;
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -110,6 +110,10 @@
   // and rejects it otherwise.
   template <typename Take>
   void AcceptCall(JobIntake::OnDone done, Take&& take);
+  // Applies the report and answers it, or holds the answer back. Returns whether planning is
+  // needed.
+  bool HandleReport(const AgentReport& report, std::function<void(Result<AgentOrders>)> done,
+                    Time now, Replies* replies);
   void AnswerPolls(Time now, Replies* replies);
   // Tells the planner which agents are listed in the members topic.
   void UpdateListedAgentsLocked();
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -218,5 +218,22 @@
   release.Join();
 }
 
+// The first report of an agent's former process is read after the first one of its current process,
+// so that the planner takes the current one for the former. It gives the runs up that it hears
+// nothing of any more; if the answers granted leases all the same, these runs would go on while
+// their tasks are started elsewhere.
+TEST_F(PlannerServiceTest, GrantsNoLeaseForAReportThatItDoesNotUse) {
+  LocalPlannerClient client(&service_);
+  AgentReport report;
+  report.node = "n";
+  for (const char* incarnation : {"current", "former"}) {
+    report.incarnation = incarnation;
+    EXPECT_GT(client.Exchange(report, kAnswerLimit).lease, Duration::zero());
+  }
+  report.incarnation = "current";
+  ++report.sequence;
+  EXPECT_THROW(client.Exchange(report, kAnswerLimit), Error);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -128,7 +128,9 @@
   bool WithdrawSubmission(const std::string& id);
   CancelResult Cancel(const std::string& id, int64_t wall_ms);
 
-  void ApplyReport(const AgentReport& report, int64_t wall_ms, Time now);
+  // Returns whether the report is one of the agent's current process. No other process may be
+  // granted leases.
+  bool ApplyReport(const AgentReport& report, int64_t wall_ms, Time now);
   // Whether there are orders that the agent has not seen.
   bool HasPendingOrders(const std::string& node) const;
   // Increases whenever there are new orders for any agent.
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -22,12 +22,12 @@
 
 }  // namespace
 
-void PoolPlanner::ApplyReport(const AgentReport& report, int64_t wall_ms, Time now) {
+bool PoolPlanner::ApplyReport(const AgentReport& report, int64_t wall_ms, Time now) {
   WorkerState& worker = workers_[report.node];
   worker.node = report.node;
   worker.listed = IsListed(report.node);
-  if (!AcceptIncarnation(report, &worker, now)) return;
-  if (report.sequence <= worker.sequence) return;
+  if (!AcceptIncarnation(report, &worker, now)) return false;
+  if (report.sequence <= worker.sequence) return true;
   worker.sequence = report.sequence;
   planner_lag_.NoteReportRead(report.node, now);
   if (report.wait > Duration::zero()) planner_lag_.NotePollHeld(report.node, now + report.wait);
@@ -38,7 +38,9 @@
   worker.lease_until = std::max(worker.lease_until, now + options_.lease_duration);
   worker.acked_version = report.orders_seen;
   ApplyWorkerFacts(report, &worker, now);
-  if (report.epoch != epoch_ || report.worker.start_time_ms != worker.facts.start_time_ms) return;
+  if (report.epoch != epoch_ || report.worker.start_time_ms != worker.facts.start_time_ms) {
+    return true;
+  }
   unreported_agents_.erase(report.node);
   if (!worker.lists_received) {
     worker.lists_received = true;
@@ -64,12 +66,19 @@
   StopUncertainRuns(&worker);
   CheckForStall(worker, now);
   if (runs_over) DropLostRuns(&worker, "the worker is unreachable and its lease has expired", now);
+  return true;
 }
 
 bool PoolPlanner::AcceptIncarnation(const AgentReport& report, WorkerState* worker, Time now) {
   if (worker->incarnation == report.incarnation) return true;
   std::deque<std::string>& former = worker->former_incarnations;
-  if (std::find(former.begin(), former.end(), report.incarnation) != former.end()) {
+  const auto replaced = std::find(former.begin(), former.end(), report.incarnation);
+  // The first reports of two processes may be read in the wrong order. The one that ended is silent
+  // from then on, and its runs are given up after this time.
+  const bool silent = now - worker->last_report > options_.lease_duration + options_.lease_margin;
+  if (replaced != former.end() && silent) {
+    former.erase(replaced);
+  } else if (replaced != former.end()) {
     LogEvent(LogLevel::kWarning, "report_late",
              {{"node", report.node}, {"incarnation", report.incarnation}});
     return false;
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -313,6 +313,17 @@
   EXPECT_EQ(one.planner.workers().at("n").facts.id, "i2");
 }
 
+// A former process of an agent was read last and then never again: it has ended, and the process
+// that goes on reporting is the current one. Without it the worker would be lost to the pool.
+TEST(PoolPlanner, HeedsAnAgentAgainWhoseFormerProcessWasReadLast) {
+  OneWorker one;
+  EXPECT_TRUE(one.planner.ApplyReport(Report("late", 1), 0, one.now));
+  EXPECT_FALSE(one.planner.ApplyReport(Report("first", 2), 0, one.now + seconds(1)));
+  EXPECT_FALSE(one.planner.ApplyReport(Report("first", 3), 0, one.now + seconds(4)));
+  EXPECT_TRUE(one.planner.ApplyReport(Report("first", 4), 0, one.now + seconds(5)));
+  EXPECT_FALSE(one.planner.ApplyReport(Report("late", 2), 0, one.now + seconds(5)));
+}
+
 // A worker is gone with all its runs, and its agent keeps reporting the last list it has seen. If
 // each report caused new orders, planner and agent would exchange thousands of messages per second
 // and fill the log.
