Pool: Give no runs up for a delayed announcement of a former start

Callers saw: possible two runs of one task after an agent was replaced soon after its worker had started again. Cause: a worker's announcement may arrive after its sender has ended. If it was the first that a new process of the agent heard, the process reported the former start, and the planner, which knew the current one, took any other start time for a restart: it gave the current start's runs up and started their tasks elsewhere. Change: an earlier start counts only where the worker itself was read under this planner.

--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -102,6 +102,8 @@
     // An agent that has just started does not know its worker yet; nothing has changed on the
     // worker.
     if (facts.start_time_ms == 0) return;
+    // Nor has it if the agent has heard only a delayed announcement of a former start.
+    if (facts.start_time_ms < worker->facts.start_time_ms && report.epoch != epoch_) return;
     if (worker->facts.start_time_ms != 0) DropLostRuns(worker, "the worker has restarted", now);
     const int64_t former_start_time_ms = worker->facts.start_time_ms;
     worker->facts = facts;
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -313,6 +313,29 @@
   EXPECT_EQ(one.planner.workers().at("n").facts.id, "i2");
 }
 
+// A new process of an agent hears a delayed announcement first, of the worker's former start. Taken
+// for another restart of the worker, it would give up the runs of the current start.
+TEST(PoolPlanner, GivesNoRunsUpForADelayedAnnouncementOfAFormerStart) {
+  OneWorker one;
+  AgentReport reborn = Report("first", 2);
+  reborn.worker.start_time_ms = 2;
+  one.planner.ApplyReport(reborn, 0, one.now);
+  reborn.sequence = 3;
+  one.planner.ApplyReport(reborn, 0, one.now);
+  one.planner.Plan(0, one.now);
+  ASSERT_TRUE(one.has_run());
+  const RunId run = one.run();
+  AgentReport delayed = Report("second", 1);
+  delayed.epoch = 0;
+  one.planner.ApplyReport(delayed, 0, one.now);
+  EXPECT_EQ(one.planner.workers().at("n").live.count(run), 1U);
+  AgentReport read = Report("second", 2);
+  read.worker.start_time_ms = 2;
+  read.running = {{run, ""}};
+  one.planner.ApplyReport(read, 0, one.now);
+  EXPECT_EQ(one.planner.workers().at("n").live.at(run).phase, RunPhase::kRunning);
+}
+
 // A former process of an agent was read last and then never again: it has ended, and the process
 // that goes on reporting is the current one. Without it the worker would be lost to the pool.
 TEST(PoolPlanner, HeedsAnAgentAgainWhoseFormerProcessWasReadLast) {
