--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -63,6 +63,7 @@
   const PlannerRecord oldest = {1, "a", "a:1"};
   const auto nodes = [](const std::vector<PlannerRecord>& planners) {
     std::vector<std::string> found;
+    found.reserve(planners.size());
     for (const PlannerRecord& planner : planners) found.push_back(planner.node);
     return found;
   };
