--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -23,6 +23,7 @@
 const Time kNow = Time(std::chrono::hours(2));
 constexpr int64_t kFirstEpoch = NextEpoch(0);
 constexpr int64_t kSecondEpoch = NextEpoch(kFirstEpoch);
+constexpr int64_t kThirdEpoch = NextEpoch(kSecondEpoch);
 
 LeadershipView View(Duration view_age, Duration silence) {
   LeadershipView view;
@@ -60,6 +61,23 @@
                            kMaxViewAge, kNow));
 }
 
+// Each change of planner may leave a former one behind that grants leases. A planner that restarted
+// or released the leadership answers for itself only.
+TEST(FormerPlanners, KeepsThoseThatThePredecessorWaitedFor) {
+  const PlannerRecord oldest = {1, "a", "a:1"};
+  const auto nodes = [](const std::vector<PlannerRecord>& planners) {
+    std::vector<std::string> found;
+    found.reserve(planners.size());
+    for (const PlannerRecord& planner : planners) found.push_back(planner.node);
+    return found;
+  };
+  const PlannerRecord record = DecodePlanner(EncodePlanner({2, "b", "b:1", {oldest}}));
+  EXPECT_EQ(nodes(FormerPlanners(record, "c")), std::vector<std::string>({"a", "b"}));
+  EXPECT_EQ(nodes(FormerPlanners(record, "b")), std::vector<std::string>({"a"}));
+  EXPECT_EQ(nodes(FormerPlanners({2, "", "", {oldest}}, "c")), std::vector<std::string>({"a"}));
+  EXPECT_TRUE(FormerPlanners({}, "c").empty());
+}
+
 // Connector that reaches no address.
 class UnreachableConnector : public PlannerConnector {
  public:
@@ -88,15 +106,13 @@
   Candidate(KeyedLog* log, const std::string& node) : Candidate(log, node, nullptr) {}
   // `connected_entries`: the entries that this candidate can reach; null: none.
   Candidate(KeyedLog* log, const std::string& node, LocalConnector* connected_entries,
-            int capacity = kUnlimitedCapacity)
+            const PlannerServiceOptions& service_options = {}, ElectorOptions options = {})
       : work(log),
         operators(log, std::make_unique<platform::OperatorRecordDecoder>()),
         members(log, milliseconds(200)),
-        service(PlannerServiceOptions(), log, &operators, &metrics) {
-    ElectorOptions options;
+        service(service_options, log, &operators, &members, &metrics) {
     options.node = node;
     options.address = node + ":1";
-    options.planning_capacity = capacity;
     if (connected_entries != nullptr) connected_entries->Add(options.address, &service);
     PlannerConnector* reached = &connector;
     if (connected_entries != nullptr) reached = connected_entries;
@@ -147,7 +163,11 @@
   }
 }
 
-constexpr int kWeakCapacity = 1;
+ElectorOptions WeakVm() {
+  ElectorOptions options;
+  options.planning_capacity = 1;
+  return options;
+}
 
 // Registers two agents, more than a weak entry can plan for.
 void ListAgents(MemoryKeyedLog* log) {
@@ -172,7 +192,7 @@
   MemoryKeyedLog log;
   ListAgents(&log);
   LocalConnector connected_entries;
-  Candidate weak(&log, "a", &connected_entries, kWeakCapacity);
+  Candidate weak(&log, "a", &connected_entries, {}, WeakVm());
   ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == kFirstEpoch; }));
   Candidate strong(&log, "b", &connected_entries);
   ASSERT_TRUE(Eventually([&] { return strong.service.epoch() == kSecondEpoch; }));
@@ -187,7 +207,7 @@
   const EntryRecord missing_entry = {"gone", "a", "gone:1", kUnlimitedCapacity};
   log.Append(kMembersTopic, {{"entry/gone", EncodeEntry(missing_entry), kNoOffset}}, {},
              std::chrono::seconds(1));
-  Candidate weak(&log, "a", nullptr, kWeakCapacity);
+  Candidate weak(&log, "a", nullptr, {}, WeakVm());
   ASSERT_TRUE(Eventually([&] { return weak.service.epoch() == kFirstEpoch; }));
   // The weak entry offers its leadership to the missing one, which can't accept.
   ASSERT_TRUE(Eventually([&] { return weak.members.entries().size() == 2; }));
@@ -299,6 +319,295 @@
   EXPECT_TRUE(Eventually([&] { return entry.service.epoch() > 0; }));
 }
 
+// Log that carries out the first append to the work topic, a claim, and then serves nothing of the
+// members topic until MakeReadable() is called.
+class UnreadableAfterClaimLog : public ForwardingLog {
+ public:
+  using ForwardingLog::ForwardingLog;
+
+  KeyedPage Newest(const std::string& topic, const std::string& after, Duration timeout) override {
+    if (topic == kMembersTopic && claims_.load() > 0 && unreadable_.load()) {
+      throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "not now");
+    }
+    return ForwardingLog::Newest(topic, after, timeout);
+  }
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    const AppendResult result = ForwardingLog::Append(topic, records, guard, timeout);
+    if (topic == kWorkTopic) claims_.fetch_add(1);
+    return result;
+  }
+
+  void MakeReadable() { unreadable_.store(false); }
+  int claims() const { return claims_.load(); }
+
+ private:
+  std::atomic<bool> unreadable_{true};
+  std::atomic<int> claims_{0};
+};
+
+// A running job with one task, in the store, and a worker that reports to the planner and could run
+// the task.
+class InheritedTask {
+ public:
+  explicit InheritedTask(MemoryKeyedLog* log) {
+    JobSpec job;
+    job.id = "j";
+    job.terms.service = "plans";
+    job.steps.emplace_back();
+    job.steps.front().tasks = 1;
+    JobProgress progress;
+    progress.state = JobState::kRunning;
+    log->Append(kWorkTopic,
+                {{"j/j", EncodeSpec(job), kNoOffset}, {"p/j", EncodeProgress(progress), kNoOffset}},
+                {}, std::chrono::seconds(1));
+    log->Append(kMembersTopic, {{"agent/n", "a", kNoOffset}, {"agent/missing", "a", kNoOffset}}, {},
+                std::chrono::seconds(1));
+    report_.node = "n";
+    report_.incarnation = "1";
+    report_.worker.id = "w";
+    report_.worker.start_time_ms = 1;
+    report_.worker.service = "plans";
+    report_.worker.capacity = {64'000, 131'072, 8};
+    report_.worker.reachable = true;
+  }
+
+  // Whether the planner orders a start of the task within `limit`.
+  bool IsStartedWithin(Duration limit, PlannerService* service) {
+    const Time end = LeaseClock().Now() + limit;
+    while (LeaseClock().Now() < end) {
+      ++report_.sequence;
+      report_.epoch = service->epoch();
+      try {
+        LocalPlannerClient client(service);
+        if (!client.Exchange(report_, std::chrono::seconds(5)).starts.empty()) return true;
+      } catch (const Error&) {
+        // There is no planner at the moment.
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  }
+
+ private:
+  AgentReport report_;
+};
+
+constexpr Duration kShortLease = milliseconds(100);
+
+// Leases expire soon after a former planner has stepped down, and much later if it has not.
+PlannerServiceOptions ShortLeases() {
+  PlannerServiceOptions options;
+  options.planner.lease_duration = kShortLease;
+  options.planner.lease_margin = Duration::zero();
+  return options;
+}
+
+// Ten leases: a planner that waited only for the leases of a predecessor that is gone would have
+// started the task.
+constexpr Duration kLongAfterLeases = 10 * kShortLease;
+
+// A claim takes effect, but the entry does not learn enough to become active and claims again, this
+// time on its own record. The planner that was active before has lost the store and still grants
+// leases. If the entry took its own record for the only predecessor, it would start tasks that run
+// on under those leases.
+TEST(PlannerElector, WaitsForThePlannerBeforeItsOwnFailedClaim) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  FaultyKeyedLog faulty_log(&log);
+  LocalConnector connected_entries;
+  Candidate first(&faulty_log, "a", &connected_entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == kFirstEpoch; }));
+  UnreadableAfterClaimLog claiming_log(&log);
+  // Reaches no other entry.
+  LocalConnector no_entries;
+  Candidate second(&claiming_log, "b", &no_entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return second.members.agent_count() == 2; }));
+  faulty_log.SetFaults({true, false});
+  ASSERT_TRUE(Eventually([&] { return claiming_log.claims() > 0; }));
+  claiming_log.MakeReadable();
+  ASSERT_TRUE(Eventually([&] { return second.service.epoch() > kSecondEpoch; }));
+  EXPECT_EQ(first.service.epoch(), kFirstEpoch);
+  EXPECT_FALSE(task.IsStartedWithin(kLongAfterLeases, &second.service));
+}
+
+// A planner takes over from one that it can't reach, and is stopped in order soon after. Its
+// release says that it grants no more leases, not that the planner before it grants none.
+TEST(PlannerElector, WaitsForThePlannerBeforeAReleasedLeadership) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  FaultyKeyedLog faulty_log(&log);
+  LocalConnector connected_entries;
+  Candidate first(&faulty_log, "a", &connected_entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == kFirstEpoch; }));
+  LocalConnector no_entries;
+  Candidate second(&log, "b", &no_entries, ShortLeases());
+  FailOver(&faulty_log, second);
+  second.elector->Leave();
+  second.service.Release(kReleaseLimit);
+  Candidate third(&log, "c", &no_entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return third.service.epoch() == kThirdEpoch; }));
+  EXPECT_EQ(first.service.epoch(), kFirstEpoch);
+  EXPECT_FALSE(task.IsStartedWithin(kLongAfterLeases, &third.service));
+}
+
+// Once every former planner has confirmed that it has stepped down, inherited tasks wait for one
+// lease only, also after a second change of planner.
+TEST(PlannerElector, WaitsForOneLeaseOnceAllFormerPlannersAreGone) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  FaultyKeyedLog faulty_log(&log);
+  LocalConnector connected_entries;
+  Candidate first(&faulty_log, "a", &connected_entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == kFirstEpoch; }));
+  Candidate second(&log, "b", &connected_entries, ShortLeases());
+  FailOver(&faulty_log, second);
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == 0; }));
+  second.elector->Leave();
+  second.service.Release(kReleaseLimit);
+  Candidate third(&log, "c", &connected_entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return third.service.epoch() == kThirdEpoch; }));
+  EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &third.service));
+}
+
+constexpr Duration kAgentSilenceLimit = milliseconds(300);
+
+// Agents are removed from the members soon after they were heard last.
+ElectorOptions ShortSilence() {
+  ElectorOptions options;
+  options.agent_silence_limit = kAgentSilenceLimit;
+  options.agent_forget_grace_period = milliseconds(500);
+  return options;
+}
+
+bool IsListed(MemoryKeyedLog* log, const std::string& node) {
+  const KeyedPage page = log->Newest(kMembersTopic, "", std::chrono::seconds(1));
+  return std::any_of(page.records.begin(), page.records.end(),
+                     [&](const KeyedRecord& record) { return record.key == kAgentPrefix + node; });
+}
+
+void ListAgent(MemoryKeyedLog* log, const std::string& node) {
+  log->Append(kMembersTopic, {{kAgentPrefix + node, "a", kNoOffset}}, {}, std::chrono::seconds(1));
+}
+
+// Log that never answers the first removal of agents and carries it out once asked to.
+class LateRemovalLog : public ForwardingLog {
+ public:
+  explicit LateRemovalLog(KeyedLog* log) : ForwardingLog(log) {}
+
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    const bool removal = topic == kMembersTopic && records.front().value.empty();
+    if (!removal) return ForwardingLog::Append(topic, records, guard, timeout);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!late_.empty()) return ForwardingLog::Append(topic, records, guard, timeout);
+    late_ = records;
+    guard_ = guard;
+    throw Error(ErrorKind::kLogUnavailable, Outcome::kUnknown, "no answer");
+  }
+
+  bool has_late_removal() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !late_.empty();
+  }
+  void CarryOut() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    try {
+      ForwardingLog::Append(kMembersTopic, late_, guard_, std::chrono::seconds(1));
+    } catch (const Error&) {
+      // Its condition no longer holds.
+    }
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<KeyedRecord> late_;
+  AppendGuard guard_;
+};
+
+// An agent that was silent is removed from the members and heard again. It has lost the store, so
+// it can't register again. If the planner started tasks on its worker and died, its successor would
+// start them elsewhere immediately, since it would wait for no agent that is not listed.
+TEST(PlannerElector, StartsNothingOnAnAgentThatWasRemovedFromTheMembers) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  Candidate planner(&log, "a", nullptr, ShortLeases(), ShortSilence());
+  ASSERT_TRUE(Eventually([&] { return !IsListed(&log, "n"); }));
+  EXPECT_FALSE(task.IsStartedWithin(std::chrono::seconds(1), &planner.service));
+  ListAgent(&log, "n");
+  EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &planner.service));
+}
+
+// The store leaves a removal unanswered and carries it out seconds later, when the agent is heard
+// and has registered again. A removal at that moment would hide the agent from a successor.
+TEST(PlannerElector, DoesNotRemoveAnAgentLateThatHasRegisteredAgain) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  LateRemovalLog late_log(&log);
+  Candidate planner(&late_log, "a", nullptr, ShortLeases(), ShortSilence());
+  ASSERT_TRUE(Eventually([&] { return late_log.has_late_removal(); }));
+  EXPECT_FALSE(task.IsStartedWithin(milliseconds(500), &planner.service));
+  ListAgent(&log, "n");
+  EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &planner.service));
+  late_log.CarryOut();
+  EXPECT_TRUE(IsListed(&log, "n"));
+}
+
+// Log that can be cut from all but the appends to the members topic.
+class FrozenReaderLog : public ForwardingLog {
+ public:
+  using ForwardingLog::ForwardingLog;
+
+  KeyedPage Newest(const std::string& topic, const std::string& after, Duration timeout) override {
+    RequireNotFrozen();
+    return ForwardingLog::Newest(topic, after, timeout);
+  }
+  KeyedBatch Read(const std::string& topic, Offset from, Duration wait, Duration timeout) override {
+    RequireNotFrozen();
+    KeyedBatch batch = ForwardingLog::Read(topic, from, wait, timeout);
+    RequireNotFrozen();
+    return batch;
+  }
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    if (topic != kMembersTopic) RequireNotFrozen();
+    return ForwardingLog::Append(topic, records, guard, timeout);
+  }
+
+  void Freeze() { frozen_.store(true); }
+
+ private:
+  void RequireNotFrozen() const {
+    if (!frozen_.load()) return;
+    throw Error(ErrorKind::kLogUnavailable, Outcome::kNotRun, "not now");
+  }
+
+  std::atomic<bool> frozen_{false};
+};
+
+// A planner stood still, has not noticed its successor yet, and has heard no agent for long. If it
+// removed the agents, which are at work for its successor, the next change of planner would wait
+// for none of them.
+TEST(PlannerElector, RemovesNoAgentsOfItsSuccessor) {
+  MemoryKeyedLog log;
+  FrozenReaderLog frozen_log(&log);
+  ElectorOptions options = ShortSilence();
+  options.agent_forget_grace_period = std::chrono::seconds(4);
+  Candidate first(&frozen_log, "a", nullptr, ShortLeases(), options);
+  ASSERT_TRUE(Eventually([&] { return first.service.epoch() == kFirstEpoch; }));
+  ListAgent(&log, "n");
+  ASSERT_TRUE(Eventually([&] { return first.members.agent_count() == 1; }));
+  frozen_log.Freeze();
+  Candidate second(&log, "b");
+  ASSERT_TRUE(Eventually([&] { return second.service.epoch() == kSecondEpoch; }));
+  const Time end = LeaseClock().Now() + std::chrono::seconds(5);
+  while (LeaseClock().Now() < end) {
+    ASSERT_TRUE(IsListed(&log, "n"));
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  EXPECT_EQ(first.service.epoch(), kFirstEpoch);
+}
+
 // The store rejects the planner's VM and serves the others. One of them takes over, and the old
 // planner learns of it as soon as the store answers it again.
 TEST(PlannerElector, FailsOverWhenPlannerLosesStore) {
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -24,10 +24,12 @@
 }  // namespace
 
 PlannerService::PlannerService(const PlannerServiceOptions& options, KeyedLog* log,
-                               const OperatorView* operators, MetricsRegistry* metrics)
+                               const OperatorView* operators, const MembersView* members,
+                               MetricsRegistry* metrics)
     : options_(options),
       log_(log),
       operators_(operators),
+      members_(members),
       appends_(metrics->counter("store_appends")),
       append_failures_(metrics->counter("store_append_failures")),
       append_seconds_(metrics->distribution("store_append_seconds")),
@@ -65,12 +67,19 @@
 }
 
 void PlannerService::BecomeActive(int64_t epoch, int64_t sequence, const JobTable& table,
-                                  const std::set<std::string>& agents, Time requested_at) {
+                                  const std::set<std::string>& agents, Time requested_at,
+                                  const std::vector<PlannerRecord>& former) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    // The successor has been told that this process grants no leases.
+    if (successor_.epoch > epoch) return;
     planner_ =
         std::make_unique<PoolPlanner>(options_.planner, epoch, table, agents, LeaseClock().Now());
     planner_->ConfirmLeadership(requested_at);
+    former_planners_ = former;
+    removal_ = {};
+    membership_.reset();
+    UpdateListedAgentsLocked();
     epoch_gauge_.Set(static_cast<double>(epoch));
     sequence_ = sequence;
     releasing_ = false;
@@ -102,6 +111,14 @@
   if (planner_) planner_->PredecessorGone(LeaseClock().Now());
 }
 
+void PlannerService::ForgetFormerPlanners(const PlannerRecord& self) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (!planner_ || planner_->epoch() != self.epoch || releasing_) return;
+  former_planners_.clear();
+  planner_->outbox().Put(kPlannerKey, EncodePlanner(self));
+  write_ready_.notify_all();
+}
+
 void PlannerService::StepDown(const char* reason) {
   Replies replies;
   {
@@ -115,7 +132,8 @@
 void PlannerService::Release(Duration limit) {
   std::unique_lock<std::mutex> lock(mutex_);
   if (!planner_) return;
-  planner_->outbox().Put(kPlannerKey, EncodePlanner({planner_->epoch(), "", ""}));
+  planner_->BeginRelease();
+  planner_->outbox().Put(kPlannerKey, EncodePlanner({planner_->epoch(), "", "", former_planners_}));
   releasing_ = true;
   write_ready_.notify_all();
   changed_.wait_for(lock, limit, [this] { return !planner_; });
@@ -126,17 +144,36 @@
   return planner_ ? planner_->epoch() : 0;
 }
 
-std::vector<std::string> PlannerService::UnresponsiveAgents(const std::set<std::string>& agents,
-                                                            Duration limit, Time now) const {
+std::optional<AgentRemoval> PlannerService::RemoveSilentAgents(Duration limit, Time now) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<std::string> unresponsive;
-  if (!planner_) return unresponsive;
-  for (const std::string& node : agents) {
+  if (!planner_ || !planner_->LeadershipConfirmed(now)) return std::nullopt;
+  const std::shared_ptr<const Membership> membership = members_->membership();
+  if (!membership->IsCurrentFor(planner_->epoch())) return std::nullopt;
+  // The store may still carry out the newest removal.
+  if (membership->end <= removal_.expected_end) return removal_;
+  AgentRemoval removal = {{}, membership->end};
+  for (const std::string& node : membership->agents) {
     const auto known = planner_->workers().find(node);
     if (known != planner_->workers().end() && now - known->second.last_report < limit) continue;
-    unresponsive.push_back(node);
+    removal.nodes.insert(node);
+  }
+  if (removal.nodes.empty()) return std::nullopt;
+  removal_ = removal;
+  membership_.reset();
+  UpdateListedAgentsLocked();
+  return removal;
+}
+
+void PlannerService::UpdateListedAgentsLocked() {
+  std::shared_ptr<const Membership> membership = members_->membership();
+  if (membership == membership_) return;
+  std::set<std::string> listed;
+  if (membership->IsCurrentFor(planner_->epoch())) listed = membership->agents;
+  if (membership->end <= removal_.expected_end) {
+    for (const std::string& node : removal_.nodes) listed.erase(node);
   }
-  return unresponsive;
+  planner_->SetListedAgents(listed);
+  membership_ = std::move(membership);
 }
 
 std::optional<AdviceRequest> PlannerService::NextAdviceRequest(Duration limit) {
@@ -181,23 +218,7 @@
     } else if (!planner_) {
       replies.push_back(Failed(std::move(done), NotActiveError()));
     } else {
-      const int64_t orders_version = planner_->orders_version();
-      planner_->ApplyReport(report, LeaseClock().WallMillis(), now);
-      replan = planner_->needs_planning() || planner_->orders_version() != orders_version ||
-               !planner_->outbox().empty();
-      const auto earlier = polls_.find(report.node);
-      if (earlier != polls_.end() && report.wait > Duration::zero()) {
-        // The agent has abandoned its earlier poll; the connection of that poll may be gone.
-        replies.push_back(
-            Succeeded(std::move(earlier->second.done), planner_->Orders(report.node, now)));
-        polls_.erase(earlier);
-      }
-      if (report.wait > Duration::zero() && !planner_->HasPendingOrders(report.node)) {
-        polls_[report.node] = {std::move(done), now + report.wait};
-      } else {
-        replies.push_back(Succeeded(std::move(done), planner_->Orders(report.node, now)));
-        if (report.wait > Duration::zero()) planner_->NotePollAnswered(report.node, now);
-      }
+      replan = HandleReport(report, std::move(done), now, &replies);
       replan_needed_ = replan_needed_ || replan;
     }
   }
@@ -206,6 +227,33 @@
   RunAll(replies);
 }
 
+bool PlannerService::HandleReport(const AgentReport& report,
+                                  std::function<void(Result<AgentOrders>)> done, Time now,
+                                  Replies* replies) {
+  const int64_t orders_version = planner_->orders_version();
+  if (!planner_->ApplyReport(report, LeaseClock().WallMillis(), now)) {
+    const Error refusal(ErrorKind::kConflict, Outcome::kNotRun,
+                        "another process of the agent has reported since");
+    replies->push_back(Failed(std::move(done), refusal));
+    return false;
+  }
+  const auto earlier = polls_.find(report.node);
+  if (earlier != polls_.end() && report.wait > Duration::zero()) {
+    // The agent has abandoned its earlier poll; the connection of that poll may be gone.
+    replies->push_back(
+        Succeeded(std::move(earlier->second.done), planner_->Orders(report.node, now)));
+    polls_.erase(earlier);
+  }
+  if (report.wait > Duration::zero() && !planner_->HasPendingOrders(report.node)) {
+    polls_[report.node] = {std::move(done), now + report.wait};
+  } else {
+    replies->push_back(Succeeded(std::move(done), planner_->Orders(report.node, now)));
+    if (report.wait > Duration::zero()) planner_->NotePollAnswered(report.node, now);
+  }
+  return planner_->needs_planning() || planner_->orders_version() != orders_version ||
+         !planner_->outbox().empty();
+}
+
 template <typename Take>
 void PlannerService::AcceptCall(JobIntake::OnDone done, Take&& take) {
   Replies replies;
@@ -315,6 +363,7 @@
       begun = now;
       const Freshness read = operators_->freshness();
       if (read.requested_at) planner_->SetOperatorState(operators_->state(), *read.requested_at);
+      UpdateListedAgentsLocked();
       planner_->NoteDurable();
       planner_->Plan(LeaseClock().WallMillis(), now);
       AnswerPolls(now, &replies);
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -100,7 +100,8 @@
   OperatorView operators_{&log_, std::make_unique<platform::OperatorRecordDecoder>()};
   MetricsRegistry metrics_;
   Counter& failures_ = metrics_.counter("store_append_failures");
-  PlannerService service_{Options(), &faulty_log_, &operators_, &metrics_};
+  MembersView members_{&log_, milliseconds(200)};
+  PlannerService service_{Options(), &faulty_log_, &operators_, &members_, &metrics_};
 };
 
 // A job that was withdrawn for its first attempt must not be reported as accepted to the second.
@@ -155,6 +156,18 @@
   EXPECT_NE(repeat.Wait(), Outcome::kRan);
 }
 
+// A claim takes so long that a successor claims as well, asks this process to step down and is told
+// that it has. If the process became active after that, it would grant leases that the successor
+// does not wait for.
+TEST_F(PlannerServiceTest, DoesNotBecomeActiveAfterConfirmingThatItIsNot) {
+  const PlannerRecord successor = {3, "b", "b:1"};
+  LocalPlannerClient(&service_).Yield(successor, kAnswerLimit);
+  service_.BecomeActive(2, 1, JobTable(), {}, LeaseClock().Now());
+  EXPECT_EQ(service_.epoch(), 0);
+  service_.BecomeActive(4, 1, JobTable(), {}, LeaseClock().Now());
+  EXPECT_EQ(service_.epoch(), 4);
+}
+
 // A caller whose job becomes durable with the planner's last append must not be told "unknown" at a
 // planned stop.
 TEST_F(PlannerServiceTest, AnswersCallersOfLastAppendOnRelease) {
@@ -169,5 +182,58 @@
   release.Join();
 }
 
+// A planner releases the leadership, and the store's answer is lost. A successor may have read the
+// agents by now and would not wait for one that registers later, so nothing may be started there.
+TEST_F(PlannerServiceTest, StartsNothingOnceItReleasesTheLeadership) {
+  JobTable table;
+  table.Apply({"j/j", EncodeSpec(Job("j")), 1});
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  table.Apply({"p/j", EncodeProgress(progress), 2});
+  log_.Append(kMembersTopic, {{kPlannerKey, EncodePlanner({2, "a", "a:1"}), kNoOffset}}, {},
+              kAnswerLimit);
+  service_.BecomeActive(2, 1, table, {}, LeaseClock().Now());
+  WaitForAppends(2);
+  faulty_log_.SetFaults({false, true});
+  Thread release("release", [this] { service_.Release(kReleaseLimit); });
+  while (!RejectsCalls()) std::this_thread::yield();
+  log_.Append(kMembersTopic, {{"agent/n", "a", kNoOffset}}, {}, kAnswerLimit);
+  AgentReport report;
+  report.node = "n";
+  report.incarnation = "1";
+  report.epoch = 2;
+  report.worker.id = "w";
+  report.worker.start_time_ms = 1;
+  report.worker.capacity = {64'000, 131'072, 8};
+  report.worker.reachable = true;
+  const Time end = LeaseClock().Now() + kReleaseLimit / 2;
+  while (LeaseClock().Now() < end) {
+    ++report.sequence;
+    const AgentOrders orders = LocalPlannerClient(&service_).Exchange(report, kAnswerLimit);
+    const bool may_start = !orders.starts.empty() && orders.start_window > Duration::zero();
+    ASSERT_FALSE(may_start);
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  faulty_log_.SetFaults({});
+  release.Join();
+}
+
+// The first report of an agent's former process is read after the first one of its current process,
+// so that the planner takes the current one for the former. It gives the runs up that it hears
+// nothing of any more; if the answers granted leases all the same, these runs would go on while
+// their tasks are started elsewhere.
+TEST_F(PlannerServiceTest, GrantsNoLeaseForAReportThatItDoesNotUse) {
+  LocalPlannerClient client(&service_);
+  AgentReport report;
+  report.node = "n";
+  for (const char* incarnation : {"current", "former"}) {
+    report.incarnation = incarnation;
+    EXPECT_GT(client.Exchange(report, kAnswerLimit).lease, Duration::zero());
+  }
+  report.incarnation = "current";
+  ++report.sequence;
+  EXPECT_THROW(client.Exchange(report, kAnswerLimit), Error);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -111,7 +111,13 @@
   void ConfirmLeadership(Time sent);
   // Whether leadership was confirmed so recently that no other planner can have taken over since.
   bool LeadershipConfirmed(Time now) const;
+  // Call before the leadership is released in the store. Nothing is started from then on: a
+  // successor may already have read the agents, and waits for those only.
+  void BeginRelease() { releasing_ = true; }
   void SetOperatorState(std::shared_ptr<const OperatorState> state, Time sent);
+  // Sets the agents that are listed in the store beyond doubt. A successor waits for these only, so
+  // nothing is started on the worker of any other agent. Until the first call, all are listed.
+  void SetListedAgents(const std::set<std::string>& nodes);
   // Call when the previous planner has confirmed that it has stepped down, so that it grants no
   // leases from `now` on.
   void PredecessorGone(Time now);
@@ -125,7 +131,9 @@
   bool WithdrawSubmission(const std::string& id);
   CancelResult Cancel(const std::string& id, int64_t wall_ms);
 
-  void ApplyReport(const AgentReport& report, int64_t wall_ms, Time now);
+  // Returns whether the report is one of the agent's current process. No other process may be
+  // granted leases.
+  bool ApplyReport(const AgentReport& report, int64_t wall_ms, Time now);
   // Whether there are orders that the agent has not seen.
   bool HasPendingOrders(const std::string& node) const;
   // Increases whenever there are new orders for any agent.
@@ -270,6 +278,8 @@
 
   // Planning rounds; defined in pool_planner_planning.cc.
 
+  bool IsListed(const std::string& node) const;
+  bool MayGrantLease(const std::string& node, Time now) const;
   bool MayStart(Time now) const;
   bool MayStartInherited(Time now) const;
   void ExpireLeases(Time now);
@@ -347,6 +357,7 @@
   const Time started_at_;
   // Number of agents that were listed when this planner began.
   const size_t listed_agents_;
+  std::optional<std::set<std::string>> listed_now_;
   // Listed agents that must report before inherited work is started.
   std::set<std::string> unreported_agents_;
   AdviceCache advice_;
@@ -354,6 +365,7 @@
   std::shared_ptr<const OperatorState> operator_state_ = std::make_shared<OperatorState>();
   std::optional<Time> operator_state_read_;
   std::optional<Time> leadership_confirmed_;
+  bool releasing_ = false;
   WorkerHealthTracker health_tracker_;
   JobEstimator estimator_;
   std::map<UnitKey, ReclaimReservation> reclaim_reservations_;
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -23,11 +23,12 @@
 
 }  // namespace
 
-void PoolPlanner::ApplyReport(const AgentReport& report, int64_t wall_ms, Time now) {
+bool PoolPlanner::ApplyReport(const AgentReport& report, int64_t wall_ms, Time now) {
   WorkerState& worker = workers_[report.node];
   worker.node = report.node;
-  if (!AcceptIncarnation(report, &worker, now)) return;
-  if (report.sequence <= worker.sequence) return;
+  worker.listed = IsListed(report.node);
+  if (!AcceptIncarnation(report, &worker, now)) return false;
+  if (report.sequence <= worker.sequence) return true;
   worker.sequence = report.sequence;
   planner_lag_.NoteReportRead(report.node, now);
   if (report.wait > Duration::zero()) planner_lag_.NotePollHeld(report.node, now + report.wait);
@@ -39,7 +40,7 @@
   worker.acked_version = report.orders_seen;
   ApplyWorkerFacts(report, &worker, now);
   RecordFence(report, &worker);
-  if (!ContainsLists(report, worker)) return;
+  if (!ContainsLists(report, worker)) return true;
   unreported_agents_.erase(report.node);
   const bool first_lists = !worker.lists_received;
   if (first_lists) {
@@ -74,12 +75,19 @@
   StopUncertainRuns(&worker);
   CheckForStall(worker, now);
   if (runs_over) DropRunsOfUnreachableWorker(report, &worker, now);
+  return true;
 }
 
 bool PoolPlanner::AcceptIncarnation(const AgentReport& report, WorkerState* worker, Time now) {
   if (worker->incarnation == report.incarnation) return true;
   std::deque<std::string>& former = worker->former_incarnations;
-  if (std::find(former.begin(), former.end(), report.incarnation) != former.end()) {
+  const auto replaced = std::find(former.begin(), former.end(), report.incarnation);
+  // The first reports of two processes may be read in the wrong order. The one that ended is silent
+  // from then on, and its runs are given up after this time.
+  const bool silent = now - worker->last_report > options_.lease_duration + options_.lease_margin;
+  if (replaced != former.end() && silent) {
+    former.erase(replaced);
+  } else if (replaced != former.end()) {
     LogEvent(LogLevel::kWarning, "report_late",
              {{"node", report.node}, {"incarnation", report.incarnation}});
     return false;
@@ -103,6 +111,8 @@
     // An agent that has just started does not know its worker yet; nothing has changed on the
     // worker.
     if (facts.start_time_ms == 0) return;
+    // Nor has it if the agent has heard only a delayed announcement of a former start.
+    if (facts.start_time_ms < worker->facts.start_time_ms && report.epoch != epoch_) return;
     BeginIncarnation(facts, worker, now);
     return;
   }
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -147,6 +147,34 @@
   EXPECT_TRUE(placed_after(seconds(6)));
 }
 
+// After a change of planner an agent is heard, but its worker's answers are lost, so that nobody
+// knows what runs there. The worker still takes the leases: if the new planner granted them to the
+// end, it would start a task elsewhere that runs under a lease of its own.
+TEST(PoolPlanner, GrantsNoLeaseBeyondItsWaitToAWorkerThatWasNotRead) {
+  const PlannerOptions options;
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(options, 1, TableOfRunningJob(seconds(2)), {"n", "unread"}, now);
+  planner.PredecessorGone(now + milliseconds(200));
+  Time lease_end = now;
+  int64_t sequence = 0;
+  for (Time then = now; then < now + seconds(10); then += milliseconds(100)) {
+    planner.ConfirmLeadership(then);
+    planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), then);
+    AgentReport unread = Report("first", ++sequence);
+    unread.node = "unread";
+    unread.epoch = 0;
+    planner.ApplyReport(unread, 0, then);
+    const Duration lease = planner.Orders("unread", then).lease;
+    if (lease > Duration::zero()) lease_end = then + lease;
+    planner.ApplyReport(Report("first", sequence), 0, then);
+    planner.Plan(0, then);
+    if (planner.workers().at("n").live.empty()) continue;
+    EXPECT_GE(then, lease_end + options.lease_margin);
+    return;
+  }
+  FAIL() << "the task was never started";
+}
+
 // An agent is gone while the planner changes, and a job waits of which nothing has begun. The job
 // need not wait for that agent's leases to expire: if any of it had begun, the store would show it.
 TEST(PoolPlanner, StartsAnInheritedQueuedJobImmediately) {
@@ -302,6 +330,40 @@
   EXPECT_EQ(one.planner.workers().at("n").facts.id, "i2");
 }
 
+// A new process of an agent hears a delayed announcement first, of the worker's former start. Taken
+// for another restart of the worker, it would give up the runs of the current start.
+TEST(PoolPlanner, GivesNoRunsUpForADelayedAnnouncementOfAFormerStart) {
+  OneWorker one;
+  AgentReport reborn = Report("first", 2);
+  reborn.worker.start_time_ms = 2;
+  one.planner.ApplyReport(reborn, 0, one.now);
+  reborn.sequence = 3;
+  one.planner.ApplyReport(reborn, 0, one.now);
+  one.planner.Plan(0, one.now);
+  ASSERT_TRUE(one.has_run());
+  const RunId run = one.run();
+  AgentReport delayed = Report("second", 1);
+  delayed.epoch = 0;
+  one.planner.ApplyReport(delayed, 0, one.now);
+  EXPECT_EQ(one.planner.workers().at("n").live.count(run), 1U);
+  AgentReport read = Report("second", 2);
+  read.worker.start_time_ms = 2;
+  read.running = {{run, ""}};
+  one.planner.ApplyReport(read, 0, one.now);
+  EXPECT_EQ(one.planner.workers().at("n").live.at(run).phase, RunPhase::kRunning);
+}
+
+// A former process of an agent was read last and then never again: it has ended, and the process
+// that goes on reporting is the current one. Without it the worker would be lost to the pool.
+TEST(PoolPlanner, HeedsAnAgentAgainWhoseFormerProcessWasReadLast) {
+  OneWorker one;
+  EXPECT_TRUE(one.planner.ApplyReport(Report("late", 1), 0, one.now));
+  EXPECT_FALSE(one.planner.ApplyReport(Report("first", 2), 0, one.now + seconds(1)));
+  EXPECT_FALSE(one.planner.ApplyReport(Report("first", 3), 0, one.now + seconds(4)));
+  EXPECT_TRUE(one.planner.ApplyReport(Report("first", 4), 0, one.now + seconds(5)));
+  EXPECT_FALSE(one.planner.ApplyReport(Report("late", 2), 0, one.now + seconds(5)));
+}
+
 // A worker is gone with all its runs, and its agent keeps reporting the last list it has seen. If
 // each report caused new orders, planner and agent would exchange thousands of messages per second
 // and fill the log.
--- a/servers/pool/pool_worker.h
+++ b/servers/pool/pool_worker.h
@@ -56,9 +56,6 @@
 
 struct HoldCall {
   std::string worker_id;
-  // Start time of the incarnation that the call is for, as known to the agent; not sent to the
-  // worker.
-  int64_t worker_start_time_ms = 0;
   int64_t fence = 0;
   // The worker may discard ends up to this number, because they are durable in the store.
   int64_t acked_ends = 0;
@@ -66,6 +63,9 @@
   std::optional<WorkerMillis> lease_until;
   // How long the worker holds the answer back while no run ends (long poll).
   Duration wait{};
+  // Start time of the incarnation that the call is for, as known to the agent; not sent to the
+  // worker.
+  int64_t worker_start_time_ms = 0;
 };
 
 struct WorkerLists {
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -69,6 +69,8 @@
   // The most recent previous incarnations; see PoolPlanner::AcceptIncarnation.
   std::deque<std::string> former_incarnations;
   int64_t sequence = -1;
+  // Whether the agent is listed in the members topic; see PoolPlanner::SetListedAgents.
+  bool listed = true;
   WorkerFacts facts;
   // Fencing token of this planner for the worker's current incarnation; see worker_fence.h.
   int64_t fence = 0;
