Pool: Use a worker whose former start is reported as gone late

Callers could see: jobs that wait although a worker has room, for as long as the worker lives. Cause: a message that a worker has left names only its ID. A late one from the former start of a worker that kept its ID marked the current one as leaving for good. Evidence: WorkerLife.UsesTheNextLifeWhenTheFormerLifesDepartureArrivesLate, which failed before. Change: a departure that no announcement of leaving came before is forgotten with the next announcement.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -49,6 +49,7 @@
   facts_.start_time_ms = start_time_ms;
   announced_sequence_ = -1;
   departed_ = false;
+  announced_draining_ = false;
   running_.clear();
   ended_.clear();
   acked_ends_ = 0;
@@ -71,10 +72,13 @@
   announced_sequence_ = announcement.sequence;
   const bool reachable = facts_.reachable;
   // A worker that has announced that it leaves does not return within the same incarnation.
-  const bool draining = facts_.draining || announcement.facts.draining;
+  announced_draining_ = announced_draining_ || announcement.facts.draining;
+  // Workers announce that they leave before they do. Without that, the message that the worker has
+  // left came from a former incarnation with the same ID.
+  departed_ = departed_ && announced_draining_;
   facts_ = announcement.facts;
   facts_.reachable = reachable;
-  facts_.draining = draining;
+  facts_.draining = announced_draining_ || departed_;
 }
 
 void AgentState::HandleDeparture(const std::string& worker_id) {
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -118,6 +118,7 @@
   int64_t announced_sequence_ = -1;
   // Whether the worker has announced that it has left.
   bool departed_ = false;
+  bool announced_draining_ = false;
   bool member_ = false;
 
   int64_t epoch_ = 0;
--- a/servers/pool/pool_agent_test.cc
+++ b/servers/pool/pool_agent_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <set>
 #include <thread>
 
@@ -34,11 +35,15 @@
   }
   HoldAnswer Hold(const HoldCall& /*call*/, Duration /*timeout*/) override {
     HoldAnswer answer;
+    if (ended_.load()) return answer;
     answer.answer = OrderAnswer::kAccepted;
     answer.lists.start_time_ms = kWorkerStartMillis;
     return answer;
   }
 
+  // Ends the worker: from now on it answers no hold.
+  void End() { ended_.store(true); }
+
   bool WaitUntilStopped(const std::set<RunId>& runs) {
     std::unique_lock<std::mutex> lock(mutex_);
     return changed_.wait_for(lock, kLimit, [&] { return stopped_ == runs; });
@@ -48,6 +53,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::set<RunId> stopped_;
+  std::atomic<bool> ended_{false};
 };
 
 // A planner that repeats the same orders in each answer.
@@ -194,6 +200,7 @@
   ASSERT_TRUE(Eventually([&] { return log.RegisteredAt("agent") != kNoOffset; }));
   const Offset first = log.RegisteredAt("agent");
   agent.WorkerLeft(announcement.facts.id);
+  worker.End();
   ASSERT_TRUE(Eventually([&] { return log.has_late_removal(); }));
   ++announcement.facts.start_time_ms;
   agent.WorkerAnnounced(announcement);
