--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -332,5 +332,54 @@
   EXPECT_TRUE(agent.state.is_gone());
 }
 
+// A delayed announcement made a new agent believe a former incarnation, while the planner had
+// confirmed the token for the current one. Raised without the planner's knowledge, the token is
+// taken for the next incarnation as well by the process of the agent that follows.
+TEST(AgentState, UsesNoUnconfirmedTokenForAnIncarnationThatThePlannerConfirmed) {
+  Agent agent;
+  AgentOrders orders = agent.Orders();
+  orders.fence = 5;
+  orders.worker_start_time_ms = 2;
+  agent.state.HandleOrders(orders, agent.now, agent.now);
+  WorkerLists current = agent.Lists({});
+  current.start_time_ms = 2;
+  agent.state.HandleLists(current, 5, agent.now, agent.now);
+  const HoldCall hold = agent.state.NextHold(Duration::zero(), agent.now);
+  EXPECT_TRUE(hold.fence == 5 || !hold.lease_until) << hold.fence;
+}
+
+// A late departure of a former incarnation empties the list of runs, and the next hold goes
+// unanswered. The runs go on under their lease, so the agent must stay among the members.
+TEST(AgentState, IsNotGoneWhileALeaseThatItGrantedLasts) {
+  Agent agent;
+  agent.Hold(agent.now, {{kRun, "", 40}});
+  const StartCall call = agent.PrepareCall(kRun);
+  agent.state.NoteLeaseSent(call.lease_until);
+  agent.state.NoteLeaseAnswered(call.lease_until, OrderAnswer::kAccepted, agent.now);
+  agent.state.HandleDeparture("i");
+  agent.state.WorkerFailed(OrderAnswer::kUnanswered);
+  ASSERT_GT(agent.state.Report(Duration::zero(), agent.now).lease_left, Duration::zero());
+  EXPECT_FALSE(agent.state.is_gone());
+}
+
+// The worker's VM set its wall clock back, and the worker restarted. An agent that takes the lists
+// of the new incarnation for old ones reports the runs of the former one for ever.
+TEST(AgentState, UsesAnIncarnationWhoseStartTimeIsLowerThanTheFormerOnes) {
+  Agent agent;
+  WorkerLists former = agent.Lists({{kRun, "", 40}});
+  former.start_time_ms = 9'000;
+  agent.state.HandleLists(former, 1, agent.now, agent.now);
+  agent.now += milliseconds(5000);
+  WorkerLists restarted = agent.Lists({});
+  restarted.start_time_ms = 8'000;
+  restarted.clock = 10;
+  for (int hold = 0; hold < 3; ++hold) {
+    const Time sent = agent.now;
+    agent.now += milliseconds(1000);
+    agent.state.HandleLists(restarted, 1, sent, agent.now);
+  }
+  EXPECT_TRUE(agent.state.Report(Duration::zero(), agent.now).running.empty());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -272,5 +272,40 @@
   EXPECT_EQ(simulation_->violations(), kNoViolations);
 }
 
+// The next life announces itself and never answers a call. The runs of the former life are over,
+// and a planner that waited for the next one's lists would never start their tasks again.
+TEST_F(WorkerLife, StartsTasksAgainWhenTheNextLifeAnnouncesItselfButNeverAnswers) {
+  Begin(2);
+  Submit("j", seconds(5));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  const std::string node = simulation_->RunsOf("j")[0].node;
+  simulation_->RestartWorker(node);
+  faults_.CutOffNode(node, seconds(300));
+  EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(60)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// The lease is that of the former clock. A planner that is new knows of no former life, and counts
+// only the leases that it grants itself.
+TEST_F(WorkerLife, WaitsForTheLeaseOfAnUnawareAgentsStartAcrossPlanners) {
+  Begin(2);
+  faults_.DelayAnnouncements(milliseconds(300));
+  faults_.LoseNextCall({nodes_[0]}, WorkerCall::kHold);
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_TRUE(faults_.HasHappened());
+  simulation_->RestartWorker(nodes_[0]);
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(200));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[0]);
+  simulation_->RunFor(milliseconds(100));
+  simulation_->ReplacePlanner();
+  simulation_->RunFor(milliseconds(600));
+  simulation_->Isolate(nodes_[0]);
+  simulation_->RunFor(seconds(10));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
