--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -381,5 +381,14 @@
   EXPECT_TRUE(agent.state.Report(Duration::zero(), agent.now).running.empty());
 }
 
+// Two answers carry the same millisecond of the worker's clock, and the one under the lower token
+// is read last. Its list may be from before a start that the other one lists.
+TEST(AgentState, PrefersTheListUnderTheHigherTokenOfTwoWithTheSameClockValue) {
+  Agent agent;
+  agent.state.HandleLists(agent.Lists({{kRun, "", 0}}), 2, agent.now, agent.now);
+  agent.state.HandleLists(agent.Lists({}), 1, agent.now, agent.now);
+  EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).running.size(), 1U);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -235,5 +235,32 @@
   EXPECT_THROW(client.Exchange(report, kAnswerLimit), Error);
 }
 
+// The worker may have runs under a lease that an order for its former incarnation granted, longer
+// than the silence after which agents are removed. A successor would not wait for that lease.
+TEST_F(PlannerServiceTest, KeepsAnAgentAmongTheMembersWhileALeaseOnItsWorkerMayLast) {
+  log_.Append(kMembersTopic, {{kPlannerKey, EncodePlanner({2, "a", "a:1"}), kNoOffset}}, {},
+              kAnswerLimit);
+  log_.Append(kMembersTopic, {{"agent/n", "a", kNoOffset}}, {}, kAnswerLimit);
+  service_.BecomeActive(2, 1, JobTable(), {"n"}, LeaseClock().Now());
+  while (!members_.membership()->IsCurrentFor(2) || members_.membership()->agents.empty()) {
+    std::this_thread::yield();
+  }
+  AgentReport report;
+  report.node = "n";
+  report.incarnation = "1";
+  report.epoch = 2;
+  report.worker.id = "w";
+  report.worker.reachable = true;
+  for (const int64_t start_time_ms : {1, 2}) {
+    ++report.sequence;
+    report.worker.start_time_ms = start_time_ms;
+    report.fence = 1 + start_time_ms;
+    LocalPlannerClient(&service_).Exchange(report, kAnswerLimit);
+  }
+  WaitForAppends(2);
+  std::this_thread::sleep_for(milliseconds(20));
+  EXPECT_FALSE(service_.RemoveSilentAgents(milliseconds(10), LeaseClock().Now()).has_value());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -572,5 +572,53 @@
   EXPECT_LE(failed, 12);
 }
 
+// The next incarnation of a worker has announced itself and answers no call. Whatever ran on the
+// former one is over; runs that waited for lists that never come would block their tasks for ever.
+TEST(PoolPlanner, GivesRunsUpWhenTheNextIncarnationIsNeverRead) {
+  OneWorker one;
+  AgentReport restarted = Report("first", 2);
+  restarted.epoch = 0;
+  restarted.worker.start_time_ms = 2;
+  restarted.worker.reachable = false;
+  for (int poll = 0; poll < 60; ++poll) {
+    one.now += milliseconds(500);
+    ++restarted.sequence;
+    one.planner.ApplyReport(restarted, 0, one.now);
+    one.planner.Plan(0, one.now);
+  }
+  EXPECT_FALSE(one.has_run());
+}
+
+// An agent that uses the epoch as the token passes a start on to the next incarnation after its
+// lists were read: that token does not tell the two apart. The run has to be stopped first.
+TEST(PoolPlanner, StopsAnUncertainStartWhoseTokenTheNextIncarnationShares) {
+  OneWorker one;
+  const RunId run = one.run();
+  AgentReport restarted = Report("first", 2);
+  restarted.worker.start_time_ms = 2;
+  restarted.fence = 0;
+  one.planner.ApplyReport(restarted, 0, one.now);
+  EXPECT_EQ(one.planner.Orders("n", one.now).stops, std::vector<RunId>{run});
+}
+
+// The worker restarts twice under its ID, and the agent does not know the ID in between. An order
+// for the first incarnation may have been given the longest lease by the third.
+TEST(PoolPlanner, WaitsForTheLongestLeaseAfterAnIncarnationWhoseIdIsNotKnown) {
+  OneWorker one;
+  const RunId run = one.run();
+  AgentReport unnamed = Report("first", 2);
+  unnamed.epoch = 0;
+  unnamed.worker.id.clear();
+  unnamed.worker.start_time_ms = 2;
+  one.planner.ApplyReport(unnamed, 0, one.now);
+  AgentReport third = Report("first", 3);
+  third.worker.start_time_ms = 3;
+  third.fence = 3;
+  third.running = {{run, "", 0}};
+  one.planner.ApplyReport(third, 0, one.now);
+  one.planner.Plan(0, one.now + seconds(5));
+  EXPECT_TRUE(one.has_run());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
