--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -40,11 +40,11 @@
   LogEvent(
       LogLevel::kInfo, "worker_new_life",
       {{"worker", facts_.id}, {"born_ms", start_time_ms}, {"before_ms", facts_.start_time_ms}});
-  const int64_t former_start_time_ms =
-      facts_.start_time_ms != 0 ? facts_.start_time_ms : fence_confirmed_for_ms_;
-  const bool follows_known_incarnation =
-      former_start_time_ms != 0 && former_start_time_ms != start_time_ms;
-  if (planner_assigns_fences_ && follows_known_incarnation) fence_ = NextFence(fence_);
+  const bool follows_known_incarnation = facts_.start_time_ms != 0 || fence_confirmed_for_ms_ != 0;
+  const bool has_token = fence_confirmed_for_ms_ == start_time_ms;
+  if (planner_assigns_fences_ && follows_known_incarnation && !has_token) {
+    fence_ = NextFence(fence_);
+  }
   facts_ = WorkerFacts();
   facts_.start_time_ms = start_time_ms;
   announced_sequence_ = -1;
@@ -89,10 +89,14 @@
 }
 
 bool AgentState::HandleLists(const WorkerLists& lists, int64_t fence, Time sent, Time now) {
-  if (lists.start_time_ms < facts_.start_time_ms) return false;
-  if (lists.start_time_ms > facts_.start_time_ms) ResetForIncarnation(lists.start_time_ms);
+  // A lower start time is a late answer of a former incarnation, unless the hold was sent after the
+  // newest answer: then the wall clock of the worker's VM has been set back.
+  const bool is_late = sent <= worker_clock_read_at_;
+  if (lists.start_time_ms < facts_.start_time_ms && is_late) return false;
+  if (lists.start_time_ms != facts_.start_time_ms) ResetForIncarnation(lists.start_time_ms);
   // Two answers may be read out of order. The worker does not forget the highest fencing token that
   // it has seen, so the higher of the two is kept.
+  const bool is_older_token = fence < lists_fence_;
   const int64_t lists_fence = std::max(lists_fence_, fence);
   const bool first_lists = lists_fence_ != lists_fence;
   bool report_needed = first_lists || !facts_.reachable;
@@ -120,6 +124,7 @@
   // older list must not be used: it would restore a run whose end the planner has already
   // processed. The symptom is a task that no worker runs and that is never started again.
   if (worker_clock_ && lists.clock < *worker_clock_) return report_needed;
+  if (worker_clock_ && lists.clock == *worker_clock_ && is_older_token) return report_needed;
   worker_clock_ = lists.clock;
   worker_clock_read_at_ = now;
   running_ = lists.running;
@@ -291,7 +296,7 @@
   call.worker_id = facts_.id;
   call.worker_start_time_ms = facts_.start_time_ms;
   call.fence = fence_;
-  if (fence_confirmed()) {
+  if (fence_confirmed() && is_read()) {
     call.lease_until = LeaseUntil(now);
   }
   if (fence_confirmed() && end_numbers_verified()) call.acked_ends = acked_ends_;
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -78,7 +78,10 @@
   bool may_host_runs() const { return !running_.empty() || (!facts_.id.empty() && !departed_); }
   // Whether the worker has left for good and nothing runs on it. A worker that still answers has
   // not: the announcement may be that of a former worker with the same id.
-  bool is_gone() const { return departed_ && running_.empty() && !facts_.reachable; }
+  bool is_gone(Time now) const {
+    const bool lease_may_last = granted_lease_expiry_ > now || !leases_in_flight_.empty();
+    return departed_ && running_.empty() && !facts_.reachable && !lease_may_last;
+  }
   // Sets whether the agent is registered in the members topic. Until then its reports name no
   // worker, so that the planner starts nothing on its worker.
   void SetMember(bool member) { member_ = member; }
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -324,12 +324,12 @@
   Agent agent;
   agent.Hold(agent.now, {{kRun, "", 40}});
   agent.state.HandleDeparture("i");
-  EXPECT_FALSE(agent.state.is_gone());
+  EXPECT_FALSE(agent.state.is_gone(agent.now));
   agent.Hold(agent.now, {{kRun, "", 50}});
   EXPECT_TRUE(agent.state.may_host_runs());
   agent.state.HandleDeparture("i");
   agent.state.WorkerFailed(OrderAnswer::kNotListening);
-  EXPECT_TRUE(agent.state.is_gone());
+  EXPECT_TRUE(agent.state.is_gone(agent.now));
 }
 
 // A delayed announcement made a new agent believe a former incarnation, while the planner had
@@ -359,7 +359,7 @@
   agent.state.HandleDeparture("i");
   agent.state.WorkerFailed(OrderAnswer::kUnanswered);
   ASSERT_GT(agent.state.Report(Duration::zero(), agent.now).lease_left, Duration::zero());
-  EXPECT_FALSE(agent.state.is_gone());
+  EXPECT_FALSE(agent.state.is_gone(agent.now));
 }
 
 // The worker's VM set its wall clock back, and the worker restarted. An agent that takes the lists
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -387,7 +387,7 @@
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     wanted = state_.may_host_runs();
-    gone = state_.is_gone();
+    gone = state_.is_gone(now);
   }
   // A process that has just started does not know its worker yet, which is no reason to deregister.
   if (!wanted && !gone) return;
