--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -155,6 +155,8 @@
   for (const std::string& node : membership->agents) {
     const auto known = planner_->workers().find(node);
     if (known != planner_->workers().end() && now - known->second.last_report < limit) continue;
+    // A successor does not wait for the runs of an agent that is not listed.
+    if (planner_->MayHaveRuns(node, now)) continue;
     removal.nodes.insert(node);
   }
   if (removal.nodes.empty()) return std::nullopt;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -97,6 +97,13 @@
   return {true, job->newest_ticket};
 }
 
+bool PoolPlanner::MayHaveRuns(const std::string& node, Time now) const {
+  const auto found = workers_.find(node);
+  if (found == workers_.end()) return false;
+  const WorkerState& worker = found->second;
+  return !worker.live.empty() || now <= worker.former_lease_until + options_.lease_margin;
+}
+
 bool PoolPlanner::HasPendingOrders(const std::string& node) const {
   const auto found = workers_.find(node);
   return found != workers_.end() && found->second.version > found->second.acked_version;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -134,6 +134,8 @@
   // Returns whether the report is one of the agent's current process. No other process may be
   // granted leases.
   bool ApplyReport(const AgentReport& report, int64_t wall_ms, Time now);
+  // Whether runs may go on at the agent's worker, as far as this planner knows.
+  bool MayHaveRuns(const std::string& node, Time now) const;
   // Whether there are orders that the agent has not seen.
   bool HasPendingOrders(const std::string& node) const;
   // Increases whenever there are new orders for any agent.
@@ -241,6 +243,9 @@
   void RecordFence(const AgentReport& report, WorkerState* worker) const;
   // Whether the report contains the worker's lists as read under this planner's token.
   bool ContainsLists(const AgentReport& report, const WorkerState& worker) const;
+  // Gives up the runs of a former incarnation if the current one has not been read for so long that
+  // no order for the former one can have kept a run going.
+  void DropRunsOfUnreadWorker(WorkerState* worker, Time now);
   // Gives up the runs of a former incarnation that the report does not list as running.
   void DropUnlistedRuns(const AgentReport& report, WorkerState* worker, Time now);
   void ApplyRunning(const AgentReport& report, WorkerState* worker, Time now);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -18,6 +18,9 @@
 // at most, in which a process that crashes at each start is replaced about ten times.
 constexpr size_t kMaxFormerIncarnations = 16;
 
+// An order that a worker left unanswered may be executed this much later.
+constexpr Duration kMaxOrderDelay = std::chrono::seconds(12);
+
 // Delay after a refused start: the cause is usually over within this time.
 constexpr Duration kStartRetryDelay = std::chrono::milliseconds(150);
 
@@ -40,7 +43,10 @@
   worker.acked_version = report.orders_seen;
   ApplyWorkerFacts(report, &worker, now);
   RecordFence(report, &worker);
-  if (!ContainsLists(report, worker)) return true;
+  if (!ContainsLists(report, worker)) {
+    DropRunsOfUnreadWorker(&worker, now);
+    return true;
+  }
   unreported_agents_.erase(report.node);
   const bool first_lists = !worker.lists_received;
   if (first_lists) {
@@ -127,6 +133,7 @@
   needs_planning_ = needs_planning_ || facts.draining != worker->facts.draining ||
                     facts.reachable != worker->facts.reachable;
   worker->facts = facts;
+  worker->newest_id = facts.id;
 }
 
 void PoolPlanner::BeginIncarnation(const WorkerFacts& facts, WorkerState* worker, Time now) {
@@ -141,13 +148,19 @@
                 {"reason", "no fencing token of this epoch is left for its next restart"}});
     }
     worker->lists_received = false;
-    const bool may_have_former_id = facts.id.empty() || facts.id == former.id;
-    worker->former_lease_until = may_have_former_id ? now + options_.longest_lease : Time{};
+    const bool may_have_former_id = facts.id.empty() || facts.id == worker->newest_id;
+    if (may_have_former_id) {
+      worker->former_lease_until = now + options_.longest_lease;
+    } else {
+      // The new incarnation refuses every order for the former one by its ID.
+      DropLostRuns(worker, "the worker has restarted", now);
+    }
     for (auto& [id, run] : worker->live) {
       if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kUncertain;
     }
   }
   worker->facts = facts;
+  if (!facts.id.empty()) worker->newest_id = facts.id;
   needs_planning_ = true;
   worker->ends.clear();
   worker->ends_seen = 0;
@@ -396,6 +409,12 @@
   SaveProgress(job);
 }
 
+void PoolPlanner::DropRunsOfUnreadWorker(WorkerState* worker, Time now) {
+  if (worker->lists_received || worker->former_lease_until == Time{}) return;
+  if (now <= worker->former_lease_until + kMaxOrderDelay + options_.lease_margin) return;
+  DropLostRuns(worker, "the worker has restarted and answers no calls", now);
+}
+
 void PoolPlanner::DropUnlistedRuns(const AgentReport& report, WorkerState* worker, Time now) {
   std::vector<RunId> unlisted;
   for (const auto& [id, run] : worker->live) {
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -72,6 +72,8 @@
   // Whether the agent is listed in the members topic; see PoolPlanner::SetListedAgents.
   bool listed = true;
   WorkerFacts facts;
+  // Newest ID of the worker that is known; its current incarnation may not have told its own yet.
+  std::string newest_id;
   // Fencing token of this planner for the worker's current incarnation; see worker_fence.h.
   int64_t fence = 0;
   // The worker's task lists under `fence` have been received, so no order of an older planner or
