--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -296,9 +296,7 @@
   call.worker_id = facts_.id;
   call.worker_start_time_ms = facts_.start_time_ms;
   call.fence = fence_;
-  if (fence_confirmed() && is_read()) {
-    call.lease_until = LeaseUntil(now);
-  }
+  if (fence_confirmed() && is_read()) call.lease_until = LeaseUntil(now);
   if (fence_confirmed() && end_numbers_verified()) call.acked_ends = acked_ends_;
   call.wait = end_numbers_verified() ? wait : Duration::zero();
   return call;
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -47,10 +47,10 @@
   // Called when the planner has processed the report. Drops the start results that it contained.
   void ReportDelivered(const AgentReport& report);
 
-  // Returns the next hold, which acknowledges ends and renews the lease. It does not wait if ends
-  // have to be acknowledged by the hold after it. It does neither until the
-  // planner has confirmed the token for this incarnation: another process of the agent might use
-  // the same token for the next incarnation, which would then accept a delayed hold.
+  // Returns the next hold, which acknowledges ends and renews the lease, but only once the planner
+  // has confirmed the token for this incarnation: until then another process of the agent might use
+  // the same token for the next incarnation, which would accept a delayed hold. If ends can't be
+  // acknowledged yet because of a recent start, the hold does not wait.
   HoldCall NextHold(Duration wait, Time now) const;
   // Called before a call to the worker that grants a lease until `lease_until`. The worker may have
   // the lease from then on, long before its answer arrives.
@@ -76,8 +76,8 @@
   const WorkerFacts& worker() const { return facts_; }
   // Whether the worker may have runs, so that a new planner has to wait for this agent's report.
   bool may_host_runs() const { return !running_.empty() || (!facts_.id.empty() && !departed_); }
-  // Whether the worker has left for good and nothing runs on it. A worker that still answers has
-  // not: the announcement may be that of a former worker with the same id.
+  // Whether the worker has left for good and nothing can run on it. A worker that still answers has
+  // not left: the message may be a delayed one of a former incarnation with the same ID.
   bool is_gone(Time now) const {
     const bool lease_may_last = granted_lease_expiry_ > now || !leases_in_flight_.empty();
     return departed_ && running_.empty() && !facts_.reachable && !lease_may_last;
@@ -121,6 +121,7 @@
   int64_t announced_sequence_ = -1;
   // Whether the worker has announced that it has left.
   bool departed_ = false;
+  // Whether the worker itself has announced that it will leave.
   bool announced_draining_ = false;
   bool member_ = false;
 
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -264,6 +264,7 @@
   // Gives up the runs of a worker that does not answer and whose leases have expired. A run with an
   // order that the agent has not received yet is stopped first.
   void DropRunsOfUnreachableWorker(const AgentReport& report, WorkerState* worker, Time now);
+  // Removes these runs, because they are known to be over.
   void DropRuns(const std::vector<RunId>& runs, WorkerState* worker, const char* why, Time now);
   // Removes a run that is over or never began, so that its task may start again.
   void RemoveRun(const RunId& run, Job* job);
