Agent: Leave the members at once when a worker that announced it has left

Change: a departure is believed at once if the worker had announced that it would leave; others wait as before.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -165,6 +165,15 @@
   if (call.worker_start_time_ms == facts_.start_time_ms) WorkerFailed(answer);
 }
 
+bool AgentState::is_gone(Time now) const {
+  if (!departed_ || !running_.empty()) return false;
+  if (announced_draining_) return true;
+  // Without an announcement, the message that the worker has left may be a delayed one of a former
+  // incarnation with the same ID.
+  const bool lease_may_last = granted_lease_expiry_ > now || !leases_in_flight_.empty();
+  return !facts_.reachable && !lease_may_last;
+}
+
 void AgentState::RaiseEpoch(int64_t epoch) {
   if (epoch <= epoch_) return;
   LogEvent(LogLevel::kInfo, "planner_obeyed", {{"epoch", epoch}, {"before", epoch_}});
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -76,12 +76,8 @@
   const WorkerFacts& worker() const { return facts_; }
   // Whether the worker may have runs, so that a new planner has to wait for this agent's report.
   bool may_host_runs() const { return !running_.empty() || (!facts_.id.empty() && !departed_); }
-  // Whether the worker has left for good and nothing can run on it. A worker that still answers has
-  // not left: the message may be a delayed one of a former incarnation with the same ID.
-  bool is_gone(Time now) const {
-    const bool lease_may_last = granted_lease_expiry_ > now || !leases_in_flight_.empty();
-    return departed_ && running_.empty() && !facts_.reachable && !lease_may_last;
-  }
+  // Whether the worker has left for good and nothing can run on it.
+  bool is_gone(Time now) const;
   // Sets whether the agent is registered in the members topic. Until then its reports name no
   // worker, so that the planner starts nothing on its worker.
   void SetMember(bool member) { member_ = member; }
