--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 #include <linux/sockios.h>
 #include <pthread.h>
-#include <signal.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,6 +17,7 @@
 #include "core/error.h"
 #include "core/http_client.h"
 #include "core/listen_socket.h"
+#include "tests/stand_ins/held_thread.h"
 
 namespace turmericshift {
 namespace {
@@ -69,44 +69,6 @@
 
 constexpr const char* kOkRequest = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok";
 
-// Holds a thread in a signal handler, as if it had no processor, until destroyed.
-class HeldThread {
- public:
-  explicit HeldThread(pthread_t thread) {
-    EXPECT_EQ(pipe(held_), 0);
-    EXPECT_EQ(pipe(release_), 0);
-    struct sigaction action {};
-    action.sa_handler = &Hold;
-    EXPECT_EQ(sigaction(SIGUSR1, &action, &previous_), 0);
-    EXPECT_EQ(pthread_kill(thread, SIGUSR1), 0);
-    char byte = 0;
-    EXPECT_EQ(read(held_[0], &byte, 1), 1);
-  }
-  ~HeldThread() {
-    EXPECT_EQ(write(release_[1], "", 1), 1);
-    char byte = 0;
-    EXPECT_EQ(read(held_[0], &byte, 1), 1);
-    sigaction(SIGUSR1, &previous_, nullptr);
-    for (const int fd : {held_[0], held_[1], release_[0], release_[1]}) close(fd);
-  }
-  HeldThread(const HeldThread&) = delete;
-  HeldThread& operator=(const HeldThread&) = delete;
-
- private:
-  static void Hold(int /*signal*/) {
-    const int error = errno;
-    char byte = 0;
-    if (write(held_[1], "", 1) == 1 && read(release_[0], &byte, 1) == 1) {
-      static_cast<void>(write(held_[1], "", 1) == 1);
-    }
-    errno = error;
-  }
-
-  static inline int held_[2] = {};
-  static inline int release_[2] = {};
-  struct sigaction previous_ {};
-};
-
 // Reads until the server closes the connection, then closes `fd`.
 std::string ReadAll(int fd) {
   std::string answer;
