HTTP server: Wait at a stop for connections accepted but not announced

What callers saw: a call that an entry's system had received before an ordered stop could end without an answer.

Cause: the HTTP library's thread had accepted the connection and, without a processor, not announced it yet. Drain looks at announced connections and at those that StopAccepting took from the queue; this one is neither, so that the server took itself for drained and the process ended.

Change: StopAccepting adds an empty connection as the last one. The library starts connections one after the other, so that all that it accepted before are announced when Drain has seen that one start.

The new test holds the library's thread as accept4 returns.

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -224,22 +224,40 @@
                              SOCK_CLOEXEC | SOCK_NONBLOCK);
       if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
       if (fd < 0) return;
-      AddToDaemon(fd, address);
+      if (AddToDaemon(fd, address)) continue;
+      LogEvent(LogLevel::kWarning, "connection_not_taken",
+               {{"reason", "connection limit reached"}});
     }
   }
 
-  // Passes a connection to the daemon, which starts it later on its own thread.
-  void AddToDaemon(int fd, const sockaddr_in& address) {
+  // Passes a connection to the daemon, which starts it later on its own thread. Returns whether the
+  // daemon has taken it; if not, the connection is closed.
+  bool AddToDaemon(int fd, const sockaddr_in& address) {
     {
       const std::lock_guard<std::mutex> lock(mutex);
       not_started.insert(fd);
     }
     const auto* peer = reinterpret_cast<const sockaddr*>(&address);
-    if (MHD_add_connection(daemon, fd, peer, sizeof(address)) == MHD_YES) return;
+    if (MHD_add_connection(daemon, fd, peer, sizeof(address)) == MHD_YES) return true;
     // On failure the library has already closed the descriptor.
-    LogEvent(LogLevel::kWarning, "connection_not_taken", {{"reason", "connection limit reached"}});
     const std::lock_guard<std::mutex> lock(mutex);
     not_started.erase(fd);
+    return false;
+  }
+
+  // Makes Drain wait until the daemon has announced every connection that it has accepted itself.
+  // The daemon's thread starts one connection after the other, so an empty one that is added now is
+  // started after those.
+  void AddLastConnection() {
+    std::array<int, 2> ends{};
+    const bool added =
+        socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, ends.data()) == 0 &&
+        AddToDaemon(ends[0], {});
+    if (!added) {
+      LogEvent(LogLevel::kWarning, "accepted_connections_not_awaited",
+               {{"reason", "no descriptor left or connection limit reached"}});
+    }
+    if (ends[1] != 0) close(ends[1]);
   }
 
   static void OnCompleted(void* self, MHD_Connection* connection, void** user,
@@ -325,6 +343,7 @@
     std::this_thread::sleep_for(kHandshakeGracePeriod);
   }
   state_->AcceptQueued(listener);
+  state_->AddLastConnection();
   // close() would take effect only when the daemon's thread returns from poll, and connections that
   // arrive until then would be reset, so the socket is shut down instead.
   if (shutdown(listener, SHUT_RDWR) != 0) {
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -1,7 +1,9 @@
 #include "core/http_server.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <linux/sockios.h>
+#include <poll.h>
 #include <pthread.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -17,6 +19,7 @@
 #include "core/error.h"
 #include "core/http_client.h"
 #include "core/listen_socket.h"
+#include "tests/stand_ins/call_pause.h"
 #include "tests/stand_ins/held_thread.h"
 
 namespace turmericshift {
@@ -255,6 +258,81 @@
   EXPECT_EQ(late.load(), 0);
 }
 
+// The library's thread had accepted a connection and not announced it yet when the server stopped.
+// The server took itself for drained, and the caller got no response.
+TEST(HttpServerTest, DrainWaitsForAConnectionThatIsAcceptedButNotAnnounced) {
+  HttpServer server({}, &Echo);
+  int fd = -1;
+  {
+    CallPause pause(PausePoint::kAfterAccept);
+    fd = ConnectTo(server.port());
+    pause.WaitUntilReached();
+    SendUntilReceived(fd, kOkRequest);
+    server.StopAccepting();
+    EXPECT_FALSE(server.Drain(Duration::zero()));
+  }
+  EXPECT_TRUE(server.Drain(std::chrono::seconds(60)));
+  EXPECT_NE(ReadAll(fd).find("200 OK"), std::string::npos);
+}
+
+// Sends the first packet of a new connection without waiting for the answer. Returns -1 if the
+// connection is refused at once.
+int BeginToConnect(int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  const sockaddr_in address = SocketAddress("127.0.0.1", port);
+  const int result = connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  if (result == 0 || errno == EINPROGRESS) return fd;
+  EXPECT_EQ(errno, ECONNREFUSED);
+  close(fd);
+  return -1;
+}
+
+// Waits for the connection and sends a request on it. Returns whether the connection was refused or
+// the request answered.
+bool IsRefusedOrAnswered(int fd) {
+  if (fd < 0) return true;
+  pollfd connected{fd, POLLOUT, 0};
+  EXPECT_EQ(poll(&connected, 1, -1), 1);
+  int failure = 0;
+  socklen_t size = sizeof(failure);
+  EXPECT_EQ(getsockopt(fd, SOL_SOCKET, SO_ERROR, &failure, &size), 0);
+  if (failure == ECONNREFUSED) {
+    close(fd);
+    return true;
+  }
+  EXPECT_EQ(fcntl(fd, F_SETFL, 0), 0);
+  const std::string request = kOkRequest;
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  return ReadAll(fd).find("200 OK") != std::string::npos;
+}
+
+class HttpServerStopTest : public testing::TestWithParam<PausePoint> {};
+
+// A stop that is held up between two of its steps must not cut a request of a connection that is
+// opened before, during or after the pause.
+TEST_P(HttpServerStopTest, CutsNoRequestAroundADelayedStep) {
+  HttpServer server({}, &Echo);
+  CallPause pause(GetParam());
+  const int before = BeginToConnect(server.port());
+  auto stopped = std::async(std::launch::async, [&] {
+    server.StopAccepting();
+    return server.Drain(std::chrono::seconds(60));
+  });
+  pause.WaitUntilReached();
+  const int during = BeginToConnect(server.port());
+  pause.Release();
+  const int after = BeginToConnect(server.port());
+  EXPECT_TRUE(IsRefusedOrAnswered(before));
+  EXPECT_TRUE(IsRefusedOrAnswered(during));
+  EXPECT_TRUE(IsRefusedOrAnswered(after));
+  EXPECT_TRUE(stopped.get());
+}
+
+INSTANTIATE_TEST_SUITE_P(Steps, HttpServerStopTest,
+                         testing::Values(PausePoint::kBeforeFilter, PausePoint::kAfterFilter,
+                                         PausePoint::kBeforeListenerShutdown,
+                                         PausePoint::kAfterListenerShutdown));
+
 TEST(HttpServerTest, RejectsMalformedRequestsAndKeepsServing) {
   const HttpServer server({}, &Echo);
   SendRaw(server.port(), "GET\r\n\r\n");
