Soak: Refuse a caller at once when the entry refuses its relay

Cause: the soak's relay lets the system accept a caller before it knows whether the entry accepts. The stopped entry refuses the relay at once, but the relay's thread resets the caller late, beside load after the 0.3 s that the check allows. The request never left the soak's process.

Change: the relay opens the connection to the entry on the caller's thread before the caller connects to the relay. A caller is refused as it would be without a relay, also if the refusal comes late. The check is unchanged; CallEntry is its function with its lines as they were, apart from the Caller.

--- a/core/http_client.cc
+++ b/core/http_client.cc
@@ -100,6 +100,11 @@
   return CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t OnOpen(void* user, curlsocktype /*purpose*/, curl_sockaddr* /*address*/) {
+  const int fd = static_cast<SocketOpener*>(user)->Open();
+  return fd < 0 ? CURL_SOCKET_BAD : fd;
+}
+
 size_t OnHeader(char* bytes, size_t size, size_t count, void* user) {
   auto* receiver = static_cast<Receiver*>(user);
   const std::string line(bytes, size * count);
@@ -166,6 +171,10 @@
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &receiver);
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnSend);
   curl_easy_setopt(handle, CURLOPT_PREREQDATA, &receiver);
+  if (call.opener != nullptr) {
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &OnOpen);
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, call.opener);
+  }
   if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
     curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/core/http_client.h
+++ b/core/http_client.h
@@ -15,6 +15,15 @@
   std::string value;
 };
 
+// Creates the sockets of HTTP calls in place of the system, for a caller whose network is
+// simulated.
+class SocketOpener {
+ public:
+  virtual ~SocketOpener() = default;
+  // Returns a socket that the HTTP client connects and closes, or -1 if the connection is refused.
+  virtual int Open() noexcept = 0;
+};
+
 struct HttpCall {
   std::string method = "GET";
   std::string url;
@@ -27,6 +36,8 @@
   // Forces a new connection. When a reused connection is closed before the first byte of the
   // response, libcurl resends the request on its own, even a POST, so the request might run twice.
   bool fresh_connection = false;
+  // Creates the sockets of the call, if not null. Must outlive the call.
+  SocketOpener* opener = nullptr;
 };
 
 struct HttpReply {
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -64,6 +64,29 @@
   return job;
 }
 
+platform::CallOutcome CallEntry(
+    SoakEntry* entry, const std::function<platform::CallOutcome(const platform::Caller&)>& call,
+    SoakHistory* history) {
+  const int incarnation = entry->process->incarnation();
+  const Time sent = LeaseClock().Now();
+  const platform::Caller caller(entry->callers->port(), entry->callers.get());
+  const platform::CallOutcome outcome = call(caller);
+  if (outcome != platform::CallOutcome::kConnectionLost) return outcome;
+  const Duration waited = LeaseClock().Now() - sent;
+  const bool by_stop =
+      entry->process->stops_gracefully(incarnation) && !entry->callers->HadFaultSince(sent);
+  if (by_stop && waited > kUnreadRequestLimit) {
+    LogEvent(LogLevel::kWarning, "call_cut_by_stop",
+             {{"entry", entry->name},
+              {"relay", entry->callers->port()},
+              {"life", incarnation},
+              {"waited_s", Seconds(waited)}});
+    history->RecordViolation("a call was cut by the ordered stop of " + entry->name + " after " +
+                             FormatDuration(waited));
+  }
+  return platform::CallOutcome::kOutcomeUnknown;
+}
+
 SoakCallers::SoakCallers(uint64_t seed, int callers, SoakSystem* system, SoakHistory* history)
     : system_(system), history_(history) {
   for (int caller = 0; caller < callers; ++caller) {
@@ -82,24 +105,7 @@
     const std::function<platform::CallOutcome(const platform::Caller&)>& call,
     std::mt19937_64* random) {
   const auto& entries = system_->entries();
-  SoakEntry* entry = entries[(*random)() % entries.size()].get();
-  const int incarnation = entry->process->incarnation();
-  const Time sent = LeaseClock().Now();
-  const platform::CallOutcome outcome = call(platform::Caller(entry->callers->port()));
-  if (outcome != platform::CallOutcome::kConnectionLost) return outcome;
-  const Duration waited = LeaseClock().Now() - sent;
-  const bool by_stop =
-      entry->process->stops_gracefully(incarnation) && !entry->callers->HadFaultSince(sent);
-  if (by_stop && waited > kUnreadRequestLimit) {
-    LogEvent(LogLevel::kWarning, "call_cut_by_stop",
-             {{"entry", entry->name},
-              {"relay", entry->callers->port()},
-              {"life", incarnation},
-              {"waited_s", Seconds(waited)}});
-    history_->RecordViolation("a call was cut by the ordered stop of " + entry->name + " after " +
-                              FormatDuration(waited));
-  }
-  return platform::CallOutcome::kOutcomeUnknown;
+  return CallEntry(entries[(*random)() % entries.size()].get(), call, history_);
 }
 
 void SoakCallers::Submit(uint64_t seed, int caller) {
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -16,6 +16,12 @@
 
 namespace turmericshift::soak {
 
+// Performs a call at the entry. A call interrupted by a graceful stop of the entry is recorded as a
+// violation, and its outcome is unknown.
+platform::CallOutcome CallEntry(
+    SoakEntry* entry, const std::function<platform::CallOutcome(const platform::Caller&)>& call,
+    SoakHistory* history);
+
 class SoakCallers {
  public:
   // Starts the callers immediately; `system` and `history` must outlive them.
@@ -32,8 +38,7 @@
   void Submit(uint64_t seed, int caller);
   void PollStates(uint64_t seed);
   void SubmitOne(const SoakJob& job, std::mt19937_64* random);
-  // Calls a random entry. A call interrupted by a graceful stop is recorded as a violation, and its
-  // outcome is unknown.
+  // Calls a random entry; see CallEntry.
   platform::CallOutcome Call(
       const std::function<platform::CallOutcome(const platform::Caller&)>& call,
       std::mt19937_64* random);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -59,8 +59,8 @@
   unknown_job.queue = "batch";
   pool::JobState state = pool::JobState::kQueued;
   for (const auto& entry : system->entries()) {
-    const platform::CallOutcome outcome =
-        platform::Caller(entry->callers->port()).StateOf(unknown_job, seconds(1), &state);
+    const platform::Caller caller(entry->callers->port(), entry->callers.get());
+    const platform::CallOutcome outcome = caller.StateOf(unknown_job, seconds(1), &state);
     if (outcome != platform::CallOutcome::kUnknownJob) return false;
   }
   return true;
--- a/tests/stand_ins/tcp_relay.cc
+++ b/tests/stand_ins/tcp_relay.cc
@@ -8,7 +8,10 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <optional>
+#include <system_error>
+#include <utility>
 
 #include "core/error.h"
 #include "core/logging.h"
@@ -18,6 +21,8 @@
 
 constexpr int kPollMillis = 20;
 constexpr size_t kChunkBytes = 4096;
+// As long as an HTTP client waits for a connection.
+constexpr std::chrono::seconds kConnectTimeout(2);
 constexpr useconds_t kSlowMicros = 200'000;
 
 sockaddr_in AddressOf(const std::string& ip, int port) {
@@ -37,11 +42,25 @@
 }
 
 // Makes close() send a reset instead of an orderly shutdown.
-void Reset(int fd) {
+void ResetOnClose(int fd) {
   const linger at_once = {1, 0};
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
 }
 
+void SetSendTimeout(int fd, std::chrono::seconds timeout) {
+  const timeval limit = {timeout.count(), 0};
+  setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+}
+
+// Returns the socket's own port.
+int BindLoopbackPort(int fd) {
+  sockaddr_in address = AddressOf("127.0.0.1", 0);
+  socklen_t size = sizeof(address);
+  const bool bound = bind(fd, reinterpret_cast<const sockaddr*>(&address), size) == 0 &&
+                     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+  return bound ? ntohs(address.sin_port) : -1;
+}
+
 }  // namespace
 
 struct TcpRelay::Pair {
@@ -71,6 +90,7 @@
   thread_.Join();
   close(listener_);
   for (const auto& pair : pairs_) pair->thread.Join();
+  for (const auto& [port, far] : opened_) close(far);
 }
 
 void TcpRelay::SetFault(RelayFault fault) {
@@ -88,8 +108,70 @@
 }
 
 void TcpRelay::RemoveClosedPairs() {
+  // Destroyed without the lock, as this joins their threads.
+  std::vector<std::unique_ptr<Pair>> closed;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto& pair : pairs_) {
+    if (pair->closed.load()) closed.push_back(std::move(pair));
+  }
+  std::erase(pairs_, nullptr);
+}
+
+int TcpRelay::ConnectToTarget() const {
+  const int far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = AddressOf(ip_, to_.load());
+  // Limits the connect call as well.
+  SetSendTimeout(far, kConnectTimeout);
+  if (connect(far, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    LogEvent(LogLevel::kInfo, "relay_refused",
+             {{"port", port_}, {"error", std::generic_category().message(errno)}});
+    close(far);
+    return -1;
+  }
+  SetSendTimeout(far, std::chrono::seconds(0));
+  return far;
+}
+
+void TcpRelay::StartPair(int near, int far) {
+  auto pair = std::make_unique<Pair>();
+  pair->near = near;
+  pair->far = far;
+  Pair* raw = pair.get();
+  connections_.fetch_add(1);
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::erase_if(pairs_, [](const auto& pair) { return pair->closed.load(); });
+  pair->thread = Thread("relay-pair", [this, raw] { Forward(raw); });
+  pairs_.push_back(std::move(pair));
+}
+
+int TcpRelay::Open() noexcept {
+  int far = -1;
+  if (fault_.load() != RelayFault::kReset) {
+    far = ConnectToTarget();
+    if (far < 0) return -1;
+  }
+  const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int port = BindLoopbackPort(caller);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto [opened, added] = opened_.emplace(port, far);
+  if (!added) {
+    // The HTTP client closed the earlier socket with this port without connecting it.
+    close(opened->second);
+    opened->second = far;
+  }
+  return caller;
+}
+
+int TcpRelay::TargetConnectionFor(int caller_port) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto opened = opened_.find(caller_port);
+    if (opened != opened_.end()) {
+      const int far = opened->second;
+      opened_.erase(opened);
+      return far;
+    }
+  }
+  return fault_.load() == RelayFault::kReset ? -1 : ConnectToTarget();
 }
 
 void TcpRelay::Accept() {
@@ -97,25 +179,16 @@
     RemoveClosedPairs();
     pollfd waiting{listener_, POLLIN, 0};
     if (poll(&waiting, 1, kPollMillis) <= 0) continue;
-    auto pair = std::make_unique<Pair>();
-    pair->near = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    pair->far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = AddressOf(ip_, to_.load());
-    const bool refused =
-        fault_.load() == RelayFault::kReset ||
-        connect(pair->far, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0;
-    if (refused) {
-      LogEvent(LogLevel::kInfo, "relay_refused", {{"port", port_}});
-      Reset(pair->near);
-      close(pair->near);
-      close(pair->far);
+    sockaddr_in caller{};
+    socklen_t size = sizeof(caller);
+    const int near = accept4(listener_, reinterpret_cast<sockaddr*>(&caller), &size, SOCK_CLOEXEC);
+    const int far = TargetConnectionFor(ntohs(caller.sin_port));
+    if (far < 0) {
+      ResetOnClose(near);
+      close(near);
       continue;
     }
-    connections_.fetch_add(1);
-    Pair* raw = pair.get();
-    pair->thread = Thread("relay-pair", [this, raw] { Forward(raw); });
-    const std::lock_guard<std::mutex> lock(mutex_);
-    pairs_.push_back(std::move(pair));
+    StartPair(near, far);
   }
 }
 
@@ -136,8 +209,8 @@
   while (open && !stopping_.load()) {
     const RelayFault fault = fault_.load();
     if (fault == RelayFault::kReset) {
-      Reset(pair->near);
-      Reset(pair->far);
+      ResetOnClose(pair->near);
+      ResetOnClose(pair->far);
       break;
     }
     // Blocked data is not read either, so that neither end notices the fault.
--- a/tests/stand_ins/tcp_relay.h
+++ b/tests/stand_ins/tcp_relay.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
 
 #include "core/clock.h"
+#include "core/http_client.h"
 #include "core/thread.h"
 
 namespace turmericshift {
@@ -28,15 +30,20 @@
   kSlow,
 };
 
-class TcpRelay {
+// A process that connects to the relay's port is let in before the relay knows whether the target
+// accepts, and learns later that the target refused. Callers of the relay's own process use Open.
+class TcpRelay : public SocketOpener {
  public:
   // Relays to port `to` of the loopback address `ip`; 0 if the port is set later by Retarget.
   explicit TcpRelay(int to, const std::string& ip = "127.0.0.1");
-  ~TcpRelay();
+  ~TcpRelay() override;
   TcpRelay(const TcpRelay&) = delete;
   TcpRelay& operator=(const TcpRelay&) = delete;
 
   int port() const { return port_; }
+  // Connects to the target on the calling thread. Returns a socket whose connection to the relay's
+  // port is relayed to that connection, or -1 if the target refuses.
+  int Open() noexcept override;
   // Permanently stops the data of all connections that are open now.
   void Silence();
   void SetFault(RelayFault fault);
@@ -49,6 +56,12 @@
  private:
   struct Pair;
   void Accept();
+  // Returns a connection to the target, or -1 if it can't be opened.
+  int ConnectToTarget() const;
+  // Returns the connection to the target for the one accepted from `caller_port`, or -1.
+  int TargetConnectionFor(int caller_port);
+  // Relays between `near`, the connection to the caller, and `far`, the one to the target.
+  void StartPair(int near, int far);
   void Forward(Pair* pair) const;
   void LogClosedByTarget(const Pair& pair) const;
   // Removes pairs whose connections have closed.
@@ -64,6 +77,8 @@
   std::atomic<int> connections_{0};
   std::mutex mutex_;
   std::vector<std::unique_ptr<Pair>> pairs_;
+  // Connections made by Open, by the port of the caller's socket.
+  std::map<int, int> opened_;
   Thread thread_;
 };
 
