Soak: Pass the end of a kept connection on before a caller uses it

Cause: the end of the entry's connection lies unread at the relay, whose thread has no processor. A caller without a relay sees it and opens another connection.

Change: before a call, the caller's thread closes the relay's idle connections that the entry has closed. Connections with an unanswered request are left to their threads, so that a cut call is seen as before.

The new test holds the relay's thread.

--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -69,6 +69,7 @@
     SoakHistory* history) {
   const int incarnation = entry->process->incarnation();
   const Time sent = LeaseClock().Now();
+  entry->callers->CloseEndedIdleConnections();
   const platform::Caller caller(entry->callers->port(), entry->callers.get());
   const platform::CallOutcome outcome = call(caller);
   if (outcome != platform::CallOutcome::kConnectionLost) return outcome;
--- a/tests/soak_callers_test.cc
+++ b/tests/soak_callers_test.cc
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "core/listen_socket.h"
+#include "tests/stand_ins/held_thread.h"
 
 namespace turmericshift::soak {
 namespace {
@@ -92,6 +93,26 @@
   Thread thread_;
 };
 
+// Keeps the handle of the thread that relays the newest connection.
+class RelayThreadWatch : public ThreadStarter {
+ public:
+  RelayThreadWatch() { SetThreadStarter(this); }
+  ~RelayThreadWatch() override { SetThreadStarter(nullptr); }
+  RelayThreadWatch(const RelayThreadWatch&) = delete;
+  RelayThreadWatch& operator=(const RelayThreadWatch&) = delete;
+
+  int Start(const std::string& name, pthread_t* handle, const pthread_attr_t* attributes,
+            void* (*run)(void*), void* argument) override {
+    const int failure = ThreadStarter::Start(name, handle, attributes, run, argument);
+    if (name == "relay-pair") newest_ = *handle;
+    return failure;
+  }
+  pthread_t newest() const { return newest_; }
+
+ private:
+  std::atomic<pthread_t> newest_{0};
+};
+
 // Whether a connection to the port is waiting for the answer to its first packet.
 bool IsConnecting(int port) {
   constexpr const char* kSynSent = "02";
@@ -169,6 +190,23 @@
   EXPECT_EQ(history_.violations(), std::vector<std::string>());
 }
 
+// The entry closed an idle connection and refused new ones. The relay's thread had no processor, so
+// the caller's next request was lost on the closed connection and reported as cut.
+TEST_F(SoakCallersTest, DoesNotReportAnIdleConnectionThatTheEntryClosed) {
+  const RelayThreadWatch relay_threads;
+  ScriptedServer server({Reaction::kAnswer});
+  entry_.callers->Retarget(server.port());
+  EXPECT_EQ(Call(), CallOutcome::kUnknownJob);
+  auto held = std::make_unique<HeldThread>(relay_threads.newest());
+  server.Close();
+  auto release = std::async(std::launch::async, [&] {
+    std::this_thread::sleep_for(kReportedWait);
+    held.reset();
+  });
+  EXPECT_EQ(Call(), CallOutcome::kOutcomeUnknown);
+  EXPECT_EQ(history_.violations(), std::vector<std::string>());
+}
+
 TEST_F(SoakCallersTest, ReportsACallThatTheEntryCut) {
   ScriptedServer server({Reaction::kCutLate});
   entry_.callers->Retarget(server.port());
--- a/tests/stand_ins/tcp_relay.cc
+++ b/tests/stand_ins/tcp_relay.cc
@@ -9,7 +9,6 @@
 
 #include <array>
 #include <cerrno>
-#include <optional>
 #include <system_error>
 #include <utility>
 
@@ -52,6 +51,13 @@
   setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
 }
 
+// Whether the other end has closed the connection and all that it sent has been read.
+bool HasEnded(int fd) {
+  char byte = 0;
+  const ssize_t size = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN);
+}
+
 // Returns the socket's own port.
 int BindLoopbackPort(int fd) {
   sockaddr_in address = AddressOf("127.0.0.1", 0);
@@ -68,8 +74,8 @@
   int far = -1;
   std::atomic<bool> silent{false};
   std::atomic<bool> closed{false};
-  // When data was last forwarded, unless data came back since.
-  std::optional<Time> unanswered_since;
+  // When data was last forwarded, or Time{} if data came back since.
+  std::atomic<Time> unanswered_since{Time{}};
   Thread thread;
 };
 
@@ -192,19 +198,30 @@
   }
 }
 
+void TcpRelay::CloseEndedIdleConnections() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (fault_.load() != RelayFault::kNone) return;
+  for (const auto& pair : pairs_) {
+    const bool idle = pair->unanswered_since.load() == Time{};
+    if (pair->closed.load() || pair->silent.load() || !idle) continue;
+    if (HasEnded(pair->far)) shutdown(pair->near, SHUT_RDWR);
+  }
+}
+
 // Says whether data that the target has not answered was forwarded to it, or did not reach it.
 void TcpRelay::LogClosedByTarget(const Pair& pair) const {
   int not_forwarded = 0;
   ioctl(pair.near, FIONREAD, &not_forwarded);
-  if (!pair.unanswered_since && not_forwarded == 0) return;
+  const Time unanswered_since = pair.unanswered_since.load();
+  if (unanswered_since == Time{} && not_forwarded == 0) return;
   nlohmann::json fields = {{"port", port_}, {"bytes_not_forwarded", not_forwarded}};
-  if (pair.unanswered_since) {
-    fields["unanswered_s"] = Seconds(LeaseClock().Now() - *pair.unanswered_since);
+  if (unanswered_since != Time{}) {
+    fields["unanswered_s"] = Seconds(LeaseClock().Now() - unanswered_since);
   }
   LogEvent(LogLevel::kInfo, "relay_closed_by_target", fields);
 }
 
-void TcpRelay::Forward(Pair* pair) const {
+void TcpRelay::Forward(Pair* pair) {
   bool open = true;
   while (open && !stopping_.load()) {
     const RelayFault fault = fault_.load();
@@ -223,14 +240,15 @@
     if (fault == RelayFault::kSlow) usleep(kSlowMicros);
     if (ends[0].revents != 0) {
       open = CopyChunk(pair->near, pair->far);
-      pair->unanswered_since = LeaseClock().Now();
+      pair->unanswered_since.store(LeaseClock().Now());
     }
     if (open && ends[1].revents != 0) {
       open = CopyChunk(pair->far, pair->near);
-      if (open) pair->unanswered_since.reset();
+      if (open) pair->unanswered_since.store(Time{});
       if (!open) LogClosedByTarget(*pair);
     }
   }
+  const std::lock_guard<std::mutex> lock(mutex_);
   close(pair->near);
   close(pair->far);
   pair->closed.store(true);
--- a/tests/stand_ins/tcp_relay.h
+++ b/tests/stand_ins/tcp_relay.h
@@ -44,6 +44,9 @@
   // Connects to the target on the calling thread. Returns a socket whose connection to the relay's
   // port is relayed to that connection, or -1 if the target refuses.
   int Open() noexcept override;
+  // Closes the idle connections that the target has closed. Their threads do so too, but while they
+  // have no processor a caller would send a request on such a connection.
+  void CloseEndedIdleConnections();
   // Permanently stops the data of all connections that are open now.
   void Silence();
   void SetFault(RelayFault fault);
@@ -62,7 +65,7 @@
   int TargetConnectionFor(int caller_port);
   // Relays between `near`, the connection to the caller, and `far`, the one to the target.
   void StartPair(int near, int far);
-  void Forward(Pair* pair) const;
+  void Forward(Pair* pair);
   void LogClosedByTarget(const Pair& pair) const;
   // Removes pairs whose connections have closed.
   void RemoveClosedPairs();
