--- a/tests/soak_callers_test.cc
+++ b/tests/soak_callers_test.cc
@@ -26,6 +26,7 @@
 enum class Reaction {
   // Answers that the job is unknown.
   kAnswer,
+  kRefuse,
   // Reads the request and closes the connection without an answer.
   kCut,
   // The same after kReportedWait.
@@ -63,6 +64,8 @@
       if (i + 1 == reactions_.size()) close(listener_);
       if (reactions_[i] == Reaction::kAnswer) {
         Answer(connection, "410 Gone");
+      } else if (reactions_[i] == Reaction::kRefuse) {
+        Answer(connection, "503 Service Unavailable");
       } else {
         close(connection);
         connection = -1;
@@ -230,5 +233,20 @@
   EXPECT_EQ(history_.violations().size(), 1U);
 }
 
+// libcurl sends a request again when its kept connection ends. The soak took the refusal of the
+// second copy for proof that the first one had not run.
+TEST_F(SoakCallersTest, TakesNoRefusalOfAResentRequestForProof) {
+  ScriptedServer server({Reaction::kAnswer, Reaction::kCut, Reaction::kRefuse});
+  entry_.callers->Retarget(server.port());
+  EXPECT_EQ(Call(), CallOutcome::kUnknownJob);
+  EXPECT_EQ(Call(), CallOutcome::kOutcomeUnknown);
+}
+
+TEST_F(SoakCallersTest, TakesARefusalForProof) {
+  ScriptedServer server({Reaction::kRefuse});
+  entry_.callers->Retarget(server.port());
+  EXPECT_EQ(Call(), CallOutcome::kRefused);
+}
+
 }  // namespace
 }  // namespace turmericshift::soak
