Soak: Log requests that the relay holds when the entry's connection has ended

The relay no longer forwards a request to a target that has ended, but closes the caller's connection and logs the bytes that were not forwarded; so it does when the caller's thread passes the end on. The check is unchanged.

--- a/tests/stand_ins/tcp_relay.cc
+++ b/tests/stand_ins/tcp_relay.cc
@@ -204,7 +204,9 @@
   for (const auto& pair : pairs_) {
     const bool idle = pair->unanswered_since.load() == Time{};
     if (pair->closed.load() || pair->silent.load() || !idle) continue;
-    if (HasEnded(pair->far)) shutdown(pair->near, SHUT_RDWR);
+    if (!HasEnded(pair->far)) continue;
+    LogClosedByTarget(*pair);
+    shutdown(pair->near, SHUT_RDWR);
   }
 }
 
@@ -239,6 +241,11 @@
     if (poll(ends.data(), ends.size(), kPollMillis) <= 0) continue;
     if (fault == RelayFault::kSlow) usleep(kSlowMicros);
     if (ends[0].revents != 0) {
+      // A request for a target that has ended stays unread, so that the log counts its bytes.
+      if (backward && HasEnded(pair->far)) {
+        LogClosedByTarget(*pair);
+        break;
+      }
       open = CopyChunk(pair->near, pair->far);
       pair->unanswered_since.store(LeaseClock().Now());
     }
