--- a/tests/stand_ins/call_pause.cc
+++ b/tests/stand_ins/call_pause.cc
@@ -3,6 +3,9 @@
 #include <dlfcn.h>
 #include <sys/socket.h>
 
+#include <condition_variable>
+#include <mutex>
+
 namespace turmericshift {
 namespace {
 
--- a/tests/stand_ins/call_pause.h
+++ b/tests/stand_ins/call_pause.h
@@ -1,9 +1,6 @@
 // Pauses a thread at a system call, as a machine does whose processors are busy.
 #pragma once
 
-#include <condition_variable>
-#include <mutex>
-
 namespace turmericshift {
 
 enum class PausePoint {
