Pool: Log why a unit waits; Explain: Sum up what delayed late jobs

Cause: no line said why a waiting gang was passed over, so that a full pool, a fragmented one and room kept for others could not be told apart from the logs.

--- a/main/commands/explain_command.cc
+++ b/main/commands/explain_command.cc
@@ -1,4 +1,5 @@
-// turmericshift explain: explains the outcome of a job from the log lines of the processes.
+// turmericshift explain: explains from the log lines of the processes the outcome of a job, or what
+// delayed the late jobs of each queue.
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -6,6 +7,7 @@
 
 #include "main/commands.h"
 #include "servers/explain/job_explainer.h"
+#include "servers/explain/loss_report.h"
 
 namespace turmericshift {
 namespace {
@@ -41,21 +43,47 @@
   }
 }
 
+void PrintLoss(const std::map<std::string, QueueLoss>& queues) {
+  for (const auto& [name, queue] : queues) {
+    std::printf("queue %s, priority %d: %d completed, %d late, %d lost\n", name.c_str(),
+                queue.priority, queue.completed, queue.late, queue.lost);
+    for (const auto& [key, row] : queue.causes) {
+      const std::string reason = key.second.empty() ? "" : ": " + key.second;
+      const std::string cause = DelayCauseName(key.first) + reason;
+      std::printf("  %-34s %4d jobs  %8.1f s\n", cause.c_str(), row.jobs, row.seconds);
+    }
+  }
+}
+
+// Reads the files, or standard input if there are none.
+template <typename Report>
+void ReadLogs(const Args& files, Report* report) {
+  if (files.empty()) report->Read(std::cin);
+  for (const std::string& name : files) {
+    std::ifstream file(name);
+    if (!file) throw Error(ErrorKind::kNotFound, "can't read " + name);
+    report->Read(file);
+  }
+}
+
 }  // namespace
 
 ExitCode RunExplain(const Args& args) {
   CommandOptions options("explain", "explain the outcome of a job from log lines",
                          "JOB|all [LOG...]", "turmericshift explain 5c0e7a21d94b36f8 entry-*.log");
   options.Flag("json", "print the result as JSON");
-  if (!options.Parse(args, 1, 1000)) return ExitCode::kDone;
-  JobExplainer explainer;
+  options.Flag("loss", "print what delayed the late jobs of each queue; takes no JOB");
+  if (!options.Parse(args, 0, 1000)) return ExitCode::kDone;
   const Args& operands = options.operands();
-  if (operands.size() == 1) explainer.Read(std::cin);
-  for (size_t i = 1; i < operands.size(); ++i) {
-    std::ifstream file(operands[i]);
-    if (!file) throw Error(ErrorKind::kNotFound, "can't read " + operands[i]);
-    explainer.Read(file);
+  if (options.flag("loss")) {
+    LossReport report;
+    ReadLogs(operands, &report);
+    PrintLoss(report.Summarize());
+    return ExitCode::kDone;
   }
+  if (operands.empty()) throw Error(ErrorKind::kInvalidInput, "explain needs a job, or --loss");
+  JobExplainer explainer;
+  ReadLogs(Args(operands.begin() + 1, operands.end()), &explainer);
   if (operands[0] == kAllJobs) {
     for (const std::string& job : explainer.jobs()) PrintSummary(explainer.Explain(job));
     return ExitCode::kDone;
--- /dev/null
+++ b/servers/explain/loss_report.cc
@@ -0,0 +1,183 @@
+#include "servers/explain/loss_report.h"
+
+#include <algorithm>
+#include <istream>
+#include <nlohmann/json.hpp>
+
+namespace turmericshift {
+namespace {
+
+using nlohmann::json;
+
+struct CauseName {
+  DelayCause cause;
+  const char* name;
+};
+
+constexpr std::array<CauseName, 6> kCauseNames = {{
+    {DelayCause::kWaiting, "waiting"},
+    {DelayCause::kPreempted, "preempted"},
+    {DelayCause::kFailedRuns, "failed runs"},
+    {DelayCause::kLostRuns, "lost runs"},
+    {DelayCause::kOffRack, "off rack"},
+    {DelayCause::kOther, "other"},
+}};
+
+constexpr double kMillisPerSecond = 1000;
+// A job that takes this many times its due time has no value left for its caller.
+constexpr double kWorthlessFactor = 3;
+
+double SecondsBetween(int64_t from_ms, int64_t to_ms) {
+  return static_cast<double>(to_ms - from_ms) / kMillisPerSecond;
+}
+
+// "job.occurrence.step.index" without its last part.
+std::string StepOf(const std::string& task) { return task.substr(0, task.rfind('.')); }
+
+DelayCause CauseOfEnd(const std::string& how) {
+  if (how == "failed") return DelayCause::kFailedRuns;
+  return how == "stopped" ? DelayCause::kPreempted : DelayCause::kLostRuns;
+}
+
+}  // namespace
+
+const char* DelayCauseName(DelayCause cause) {
+  for (const CauseName& row : kCauseNames) {
+    if (row.cause == cause) return row.name;
+  }
+  return "";
+}
+
+void LossReport::Read(std::istream& lines) {
+  std::string text;
+  while (std::getline(lines, text)) {
+    const size_t brace = text.find('{');
+    if (brace == std::string::npos) continue;
+    const json line = json::parse(text.substr(brace), nullptr, false);
+    if (!line.is_object() || !line.contains("job") || !line.contains("event")) continue;
+    const std::string event = line["event"];
+    Job& job = jobs_[line["job"]];
+    const int64_t at_ms = line.value("time_ms", int64_t{0});
+    if (event == "job_accepted") {
+      job.queue = line.value("queue", "");
+      job.accepted_ms = std::min(at_ms, job.accepted_ms.value_or(at_ms));
+    } else if (event == "unit_waits") {
+      job.waits.push_back({at_ms, line.value("reason", "")});
+    } else if (event == "run_placed") {
+      const std::string task = line.value("task", "");
+      Run& run = job.runs[{line.value("run", int64_t{0}), task}];
+      run.placed_ms = at_ms;
+      run.slowdown = line.value("slowdown", 1.0);
+      run.task = task;
+      run.step = StepOf(task);
+    } else if (event == "run_ended" || event == "run_given_up") {
+      // Agents log the ends of their runs as well, without the run's task.
+      const auto run = job.runs.find({line.value("run", int64_t{0}), line.value("task", "")});
+      if (run == job.runs.end() || run->second.ended_ms) continue;
+      run->second.ended_ms = at_ms;
+      run->second.how = event == "run_ended" ? line.value("how", "") : "lost";
+    } else if (event == "job_ended" && !job.ended_ms) {
+      job.ended_ms = at_ms;
+      job.state = line.value("state", "");
+      job.priority = line.value("priority", 0);
+      job.stretch = line.value("stretch", 0.0);
+      job.target_s = line.value("target_s", 0.0);
+    }
+  }
+}
+
+double LossReport::ChainSeconds(const Job& job) {
+  std::map<std::string, double> longest;
+  for (const auto& [id, run] : job.runs) {
+    if (run.how != "done") continue;
+    double& seconds = longest[run.step];
+    seconds = std::max(seconds, SecondsBetween(run.placed_ms, *run.ended_ms) / run.slowdown);
+  }
+  double chain = 0;
+  for (const auto& [step, seconds] : longest) chain += seconds;
+  return chain;
+}
+
+void LossReport::AddWaits(const Job& job, int64_t first_start_ms, Delays* delays) {
+  std::vector<WaitNote> notes = job.waits;
+  std::stable_sort(notes.begin(), notes.end(), [](const WaitNote& left, const WaitNote& right) {
+    return left.at_ms < right.at_ms;
+  });
+  int64_t from_ms = *job.accepted_ms;
+  std::string reason = "no reason logged";
+  for (const WaitNote& note : notes) {
+    if (note.at_ms >= first_start_ms) break;
+    // The first note is logged in the round in which the unit did not start.
+    if (&note != &notes.front()) {
+      (*delays)[{DelayCause::kWaiting, reason}] += SecondsBetween(from_ms, note.at_ms);
+      from_ms = note.at_ms;
+    }
+    reason = note.reason;
+  }
+  const double rest = SecondsBetween(from_ms, first_start_ms);
+  if (rest > 0) (*delays)[{DelayCause::kWaiting, reason}] += rest;
+}
+
+void LossReport::AddRepeats(const Job& job, Delays* delays) {
+  // A run that was not done delays its task until the next run of the task begins. Gangs repeat all
+  // tasks together, so only the worst task of each cause counts.
+  std::map<std::string, std::vector<const Run*>> by_task;
+  for (const auto& [id, run] : job.runs) by_task[run.task].push_back(&run);
+  std::map<std::string, Delays> delays_by_task;
+  for (auto& [task, runs] : by_task) {
+    for (size_t i = 0; i + 1 < runs.size(); ++i) {
+      const LossKey key = {CauseOfEnd(runs[i]->how), ""};
+      delays_by_task[task][key] += SecondsBetween(runs[i]->placed_ms, runs[i + 1]->placed_ms);
+    }
+  }
+  for (const auto& [task, own] : delays_by_task) {
+    for (const auto& [key, seconds] : own) {
+      (*delays)[key] = std::max((*delays)[key], seconds);
+    }
+  }
+}
+
+LossReport::Delays LossReport::DelaysOf(const Job& job) {
+  Delays delays;
+  int64_t first_start_ms = job.ended_ms.value_or(*job.accepted_ms);
+  double off_rack = 0;
+  for (const auto& [id, run] : job.runs) {
+    first_start_ms = std::min(first_start_ms, run.placed_ms);
+    if (run.how != "done") continue;
+    const double seconds = SecondsBetween(run.placed_ms, *run.ended_ms);
+    off_rack = std::max(off_rack, seconds - seconds / run.slowdown);
+  }
+  AddWaits(job, first_start_ms, &delays);
+  AddRepeats(job, &delays);
+  if (off_rack > 0) delays[{DelayCause::kOffRack, ""}] = off_rack;
+  return delays;
+}
+
+std::map<std::string, QueueLoss> LossReport::Summarize() const {
+  std::map<std::string, QueueLoss> queues;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.accepted_ms || job.state == "cancelled") continue;
+    QueueLoss& queue = queues[job.queue];
+    if (job.ended_ms) queue.priority = job.priority;
+    const bool completed = job.state == "completed";
+    queue.completed += completed;
+    const double due = job.stretch * ChainSeconds(job) + job.target_s;
+    const double elapsed = job.ended_ms ? SecondsBetween(*job.accepted_ms, *job.ended_ms) : 0;
+    if (completed && elapsed <= due) continue;
+    const bool worthless = !completed || elapsed > kWorthlessFactor * due;
+    ++(worthless ? queue.lost : queue.late);
+    LossKey worst = {DelayCause::kOther, ""};
+    double seconds = 0;
+    for (const auto& [key, delay] : DelaysOf(job)) {
+      if (delay <= seconds) continue;
+      worst = key;
+      seconds = delay;
+    }
+    LossRow& row = queue.causes[worst];
+    ++row.jobs;
+    row.seconds += seconds;
+  }
+  return queues;
+}
+
+}  // namespace turmericshift
--- /dev/null
+++ b/servers/explain/loss_report.h
@@ -0,0 +1,100 @@
+// Sums up, over all jobs of a period's logs, how many ended late or not at all, and what delayed
+// them most. `explain JOB` answers the same question for one job.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <iosfwd>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace turmericshift {
+
+// What delayed a late job most.
+enum class DelayCause {
+  // Waited for its first start; what for is told apart by the reason in `unit_waits` lines.
+  kWaiting,
+  // Runs were stopped by preemption and repeated.
+  kPreempted,
+  // Runs failed and were repeated.
+  kFailedRuns,
+  // Runs were lost with their worker or lease and repeated.
+  kLostRuns,
+  // Ran spread over several racks, or away from its data.
+  kOffRack,
+  // None of the above.
+  kOther,
+};
+const char* DelayCauseName(DelayCause cause);
+
+// A cause with the reason of the wait, which is empty for other causes.
+using LossKey = std::pair<DelayCause, std::string>;
+
+struct LossRow {
+  // Late jobs of which this was the largest delay.
+  int jobs = 0;
+  // Sum of their delays by this cause, in seconds.
+  double seconds = 0;
+};
+
+struct QueueLoss {
+  int priority = 0;
+  int completed = 0;
+  // Ended after their due time, but within three times that.
+  int late = 0;
+  // Ended even later, failed, or not ended within the lines.
+  int lost = 0;
+  std::map<LossKey, LossRow> causes;
+};
+
+// Reads the JSON log lines of all processes in any order, with or without a prefix. Cancelled jobs
+// do not count. The due time follows from the longest run of each step that was done, so a job with
+// steps that are wider than the pool counts as late a little early.
+class LossReport {
+ public:
+  void Read(std::istream& lines);
+  // By queue.
+  std::map<std::string, QueueLoss> Summarize() const;
+
+ private:
+  struct Run {
+    int64_t placed_ms = 0;
+    std::optional<int64_t> ended_ms;
+    std::string how;
+    // Factor on the run time of a run that is off its rack.
+    double slowdown = 1;
+    // Name of the run's task and its step.
+    std::string task;
+    std::string step;
+  };
+  struct WaitNote {
+    int64_t at_ms = 0;
+    std::string reason;
+  };
+  struct Job {
+    std::string queue;
+    std::optional<int64_t> accepted_ms;
+    std::optional<int64_t> ended_ms;
+    std::string state;
+    int priority = 0;
+    double stretch = 0;
+    double target_s = 0;
+    // By the numbers of runs, and the names of their tasks.
+    std::map<std::pair<int64_t, std::string>, Run> runs;
+    std::vector<WaitNote> waits;
+  };
+  using Delays = std::map<LossKey, double>;
+
+  // Run times that were done, at full speed.
+  static double ChainSeconds(const Job& job);
+  static Delays DelaysOf(const Job& job);
+  static void AddWaits(const Job& job, int64_t first_start_ms, Delays* delays);
+  static void AddRepeats(const Job& job, Delays* delays);
+
+  std::map<std::string, Job> jobs_;
+};
+
+}  // namespace turmericshift
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -189,7 +189,14 @@
   advice_.Forget(job->spec.id);
   StopJob(*job);
   LogEvent(LogLevel::kInfo, "job_ended",
-           {{"job", job->spec.id}, {"state", JobStateName(state)}, {"epoch", epoch_}});
+           {{"job", job->spec.id},
+            {"state", JobStateName(state)},
+            {"queue", job->spec.queue},
+            {"priority", Terms(*job).priority},
+            {"stretch", Terms(*job).stretch},
+            {"target_s", Seconds(Terms(*job).target_latency)},
+            {"elapsed_s", static_cast<double>(wall_ms - ReleaseMs(job->spec, 0)) / 1000},
+            {"epoch", epoch_}});
 }
 
 void PoolPlanner::MarkRunning(Job* job) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -28,6 +28,7 @@
 #include "servers/pool/reclaimer.h"
 #include "servers/pool/room_forecast.h"
 #include "servers/pool/urgent_reserve.h"
+#include "servers/pool/wait_reason.h"
 #include "servers/pool/worker_health_tracker.h"
 #include "servers/pool/worker_state.h"
 
@@ -175,8 +176,12 @@
     // Earliest time of the next start after a failed start or lost runs.
     Time retry_after{};
     int preemptions = 0;
-    // When preemption for this step was last considered.
+    // When preemption for this step was last considered, and the outcome.
     std::optional<Time> last_reclaim_attempt;
+    ReclaimOutcome reclaim_outcome = ReclaimOutcome::kNotConsidered;
+    // When it was last determined why the step waits, and the reason last logged.
+    std::optional<Time> wait_checked;
+    std::optional<WaitReason> wait_reason;
   };
   struct Job {
     JobSpec spec;
@@ -349,6 +354,11 @@
   void BeginRound(Time now);
   static Occupancy OccupancyOf(const WorkerState& worker);
   void LogQueue(const std::vector<Unit>& units, Time now);
+  // Logs why the unit waits if the reason has changed; determines the reason unless `known`:
+  // pool_planner_waiting.cc.
+  void LogWait(const Unit& unit, const PlacementRequest& request, std::optional<WaitReason> known,
+               Time now);
+  WaitReason ReasonForWait(const Unit& unit, const PlacementRequest& request, Time now) const;
 
   Job* FindJob(const std::string& id);
   static const QueueTerms& Terms(const Job& job) { return *job.terms; }
@@ -400,6 +410,7 @@
   // Expected ends of runs on each worker as of this round, computed on first use.
   mutable std::map<std::string, std::vector<RoomRelease>> room_releases_;
   int reclaims_left_ = 0;
+  int wait_checks_left_ = 0;
   PlannerLag planner_lag_;
   int64_t orders_version_ = 0;
   // Starts ordered but not yet answered, as of this round.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -37,6 +37,8 @@
 // for each unit only every kReclaimInterval; units left out are tried again within the bound on
 // reclaiming.
 constexpr int kReclaimsPerRound = 2;
+// Determining why a unit waits takes several placements, which only the log needs.
+constexpr int kWaitChecksPerRound = 2;
 // Longest time between two rounds of planning.
 constexpr Duration kMaxRoundInterval = std::chrono::milliseconds(100);
 // The queue and the free room are logged this often while anything waits: enough to see why a job
@@ -139,6 +141,7 @@
   needs_planning_ = false;
   last_round_ = now;
   reclaims_left_ = kReclaimsPerRound;
+  wait_checks_left_ = kWaitChecksPerRound;
   backfill_reservations_.clear();
   room_releases_.clear();
   advice_.BeginRound();
@@ -356,6 +359,8 @@
   const UnitKey key = {unit.job->spec.id, unit.place};
   const auto found = reclaim_reservations_.find(key);
   if (found == reclaim_reservations_.end()) return false;
+  const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
+  const int all = static_cast<int>(unit.waiting.size());
   std::map<std::string, int> wanted;
   for (const std::string& node : found->second.placement) ++wanted[node];
   const std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
@@ -367,7 +372,9 @@
   });
   if (!fits) {
     RequestAdvice(unit, now);
-    return now < found->second.until;
+    const bool reserved = now < found->second.until;
+    if (reserved) LogWait(unit, {&step, all}, WaitReason::kPreempting, now);
+    return reserved;
   }
   const Placement placement = found->second.placement;
   reclaim_reservations_.erase(found);
@@ -390,7 +397,11 @@
   request.step = &unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
   const int spare = MaxTasksNow(unit, now);
   const int all = static_cast<int>(unit.waiting.size());
-  if (spare < all && (spare == 0 || request.step->gang)) return;
+  request.tasks = all;
+  if (spare < all && (spare == 0 || request.step->gang)) {
+    LogWait(unit, request, WaitReason::kUrgentReserve, now);
+    return;
+  }
   request.tasks = std::min(all, spare);
   const Placement placement = PlaceUnit(unit, &request, now);
   if (!placement.empty()) Start(unit, placement, now);
@@ -398,6 +409,7 @@
   if (static_cast<int>(placement.size()) == request.tasks) return;
   RequestAdvice(unit, now);
   TryReclaim(unit, request, wall_ms, now);
+  LogWait(unit, request, std::nullopt, now);
   if (!planner_lag_.overloaded()) ReserveForBackfill(unit, request, now);
 }
 
@@ -454,8 +466,8 @@
           advice_.TicketFor({job->spec.id, unit.place}, AdvisedWorkerOf(worker), now).value_or("");
     }
     const bool away_from_data = !step.data_rack.empty() && worker.facts.rack != step.data_rack;
-    run.estimate =
-        Scaled(unit.expected, over_racks || away_from_data ? options_.off_rack_slowdown : 1.0);
+    const double slowdown = over_racks || away_from_data ? options_.off_rack_slowdown : 1.0;
+    run.estimate = Scaled(unit.expected, slowdown);
     run.start_after = job->running_ticket;
     const auto saved =
         job->progress.checkpoints.find({place.occurrence, place.step, step.gang ? 0 : index});
@@ -485,11 +497,16 @@
               {"node", worker.node},
               {"born_ms", worker.facts.start_time_ms},
               {"rack", worker.facts.rack},
+              {"slowdown", slowdown},
               {"waited_s", Seconds(now - *job->steps.at(unit.place).ready_since)},
               {"epoch", epoch_}});
   }
   starts_in_flight_ += static_cast<int>(next);
-  if (next > 0) job->steps.at(unit.place).ready_since.reset();
+  if (next > 0) {
+    StepState& state = job->steps.at(unit.place);
+    state.ready_since.reset();
+    state.wait_reason.reset();
+  }
   if (unit.priority == 0) {
     urgent_use_[job->spec.workspace] += step.need.accelerators * static_cast<int64_t>(next);
   }
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -125,10 +125,13 @@
     }
   }
   const double limit = MaxReclaimCost(unit, remaining, now);
+  state.reclaim_outcome = ReclaimOutcome::kNoGain;
   if (limit <= 0) return;
   const std::optional<ReclaimPlan> plan =
       ChooseVictims(remaining, StartRoomsFor(unit, now), VictimsFor(unit, wall_ms, now));
+  state.reclaim_outcome = plan ? ReclaimOutcome::kTooCostly : ReclaimOutcome::kNotEnoughRoom;
   if (!plan || plan->cost > limit) return;
+  state.reclaim_outcome = ReclaimOutcome::kOrdered;
   for (const RunId& stop : plan->stops) {
     for (auto& [node, worker] : workers_) {
       const auto live = worker.live.find(stop);
--- a/servers/pool/reclaimer.cc
+++ b/servers/pool/reclaimer.cc
@@ -1,6 +1,7 @@
 #include "servers/pool/reclaimer.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <string_view>
 #include <utility>
@@ -8,6 +9,19 @@
 namespace turmericshift::pool {
 namespace {
 
+struct OutcomeName {
+  ReclaimOutcome outcome;
+  const char* name;
+};
+
+constexpr std::array<OutcomeName, 5> kOutcomeNames = {{
+    {ReclaimOutcome::kNotConsidered, "not_considered"},
+    {ReclaimOutcome::kNoGain, "no_gain"},
+    {ReclaimOutcome::kNotEnoughRoom, "not_enough_room"},
+    {ReclaimOutcome::kTooCostly, "too_costly"},
+    {ReclaimOutcome::kOrdered, "ordered"},
+}};
+
 // Victims that are stopped together.
 struct VictimGroup {
   std::vector<const Victim*> members;
@@ -165,6 +179,13 @@
 
 }  // namespace
 
+const char* ReclaimOutcomeName(ReclaimOutcome outcome) {
+  for (const OutcomeName& row : kOutcomeNames) {
+    if (row.outcome == outcome) return row.name;
+  }
+  return "";
+}
+
 std::optional<ReclaimPlan> ChooseVictims(const PlacementRequest& request,
                                          const std::vector<WorkerRoom>& workers,
                                          const std::vector<Victim>& victims) {
--- a/servers/pool/reclaimer.h
+++ b/servers/pool/reclaimer.h
@@ -24,6 +24,18 @@
   double cost = 0;
 };
 
+// Outcome of the last decision on preemption for a unit.
+enum class ReclaimOutcome {
+  kNotConsidered,
+  // Waiting costs the unit nothing, or nothing that preemption would save.
+  kNoGain,
+  // Stopping all possible victims would not make enough room.
+  kNotEnoughRoom,
+  kTooCostly,
+  kOrdered,
+};
+const char* ReclaimOutcomeName(ReclaimOutcome outcome);
+
 struct ReclaimPlan {
   Placement placement;
   std::vector<RunId> stops;
