Agent: Deregister by repeated attempts when several workers leave together

Cause: an agent whose worker has left removes itself from the members on the condition that the topic has not changed. Of the agents of three workers that were scaled in at the same moment two were refused (412) and would have tried again after 2 s, when their own VMs were gone. They stayed listed, so that the next planner waited 4.6 s for them before it started inherited jobs. Change: a refused agent reads the members again and retries after 10 to 30 ms, doubled up to six times, with delays that differ between agents. The condition stays, as the store may carry a removal out late. Test: fails with one attempt, which is the former behaviour.

--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -27,6 +27,19 @@
 constexpr int kLagTimeoutFactor = 2;
 constexpr Duration kMaxLagTimeout = std::chrono::milliseconds(1300);
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(1200);
+// Agents whose workers leave together all want to be removed at the same offset, and all but one
+// are refused. They try again after increasing delays that differ between agents; an agent has
+// about a second before its own VM goes.
+constexpr int kRemovalAttempts = 6;
+constexpr Duration kMinRemovalDelay = std::chrono::milliseconds(10);
+constexpr size_t kRemovalDelaySteps = 16;
+
+// Delay of this agent after its first refused removal: one to three times the minimum.
+Duration FirstRemovalDelay(const std::string& node) {
+  const size_t step = std::hash<std::string>()(node) % kRemovalDelaySteps;
+  return kMinRemovalDelay + 2 * kMinRemovalDelay * static_cast<int64_t>(step) /
+                                static_cast<int64_t>(kRemovalDelaySteps);
+}
 
 }  // namespace
 
@@ -403,7 +416,7 @@
   if (!registered_.load() && !listed) return;
   if (!registered_.load() && now - deregistered_at_ < kMemberCheckInterval) return;
   deregistered_at_ = now;
-  Deregister(membership->end);
+  Deregister();
 }
 
 void PoolAgent::SetRegistered(bool registered) {
@@ -427,18 +440,37 @@
   LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}, {"member", true}});
 }
 
-// The store may carry the removal out late. Its condition fails once the agent, or another process
-// of it, has registered again; until then nothing is started.
-void PoolAgent::Deregister(Offset expected_end) {
+void PoolAgent::Deregister() {
   SetRegistered(false);
   RequestUpdate();
+  Duration delay = FirstRemovalDelay(options_.node);
+  for (int attempt = 1; attempt <= kRemovalAttempts; ++attempt) {
+    const std::shared_ptr<const Membership> membership = members_.membership();
+    if (!WorkerIsGone() || membership->agents.count(options_.node) == 0) return;
+    if (!RemoveAt(membership->end)) return;
+    // Not shortened by a stop: a planner waits for a listed agent, whether it still runs or not.
+    std::this_thread::sleep_for(delay);
+    delay *= 2;
+  }
+}
+
+bool PoolAgent::WorkerIsGone() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return state_.is_gone(LeaseClock().Now());
+}
+
+// The store may carry the removal out late. Its condition fails once the agent, or another process
+// of it, has registered again; until then nothing is started.
+bool PoolAgent::RemoveAt(Offset expected_end) {
   try {
     log_->Append(kMembersTopic, {{kAgentPrefix + options_.node, "", kNoOffset}},
                  {expected_end, "", 0, 0}, kAppendTimeout);
     LogEvent(LogLevel::kInfo, "agent_registered", {{"node", options_.node}, {"member", false}});
   } catch (const Error& error) {
     LogEvent(LogLevel::kWarning, "agent_not_deregistered", {{"error", error.what()}});
+    return error.kind() == ErrorKind::kConflict;
   }
+  return false;
 }
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -78,8 +78,12 @@
   void EnsureMember(Time now);
   void SetRegistered(bool registered);
   void Register();
-  // Removes the agent from the members topic if the topic ends at `expected_end`.
-  void Deregister(Offset expected_end);
+  // Removes the agent from the members topic. Tries again as long as other records get in between.
+  void Deregister();
+  bool WorkerIsGone() const;
+  // Removes the agent if the members topic ends at `expected_end`. Returns whether another attempt
+  // makes sense because the topic ends elsewhere.
+  bool RemoveAt(Offset expected_end);
   void Pause(Duration pause);
 
   const PoolAgentOptions options_;
--- a/servers/pool/pool_agent_test.cc
+++ b/servers/pool/pool_agent_test.cc
@@ -167,6 +167,32 @@
   AppendGuard guard_;
 };
 
+// Another agent's record gets in before the first removals, so that the store refuses them.
+class ContestedLog : public MemoryKeyedLog {
+ public:
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    if (records.front().value.empty() && refusals_.load() < kRefusals) {
+      ++refusals_;
+      const std::string other = kAgentPrefix + std::string("other-") + std::to_string(refusals_);
+      MemoryKeyedLog::Append(topic, {{other, "zone-a", kNoOffset}}, {}, timeout);
+    }
+    return MemoryKeyedLog::Append(topic, records, guard, timeout);
+  }
+
+  int refusals() const { return refusals_.load(); }
+  bool Lists(const std::string& node) {
+    for (const KeyedRecord& record : Newest(kMembersTopic, "", kLimit).records) {
+      if (record.key == kAgentPrefix + node) return !record.value.empty();
+    }
+    return false;
+  }
+
+ private:
+  static constexpr int kRefusals = 2;
+  std::atomic<int> refusals_{0};
+};
+
 template <typename Condition>
 bool Eventually(Condition&& condition) {
   const Time end = LeaseClock().Now() + kLimit;
@@ -209,5 +235,36 @@
   EXPECT_NE(log.RegisteredAt("agent"), kNoOffset);
 }
 
+// Several workers leave together, and the VMs of their agents follow. An agent that stayed listed
+// because another one was removed at the same offset would hold up each new planner.
+TEST(PoolAgentTest, IsRemovedAlthoughOthersAreRemovedAtTheSameTime) {
+  AgentOrders orders;
+  orders.epoch = kEpoch;
+  ContestedLog log;
+  log.Append(kMembersTopic,
+             {{kPlannerKey, EncodePlanner({kEpoch, "planner", "127.0.0.1:1"}), kNoOffset}}, {},
+             kLimit);
+  StopWatchWorker worker;
+  RepeatingPlanner planner(orders);
+  MetricsRegistry metrics;
+  PoolAgentOptions options;
+  options.node = "agent";
+  options.zone = "zone-a";
+  options.members_wait = std::chrono::milliseconds(50);
+  {
+    PoolAgent agent(options, &log, &worker, &planner, &metrics);
+    WorkerAnnouncement announcement = Announcement();
+    agent.WorkerAnnounced(announcement);
+    ASSERT_TRUE(Eventually([&] { return log.Lists("agent"); }));
+    announcement.facts.draining = true;
+    ++announcement.sequence;
+    agent.WorkerAnnounced(announcement);
+    agent.WorkerLeft(announcement.facts.id);
+    worker.End();
+    ASSERT_TRUE(Eventually([&] { return log.refusals() > 0; }));
+  }
+  EXPECT_FALSE(log.Lists("agent"));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
