Pool: Place urgent gangs on the fewest workers

Cause: urgent gangs were spread over the workers with the least room. Change: an urgent gang goes to the worker that takes most of its tasks, and among equals to the one with the least room. Other gangs and single tasks are placed as before. urgent_on_few in the settings switches it off.

--- a/servers/pool/mechanism.cc
+++ b/servers/pool/mechanism.cc
@@ -8,7 +8,7 @@
 namespace turmericshift::pool {
 namespace {
 
-constexpr std::array<std::pair<Mechanism, const char*>, 15> kNames = {{
+constexpr std::array<std::pair<Mechanism, const char*>, 16> kNames = {{
     {Mechanism::kLearnedTimes, "learned_times"},
     {Mechanism::kWideInWaves, "wide_in_goes"},
     {Mechanism::kOnTimeProbability, "likelihood"},
@@ -23,6 +23,7 @@
     {Mechanism::kPreemptForBorrowedRoom, "borrowed_room"},
     {Mechanism::kExcludeFailingWorkers, "worker_judge"},
     {Mechanism::kExcludeStalledWorkers, "standstill"},
+    {Mechanism::kUrgentOnFewWorkers, "urgent_on_few"},
     {Mechanism::kProtectLastAttempt, "last_try"},
 }};
 
--- a/servers/pool/mechanism.h
+++ b/servers/pool/mechanism.h
@@ -39,6 +39,8 @@
   kExcludeFailingWorkers,
   // Workers whose runs have stalled get no new tasks.
   kExcludeStalledWorkers,
+  // Urgent gangs are placed on as few workers as possible.
+  kUrgentOnFewWorkers,
   // A job's last attempt waits for a worker that has not failed recently.
   kProtectLastAttempt,
 };
--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -53,6 +53,34 @@
   return placement;
 }
 
+// Places the tasks on as few workers as possible: repeatedly on the worker that takes most of the
+// remaining tasks, and among equals on the one with the least room. The placement is shorter than
+// `tasks` if room runs out.
+Placement FillFewest(Group group, const StepSpec& step, int tasks) {
+  Placement placement;
+  while (static_cast<int>(placement.size()) < tasks) {
+    const int rest = tasks - static_cast<int>(placement.size());
+    const auto rank = [&](const WorkerRoom* worker) {
+      const int fits = FitCount(worker->free, step.need, std::min(rest, worker->max_tasks));
+      return std::make_tuple(fits == 0, worker->suspect, -fits, worker->free.accelerators,
+                             worker->node);
+    };
+    const auto best = std::min_element(
+        group.begin(), group.end(),
+        [&](const WorkerRoom* left, const WorkerRoom* right) { return rank(left) < rank(right); });
+    if (best == group.end() || std::get<0>(rank(*best))) break;
+    const int fits = -std::get<2>(rank(*best));
+    placement.insert(placement.end(), static_cast<size_t>(fits), std::string((*best)->node));
+    group.erase(best);
+  }
+  return placement;
+}
+
+Placement FillGang(const Group& group, const PlacementRequest& request) {
+  return request.few_workers ? FillFewest(group, *request.step, request.tasks)
+                             : Fill(group, *request.step, request.tasks);
+}
+
 std::map<std::string_view, Group> ByRack(const std::vector<WorkerRoom>& workers) {
   std::map<std::string_view, Group> racks;
   for (const WorkerRoom& worker : workers) racks[worker.rack].push_back(&worker);
@@ -77,7 +105,7 @@
   // The lowest rank wins: no suspect workers, the data's own rack, fewest free accelerators.
   std::tuple<bool, bool, int64_t> best_rank;
   for (const auto& [rack, group] : ByRack(workers)) {
-    Placement placement = Fill(group, *request.step, request.tasks);
+    Placement placement = FillGang(group, request);
     if (static_cast<int>(placement.size()) < request.tasks) continue;
     const bool elsewhere = !request.step->data_rack.empty() && rack != request.step->data_rack;
     if (elsewhere && !request.allow_off_rack) continue;
@@ -101,7 +129,7 @@
   if (!placement.empty()) return placement;
   const bool needs_rack = request.step->one_rack || !request.step->data_rack.empty();
   if (needs_rack && !request.allow_off_rack) return {};
-  placement = Fill(All(workers), *request.step, request.tasks);
+  placement = FillGang(All(workers), request);
   if (static_cast<int>(placement.size()) < request.tasks) return {};
   return placement;
 }
--- a/servers/pool/placer.h
+++ b/servers/pool/placer.h
@@ -1,6 +1,7 @@
 // Chooses workers for a step's tasks. Designed for two load patterns: gangs that want one rack amid
 // many small tasks, and bursts of urgent gangs. Small tasks go to the workers with the fewest free
-// accelerators, so that whole workers and racks stay free for gangs.
+// accelerators, so that whole workers and racks stay free for gangs. Urgent gangs, which a single
+// slow or failing worker makes late, get the fewest workers.
 #pragma once
 
 #include <functional>
@@ -42,6 +43,9 @@
   int tasks = 1;
   // Allows placement of a one-rack gang over several racks, and of tasks outside their data's rack.
   bool allow_off_rack = false;
+  // Places a gang on the fewest workers. For gangs with little time beyond their run time: each
+  // further worker may be slow, fail or leave, and any of that holds for the whole gang.
+  bool few_workers = false;
 };
 
 // The node of each placed task, in the order of the tasks.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -395,6 +395,7 @@
 void PoolPlanner::TryUnit(const Unit& unit, int64_t wall_ms, Time now) {
   PlacementRequest request;
   request.step = &unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
+  request.few_workers = unit.priority == 0 && IsEnabled(Mechanism::kUrgentOnFewWorkers);
   const int spare = MaxTasksNow(unit, now);
   const int all = static_cast<int>(unit.waiting.size());
   request.tasks = all;
