Explain: Count a failed or lost member for its whole gang; Agent: Do not wait after the last attempt

Cause: the members that are stopped because one of them failed counted as preempted; an agent that was refused for the last time slept before it gave up. Change: the worst end among the runs of one number is the cause; LossReport::Read is split by event. Test: CountsAFailedMemberForTheWholeGang failed before (preempted: 1 job).

--- a/servers/explain/loss_report.cc
+++ b/servers/explain/loss_report.cc
@@ -1,8 +1,8 @@
 #include "servers/explain/loss_report.h"
 
 #include <algorithm>
+#include <array>
 #include <istream>
-#include <nlohmann/json.hpp>
 
 namespace turmericshift {
 namespace {
@@ -36,7 +36,7 @@
 
 DelayCause CauseOfEnd(const std::string& how) {
   if (how == "failed") return DelayCause::kFailedRuns;
-  return how == "stopped" ? DelayCause::kPreempted : DelayCause::kLostRuns;
+  return how == "stopped" || how == "done" ? DelayCause::kPreempted : DelayCause::kLostRuns;
 }
 
 }  // namespace
@@ -55,37 +55,46 @@
     if (brace == std::string::npos) continue;
     const json line = json::parse(text.substr(brace), nullptr, false);
     if (!line.is_object() || !line.contains("job") || !line.contains("event")) continue;
-    const std::string event = line["event"];
-    Job& job = jobs_[line["job"]];
-    const int64_t at_ms = line.value("time_ms", int64_t{0});
-    if (event == "job_accepted") {
-      job.queue = line.value("queue", "");
-      job.accepted_ms = std::min(at_ms, job.accepted_ms.value_or(at_ms));
-    } else if (event == "unit_waits") {
-      job.waits.push_back({at_ms, line.value("reason", "")});
-    } else if (event == "run_placed") {
-      const std::string task = line.value("task", "");
-      Run& run = job.runs[{line.value("run", int64_t{0}), task}];
-      run.placed_ms = at_ms;
-      run.slowdown = line.value("slowdown", 1.0);
-      run.task = task;
-      run.step = StepOf(task);
-    } else if (event == "run_ended" || event == "run_given_up") {
-      // Agents log the ends of their runs as well, without the run's task.
-      const auto run = job.runs.find({line.value("run", int64_t{0}), line.value("task", "")});
-      if (run == job.runs.end() || run->second.ended_ms) continue;
-      run->second.ended_ms = at_ms;
-      run->second.how = event == "run_ended" ? line.value("how", "") : "lost";
-    } else if (event == "job_ended" && !job.ended_ms) {
-      job.ended_ms = at_ms;
-      job.state = line.value("state", "");
-      job.priority = line.value("priority", 0);
-      job.stretch = line.value("stretch", 0.0);
-      job.target_s = line.value("target_s", 0.0);
-    }
+    ApplyLine(line, &jobs_[line["job"]]);
   }
 }
 
+void LossReport::ApplyLine(const json& line, Job* job) {
+  const std::string event = line["event"];
+  const int64_t at_ms = line.value("time_ms", int64_t{0});
+  if (event == "job_accepted") {
+    job->queue = line.value("queue", "");
+    job->accepted_ms = std::min(at_ms, job->accepted_ms.value_or(at_ms));
+  } else if (event == "unit_waits") {
+    job->waits.push_back({at_ms, line.value("reason", "")});
+  } else if (event == "run_placed") {
+    const std::string task = line.value("task", "");
+    Run& run = job->runs[RunKeyOf(line)];
+    run = {at_ms, std::nullopt, "", line.value("slowdown", 1.0), task, StepOf(task)};
+  } else if (event == "run_ended") {
+    EndRun(line, line.value("how", ""), at_ms, job);
+  } else if (event == "run_given_up") {
+    EndRun(line, "lost", at_ms, job);
+  } else if (event == "job_ended" && !job->ended_ms) {
+    job->ended_ms = at_ms;
+    job->state = line.value("state", "");
+    job->priority = line.value("priority", 0);
+    job->stretch = line.value("stretch", 0.0);
+    job->target_s = line.value("target_s", 0.0);
+  }
+}
+
+void LossReport::EndRun(const json& line, const std::string& how, int64_t at_ms, Job* job) {
+  const auto run = job->runs.find(RunKeyOf(line));
+  if (run == job->runs.end() || run->second.ended_ms) return;
+  run->second.ended_ms = at_ms;
+  run->second.how = how;
+}
+
+LossReport::RunKey LossReport::RunKeyOf(const json& line) {
+  return {line.value("run", int64_t{0}), line.value("task", "")};
+}
+
 double LossReport::ChainSeconds(const Job& job) {
   std::map<std::string, double> longest;
   for (const auto& [id, run] : job.runs) {
@@ -121,13 +130,22 @@
 void LossReport::AddRepeats(const Job& job, Delays* delays) {
   // A run that was not done delays its task until the next run of the task begins. Gangs repeat all
   // tasks together, so only the worst task of each cause counts.
-  std::map<std::string, std::vector<const Run*>> by_task;
-  for (const auto& [id, run] : job.runs) by_task[run.task].push_back(&run);
+  std::map<std::string, std::vector<std::pair<int64_t, const Run*>>> by_task;
+  // The members of a gang share the number of their run: if one fails or is lost, the others are
+  // stopped.
+  std::map<int64_t, DelayCause> causes;
+  for (const auto& [id, run] : job.runs) {
+    by_task[run.task].emplace_back(id.first, &run);
+    const DelayCause cause = CauseOfEnd(run.how);
+    const auto [known, inserted] = causes.emplace(id.first, cause);
+    if (!inserted) known->second = std::max(known->second, cause);
+  }
   std::map<std::string, Delays> delays_by_task;
-  for (auto& [task, runs] : by_task) {
+  for (const auto& [task, runs] : by_task) {
     for (size_t i = 0; i + 1 < runs.size(); ++i) {
-      const LossKey key = {CauseOfEnd(runs[i]->how), ""};
-      delays_by_task[task][key] += SecondsBetween(runs[i]->placed_ms, runs[i + 1]->placed_ms);
+      const LossKey key = {causes.at(runs[i].first), ""};
+      const int64_t next_ms = runs[i + 1].second->placed_ms;
+      delays_by_task[task][key] += SecondsBetween(runs[i].second->placed_ms, next_ms);
     }
   }
   for (const auto& [task, own] : delays_by_task) {
--- a/servers/explain/loss_report.h
+++ b/servers/explain/loss_report.h
@@ -2,10 +2,10 @@
 // them most. `explain JOB` answers the same question for one job.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <iosfwd>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -70,6 +70,8 @@
     std::string task;
     std::string step;
   };
+  // Number of the run, which the members of a gang share, and name of the task.
+  using RunKey = std::pair<int64_t, std::string>;
   struct WaitNote {
     int64_t at_ms = 0;
     std::string reason;
@@ -82,12 +84,14 @@
     int priority = 0;
     double stretch = 0;
     double target_s = 0;
-    // By the numbers of runs, and the names of their tasks.
-    std::map<std::pair<int64_t, std::string>, Run> runs;
+    std::map<RunKey, Run> runs;
     std::vector<WaitNote> waits;
   };
   using Delays = std::map<LossKey, double>;
 
+  static void ApplyLine(const nlohmann::json& line, Job* job);
+  static void EndRun(const nlohmann::json& line, const std::string& how, int64_t at_ms, Job* job);
+  static RunKey RunKeyOf(const nlohmann::json& line);
   // Run times that were done, at full speed.
   static double ChainSeconds(const Job& job);
   static Delays DelaysOf(const Job& job);
--- a/servers/explain/loss_report_test.cc
+++ b/servers/explain/loss_report_test.cc
@@ -65,6 +65,19 @@
   EXPECT_EQ(loss.causes.at({DelayCause::kPreempted, ""}).jobs, 1);
 }
 
+// One member of a gang fails and the others are stopped for it, which is no preemption.
+TEST(LossReport, CountsAFailedMemberForTheWholeGang) {
+  const std::string other =
+      R"({"time_ms":1000,"event":"run_placed","job":"j","task":"j.0.0.1","run":1})"
+      "\n"
+      R"({"time_ms":3000,"event":"run_ended","job":"j","task":"j.0.0.1","how":"failed","run":1})"
+      "\n";
+  const QueueLoss loss = SummaryOf(kAccepted + Placed(1000, 1) + other + Ended(3100, 1, "stopped") +
+                                   Placed(3200, 2) + Ended(5200, 2, "done") + Completed(5200));
+  EXPECT_EQ(loss.causes.count({DelayCause::kPreempted, ""}), 0U);
+  EXPECT_EQ(loss.causes.at({DelayCause::kFailedRuns, ""}).jobs, 1);
+}
+
 // A gang that is spread over several racks is late without having waited.
 TEST(LossReport, TellsRunsOffTheirRack) {
   const QueueLoss loss =
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -444,10 +444,10 @@
   SetRegistered(false);
   RequestUpdate();
   Duration delay = FirstRemovalDelay(options_.node);
-  for (int attempt = 1; attempt <= kRemovalAttempts; ++attempt) {
+  for (int attempt = 1;; ++attempt) {
     const std::shared_ptr<const Membership> membership = members_.membership();
     if (!WorkerIsGone() || membership->agents.count(options_.node) == 0) return;
-    if (!RemoveAt(membership->end)) return;
+    if (!RemoveAt(membership->end) || attempt == kRemovalAttempts) return;
     // Not shortened by a stop: a planner waits for a listed agent, whether it still runs or not.
     std::this_thread::sleep_for(delay);
     delay *= 2;
