--- a/servers/pool/wait_reason.h
+++ b/servers/pool/wait_reason.h
@@ -22,7 +22,7 @@
   kReservedForOthers,
   // There is room, but it is kept for urgent jobs that have not been submitted yet.
   kUrgentReserve,
-  // There is room on workers that are quarantined, suspect or not advised.
+  // There is room on workers that are quarantined, not advised, or too risky for a last attempt.
   kWorkersExcluded,
   // Runs have been stopped to make room, and have not ended yet.
   kPreempting,
