--- a/servers/pool/mechanism.cc
+++ b/servers/pool/mechanism.cc
@@ -8,7 +8,7 @@
 namespace turmericshift::pool {
 namespace {
 
-constexpr std::array<std::pair<Mechanism, const char*>, 16> kNames = {{
+constexpr std::array<std::pair<Mechanism, const char*>, 22> kNames = {{
     {Mechanism::kLearnedTimes, "learned_times"},
     {Mechanism::kWideInWaves, "wide_in_goes"},
     {Mechanism::kOnTimeProbability, "likelihood"},
@@ -25,6 +25,12 @@
     {Mechanism::kExcludeStalledWorkers, "standstill"},
     {Mechanism::kUrgentOnFewWorkers, "urgent_on_few"},
     {Mechanism::kProtectLastAttempt, "last_try"},
+    {Mechanism::kWorkerSpeeds, "worker_speeds"},
+    {Mechanism::kLearnedState, "learned_state"},
+    {Mechanism::kAdmission, "admission"},
+    {Mechanism::kFairShares, "fair_shares"},
+    {Mechanism::kPreferReplacedWorkers, "replaced_first"},
+    {Mechanism::kDemandForecast, "demand_forecast"},
 }};
 
 }  // namespace
--- a/servers/pool/mechanism.h
+++ b/servers/pool/mechanism.h
@@ -43,6 +43,18 @@
   kUrgentOnFewWorkers,
   // A job's last attempt waits for a worker that has not failed recently.
   kProtectLastAttempt,
+  // Workers' speeds are learned and decide which workers a unit gets.
+  kWorkerSpeeds,
+  // What a planner has learned is stored for its successor.
+  kLearnedState,
+  // Submissions that could only end worthless are rejected.
+  kAdmission,
+  // Room beyond guarantees goes first to workspaces that used little of the pool lately.
+  kFairShares,
+  // Work that can't be resumed avoids workers that a release is about to replace.
+  kPreferReplacedWorkers,
+  // The reserve for urgent jobs follows a forecast of their demand.
+  kDemandForecast,
 };
 // Throws Error(kInvalidInput) with the list of known names if the name is unknown.
 Mechanism MechanismFromName(const std::string& name);
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -31,6 +31,17 @@
 constexpr size_t kMaxSlowExchanges = 2;
 constexpr Duration kAnnouncementInterval = std::chrono::milliseconds(500);
 
+PlannerOptions OptionsFor(const PoolBounds& bounds, const DisabledMechanisms& mechanisms_off) {
+  PlannerOptions options = PlannerOptionsFor(bounds);
+  options.disabled_mechanisms = mechanisms_off;
+  return options;
+}
+
+bool OfOneGang(const RunId& left, const RunId& right) {
+  return left.number == right.number && left.task.job == right.task.job &&
+         left.task.occurrence == right.task.occurrence && left.task.step == right.task.step;
+}
+
 }  // namespace
 
 struct PoolSimulation::Worker {
@@ -63,9 +74,9 @@
 
 PoolSimulation::PoolSimulation(const std::vector<SimulatedWorker>& workers,
                                const OperatorState& operators, const PoolBounds& bounds,
-                               PoolFaults* faults)
+                               PoolFaults* faults, const DisabledMechanisms& mechanisms_off)
     : bounds_(bounds),
-      options_(PlannerOptionsFor(bounds)),
+      options_(OptionsFor(bounds, mechanisms_off)),
       faults_(faults == nullptr ? &no_faults_ : faults),
       operators_(operators),
       now_(Time(std::chrono::hours(1))) {
@@ -284,13 +295,25 @@
 bool PoolSimulation::GangComplete(const RunId& run) const {
   int present = 0;
   for (const auto& row : workers_) {
+    for (const auto& live : row.second->model->live()) present += OfOneGang(live.first, run);
+  }
+  return present >= StepOf(run.task)->tasks;
+}
+
+double PoolSimulation::TimeFactorOf(const Worker& worker, const RunId& run) const {
+  double factor = worker.spec.time_factor;
+  if (!StepOf(run.task)->gang) return factor;
+  for (const auto& row : workers_) {
+    if (row.second->spec.time_factor <= factor) continue;
     for (const auto& live : row.second->model->live()) {
-      const RunId& other = live.first;
-      present += other.number == run.number && other.task.job == run.task.job &&
-                 other.task.occurrence == run.task.occurrence && other.task.step == run.task.step;
+      if (OfOneGang(live.first, run)) factor = row.second->spec.time_factor;
     }
   }
-  return present >= StepOf(run.task)->tasks;
+  return factor;
+}
+
+void PoolSimulation::SetTimeFactor(const std::string& node, double factor) {
+  worker(node).spec.time_factor = factor;
 }
 
 void PoolSimulation::TickWorker(Worker* worker) {
@@ -309,7 +332,7 @@
         ended_runs.push_back({run, EndKind::kPartialGang});
       }
     } else {
-      if (!worker->stuck) live.worked += kTick;
+      if (!worker->stuck) live.worked += Scaled(kTick, 1 / TimeFactorOf(*worker, run));
       live.percent = static_cast<int>(100 * live.worked / DurationOf(run.task));
       live.incomplete_since = now_;
       if (live.worked < DurationOf(run.task)) continue;
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -24,6 +24,8 @@
   std::string rack;
   std::string zone = "a";
   Room capacity = {64'000, 131'072, 8};
+  // Factor on the run time of its tasks; a gang is as slow as its slowest member.
+  double time_factor = 1;
 };
 
 // One run of a task as its worker saw it.
@@ -39,8 +41,10 @@
 class PoolSimulation {
  public:
   // `faults` must outlive the simulation; null: no faults beside those that the test injects.
+  // `mechanisms_off`: mechanisms that all planners leave out.
   PoolSimulation(const std::vector<SimulatedWorker>& workers, const OperatorState& operators,
-                 const PoolBounds& bounds = {}, PoolFaults* faults = nullptr);
+                 const PoolBounds& bounds = {}, PoolFaults* faults = nullptr,
+                 const DisabledMechanisms& mechanisms_off = {});
   ~PoolSimulation();
 
   // Run time of a task on a healthy worker; the step's estimate if unset.
@@ -84,6 +88,8 @@
   void Drain(const std::string& node);
   // While a worker is stuck, its runs make no progress.
   void SetStuck(const std::string& node, bool stuck);
+  // Sets the worker's SimulatedWorker::time_factor from now on.
+  void SetTimeFactor(const std::string& node, double factor);
   // Limits the planner to `reports` reports per tick of 10 ms, in order of arrival; the others
   // wait. Agents poll every 500 ms and repeat a poll that is unanswered for 1.2 s, as real agents
   // do; the planner still reads the report of the abandoned poll.
@@ -150,6 +156,8 @@
   // The task that stands for all tasks that end together: for a gang its first one.
   TaskId UnitOf(const TaskId& task) const;
   bool GangComplete(const RunId& run) const;
+  // Factor on the run time of a run on the worker.
+  double TimeFactorOf(const Worker& worker, const RunId& run) const;
   const StepSpec* StepOf(const TaskId& task) const;
   Duration DurationOf(const TaskId& task) const;
   int64_t wall_ms() const;
