Pool: Move reservations, the cost of preemption and the queue's log line out of PoolPlanner

Cause: PoolPlanner is one class over six files and is about to call more parts. Change: BackfillReservations, ReclaimReservations, PreemptionCost and QueueLog stand in files of their own; no decision changes.

--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -25,8 +25,10 @@
 #include "servers/pool/planner_lag.h"
 #include "servers/pool/pool_config.h"
 #include "servers/pool/pool_messages.h"
+#include "servers/pool/queue_log.h"
 #include "servers/pool/reclaimer.h"
 #include "servers/pool/room_forecast.h"
+#include "servers/pool/room_reservations.h"
 #include "servers/pool/urgent_reserve.h"
 #include "servers/pool/wait_reason.h"
 #include "servers/pool/worker_health_tracker.h"
@@ -219,19 +221,7 @@
     Duration expected{};
     Prospect prospect = Prospect::kOnTime;
   };
-  struct ReclaimReservation {
-    Placement placement;
-    Room need;
-    Time until{};
-  };
-  using UnitKey = std::pair<std::string, StepPlace>;
-  // A worker on which room is reserved for a unit that can begin there at `ready_at`.
-  struct BackfillReservation {
-    UnitKey key;
-    Time ready_at{};
-    // Room that tasks of other units may occupy beyond `ready_at`.
-    Room spare;
-  };
+  static UnitKey KeyOf(const Unit& unit) { return {unit.job->spec.id, unit.place}; }
 
   // Processing of reports; defined in pool_planner_reports.cc.
 
@@ -330,8 +320,6 @@
   void ReserveForBackfill(const Unit& unit, const PlacementRequest& request, Time now);
   std::vector<FutureRoom> FutureRoomsFor(const Unit& unit, Time now) const;
   const std::vector<RoomRelease>& ReleasesOn(const WorkerState& worker, Time now) const;
-  // Subtracts room that is reserved for units ahead of this one.
-  void SubtractReservedRoom(const Unit& unit, std::vector<WorkerRoom>* rooms, Time now) const;
   // Whether the unit is urgent and the urgent jobs of its workspace together need no more than the
   // guarantee, so that the unit has to begin within PoolBounds::reclaim.
   bool NeedsFitGuarantee(const Unit& unit) const;
@@ -340,9 +328,8 @@
   void TryReclaim(const Unit& unit, const PlacementRequest& request, int64_t wall_ms, Time now);
   // Core-seconds of other jobs' work that may be lost to make room for the unit.
   double MaxReclaimCost(const Unit& unit, const PlacementRequest& rest, Time now) const;
-  // Cost, in core-seconds, of preempting a run for a unit that needs its room for `room_taken_for`:
-  // the work lost, and the value that the run's own job loses by ending later.
-  double PreemptionCost(const Job& job, const LiveRun& run, Duration room_taken_for,
+  // Cost, in core-seconds, of preempting a run for a unit that needs its room for `room_taken_for`.
+  double CostOfStopping(const Job& job, const LiveRun& run, Duration room_taken_for,
                         int64_t wall_ms, Time now) const;
   std::vector<Victim> VictimsFor(const Unit& unit, int64_t wall_ms, Time now) const;
   void Start(const Unit& unit, const Placement& placement, Time now);
@@ -384,12 +371,12 @@
   bool releasing_ = false;
   WorkerHealthTracker health_tracker_;
   JobEstimator estimator_;
-  std::map<UnitKey, ReclaimReservation> reclaim_reservations_;
+  ReclaimReservations reclaim_reservations_;
   int64_t start_count_ = 0;
   // Whether something that affects placement has changed since the last round.
   bool needs_planning_ = true;
   std::optional<Time> last_round_;
-  std::optional<Time> last_queue_log_;
+  QueueLog queue_log_;
   // Submissions that are not durable yet.
   std::set<Ticket> pending_submissions_;
   // Workers whose starts wait until the record of the ticket is durable.
@@ -406,7 +393,7 @@
   std::optional<Time> half_idle_since_;
   // Moving average of the time that stops take.
   Duration mean_stop_time_;
-  std::map<std::string, BackfillReservation> backfill_reservations_;
+  BackfillReservations backfill_reservations_;
   // Expected ends of runs on each worker as of this round, computed on first use.
   mutable std::map<std::string, std::vector<RoomRelease>> room_releases_;
   int reclaims_left_ = 0;
--- a/servers/pool/pool_planner_backfilling.cc
+++ b/servers/pool/pool_planner_backfilling.cc
@@ -23,17 +23,9 @@
 // At most the fraction 1 / kMaxReservedDivisor of the workers is reserved for waiting units;
 // otherwise a few wide gangs would empty the pool.
 constexpr size_t kMaxReservedDivisor = 2;
-// Safety factor on run times when a task is to end before a gang begins.
-constexpr double kEstimateMargin = 1.1;
 // Single tasks with fewer accelerators soon find room without a reservation.
 constexpr int64_t kMinReservedAccelerators = 2;
 
-Room ComponentMin(const Room& left, const Room& right) {
-  return {std::min(left.processor_millis, right.processor_millis),
-          std::min(left.memory_mib, right.memory_mib),
-          std::min(left.accelerators, right.accelerators)};
-}
-
 }  // namespace
 
 bool PoolPlanner::NeedsFitGuarantee(const Unit& unit) const {
@@ -63,7 +55,7 @@
   std::vector<FutureRoom> future;
   for (const WorkerRoom& room : RoomsFor(unit, false, now)) {
     const std::string node(room.node);
-    if (backfill_reservations_.count(node) > 0) continue;
+    if (backfill_reservations_.Covers(node)) continue;
     future.push_back({room, &ReleasesOn(workers_.at(node), now)});
   }
   return future;
@@ -89,8 +81,7 @@
 
 void PoolPlanner::ReserveForBackfill(const Unit& unit, const PlacementRequest& request, Time now) {
   if (!IsEnabled(Mechanism::kBackfilling)) return;
-  const UnitKey key = {unit.job->spec.id, unit.place};
-  if (reclaim_reservations_.count(key) > 0) return;
+  if (reclaim_reservations_.Find(KeyOf(unit)) != nullptr) return;
   if (!request.step->gang && request.step->need.accelerators < kMinReservedAccelerators) return;
   if (backfill_reservations_.size() * kMaxReservedDivisor >= workers_.size()) return;
   const std::vector<FutureRoom> future = FutureRoomsFor(unit, now);
@@ -98,25 +89,7 @@
   if (!request.step->gang) first.tasks = 1;
   const std::optional<RoomForecast> forecast = ForecastRoom(first, future);
   if (!forecast) return;
-  for (const FutureRoom& worker : future) {
-    const auto share = forecast->tasks.find(std::string(worker.now.node));
-    if (share == forecast->tasks.end()) continue;
-    backfill_reservations_[share->first] = {
-        key, now + forecast->delay,
-        SpareRoom(worker, request.step->need, share->second, forecast->delay)};
-  }
-}
-
-void PoolPlanner::SubtractReservedRoom(const Unit& unit, std::vector<WorkerRoom>* rooms,
-                                       Time now) const {
-  if (backfill_reservations_.empty()) return;
-  const UnitKey key = {unit.job->spec.id, unit.place};
-  const Time over_at = now + Scaled(unit.expected, kEstimateMargin);
-  for (WorkerRoom& room : *rooms) {
-    const auto found = backfill_reservations_.find(std::string(room.node));
-    if (found == backfill_reservations_.end() || found->second.key == key) continue;
-    if (over_at > found->second.ready_at) room.free = ComponentMin(room.free, found->second.spare);
-  }
+  backfill_reservations_.Add(KeyOf(unit), *forecast, future, request.step->need, now);
 }
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -41,9 +41,8 @@
 constexpr int kWaitChecksPerRound = 2;
 // Longest time between two rounds of planning.
 constexpr Duration kMaxRoundInterval = std::chrono::milliseconds(100);
-// The queue and the free room are logged this often while anything waits: enough to see why a job
-// waited, without more log lines under load.
-constexpr Duration kQueueLogInterval = std::chrono::seconds(1);
+// Safety factor on run times when a task is to end before a gang begins.
+constexpr double kEstimateMargin = 1.1;
 
 bool Contains(const std::vector<std::string>& list, const std::string& value) {
   return std::find(list.begin(), list.end(), value) != list.end();
@@ -90,39 +89,24 @@
     if (!planner_lag_.MayStartMore(starts_in_flight_)) break;
     if (!TryReservedRoom(unit, now)) TryUnit(unit, wall_ms, now);
   }
-  std::erase_if(reclaim_reservations_, [now](const auto& row) { return now >= row.second.until; });
+  reclaim_reservations_.RemoveExpired(now);
 }
 
 void PoolPlanner::LogQueue(const std::vector<Unit>& units, Time now) {
-  if (units.empty() || (last_queue_log_ && now - *last_queue_log_ < kQueueLogInterval)) return;
-  last_queue_log_ = now;
-  Room total;
-  Room free;
-  int usable = 0;
+  if (units.empty() || !queue_log_.IsDue(now)) return;
+  QueueSnapshot snapshot;
   for (const auto& [node, worker] : workers_) {
     if (!worker.usable(now) || health_tracker_.IsQuarantined(node, now)) continue;
     if (operator_state_->zones_out.count(worker.zone) > 0) continue;
-    ++usable;
-    total += worker.facts.capacity;
-    free += worker.remaining_room;
+    ++snapshot.workers;
+    snapshot.room.total += worker.facts.capacity;
+    snapshot.room.free += worker.remaining_room;
   }
-  std::map<int, int> waiting;
-  for (const Unit& unit : units) ++waiting[unit.priority];
-  std::vector<std::string> steps;
-  steps.reserve(waiting.size());
-  for (const auto& [priority, count] : waiting) {
-    steps.push_back(std::to_string(priority) + ":" + std::to_string(count));
-  }
-  LogEvent(LogLevel::kInfo, "queue",
-           {{"waiting", steps},
-            {"late_s", Seconds(planner_lag_.lag())},
-            {"starts_under_way", starts_in_flight_},
-            {"workers", usable},
-            {"accelerators", total.accelerators},
-            {"accelerators_free", free.accelerators},
-            {"processor_millis", total.processor_millis},
-            {"processor_millis_free", free.processor_millis},
-            {"epoch", epoch_}});
+  for (const Unit& unit : units) ++snapshot.waiting[unit.priority];
+  snapshot.lag = planner_lag_.lag();
+  snapshot.starts_in_flight = starts_in_flight_;
+  snapshot.epoch = epoch_;
+  queue_log_.Log(snapshot, now);
 }
 
 bool PoolPlanner::RoundIsDue(Time now) const {
@@ -142,7 +126,7 @@
   last_round_ = now;
   reclaims_left_ = kReclaimsPerRound;
   wait_checks_left_ = kWaitChecksPerRound;
-  backfill_reservations_.clear();
+  backfill_reservations_.Clear();
   room_releases_.clear();
   advice_.BeginRound();
   pool_room_ = PoolRoom();
@@ -333,15 +317,9 @@
     rooms.push_back(room);
   }
   if (empty) return rooms;
-  SubtractReservedRoom(unit, &rooms, now);
-  for (const auto& [key, reservation] : reclaim_reservations_) {
-    if (key.first == unit.job->spec.id && key.second == unit.place) continue;
-    for (const std::string& node : reservation.placement) {
-      for (WorkerRoom& room : rooms) {
-        if (room.node == node) room.free -= reservation.need;
-      }
-    }
-  }
+  const Time over_at = now + Scaled(unit.expected, kEstimateMargin);
+  backfill_reservations_.Subtract(KeyOf(unit), over_at, &rooms);
+  reclaim_reservations_.Subtract(KeyOf(unit), &rooms);
   return rooms;
 }
 
@@ -356,28 +334,27 @@
 }
 
 bool PoolPlanner::TryReservedRoom(const Unit& unit, Time now) {
-  const UnitKey key = {unit.job->spec.id, unit.place};
-  const auto found = reclaim_reservations_.find(key);
-  if (found == reclaim_reservations_.end()) return false;
+  const ReclaimReservation* reserved = reclaim_reservations_.Find(KeyOf(unit));
+  if (reserved == nullptr) return false;
   const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
   const int all = static_cast<int>(unit.waiting.size());
   std::map<std::string, int> wanted;
-  for (const std::string& node : found->second.placement) ++wanted[node];
+  for (const std::string& node : reserved->placement) ++wanted[node];
   const std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
   const bool fits = std::all_of(wanted.begin(), wanted.end(), [&](const auto& row) {
     return std::any_of(rooms.begin(), rooms.end(), [&](const WorkerRoom& room) {
       return room.node == row.first &&
-             FitCount(room.free, found->second.need, room.max_tasks) >= row.second;
+             FitCount(room.free, reserved->need, room.max_tasks) >= row.second;
     });
   });
   if (!fits) {
     RequestAdvice(unit, now);
-    const bool reserved = now < found->second.until;
-    if (reserved) LogWait(unit, {&step, all}, WaitReason::kPreempting, now);
-    return reserved;
+    const bool waits = now < reserved->until;
+    if (waits) LogWait(unit, {&step, all}, WaitReason::kPreempting, now);
+    return waits;
   }
-  const Placement placement = found->second.placement;
-  reclaim_reservations_.erase(found);
+  const Placement placement = reserved->placement;
+  reclaim_reservations_.Remove(KeyOf(unit));
   Start(unit, placement, now);
   return true;
 }
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -8,6 +8,7 @@
 
 #include "core/logging.h"
 #include "servers/pool/pool_planner.h"
+#include "servers/pool/preemption_cost.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -15,21 +16,9 @@
 // Preemption for the same unit is considered again after this time, well within the bound on
 // reclaiming.
 constexpr Duration kReclaimInterval = std::chrono::milliseconds(300);
-// Work that has been preempted before costs more to preempt again, so that two urgent streams do
-// not stop the same job forever.
-constexpr double kRepeatCostFactor = 2.0;
-// Stopping a run that has just been started wastes at least its start.
-constexpr double kMinLostSeconds = 0.3;
-
 // Guaranteed room is reclaimed at any cost.
 constexpr double kUnlimitedCost = 1e9;
 
-// Seconds of work lost by stopping the run.
-double LostSeconds(const LiveRun& run, const StepSpec& step, Duration restore, Time now) {
-  if (step.checkpoints) return Seconds(restore);
-  return std::max(kMinLostSeconds, Seconds(now - run.since));
-}
-
 }  // namespace
 
 double PoolPlanner::MaxReclaimCost(const Unit& unit, const PlacementRequest& remaining,
@@ -50,28 +39,21 @@
              : 0;
 }
 
-double PoolPlanner::PreemptionCost(const Job& job, const LiveRun& run, Duration room_taken_for,
+double PoolPlanner::CostOfStopping(const Job& job, const LiveRun& run, Duration room_taken_for,
                                    int64_t wall_ms, Time now) const {
   const StepPlace place = {run.run.task.occurrence, run.run.task.step};
-  const StepSpec& step = job.spec.steps[static_cast<size_t>(place.step)];
-  JobTiming timing = estimator_.TimingOf(job.spec, Terms(job), place, wall_ms);
-  const Duration whole = estimator_.ExpectedTime(job.spec, step);
-  const Duration left = run.progress.RemainingTime(run.estimate, run.since, now);
-  const Duration rest_after = timing.remaining - whole;
-  timing.remaining = rest_after + left;
-  const double share_now = ExpectedValueShare(timing, Duration::zero());
-  timing.remaining = rest_after + (step.checkpoints ? left + options_.restore_time : whole);
-  const double share_then = ExpectedValueShare(timing, mean_stop_time_ + room_taken_for);
-  double loss = std::max(0.0, share_now - share_then) * estimator_.ValueOf(job.spec, Terms(job));
-  if (!IsEnabled(Mechanism::kVictimLoss)) loss = 0;
-  // The members of a gang are stopped together and share the loss.
-  if (step.gang) loss /= step.tasks;
-  double lost_work = CoreEquivalent(run.need) * LostSeconds(run, step, options_.restore_time, now);
+  RunToStop stop;
+  stop.step = &job.spec.steps[static_cast<size_t>(place.step)];
+  stop.need = run.need;
+  stop.elapsed = now - run.since;
+  stop.whole = estimator_.ExpectedTime(job.spec, *stop.step);
+  stop.left = run.progress.RemainingTime(run.estimate, run.since, now);
+  stop.timing = estimator_.TimingOf(job.spec, Terms(job), place, wall_ms);
+  stop.value = estimator_.ValueOf(job.spec, Terms(job));
   const auto state = job.steps.find(place);
-  if (state != job.steps.end() && IsEnabled(Mechanism::kRepeatPreemptionCost)) {
-    lost_work *= 1 + kRepeatCostFactor * state->second.preemptions;
-  }
-  return lost_work + loss;
+  if (state != job.steps.end()) stop.preemptions = state->second.preemptions;
+  return PreemptionCost(stop, {mean_stop_time_, options_.restore_time, room_taken_for},
+                        options_.disabled_mechanisms);
 }
 
 std::vector<Victim> PoolPlanner::VictimsFor(const Unit& unit, int64_t wall_ms, Time now) const {
@@ -96,7 +78,7 @@
       victim.run = id;
       victim.node = node;
       victim.need = run.need;
-      victim.cost = PreemptionCost(job->second, run, unit.expected, wall_ms, now);
+      victim.cost = CostOfStopping(job->second, run, unit.expected, wall_ms, now);
       if (step->gang) {
         victim.gang = id.task.job + "/" + std::to_string(id.task.occurrence) + "/" +
                       std::to_string(id.task.step);
@@ -142,8 +124,8 @@
       StopRun(&worker, &live->second);
     }
   }
-  reclaim_reservations_[{unit.job->spec.id, unit.place}] = {plan->placement, request.step->need,
-                                                            now + options_.reservation_limit};
+  reclaim_reservations_.Add(
+      KeyOf(unit), {plan->placement, request.step->need, now + options_.reservation_limit});
   LogEvent(LogLevel::kInfo, "room_reclaimed",
            {{"job", unit.job->spec.id},
             {"entitled", unit.within_guarantee},
