Speeds: Learn how fast workers are, and place work by it

Cause: on a pool whose workers differ by up to 2.7 times in speed two thirds of the urgent gangs end late though hardly any waits: a gang is as slow as its slowest member, and the planner knows no speeds. Change: servers/speeds estimates each worker's time factor from the progress and ends of runs, by a two-way model of steps and workers with uncertainties; slowdowns of seconds are kept apart. The factor enters learned run times, expected ends of runs and gangs, the choice of workers and racks, the reserve, preemption and the log lines run_placed and run_ended. An urgent gang for which only too slow workers are free preempts runs on faster ones or waits for them where that is worth it. Takes effect once two workers are slow beyond doubt, by the slack that the most urgent queue's terms leave. Switch: [policy] off = worker_speeds.

--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -1,8 +1,10 @@
 #include "servers/pool/placer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -26,6 +28,7 @@
 // little cost, and tasks that cannot be resumed go where clearing is expensive already.
 bool ComesFirst(const StepSpec& step, const WorkerRoom* left, const WorkerRoom* right) {
   if (left->suspect != right->suspect) return !left->suspect;
+  if (left->speed_rank != right->speed_rank) return left->speed_rank < right->speed_rank;
   const int left_rank = step.gang ? 0 : SimilarityRank(step, left->occupancy);
   const int right_rank = step.gang ? 0 : SimilarityRank(step, right->occupancy);
   if (left_rank != right_rank) return left_rank < right_rank;
@@ -81,6 +84,28 @@
                              : Fill(group, *request.step, request.tasks);
 }
 
+// A gang's placement and the worst rank by speed among its workers.
+struct RankedPlacement {
+  Placement placement;
+  int speed_rank = 0;
+};
+
+// Places the gang on workers of the lowest possible ranks by speed. The placement is shorter than
+// the gang if room runs out.
+RankedPlacement FillGangByRank(const Group& group, const PlacementRequest& request) {
+  std::set<int> ranks;
+  for (const WorkerRoom* worker : group) ranks.insert(worker->speed_rank);
+  RankedPlacement best;
+  for (const int rank : ranks) {
+    Group allowed;
+    std::copy_if(group.begin(), group.end(), std::back_inserter(allowed),
+                 [rank](const WorkerRoom* worker) { return worker->speed_rank <= rank; });
+    best = {FillGang(allowed, request), rank};
+    if (static_cast<int>(best.placement.size()) == request.tasks) break;
+  }
+  return best;
+}
+
 std::map<std::string_view, Group> ByRack(const std::vector<WorkerRoom>& workers) {
   std::map<std::string_view, Group> racks;
   for (const WorkerRoom& worker : workers) racks[worker.rack].push_back(&worker);
@@ -102,17 +127,18 @@
 
 Placement PlaceGangInRack(const PlacementRequest& request, const std::vector<WorkerRoom>& workers) {
   Placement best;
-  // The lowest rank wins: no suspect workers, the data's own rack, fewest free accelerators.
-  std::tuple<bool, bool, int64_t> best_rank;
+  // The lowest rank wins: no suspect workers, the data's own rack, fast enough workers, fewest free
+  // accelerators.
+  std::tuple<bool, bool, int, int64_t> best_rank;
   for (const auto& [rack, group] : ByRack(workers)) {
-    Placement placement = FillGang(group, request);
-    if (static_cast<int>(placement.size()) < request.tasks) continue;
+    RankedPlacement ranked = FillGangByRank(group, request);
+    if (static_cast<int>(ranked.placement.size()) < request.tasks) continue;
     const bool elsewhere = !request.step->data_rack.empty() && rack != request.step->data_rack;
     if (elsewhere && !request.allow_off_rack) continue;
-    const std::tuple<bool, bool, int64_t> rank = {HasSuspect(group, placement), elsewhere,
-                                                  FreeAccelerators(group)};
+    const std::tuple<bool, bool, int, int64_t> rank = {
+        HasSuspect(group, ranked.placement), elsewhere, ranked.speed_rank, FreeAccelerators(group)};
     if (!best.empty() && rank >= best_rank) continue;
-    best = std::move(placement);
+    best = std::move(ranked.placement);
     best_rank = rank;
   }
   return best;
@@ -129,7 +155,7 @@
   if (!placement.empty()) return placement;
   const bool needs_rack = request.step->one_rack || !request.step->data_rack.empty();
   if (needs_rack && !request.allow_off_rack) return {};
-  placement = FillGang(All(workers), request);
+  placement = FillGangByRank(All(workers), request).placement;
   if (static_cast<int>(placement.size()) < request.tasks) return {};
   return placement;
 }
--- a/servers/pool/placer.h
+++ b/servers/pool/placer.h
@@ -1,7 +1,8 @@
 // Chooses workers for a step's tasks. Designed for two load patterns: gangs that want one rack amid
 // many small tasks, and bursts of urgent gangs. Small tasks go to the workers with the fewest free
 // accelerators, so that whole workers and racks stay free for gangs. Urgent gangs, which a single
-// slow or failing worker makes late, get the fewest workers.
+// failing worker makes late, get the fewest workers. A gang is as slow as its slowest member, so it
+// gets the rack on which the worst rank by speed is the lowest.
 #pragma once
 
 #include <functional>
@@ -33,8 +34,10 @@
   // of free room.
   int max_tasks = 0;
   Occupancy occupancy = Occupancy::kNone;
-  // The worker seems slow or unhealthy and is chosen last.
+  // The worker seems unhealthy and is chosen last.
   bool suspect = false;
+  // Preference by speed, lower first; see speeds::SpeedRank.
+  int speed_rank = 0;
 };
 
 struct PlacementRequest {
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -16,6 +16,8 @@
       listed_agents_(nodes.size()),
       unreported_agents_(nodes),
       estimator_(options.disabled_mechanisms),
+      speeds_(IsEnabled(Mechanism::kWorkerSpeeds) ? speeds::MakeLearnedSpeeds()
+                                                  : speeds::MakeEqualSpeeds()),
       mean_stop_time_(options.max_stop_time) {
   for (const auto& [id, entry] : table.jobs()) {
     Job& job = jobs_[id];
@@ -42,6 +44,7 @@
     needs_planning_ = true;
     operator_state_ = std::move(state);
     for (auto& [id, job] : jobs_) RefreshTerms(&job);
+    SetSlowFactor();
   }
   if (!operator_state_read_ || sent > *operator_state_read_) operator_state_read_ = sent;
 }
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -33,6 +33,8 @@
 #include "servers/pool/wait_reason.h"
 #include "servers/pool/worker_health_tracker.h"
 #include "servers/pool/worker_state.h"
+#include "servers/speeds/speed_preference.h"
+#include "servers/speeds/worker_speeds.h"
 
 namespace turmericshift::pool {
 
@@ -166,6 +168,7 @@
 
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
   size_t job_count() const { return jobs_.size(); }
+  const speeds::WorkerSpeeds& worker_speeds() const { return *speeds_; }
 
  private:
   struct TaskRun {
@@ -220,6 +223,9 @@
     // Expected run time of one task.
     Duration expected{};
     Prospect prospect = Prospect::kOnTime;
+    speeds::SpeedLimits speed;
+    // Leaves out workers on which the job would be late.
+    bool only_in_time = false;
   };
   static UnitKey KeyOf(const Unit& unit) { return {unit.job->spec.id, unit.place}; }
 
@@ -324,10 +330,14 @@
   // guarantee, so that the unit has to begin within PoolBounds::reclaim.
   bool NeedsFitGuarantee(const Unit& unit) const;
   // Preempts runs for the unit if its guarantee demands it or the gain exceeds the cost:
-  // pool_planner_reclaiming.cc.
-  void TryReclaim(const Unit& unit, const PlacementRequest& request, int64_t wall_ms, Time now);
+  // pool_planner_reclaiming.cc. `share_now`: the share of its value that the job is expected to
+  // have if the unit begins now where it fits; 0 if it does not fit. Returns whether runs were
+  // stopped.
+  bool TryReclaim(const Unit& unit, const PlacementRequest& request, double share_now,
+                  int64_t wall_ms, Time now);
   // Core-seconds of other jobs' work that may be lost to make room for the unit.
-  double MaxReclaimCost(const Unit& unit, const PlacementRequest& rest, Time now) const;
+  double MaxReclaimCost(const Unit& unit, const PlacementRequest& rest, double share_now,
+                        Time now) const;
   // Cost, in core-seconds, of preempting a run for a unit that needs its room for `room_taken_for`.
   double CostOfStopping(const Job& job, const LiveRun& run, Duration room_taken_for,
                         int64_t wall_ms, Time now) const;
@@ -347,6 +357,25 @@
                Time now);
   WaitReason ReasonForWait(const Unit& unit, const PlacementRequest& request, Time now) const;
 
+  // Use of workers' speeds: pool_planner_speeds.cc.
+
+  void UpdateSpeeds(Time now);
+  // Derives from the queues' terms which workers are slow.
+  void SetSlowFactor();
+  // Whether urgent jobs can end in time on the worker.
+  bool IsFastEnough(const std::string& node, Time now) const;
+  int RankOf(const speeds::SpeedLimits& limits, const std::string& node, Time now) const;
+  void BeginSpeedRun(const Job& job, const StepSpec& step, const std::string& node, double slowdown,
+                     LiveRun* run);
+  // Time factor of the run, for a gang that of its slowest worker.
+  double TimeFactorOf(const LiveRun& run, const std::string& node, Time now) const;
+  // Expected time until the run ends.
+  Duration RemainingTime(const LiveRun& run, Time now) const;
+  // Starts an urgent unit without workers that are too slow for it, or makes it wait for others if
+  // that is better than to begin on slow ones. Returns whether either was done.
+  bool TryWithoutSlowWorkers(const Unit& unit, const PlacementRequest& request, int64_t wall_ms,
+                             Time now);
+
   Job* FindJob(const std::string& id);
   static const QueueTerms& Terms(const Job& job) { return *job.terms; }
   void RefreshTerms(Job* job) const;
@@ -371,6 +400,7 @@
   bool releasing_ = false;
   WorkerHealthTracker health_tracker_;
   JobEstimator estimator_;
+  std::unique_ptr<speeds::WorkerSpeeds> speeds_;
   ReclaimReservations reclaim_reservations_;
   int64_t start_count_ = 0;
   // Whether something that affects placement has changed since the last round.
--- a/servers/pool/pool_planner_backfilling.cc
+++ b/servers/pool/pool_planner_backfilling.cc
@@ -42,8 +42,7 @@
     Room room = run.need;
     if (run.best_effort) room.processor_millis = 0;
     const bool stopping = run.phase == RunPhase::kStopping;
-    ends.push_back({room, stopping ? Duration::zero()
-                                   : run.progress.RemainingTime(run.estimate, run.since, now)});
+    ends.push_back({room, stopping ? Duration::zero() : RemainingTime(run, now)});
   }
   std::sort(ends.begin(), ends.end(), [](const RoomRelease& left, const RoomRelease& right) {
     return left.delay < right.delay;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -129,7 +129,9 @@
   backfill_reservations_.Clear();
   room_releases_.clear();
   advice_.BeginRound();
+  UpdateSpeeds(now);
   pool_room_ = PoolRoom();
+  PoolRoom fast_room;
   Room all;
   Room all_left;
   std::map<std::string, Room> capacity;
@@ -146,8 +148,13 @@
     if (!worker.usable(now)) continue;
     pool_room_.total += worker.facts.capacity;
     pool_room_.free += worker.remaining_room;
+    if (!IsFastEnough(node, now)) continue;
+    fast_room.total += worker.facts.capacity;
+    fast_room.free += worker.remaining_room;
   }
   mostly_idle_ = FreeShare(pool_room_.free, pool_room_.total) > kMostlyIdleShare;
+  // The reserve is kept where urgent jobs can end in time.
+  pool_room_ = fast_room;
   if (FreeShare(all_left, all) <= kHalfIdleShare) {
     half_idle_since_.reset();
   } else if (!half_idle_since_) {
@@ -271,6 +278,10 @@
   unit.due_ms = unit.start_ms + Millis(terms.target_latency) +
                 Millis(Scaled(unit.timing.critical_path, terms.stretch));
   unit.prospect = ProspectOf(unit, wall_ms);
+  if (speeds_->uneven()) {
+    const Duration until_due = std::chrono::milliseconds(unit.due_ms - wall_ms);
+    unit.speed = speeds::LimitsFor(terms.priority == 0, until_due, unit.timing.remaining);
+  }
   if (terms.priority == 0) {
     const int64_t wanted = step.need.accelerators * static_cast<int64_t>(unit.waiting.size());
     unit.within_guarantee =
@@ -307,7 +318,9 @@
     room.node = node;
     room.rack = worker.facts.rack;
     room.free = empty ? worker.facts.capacity : worker.remaining_room;
-    room.suspect = health_tracker_.IsSuspect(node, now);
+    room.suspect = health_tracker_.IsSuspect(node, now) || speeds_->IsSlowed(node, now);
+    room.speed_rank = RankOf(unit.speed, node, now);
+    if (unit.only_in_time && room.speed_rank == speeds::kTooSlowRank) continue;
     room.occupancy =
         empty || !IsEnabled(Mechanism::kGroupSimilarTasks) ? Occupancy::kNone : worker.occupancy;
     room.max_tasks = static_cast<int>(unit.waiting.size());
@@ -381,12 +394,13 @@
     return;
   }
   request.tasks = std::min(all, spare);
+  if (TryWithoutSlowWorkers(unit, request, wall_ms, now)) return;
   const Placement placement = PlaceUnit(unit, &request, now);
   if (!placement.empty()) Start(unit, placement, now);
   if (spare < all) return;
   if (static_cast<int>(placement.size()) == request.tasks) return;
   RequestAdvice(unit, now);
-  TryReclaim(unit, request, wall_ms, now);
+  TryReclaim(unit, request, 0, wall_ms, now);
   LogWait(unit, request, std::nullopt, now);
   if (!planner_lag_.overloaded()) ReserveForBackfill(unit, request, now);
 }
@@ -403,7 +417,13 @@
       now - std::max(*half_idle_since_, ready_since) > kMaxWaitWhenIdle) {
     return all;
   }
-  return reserve_.TasksOutsideReserve(pool_room_, step.need, all, now);
+  int on_slow_workers = 0;
+  for (const auto& [node, worker] : workers_) {
+    if (!worker.usable(now) || IsFastEnough(node, now)) continue;
+    on_slow_workers += FitCount(worker.remaining_room, step.need, all);
+  }
+  return std::min(all,
+                  on_slow_workers + reserve_.TasksOutsideReserve(pool_room_, step.need, all, now));
 }
 
 int64_t PoolPlanner::GuaranteedFor(const std::string& workspace) const {
@@ -423,7 +443,15 @@
   Job* job = unit.job;
   const StepSpec& step = job->spec.steps[static_cast<size_t>(unit.place.step)];
   std::set<std::string> racks;
-  for (const std::string& node : placement) racks.insert(workers_[node].facts.rack);
+  double time_factor = 0;
+  for (const std::string& node : placement) {
+    racks.insert(workers_[node].facts.rack);
+    time_factor = std::max(time_factor, speeds_->TimeFactor(node, now));
+  }
+  const std::set<std::string> nodes(placement.begin(), placement.end());
+  const auto gang_workers = step.gang && nodes.size() > 1
+                                ? std::make_shared<const std::set<std::string>>(nodes)
+                                : nullptr;
   const bool over_racks = step.one_rack && racks.size() > 1;
   // A successor starts queued jobs immediately, without asking what runs. So no task of a job may
   // run while the stored state of the job is "queued".
@@ -445,7 +473,10 @@
     }
     const bool away_from_data = !step.data_rack.empty() && worker.facts.rack != step.data_rack;
     const double slowdown = over_racks || away_from_data ? options_.off_rack_slowdown : 1.0;
-    run.estimate = Scaled(unit.expected, slowdown);
+    run.gang_workers = gang_workers;
+    const double run_factor = step.gang ? time_factor : speeds_->TimeFactor(worker.node, now);
+    run.estimate = Scaled(unit.expected, slowdown * run_factor);
+    BeginSpeedRun(*job, step, worker.node, slowdown, &run);
     run.start_after = job->running_ticket;
     const auto saved =
         job->progress.checkpoints.find({place.occurrence, place.step, step.gang ? 0 : index});
@@ -460,7 +491,7 @@
     run.order_version = waits ? std::numeric_limits<int64_t>::max() : worker.version + 1;
     worker.live[run.run] = run;
     worker.remaining_room -= run.need;
-    pool_room_.free -= run.need;
+    if (IsFastEnough(worker.node, now)) pool_room_.free -= run.need;
     if (run.best_effort) worker.remaining_room.processor_millis += run.need.processor_millis;
     if (waits) {
       pending_starts_.emplace(run.start_after, worker.node);
@@ -476,6 +507,7 @@
               {"born_ms", worker.facts.start_time_ms},
               {"rack", worker.facts.rack},
               {"slowdown", slowdown},
+              {"time_factor", run_factor},
               {"waited_s", Seconds(now - *job->steps.at(unit.place).ready_since)},
               {"epoch", epoch_}});
   }
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -22,13 +22,15 @@
 }  // namespace
 
 double PoolPlanner::MaxReclaimCost(const Unit& unit, const PlacementRequest& remaining,
-                                   Time now) const {
+                                   double share_now, Time now) const {
   const std::optional<RoomForecast> forecast = ForecastRoom(remaining, FutureRoomsFor(unit, now));
   // A request that never fits has a wait beyond any due time.
   const Duration wait = forecast ? forecast->delay : Duration(std::chrono::hours(1));
-  const double gain = std::max(0.0, ExpectedValueShare(unit.timing, mean_stop_time_) -
-                                        ExpectedValueShare(unit.timing, wait));
-  if (unit.within_guarantee) {
+  const double share_otherwise = std::max(share_now, ExpectedValueShare(unit.timing, wait));
+  const double gain =
+      std::max(0.0, ExpectedValueShare(unit.timing, mean_stop_time_) - share_otherwise);
+  // A unit that can begin at once has its guarantee, also on slow workers.
+  if (unit.within_guarantee && share_now <= 0) {
     const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
     const bool frees_up_anyway = IsEnabled(Mechanism::kWaitForGuaranteedRoom) &&
                                  waited + wait < options_.guaranteed_wait_limit;
@@ -47,7 +49,7 @@
   stop.need = run.need;
   stop.elapsed = now - run.since;
   stop.whole = estimator_.ExpectedTime(job.spec, *stop.step);
-  stop.left = run.progress.RemainingTime(run.estimate, run.since, now);
+  stop.left = RemainingTime(run, now);
   stop.timing = estimator_.TimingOf(job.spec, Terms(job), place, wall_ms);
   stop.value = estimator_.ValueOf(job.spec, Terms(job));
   const auto state = job.steps.find(place);
@@ -89,13 +91,13 @@
   return victims;
 }
 
-void PoolPlanner::TryReclaim(const Unit& unit, const PlacementRequest& request, int64_t wall_ms,
-                             Time now) {
+bool PoolPlanner::TryReclaim(const Unit& unit, const PlacementRequest& request, double share_now,
+                             int64_t wall_ms, Time now) {
   StepState& state = unit.job->steps.at(unit.place);
   const bool tried_recently =
       state.last_reclaim_attempt && now - *state.last_reclaim_attempt < kReclaimInterval;
-  if (reclaims_left_ == 0 || tried_recently) return;
-  if (planner_lag_.overloaded() && !unit.within_guarantee) return;
+  if (reclaims_left_ == 0 || tried_recently) return false;
+  if (planner_lag_.overloaded() && !unit.within_guarantee) return false;
   --reclaims_left_;
   state.last_reclaim_attempt = now;
   PlacementRequest remaining = request;
@@ -106,13 +108,13 @@
       remaining.tasks += unit.job->runs.count({unit.place.occurrence, unit.place.step, index}) == 0;
     }
   }
-  const double limit = MaxReclaimCost(unit, remaining, now);
+  const double limit = MaxReclaimCost(unit, remaining, share_now, now);
   state.reclaim_outcome = ReclaimOutcome::kNoGain;
-  if (limit <= 0) return;
+  if (limit <= 0) return false;
   const std::optional<ReclaimPlan> plan =
       ChooseVictims(remaining, StartRoomsFor(unit, now), VictimsFor(unit, wall_ms, now));
   state.reclaim_outcome = plan ? ReclaimOutcome::kTooCostly : ReclaimOutcome::kNotEnoughRoom;
-  if (!plan || plan->cost > limit) return;
+  if (!plan || plan->cost > limit) return false;
   state.reclaim_outcome = ReclaimOutcome::kOrdered;
   for (const RunId& stop : plan->stops) {
     for (auto& [node, worker] : workers_) {
@@ -133,6 +135,7 @@
             {"lost_core_s", plan->cost},
             {"limit_core_s", limit},
             {"epoch", epoch_}});
+  return true;
 }
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -167,6 +167,7 @@
   worker->acked_ends = 0;
   NotePendingOrders(worker);
   health_tracker_.Forget(worker->node);
+  speeds_->BeginIncarnation(worker->node, facts.start_time_ms);
   LogEvent(LogLevel::kInfo, "worker_reported",
            {{"node", worker->node},
             {"worker", facts.id},
@@ -205,6 +206,7 @@
     }
     known->second.checkpoint = running.checkpoint;
     known->second.progress.Update(running.percent, now);
+    speeds_->RecordProgress(known->second.speed_run, running.percent, now);
     const RunPhase phase = known->second.phase;
     if (phase != RunPhase::kOrdered && phase != RunPhase::kUncertain) continue;
     known->second.phase = RunPhase::kRunning;
@@ -258,6 +260,8 @@
     live.best_effort = step->best_effort;
     live.estimate = step->estimate;
     live.resumable = step->checkpoints;
+    // Whether the gang runs off-rack is not known, but its members are slowed down alike.
+    BeginSpeedRun(*job, *step, worker->node, 1, &live);
   }
   live.phase = wanted ? RunPhase::kRunning : RunPhase::kStopping;
   if (wanted) {
@@ -316,8 +320,14 @@
   const bool asked_to_stop =
       live != worker->live.end() && live->second.phase == RunPhase::kStopping;
   std::optional<Duration> clean_time;
+  double time_factor = 1;
   if (live != worker->live.end()) {
     if (live->second.representative) clean_time = now - live->second.since;
+    time_factor = TimeFactorOf(live->second, worker->node, now);
+    const bool own_time = clean_time && !live->second.gang_workers;
+    if (own_time && end.kind == EndKind::kDone) {
+      speeds_->RecordDone(live->second.speed_run, *clean_time);
+    }
     if (asked_to_stop && end.kind == EndKind::kStopped) RecordStopTime(live->second, now);
     worker->live.erase(live);
   }
@@ -330,7 +340,9 @@
     RemoveRun(end.run, job);
     if (end.kind == EndKind::kDone) {
       health_tracker_.RunDone(worker->node);
-      if (clean_time) estimator_.RecordRun(job->spec.queue, step->estimate, *clean_time);
+      if (clean_time) {
+        estimator_.RecordRun(job->spec.queue, step->estimate, Scaled(*clean_time, 1 / time_factor));
+      }
       // Skips a run that was given up when its lease expired; another run has been started since.
       if (!replaced) ApplyDone(end, job, wall_ms);
     } else if (end.kind == EndKind::kFailed) {
@@ -357,6 +369,7 @@
             {"run", end.run.number},
             {"how", EndKindName(end.kind)},
             {"asked", asked_to_stop},
+            {"time_factor", time_factor},
             {"node", worker->node}});
   NoteDurable();
 }
--- a/servers/pool/wait_reason.cc
+++ b/servers/pool/wait_reason.cc
@@ -12,7 +12,7 @@
   const char* name;
 };
 
-constexpr std::array<ReasonName, 7> kReasonNames = {{
+constexpr std::array<ReasonName, 8> kReasonNames = {{
     {WaitReason::kPoolFull, "pool_full"},
     {WaitReason::kFragmented, "fragmented"},
     {WaitReason::kNoRackWithRoom, "no_rack_with_room"},
@@ -20,6 +20,7 @@
     {WaitReason::kUrgentReserve, "urgent_reserve"},
     {WaitReason::kWorkersExcluded, "workers_excluded"},
     {WaitReason::kPreempting, "preempting"},
+    {WaitReason::kFasterWorkers, "faster_workers"},
 }};
 
 bool Fits(const PlacementRequest& request, const std::vector<WorkerRoom>& workers) {
--- a/servers/pool/wait_reason.h
+++ b/servers/pool/wait_reason.h
@@ -26,6 +26,9 @@
   kWorkersExcluded,
   // Runs have been stopped to make room, and have not ended yet.
   kPreempting,
+  // There is room, but on workers that are too slow for the job to end in time, and faster ones are
+  // about to come free.
+  kFasterWorkers,
 };
 const char* WaitReasonName(WaitReason reason);
 
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -4,7 +4,9 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,7 @@
 #include "servers/pool/placer.h"
 #include "servers/pool/pool_messages.h"
 #include "servers/pool/run_progress.h"
+#include "servers/speeds/worker_speeds.h"
 
 namespace turmericshift::pool {
 
@@ -34,6 +37,9 @@
   Time since{};
   std::string checkpoint;
   RunProgress progress;
+  // For a gang with members on several workers: those workers.
+  std::shared_ptr<const std::set<std::string>> gang_workers;
+  speeds::RunHandle speed_run = 0;
   // Expected run time with its placement.
   Duration estimate{};
   // The run can be stopped and later continue from a checkpoint.
--- /dev/null
+++ b/servers/speeds/worker_speeds_test.cc
@@ -0,0 +1,189 @@
+#include "servers/speeds/worker_speeds.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "core/error.h"
+
+namespace turmericshift::speeds {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time kStart = Time(std::chrono::hours(1));
+constexpr size_t kManyBytes = 48 * 1024;
+
+// Factor of worker `index`: thirds of a pool are fast, typical and slow.
+double FactorOf(int index) {
+  constexpr double kFactors[] = {0.6, 1.0, 1.6};
+  return kFactors[index % 3];
+}
+
+std::string NameOf(int index) { return "worker-" + std::to_string(index); }
+
+// Two runs of one step on each worker, observed for `time` with a reading each second. `spread` of
+// the tasks around each other, by a fixed pattern.
+void RunStep(WorkerSpeeds* speeds, const std::string& step, int workers, Duration work,
+             Duration time, Time begin, double spread = 0) {
+  std::vector<RunHandle> runs;
+  for (int run = 0; run < 2 * workers; ++run) {
+    runs.push_back(speeds->BeginRun({step, "queue", NameOf(run % workers), seconds(5)}));
+  }
+  for (Time now = begin + milliseconds(100); now <= begin + time; now += seconds(1)) {
+    for (int run = 0; run < 2 * workers; ++run) {
+      const double uneven = 1 + spread * ((run * 7 + static_cast<int>(step.size())) % 5 - 2);
+      const double whole = Seconds(work) * FactorOf(run % workers) * uneven;
+      const int percent = static_cast<int>(100 * Seconds(now - begin) / whole);
+      speeds->RecordProgress(runs[static_cast<size_t>(run)], std::min(percent, 100), now);
+    }
+    speeds->Update(now);
+  }
+}
+
+// The load pattern: nothing but the progress of the runs shows which workers are slow. The work of
+// a step is twice what its caller said.
+TEST(WorkerSpeeds, LearnsFactorsWithinFiveSecondsOfWork) {
+  const auto speeds = MakeLearnedSpeeds();
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  EXPECT_TRUE(speeds->uneven());
+  for (int index = 0; index < 12; ++index) {
+    EXPECT_NEAR(speeds->TimeFactor(NameOf(index), kStart), FactorOf(index), 0.2) << index;
+  }
+}
+
+// Tasks of a step differ by up to two fifths, so that single runs say little.
+TEST(WorkerSpeeds, TellsWorkersFromUnevenTasks) {
+  const auto speeds = MakeLearnedSpeeds();
+  for (int step = 0; step < 8; ++step) {
+    RunStep(speeds.get(), std::string(static_cast<size_t>(step + 1), 's'), 12, seconds(10),
+            seconds(4), kStart + seconds(4 * step), 0.2);
+    speeds->Update(kStart + seconds(4 * step + 4));
+  }
+  for (int index = 0; index < 12; ++index) {
+    EXPECT_NEAR(speeds->TimeFactor(NameOf(index), kStart), FactorOf(index), 0.25) << index;
+  }
+}
+
+// A pool of equal workers must be served as before: noise must not pass for speed.
+TEST(WorkerSpeeds, EqualWorkersKeepTheFactorOne) {
+  const auto speeds = MakeLearnedSpeeds();
+  std::vector<RunHandle> runs;
+  for (int index = 0; index < 40; ++index) {
+    runs.push_back(speeds->BeginRun({"a", "queue", NameOf(index), seconds(5)}));
+  }
+  for (int second = 1; second < 6; ++second) {
+    for (int index = 0; index < 40; ++index) {
+      const int percent = second * (14 + (index * 5) % 8);
+      speeds->RecordProgress(runs[static_cast<size_t>(index)], std::min(percent, 99),
+                             kStart + seconds(second));
+    }
+  }
+  speeds->Update(kStart + seconds(6));
+  EXPECT_FALSE(speeds->uneven());
+  EXPECT_EQ(speeds->TimeFactor(NameOf(3), kStart), 1);
+}
+
+// One task in thirty takes seven times as long as the others of its step. Its worker is not slow.
+TEST(WorkerSpeeds, ATaskWithMuchMoreWorkDoesNotMakeItsWorkerSlow) {
+  const auto speeds = MakeLearnedSpeeds();
+  std::vector<RunHandle> runs;
+  for (int run = 0; run < 30; ++run) {
+    runs.push_back(speeds->BeginRun({"a", "queue", NameOf(run % 10), seconds(5)}));
+  }
+  for (int second = 1; second < 6; ++second) {
+    for (int run = 0; run < 30; ++run) {
+      const int per_second = run == 0 ? 2 : 14;
+      speeds->RecordProgress(runs[static_cast<size_t>(run)], second * per_second,
+                             kStart + seconds(second));
+    }
+  }
+  EXPECT_TRUE(speeds->Update(kStart + seconds(6)).empty());
+  EXPECT_EQ(speeds->summary().slow, 0);
+}
+
+// An unknown worker must be taken neither for a fast nor for a slow one.
+TEST(WorkerSpeeds, UnknownWorkersAreTypicalButUncertain) {
+  const auto speeds = MakeLearnedSpeeds();
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  speeds->Update(kStart + seconds(5));
+  EXPECT_EQ(speeds->TimeFactor("new", kStart), 1);
+  EXPECT_GT(speeds->CautiousFactor("new", kStart), speeds->CautiousFactor(NameOf(1), kStart));
+}
+
+// A new incarnation may run on another VM. The speed of the former one would mislead.
+TEST(WorkerSpeeds, ANewIncarnationStartsAfresh) {
+  const auto speeds = MakeLearnedSpeeds();
+  for (int index = 0; index < 12; ++index) speeds->BeginIncarnation(NameOf(index), 1000);
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  speeds->Update(kStart + seconds(5));
+  ASSERT_GT(speeds->TimeFactor(NameOf(2), kStart), 1.3);
+  speeds->BeginIncarnation(NameOf(2), 2000);
+  EXPECT_EQ(speeds->TimeFactor(NameOf(2), kStart), 1);
+  // A repeated report of the same incarnation keeps what was learned.
+  speeds->BeginIncarnation(NameOf(5), 1000);
+  EXPECT_GT(speeds->TimeFactor(NameOf(5), kStart), 1.3);
+}
+
+// Reports of runs that ended before the planner knew them, or of a former incarnation.
+TEST(WorkerSpeeds, IgnoresRunsThatItDoesNotKnow) {
+  const auto speeds = MakeLearnedSpeeds();
+  speeds->RecordProgress(0, 50, kStart);
+  speeds->RecordDone(77, seconds(3));
+  EXPECT_EQ(speeds->summary().known, 0);
+}
+
+// A planner is replaced halfway. Its successor would place urgent gangs blindly again.
+TEST(WorkerSpeeds, ASuccessorKnowsTheSpeeds) {
+  const auto speeds = MakeLearnedSpeeds();
+  for (int index = 0; index < 12; ++index) speeds->BeginIncarnation(NameOf(index), 1000);
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  speeds->Update(kStart + seconds(5));
+  const auto successor = MakeLearnedSpeeds();
+  successor->Load(speeds->Save(kManyBytes, kStart), seconds(3), kStart);
+  EXPECT_TRUE(successor->uneven());
+  for (int index = 0; index < 12; ++index) {
+    successor->BeginIncarnation(NameOf(index), 1000);
+    EXPECT_NEAR(successor->TimeFactor(NameOf(index), kStart), FactorOf(index), 0.2) << index;
+  }
+  // A worker that was replaced while there was no planner.
+  successor->BeginIncarnation(NameOf(2), 2000);
+  EXPECT_EQ(successor->TimeFactor(NameOf(2), kStart), 1);
+}
+
+// The record of a large pool must not outgrow the limit of the store.
+TEST(WorkerSpeeds, SavesTheBestKnownWorkersWithinTheLimit) {
+  const auto speeds = MakeLearnedSpeeds();
+  RunStep(speeds.get(), "a", 1400, seconds(10), seconds(5), kStart);
+  speeds->Update(kStart + seconds(5));
+  constexpr size_t kLimit = 8 * 1024;
+  const nlohmann::json saved = speeds->Save(kLimit, kStart);
+  EXPECT_LE(saved.dump().size(), kLimit);
+  EXPECT_GT(saved.at("workers").size(), 50U);
+}
+
+// Unreadable records must not stop a planner, nor leave it with half of them.
+TEST(WorkerSpeeds, RejectsUnreadableRecordsWhole) {
+  const auto speeds = MakeLearnedSpeeds();
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  speeds->Update(kStart + seconds(5));
+  for (const char* text :
+       {R"({})", R"({"workers":{"x":[1]}})", R"({"workers":{"x":[1,99999999,100,"slow"]}})",
+        R"({"workers":{"x":["a",0,100,"slow"]}})", R"({"workers":{"x":[1,0,0,"slow"]}})",
+        R"({"workers":{"x":[1,0,100,"quick"]}})"}) {
+    EXPECT_THROW(speeds->Load(nlohmann::json::parse(text), seconds(1), kStart), Error) << text;
+  }
+  EXPECT_EQ(speeds->summary().known, 12);
+}
+
+// A pool whose planner has the mechanism switched off.
+TEST(WorkerSpeeds, EqualSpeedsLearnNothing) {
+  const auto speeds = MakeEqualSpeeds();
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  EXPECT_TRUE(speeds->Update(kStart + seconds(5)).empty());
+  EXPECT_EQ(speeds->TimeFactor(NameOf(2), kStart), 1);
+}
+
+}  // namespace
+}  // namespace turmericshift::speeds
