Learned: Write what a planner has learned, and load it into its successor

Cause: run times, urgent demand, speeds and failures of workers are lost when a planner is replaced. Change: LearnedState decides which records are due and which are loaded; RunTimes, UrgentReserve and WorkerHealthTracker implement LearnedPart; JobTable keeps the newest l/ records; PoolPlanner loads them and puts due ones into its outbox.

--- a/servers/pool/job_estimator.h
+++ b/servers/pool/job_estimator.h
@@ -22,6 +22,8 @@
   // Records the run time of a task that ran undisturbed: the caller's `estimate` and the `actual`
   // time.
   void RecordRun(const std::string& queue, Duration estimate, Duration actual);
+  // What was recorded of run times, to be saved and loaded.
+  learned::LearnedPart& run_times() { return run_times_; }
   // Sets the total capacity of each service's workers, with no tasks running.
   void SetCapacity(const std::map<std::string, Room>& by_service) { capacity_ = by_service; }
   // ResetJobs, followed by RecordJob for each recent job, sets the mean work of a job by queue.
--- a/servers/pool/job_records.h
+++ b/servers/pool/job_records.h
@@ -6,6 +6,7 @@
 //   p/ID      JobProgress
 //   planner   PlannerRecord
 //   beat      heartbeat of the planner
+//   l/NAME    learned state of a planner; see servers/learned/learned_state.h
 #pragma once
 
 #include <string>
--- a/servers/pool/job_table.cc
+++ b/servers/pool/job_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "servers/learned/learned_state.h"
+
 namespace turmericshift::pool {
 
 bool JobTable::UpdateOffsetIfNewer(const KeyedRecord& record) {
@@ -30,6 +32,8 @@
       ApplySpec(record.key.substr(2), record);
     } else if (record.key.rfind(kProgressPrefix, 0) == 0) {
       ApplyProgress(record.key.substr(2), record);
+    } else if (record.key.rfind(learned::kKeyPrefix, 0) == 0) {
+      ApplyLearned(record.key.substr(2), record);
     }
   } catch (const Error&) {
     if (before == kNoOffset) offsets_.erase(record.key);
@@ -65,6 +69,14 @@
   found->second.progress = std::move(progress);
 }
 
+void JobTable::ApplyLearned(const std::string& name, const KeyedRecord& record) {
+  if (record.value.empty()) {
+    learned_.erase(name);
+  } else {
+    learned_[name] = record.value;
+  }
+}
+
 const StoredJob* JobTable::Find(const std::string& id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
--- a/servers/pool/job_table.h
+++ b/servers/pool/job_table.h
@@ -26,6 +26,9 @@
   // Null if there is no such job.
   const StoredJob* Find(const std::string& id) const;
   const PlannerRecord& planner() const { return planner_; }
+  // Newest text of each record of learned state, by the name of its part. It is not decoded here,
+  // so that a malformed one can't affect jobs.
+  const std::map<std::string, std::string>& learned() const { return learned_; }
   // Offset of the newest record. Any record, in particular a heartbeat, shows that the planner was
   // alive.
   Offset newest_offset() const { return newest_offset_; }
@@ -37,10 +40,12 @@
   bool UpdateOffsetIfNewer(const KeyedRecord& record);
   void ApplySpec(const std::string& id, const KeyedRecord& record);
   void ApplyProgress(const std::string& id, const KeyedRecord& record);
+  void ApplyLearned(const std::string& name, const KeyedRecord& record);
 
   std::map<std::string, StoredJob> jobs_;
   // Progress of jobs whose specification has not been read yet: pages come in the order of keys.
   std::map<std::string, JobProgress> orphaned_progress_;
+  std::map<std::string, std::string> learned_;
   std::map<std::string, Offset> offsets_;
   PlannerRecord planner_;
   Offset newest_offset_ = kNoOffset;
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -36,7 +36,10 @@
       round_seconds_(metrics->distribution("planner_round_seconds")),
       lag_seconds_(metrics->gauge("planner_late_seconds")),
       jobs_(metrics->gauge("planner_jobs")),
-      epoch_gauge_(metrics->gauge("planner_epoch")) {
+      epoch_gauge_(metrics->gauge("planner_epoch")),
+      learned_records_(metrics->counter("learned_records")),
+      learned_bytes_(metrics->counter("learned_bytes")),
+      learned_dropped_(metrics->counter("learned_dropped")) {
   try {
     planning_thread_ = Thread(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); });
     writer_thread_ = Thread(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); });
@@ -73,8 +76,9 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     // The successor has been told that this process grants no leases.
     if (successor_.epoch > epoch) return;
-    planner_ =
-        std::make_unique<PoolPlanner>(options_.planner, epoch, table, agents, LeaseClock().Now());
+    planner_ = std::make_unique<PoolPlanner>(options_.planner, epoch, table, agents,
+                                             LeaseClock().Now(), LeaseClock().WallMillis());
+    CountLearnedLocked();
     planner_->ConfirmLeadership(requested_at);
     former_planners_ = former;
     removal_ = {};
@@ -132,7 +136,8 @@
 void PlannerService::Release(Duration limit) {
   std::unique_lock<std::mutex> lock(mutex_);
   if (!planner_) return;
-  planner_->BeginRelease();
+  planner_->BeginRelease(LeaseClock().WallMillis(), LeaseClock().Now());
+  CountLearnedLocked();
   planner_->outbox().Put(kPlannerKey, EncodePlanner({planner_->epoch(), "", "", former_planners_}));
   releasing_ = true;
   write_ready_.notify_all();
@@ -166,6 +171,13 @@
   return removal;
 }
 
+void PlannerService::CountLearnedLocked() {
+  const learned::LearnedCounts counts = planner_->learned_state().TakeCounts();
+  learned_records_.Add(counts.records);
+  learned_bytes_.Add(counts.bytes);
+  learned_dropped_.Add(counts.dropped);
+}
+
 void PlannerService::UpdateListedAgentsLocked() {
   std::shared_ptr<const Membership> membership = members_->membership();
   if (membership == membership_) return;
@@ -368,6 +380,7 @@
       UpdateListedAgentsLocked();
       planner_->NoteDurable();
       planner_->Plan(LeaseClock().WallMillis(), now);
+      CountLearnedLocked();
       AnswerPolls(now, &replies);
       intake_.Answer(append_started_at_, planner_.get(), now, &replies);
       jobs_.Set(static_cast<double>(planner_->job_count()));
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -115,6 +115,8 @@
   bool HandleReport(const AgentReport& report, std::function<void(Result<AgentOrders>)> done,
                     Time now, Replies* replies);
   void AnswerPolls(Time now, Replies* replies);
+  // Adds what the planner counted of learned state to the metrics.
+  void CountLearnedLocked();
   // Tells the planner which agents are listed in the members topic.
   void UpdateListedAgentsLocked();
   void StepDownLocked(const char* reason, Replies* replies);
@@ -132,6 +134,9 @@
   Gauge& lag_seconds_;
   Gauge& jobs_;
   Gauge& epoch_gauge_;
+  Counter& learned_records_;
+  Counter& learned_bytes_;
+  Counter& learned_dropped_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -8,7 +8,8 @@
 namespace turmericshift::pool {
 
 PoolPlanner::PoolPlanner(const PlannerOptions& options, int64_t epoch, const JobTable& table,
-                         const std::set<std::string>& nodes, Time now)
+                         const std::set<std::string>& nodes, Time now,
+                         std::optional<int64_t> wall_ms)
     : options_(options),
       epoch_(epoch),
       outbox_(options.max_append_bytes),
@@ -18,7 +19,9 @@
       estimator_(options.disabled_mechanisms),
       speeds_(IsEnabled(Mechanism::kWorkerSpeeds) ? speeds::MakeLearnedSpeeds()
                                                   : speeds::MakeEqualSpeeds()),
+      learned_state_(LearnedParts(), now),
       mean_stop_time_(options.max_stop_time) {
+  if (wall_ms) LogLoads(learned_state_.Load(table.learned(), *wall_ms, now), epoch);
   for (const auto& [id, entry] : table.jobs()) {
     Job& job = jobs_[id];
     job.spec = entry.spec;
@@ -35,6 +38,20 @@
       now + options.unconfirmed_limit + options.lease_duration + options.lease_margin;
 }
 
+std::vector<learned::LearnedPart*> PoolPlanner::LearnedParts() {
+  if (!IsEnabled(Mechanism::kLearnedState)) return {};
+  return {speeds_.get(), &estimator_.run_times(), &reserve_, &health_tracker_};
+}
+
+void PoolPlanner::PutLearned(const std::vector<learned::LearnedRecord>& records) {
+  for (const learned::LearnedRecord& record : records) outbox_.Put(record.key, record.value);
+}
+
+void PoolPlanner::BeginRelease(int64_t wall_ms, Time now) {
+  if (!releasing_) PutLearned(learned_state_.TakeLast(wall_ms, now));
+  releasing_ = true;
+}
+
 void PoolPlanner::ConfirmLeadership(Time sent) {
   if (!leadership_confirmed_ || sent > *leadership_confirmed_) leadership_confirmed_ = sent;
 }
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "servers/learned/learned_state.h"
 #include "servers/pool/advice_cache.h"
 #include "servers/pool/job_estimator.h"
 #include "servers/pool/job_table.h"
@@ -104,9 +105,11 @@
 class PoolPlanner {
  public:
   // `table`: the contents of the work topic when this planner became the active one. `nodes`:
-  // agents that may have tasks running.
+  // agents that may have tasks running. `wall_ms`: the present time in milliseconds since 1970, by
+  // which the age of learned state is known; if unset, none is loaded.
   PoolPlanner(const PlannerOptions& options, int64_t epoch, const JobTable& table,
-              const std::set<std::string>& nodes, Time now);
+              const std::set<std::string>& nodes, Time now,
+              std::optional<int64_t> wall_ms = std::nullopt);
 
   int64_t epoch() const { return epoch_; }
   Outbox& outbox() { return outbox_; }
@@ -118,7 +121,7 @@
   bool LeadershipConfirmed(Time now) const;
   // Call before the leadership is released in the store. Nothing is started from then on: a
   // successor may already have read the agents, and waits for those only.
-  void BeginRelease() { releasing_ = true; }
+  void BeginRelease(int64_t wall_ms, Time now);
   void SetOperatorState(std::shared_ptr<const OperatorState> state, Time sent);
   // Sets the agents that are listed in the store beyond doubt. A successor waits for these only, so
   // nothing is started on the worker of any other agent. Until the first call, all are listed.
@@ -169,6 +172,8 @@
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
   size_t job_count() const { return jobs_.size(); }
   const speeds::WorkerSpeeds& worker_speeds() const { return *speeds_; }
+  const JobEstimator& estimator() const { return estimator_; }
+  learned::LearnedState& learned_state() { return learned_state_; }
 
  private:
   struct TaskRun {
@@ -376,6 +381,10 @@
   bool TryWithoutSlowWorkers(const Unit& unit, const PlacementRequest& request, int64_t wall_ms,
                              Time now);
 
+  // The parts whose state outlives this planner; none if the mechanism is disabled.
+  std::vector<learned::LearnedPart*> LearnedParts();
+  void PutLearned(const std::vector<learned::LearnedRecord>& records);
+
   Job* FindJob(const std::string& id);
   static const QueueTerms& Terms(const Job& job) { return *job.terms; }
   void RefreshTerms(Job* job) const;
@@ -417,6 +426,8 @@
   // Room on all usable workers.
   PoolRoom pool_room_;
   UrgentReserve reserve_;
+  // Declared after the parts that it writes and loads.
+  learned::LearnedState learned_state_;
   // Whether so much of the pool is free that no unit may wait for a better place.
   bool mostly_idle_ = false;
   // Since when nearly half of all workers, including currently unusable ones, have been idle.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -81,6 +81,7 @@
   ExpireLeases(now);
   RevokeOverdueStarts(now);
   RemoveExpiredJobs(wall_ms);
+  if (!releasing_) PutLearned(learned_state_.TakeDue(wall_ms, now));
   if (!MayStart(now) || !RoundIsDue(now)) return;
   BeginRound(now);
   const std::vector<Unit> units = CollectUnits(wall_ms, now);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -166,7 +166,7 @@
   worker->ends_seen = 0;
   worker->acked_ends = 0;
   NotePendingOrders(worker);
-  health_tracker_.Forget(worker->node);
+  health_tracker_.BeginIncarnation(worker->node, facts.start_time_ms);
   speeds_->BeginIncarnation(worker->node, facts.start_time_ms);
   LogEvent(LogLevel::kInfo, "worker_reported",
            {{"node", worker->node},
--- a/servers/pool/run_times.h
+++ b/servers/pool/run_times.h
@@ -7,10 +7,11 @@
 #include <string>
 
 #include "core/clock.h"
+#include "servers/learned/learned_part.h"
 
 namespace turmericshift::pool {
 
-class RunTimes {
+class RunTimes : public learned::LearnedPart {
  public:
   // Records that a task with the estimate `estimate` took `actual`, at full speed and without
   // interruption.
@@ -24,6 +25,12 @@
   // ratio.
   double SpreadOf(const std::string& queue) const;
 
+  std::string name() const override { return "run_times"; }
+  int version() const override { return 1; }
+  Duration max_age() const override { return std::chrono::hours(1); }
+  nlohmann::json Save(size_t max_bytes, Time now) const override;
+  void Load(const nlohmann::json& data, Duration age, Time now) override;
+
  private:
   // Mean and variance of logarithms of seconds, or of ratios, because run times vary by factors.
   struct LogStatistics {
--- a/servers/pool/urgent_reserve.cc
+++ b/servers/pool/urgent_reserve.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "servers/learned/saved_rows.h"
 #include "servers/pool/placer.h"
 
 namespace turmericshift::pool {
@@ -16,6 +17,10 @@
 // A job can wait if a start later by this wait costs less than kNegligibleLoss of its value.
 constexpr Duration kAcceptableWait = std::chrono::seconds(5);
 constexpr double kNegligibleLoss = 0.05;
+// The share is saved in hundredths: in finer steps, each small decay would be written.
+constexpr double kSavedSteps = 100;
+// Largest saved demand as a multiple of the pool.
+constexpr double kMaxSavedShare = 1000;
 
 double ShareOf(int64_t part, int64_t total) {
   return total > 0 ? static_cast<double>(part) / static_cast<double>(total) : 0.0;
@@ -48,6 +53,18 @@
   return FitCount(available, need, tasks);
 }
 
+nlohmann::json UrgentReserve::Save(size_t, Time now) const {
+  return {{"peak_percent", std::lround(std::min(Peak(now), kMaxSavedShare) * kSavedSteps)}};
+}
+
+void UrgentReserve::Load(const nlohmann::json& data, Duration age, Time now) {
+  peak_ = learned::ReadSaved([&] {
+    return learned::NumberIn(data.at("peak_percent"), 0, kMaxSavedShare * kSavedSteps) /
+           kSavedSteps;
+  });
+  peak_at_ = now - age;
+}
+
 bool CanWait(const JobTiming& timing) {
   return ExpectedValueShare(timing, Duration::zero()) -
              ExpectedValueShare(timing, kAcceptableWait) <
--- a/servers/pool/urgent_reserve.h
+++ b/servers/pool/urgent_reserve.h
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "core/clock.h"
+#include "servers/learned/learned_part.h"
 #include "servers/pool/job_model.h"
 #include "servers/pool/job_value.h"
 
@@ -21,7 +22,7 @@
   Room free;
 };
 
-class UrgentReserve {
+class UrgentReserve : public learned::LearnedPart {
  public:
   // Records that all unfinished urgent jobs together need `demand`.
   void RecordDemand(const PoolRoom& pool, const Room& demand, Time now);
@@ -29,6 +30,12 @@
   // Number of the `tasks`, each of size `need`, that may start without using the reserve.
   int TasksOutsideReserve(const PoolRoom& pool, const Room& need, int tasks, Time now) const;
 
+  std::string name() const override { return "urgent_demand"; }
+  int version() const override { return 1; }
+  Duration max_age() const override { return std::chrono::minutes(2); }
+  nlohmann::json Save(size_t max_bytes, Time now) const override;
+  void Load(const nlohmann::json& data, Duration age, Time now) override;
+
  private:
   // The highest observed share of the pool that urgent jobs needed, decaying with time.
   double Peak(Time now) const;
--- a/servers/pool/worker_health_tracker.cc
+++ b/servers/pool/worker_health_tracker.cc
@@ -1,7 +1,12 @@
 #include "servers/pool/worker_health_tracker.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
+#include <utility>
+#include <vector>
+
+#include "servers/learned/saved_rows.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -20,6 +25,12 @@
 // Length of the quarantine of a worker whose runs have stalled; renewed with every report while the
 // runs make no progress.
 constexpr Duration kStallQuarantine = std::chrono::milliseconds(1500);
+// Largest saved number of quarantines; more make no difference.
+constexpr int kMaxSavedQuarantines = kMaxDoublings + 1;
+
+int64_t Millis(Duration duration) {
+  return duration_cast<std::chrono::milliseconds>(duration).count();
+}
 
 }  // namespace
 
@@ -78,7 +89,12 @@
   QuarantineUntil(worker, now + kStallQuarantine);
 }
 
-void WorkerHealthTracker::Forget(const std::string& worker) { histories_.erase(worker); }
+void WorkerHealthTracker::BeginIncarnation(const std::string& worker, int64_t start_time_ms) {
+  const auto known = start_times_.find(worker);
+  if (known != start_times_.end() && known->second == start_time_ms) return;
+  start_times_[worker] = start_time_ms;
+  histories_.erase(worker);
+}
 
 bool WorkerHealthTracker::IsQuarantined(const std::string& worker, Time now) const {
   const auto found = histories_.find(worker);
@@ -92,4 +108,64 @@
                      [&](const Failure& failure) { return now - failure.at < kFailureWindow; });
 }
 
+nlohmann::json WorkerHealthTracker::RowOf(const WorkerHistory& history, int64_t start_time_ms,
+                                          Time now) {
+  nlohmann::json failures = nlohmann::json::array();
+  for (const Failure& failure : history.failures) {
+    if (now - failure.at > kFailureWindow) continue;
+    failures.push_back({failure.job, Millis(now - failure.at)});
+  }
+  const Duration quarantine = std::max(history.quarantined_until - now, Duration::zero());
+  return {start_time_ms, Millis(quarantine),
+          std::min(history.quarantine_count, kMaxSavedQuarantines), failures};
+}
+
+nlohmann::json WorkerHealthTracker::Save(size_t max_bytes, Time now) const {
+  // Quarantined workers first, then those with the most quarantines.
+  std::vector<std::pair<std::pair<bool, int>, const std::string*>> worst;
+  for (const auto& [name, history] : histories_) {
+    if (start_times_.count(name) == 0) continue;
+    const bool quarantined = IsQuarantined(name, now);
+    if (!quarantined && history.quarantine_count == 0 && !IsSuspect(name, now)) continue;
+    worst.push_back({{quarantined, history.quarantine_count}, &name});
+  }
+  std::stable_sort(worst.begin(), worst.end(),
+                   [](const auto& left, const auto& right) { return left.first > right.first; });
+  learned::SavedRows saved(max_bytes);
+  for (const auto& [rank, name] : worst) {
+    saved.Add(*name, RowOf(histories_.at(*name), start_times_.at(*name), now));
+  }
+  return {{"workers", saved.rows()}};
+}
+
+WorkerHealthTracker::WorkerHistory WorkerHealthTracker::HistoryFrom(const nlohmann::json& row,
+                                                                    Duration age, Time now) {
+  WorkerHistory history;
+  const Time saved_at = now - age;
+  const int64_t longest = Millis(kInitialQuarantine * (1 << kMaxDoublings));
+  history.quarantined_until =
+      saved_at + std::chrono::milliseconds(learned::IntegerIn(row.at(1), 0, longest));
+  history.quarantine_count =
+      static_cast<int>(learned::IntegerIn(row.at(2), 0, kMaxSavedQuarantines));
+  for (const nlohmann::json& failure : row.at(3)) {
+    const int64_t failed_before = learned::IntegerIn(failure.at(1), 0, Millis(kFailureWindow));
+    history.failures.push_back(
+        {failure.at(0).get<std::string>(), saved_at - std::chrono::milliseconds(failed_before)});
+  }
+  return history;
+}
+
+void WorkerHealthTracker::Load(const nlohmann::json& data, Duration age, Time now) {
+  auto loaded = learned::ReadSaved([&] {
+    std::pair<std::map<std::string, WorkerHistory>, std::map<std::string, int64_t>> state;
+    for (const auto& [name, row] : data.at("workers").items()) {
+      state.first[name] = HistoryFrom(row, age, now);
+      state.second[name] = learned::IntegerIn(row.at(0), 0, std::numeric_limits<int64_t>::max());
+    }
+    return state;
+  });
+  histories_ = std::move(loaded.first);
+  start_times_ = std::move(loaded.second);
+}
+
 }  // namespace turmericshift::pool
--- a/servers/pool/worker_health_tracker.h
+++ b/servers/pool/worker_health_tracker.h
@@ -9,10 +9,11 @@
 #include <string>
 
 #include "core/clock.h"
+#include "servers/learned/learned_part.h"
 
 namespace turmericshift::pool {
 
-class WorkerHealthTracker {
+class WorkerHealthTracker : public learned::LearnedPart {
  public:
   void RunFailed(const std::string& worker, const std::string& job, Time now);
   void RunDone(const std::string& worker);
@@ -20,14 +21,21 @@
   void OrderFailed(const std::string& worker, Time now);
   // Called with every report in which none of the worker's runs makes progress.
   void RunsStalled(const std::string& worker, Time now);
-  // Clears the worker's history when a new incarnation of the worker starts.
-  void Forget(const std::string& worker);
+  // The worker runs as the incarnation that started at `start_time_ms` (milliseconds since 1970).
+  // Clears the worker's history unless it is of this incarnation.
+  void BeginIncarnation(const std::string& worker, int64_t start_time_ms);
 
   // Whether the worker is quarantined and gets no work.
   bool IsQuarantined(const std::string& worker, Time now) const;
   // Whether the worker has failed a run recently; suspect workers are chosen last.
   bool IsSuspect(const std::string& worker, Time now) const;
 
+  std::string name() const override { return "worker_failures"; }
+  int version() const override { return 1; }
+  Duration max_age() const override { return std::chrono::seconds(10); }
+  nlohmann::json Save(size_t max_bytes, Time now) const override;
+  void Load(const nlohmann::json& data, Duration age, Time now) override;
+
  private:
   struct Failure {
     std::string job;
@@ -44,8 +52,13 @@
   void Evaluate(const std::string& worker, Time now);
   // Extends the worker's quarantine to `until` if it would end earlier.
   void QuarantineUntil(const std::string& worker, Time until);
+  static nlohmann::json RowOf(const WorkerHistory& history, int64_t start_time_ms, Time now);
+  // Reads a row that was saved `age` ago.
+  static WorkerHistory HistoryFrom(const nlohmann::json& row, Duration age, Time now);
 
   std::map<std::string, WorkerHistory> histories_;
+  // Start times of the workers' current incarnations, in milliseconds since 1970.
+  std::map<std::string, int64_t> start_times_;
 };
 
 }  // namespace turmericshift::pool
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -98,7 +98,7 @@
     RestartAgent(spec.node);
     nodes.insert(spec.node);
   }
-  planner_ = std::make_unique<PoolPlanner>(options_, epoch_, job_table_, nodes, now_);
+  planner_ = std::make_unique<PoolPlanner>(options_, epoch_, job_table_, nodes, now_, wall_ms());
   planner_->ConfirmLeadership(now_);
 }
 
@@ -109,7 +109,8 @@
 }
 
 int64_t PoolSimulation::wall_ms() const {
-  return kWallStartMs + duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()).count();
+  return kWallStartMs +
+         duration_cast<std::chrono::milliseconds>(now_.time_since_epoch() + wall_shift_).count();
 }
 
 void PoolSimulation::Submit(const JobSpec& spec) {
@@ -154,7 +155,7 @@
   std::set<std::string> nodes;
   for (const auto& row : workers_) nodes.insert(row.first);
   epoch_ = NextEpoch(epoch_);
-  planner_ = std::make_unique<PoolPlanner>(options_, epoch_, job_table_, nodes, now_);
+  planner_ = std::make_unique<PoolPlanner>(options_, epoch_, job_table_, nodes, now_, wall_ms());
   planner_->ConfirmLeadership(now_);
 }
 
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -77,6 +77,9 @@
 
   // Replaces the planner immediately; its successor recovers from the durable records.
   void ReplacePlanner();
+  const PoolPlanner& planner() const { return *planner_; }
+  // Moves the wall clock of all processes, without time going by.
+  void ShiftWallClock(Duration shift) { wall_shift_ += shift; }
   // Stops all messages between the agent and any planner; the worker keeps running.
   void Isolate(const std::string& node) { isolated_.insert(node); }
   void Heal(const std::string& node) { isolated_.erase(node); }
@@ -176,6 +179,7 @@
   Offset offset_ = 0;
   int64_t epoch_ = NextEpoch(0);
   Time now_{};
+  Duration wall_shift_{};
   int ticks_ = 0;
   int incarnations_ = 0;
   int exchanges_ = 0;
