--- a/servers/pool/job_table_test.cc
+++ b/servers/pool/job_table_test.cc
@@ -85,5 +85,25 @@
   EXPECT_EQ(table.Find("x"), nullptr);
 }
 
+// Records of learned state may be malformed or written by a planner of another version. They must
+// throw away no job, and the newest one counts.
+TEST(JobTable, KeepsTheNewestLearnedRecordsBesideJobs) {
+  JobTable table;
+  table.Apply({"j/x", EncodeSpec(FullJob()), 1});
+  for (const char* text : {"{", "null", "\xff"}) {
+    EXPECT_NO_THROW(table.Apply({"l/speeds", text, table.newest_offset() + 1}));
+    EXPECT_EQ(table.learned().at("speeds"), text);
+  }
+  table.Apply({"l/foreign", "older", 20});
+  table.Apply({"l/foreign", "newer", 22});
+  table.Apply({"l/foreign", "older", 21});
+  table.Apply({"l/", "no name", 23});
+  EXPECT_EQ(table.learned().at("foreign"), "newer");
+  table.Apply({"l/speeds", "", 24});
+  EXPECT_EQ(table.learned().count("speeds"), 0U);
+  EXPECT_NE(table.Find("x"), nullptr);
+  EXPECT_EQ(table.jobs().size(), 1U);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -262,5 +262,34 @@
   EXPECT_FALSE(service_.RemoveSilentAgents(milliseconds(10), LeaseClock().Now()).has_value());
 }
 
+// A rolling update replaces planners one after the other. The last record must be in the store
+// before the release that lets the successor begin, and unreadable ones must do no harm.
+TEST_F(PlannerServiceTest, WritesLearnedStateBeforeItsRelease) {
+  const std::string run_times = R"({"queues":{"q":[9,1000,10,500,10]}})";
+  const int64_t at_ms = LeaseClock().WallMillis() - 60'000;
+  JobTable table;
+  table.Apply({"j/j", EncodeSpec(Job("j")), 1});
+  table.Apply({"l/speeds", "{", 2});
+  table.Apply({"l/run_times",
+               R"({"v":1,"at":)" + std::to_string(at_ms) + R"(,"data":)" + run_times + "}", 3});
+  service_.BecomeActive(2, 1, table, {}, LeaseClock().Now());
+  WaitForAppends(2);
+  EXPECT_EQ(metrics_.counter("learned_dropped").value(), 1);
+  EXPECT_EQ(metrics_.counter("learned_records").value(), 0);
+  service_.Release(kReleaseLimit);
+  EXPECT_EQ(metrics_.counter("learned_records").value(), 1);
+  EXPECT_GT(metrics_.counter("learned_bytes").value(), 40);
+  std::map<std::string, KeyedRecord> stored;
+  for (const KeyedRecord& record : log_.Newest(kWorkTopic, "", seconds(1)).records) {
+    stored[record.key] = record;
+  }
+  ASSERT_EQ(stored.count("l/run_times"), 1U);
+  const auto record = nlohmann::json::parse(stored["l/run_times"].value);
+  EXPECT_EQ(record.at("data").dump(), run_times);
+  EXPECT_GT(record.at("at").get<int64_t>(), at_ms);
+  EXPECT_LT(stored["l/run_times"].offset, stored[kPlannerKey].offset);
+  EXPECT_EQ(stored.count("l/speeds"), 0U);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -251,6 +251,52 @@
   PoolPlanner planner;
 };
 
+// Whether a new planner places a task on the worker, whose last incarnation known to the former
+// planner started at `start_time_ms` and was quarantined.
+bool UsesWorkerQuarantinedBefore(int64_t start_time_ms) {
+  constexpr int64_t kWallMs = 1'700'000'000'000;
+  const Time now = Time(std::chrono::hours(1));
+  JobTable table;
+  table.Apply({"l/worker_failures",
+               R"({"v":1,"at":1699999999000,"data":{"workers":{"n":[)" +
+                   std::to_string(start_time_ms) + R"(,3000,1,[["other",500]]]}}})",
+               1});
+  PoolPlanner planner(PlannerOptions(), 1, table, {}, now, kWallMs);
+  planner.ConfirmLeadership(now);
+  planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+  planner.ApplyReport(Report("first", 1), kWallMs, now);
+  planner.Submit(SampleJob("j", "batch", "one", SampleStep(1, 1, seconds(2))));
+  planner.outbox().Take();
+  planner.outbox().MarkDurable();
+  planner.Plan(kWallMs, now);
+  return !planner.workers().at("n").live.empty();
+}
+
+// A faulty worker looks idle and attracts the first jobs of the next planner. Its next incarnation
+// may be healthy.
+TEST(PoolPlanner, KeepsAWorkerQuarantinedThatThePreviousPlannerFoundFaulty) {
+  EXPECT_FALSE(UsesWorkerQuarantinedBefore(1));
+  EXPECT_TRUE(UsesWorkerQuarantinedBefore(2));
+}
+
+// While the store does not answer, newer records replace those in the outbox, so that it does not
+// grow.
+TEST(PoolPlanner, KeepsOneLearnedRecordOfEachPartInItsOutbox) {
+  OneWorker one;
+  one.planner.outbox().Take();
+  for (int job = 0; job < 60; ++job) {
+    one.now += seconds(1);
+    one.planner.ConfirmLeadership(one.now);
+    one.planner.Submit(SampleJob("urgent", "urgent", "one", SampleStep(1, 8, seconds(2))));
+    one.planner.Plan(1000 * job, one.now);
+  }
+  int learned = 0;
+  for (const KeyedRecord& record : one.planner.outbox().Take()) {
+    learned += record.key.rfind("l/", 0) == 0;
+  }
+  EXPECT_EQ(learned, 1);
+}
+
 // An agent passes a start to its worker and dies before it can report. Its new process gets the
 // order again and refuses it for a reason of its own, such as a missing lease. Interpreted as "not
 // running", the refusal would start the task elsewhere beside the existing run.
--- a/servers/pool/urgent_reserve_test.cc
+++ b/servers/pool/urgent_reserve_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/error.h"
+
 namespace turmericshift::pool {
 namespace {
 
@@ -53,5 +55,26 @@
   EXPECT_FALSE(CanWait(timing));
 }
 
+// Without the demand of before, a successor fills the pool with work that urgent jobs then stop.
+TEST(UrgentReserve, KeepsTheDecayingPeakAfterSaveAndLoad) {
+  UrgentReserve reserve;
+  reserve.RecordDemand(Empty(), {0, 0, 20}, kStart);
+  const nlohmann::json saved = reserve.Save(1000, kStart);
+  UrgentReserve next;
+  const Time now = Time(std::chrono::hours(7));
+  next.Load(saved, seconds(60), now);
+  EXPECT_EQ(next.TasksOutsideReserve(Empty(), {0, 0, 1}, kMany, now), 90);
+}
+
+// A reserve of a bad value would keep the pool from being used.
+TEST(UrgentReserve, KeepsItsStateWhenTheRecordIsMalformed) {
+  UrgentReserve reserve;
+  for (const char* text : {"1", "{}", R"({"peak_percent":-1})", R"({"peak_percent":"1"})",
+                           R"({"peak_percent":1e300})"}) {
+    EXPECT_THROW(reserve.Load(nlohmann::json::parse(text), {}, kStart), Error) << text;
+  }
+  EXPECT_EQ(reserve.TasksOutsideReserve(Empty(), {0, 0, 1}, kMany, kStart), 100);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
