Learned: Make the tests' states and speeds show what they guard against

Cause: alternating texts were equal at each check of LimitsTheBytesOfAllParts, and a gang on a worker of factor 1.6 ended within its slack, so that WritesAndLoadsNothing showed no loss. Change: texts differ at each step; slow workers have factor 1.8 and come first in their rack.

--- a/servers/learned/learned_state_test.cc
+++ b/servers/learned/learned_state_test.cc
@@ -109,8 +109,8 @@
   const size_t bytes = BytesWithin(
       seconds(300),
       [&] {
-        one.text = std::string(40'000, static_cast<char>('a' + ++step % 2));
-        two.text = std::string(9'000, static_cast<char>('a' + step % 2));
+        one.text = std::string(40'000, 'a') + std::to_string(++step);
+        two.text = std::string(9'000, 'a') + std::to_string(step);
       },
       &state);
   EXPECT_LE(bytes, 300U * 1024U);
@@ -125,7 +125,7 @@
   LearnedState state({&large, &small}, kStart);
   int written = 0;
   for (int second = 1; second <= 60; ++second) {
-    large.text = std::string(40'000, static_cast<char>('a' + second % 2));
+    large.text = std::string(40'000, 'a') + std::to_string(second);
     small.text = std::to_string(second);
     for (const auto& each : state.TakeDue(kWallMs, kStart + seconds(second))) {
       written += each.key == "l/small";
--- a/servers/learned/replaced_planner_test.cc
+++ b/servers/learned/replaced_planner_test.cc
@@ -10,13 +10,16 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-constexpr double kSlow = 1.6;
+// An urgent gang has half of its run time and 0.3 s as slack.
+constexpr double kSlow = 1.8;
 // Callers state half of the true run time.
 constexpr Duration kStated = seconds(3);
 constexpr Duration kActual = seconds(6);
-const char* const kSlowWorker = "w0-2";
+// The first worker of each rack, which a gang gets where speeds are not known.
+const char* const kSlowWorker = "w0-0";
+const char* const kOtherSlowWorker = "w1-0";
 
-// A pool of three racks, each with a fast, a typical and a slow worker, that has run tasks from
+// A pool of three racks, each with a slow, a typical and a fast worker, that has run tasks from
 // which the planner could learn.
 class ReplacedPlannerTest : public testing::Test {
  protected:
@@ -29,7 +32,7 @@
 
   static std::vector<SimulatedWorker> UnevenRacks() {
     std::vector<SimulatedWorker> workers = SampleRacks(3);
-    constexpr double kFactors[] = {0.6, 1.0, kSlow};
+    constexpr double kFactors[] = {kSlow, 1.0, 0.6};
     for (size_t i = 0; i < workers.size(); ++i) workers[i].time_factor = kFactors[i % 3];
     return workers;
   }
@@ -189,7 +192,7 @@
   simulation_.RunFor(seconds(1));
   const speeds::WorkerSpeeds& speeds = simulation_.planner().worker_speeds();
   EXPECT_EQ(speeds.TimeFactor(kSlowWorker, simulation_.now()), 1);
-  EXPECT_GT(speeds.TimeFactor("w1-2", simulation_.now()), 1.3);
+  EXPECT_GT(speeds.TimeFactor(kOtherSlowWorker, simulation_.now()), 1.3);
 }
 
 // The operators remove a queue whose run times are stored. The successor must serve the others.
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "tests/stand_ins/pool_simulation.h"
 
@@ -284,17 +285,21 @@
 TEST(PoolPlanner, KeepsOneLearnedRecordOfEachPartInItsOutbox) {
   OneWorker one;
   one.planner.outbox().Take();
-  for (int job = 0; job < 60; ++job) {
+  for (int second = 1; second <= 60; ++second) {
     one.now += seconds(1);
     one.planner.ConfirmLeadership(one.now);
-    one.planner.Submit(SampleJob("urgent", "urgent", "one", SampleStep(1, 8, seconds(2))));
-    one.planner.Plan(1000 * job, one.now);
+    one.planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), one.now);
+    one.planner.ApplyReport(Report("first", 1 + second), 0, one.now);
+    const std::string id = "urgent-" + std::to_string(second);
+    one.planner.Submit(SampleJob(id, "urgent", "one", SampleStep(1, 1, seconds(2))));
+    one.planner.Plan(int64_t{1000} * second, one.now);
   }
-  int learned = 0;
+  EXPECT_GE(one.planner.learned_state().TakeCounts().records, 5);
+  std::set<std::string> keys;
   for (const KeyedRecord& record : one.planner.outbox().Take()) {
-    learned += record.key.rfind("l/", 0) == 0;
+    EXPECT_TRUE(keys.insert(record.key).second) << record.key;
   }
-  EXPECT_EQ(learned, 1);
+  EXPECT_EQ(keys.count("l/urgent_demand"), 1U);
 }
 
 // An agent passes a start to its worker and dies before it can report. Its new process gets the
