Explain: Name slow workers as a cause of late jobs

Cause: the due time of a job followed from what its longest run took, so a job that was late by its worker did not count as late, and explain JOB called it not delayed.

--- a/servers/explain/job_explainer.cc
+++ b/servers/explain/job_explainer.cc
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <iomanip>
 #include <istream>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
+#include <sstream>
 
 namespace turmericshift {
 namespace {
@@ -26,8 +30,10 @@
     {JobOutcome::kNotSeen, "not seen"},
 }};
 
-// Waiting for room is given as the cause only if the job waited for longer than this.
+// Waiting for room, or a slow worker of a job that is not late, is given as the cause only if the
+// job lost more time by it than this.
 constexpr int64_t kLongWaitMs = 1000;
+constexpr int64_t kMillisPerSecond = 1000;
 
 constexpr const char* kWithdrawn =
     "its record was withdrawn before it was sent, since the store did not answer";
@@ -49,6 +55,11 @@
   return found != line.end() && found->is_boolean() && found->get<bool>();
 }
 
+double NumberOf(const json& line, const char* field) {
+  const auto found = line.find(field);
+  return found != line.end() && found->is_number() ? found->get<double>() : 0;
+}
+
 std::string Details(const json& line) {
   std::string details;
   for (const auto& [field, value] : line.items()) {
@@ -78,10 +89,15 @@
     const size_t brace = text.find('{');
     if (brace == std::string::npos) continue;
     const json line = json::parse(text.substr(brace), nullptr, false);
-    if (!line.is_object() || TextOf(line, "job").empty()) continue;
+    if (!line.is_object()) continue;
+    const int64_t time_ms = static_cast<int64_t>(NumberOf(line, "time_ms"));
+    if (TextOf(line, "event") == "worker_speed") {
+      speeds_[TextOf(line, "node")][time_ms] = NumberOf(line, "time_factor");
+    }
+    if (TextOf(line, "job").empty()) continue;
+    loss_report_.ReadLine(line);
     Entry entry;
-    const auto time = line.find("time_ms");
-    if (time != line.end() && time->is_number()) entry.line.time_ms = time->get<int64_t>();
+    entry.line.time_ms = time_ms;
     entry.line.process = TextOf(line, "process");
     entry.line.event = TextOf(line, "event");
     entry.line.details = Details(line);
@@ -101,6 +117,45 @@
   return {names.begin(), names.end()};
 }
 
+double JobExplainer::TimeFactorAt(const std::string& worker, int64_t time_ms) const {
+  const auto lines = speeds_.find(worker);
+  if (lines == speeds_.end()) return 1;
+  const auto next = lines->second.upper_bound(time_ms);
+  return next == lines->second.begin() ? 1 : std::prev(next)->second;
+}
+
+std::string JobExplainer::SlowestWorkerOf(const SlowRun& run) const {
+  // A member with about the same factor as the run's own worker did not delay it.
+  constexpr double kSlower = 1.1;
+  std::string slowest = run.workers.front();
+  double factor = TimeFactorAt(slowest, run.ended_ms);
+  for (const std::string& worker : run.workers) {
+    const double other = TimeFactorAt(worker, run.ended_ms);
+    if (other <= kSlower * factor) continue;
+    slowest = worker;
+    factor = other;
+  }
+  if (run.workers.size() == 1 || factor > kSlower) return "worker " + slowest;
+  // No line tells which member is slow.
+  std::string names;
+  for (const std::string& worker : run.workers) names += (names.empty() ? "" : ", ") + worker;
+  return "worker, one of " + names;
+}
+
+std::string JobExplainer::SlowWorkerCause(const std::string& job, bool completed) const {
+  const std::optional<JobLoss> loss = loss_report_.LossOf(job);
+  const std::optional<SlowRun> run = loss_report_.SlowestRunOf(job);
+  if (!loss || !run || loss->cause.first != DelayCause::kSlowWorker) return "";
+  const bool late = completed && !loss->in_time;
+  if (!late && loss->seconds * kMillisPerSecond <= kLongWaitMs) return "";
+  std::ostringstream cause;
+  cause << std::fixed << "it was delayed most by a slow " << SlowestWorkerOf(*run)
+        << ": its run took " << std::setprecision(2) << run->time_factor
+        << " times as long as on a typical worker and lost " << std::setprecision(1) << run->seconds
+        << " s";
+  return cause.str();
+}
+
 JobExplanation JobExplainer::Explain(const std::string& job) const {
   JobExplanation explanation;
   explanation.job = job;
@@ -156,6 +211,7 @@
   }
   const int64_t waited = first_placed - accepted_at;
   const bool withdrawn = explanation.withdrawals > 0 && explanation.runs == 0;
+  const std::string slow_worker = SlowWorkerCause(job, ended == "completed");
   switch (explanation.outcome) {
     case JobOutcome::kRefused:
     case JobOutcome::kUnknownToCaller:
@@ -173,7 +229,9 @@
       break;
     case JobOutcome::kCompleted:
     case JobOutcome::kUnfinished:
-      if (explanation.stopped_runs + explanation.lost_runs + explanation.failed_runs > 0) {
+      if (!slow_worker.empty()) {
+        explanation.cause = slow_worker;
+      } else if (explanation.stopped_runs + explanation.lost_runs + explanation.failed_runs > 0) {
         explanation.cause = "it was delayed by " + Counted(explanation.stopped_runs, "run") +
                             " stopped by preemption, " + std::to_string(explanation.lost_runs) +
                             " lost with their worker or gang, " +
--- a/servers/explain/job_explainer.h
+++ b/servers/explain/job_explainer.h
@@ -3,9 +3,12 @@
 
 #include <cstdint>
 #include <iosfwd>
+#include <map>
 #include <string>
 #include <vector>
 
+#include "servers/explain/loss_report.h"
+
 namespace turmericshift {
 
 // Outcome of a job, as far as the log lines show it.
@@ -68,7 +71,17 @@
     bool not_run = false;
   };
 
+  // One sentence if a slow worker delayed the job most; empty otherwise.
+  std::string SlowWorkerCause(const std::string& job, bool completed) const;
+  // The slowest worker of the run, as far as the `worker_speed` lines tell.
+  std::string SlowestWorkerOf(const SlowRun& run) const;
+  // The worker's time factor by its last `worker_speed` line until then; 1 without one.
+  double TimeFactorAt(const std::string& worker, int64_t time_ms) const;
+
   std::vector<Entry> entries_;
+  LossReport loss_report_;
+  // Time factors of workers, by the time of the line.
+  std::map<std::string, std::map<int64_t, double>> speeds_;
 };
 
 }  // namespace turmericshift
