Planner: Show the workers' speeds as metrics

Cause: nothing but the log tells how uneven a planner takes its pool to be. Change: gauges workers_slow, workers_fast and worker_speed_spread, set in each round and 0 where the process does not plan.

--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -40,6 +40,9 @@
       learned_records_(metrics->counter("learned_records")),
       learned_bytes_(metrics->counter("learned_bytes")),
       learned_dropped_(metrics->counter("learned_dropped")) {
+      workers_slow_(metrics->gauge("workers_slow")),
+      workers_fast_(metrics->gauge("workers_fast")),
+      worker_speed_spread_(metrics->gauge("worker_speed_spread")) {
   try {
     planning_thread_ = Thread(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); });
     writer_thread_ = Thread(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); });
@@ -102,6 +105,7 @@
   LogEvent(LogLevel::kWarning, "duty_ended", {{"epoch", planner_->epoch()}, {"reason", reason}});
   planner_.reset();
   epoch_gauge_.Set(0);
+  SetSpeedGauges({});
   append_started_at_.reset();
   for (auto& [node, poll] : polls_) {
     replies->push_back(Failed(std::move(poll.done), NotActiveError()));
@@ -110,6 +114,12 @@
   intake_.End(replies);
 }
 
+void PlannerService::SetSpeedGauges(const speeds::SpeedSummary& summary) {
+  workers_slow_.Set(summary.slow);
+  workers_fast_.Set(summary.fast);
+  worker_speed_spread_.Set(summary.spread);
+}
+
 void PlannerService::PredecessorGone() {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (planner_) planner_->PredecessorGone(LeaseClock().Now());
@@ -385,6 +395,7 @@
       intake_.Answer(append_started_at_, planner_.get(), now, &replies);
       jobs_.Set(static_cast<double>(planner_->job_count()));
       lag_seconds_.Set(Seconds(planner_->lag()));
+      SetSpeedGauges(planner_->worker_speeds().summary());
       if (!planner_->outbox().empty()) write_ready_.notify_all();
       advice_ready_.notify_all();
     }
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -120,6 +120,7 @@
   // Tells the planner which agents are listed in the members topic.
   void UpdateListedAgentsLocked();
   void StepDownLocked(const char* reason, Replies* replies);
+  void SetSpeedGauges(const speeds::SpeedSummary& summary);
   // Error for callers while this process is not the active planner.
   static Error NotActiveError();
 
@@ -137,6 +138,9 @@
   Counter& learned_records_;
   Counter& learned_bytes_;
   Counter& learned_dropped_;
+  Gauge& workers_slow_;
+  Gauge& workers_fast_;
+  Gauge& worker_speed_spread_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -168,6 +168,23 @@
   EXPECT_EQ(service_.epoch(), 4);
 }
 
+// The gauges must show the pool while this process plans it, and nothing of it afterwards.
+TEST_F(PlannerServiceTest, ShowsWorkersSpeedsWhileItPlans) {
+  const std::vector<Gauge*> gauges = {&metrics_.gauge("workers_slow"),
+                                      &metrics_.gauge("workers_fast"),
+                                      &metrics_.gauge("worker_speed_spread")};
+  constexpr double kStale = 7;
+  const Time limit = LeaseClock().Now() + kAnswerLimit;
+  for (Gauge* gauge : gauges) {
+    gauge->Set(kStale);
+    while (gauge->value() == kStale && LeaseClock().Now() < limit) std::this_thread::yield();
+    EXPECT_LT(gauge->value(), kStale);
+  }
+  for (Gauge* gauge : gauges) gauge->Set(kStale);
+  service_.StepDown("test");
+  for (const Gauge* gauge : gauges) EXPECT_EQ(gauge->value(), 0);
+}
+
 // A caller whose job becomes durable with the planner's last append must not be told "unknown" at a
 // planned stop.
 TEST_F(PlannerServiceTest, AnswersCallersOfLastAppendOnRelease) {
