Explain: Let the test of runs off their rack on slow workers need both factors

Cause: the job of the test was late with the slowdown alone. Change: with one of the two factors left out, the job would count as in time.

--- a/servers/explain/loss_report_test.cc
+++ b/servers/explain/loss_report_test.cc
@@ -142,12 +142,12 @@
 // The time of a run that is off its rack on a slow worker must not count as work.
 TEST(LossReport, OffRackAndSlowWorkersTogetherShortenTheDueTime) {
   const std::string placed =
-      R"({"time_ms":1000,"event":"run_placed","job":"j","task":"j.0.0.0","slowdown":2,)"
+      R"({"time_ms":1000,"event":"run_placed","job":"j","task":"j.0.0.0","slowdown":1.5,)"
       R"("time_factor":1.5,"run":1})"
       "\n";
-  const QueueLoss loss = SummaryOf(kAccepted + placed + Ended(4000, 1, "done") + Completed(4000));
+  const QueueLoss loss = SummaryOf(kAccepted + placed + Ended(3250, 1, "done") + Completed(3250));
   EXPECT_EQ(loss.late, 1);
-  EXPECT_NEAR(loss.causes.at({DelayCause::kOffRack, ""}).seconds, 1.5, 1e-6);
+  EXPECT_NEAR(loss.causes.at({DelayCause::kOffRack, ""}).seconds, 0.75, 1e-6);
 }
 
 // One line of another program must not end the report.
