Speeds: Mend what the review of the part found

Cause, each shown or read by the reviewer: urgent one-rack gangs left their rack, three times as slow, rather than use a slow worker; a fast but suspect worker was preferred to healthy ones; fast members were wasted on gangs with a typical one; the reserve was used up by units that only could have used slow workers; a step on one worker confirmed what was believed of that worker; a run that had been slowed counted with its whole time; steps of short runs and workers that had left were kept; services shared one median; each takeover shrank the factors; gangs adopted after a takeover did not know their slowest worker; tasks on slow workers overran backfill reservations. Change: a worker's effect is taken against the other workers' runs of the step; the rest as the causes say. Measured: nothing yet beyond the unit tests that come with it.

--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -1,6 +1,7 @@
 #include "servers/pool/placer.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <limits>
 #include <map>
@@ -90,18 +91,37 @@
   int speed_rank = 0;
 };
 
-// Places the gang on workers of the lowest possible ranks by speed. The placement is shorter than
-// the gang if room runs out.
+bool IsComplete(const Placement& placement, const PlacementRequest& request) {
+  return static_cast<int>(placement.size()) == request.tasks;
+}
+
+Group Filter(const Group& group, const std::function<bool(const WorkerRoom&)>& allows) {
+  Group allowed;
+  std::copy_if(group.begin(), group.end(), std::back_inserter(allowed),
+               [&](const WorkerRoom* worker) { return allows(*worker); });
+  return allowed;
+}
+
+// Places the gang on healthy workers if possible, and among those on workers of the lowest possible
+// ranks by speed. Workers of one rank come first: a faster member would only wait for the others.
+// The placement is shorter than the gang if room runs out.
 RankedPlacement FillGangByRank(const Group& group, const PlacementRequest& request) {
   std::set<int> ranks;
   for (const WorkerRoom* worker : group) ranks.insert(worker->speed_rank);
   RankedPlacement best;
-  for (const int rank : ranks) {
-    Group allowed;
-    std::copy_if(group.begin(), group.end(), std::back_inserter(allowed),
-                 [rank](const WorkerRoom* worker) { return worker->speed_rank <= rank; });
-    best = {FillGang(allowed, request), rank};
-    if (static_cast<int>(best.placement.size()) == request.tasks) break;
+  for (const bool suspect : {false, true}) {
+    const Group allowed =
+        Filter(group, [&](const WorkerRoom& worker) { return suspect || !worker.suspect; });
+    for (const int rank : ranks) {
+      const Group same =
+          Filter(allowed, [&](const WorkerRoom& worker) { return worker.speed_rank == rank; });
+      best = {FillGang(same, request), rank};
+      if (IsComplete(best.placement, request)) return best;
+      const Group up_to =
+          Filter(allowed, [&](const WorkerRoom& worker) { return worker.speed_rank <= rank; });
+      best = {FillGang(up_to, request), rank};
+      if (IsComplete(best.placement, request)) return best;
+    }
   }
   return best;
 }
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -371,7 +371,12 @@
   bool IsFastEnough(const std::string& node, Time now) const;
   int RankOf(const speeds::SpeedLimits& limits, const std::string& node, Time now) const;
   void BeginSpeedRun(const Job& job, const StepSpec& step, const std::string& node, double slowdown,
-                     LiveRun* run);
+                     Time now, LiveRun* run);
+  // Records which workers the members of an adopted gang run on, as far as they have been reported.
+  void JoinAdoptedGang(const Job& job, const std::string& node, LiveRun* run);
+  // How many of the unit's tasks fit on workers that are too slow for urgent jobs, which it
+  // prefers.
+  int TasksOnSlowWorkers(const Unit& unit, const PlacementRequest& request, Time now) const;
   // Time factor of the run, for a gang that of its slowest worker.
   double TimeFactorOf(const LiveRun& run, const std::string& node, Time now) const;
   // Expected time until the run ends.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -149,7 +149,8 @@
     if (!worker.usable(now)) continue;
     pool_room_.total += worker.facts.capacity;
     pool_room_.free += worker.remaining_room;
-    if (!IsFastEnough(node, now)) continue;
+    worker.fast_enough = IsFastEnough(node, now);
+    if (!worker.fast_enough) continue;
     fast_room.total += worker.facts.capacity;
     fast_room.free += worker.remaining_room;
   }
@@ -331,7 +332,9 @@
     rooms.push_back(room);
   }
   if (empty) return rooms;
-  const Time over_at = now + Scaled(unit.expected, kEstimateMargin);
+  const bool on_slow_workers = unit.speed.preference == speeds::SpeedPreference::kSlow;
+  const double margin = kEstimateMargin * (on_slow_workers ? speeds_->slow_factor() : 1);
+  const Time over_at = now + Scaled(unit.expected, margin);
   backfill_reservations_.Subtract(KeyOf(unit), over_at, &rooms);
   reclaim_reservations_.Subtract(KeyOf(unit), &rooms);
   return rooms;
@@ -418,13 +421,11 @@
       now - std::max(*half_idle_since_, ready_since) > kMaxWaitWhenIdle) {
     return all;
   }
-  int on_slow_workers = 0;
-  for (const auto& [node, worker] : workers_) {
-    if (!worker.usable(now) || IsFastEnough(node, now)) continue;
-    on_slow_workers += FitCount(worker.remaining_room, step.need, all);
-  }
-  return std::min(all,
-                  on_slow_workers + reserve_.TasksOutsideReserve(pool_room_, step.need, all, now));
+  PlacementRequest request;
+  request.step = &step;
+  request.tasks = all;
+  return std::min(all, TasksOnSlowWorkers(unit, request, now) +
+                           reserve_.TasksOutsideReserve(pool_room_, step.need, all, now));
 }
 
 int64_t PoolPlanner::GuaranteedFor(const std::string& workspace) const {
@@ -477,7 +478,7 @@
     run.gang_workers = gang_workers;
     const double run_factor = step.gang ? time_factor : speeds_->TimeFactor(worker.node, now);
     run.estimate = Scaled(unit.expected, slowdown * run_factor);
-    BeginSpeedRun(*job, step, worker.node, slowdown, &run);
+    BeginSpeedRun(*job, step, worker.node, slowdown, now, &run);
     run.start_after = job->running_ticket;
     const auto saved =
         job->progress.checkpoints.find({place.occurrence, place.step, step.gang ? 0 : index});
@@ -492,7 +493,7 @@
     run.order_version = waits ? std::numeric_limits<int64_t>::max() : worker.version + 1;
     worker.live[run.run] = run;
     worker.remaining_room -= run.need;
-    if (IsFastEnough(worker.node, now)) pool_room_.free -= run.need;
+    if (worker.fast_enough) pool_room_.free -= run.need;
     if (run.best_effort) worker.remaining_room.processor_millis += run.need.processor_millis;
     if (waits) {
       pending_starts_.emplace(run.start_after, worker.node);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -261,7 +261,8 @@
     live.estimate = step->estimate;
     live.resumable = step->checkpoints;
     // Whether the gang runs off-rack is not known, but its members are slowed down alike.
-    BeginSpeedRun(*job, *step, worker->node, 1, &live);
+    BeginSpeedRun(*job, *step, worker->node, 1, now, &live);
+    if (wanted && step->gang) JoinAdoptedGang(*job, worker->node, &live);
   }
   live.phase = wanted ? RunPhase::kRunning : RunPhase::kStopping;
   if (wanted) {
@@ -326,7 +327,7 @@
     time_factor = TimeFactorOf(live->second, worker->node, now);
     const bool own_time = clean_time && !live->second.gang_workers;
     if (own_time && end.kind == EndKind::kDone) {
-      speeds_->RecordDone(live->second.speed_run, *clean_time);
+      speeds_->RecordDone(live->second.speed_run, *clean_time, now);
     }
     if (asked_to_stop && end.kind == EndKind::kStopped) RecordStopTime(live->second, now);
     worker->live.erase(live);
--- a/servers/pool/pool_planner_speeds.cc
+++ b/servers/pool/pool_planner_speeds.cc
@@ -13,6 +13,8 @@
 // Waiting for faster workers has to be worth at least this share of the job's value: forecasts of
 // free room are often wrong.
 constexpr double kMinWaitGain = 0.15;
+// Stretch that is assumed where there is no urgent queue.
+constexpr double kDefaultStretch = 3;
 
 }  // namespace
 
@@ -34,7 +36,7 @@
     if (queue.terms.priority != 0) continue;
     stretch = stretch == 0 ? queue.terms.stretch : std::min(stretch, queue.terms.stretch);
   }
-  if (stretch > 0) speeds_->SetSlowFactor(speeds::SlowFactorFor(stretch));
+  speeds_->SetSlowFactor(speeds::SlowFactorFor(stretch > 0 ? stretch : kDefaultStretch));
 }
 
 bool PoolPlanner::IsFastEnough(const std::string& node, Time now) const {
@@ -51,14 +53,15 @@
 }
 
 void PoolPlanner::BeginSpeedRun(const Job& job, const StepSpec& step, const std::string& node,
-                                double slowdown, LiveRun* run) {
+                                double slowdown, Time now, LiveRun* run) {
   // The percentage of a long-running task is its throughput.
   if (step.long_running) return;
   const TaskId& task = run->run.task;
   const std::string name = task.job + "." + std::to_string(task.occurrence) + "." +
                            std::to_string(task.step) + (slowdown > 1 ? ".off_rack" : "");
   const Duration expected = Scaled(estimator_.ExpectedTime(job.spec, step), slowdown);
-  run->speed_run = speeds_->BeginRun({name, job.spec.queue, node, expected});
+  run->speed_run =
+      speeds_->BeginRun({name, job.spec.queue, Terms(job).service, node, expected}, now);
 }
 
 double PoolPlanner::TimeFactorOf(const LiveRun& run, const std::string& node, Time now) const {
@@ -90,13 +93,42 @@
   return longest;
 }
 
+// After a change of planner, the members of a gang are reported one by one.
+void PoolPlanner::JoinAdoptedGang(const Job& job, const std::string& node, LiveRun* run) {
+  std::set<std::string> nodes = {node};
+  std::vector<LiveRun*> members = {run};
+  for (const auto& [place, member] : job.runs) {
+    if (member.number != run->run.number || place.step != run->run.task.step) continue;
+    const auto worker = workers_.find(member.node);
+    if (worker == workers_.end()) continue;
+    const auto live = worker->second.live.find(
+        {{job.spec.id, place.occurrence, place.step, place.index}, member.number});
+    if (live == worker->second.live.end()) continue;
+    nodes.insert(member.node);
+    members.push_back(&live->second);
+  }
+  if (nodes.size() < 2) return;
+  const auto gang_workers = std::make_shared<const std::set<std::string>>(nodes);
+  for (LiveRun* member : members) member->gang_workers = gang_workers;
+}
+
+int PoolPlanner::TasksOnSlowWorkers(const Unit& unit, const PlacementRequest& request,
+                                    Time now) const {
+  if (unit.speed.preference != speeds::SpeedPreference::kSlow) return 0;
+  std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
+  std::erase_if(rooms, [&](const WorkerRoom& room) {
+    return workers_.at(std::string(room.node)).fast_enough || room.speed_rank != 0;
+  });
+  return static_cast<int>(Place(request, rooms).size());
+}
+
 bool PoolPlanner::TryWithoutSlowWorkers(const Unit& unit, const PlacementRequest& request,
                                         int64_t wall_ms, Time now) {
   if (unit.speed.preference != speeds::SpeedPreference::kFast) return false;
   Unit in_time = unit;
   in_time.only_in_time = true;
-  PlacementRequest fast = request;
-  const Placement placement = PlaceUnit(in_time, &fast, now);
+  // Off its rack the gang would take longer than on slow workers.
+  const Placement placement = Place(request, StartRoomsFor(in_time, now));
   if (static_cast<int>(placement.size()) == request.tasks) {
     Start(unit, placement, now);
     return true;
@@ -113,7 +145,7 @@
   slow_timing.remaining += Scaled(unit.expected, factor - 1);
   const double slow_share = ExpectedValueShare(slow_timing, Duration::zero());
   if (TryReclaim(in_time, request, slow_share, wall_ms, now)) return true;
-  const std::optional<RoomForecast> forecast = ForecastRoom(fast, FutureRoomsFor(in_time, now));
+  const std::optional<RoomForecast> forecast = ForecastRoom(request, FutureRoomsFor(in_time, now));
   if (!forecast) return false;
   const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
   const bool may_wait =
@@ -122,7 +154,7 @@
     return false;
   }
   LogWait(unit, request, WaitReason::kFasterWorkers, now);
-  ReserveForBackfill(in_time, request, now);
+  if (!planner_lag_.overloaded()) ReserveForBackfill(in_time, request, now);
   return true;
 }
 
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -104,6 +104,8 @@
   Room remaining_room;
   // Kind of the runs that occupy the worker in the current planning round.
   Occupancy occupancy = Occupancy::kNone;
+  // Whether urgent jobs can end in time on the worker, as of the current planning round.
+  bool fast_enough = true;
 
   // Capacity less the room of live runs. Runs that are being stopped still count.
   Room free() const;
--- a/servers/speeds/equal_speeds.cc
+++ b/servers/speeds/equal_speeds.cc
@@ -13,9 +13,9 @@
   void SetSlowFactor(double) override {}
   double slow_factor() const override { return 1; }
   void BeginIncarnation(const std::string&, int64_t) override {}
-  RunHandle BeginRun(const RunInfo&) override { return 0; }
+  RunHandle BeginRun(const RunInfo&, Time) override { return 0; }
   void RecordProgress(RunHandle, int, Time) override {}
-  void RecordDone(RunHandle, Duration) override {}
+  void RecordDone(RunHandle, Duration, Time) override {}
   std::vector<SpeedChange> Update(Time) override { return {}; }
   bool uneven() const override { return false; }
   double TimeFactor(const std::string&, Time) const override { return 1; }
--- a/servers/speeds/learned_speeds.cc
+++ b/servers/speeds/learned_speeds.cc
@@ -35,7 +35,7 @@
 // work than the others of its step, counts less.
 constexpr double kOutlier = 0.6;
 
-// A step without new measurements for this long is summed up by the residuals of its runs.
+// A step that was not used for this long is summed up by what it says of its workers.
 constexpr Duration kStepRetention = std::chrono::seconds(20);
 constexpr size_t kMaxSteps = 2000;
 // Precision of a worker's effect from which on older runs are gradually forgotten.
@@ -56,10 +56,12 @@
 constexpr int kFormat = 1;
 constexpr Duration kMaxAge = std::chrono::minutes(10);
 constexpr double kMilli = 1000;
+// A worker of which less is known is saved as if this were known.
+constexpr double kMinSavedPrecision = 0.1;
 // Largest effect that a saved worker may have; e to this power is a factor of 20.
 constexpr double kMaxSavedEffect = 3;
-// Bytes of a saved worker: its name, a start time, two numbers and a class.
-constexpr size_t kBytesPerWorker = 72;
+// Bytes of a saved worker: its name, a start time, two numbers, a class and a service.
+constexpr size_t kBytesPerWorker = 96;
 
 constexpr std::array<std::pair<SpeedClass, const char*>, 3> kClassNames = {{
     {SpeedClass::kSlow, "slow"},
@@ -85,9 +87,9 @@
   void SetSlowFactor(double factor) override { slow_effect_ = std::log(factor); }
   double slow_factor() const override { return std::exp(slow_effect_); }
   void BeginIncarnation(const std::string& worker, int64_t start_time_ms) override;
-  RunHandle BeginRun(const RunInfo& run) override;
+  RunHandle BeginRun(const RunInfo& run, Time now) override;
   void RecordProgress(RunHandle run, int percent, Time at) override;
-  void RecordDone(RunHandle run, Duration elapsed) override;
+  void RecordDone(RunHandle run, Duration elapsed, Time now) override;
   std::vector<SpeedChange> Update(Time now) override;
   bool uneven() const override { return uneven_; }
   double TimeFactor(const std::string& worker, Time now) const override;
@@ -98,7 +100,10 @@
  private:
   struct Worker {
     std::string name;
+    std::string service;
     int64_t start_time_ms = 0;
+    // When a run of the worker began or was measured; empty until then.
+    std::optional<Time> used_at;
     // Sums over the runs of steps that are no longer kept.
     double residuals = 0;
     double precision = 0;
@@ -120,10 +125,18 @@
     // Variance of the tasks of the queue's steps on one worker.
     double noise = kInitialNoise * kInitialNoise;
     std::vector<RunHandle> runs;
-    std::optional<Time> measured_at;
+    // When a run of the step began or was measured.
+    Time used_at{};
+  };
+  // What the runs of one step say of a worker: its effect, and how certain that is.
+  struct Evidence {
+    Worker* worker = nullptr;
+    double effect = 0;
+    double precision = 0;
   };
 
-  // Calls `visit(run, measurement, step)` for each measured run of the step.
+  void NoteMeasured(const Run& run, Time now);
+  // Calls `visit(worker, measurement)` for each measured run of the step.
   template <typename Visit>
   void ForMeasured(Step* step, Visit&& visit);
   Worker* FindWorker(const std::string& name);
@@ -135,8 +148,10 @@
   void Center();
   std::vector<SpeedChange> UpdateClasses();
   SpeedClass ClassOf(const Worker& worker) const;
+  std::vector<Evidence> EvidenceOf(Step* step);
   void RetireSteps(Time now);
   void Retire(Step* step);
+  void ForgetUnusedWorkers(Time now);
   static double WeightOf(const Step& step, const Worker& worker, const Measurement& measurement);
 
   // Pointers to the workers stay valid.
@@ -175,7 +190,7 @@
   changed_ = true;
 }
 
-RunHandle LearnedSpeeds::BeginRun(const RunInfo& run) {
+RunHandle LearnedSpeeds::BeginRun(const RunInfo& run, Time now) {
   if (run.expected <= Duration::zero()) return 0;
   const RunHandle handle = ++last_handle_;
   Step& step = steps_[run.step];
@@ -183,7 +198,11 @@
   step.log_expected = std::log(Seconds(run.expected));
   if (step.runs.empty()) step.effect = step.log_expected;
   step.runs.push_back(handle);
-  runs_[handle] = {run.step, FindWorker(run.worker), {}};
+  step.used_at = now;
+  Worker* worker = FindWorker(run.worker);
+  worker->service = run.service;
+  worker->used_at = now;
+  runs_[handle] = {run.step, worker, {}};
   return handle;
 }
 
@@ -194,18 +213,21 @@
   const Pace pace = run.meter.Record(percent, at);
   if (pace == Pace::kSlowed) run.worker->slowed_at = at;
   if (pace == Pace::kSteady) run.worker->slowed_at.reset();
-  if (!run.meter.measurement()) return;
-  steps_[run.step].measured_at = at;
-  run.worker->known = true;
-  changed_ = true;
+  NoteMeasured(run, at);
 }
 
-void LearnedSpeeds::RecordDone(RunHandle handle, Duration elapsed) {
+void LearnedSpeeds::RecordDone(RunHandle handle, Duration elapsed, Time now) {
   const auto found = runs_.find(handle);
   if (found == runs_.end()) return;
   found->second.meter.RecordDone(elapsed);
-  if (!found->second.meter.measurement()) return;
-  found->second.worker->known = true;
+  NoteMeasured(found->second, now);
+}
+
+void LearnedSpeeds::NoteMeasured(const Run& run, Time now) {
+  if (!run.meter.measurement()) return;
+  steps_[run.step].used_at = now;
+  run.worker->used_at = now;
+  run.worker->known = true;
   changed_ = true;
 }
 
@@ -215,6 +237,7 @@
   if (updated_at_ && now - *updated_at_ < interval) return {};
   updated_at_ = now;
   RetireSteps(now);
+  ForgetUnusedWorkers(now);
   if (!changed_) return {};
   changed_ = false;
   UpdateNoise();
@@ -292,36 +315,66 @@
   }
 }
 
+// The effect of a step is taken from its runs on other workers: with the worker's own runs, a step
+// that ran on one worker only would confirm whatever is believed of that worker.
+std::vector<LearnedSpeeds::Evidence> LearnedSpeeds::EvidenceOf(Step* step) {
+  struct Sum {
+    double times = 0;
+    double weight = 0;
+  };
+  constexpr double kExpectedPrecision = 1 / (kExpectedSpread * kExpectedSpread);
+  double corrected = kExpectedPrecision * step->log_expected;
+  double precision = kExpectedPrecision;
+  std::map<Worker*, Sum> by_worker;
+  ForMeasured(step, [&](Worker* worker, const Measurement& measurement) {
+    const double weight = WeightOf(*step, *worker, measurement);
+    Sum& sum = by_worker[worker];
+    sum.times += weight * measurement.log_time;
+    sum.weight += weight;
+    corrected += weight * (measurement.log_time - worker->effect);
+    precision += weight;
+  });
+  std::vector<Evidence> evidence;
+  for (const auto& [worker, sum] : by_worker) {
+    const double others = precision - sum.weight;
+    const double step_effect = (corrected - (sum.times - sum.weight * worker->effect)) / others;
+    evidence.push_back(
+        {worker, sum.times / sum.weight - step_effect, 1 / (1 / sum.weight + 1 / others)});
+  }
+  return evidence;
+}
+
 void LearnedSpeeds::UpdateWorkers() {
   std::map<const Worker*, std::pair<double, double>> sums;
   for (auto& [id, step] : steps_) {
-    ForMeasured(&step, [&](const Worker* worker, const Measurement& measurement) {
-      const double weight = WeightOf(step, *worker, measurement);
-      auto& [residuals, precision] = sums[worker];
-      residuals += weight * (measurement.log_time - step.effect);
-      precision += weight;
-    });
+    for (const Evidence& evidence : EvidenceOf(&step)) {
+      auto& [effects, precision] = sums[evidence.worker];
+      effects += evidence.precision * evidence.effect;
+      precision += evidence.precision;
+    }
   }
   for (auto& [name, worker] : workers_) {
-    const auto [residuals, precision] = sums[worker.get()];
+    const auto [effects, precision] = sums[worker.get()];
     const double total = worker->precision + precision + 1 / worker_variance_;
-    worker->effect = (worker->residuals + residuals) / total;
+    worker->effect = (worker->residuals + effects) / total;
     worker->deviation = 1 / std::sqrt(total);
   }
 }
 
-// Only differences between workers are observed; the median of the known ones counts as typical.
+// Only differences between workers are observed; the median of a service's known workers counts as
+// typical.
 void LearnedSpeeds::Center() {
-  std::vector<double> effects;
+  std::map<std::string, std::vector<Worker*>> by_service;
   for (const auto& [name, worker] : workers_) {
-    if (worker->known) effects.push_back(worker->effect);
+    if (worker->known) by_service[worker->service].push_back(worker.get());
   }
-  if (effects.empty()) return;
-  const auto middle = effects.begin() + static_cast<std::ptrdiff_t>(effects.size() / 2);
-  std::nth_element(effects.begin(), middle, effects.end());
-  const double median = *middle;
-  for (auto& [name, worker] : workers_) {
-    if (worker->known) worker->effect -= median;
+  for (auto& [service, workers] : by_service) {
+    const auto middle = workers.begin() + static_cast<std::ptrdiff_t>(workers.size() / 2);
+    std::nth_element(
+        workers.begin(), middle, workers.end(),
+        [](const Worker* left, const Worker* right) { return left->effect < right->effect; });
+    const double median = (*middle)->effect;
+    for (Worker* worker : workers) worker->effect -= median;
   }
 }
 
@@ -366,8 +419,7 @@
   for (auto step = steps_.begin(); step != steps_.end();) {
     // Runs of a worker that has been replaced are gone already.
     std::erase_if(step->second.runs, [&](RunHandle run) { return runs_.count(run) == 0; });
-    const std::optional<Time> measured_at = step->second.measured_at;
-    const bool old = measured_at && now - *measured_at > kStepRetention;
+    const bool old = now - step->second.used_at > kStepRetention;
     if (!old && !step->second.runs.empty() && steps_.size() <= kMaxSteps) {
       ++step;
       continue;
@@ -378,17 +430,25 @@
 }
 
 void LearnedSpeeds::Retire(Step* step) {
-  ForMeasured(step, [&](Worker* worker, const Measurement& measurement) {
-    const double weight = WeightOf(*step, *worker, measurement);
-    worker->residuals += weight * (measurement.log_time - step->effect);
-    worker->precision += weight;
-    if (worker->precision <= kMaxPrecision) return;
+  for (const Evidence& evidence : EvidenceOf(step)) {
+    Worker* worker = evidence.worker;
+    worker->residuals += evidence.precision * evidence.effect;
+    worker->precision += evidence.precision;
+    if (worker->precision <= kMaxPrecision) continue;
     worker->residuals *= kMaxPrecision / worker->precision;
     worker->precision = kMaxPrecision;
-  });
+  }
   for (const RunHandle run : step->runs) runs_.erase(run);
 }
 
+void LearnedSpeeds::ForgetUnusedWorkers(Time now) {
+  const auto is_unused = [now](const Worker& worker) {
+    return worker.used_at && now - *worker.used_at > kMaxAge;
+  };
+  std::erase_if(runs_, [&](const auto& run) { return is_unused(*run.second.worker); });
+  std::erase_if(workers_, [&](const auto& worker) { return is_unused(*worker.second); });
+}
+
 double LearnedSpeeds::TimeFactor(const std::string& name, Time) const {
   const Worker* worker = KnownWorker(name);
   return !uneven_ || worker == nullptr ? 1 : std::exp(worker->effect);
@@ -428,28 +488,37 @@
   best_known.resize(std::min(best_known.size(), max_bytes / kBytesPerWorker));
   nlohmann::json rows = nlohmann::json::object();
   for (const Worker* worker : best_known) {
-    rows[worker->name] = {worker->start_time_ms, std::lround(worker->effect * kMilli),
-                          std::lround(worker->deviation * kMilli), SpeedClassName(worker->speed)};
+    // Without the assumption that workers are typical, which the loading planner adds itself.
+    const double total = 1 / (worker->deviation * worker->deviation);
+    const double precision = std::max(total - 1 / worker_variance_, kMinSavedPrecision);
+    rows[worker->name] = {
+        worker->start_time_ms, std::lround(worker->effect * total / precision * kMilli),
+        std::lround(kMilli / std::sqrt(precision)), SpeedClassName(worker->speed), worker->service};
   }
   return {{"workers", rows}};
 }
 
-void LearnedSpeeds::Load(const nlohmann::json& data, Duration, Time) {
+void LearnedSpeeds::Load(const nlohmann::json& data, Duration, Time now) {
   std::map<std::string, std::unique_ptr<Worker>> loaded;
   try {
     for (const auto& [name, row] : data.at("workers").items()) {
       auto worker = std::make_unique<Worker>();
       worker->name = name;
       worker->start_time_ms = row.at(0).get<int64_t>();
-      worker->effect = row.at(1).get<double>() / kMilli;
-      worker->deviation = row.at(2).get<double>() / kMilli;
-      if (!(std::abs(worker->effect) < kMaxSavedEffect) || !(worker->deviation > 0)) {
+      const double effect = row.at(1).get<double>() / kMilli;
+      const double deviation = row.at(2).get<double>() / kMilli;
+      if (!(std::abs(effect) < kMaxSavedEffect) || !(deviation > 0)) {
         throw Error(ErrorKind::kInvalidInput, "the saved speed of " + name + " is out of range");
       }
-      worker->precision = std::min(kMaxPrecision, 1 / (worker->deviation * worker->deviation));
-      worker->residuals = worker->effect * worker->precision;
+      worker->precision = std::min(kMaxPrecision, 1 / (deviation * deviation));
+      worker->residuals = effect * worker->precision;
+      const double total = worker->precision + 1 / worker_variance_;
+      worker->effect = worker->residuals / total;
+      worker->deviation = 1 / std::sqrt(total);
+      worker->service = row.at(4).get<std::string>();
+      worker->used_at = now;
       worker->known = true;
-      // The predecessor was as certain of the class as a class takes to be entered.
+      // The predecessor was certain enough to enter the class.
       worker->speed = SpeedClassFromName(row.at(3).get<std::string>());
       loaded[name] = std::move(worker);
     }
--- a/servers/speeds/run_meter.cc
+++ b/servers/speeds/run_meter.cc
@@ -43,6 +43,7 @@
     const double before = std::exp(measurement_->log_time) / kAllDone;
     const double recent = SecondsPerPercent(percent - recent_->percent, at - recent_->at);
     slowed_ = recent > kSlowedRatio * before;
+    has_been_slowed_ = has_been_slowed_ || slowed_;
     pace = slowed_ ? Pace::kSlowed : Pace::kSteady;
     recent_ = last_;
   }
@@ -59,7 +60,7 @@
 }
 
 void RunMeter::RecordDone(Duration elapsed) {
-  if (slowed_ || elapsed < kMinTime) return;
+  if (has_been_slowed_ || elapsed < kMinTime) return;
   const Measurement measured = Measure(kAllDone, elapsed);
   if (!measurement_ || measured.variance < measurement_->variance) measurement_ = measured;
 }
--- a/servers/speeds/run_meter.h
+++ b/servers/speeds/run_meter.h
@@ -42,6 +42,8 @@
   std::optional<Mark> recent_;
   std::optional<Measurement> measurement_;
   bool slowed_ = false;
+  // Whether the run has ever been slowed, so that its whole time is not that of a steady run.
+  bool has_been_slowed_ = false;
 };
 
 }  // namespace turmericshift::speeds
--- a/servers/speeds/run_meter_test.cc
+++ b/servers/speeds/run_meter_test.cc
@@ -80,6 +80,19 @@
   EXPECT_NEAR(WholeSeconds(meter), 10, 1);
 }
 
+// The whole time of a run that was slowed for a while is not the time that its worker takes.
+TEST(RunMeter, IgnoresTheWholeTimeOfARunThatWasSlowed) {
+  RunMeter meter;
+  meter.Record(10, kStart);
+  meter.Record(20, kStart + seconds(1));
+  meter.Record(30, kStart + seconds(2));
+  meter.Record(32, kStart + seconds(4));
+  meter.Record(42, kStart + seconds(5));
+  meter.Record(52, kStart + seconds(6));
+  meter.RecordDone(seconds(14));
+  EXPECT_NEAR(WholeSeconds(meter), 10, 1);
+}
+
 // Reports that come late or out of order show less progress than has been seen.
 TEST(RunMeter, IgnoresProgressThatGoesBack) {
   RunMeter meter;
--- a/servers/speeds/uneven_pool_test.cc
+++ b/servers/speeds/uneven_pool_test.cc
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr double kSlow = 1.8;
+constexpr double kSlow = 1.6;
 
 // Racks of three workers: a slow, a typical and a fast one.
 std::vector<SimulatedWorker> UnevenRacks(int racks) {
@@ -25,7 +25,7 @@
   OperatorState state = SampleOperatorState(0);
   for (Queue& queue : state.config.queues) {
     queue.terms.stretch = queue.terms.priority == 0 ? 1.5 : 3;
-    queue.terms.target_latency = milliseconds(300);
+    queue.terms.target_latency = milliseconds(100);
   }
   return state;
 }
@@ -50,13 +50,13 @@
     const Time begin = simulation->now();
     simulation->Submit(UrgentGang(id));
     if (!simulation->RunUntil(id, JobState::kCompleted, seconds(10))) continue;
-    in_time += simulation->now() - begin <= milliseconds(3300);
+    in_time += simulation->now() - begin <= milliseconds(3100);
     simulation->RunFor(milliseconds(500));
   }
   return in_time;
 }
 
-// Urgent gangs have half of their run time as slack and end late on a worker that takes 1.8 times
+// Urgent gangs have half of their run time as slack and end late on a worker that takes 1.6 times
 // as long, although they never wait.
 TEST(UnevenPool, UrgentGangsEndInTime) {
   PoolSimulation simulation(UnevenRacks(3), Operators());
--- a/servers/speeds/worker_speeds.h
+++ b/servers/speeds/worker_speeds.h
@@ -24,6 +24,8 @@
   // Identifies the step. The runs of a step do similar work, so they show differences in speed.
   std::string step;
   std::string queue;
+  // Only workers of one service are compared with each other.
+  std::string service;
   std::string worker;
   // Run time expected on a typical worker.
   Duration expected{};
@@ -60,11 +62,11 @@
   // What was learned of another incarnation is dropped: it may run on a different VM.
   virtual void BeginIncarnation(const std::string& worker, int64_t start_time_ms) = 0;
 
-  virtual RunHandle BeginRun(const RunInfo& run) = 0;
+  virtual RunHandle BeginRun(const RunInfo& run, Time now) = 0;
   // The worker reported that `percent` (0 to 100) of the run's work was done at `at`.
   virtual void RecordProgress(RunHandle run, int percent, Time at) = 0;
   // The run has done all its work in `elapsed`.
-  virtual void RecordDone(RunHandle run, Duration elapsed) = 0;
+  virtual void RecordDone(RunHandle run, Duration elapsed, Time now) = 0;
   // Updates the estimates from what was recorded, and returns the workers whose class has changed.
   // Cheap if it was called a short time ago.
   virtual std::vector<SpeedChange> Update(Time now) = 0;
--- a/servers/speeds/worker_speeds_test.cc
+++ b/servers/speeds/worker_speeds_test.cc
@@ -29,7 +29,8 @@
              Duration time, Time begin, double spread = 0) {
   std::vector<RunHandle> runs;
   for (int run = 0; run < 2 * workers; ++run) {
-    runs.push_back(speeds->BeginRun({step, "queue", NameOf(run % workers), seconds(5)}));
+    runs.push_back(
+        speeds->BeginRun({step, "queue", "service", NameOf(run % workers), seconds(5)}, begin));
   }
   for (Time now = begin + milliseconds(100); now <= begin + time; now += seconds(1)) {
     for (int run = 0; run < 2 * workers; ++run) {
@@ -71,7 +72,7 @@
   const auto speeds = MakeLearnedSpeeds();
   std::vector<RunHandle> runs;
   for (int index = 0; index < 40; ++index) {
-    runs.push_back(speeds->BeginRun({"a", "queue", NameOf(index), seconds(5)}));
+    runs.push_back(speeds->BeginRun({"a", "queue", "service", NameOf(index), seconds(5)}, kStart));
   }
   for (int second = 1; second < 6; ++second) {
     for (int index = 0; index < 40; ++index) {
@@ -90,7 +91,8 @@
   const auto speeds = MakeLearnedSpeeds();
   std::vector<RunHandle> runs;
   for (int run = 0; run < 30; ++run) {
-    runs.push_back(speeds->BeginRun({"a", "queue", NameOf(run % 10), seconds(5)}));
+    runs.push_back(
+        speeds->BeginRun({"a", "queue", "service", NameOf(run % 10), seconds(5)}, kStart));
   }
   for (int second = 1; second < 6; ++second) {
     for (int run = 0; run < 30; ++run) {
@@ -130,7 +132,7 @@
 TEST(WorkerSpeeds, IgnoresRunsThatItDoesNotKnow) {
   const auto speeds = MakeLearnedSpeeds();
   speeds->RecordProgress(0, 50, kStart);
-  speeds->RecordDone(77, seconds(3));
+  speeds->RecordDone(77, seconds(3), kStart);
   EXPECT_EQ(speeds->summary().known, 0);
 }
 
@@ -169,14 +171,75 @@
   RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
   speeds->Update(kStart + seconds(5));
   for (const char* text :
-       {R"({})", R"({"workers":{"x":[1]}})", R"({"workers":{"x":[1,99999999,100,"slow"]}})",
-        R"({"workers":{"x":["a",0,100,"slow"]}})", R"({"workers":{"x":[1,0,0,"slow"]}})",
-        R"({"workers":{"x":[1,0,100,"quick"]}})"}) {
+       {R"({})", R"({"workers":{"x":[1]}})", R"({"workers":{"x":[1,99999999,100,"slow","s"]}})",
+        R"({"workers":{"x":["a",0,100,"slow","s"]}})", R"({"workers":{"x":[1,0,0,"slow","s"]}})",
+        R"({"workers":{"x":[1,0,100,"quick","s"]}})"}) {
     EXPECT_THROW(speeds->Load(nlohmann::json::parse(text), seconds(1), kStart), Error) << text;
   }
   EXPECT_EQ(speeds->summary().known, 12);
 }
 
+// Workers that have left must not decide for good what counts as typical or uneven.
+TEST(WorkerSpeeds, ForgetsWorkersThatAreNoLongerUsed) {
+  const auto speeds = MakeLearnedSpeeds();
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  ASSERT_EQ(speeds->summary().known, 12);
+  speeds->Update(kStart + std::chrono::minutes(11));
+  EXPECT_EQ(speeds->summary().known, 0);
+}
+
+// A gang that ran on one worker says nothing of that worker's speed, whatever was believed of it.
+TEST(WorkerSpeeds, AStepOnOneWorkerIsWeakEvidence) {
+  const auto speeds = MakeLearnedSpeeds();
+  for (int step = 0; step < 6; ++step) {
+    const Time begin = kStart + seconds(5 * step);
+    const RunHandle run =
+        speeds->BeginRun({std::to_string(step), "queue", "service", "worker-0", seconds(5)}, begin);
+    speeds->RecordProgress(run, 10, begin + seconds(1));
+    speeds->RecordProgress(run, 40, begin + seconds(4));
+    speeds->Update(begin + seconds(4));
+  }
+  EXPECT_EQ(speeds->summary().slow, 0);
+}
+
+// Steps whose runs are too short to show progress must not be kept for good.
+TEST(WorkerSpeeds, ReleasesStepsOfShortRuns) {
+  const auto speeds = MakeLearnedSpeeds();
+  const RunHandle run = speeds->BeginRun({"a", "queue", "service", "worker-0", seconds(5)}, kStart);
+  speeds->RecordDone(run, milliseconds(900), kStart + seconds(1));
+  speeds->Update(kStart + seconds(40));
+  speeds->RecordProgress(run, 10, kStart + seconds(41));
+  speeds->RecordProgress(run, 90, kStart + seconds(49));
+  EXPECT_TRUE(speeds->Update(kStart + seconds(50)).empty());
+}
+
+// Workers of another service do other work and must not decide what is typical here.
+TEST(WorkerSpeeds, ComparesWorkersOfOneServiceOnly) {
+  const auto speeds = MakeLearnedSpeeds();
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  for (int index = 0; index < 30; ++index) {
+    const std::string name = "other-" + std::to_string(index);
+    const RunHandle run = speeds->BeginRun({"b", "other", "other", name, seconds(5)}, kStart);
+    speeds->RecordProgress(run, 10, kStart + seconds(1));
+    speeds->RecordProgress(run, 12, kStart + seconds(5));
+  }
+  speeds->Update(kStart + seconds(6));
+  EXPECT_NEAR(speeds->TimeFactor(NameOf(1), kStart), 1, 0.1);
+}
+
+// A planner that is replaced again and again must not shrink what was known towards typical.
+TEST(WorkerSpeeds, KeepsItsKnowledgeThroughSeveralSuccessors) {
+  auto speeds = MakeLearnedSpeeds();
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  const double before = speeds->TimeFactor(NameOf(2), kStart);
+  for (int i = 0; i < 5; ++i) {
+    auto successor = MakeLearnedSpeeds();
+    successor->Load(speeds->Save(kManyBytes, kStart), seconds(1), kStart);
+    speeds = std::move(successor);
+  }
+  EXPECT_NEAR(speeds->TimeFactor(NameOf(2), kStart), before, 0.1);
+}
+
 // A pool whose planner has the mechanism switched off.
 TEST(WorkerSpeeds, EqualSpeedsLearnNothing) {
   const auto speeds = MakeEqualSpeeds();
