Pool: Date the progress of runs by the age of the lists

Cause: progress was dated by the arrival of the agent's report, up to a second after the worker was read, so that speeds and ends of runs were off by as much. Change: PoolReport.listsAgeNanos @13, set by the agent, 0 from former versions; the planner dates progress by it, never before the former report's, and judges stalls as of that time. Ages below 0 or above 10 s count as 0.

--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -65,6 +65,8 @@
   waitNanos @11 :Int64;
   # Fencing token under which the worker was last read.
   fence @12 :Int64;
+  # How long before the report was sent `running` was read from the worker; 0 or missing means now.
+  listsAgeNanos @13 :Int64;
 }
 
 struct PoolStart {
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -103,6 +103,7 @@
   }
   to.setWaitNanos(from.wait.count());
   to.setFence(from.fence);
+  to.setListsAgeNanos(from.lists_age.count());
 }
 
 pool::AgentReport Read(wire::PoolReport::Reader from) {
@@ -130,6 +131,7 @@
   }
   report.wait = Duration(from.getWaitNanos());
   report.fence = from.getFence();
+  report.lists_age = Duration(from.getListsAgeNanos());
   return report;
 }
 
--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -273,6 +273,7 @@
     report.lease_left = std::max(report.lease_left, Scaled(kStartValidity, kClockDriftFactor));
   }
   report.running = running_;
+  if (worker_clock_) report.lists_age = now - worker_clock_read_at_;
   for (const auto& [number, end] : ended_) {
     if (report.ended.size() >= kMaxEndsPerReport) break;
     report.ended.push_back(end);
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -390,5 +390,29 @@
   EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).running.size(), 1U);
 }
 
+// Without the age, the planner dates the progress of runs by the arrival of the report, up to a
+// second late, and expects their ends late.
+TEST(AgentState, ReportsTheAgeOfTheListsThatItUses) {
+  Agent agent;
+  agent.now += milliseconds(700);
+  EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).lists_age, milliseconds(700));
+  // An older answer that is read late does not make the lists newer.
+  WorkerLists older = agent.Lists({});
+  older.clock = 900;
+  agent.state.HandleLists(older, 1, agent.now, agent.now);
+  EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).lists_age, milliseconds(700));
+}
+
+// The clock reading of a former incarnation says nothing about the lists of the current one.
+TEST(AgentState, ReportsNoAgeOfListsOfAFormerIncarnation) {
+  Agent agent;
+  agent.now += milliseconds(700);
+  WorkerAnnouncement announcement;
+  announcement.facts.id = "i";
+  announcement.facts.start_time_ms = 2;
+  agent.state.HandleAnnouncement(announcement);
+  EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).lists_age, Duration::zero());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -101,6 +101,9 @@
   // lease from this agent has ended.
   Duration lease_left{};
   std::vector<RunningTask> running;
+  // How long before the report was sent `running` was read from the worker. Zero from agents that
+  // do not report it.
+  Duration lists_age{};
   std::vector<EndedTask> ended;
   std::vector<StartResult> results;
   // How long the planner may hold the answer back while it has no new orders.
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -24,6 +24,14 @@
 // Delay after a refused start: the cause is usually over within this time.
 constexpr Duration kStartRetryDelay = std::chrono::milliseconds(150);
 
+// A worker that has not been read for this long is unreachable, so a higher age is an error.
+constexpr Duration kMaxListsAge = std::chrono::seconds(10);
+
+Duration ListsAge(const AgentReport& report) {
+  const bool valid = report.lists_age >= Duration::zero() && report.lists_age <= kMaxListsAge;
+  return valid ? report.lists_age : Duration::zero();
+}
+
 }  // namespace
 
 bool PoolPlanner::ApplyReport(const AgentReport& report, int64_t wall_ms, Time now) {
@@ -198,6 +206,8 @@
 }
 
 void PoolPlanner::ApplyRunning(const AgentReport& report, WorkerState* worker, Time now) {
+  // A report that was in transit for less time than the one before may seem to have older lists.
+  worker->lists_read_at = std::max(worker->lists_read_at, now - ListsAge(report));
   for (const RunningTask& running : report.running) {
     const auto known = worker->live.find(running.run);
     if (known == worker->live.end()) {
@@ -205,8 +215,8 @@
       continue;
     }
     known->second.checkpoint = running.checkpoint;
-    known->second.progress.Update(running.percent, now);
-    speeds_->RecordProgress(known->second.speed_run, running.percent, now);
+    known->second.progress.Update(running.percent, worker->lists_read_at);
+    speeds_->RecordProgress(known->second.speed_run, running.percent, worker->lists_read_at);
     const RunPhase phase = known->second.phase;
     if (phase != RunPhase::kOrdered && phase != RunPhase::kUncertain) continue;
     known->second.phase = RunPhase::kRunning;
@@ -223,7 +233,7 @@
   for (const auto& [id, run] : worker.live) {
     if (run.phase != RunPhase::kRunning) continue;
     ++running;
-    if (!run.progress.IsStalled(run.estimate, now)) return;
+    if (!run.progress.IsStalled(run.estimate, worker.lists_read_at)) return;
   }
   if (running > 0 && IsEnabled(Mechanism::kExcludeStalledWorkers)) {
     health_tracker_.RunsStalled(worker.node, now);
@@ -249,7 +259,7 @@
   live.run = running.run;
   live.since = now;
   live.checkpoint = running.checkpoint;
-  live.progress.Update(running.percent, now);
+  live.progress.Update(running.percent, worker->lists_read_at);
   Job* job = FindJob(task.job);
   const StepSpec* step = job == nullptr ? nullptr : FindStep(*job, task);
   const TaskPlace place = {task.occurrence, task.step, task.index};
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -302,6 +302,52 @@
   EXPECT_EQ(keys.count("l/urgent_demand"), 1U);
 }
 
+// Remaining time of the only run, of which the agent reports `percent` in lists of age `lists_age`.
+Duration RemainingAfterReport(OneWorker* one, int64_t sequence, int percent, Duration lists_age) {
+  AgentReport report = Report("first", sequence);
+  report.running = {{one->run(), "", percent}};
+  report.lists_age = lists_age;
+  one->planner.ApplyReport(report, 0, one->now);
+  const LiveRun& run = one->planner.workers().at("n").live.begin()->second;
+  return run.progress.RemainingTime(run.estimate, run.since, one->now);
+}
+
+// Lists that wait in the agent for its next report make a run seem slower or faster than it is, and
+// the end of the run is expected at a wrong time.
+TEST(PoolPlanner, DatesProgressByTheTimeWhenTheWorkerWasRead) {
+  OneWorker one;
+  RemainingAfterReport(&one, 2, 0, Duration::zero());
+  one.now += milliseconds(1000);
+  RemainingAfterReport(&one, 3, 10, Duration::zero());
+  // 10 % in a second, reported 900 ms late.
+  one.now += milliseconds(1900);
+  EXPECT_EQ(RemainingAfterReport(&one, 4, 20, milliseconds(900)), milliseconds(7100));
+}
+
+// Clocks that jump, and agents with faults, report ages that are impossible.
+TEST(PoolPlanner, CountsListsOfAnImpossibleAgeAsNew) {
+  for (const Duration age : {Duration(milliseconds(-1)), Duration(milliseconds(10'001))}) {
+    OneWorker one;
+    RemainingAfterReport(&one, 2, 0, Duration::zero());
+    one.now += milliseconds(1000);
+    RemainingAfterReport(&one, 3, 10, Duration::zero());
+    one.now += milliseconds(1000);
+    EXPECT_EQ(RemainingAfterReport(&one, 4, 20, age), milliseconds(8000));
+  }
+}
+
+// A report that was in transit for long is followed by one that was not. Progress at an earlier
+// time than before would give a negative speed.
+TEST(PoolPlanner, DatesNoProgressBeforeThatOfTheFormerReport) {
+  OneWorker one;
+  RemainingAfterReport(&one, 2, 0, Duration::zero());
+  one.now += milliseconds(1000);
+  RemainingAfterReport(&one, 3, 10, Duration::zero());
+  one.now += milliseconds(10);
+  EXPECT_GT(RemainingAfterReport(&one, 4, 20, milliseconds(800)), Duration::zero());
+  EXPECT_EQ(one.planner.workers().at("n").lists_read_at, one.now - milliseconds(10));
+}
+
 // An agent passes a start to its worker and dies before it can report. Its new process gets the
 // order again and refuses it for a reason of its own, such as a missing lease. Interpreted as "not
 // running", the refusal would start the task elsewhere beside the existing run.
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -87,6 +87,8 @@
   bool lists_received = false;
   // Time of the last report.
   Time last_report{};
+  // When the newest lists were read from the worker, without the time that reports are in transit.
+  Time lists_read_at{};
   // All live runs have ended by this time unless a lease is renewed.
   Time lease_until{};
   // The same for leases that a delayed order for a former incarnation may have granted.
