Pool: Send the version of workers to the planner

Cause: the planner has to recognize a rolling release. Change: announcements may have the text version; WorkerFacts::version, PoolWorker.version @12.

--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -48,6 +48,8 @@
   draining @9 :Bool;
   leavesInNanos @10 :Int64;
   reachable @11 :Bool;
+  # Version of the worker's software; empty from older agents and from workers that announce none.
+  version @12 :Text;
 }
 
 struct PoolReport {
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -34,6 +34,7 @@
   to.setDraining(from.draining);
   to.setLeavesInNanos(from.leaves_in.count());
   to.setReachable(from.reachable);
+  to.setVersion(from.version);
 }
 
 pool::WorkerFacts Read(wire::PoolWorker::Reader from) {
@@ -48,6 +49,7 @@
   facts.draining = from.getDraining();
   facts.leaves_in = Duration(from.getLeavesInNanos());
   facts.reachable = from.getReachable();
+  facts.version = Text(from.getVersion());
   return facts;
 }
 
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -78,6 +78,9 @@
   Duration leaves_in{};
   // Whether the worker answers the agent's calls.
   bool reachable = false;
+  // Version of the worker's software; empty if it announces none, or its agent is too old to send
+  // it.
+  std::string version;
 };
 
 struct AgentReport {
