Pool: Take workers that will soon be replaced last for work without checkpoints

Cause: see the tracker of releases. Change: PoolPlanner records versions and logs releases; the placer orders outdated workers after suspect ones and before speed. Gauge workers_outdated. The simulation gets versions, ReplaceWorker and AddWorker.

--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -29,6 +29,7 @@
 // little cost, and tasks that cannot be resumed go where clearing is expensive already.
 bool ComesFirst(const StepSpec& step, const WorkerRoom* left, const WorkerRoom* right) {
   if (left->suspect != right->suspect) return !left->suspect;
+  if (left->outdated != right->outdated) return !left->outdated;
   if (left->speed_rank != right->speed_rank) return left->speed_rank < right->speed_rank;
   const int left_rank = step.gang ? 0 : SimilarityRank(step, left->occupancy);
   const int right_rank = step.gang ? 0 : SimilarityRank(step, right->occupancy);
@@ -66,14 +67,14 @@
     const int rest = tasks - static_cast<int>(placement.size());
     const auto rank = [&](const WorkerRoom* worker) {
       const int fits = FitCount(worker->free, step.need, std::min(rest, worker->max_tasks));
-      return std::make_tuple(fits == 0, worker->suspect, -fits, worker->free.accelerators,
-                             worker->node);
+      return std::make_tuple(fits == 0, worker->suspect, worker->outdated, -fits,
+                             worker->free.accelerators, worker->node);
     };
     const auto best = std::min_element(
         group.begin(), group.end(),
         [&](const WorkerRoom* left, const WorkerRoom* right) { return rank(left) < rank(right); });
     if (best == group.end() || std::get<0>(rank(*best))) break;
-    const int fits = -std::get<2>(rank(*best));
+    const int fits = -std::get<3>(rank(*best));
     placement.insert(placement.end(), static_cast<size_t>(fits), std::string((*best)->node));
     group.erase(best);
   }
@@ -126,6 +127,28 @@
   return best;
 }
 
+// Whether the placement uses a worker of the group whose `flag` is set.
+bool Uses(const Group& group, const Placement& placement, bool WorkerRoom::*flag) {
+  return std::any_of(group.begin(), group.end(), [&](const WorkerRoom* worker) {
+    return worker->*flag &&
+           std::find(placement.begin(), placement.end(), worker->node) != placement.end();
+  });
+}
+
+// Places the gang without outdated workers, unless that takes a suspect worker or the gang does not
+// fit on the others.
+RankedPlacement FillGangOnCurrent(const Group& group, const PlacementRequest& request) {
+  Group current;
+  std::copy_if(group.begin(), group.end(), std::back_inserter(current),
+               [](const WorkerRoom* worker) { return !worker->outdated; });
+  RankedPlacement placed = FillGangByRank(current, request);
+  if (current.size() == group.size()) return placed;
+  const bool fits = static_cast<int>(placed.placement.size()) == request.tasks;
+  if (fits && !Uses(group, placed.placement, &WorkerRoom::suspect)) return placed;
+  RankedPlacement on_all = FillGangByRank(group, request);
+  return fits && Uses(group, on_all.placement, &WorkerRoom::suspect) ? placed : on_all;
+}
+
 std::map<std::string_view, Group> ByRack(const std::vector<WorkerRoom>& workers) {
   std::map<std::string_view, Group> racks;
   for (const WorkerRoom& worker : workers) racks[worker.rack].push_back(&worker);
@@ -138,25 +161,20 @@
   return sum;
 }
 
-bool HasSuspect(const Group& group, const Placement& placement) {
-  return std::any_of(group.begin(), group.end(), [&](const WorkerRoom* worker) {
-    return worker->suspect &&
-           std::find(placement.begin(), placement.end(), worker->node) != placement.end();
-  });
-}
-
 Placement PlaceGangInRack(const PlacementRequest& request, const std::vector<WorkerRoom>& workers) {
   Placement best;
-  // The lowest rank wins: no suspect workers, the data's own rack, fast enough workers, fewest free
-  // accelerators.
-  std::tuple<bool, bool, int, int64_t> best_rank;
+  // The lowest rank wins: no suspect workers, the data's own rack, no outdated workers, fast enough
+  // workers, fewest free accelerators.
+  std::tuple<bool, bool, bool, int, int64_t> best_rank;
   for (const auto& [rack, group] : ByRack(workers)) {
-    RankedPlacement ranked = FillGangByRank(group, request);
+    RankedPlacement ranked = FillGangOnCurrent(group, request);
     if (static_cast<int>(ranked.placement.size()) < request.tasks) continue;
     const bool elsewhere = !request.step->data_rack.empty() && rack != request.step->data_rack;
     if (elsewhere && !request.allow_off_rack) continue;
-    const std::tuple<bool, bool, int, int64_t> rank = {
-        HasSuspect(group, ranked.placement), elsewhere, ranked.speed_rank, FreeAccelerators(group)};
+    const std::tuple<bool, bool, bool, int, int64_t> rank = {
+        Uses(group, ranked.placement, &WorkerRoom::suspect), elsewhere,
+        Uses(group, ranked.placement, &WorkerRoom::outdated), ranked.speed_rank,
+        FreeAccelerators(group)};
     if (!best.empty() && rank >= best_rank) continue;
     best = std::move(ranked.placement);
     best_rank = rank;
@@ -175,7 +193,7 @@
   if (!placement.empty()) return placement;
   const bool needs_rack = request.step->one_rack || !request.step->data_rack.empty();
   if (needs_rack && !request.allow_off_rack) return {};
-  placement = FillGangByRank(All(workers), request).placement;
+  placement = FillGangOnCurrent(All(workers), request).placement;
   if (static_cast<int>(placement.size()) < request.tasks) return {};
   return placement;
 }
--- a/servers/pool/placer.h
+++ b/servers/pool/placer.h
@@ -36,6 +36,9 @@
   Occupancy occupancy = Occupancy::kNone;
   // The worker seems unhealthy and is chosen last.
   bool suspect = false;
+  // The worker will soon be replaced, and the step's work would be lost with it. Chosen after the
+  // others.
+  bool outdated = false;
   // Preference by speed, lower first; see speeds::SpeedRank.
   int speed_rank = 0;
 };
--- a/servers/pool/placer_test.cc
+++ b/servers/pool/placer_test.cc
@@ -57,5 +57,60 @@
   EXPECT_TRUE(Place(request, workers).empty());
 }
 
+WorkerRoom Outdated(WorkerRoom worker) {
+  worker.outdated = true;
+  return worker;
+}
+
+// A gang on an outdated worker is lost when that is replaced. Fewer or faster workers are not worth
+// that.
+TEST(Placer, PlacesAGangOnOutdatedWorkersLast) {
+  std::vector<WorkerRoom> workers = {Outdated(Worker("a", 4)), Worker("b", 2), Worker("c", 2)};
+  for (WorkerRoom& worker : workers) worker.speed_rank = worker.outdated ? 0 : 1;
+  const StepSpec step = GangStep();
+  PlacementRequest request;
+  request.step = &step;
+  for (const bool few_workers : {false, true}) {
+    request.few_workers = few_workers;
+    request.tasks = 4;
+    EXPECT_EQ(NodesOf(Place(request, workers)), (std::set<std::string>{"b", "c"}));
+    // The gang must not wait for other workers.
+    request.tasks = 6;
+    EXPECT_EQ(Place(request, workers).size(), 6U);
+  }
+}
+
+// The rack with the least room is chosen first, although the gang has room in one where no worker
+// will soon be replaced.
+TEST(Placer, PlacesAGangInARackWithoutOutdatedWorkers) {
+  std::vector<WorkerRoom> workers = {Outdated(Worker("a", 2)), Worker("b", 8)};
+  workers[1].rack = "s";
+  workers[1].speed_rank = 1;
+  const StepSpec step = GangStep();
+  PlacementRequest request;
+  request.step = &step;
+  request.tasks = 2;
+  EXPECT_EQ(NodesOf(Place(request, workers)), std::set<std::string>{"b"});
+  // A worker that seems unhealthy is worse than one that will be replaced.
+  workers[1].suspect = true;
+  EXPECT_EQ(NodesOf(Place(request, workers)), std::set<std::string>{"a"});
+  // In the same rack too.
+  workers[1].rack = workers[0].rack;
+  EXPECT_EQ(NodesOf(Place(request, workers)), std::set<std::string>{"a"});
+}
+
+TEST(Placer, PlacesSingleTasksOnOutdatedWorkersLast) {
+  std::vector<WorkerRoom> workers = {Outdated(Worker("a", 1)), Worker("b", 2)};
+  workers[1].speed_rank = 1;
+  StepSpec step = GangStep();
+  step.gang = false;
+  PlacementRequest request;
+  request.step = &step;
+  request.tasks = 2;
+  EXPECT_EQ(NodesOf(Place(request, workers)), std::set<std::string>{"b"});
+  request.tasks = 3;
+  EXPECT_EQ(NodesOf(Place(request, workers)), (std::set<std::string>{"a", "b"}));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -43,6 +43,7 @@
       workers_slow_(metrics->gauge("workers_slow")),
       workers_fast_(metrics->gauge("workers_fast")),
       worker_speed_spread_(metrics->gauge("worker_speed_spread")) {
+      outdated_workers_(metrics->gauge("workers_outdated")) {
   try {
     planning_thread_ = Thread(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); });
     writer_thread_ = Thread(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); });
@@ -106,6 +107,7 @@
   planner_.reset();
   epoch_gauge_.Set(0);
   SetSpeedGauges({});
+  outdated_workers_.Set(0);
   append_started_at_.reset();
   for (auto& [node, poll] : polls_) {
     replies->push_back(Failed(std::move(poll.done), NotActiveError()));
@@ -396,6 +398,7 @@
       jobs_.Set(static_cast<double>(planner_->job_count()));
       lag_seconds_.Set(Seconds(planner_->lag()));
       SetSpeedGauges(planner_->worker_speeds().summary());
+      outdated_workers_.Set(planner_->releases().outdated_workers());
       if (!planner_->outbox().empty()) write_ready_.notify_all();
       advice_ready_.notify_all();
     }
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -141,6 +141,7 @@
   Gauge& workers_slow_;
   Gauge& workers_fast_;
   Gauge& worker_speed_spread_;
+  Gauge& outdated_workers_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -20,6 +20,8 @@
       speeds_(IsEnabled(Mechanism::kWorkerSpeeds) ? speeds::MakeLearnedSpeeds()
                                                   : speeds::MakeEqualSpeeds()),
       learned_state_(LearnedParts(), now),
+      releases_(IsEnabled(Mechanism::kPreferReplacedWorkers) ? releases::MakeReleaseTracker(now)
+                                                             : releases::MakeNoReleases()),
       mean_stop_time_(options.max_stop_time) {
   if (wall_ms) LogLoads(learned_state_.Load(table.learned(), *wall_ms, now), epoch);
   for (const auto& [id, entry] : table.jobs()) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -34,6 +34,7 @@
 #include "servers/pool/wait_reason.h"
 #include "servers/pool/worker_health_tracker.h"
 #include "servers/pool/worker_state.h"
+#include "servers/releases/release_tracker.h"
 #include "servers/speeds/speed_preference.h"
 #include "servers/speeds/worker_speeds.h"
 
@@ -174,6 +175,7 @@
   const speeds::WorkerSpeeds& worker_speeds() const { return *speeds_; }
   const JobEstimator& estimator() const { return estimator_; }
   learned::LearnedState& learned_state() { return learned_state_; }
+  const releases::ReleaseTracker& releases() const { return *releases_; }
 
  private:
   struct TaskRun {
@@ -415,6 +417,7 @@
   WorkerHealthTracker health_tracker_;
   JobEstimator estimator_;
   std::unique_ptr<speeds::WorkerSpeeds> speeds_;
+  std::unique_ptr<releases::ReleaseTracker> releases_;
   ReclaimReservations reclaim_reservations_;
   int64_t start_count_ = 0;
   // Whether something that affects placement has changed since the last round.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -61,6 +61,19 @@
                   share(free.processor_millis, total.processor_millis));
 }
 
+void LogReleases(const std::vector<releases::ReleaseChange>& changes, int64_t epoch) {
+  for (const releases::ReleaseChange& change : changes) {
+    LogEvent(LogLevel::kInfo, change.began ? "release_began" : "release_ended",
+             {{"service", change.service},
+              {"version", change.version},
+              {"reason", change.began ? "new_version" : releases::ReleaseEndName(change.end)},
+              {"outdated", change.outdated},
+              {"updated", change.updated},
+              {"evidence_age_s", Seconds(change.evidence_age)},
+              {"epoch", epoch}});
+  }
+}
+
 }  // namespace
 
 bool PoolPlanner::LeadershipConfirmed(Time now) const {
@@ -131,6 +144,7 @@
   room_releases_.clear();
   advice_.BeginRound();
   UpdateSpeeds(now);
+  LogReleases(releases_->Update(now), epoch_);
   pool_room_ = PoolRoom();
   PoolRoom fast_room;
   Room all;
@@ -321,6 +335,7 @@
     room.rack = worker.facts.rack;
     room.free = empty ? worker.facts.capacity : worker.remaining_room;
     room.suspect = health_tracker_.IsSuspect(node, now) || speeds_->IsSlowed(node, now);
+    room.outdated = !step.checkpoints && releases_->IsOutdated(node, now);
     room.speed_rank = RankOf(unit.speed, node, now);
     if (unit.only_in_time && room.speed_rank == speeds::kTooSlowRank) continue;
     room.occupancy =
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -32,6 +32,14 @@
   return valid ? report.lists_age : Duration::zero();
 }
 
+void RecordVersion(const std::string& node, const WorkerFacts& facts,
+                   releases::ReleaseTracker* releases, Time now) {
+  // An agent that has read a new incarnation before its first announcement knows only its start.
+  if (facts.id.empty()) return;
+  releases->RecordWorker(node, facts.service, facts.version, facts.start_time_ms, now);
+  if (facts.draining) releases->RecordGone(node, now);
+}
+
 }  // namespace
 
 bool PoolPlanner::ApplyReport(const AgentReport& report, int64_t wall_ms, Time now) {
@@ -142,6 +150,7 @@
                     facts.reachable != worker->facts.reachable;
   worker->facts = facts;
   worker->newest_id = facts.id;
+  RecordVersion(report.node, facts, releases_.get(), now);
 }
 
 void PoolPlanner::BeginIncarnation(const WorkerFacts& facts, WorkerState* worker, Time now) {
@@ -176,6 +185,7 @@
   NotePendingOrders(worker);
   health_tracker_.BeginIncarnation(worker->node, facts.start_time_ms);
   speeds_->BeginIncarnation(worker->node, facts.start_time_ms);
+  RecordVersion(worker->node, facts, releases_.get(), now);
   LogEvent(LogLevel::kInfo, "worker_reported",
            {{"node", worker->node},
             {"worker", facts.id},
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -82,20 +82,7 @@
       now_(Time(std::chrono::hours(1))) {
   std::set<std::string> nodes;
   for (const SimulatedWorker& spec : workers) {
-    auto worker = std::make_unique<Worker>();
-    worker->spec = spec;
-    WorkerModelOptions model;
-    model.capacity = spec.capacity;
-    model.longest_lease = bounds.longest_lease;
-    model.stop_time = bounds.stop / kStopTimeDivisor;
-    model.clock_rate = faults_->ClockRate(spec.node);
-    worker->model =
-        std::make_unique<PoolWorkerModel>(model, spec.node + "/1", kWallStartMs, Time{});
-    worker->model->end_acknowledged = [this, one = worker.get()](const EndedTask& end) {
-      NoteAcknowledged(one, end);
-    };
-    workers_[spec.node] = std::move(worker);
-    RestartAgent(spec.node);
+    AddWorker(spec);
     nodes.insert(spec.node);
   }
   planner_ = std::make_unique<PoolPlanner>(options_, epoch_, job_table_, nodes, now_, wall_ms());
@@ -104,6 +91,24 @@
 
 PoolSimulation::~PoolSimulation() = default;
 
+void PoolSimulation::AddWorker(const SimulatedWorker& spec) {
+  auto worker = std::make_unique<Worker>();
+  worker->spec = spec;
+  WorkerModelOptions model;
+  model.capacity = spec.capacity;
+  model.longest_lease = bounds_.longest_lease;
+  model.stop_time = bounds_.stop / kStopTimeDivisor;
+  model.clock_rate = faults_->ClockRate(spec.node);
+  const bool at_begin = planner_ == nullptr;
+  worker->model = std::make_unique<PoolWorkerModel>(
+      model, spec.node + "/1", at_begin ? kWallStartMs : wall_ms(), at_begin ? Time{} : now_);
+  worker->model->end_acknowledged = [this, one = worker.get()](const EndedTask& end) {
+    NoteAcknowledged(one, end);
+  };
+  workers_[spec.node] = std::move(worker);
+  RestartAgent(spec.node);
+}
+
 PoolSimulation::Worker& PoolSimulation::worker(const std::string& node) {
   return *workers_.at(node);
 }
@@ -178,6 +183,12 @@
   if (faults_->ReplacesAgentAtRestart(node)) RestartAgent(node);
 }
 
+void PoolSimulation::ReplaceWorker(const std::string& node, const std::string& version) {
+  worker(node).draining = false;
+  worker(node).spec.version = version;
+  RestartWorker(node);
+}
+
 // Ends that were not acknowledged before the worker died or its lease expired are forgotten:
 // running their tasks again is correct.
 void PoolSimulation::ForgetUnreportedEnds(const Worker& worker) {
@@ -514,6 +525,7 @@
   announcement.facts.labels = {"plain", worker->spec.rack};
   announcement.facts.capacity = worker->spec.capacity;
   announcement.facts.draining = worker->draining;
+  announcement.facts.version = worker->spec.version;
   return announcement;
 }
 
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -26,6 +26,8 @@
   Room capacity = {64'000, 131'072, 8};
   // Factor on the run time of its tasks; a gang is as slow as its slowest member.
   double time_factor = 1;
+  // Empty: the worker announces no version.
+  std::string version = {};
 };
 
 // One run of a task as its worker saw it.
@@ -86,6 +88,10 @@
   // The worker dies with all its runs and restarts as a new incarnation, under a new ID unless the
   // faults make it keep the old one.
   void RestartWorker(const std::string& node);
+  // The same, with a worker that does not drain and has this version.
+  void ReplaceWorker(const std::string& node, const std::string& version);
+  // A worker on a VM that is new to the pool starts, with its agent.
+  void AddWorker(const SimulatedWorker& spec);
   // Replaces the agent's process; the worker keeps running.
   void RestartAgent(const std::string& node);
   void Drain(const std::string& node);
