Pool: Order waiting units by their workspaces' overuse, and spread preemption over workspaces

Cause: the backlog of one workspace is due before what others send later and makes their jobs late. Change: PoolPlanner records use in each round and orders units by level of overuse between guarantee and prospect while units wait; costs of victims carry the weight of their workspace's losses; at equal cost, victims of workspaces above level 0 are chosen.

--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -44,6 +44,9 @@
       workers_fast_(metrics->gauge("workers_fast")),
       worker_speed_spread_(metrics->gauge("worker_speed_spread")) {
       outdated_workers_(metrics->gauge("workers_outdated")) {
+      overuse_max_(metrics->gauge("workspace_overuse_max")),
+      over_share_(metrics->gauge("workspaces_over_share")),
+      epoch_gauge_(metrics->gauge("planner_epoch")) {
   try {
     planning_thread_ = Thread(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); });
     writer_thread_ = Thread(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); });
@@ -399,6 +402,9 @@
       lag_seconds_.Set(Seconds(planner_->lag()));
       SetSpeedGauges(planner_->worker_speeds().summary());
       outdated_workers_.Set(planner_->releases().outdated_workers());
+      const shares::SharesSummary shares = planner_->workspace_shares().summary(now);
+      overuse_max_.Set(shares.max_overuse);
+      over_share_.Set(shares.over_share);
       if (!planner_->outbox().empty()) write_ready_.notify_all();
       advice_ready_.notify_all();
     }
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -134,6 +134,8 @@
   Distribution& round_seconds_;
   Gauge& lag_seconds_;
   Gauge& jobs_;
+  Gauge& overuse_max_;
+  Gauge& over_share_;
   Gauge& epoch_gauge_;
   Counter& learned_records_;
   Counter& learned_bytes_;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -22,6 +22,8 @@
       learned_state_(LearnedParts(), now),
       releases_(IsEnabled(Mechanism::kPreferReplacedWorkers) ? releases::MakeReleaseTracker(now)
                                                              : releases::MakeNoReleases()),
+      shares_(IsEnabled(Mechanism::kFairShares) ? shares::MakeDecayingShares()
+                                                : shares::MakeEqualShares()),
       mean_stop_time_(options.max_stop_time) {
   if (wall_ms) LogLoads(learned_state_.Load(table.learned(), *wall_ms, now), epoch);
   for (const auto& [id, entry] : table.jobs()) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -35,6 +35,7 @@
 #include "servers/pool/worker_health_tracker.h"
 #include "servers/pool/worker_state.h"
 #include "servers/releases/release_tracker.h"
+#include "servers/shares/workspace_shares.h"
 #include "servers/speeds/speed_preference.h"
 #include "servers/speeds/worker_speeds.h"
 
@@ -176,6 +177,7 @@
   const JobEstimator& estimator() const { return estimator_; }
   learned::LearnedState& learned_state() { return learned_state_; }
   const releases::ReleaseTracker& releases() const { return *releases_; }
+  const shares::WorkspaceShares& workspace_shares() const { return *shares_; }
 
  private:
   struct TaskRun {
@@ -221,6 +223,8 @@
     std::vector<int> waiting;
     int priority = 0;
     bool within_guarantee = false;
+    // Level of overuse of the job's workspace; 0 unless units have to wait.
+    int overuse_level = 0;
     // Milliseconds since 1970 at which the job arrived or was due to begin, and by which it should
     // be done.
     int64_t start_ms = 0;
@@ -391,6 +395,18 @@
   // The parts whose state outlives this planner; none if the mechanism is disabled.
   std::vector<learned::LearnedPart*> LearnedParts();
   void PutLearned(const std::vector<learned::LearnedRecord>& records);
+  // Use of workspaces' shares: pool_planner_shares.cc.
+
+  // Whether any task of the job runs or could start.
+  static bool HasWork(const Job& job);
+  // `total`: capacity of all workers.
+  void RecordWorkspaceUse(const Room& total, Time now);
+  // Whether some of the units that could start have to wait for room.
+  bool MustWait(const std::vector<Unit>& units, Time now) const;
+  void SetOveruseLevels(std::vector<Unit>* units, Time now) const;
+  // Records the cost of preempting the runs for the unit with their workspaces.
+  void RecordPreemption(const std::vector<RunId>& stops, const Unit& unit, int64_t wall_ms,
+                        Time now);
 
   Job* FindJob(const std::string& id);
   static const QueueTerms& Terms(const Job& job) { return *job.terms; }
@@ -418,6 +434,7 @@
   JobEstimator estimator_;
   std::unique_ptr<speeds::WorkerSpeeds> speeds_;
   std::unique_ptr<releases::ReleaseTracker> releases_;
+  std::unique_ptr<shares::WorkspaceShares> shares_;
   ReclaimReservations reclaim_reservations_;
   int64_t start_count_ = 0;
   // Whether something that affects placement has changed since the last round.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -193,6 +193,7 @@
     }
   }
   reserve_.RecordDemand(pool_room_, demand, now);
+  RecordWorkspaceUse(all, now);
 }
 
 void PoolPlanner::ExpireLeases(Time now) {
@@ -248,10 +249,13 @@
       }
     }
   }
-  std::stable_sort(units.begin(), units.end(), [](const Unit& left, const Unit& right) {
-    return std::make_tuple(left.priority, !left.within_guarantee, left.prospect, left.due_ms) <
-           std::make_tuple(right.priority, !right.within_guarantee, right.prospect, right.due_ms);
-  });
+  SetOveruseLevels(&units, now);
+  const auto rank = [](const Unit& unit) {
+    return std::make_tuple(unit.priority, !unit.within_guarantee, unit.overuse_level, unit.prospect,
+                           unit.due_ms);
+  };
+  std::stable_sort(units.begin(), units.end(),
+                   [&](const Unit& left, const Unit& right) { return rank(left) < rank(right); });
   return units;
 }
 
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -80,7 +80,9 @@
       victim.run = id;
       victim.node = node;
       victim.need = run.need;
-      victim.cost = CostOfStopping(job->second, run, unit.expected, wall_ms, now);
+      victim.cost = CostOfStopping(job->second, run, unit.expected, wall_ms, now) *
+                    shares_->PreemptionWeight(workspace, now);
+      victim.over_share = shares_->Level(workspace, now) > 0;
       if (step->gang) {
         victim.gang = id.task.job + "/" + std::to_string(id.task.occurrence) + "/" +
                       std::to_string(id.task.step);
@@ -116,6 +118,7 @@
   state.reclaim_outcome = plan ? ReclaimOutcome::kTooCostly : ReclaimOutcome::kNotEnoughRoom;
   if (!plan || plan->cost > limit) return false;
   state.reclaim_outcome = ReclaimOutcome::kOrdered;
+  RecordPreemption(plan->stops, unit, wall_ms, now);
   for (const RunId& stop : plan->stops) {
     for (auto& [node, worker] : workers_) {
       const auto live = worker.live.find(stop);
--- a/servers/pool/reclaimer.cc
+++ b/servers/pool/reclaimer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 #include <string_view>
 #include <utility>
@@ -26,6 +27,7 @@
 struct VictimGroup {
   std::vector<const Victim*> members;
   double cost = 0;
+  bool over_share = false;
 };
 
 // Room that a victim group frees on one of the candidate workers.
@@ -46,18 +48,25 @@
 // Weight of room for a part of a task: low, so that it only breaks ties where no single victim
 // group makes a task fit.
 constexpr double kPartialFitWeight = 0.05;
+// Costs that differ relatively by less than this are equal but for rounding.
+constexpr double kRoundingError = 1e-9;
+
+bool AreEqual(double left, double right) {
+  return std::abs(left - right) <= kRoundingError * std::max(left, right);
+}
 
 std::vector<VictimGroup> GroupVictims(const std::vector<Victim>& victims) {
   std::map<std::string_view, VictimGroup> gangs;
   std::vector<VictimGroup> groups;
   for (const Victim& victim : victims) {
     if (victim.gang.empty()) {
-      groups.push_back({{&victim}, victim.cost});
+      groups.push_back({{&victim}, victim.cost, victim.over_share});
       continue;
     }
     VictimGroup& group = gangs[victim.gang];
     group.members.push_back(&victim);
     group.cost += victim.cost;
+    group.over_share = victim.over_share;
   }
   for (auto& [name, group] : gangs) groups.push_back(std::move(group));
   return groups;
@@ -119,7 +128,12 @@
     if (option.taken) continue;
     const double gain_per_cost =
         GainOf(request, option, workers) / std::max(option.group->cost, kMinCost);
-    if (gain_per_cost <= best_gain_per_cost) continue;
+    if (gain_per_cost <= 0) continue;
+    const bool differ = best != nullptr && option.group->over_share != best->group->over_share;
+    const bool better = differ && AreEqual(gain_per_cost, best_gain_per_cost)
+                            ? option.group->over_share
+                            : gain_per_cost > best_gain_per_cost;
+    if (!better) continue;
     best = &option;
     best_gain_per_cost = gain_per_cost;
   }
@@ -140,7 +154,9 @@
     if (option.taken) by_cost.push_back(&option);
   }
   std::sort(by_cost.begin(), by_cost.end(), [](const Option* left, const Option* right) {
-    return left->group->cost > right->group->cost;
+    const VictimGroup& one = *left->group;
+    const VictimGroup& other = *right->group;
+    return one.cost != other.cost ? one.cost > other.cost : one.over_share < other.over_share;
   });
   for (Option* candidate : by_cost) {
     std::vector<WorkerRoom> without = workers;
@@ -171,12 +187,21 @@
     if (!option.taken) continue;
     Free(option, &rooms);
     plan.cost += option.group->cost;
+    plan.over_share = option.group->over_share && (plan.stops.empty() || plan.over_share);
     for (const Victim* victim : option.group->members) plan.stops.push_back(victim->run);
   }
   plan.placement = Place(request, rooms);
   return plan;
 }
 
+bool IsBetter(const ReclaimPlan& plan, const std::optional<ReclaimPlan>& best) {
+  if (!best) return true;
+  if (plan.over_share != best->over_share && AreEqual(plan.cost, best->cost)) {
+    return plan.over_share;
+  }
+  return plan.cost < best->cost;
+}
+
 }  // namespace
 
 const char* ReclaimOutcomeName(ReclaimOutcome outcome) {
@@ -197,12 +222,12 @@
   std::optional<ReclaimPlan> best;
   for (const auto& [rack, rooms] : racks) {
     std::optional<ReclaimPlan> plan = ReclaimWithin(strict, rooms, groups);
-    if (plan && (!best || plan->cost < best->cost)) best = std::move(plan);
+    if (plan && IsBetter(*plan, best)) best = std::move(plan);
   }
   const bool any_rack_allowed = !request.step->one_rack && request.step->data_rack.empty();
   if (any_rack_allowed || (!best && request.allow_off_rack)) {
     std::optional<ReclaimPlan> plan = ReclaimWithin(request, workers, groups);
-    if (plan && (!best || plan->cost < best->cost)) best = std::move(plan);
+    if (plan && IsBetter(*plan, best)) best = std::move(plan);
   }
   return best;
 }
--- a/servers/pool/reclaimer.h
+++ b/servers/pool/reclaimer.h
@@ -22,6 +22,8 @@
   // Work lost by stopping the run, in core-seconds, with an accelerator counted as several cores.
   // For a member of a gang, the member's share of the gang's cost.
   double cost = 0;
+  // The run's workspace uses more than its share; at equal cost such victims are chosen first.
+  bool over_share = false;
 };
 
 // Outcome of the last decision on preemption for a unit.
@@ -40,6 +42,8 @@
   Placement placement;
   std::vector<RunId> stops;
   double cost = 0;
+  // All victims are of workspaces that use more than their share.
+  bool over_share = false;
 };
 
 // Victims whose stop makes the request fit, within one rack if possible, otherwise anywhere if the
--- a/servers/shares/decaying_shares.cc
+++ b/servers/shares/decaying_shares.cc
@@ -106,6 +106,8 @@
 
   States states_;
   double cores_ = 0;
+  // Workspaces that had work recently, as of the last record.
+  int active_ = 0;
   std::optional<Time> levels_checked_;
 };
 
@@ -157,14 +159,14 @@
 // divided equally. A workspace without recent work gets the share that it would have with work.
 void DecayingShares::SetFairShares(const std::map<std::string, WorkspaceUse>& by_workspace,
                                    const PoolCapacity& total, Time now) {
-  int active = 0;
+  active_ = 0;
   double active_guarantees = 0;
   const auto guarantee_of = [&](const WorkspaceUse& use) {
     return ShareOf(use.guaranteed_accelerators, total.resources.accelerators);
   };
   for (const auto& [workspace, use] : by_workspace) {
     if (!IsActive(states_[workspace], now)) continue;
-    ++active;
+    ++active_;
     active_guarantees += guarantee_of(use);
   }
   for (const auto& [workspace, use] : by_workspace) {
@@ -173,7 +175,7 @@
     const double own = guarantee_of(use);
     const double all = active_guarantees + (counted ? 0 : own);
     const double guaranteed_part = std::min(all, 1 - kMinCommonPart);
-    const double common_part = (1 - guaranteed_part) / (active + (counted ? 0 : 1));
+    const double common_part = (1 - guaranteed_part) / (active_ + (counted ? 0 : 1));
     state.fair_share = common_part + (all > 0 ? guaranteed_part * own / all : 0);
   }
 }
@@ -208,7 +210,8 @@
 
 double DecayingShares::PreemptionWeight(const std::string& workspace, Time now) const {
   const auto found = states_.find(workspace);
-  if (found == states_.end()) return 1;
+  // Alone in the pool, there is no other workspace that could lose work instead.
+  if (found == states_.end() || active_ < 2) return 1;
   const State& state = found->second;
   const double lost = LossAt(state, now);
   const double reference = cores_ * state.fair_share * kHalfWeightSeconds;
--- a/servers/shares/workspace_shares_test.cc
+++ b/servers/shares/workspace_shares_test.cc
@@ -158,6 +158,17 @@
   EXPECT_LT(shares->PreemptionWeight("a", kStart + minutes(20)), 1.01);
 }
 
+// The weight also makes preemption less likely. That must not change how a workspace alone in the
+// pool is served: there is no other one that could lose work instead.
+TEST(WorkspaceShares, AWorkspaceAloneInThePoolHasWeightOne) {
+  const auto shares = MakeDecayingShares();
+  shares->RecordUse({{"a", Working(50)}, {"idle", {}}}, kPool, kStart);
+  shares->RecordPreempted("a", 1000, kStart);
+  EXPECT_EQ(shares->PreemptionWeight("a", kStart), 1);
+  shares->RecordUse({{"a", Working(50)}, {"idle", Working(1)}}, kPool, kStart);
+  EXPECT_GT(shares->PreemptionWeight("a", kStart), 1);
+}
+
 // Workspaces come and go over months, and each would otherwise leave its state behind.
 TEST(WorkspaceShares, DropsTheStateOfAWorkspaceThatIsNoLongerPassedIn) {
   const auto shares = MakeDecayingShares();
