--- a/core/error.h
+++ b/core/error.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <array>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
+#include "core/clock.h"
+
 namespace turmericshift {
 
 // All ways in which an operation can fail. A new kind also needs a row in the table in error.cc; a
@@ -90,10 +93,14 @@
 
   ErrorKind kind() const { return kind_; }
   Outcome outcome() const { return outcome_; }
+  // Time after which the same request may succeed; empty if the failed side gave none.
+  std::optional<Duration> retry_after() const { return retry_after_; }
+  void set_retry_after(Duration retry_after) { retry_after_ = retry_after; }
 
  private:
   ErrorKind kind_;
   Outcome outcome_;
+  std::optional<Duration> retry_after_;
 };
 
 }  // namespace turmericshift
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -324,13 +324,16 @@
   to.setKind(ErrorInfoFor(from.kind()).name);
   to.setOutcome(OutcomeName(from.outcome()));
   to.setMessage(from.what());
+  to.setRetryAfterNanos(from.retry_after().value_or(Duration::zero()).count());
 }
 
 void ThrowIfFailed(wire::Failure::Reader from) {
   const std::string kind = Text(from.getKind());
   if (kind.empty()) return;
-  throw Error(ErrorKindFromName(kind), OutcomeFromName(Text(from.getOutcome())),
+  Error error(ErrorKindFromName(kind), OutcomeFromName(Text(from.getOutcome())),
               Text(from.getMessage()));
+  if (from.getRetryAfterNanos() > 0) error.set_retry_after(Duration(from.getRetryAfterNanos()));
+  throw error;
 }
 
 }  // namespace turmericshift
--- a/rpc/peer.capnp
+++ b/rpc/peer.capnp
@@ -25,6 +25,8 @@
   kind @0 :Text;
   outcome @1 :Text;
   message @2 :Text;
+  # Time after which the request may be repeated; 0 or missing: not given.
+  retryAfterNanos @3 :Int64;
 }
 
 struct ServiceRequest {
--- a/servers/pool/job_api.cc
+++ b/servers/pool/job_api.cc
@@ -260,6 +260,12 @@
       if (not_run && !may_have_run && error.kind() == ErrorKind::kLogUnavailable) {
         return NotAccepted(error.what());
       }
+      // The planner has refused the job for load. Another attempt at once would be refused again.
+      if (not_run && !may_have_run && error.kind() == ErrorKind::kOverloaded) {
+        JobAnswer refused = NotAccepted(error.what());
+        refused.retry_after = error.retry_after().value_or(options_.retry_after);
+        return refused;
+      }
       if (client) DiscardClient(client);
     }
     std::this_thread::sleep_for(kRetryInterval);
--- a/servers/pool/job_intake.cc
+++ b/servers/pool/job_intake.cc
@@ -22,6 +22,12 @@
     replies->push_back(Failed(std::move(done), StoreUnavailable()));
     return;
   }
+  if (!joins) {
+    if (const std::optional<Error> rejection = planner->RejectionFor(spec, now)) {
+      replies->push_back(Failed(std::move(done), *rejection));
+      return;
+    }
+  }
   const Ticket ticket = planner->Submit(spec);
   if (joins) {
     LogEvent(LogLevel::kInfo, "submission_joined",
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -47,6 +47,9 @@
       overuse_max_(metrics->gauge("workspace_overuse_max")),
       over_share_(metrics->gauge("workspaces_over_share")),
       epoch_gauge_(metrics->gauge("planner_epoch")) {
+      rejected_pool_(metrics->counter("jobs_rejected_for_load_pool_overloaded")),
+      rejected_workspace_(metrics->counter("jobs_rejected_for_load_workspace_overloaded")),
+      backlog_seconds_(metrics->gauge("admission_backlog_seconds")) {
   try {
     planning_thread_ = Thread(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); });
     writer_thread_ = Thread(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); });
@@ -104,6 +107,14 @@
   write_ready_.notify_all();
 }
 
+void PlannerService::RecordAdmissionLocked() {
+  backlog_seconds_.Set(Seconds(planner_->admission_backlog()));
+  for (const auto& [reason, count] : planner_->TakeRejections()) {
+    const bool pool = reason == admission::RefusalReason::kPoolOverloaded;
+    (pool ? rejected_pool_ : rejected_workspace_).Add(count);
+  }
+}
+
 void PlannerService::StepDownLocked(const char* reason, Replies* replies) {
   if (!planner_) return;
   LogEvent(LogLevel::kWarning, "duty_ended", {{"epoch", planner_->epoch()}, {"reason", reason}});
@@ -405,6 +416,7 @@
       const shares::SharesSummary shares = planner_->workspace_shares().summary(now);
       overuse_max_.Set(shares.max_overuse);
       over_share_.Set(shares.over_share);
+      RecordAdmissionLocked();
       if (!planner_->outbox().empty()) write_ready_.notify_all();
       advice_ready_.notify_all();
     }
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -119,6 +119,8 @@
   void CountLearnedLocked();
   // Tells the planner which agents are listed in the members topic.
   void UpdateListedAgentsLocked();
+  // Passes the planner's refusals for load on to the metrics.
+  void RecordAdmissionLocked();
   void StepDownLocked(const char* reason, Replies* replies);
   void SetSpeedGauges(const speeds::SpeedSummary& summary);
   // Error for callers while this process is not the active planner.
@@ -144,6 +146,9 @@
   Gauge& workers_fast_;
   Gauge& worker_speed_spread_;
   Gauge& outdated_workers_;
+  Counter& rejected_pool_;
+  Counter& rejected_workspace_;
+  Gauge& backlog_seconds_;
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -24,6 +24,8 @@
                                                              : releases::MakeNoReleases()),
       shares_(IsEnabled(Mechanism::kFairShares) ? shares::MakeDecayingShares()
                                                 : shares::MakeEqualShares()),
+      admission_(IsEnabled(Mechanism::kAdmission) ? admission::MakeForecastAdmission()
+                                                  : admission::MakeAdmitAll()),
       mean_stop_time_(options.max_stop_time) {
   if (wall_ms) LogLoads(learned_state_.Load(table.learned(), *wall_ms, now), epoch);
   for (const auto& [id, entry] : table.jobs()) {
@@ -98,6 +100,8 @@
   SaveProgress(&job);
   job.accepted_ticket = job.newest_ticket;
   pending_submissions_.insert(job.accepted_ticket);
+  promised_room_[job.accepted_ticket] = {Terms(job).service, PeakNeed(spec)};
+  AddJobToLoads(job);
   return job.newest_ticket;
 }
 
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "servers/learned/learned_state.h"
+#include "servers/admission/admission_policy.h"
 #include "servers/pool/advice_cache.h"
 #include "servers/pool/job_estimator.h"
 #include "servers/pool/job_table.h"
@@ -28,6 +29,7 @@
 #include "servers/pool/pool_messages.h"
 #include "servers/pool/queue_log.h"
 #include "servers/pool/reclaimer.h"
+#include "servers/pool/rejection_log.h"
 #include "servers/pool/room_forecast.h"
 #include "servers/pool/room_reservations.h"
 #include "servers/pool/urgent_reserve.h"
@@ -132,6 +134,15 @@
   // leases from `now` on.
   void PredecessorGone(Time now);
 
+  // Returns why the pool's load forbids to accept the job, with the time after which it may be
+  // submitted again; empty if it may be accepted. Only for jobs that are not known.
+  std::optional<Error> RejectionFor(const JobSpec& spec, Time now);
+  // Refusals for load since the last call, by reason.
+  std::map<admission::RefusalReason, int64_t> TakeRejections() {
+    return rejection_log_.TakeCounts();
+  }
+  // Time that the most loaded service needs for its accepted work, as last computed.
+  Duration admission_backlog() const;
   // Submits a job; idempotent by id. The job is accepted once the record of the returned ticket is
   // durable.
   Ticket Submit(const JobSpec& spec);
@@ -407,6 +418,19 @@
   // Records the cost of preempting the runs for the unit with their workspaces.
   void RecordPreemption(const std::vector<RunId>& stops, const Unit& unit, int64_t wall_ms,
                         Time now);
+  // Refusals for load: pool_planner_admission.cc.
+
+  // Computes the loads if they are older than `max_age` and a round was planned since.
+  void UpdateLoads(Duration max_age, Time now);
+  // Adds what is left of the job beside its runs.
+  void AddJobToLoads(const Job& job);
+  void AddRunsToLoads(Time now);
+  admission::Capacity CapacityOf(const WorkerState& worker, Time now) const;
+  double KnownAgents(Time now) const;
+  // Whether all tasks of the steps that the job begins with fit on free room.
+  bool HasFreeRoom(const JobSpec& spec, const QueueTerms& terms, Time now) const;
+  admission::AdmissionRequest RequestFor(const JobSpec& spec, const QueueTerms& terms,
+                                         Time now) const;
 
   Job* FindJob(const std::string& id);
   static const QueueTerms& Terms(const Job& job) { return *job.terms; }
@@ -435,6 +459,17 @@
   std::unique_ptr<speeds::WorkerSpeeds> speeds_;
   std::unique_ptr<releases::ReleaseTracker> releases_;
   std::unique_ptr<shares::WorkspaceShares> shares_;
+  std::unique_ptr<admission::AdmissionPolicy> admission_;
+  // Load by service, and when it was computed.
+  std::map<std::string, admission::PoolLoad> loads_;
+  std::optional<Time> loads_at_;
+  // Room that accepted jobs need which no round has placed yet, by the ticket of their records.
+  struct PromisedRoom {
+    std::string service;
+    Room room;
+  };
+  std::map<Ticket, PromisedRoom> promised_room_;
+  RejectionLog rejection_log_;
   ReclaimReservations reclaim_reservations_;
   int64_t start_count_ = 0;
   // Whether something that affects placement has changed since the last round.
--- /dev/null
+++ b/servers/pool/pool_planner_admission.cc
@@ -0,0 +1,210 @@
+// Computes the load that decides whether a new job is accepted; see servers/admission.
+//
+// Load pattern: bursts of submissions to a pool with more accepted work than it can do in time. The
+// load is therefore computed at most once per planning round, and accepted jobs are added to it.
+#include <algorithm>
+
+#include "servers/pool/pool_planner.h"
+
+namespace turmericshift::pool {
+namespace {
+
+// Computing the load of 36,000 tasks takes milliseconds, and the forecast deducts the load's age.
+constexpr Duration kLoadInterval = std::chrono::milliseconds(200);
+// Agents poll twice a second, and repeat a poll that is unanswered for 1.2 s.
+constexpr Duration kKnownWithin = std::chrono::seconds(3);
+constexpr double kMillisPerCore = 1000;
+
+admission::Work WorkOf(const Room& need, bool best_effort, double task_seconds) {
+  const double cores = static_cast<double>(need.processor_millis) / kMillisPerCore;
+  return {best_effort ? 0 : cores * task_seconds,
+          static_cast<double>(need.accelerators) * task_seconds};
+}
+
+bool HasLabel(const WorkerState& worker, const std::string& label) {
+  const std::vector<std::string>& labels = worker.facts.labels;
+  return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool RunsWithoutEnd(const JobSpec& spec) {
+  return std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const StepSpec& step) { return step.long_running; });
+}
+
+}  // namespace
+
+std::optional<Error> PoolPlanner::RejectionFor(const JobSpec& spec, Time now) {
+  UpdateLoads(kLoadInterval, now);
+  const Queue* queue = operator_state_->config.FindQueue(spec.queue);
+  const QueueTerms& terms = queue == nullptr ? spec.terms : queue->terms;
+  const auto load = loads_.find(terms.service);
+  if (load == loads_.end()) return std::nullopt;
+  const admission::AdmissionRequest request = RequestFor(spec, terms, now);
+  const std::optional<admission::Refusal> refusal = admission_->Decide(request, load->second, now);
+  if (!refusal) return std::nullopt;
+  rejection_log_.Record(request, *refusal, load->second, epoch_, now);
+  Error error(ErrorKind::kOverloaded, Outcome::kNotRun,
+              std::string("refused for load: ") + admission::RefusalReasonName(refusal->reason));
+  error.set_retry_after(refusal->retry_after);
+  return error;
+}
+
+Duration PoolPlanner::admission_backlog() const {
+  Duration longest{};
+  for (const auto& [service, load] : loads_) longest = std::max(longest, load.backlog());
+  return longest;
+}
+
+admission::AdmissionRequest PoolPlanner::RequestFor(const JobSpec& spec, const QueueTerms& terms,
+                                                    Time now) const {
+  const auto time_of = [&](const StepSpec& step) { return estimator_.ExpectedTime(spec, step); };
+  admission::AdmissionRequest request;
+  request.id = spec.id;
+  request.workspace = spec.workspace;
+  request.queue = spec.queue;
+  request.service = terms.service;
+  request.priority = terms.priority;
+  for (const StepSpec& step : spec.steps) {
+    request.work += WorkOf(step.need, step.best_effort, step.tasks * Seconds(time_of(step)));
+  }
+  request.accelerators = PeakNeed(spec).accelerators;
+  request.critical_path = CriticalPath(spec, time_of);
+  const JobTiming timing = estimator_.TimingOf(spec, terms, {0, 0}, spec.accepted_ms);
+  request.until_due = timing.target_latency + Scaled(timing.critical_path, timing.stretch);
+  request.until_worthless = kWorthlessFactor * request.until_due;
+  request.exempt = spec.schedule.occurrences > 0 || RunsWithoutEnd(spec);
+  request.has_free_room = [this, &spec, &terms, now] { return HasFreeRoom(spec, terms, now); };
+  return request;
+}
+
+void PoolPlanner::UpdateLoads(Duration max_age, Time now) {
+  if (!admission_->needs_load() || !last_round_) return;
+  if (loads_at_ && (*loads_at_ >= *last_round_ || now - *loads_at_ < max_age)) return;
+  loads_at_ = *last_round_;
+  loads_.clear();
+  const double known_agents = KnownAgents(now);
+  for (const auto& [node, worker] : workers_) {
+    if (!worker.usable(now) || operator_state_->zones_out.count(worker.zone) > 0) continue;
+    admission::PoolLoad& load = loads_[worker.facts.service];
+    load.at = now;
+    load.planner_age = now - started_at_;
+    load.known_agents = known_agents;
+    const admission::Capacity capacity = CapacityOf(worker, now);
+    load.capacity.processors += capacity.processors;
+    load.capacity.accelerators += capacity.accelerators;
+  }
+  for (auto& [service, load] : loads_) {
+    for (const Workspace& workspace : operator_state_->config.workspaces) {
+      load.workspaces[workspace.name].guaranteed_accelerators = workspace.guaranteed_accelerators;
+    }
+  }
+  for (const auto& [id, job] : jobs_) AddJobToLoads(job);
+  AddRunsToLoads(now);
+}
+
+// A fast worker does more work than a typical one in the same time.
+admission::Capacity PoolPlanner::CapacityOf(const WorkerState& worker, Time now) const {
+  const Room& capacity = worker.facts.capacity;
+  const double factor = speeds_->TimeFactor(worker.node, now);
+  return {static_cast<double>(capacity.processor_millis) / kMillisPerCore / factor,
+          static_cast<double>(capacity.accelerators) / factor};
+}
+
+double PoolPlanner::KnownAgents(Time now) const {
+  const size_t listed =
+      listed_now_ ? listed_now_->size() : std::max(listed_agents_, workers_.size());
+  if (listed == 0) return 0;
+  const auto known = std::count_if(workers_.begin(), workers_.end(), [&](const auto& row) {
+    return IsListed(row.first) && row.second.lists_received &&
+           now - row.second.last_report < kKnownWithin;
+  });
+  return static_cast<double>(known) / static_cast<double>(listed);
+}
+
+// How much a stored checkpoint saves is not known. The forecast has to be optimistic, so tasks that
+// have one count as nearly done until they run. The work of later occurrences has no known begin.
+void PoolPlanner::AddJobToLoads(const Job& job) {
+  if (IsOver(job.progress.state)) return;
+  const QueueTerms& terms = Terms(job);
+  const auto load = loads_.find(terms.service);
+  if (load == loads_.end()) return;
+  admission::WorkspaceLoad& workspace = load->second.workspaces[job.spec.workspace];
+  if (terms.priority == 0) workspace.urgent_accelerators += PeakNeed(job.spec).accelerators;
+  if (job.spec.schedule.occurrences > 0) return;
+  std::vector<int> started(job.spec.steps.size());
+  for (const auto& [place, run] : job.runs) ++started[static_cast<size_t>(place.step)];
+  for (const auto& [place, checkpoint] : job.progress.checkpoints) {
+    const size_t step = static_cast<size_t>(place.step);
+    if (step >= started.size()) continue;
+    if (job.spec.steps[step].gang) {
+      started[step] = job.spec.steps[step].tasks;
+    } else if (job.runs.count(place) == 0) {
+      ++started[step];
+    }
+  }
+  admission::Work& work = workspace.by_priority[terms.priority];
+  for (size_t index = 0; index < job.spec.steps.size(); ++index) {
+    const StepSpec& step = job.spec.steps[index];
+    if (step.long_running) continue;
+    const int done = job.progress.done_count({0, static_cast<int>(index)});
+    const int waiting = std::max(step.tasks - done - started[index], 0);
+    const double seconds = Seconds(estimator_.ExpectedTime(job.spec, step));
+    work += WorkOf(step.need, step.best_effort, waiting * seconds);
+  }
+}
+
+void PoolPlanner::AddRunsToLoads(Time now) {
+  for (const auto& [node, worker] : workers_) {
+    const auto load = loads_.find(worker.facts.service);
+    if (load == loads_.end()) continue;
+    const double factor = speeds_->TimeFactor(node, now);
+    for (const auto& [id, run] : worker.live) {
+      if (run.phase == RunPhase::kStopping) continue;
+      const auto job = jobs_.find(id.task.job);
+      if (job == jobs_.end() || IsOver(job->second.progress.state)) continue;
+      const StepSpec* step = FindStep(job->second, id.task);
+      if (step == nullptr || step->long_running) continue;
+      const Duration left = run.progress.RemainingTime(run.estimate, run.since, now);
+      load->second.workspaces[job->second.spec.workspace]
+          .by_priority[Terms(job->second).priority] +=
+          WorkOf(run.need, run.best_effort, Seconds(left) / factor);
+    }
+  }
+}
+
+bool PoolPlanner::HasFreeRoom(const JobSpec& spec, const QueueTerms& terms, Time now) const {
+  Room free;
+  for (const auto& [node, worker] : workers_) {
+    if (worker.usable(now) && worker.facts.service == terms.service) free += worker.remaining_room;
+  }
+  for (const auto& [ticket, promised] : promised_room_) {
+    if (promised.service == terms.service) free -= promised.room;
+  }
+  const bool reserved =
+      terms.priority > 0 && IsEnabled(Mechanism::kUrgentReserve) && !half_idle_since_;
+  Room need;
+  for (const StepSpec& step : spec.steps) {
+    if (!step.after.empty()) continue;
+    int fitting = 0;
+    int on_slow_workers = 0;
+    for (const auto& [node, worker] : workers_) {
+      if (!worker.usable(now) || worker.facts.service != terms.service) continue;
+      if (operator_state_->zones_out.count(worker.zone) > 0) continue;
+      if (!HasLabel(worker, step.label)) continue;
+      const int count = FitCount(worker.remaining_room, step.need, step.tasks);
+      fitting += count;
+      if (!IsFastEnough(node, now)) on_slow_workers += count;
+    }
+    if (fitting < step.tasks) return false;
+    if (reserved &&
+        on_slow_workers + reserve_.TasksOutsideReserve(pool_room_, step.need, step.tasks, now) <
+            step.tasks) {
+      return false;
+    }
+    need += {step.need.processor_millis * step.tasks, step.need.memory_mib * step.tasks,
+             step.need.accelerators * step.tasks};
+  }
+  return free.Holds(need);
+}
+
+}  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -41,6 +41,8 @@
 constexpr int kWaitChecksPerRound = 2;
 // Longest time between two rounds of planning.
 constexpr Duration kMaxRoundInterval = std::chrono::milliseconds(100);
+// Interval at which the load of the pool is computed for the metrics while no job is submitted.
+constexpr Duration kIdleLoadInterval = std::chrono::seconds(1);
 // Safety factor on run times when a task is to end before a gang begins.
 constexpr double kEstimateMargin = 1.1;
 
@@ -194,6 +196,8 @@
   }
   reserve_.RecordDemand(pool_room_, demand, now);
   RecordWorkspaceUse(all, now);
+  std::erase_if(promised_room_, [&](const auto& row) { return row.first <= outbox_.durable(); });
+  UpdateLoads(kIdleLoadInterval, now);
 }
 
 void PoolPlanner::ExpireLeases(Time now) {
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -125,6 +125,12 @@
   planner_->Submit(accepted);
 }
 
+std::optional<Error> PoolSimulation::TrySubmit(const JobSpec& spec) {
+  if (std::optional<Error> rejection = planner_->RejectionFor(spec, now_)) return rejection;
+  Submit(spec);
+  return std::nullopt;
+}
+
 bool PoolSimulation::Cancel(const std::string& id) {
   return planner_->Cancel(id, wall_ms()).job_exists;
 }
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -57,6 +57,8 @@
   std::function<bool(const std::string& job, const std::string& node)> advises;
 
   void Submit(const JobSpec& spec);
+  // Submits the job unless the planner refuses it for load; returns the refusal.
+  std::optional<Error> TrySubmit(const JobSpec& spec);
   bool Cancel(const std::string& id);
   void RunFor(Duration time);
   // Runs until the job is in `state`; false when that takes longer than `limit`.
