--- a/servers/pool/job_api_test.cc
+++ b/servers/pool/job_api_test.cc
@@ -57,6 +57,26 @@
   }
 };
 
+// A planner that refuses jobs for load, after `lost_answers` calls whose answers are lost.
+class OverloadedGate : public UnresponsiveGate {
+ public:
+  explicit OverloadedGate(int lost_answers) : lost_answers_(lost_answers) {}
+  void Submit(const JobSpec& spec, std::function<void(Result<Done>)> done) override {
+    UnresponsiveGate::Submit(spec, {});
+    Result<Done> result;
+    if (submissions() <= lost_answers_) {
+      result.error = Error(ErrorKind::kConnectionLost, Outcome::kUnknown, "the connection broke");
+    } else {
+      result.error = Error(ErrorKind::kOverloaded, Outcome::kNotRun, "refused for load");
+      result.error->set_retry_after(std::chrono::milliseconds(6500));
+    }
+    done(result);
+  }
+
+ private:
+  const int lost_answers_;
+};
+
 // Accepts every call.
 class AcceptingClient : public PlannerClient {
  public:
@@ -102,13 +122,17 @@
   }
 
   JobAnswerKind Submit(const std::string& id, Duration timeout) {
+    return AnswerTo(id, timeout).kind;
+  }
+
+  JobAnswer AnswerTo(const std::string& id, Duration timeout) {
     JobCall call;
     call.kind = JobCall::Kind::kSubmit;
     call.host = "plans.example";
     call.path = "/jobs/" + id;
     call.timeout = timeout;
     call.read_body = [](JobSpec* spec) { spec->steps.emplace_back(); };
-    return api->Handle(call, LeaseClock().Now()).kind;
+    return api->Handle(call, LeaseClock().Now());
   }
 
   MemoryKeyedLog log;
@@ -153,6 +177,28 @@
   EXPECT_EQ(planner.submissions(), 0);
 }
 
+// A refusal for load would be repeated until the caller's patience is over, and the caller would be
+// told to come back at once.
+TEST(JobApi, AnswersARefusalForLoadAtOnce) {
+  auto gate = std::make_unique<OverloadedGate>(0);
+  const UnresponsiveGate& planner = *gate;
+  ApiFixture fixture(std::move(gate), std::make_unique<FailingConnector>());
+  const JobAnswer answer = fixture.AnswerTo("j", std::chrono::hours(1));
+  EXPECT_EQ(answer.kind, JobAnswerKind::kNotAccepted);
+  EXPECT_EQ(answer.retry_after, milliseconds(6500));
+  EXPECT_EQ(planner.submissions(), 1);
+}
+
+// The record of an earlier attempt of the call may have been stored. If the caller were told that
+// the job does not run, it would order again.
+TEST(JobApi, WithholdsARefusalForLoadAfterAnUnansweredAttempt) {
+  ApiFixture fixture(std::make_unique<OverloadedGate>(1), std::make_unique<FailingConnector>());
+  EXPECT_EQ(fixture.Submit("j", milliseconds(600)), JobAnswerKind::kUnknown);
+  // Also to a further call, whose own attempt was refused.
+  EXPECT_EQ(fixture.Submit("j", milliseconds(600)), JobAnswerKind::kUnknown);
+  EXPECT_EQ(fixture.Submit("other", milliseconds(600)), JobAnswerKind::kNotAccepted);
+}
+
 TEST(UnresolvedCalls, ExpireAfterAMinute) {
   UnresolvedCalls calls;
   const Time now = Time(std::chrono::hours(1));
--- a/servers/pool/job_intake_test.cc
+++ b/servers/pool/job_intake_test.cc
@@ -321,5 +321,74 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, IntakeHistory, testing::Range(1U, 201U));
 
+// A planner of one worker with 8 accelerators, which a job occupies for a minute.
+std::unique_ptr<PoolPlanner> FullPlanner(Time now) {
+  auto planner = std::make_unique<PoolPlanner>(
+      PlannerOptions(), 1, JobTable(), std::set<std::string>(), now - std::chrono::seconds(10));
+  auto operators = std::make_shared<OperatorState>();
+  operators->config.queues.push_back({"q", "host", "/", {"plans", 0, 1, 1.5, {}}});
+  planner->SetOperatorState(operators, now);
+  planner->ConfirmLeadership(now);
+  AgentReport report;
+  report.node = "n";
+  report.zone = "a";
+  report.incarnation = "1";
+  report.sequence = 1;
+  report.epoch = 1;
+  report.worker.id = "w";
+  report.worker.service = "plans";
+  report.worker.capacity = {64'000, 65'536, 8};
+  report.worker.reachable = true;
+  planner->ApplyReport(report, 1, now);
+  return planner;
+}
+
+JobSpec JobOfTwoSeconds(const std::string& id, int tasks) {
+  JobSpec spec;
+  spec.id = id;
+  spec.queue = "q";
+  StepSpec step;
+  step.tasks = tasks;
+  step.need = {1000, 1000, 1};
+  step.estimate = std::chrono::seconds(2);
+  spec.steps.push_back(step);
+  return spec;
+}
+
+// A repeated submission of an accepted job would be refused because the pool has become full since,
+// and its caller would believe that the job never runs.
+TEST(JobIntake, AsksOnlyForNewJobsWhetherThePoolIsOverloaded) {
+  const std::unique_ptr<PoolPlanner> planner = FullPlanner(kBegin);
+  JobIntake intake(kStallTimeout);
+  Replies replies;
+  std::map<std::string, std::vector<Result<Done>>> answers;
+  const auto submit = [&](const JobSpec& spec) {
+    intake.Submit(
+        spec, std::nullopt, planner.get(),
+        [&answers, id = spec.id](Result<Done> result) { answers[id].push_back(std::move(result)); },
+        kBegin, &replies);
+  };
+  planner->Plan(1, kBegin);
+  submit(JobOfTwoSeconds("first", 400));
+  submit(JobOfTwoSeconds("second", 8));
+  submit(JobOfTwoSeconds("first", 400));
+  planner->outbox().Take();
+  planner->outbox().MarkDurable();
+  intake.Answer(std::nullopt, planner.get(), kBegin, &replies);
+  RunAll(replies);
+  ASSERT_EQ(answers["first"].size(), 2U);
+  EXPECT_FALSE(answers["first"][0].error);
+  EXPECT_FALSE(answers["first"][1].error);
+  ASSERT_EQ(answers["second"].size(), 1U);
+  ASSERT_TRUE(answers["second"][0].error);
+  EXPECT_EQ(answers["second"][0].error->kind(), ErrorKind::kOverloaded);
+  EXPECT_EQ(answers["second"][0].error->outcome(), Outcome::kNotRun);
+  EXPECT_GT(answers["second"][0].error->retry_after(), std::chrono::seconds(90));
+  EXPECT_FALSE(planner->HasJob("second"));
+  const auto counts = planner->TakeRejections();
+  EXPECT_EQ(counts.at(admission::RefusalReason::kWorkspaceOverloaded), 1);
+  EXPECT_TRUE(planner->TakeRejections().empty());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
