--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -100,7 +100,6 @@
   SaveProgress(&job);
   job.accepted_ticket = job.newest_ticket;
   pending_submissions_.insert(job.accepted_ticket);
-  promised_room_[job.accepted_ticket] = {Terms(job).service, PeakNeed(spec)};
   AddJobToLoads(job);
   return job.newest_ticket;
 }
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -427,8 +427,11 @@
   void AddRunsToLoads(Time now);
   admission::Capacity CapacityOf(const WorkerState& worker, Time now) const;
   double KnownAgents(Time now) const;
-  // Whether all tasks of the steps that the job begins with fit on free room.
+  // Whether all tasks of the steps that the job begins with fit on free room, and the room isn't
+  // needed by waiting jobs of the same or a more urgent priority.
   bool HasFreeRoom(const JobSpec& spec, const QueueTerms& terms, Time now) const;
+  bool StepFits(const StepSpec& step, int priority,
+                const std::vector<const WorkerState*>& candidates, Time now) const;
   admission::AdmissionRequest RequestFor(const JobSpec& spec, const QueueTerms& terms,
                                          Time now) const;
 
@@ -463,12 +466,9 @@
   // Load by service, and when it was computed.
   std::map<std::string, admission::PoolLoad> loads_;
   std::optional<Time> loads_at_;
-  // Room that accepted jobs need which no round has placed yet, by the ticket of their records.
-  struct PromisedRoom {
-    std::string service;
-    Room room;
-  };
-  std::map<Ticket, PromisedRoom> promised_room_;
+  // Room that accepted jobs need that have not begun, by service and priority. Like the loads, as
+  // of the last round and with the jobs accepted since.
+  std::map<std::string, std::map<int, Room>> queued_need_;
   RejectionLog rejection_log_;
   ReclaimReservations reclaim_reservations_;
   int64_t start_count_ = 0;
--- a/servers/pool/pool_planner_admission.cc
+++ b/servers/pool/pool_planner_admission.cc
@@ -9,8 +9,6 @@
 namespace turmericshift::pool {
 namespace {
 
-// Computing the load of 36,000 tasks takes milliseconds, and the forecast deducts the load's age.
-constexpr Duration kLoadInterval = std::chrono::milliseconds(200);
 // Agents poll twice a second, and repeat a poll that is unanswered for 1.2 s.
 constexpr Duration kKnownWithin = std::chrono::seconds(3);
 constexpr double kMillisPerCore = 1000;
@@ -34,7 +32,7 @@
 }  // namespace
 
 std::optional<Error> PoolPlanner::RejectionFor(const JobSpec& spec, Time now) {
-  UpdateLoads(kLoadInterval, now);
+  UpdateLoads(Duration::zero(), now);
   const Queue* queue = operator_state_->config.FindQueue(spec.queue);
   const QueueTerms& terms = queue == nullptr ? spec.terms : queue->terms;
   const auto load = loads_.find(terms.service);
@@ -82,6 +80,7 @@
   if (loads_at_ && (*loads_at_ >= *last_round_ || now - *loads_at_ < max_age)) return;
   loads_at_ = *last_round_;
   loads_.clear();
+  queued_need_.clear();
   const double known_agents = KnownAgents(now);
   for (const auto& [node, worker] : workers_) {
     if (!worker.usable(now) || operator_state_->zones_out.count(worker.zone) > 0) continue;
@@ -129,8 +128,10 @@
   const auto load = loads_.find(terms.service);
   if (load == loads_.end()) return;
   admission::WorkspaceLoad& workspace = load->second.workspaces[job.spec.workspace];
-  if (terms.priority == 0) workspace.urgent_accelerators += PeakNeed(job.spec).accelerators;
+  const Room peak = PeakNeed(job.spec);
+  if (terms.priority == 0) workspace.urgent_accelerators += peak.accelerators;
   if (job.spec.schedule.occurrences > 0) return;
+  if (job.progress.state == JobState::kQueued) queued_need_[terms.service][terms.priority] += peak;
   std::vector<int> started(job.spec.steps.size());
   for (const auto& [place, run] : job.runs) ++started[static_cast<size_t>(place.step)];
   for (const auto& [place, checkpoint] : job.progress.checkpoints) {
@@ -172,39 +173,45 @@
   }
 }
 
+// Room that is left while jobs wait for it is not free: jobs would be accepted for it again and
+// again.
 bool PoolPlanner::HasFreeRoom(const JobSpec& spec, const QueueTerms& terms, Time now) const {
+  std::vector<const WorkerState*> candidates;
   Room free;
   for (const auto& [node, worker] : workers_) {
-    if (worker.usable(now) && worker.facts.service == terms.service) free += worker.remaining_room;
+    if (!worker.usable(now) || worker.facts.service != terms.service) continue;
+    if (operator_state_->zones_out.count(worker.zone) > 0) continue;
+    if (health_tracker_.IsQuarantined(node, now)) continue;
+    candidates.push_back(&worker);
+    free += worker.remaining_room;
   }
-  for (const auto& [ticket, promised] : promised_room_) {
-    if (promised.service == terms.service) free -= promised.room;
-  }
-  const bool reserved =
-      terms.priority > 0 && IsEnabled(Mechanism::kUrgentReserve) && !half_idle_since_;
-  Room need;
-  for (const StepSpec& step : spec.steps) {
-    if (!step.after.empty()) continue;
-    int fitting = 0;
-    int on_slow_workers = 0;
-    for (const auto& [node, worker] : workers_) {
-      if (!worker.usable(now) || worker.facts.service != terms.service) continue;
-      if (operator_state_->zones_out.count(worker.zone) > 0) continue;
-      if (!HasLabel(worker, step.label)) continue;
-      const int count = FitCount(worker.remaining_room, step.need, step.tasks);
-      fitting += count;
-      if (!IsFastEnough(node, now)) on_slow_workers += count;
-    }
-    if (fitting < step.tasks) return false;
-    if (reserved &&
-        on_slow_workers + reserve_.TasksOutsideReserve(pool_room_, step.need, step.tasks, now) <
-            step.tasks) {
-      return false;
+  const auto queued = queued_need_.find(terms.service);
+  if (queued != queued_need_.end()) {
+    for (const auto& [priority, need] : queued->second) {
+      if (priority <= terms.priority) free -= need;
     }
-    need += {step.need.processor_millis * step.tasks, step.need.memory_mib * step.tasks,
-             step.need.accelerators * step.tasks};
   }
-  return free.Holds(need);
+  return free.Holds(PeakNeed(spec)) &&
+         std::all_of(spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
+           return !step.after.empty() || StepFits(step, terms.priority, candidates, now);
+         });
+}
+
+bool PoolPlanner::StepFits(const StepSpec& step, int priority,
+                           const std::vector<const WorkerState*>& candidates, Time now) const {
+  int fitting = 0;
+  int on_slow_workers = 0;
+  for (const WorkerState* worker : candidates) {
+    if (!HasLabel(*worker, step.label)) continue;
+    const int most = step.max_per_worker > 0 ? step.max_per_worker : step.tasks;
+    const int count = FitCount(worker->remaining_room, step.need, most);
+    fitting += count;
+    if (!IsFastEnough(worker->node, now)) on_slow_workers += count;
+  }
+  if (fitting < step.tasks) return false;
+  if (priority == 0 || !IsEnabled(Mechanism::kUrgentReserve) || half_idle_since_) return true;
+  return on_slow_workers + reserve_.TasksOutsideReserve(pool_room_, step.need, step.tasks, now) >=
+         step.tasks;
 }
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -106,6 +106,7 @@
     if (!TryReservedRoom(unit, now)) TryUnit(unit, wall_ms, now);
   }
   reclaim_reservations_.RemoveExpired(now);
+  UpdateLoads(kIdleLoadInterval, now);
 }
 
 void PoolPlanner::LogQueue(const std::vector<Unit>& units, Time now) {
