Admission: Do not count overdue work ahead of new jobs of the same priority

Cause: The planner starts jobs that can be on time before overdue ones of the same priority, so overdue work does not delay a new job. Counted as ahead, work that is lost already would have jobs refused that could be on time. Callers return when the work ahead of them is done.

--- a/servers/admission/admission_policy.h
+++ b/servers/admission/admission_policy.h
@@ -44,6 +44,9 @@
 struct WorkspaceLoad {
   // Accepted work that is still to be done.
   std::map<int, Work> by_priority;
+  // The part of it that a new job of the same priority overtakes: it has not begun, and its jobs
+  // can no longer be on time.
+  std::map<int, Work> overdue;
   int64_t guaranteed_accelerators = 0;
   // Accelerators that all unfinished jobs of priority 0 need.
   int64_t urgent_accelerators = 0;
--- a/servers/admission/forecast_admission.cc
+++ b/servers/admission/forecast_admission.cc
@@ -22,12 +22,15 @@
 // Priority of the jobs that guarantees apply to.
 constexpr int kGuaranteedPriority = 0;
 
-// Work with the same or a more urgent priority than `priority`.
+// Work that the planner does before a new job of the priority. Without the exception for overdue
+// work, jobs that could be on time would be refused for jobs that are lost already.
 Work WorkAhead(const WorkspaceLoad& workspace, int priority) {
   Work ahead;
   for (const auto& [level, work] : workspace.by_priority) {
     if (level <= priority) ahead += work;
   }
+  const auto overdue = workspace.overdue.find(priority);
+  if (overdue != workspace.overdue.end()) ahead -= overdue->second;
   return ahead;
 }
 
@@ -76,9 +79,9 @@
     return std::nullopt;
   }
   const Duration work_time = Scaled(TimeFor(request.work, load.capacity, 1), kReturnMargin);
-  // Time passes for the job while it waits to return, as it would in the queue. So it is admitted
-  // again when the pool serves new jobs in time, not when it would just not be worthless.
-  const Time earliest = now + forecast - request.until_due;
+  // Time passes for the job while it waits to return, as it would in the queue, so returning when
+  // it would just not be worthless is in vain. It returns when the work ahead of it is done.
+  const Time earliest = now + std::max(wait, Duration::zero());
   const Time back =
       returns_.Assign({request.id, request.service, request.priority, earliest, work_time}, now);
   Refusal refusal;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -424,6 +424,8 @@
   void UpdateLoads(Duration max_age, Time now);
   // Adds what is left of the job beside its runs.
   void AddJobToLoads(const Job& job);
+  // Whether the job can't be on time any more, as of the last round.
+  bool IsOverdue(const Job& job, const QueueTerms& terms) const;
   void AddRunsToLoads(Time now);
   admission::Capacity CapacityOf(const WorkerState& worker, Time now) const;
   double KnownAgents(Time now) const;
@@ -475,6 +477,8 @@
   // Whether something that affects placement has changed since the last round.
   bool needs_planning_ = true;
   std::optional<Time> last_round_;
+  // Milliseconds since 1970 of the last round.
+  int64_t last_round_wall_ms_ = 0;
   QueueLog queue_log_;
   // Submissions that are not durable yet.
   std::set<Ticket> pending_submissions_;
--- a/servers/pool/pool_planner_admission.cc
+++ b/servers/pool/pool_planner_admission.cc
@@ -144,15 +144,26 @@
       ++started[step];
     }
   }
-  admission::Work& work = workspace.by_priority[terms.priority];
+  admission::Work left;
   for (size_t index = 0; index < job.spec.steps.size(); ++index) {
     const StepSpec& step = job.spec.steps[index];
     if (step.long_running) continue;
     const int done = job.progress.done_count({0, static_cast<int>(index)});
     const int waiting = std::max(step.tasks - done - started[index], 0);
     const double seconds = Seconds(estimator_.ExpectedTime(job.spec, step));
-    work += WorkOf(step.need, step.best_effort, waiting * seconds);
+    left += WorkOf(step.need, step.best_effort, waiting * seconds);
   }
+  workspace.by_priority[terms.priority] += left;
+  if (IsOverdue(job, terms)) workspace.overdue[terms.priority] += left;
+}
+
+bool PoolPlanner::IsOverdue(const Job& job, const QueueTerms& terms) const {
+  StepPlace place;
+  const int last = static_cast<int>(job.spec.steps.size()) - 1;
+  while (place.step < last && job.progress.step_done(job.spec, place)) ++place.step;
+  const JobTiming timing = estimator_.TimingOf(job.spec, terms, place, last_round_wall_ms_);
+  const Duration due = timing.target_latency + Scaled(timing.critical_path, timing.stretch);
+  return timing.elapsed + timing.remaining > due;
 }
 
 void PoolPlanner::AddRunsToLoads(Time now) {
