--- a/servers/admission/overload_test.cc
+++ b/servers/admission/overload_test.cc
@@ -117,6 +117,21 @@
   EXPECT_LE(accepted, 78);
 }
 
+// The rest of a burst that can only end late would have new jobs refused, which the planner starts
+// before it.
+TEST(Overload, OverdueJobsDoNotDelayNewOnes) {
+  PoolSimulation simulation(SampleRacks(2), SampleOperatorState(0));
+  simulation.RunFor(kPlannerKnowsPool);
+  SubmitBurst(&simulation, "one", 120);
+  // 13 s of work are left of the burst. Its jobs are due after 7 s and take 2 s.
+  simulation.RunFor(seconds(6));
+  int accepted = 0;
+  for (int i = 0; i < 60; ++i) {
+    accepted += !simulation.TrySubmit(SmallJob("new" + std::to_string(i), "one"));
+  }
+  EXPECT_GE(accepted, 50);
+}
+
 // Callers that return when they are told to would come back as a wave, again and again.
 TEST(Overload, RefusedCallersReturnOneAfterTheOther) {
   PoolSimulation simulation(SampleRacks(2), SampleOperatorState(0));
