Pool: Join the parts that were built side by side

Change: one order of members and initialisers; recent use by workspace is stored with the other learned state; the name demand_forecast is gone, since that part is not built.

--- a/servers/pool/mechanism.h
+++ b/servers/pool/mechanism.h
@@ -53,8 +53,6 @@
   kFairShares,
   // Work that can't be resumed avoids workers that a release is about to replace.
   kPreferReplacedWorkers,
-  // The reserve for urgent jobs follows a forecast of their demand.
-  kDemandForecast,
 };
 // Throws Error(kInvalidInput) with the list of known names if the name is unknown.
 Mechanism MechanismFromName(const std::string& name);
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -39,14 +39,13 @@
       epoch_gauge_(metrics->gauge("planner_epoch")),
       learned_records_(metrics->counter("learned_records")),
       learned_bytes_(metrics->counter("learned_bytes")),
-      learned_dropped_(metrics->counter("learned_dropped")) {
+      learned_dropped_(metrics->counter("learned_dropped")),
       workers_slow_(metrics->gauge("workers_slow")),
       workers_fast_(metrics->gauge("workers_fast")),
-      worker_speed_spread_(metrics->gauge("worker_speed_spread")) {
-      outdated_workers_(metrics->gauge("workers_outdated")) {
+      worker_speed_spread_(metrics->gauge("worker_speed_spread")),
+      outdated_workers_(metrics->gauge("workers_outdated")),
       overuse_max_(metrics->gauge("workspace_overuse_max")),
       over_share_(metrics->gauge("workspaces_over_share")),
-      epoch_gauge_(metrics->gauge("planner_epoch")) {
       rejected_pool_(metrics->counter("jobs_rejected_for_load_pool_overloaded")),
       rejected_workspace_(metrics->counter("jobs_rejected_for_load_workspace_overloaded")),
       backlog_seconds_(metrics->gauge("admission_backlog_seconds")) {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -136,8 +136,6 @@
   Distribution& round_seconds_;
   Gauge& lag_seconds_;
   Gauge& jobs_;
-  Gauge& overuse_max_;
-  Gauge& over_share_;
   Gauge& epoch_gauge_;
   Counter& learned_records_;
   Counter& learned_bytes_;
@@ -146,6 +144,8 @@
   Gauge& workers_fast_;
   Gauge& worker_speed_spread_;
   Gauge& outdated_workers_;
+  Gauge& overuse_max_;
+  Gauge& over_share_;
   Counter& rejected_pool_;
   Counter& rejected_workspace_;
   Gauge& backlog_seconds_;
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -19,13 +19,13 @@
       estimator_(options.disabled_mechanisms),
       speeds_(IsEnabled(Mechanism::kWorkerSpeeds) ? speeds::MakeLearnedSpeeds()
                                                   : speeds::MakeEqualSpeeds()),
-      learned_state_(LearnedParts(), now),
       releases_(IsEnabled(Mechanism::kPreferReplacedWorkers) ? releases::MakeReleaseTracker(now)
                                                              : releases::MakeNoReleases()),
       shares_(IsEnabled(Mechanism::kFairShares) ? shares::MakeDecayingShares()
                                                 : shares::MakeEqualShares()),
       admission_(IsEnabled(Mechanism::kAdmission) ? admission::MakeForecastAdmission()
                                                   : admission::MakeAdmitAll()),
+      learned_state_(LearnedParts(), now),
       mean_stop_time_(options.max_stop_time) {
   if (wall_ms) LogLoads(learned_state_.Load(table.learned(), *wall_ms, now), epoch);
   for (const auto& [id, entry] : table.jobs()) {
@@ -46,7 +46,7 @@
 
 std::vector<learned::LearnedPart*> PoolPlanner::LearnedParts() {
   if (!IsEnabled(Mechanism::kLearnedState)) return {};
-  return {speeds_.get(), &estimator_.run_times(), &reserve_, &health_tracker_};
+  return {speeds_.get(), &estimator_.run_times(), &reserve_, &health_tracker_, shares_.get()};
 }
 
 void PoolPlanner::PutLearned(const std::vector<learned::LearnedRecord>& records) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -16,8 +16,8 @@
 #include <utility>
 #include <vector>
 
-#include "servers/learned/learned_state.h"
 #include "servers/admission/admission_policy.h"
+#include "servers/learned/learned_state.h"
 #include "servers/pool/advice_cache.h"
 #include "servers/pool/job_estimator.h"
 #include "servers/pool/job_table.h"
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -198,8 +198,6 @@
   }
   reserve_.RecordDemand(pool_room_, demand, now);
   RecordWorkspaceUse(all, now);
-  std::erase_if(promised_room_, [&](const auto& row) { return row.first <= outbox_.durable(); });
-  UpdateLoads(kIdleLoadInterval, now);
 }
 
 void PoolPlanner::ExpireLeases(Time now) {
