--- a/servers/shares/decaying_shares.cc
+++ b/servers/shares/decaying_shares.cc
@@ -244,8 +244,9 @@
   for (const auto& [use, workspace] : by_use) {
     const State& state = states_.at(workspace);
     nlohmann::json row = nlohmann::json::array();
-    for (const double average : AveragesAt(state, now))
+    for (const double average : AveragesAt(state, now)) {
       row.push_back(std::lround(average * kMilli));
+    }
     row.push_back(std::lround(LossAt(state, now)));
     const Duration idle = std::max(now - *state.last_work, Duration::zero());
     row.push_back(duration_cast<std::chrono::milliseconds>(idle).count());
