--- a/servers/admission/return_schedule_test.cc
+++ b/servers/admission/return_schedule_test.cc
@@ -71,6 +71,7 @@
 TEST(ReturnSchedule, IsBoundedAndStillSpacesReturns) {
   ReturnSchedule schedule;
   std::vector<Time> returns;
+  returns.reserve(1500);
   for (int i = 0; i < 1500; ++i) returns.push_back(schedule.Assign(Refused(i, 1), kNow));
   EXPECT_EQ(schedule.size(), 1000U);
   for (size_t i = 1; i < returns.size(); ++i) {
