Pool: Mend what the reviews of the parts and of their joining found

Cause, by reading and arithmetic of three reviewers who had not written the parts: a replaced planner could refuse for load a job that its successor holds; returns were postponed by callers who had given up; work that no worker can do counted as ahead; a steady user's jobs could starve behind its own level of overuse, worthless jobs went before useful ones; non-urgent units could not use room on slow workers; demand was measured against the few workers that a new planner knows; a saved speed could make the whole record unreadable; unused workers lost their start time; the simulation slowed all members of a gang, while workers report each member's own progress. Change: a refusal for load is answered after a record that proves the leadership; the rest as the causes say. The mechanism replaced_first is called avoid_outdated, as it does that. DatesNoProgressBeforeThatOfTheFormerReport guards a bound that a wrong date misses, instead of one that always held.

--- a/servers/admission/return_schedule.cc
+++ b/servers/admission/return_schedule.cc
@@ -12,6 +12,12 @@
 // Callers that return later than this after their time have given up the job.
 constexpr Duration kRetention = std::chrono::seconds(30);
 
+// Callers that give up are dropped some time after their last submission; kept until their time to
+// return, they would postpone others long after an overload has ended.
+Time ExpiryOf(Time return_at, Time now) {
+  return std::min(return_at, now + kRetention) + kRetention;
+}
+
 }  // namespace
 
 Time ReturnSchedule::Assign(const ReturnRequest& request, Time now) {
@@ -37,7 +43,7 @@
     order_.erase(last);
   }
   by_id_[request.id] = key;
-  order_[key] = {request.id, return_at, request.work_time, return_at + kRetention};
+  order_[key] = {request.id, return_at, request.work_time, ExpiryOf(return_at, now)};
   Postpone(key, return_at + request.work_time);
   return return_at;
 }
@@ -81,7 +87,6 @@
     Entry& later = entry->second;
     if (later.return_at >= free_at) return;
     later.return_at = free_at;
-    later.expires = free_at + kRetention;
     free_at += later.work_time;
   }
 }
--- a/servers/admission/return_schedule_test.cc
+++ b/servers/admission/return_schedule_test.cc
@@ -82,5 +82,18 @@
   EXPECT_EQ(schedule.size(), 1000U);
 }
 
+// Callers that give up would postpone others long after the overload has ended.
+TEST(ReturnSchedule, DropsCallersThatGaveUpWithinAMinute) {
+  ReturnSchedule schedule;
+  ReturnRequest large = Refused(0);
+  large.work_time = seconds(5);
+  for (int i = 0; i < 100; ++i) {
+    large.id = "abandoned" + std::to_string(i);
+    schedule.Assign(large, kNow);
+  }
+  schedule.RemoveExpired(kNow + seconds(61));
+  EXPECT_EQ(schedule.size(), 0U);
+}
+
 }  // namespace
 }  // namespace turmericshift::admission
--- a/servers/pool/job_api.cc
+++ b/servers/pool/job_api.cc
@@ -261,7 +261,11 @@
         return NotAccepted(error.what());
       }
       // The planner has refused the job for load. Another attempt at once would be refused again.
-      if (not_run && !may_have_run && error.kind() == ErrorKind::kOverloaded) {
+      if (not_run && error.kind() == ErrorKind::kOverloaded) {
+        if (may_have_run) {
+          answer.kind = JobAnswerKind::kUnknown;
+          return answer;
+        }
         JobAnswer refused = NotAccepted(error.what());
         refused.retry_after = error.retry_after().value_or(options_.retry_after);
         return refused;
--- a/servers/pool/job_intake.cc
+++ b/servers/pool/job_intake.cc
@@ -24,7 +24,8 @@
   }
   if (!joins) {
     if (const std::optional<Error> rejection = planner->RejectionFor(spec, now)) {
-      replies->push_back(Failed(std::move(done), *rejection));
+      const Ticket proof = planner->outbox().Put(kHeartbeatKey, "1");
+      waiters_.push_back({"", proof, now, std::move(done), rejection});
       return;
     }
   }
@@ -58,7 +59,8 @@
   const Ticket durable = planner->outbox().durable();
   std::erase_if(waiters_, [&](Waiter& waiter) {
     if (waiter.ticket > durable) return false;
-    replies->push_back(Succeeded(std::move(waiter.done), Done{}));
+    replies->push_back(waiter.rejection ? Failed(std::move(waiter.done), *waiter.rejection)
+                                        : Succeeded(std::move(waiter.done), Done{}));
     return true;
   });
   if (!StoreStalled(append_sent, now)) return;
--- a/servers/pool/job_intake.h
+++ b/servers/pool/job_intake.h
@@ -42,6 +42,9 @@
     Ticket ticket = 0;
     Time since{};
     OnDone done;
+    // Set if the job is refused. The answer waits for a record that proves that no successor had
+    // taken over, which might have accepted an earlier attempt.
+    std::optional<Error> rejection = std::nullopt;
   };
 
   bool StoreStalled(std::optional<Time> append_sent, Time now) const;
--- a/servers/pool/job_intake_test.cc
+++ b/servers/pool/job_intake_test.cc
@@ -391,5 +391,34 @@
   EXPECT_TRUE(planner->TakeRejections().empty());
 }
 
+// A planner that has been replaced without knowing it lacks what its successor has accepted. Its
+// refusal would tell the caller of an accepted job that it never runs.
+TEST(JobIntake, RefusesForLoadOnlyWithAProofOfLeadership) {
+  const std::unique_ptr<PoolPlanner> planner = FullPlanner(kBegin);
+  JobIntake intake(kStallTimeout);
+  Replies replies;
+  std::vector<Result<Done>> answers;
+  const auto submit = [&](const JobSpec& spec) {
+    intake.Submit(
+        spec, std::nullopt, planner.get(),
+        [&answers](Result<Done> result) { answers.push_back(std::move(result)); }, kBegin,
+        &replies);
+  };
+  planner->Plan(1, kBegin);
+  submit(JobOfTwoSeconds("first", 400));
+  submit(JobOfTwoSeconds("second", 8));
+  intake.Answer(std::nullopt, planner.get(), kBegin, &replies);
+  RunAll(replies);
+  EXPECT_TRUE(answers.empty());
+  replies.clear();
+  intake.End(&replies);
+  RunAll(replies);
+  ASSERT_EQ(answers.size(), 2U);
+  for (const Result<Done>& answer : answers) {
+    ASSERT_TRUE(answer.error);
+    EXPECT_EQ(answer.error->outcome(), Outcome::kUnknown);
+  }
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/mechanism.cc
+++ b/servers/pool/mechanism.cc
@@ -29,7 +29,7 @@
     {Mechanism::kLearnedState, "learned_state"},
     {Mechanism::kAdmission, "admission"},
     {Mechanism::kFairShares, "fair_shares"},
-    {Mechanism::kPreferReplacedWorkers, "replaced_first"},
+    {Mechanism::kAvoidOutdatedWorkers, "avoid_outdated"},
 }};
 
 }  // namespace
--- a/servers/pool/mechanism.h
+++ b/servers/pool/mechanism.h
@@ -52,7 +52,7 @@
   // Room beyond guarantees goes first to workspaces that used little of the pool lately.
   kFairShares,
   // Work that can't be resumed avoids workers that a release is about to replace.
-  kPreferReplacedWorkers,
+  kAvoidOutdatedWorkers,
 };
 // Throws Error(kInvalidInput) with the list of known names if the name is unknown.
 Mechanism MechanismFromName(const std::string& name);
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -19,8 +19,8 @@
       estimator_(options.disabled_mechanisms),
       speeds_(IsEnabled(Mechanism::kWorkerSpeeds) ? speeds::MakeLearnedSpeeds()
                                                   : speeds::MakeEqualSpeeds()),
-      releases_(IsEnabled(Mechanism::kPreferReplacedWorkers) ? releases::MakeReleaseTracker(now)
-                                                             : releases::MakeNoReleases()),
+      releases_(IsEnabled(Mechanism::kAvoidOutdatedWorkers) ? releases::MakeReleaseTracker(now)
+                                                            : releases::MakeNoReleases()),
       shares_(IsEnabled(Mechanism::kFairShares) ? shares::MakeDecayingShares()
                                                 : shares::MakeEqualShares()),
       admission_(IsEnabled(Mechanism::kAdmission) ? admission::MakeForecastAdmission()
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -391,9 +391,9 @@
                      Time now, LiveRun* run);
   // Records which workers the members of an adopted gang run on, as far as they have been reported.
   void JoinAdoptedGang(const Job& job, const std::string& node, LiveRun* run);
-  // How many of the unit's tasks fit on workers that are too slow for urgent jobs, which it
-  // prefers.
-  int TasksOnSlowWorkers(const Unit& unit, const PlacementRequest& request, Time now) const;
+  // How many of the tasks of a unit that is not urgent fit on workers that are too slow for urgent
+  // jobs.
+  int TasksOnSlowWorkers(const Unit& unit, Time now) const;
   // Time factor of the run, for a gang that of its slowest worker.
   double TimeFactorOf(const LiveRun& run, const std::string& node, Time now) const;
   // Expected time until the run ends.
@@ -418,12 +418,15 @@
   // Records the cost of preempting the runs for the unit with their workspaces.
   void RecordPreemption(const std::vector<RunId>& stops, const Unit& unit, int64_t wall_ms,
                         Time now);
+
   // Refusals for load: pool_planner_admission.cc.
 
   // Computes the loads if they are older than `max_age` and a round was planned since.
   void UpdateLoads(Duration max_age, Time now);
   // Adds what is left of the job beside its runs.
   void AddJobToLoads(const Job& job);
+  // Whether the step could run on the service's workers if they were empty.
+  bool IsPlaceable(const StepSpec& step, const std::string& service) const;
   // Whether the job can't be on time any more, as of the last round.
   bool IsOverdue(const Job& job, const QueueTerms& terms) const;
   void AddRunsToLoads(Time now);
@@ -471,6 +474,13 @@
   // Room that accepted jobs need that have not begun, by service and priority. Like the loads, as
   // of the last round and with the jobs accepted since.
   std::map<std::string, std::map<int, Room>> queued_need_;
+  // Usable workers of a service, empty.
+  struct ServiceWorkers {
+    Room largest;
+    Room total;
+    std::set<std::string> labels;
+  };
+  std::map<std::string, ServiceWorkers> service_workers_;
   RejectionLog rejection_log_;
   ReclaimReservations reclaim_reservations_;
   int64_t start_count_ = 0;
@@ -487,8 +497,10 @@
   std::map<std::string, int64_t> urgent_use_;
   // Accelerators that all unfinished urgent jobs of a workspace need.
   std::map<std::string, int64_t> urgent_need_;
-  // Room on all usable workers.
+  // Room on the usable workers that are fast enough for urgent jobs.
   PoolRoom pool_room_;
+  // Free room on all usable workers at the begin of the round.
+  Room free_room_;
   UrgentReserve reserve_;
   // Declared after the parts that it writes and loads.
   learned::LearnedState learned_state_;
--- a/servers/pool/pool_planner_admission.cc
+++ b/servers/pool/pool_planner_admission.cc
@@ -12,6 +12,9 @@
 // Agents poll twice a second, and repeat a poll that is unanswered for 1.2 s.
 constexpr Duration kKnownWithin = std::chrono::seconds(3);
 constexpr double kMillisPerCore = 1000;
+// Computing the load of a large pool takes tens of milliseconds. Jobs that are accepted meanwhile
+// count at once.
+constexpr Duration kLoadInterval = std::chrono::milliseconds(500);
 
 admission::Work WorkOf(const Room& need, bool best_effort, double task_seconds) {
   const double cores = static_cast<double>(need.processor_millis) / kMillisPerCore;
@@ -32,7 +35,7 @@
 }  // namespace
 
 std::optional<Error> PoolPlanner::RejectionFor(const JobSpec& spec, Time now) {
-  UpdateLoads(Duration::zero(), now);
+  UpdateLoads(kLoadInterval, now);
   const Queue* queue = operator_state_->config.FindQueue(spec.queue);
   const QueueTerms& terms = queue == nullptr ? spec.terms : queue->terms;
   const auto load = loads_.find(terms.service);
@@ -81,6 +84,7 @@
   loads_at_ = *last_round_;
   loads_.clear();
   queued_need_.clear();
+  service_workers_.clear();
   const double known_agents = KnownAgents(now);
   for (const auto& [node, worker] : workers_) {
     if (!worker.usable(now) || operator_state_->zones_out.count(worker.zone) > 0) continue;
@@ -92,6 +96,13 @@
     const admission::Capacity capacity = CapacityOf(worker, now);
     load.capacity.processors += capacity.processors;
     load.capacity.accelerators += capacity.accelerators;
+    ServiceWorkers& workers = service_workers_[worker.facts.service];
+    const Room& room = worker.facts.capacity;
+    workers.total += room;
+    workers.largest = {std::max(workers.largest.processor_millis, room.processor_millis),
+                       std::max(workers.largest.memory_mib, room.memory_mib),
+                       std::max(workers.largest.accelerators, room.accelerators)};
+    workers.labels.insert(worker.facts.labels.begin(), worker.facts.labels.end());
   }
   for (auto& [service, load] : loads_) {
     for (const Workspace& workspace : operator_state_->config.workspaces) {
@@ -121,6 +132,15 @@
   return static_cast<double>(known) / static_cast<double>(listed);
 }
 
+bool PoolPlanner::IsPlaceable(const StepSpec& step, const std::string& service) const {
+  const auto found = service_workers_.find(service);
+  if (found == service_workers_.end()) return false;
+  const ServiceWorkers& workers = found->second;
+  if (!step.label.empty() && workers.labels.count(step.label) == 0) return false;
+  if (!workers.largest.Holds(step.need)) return false;
+  return !step.gang || FitCount(workers.total, step.need, step.tasks) == step.tasks;
+}
+
 // How much a stored checkpoint saves is not known. The forecast has to be optimistic, so tasks that
 // have one count as nearly done until they run. The work of later occurrences has no known begin.
 void PoolPlanner::AddJobToLoads(const Job& job) {
@@ -129,9 +149,14 @@
   const auto load = loads_.find(terms.service);
   if (load == loads_.end()) return;
   admission::WorkspaceLoad& workspace = load->second.workspaces[job.spec.workspace];
+  if (job.spec.schedule.occurrences > 0) return;
+  // Work that no worker can do keeps nobody waiting.
+  const bool placeable =
+      std::all_of(job.spec.steps.begin(), job.spec.steps.end(),
+                  [&](const StepSpec& step) { return IsPlaceable(step, terms.service); });
+  if (!placeable) return;
   const Room peak = PeakNeed(job.spec);
   if (terms.priority == 0) workspace.urgent_accelerators += peak.accelerators;
-  if (job.spec.schedule.occurrences > 0) return;
   if (job.progress.state == JobState::kQueued) queued_need_[terms.service][terms.priority] += peak;
   std::vector<int> started(job.spec.steps.size());
   for (const auto& [place, run] : job.runs) ++started[static_cast<size_t>(place.step)];
@@ -170,17 +195,17 @@
   for (const auto& [node, worker] : workers_) {
     const auto load = loads_.find(worker.facts.service);
     if (load == loads_.end()) continue;
-    const double factor = speeds_->TimeFactor(node, now);
     for (const auto& [id, run] : worker.live) {
       if (run.phase == RunPhase::kStopping) continue;
       const auto job = jobs_.find(id.task.job);
       if (job == jobs_.end() || IsOver(job->second.progress.state)) continue;
       const StepSpec* step = FindStep(job->second, id.task);
       if (step == nullptr || step->long_running) continue;
-      const Duration left = run.progress.RemainingTime(run.estimate, run.since, now);
+      const double typical_seconds =
+          Seconds(RemainingTime(run, now)) / TimeFactorOf(run, node, now);
       load->second.workspaces[job->second.spec.workspace]
           .by_priority[Terms(job->second).priority] +=
-          WorkOf(run.need, run.best_effort, Seconds(left) / factor);
+          WorkOf(run.need, run.best_effort, typical_seconds);
     }
   }
 }
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -173,6 +173,7 @@
     fast_room.free += worker.remaining_room;
   }
   mostly_idle_ = FreeShare(pool_room_.free, pool_room_.total) > kMostlyIdleShare;
+  free_room_ = pool_room_.free;
   // The reserve is kept where urgent jobs can end in time.
   pool_room_ = fast_room;
   if (FreeShare(all_left, all) <= kHalfIdleShare) {
@@ -196,7 +197,8 @@
       use += job.spec.steps[static_cast<size_t>(place.step)].need.accelerators;
     }
   }
-  reserve_.RecordDemand(pool_room_, demand, now);
+  // The demand of all jobs is too large a share of the few workers that a new planner knows.
+  if (KnowsMostAgents(now)) reserve_.RecordDemand(pool_room_, demand, now);
   RecordWorkspaceUse(all, now);
 }
 
@@ -444,10 +446,7 @@
       now - std::max(*half_idle_since_, ready_since) > kMaxWaitWhenIdle) {
     return all;
   }
-  PlacementRequest request;
-  request.step = &step;
-  request.tasks = all;
-  return std::min(all, TasksOnSlowWorkers(unit, request, now) +
+  return std::min(all, TasksOnSlowWorkers(unit, now) +
                            reserve_.TasksOutsideReserve(pool_room_, step.need, all, now));
 }
 
--- a/servers/pool/pool_planner_shares.cc
+++ b/servers/pool/pool_planner_shares.cc
@@ -36,6 +36,8 @@
     use.has_work = true;
     for (const auto& [place, run] : job.runs) {
       const StepSpec& step = job.spec.steps[static_cast<size_t>(place.step)];
+      // A task without end would keep its workspace's jobs behind all others for good.
+      if (step.long_running) continue;
       use.in_use.processor_millis += step.best_effort ? 0 : step.need.processor_millis;
       use.in_use.memory_mib += step.need.memory_mib;
       use.in_use.accelerators += step.need.accelerators;
@@ -62,13 +64,22 @@
     const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
     for (size_t i = 0; i < unit.waiting.size(); ++i) wanted += step.need;
   }
-  return !pool_room_.free.Holds(wanted);
+  return !free_room_.Holds(wanted);
 }
 
 void PoolPlanner::SetOveruseLevels(std::vector<Unit>* units, Time now) const {
   if (!MustWait(*units, now)) return;
+  bool any_over_share = false;
   for (Unit& unit : *units) {
+    // A job that would soon be worthless has waited its turn, so that no workspace starves.
+    if (unit.prospect == Prospect::kExpiring) continue;
     unit.overuse_level = shares_->Level(unit.job->spec.workspace, now);
+    any_over_share = any_over_share || unit.overuse_level > 0;
+  }
+  if (!any_over_share) return;
+  // Jobs that can still be of value go before those that can't, whoever sent them.
+  for (Unit& unit : *units) {
+    if (unit.prospect == Prospect::kWorthless) unit.overuse_level = shares::kMaxOveruseLevel + 1;
   }
 }
 
--- a/servers/pool/pool_planner_speeds.cc
+++ b/servers/pool/pool_planner_speeds.cc
@@ -112,14 +112,15 @@
   for (LiveRun* member : members) member->gang_workers = gang_workers;
 }
 
-int PoolPlanner::TasksOnSlowWorkers(const Unit& unit, const PlacementRequest& request,
-                                    Time now) const {
-  if (unit.speed.preference != speeds::SpeedPreference::kSlow) return 0;
-  std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
-  std::erase_if(rooms, [&](const WorkerRoom& room) {
-    return workers_.at(std::string(room.node)).fast_enough || room.speed_rank != 0;
-  });
-  return static_cast<int>(Place(request, rooms).size());
+int PoolPlanner::TasksOnSlowWorkers(const Unit& unit, Time now) const {
+  if (!speeds_->uneven() || unit.speed.preference == speeds::SpeedPreference::kFast) return 0;
+  const StepSpec& step = unit.job->spec.steps[static_cast<size_t>(unit.place.step)];
+  int tasks = 0;
+  for (const WorkerRoom& room : StartRoomsFor(unit, now)) {
+    if (workers_.at(std::string(room.node)).fast_enough) continue;
+    tasks += FitCount(room.free, step.need, room.max_tasks);
+  }
+  return tasks;
 }
 
 bool PoolPlanner::TryWithoutSlowWorkers(const Unit& unit, const PlacementRequest& request,
@@ -144,6 +145,7 @@
   JobTiming slow_timing = unit.timing;
   slow_timing.remaining += Scaled(unit.expected, factor - 1);
   const double slow_share = ExpectedValueShare(slow_timing, Duration::zero());
+  if (planner_lag_.overloaded() || 1 - slow_share < kMinWaitGain) return false;
   if (TryReclaim(in_time, request, slow_share, wall_ms, now)) return true;
   const std::optional<RoomForecast> forecast = ForecastRoom(request, FutureRoomsFor(in_time, now));
   if (!forecast) return false;
@@ -153,8 +155,9 @@
   if (!may_wait || ExpectedValueShare(unit.timing, forecast->delay) - slow_share < kMinWaitGain) {
     return false;
   }
+  RequestAdvice(in_time, now);
   LogWait(unit, request, WaitReason::kFasterWorkers, now);
-  if (!planner_lag_.overloaded()) ReserveForBackfill(in_time, request, now);
+  ReserveForBackfill(in_time, request, now);
   return true;
 }
 
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -344,7 +344,7 @@
   one.now += milliseconds(1000);
   RemainingAfterReport(&one, 3, 10, Duration::zero());
   one.now += milliseconds(10);
-  EXPECT_GT(RemainingAfterReport(&one, 4, 20, milliseconds(800)), Duration::zero());
+  EXPECT_GT(RemainingAfterReport(&one, 4, 20, milliseconds(800)), milliseconds(900));
   EXPECT_EQ(one.planner.workers().at("n").lists_read_at, one.now - milliseconds(10));
 }
 
--- a/servers/pool/run_progress.cc
+++ b/servers/pool/run_progress.cc
@@ -9,6 +9,8 @@
 // 1 s between two readings of a worker outweigh the run's speed.
 constexpr int kMinProgressStep = 4;
 constexpr int kAllDone = 100;
+// Reports that were in transit for different times can show progress at about the same time.
+constexpr Duration kMinProgressTime = std::chrono::milliseconds(400);
 // A run counts as stalled if it makes no progress for kMinStall and for a twentieth of its expected
 // run time. A worker is read once a second and reports whole percents: a run of some ten seconds
 // changes with every reading, while a run of minutes takes a few seconds per percent.
@@ -35,7 +37,8 @@
 
 Duration RunProgress::RemainingTime(Duration estimate, Time since, Time now) const {
   Duration remaining = estimate - (now - since);
-  if (baseline_ && latest_.percent - baseline_->percent >= kMinProgressStep) {
+  if (baseline_ && latest_.percent - baseline_->percent >= kMinProgressStep &&
+      latest_.at - baseline_->at >= kMinProgressTime) {
     const Duration time_per_percent =
         (latest_.at - baseline_->at) / (latest_.percent - baseline_->percent);
     remaining = time_per_percent * (kAllDone - latest_.percent) - (now - latest_.at);
--- a/servers/pool/urgent_reserve.cc
+++ b/servers/pool/urgent_reserve.cc
@@ -39,7 +39,7 @@
 void UrgentReserve::RecordDemand(const PoolRoom& pool, const Room& demand, Time now) {
   const double share = std::max(ShareOf(demand.accelerators, pool.total.accelerators),
                                 ShareOf(demand.processor_millis, pool.total.processor_millis));
-  peak_ = std::max(Peak(now), share);
+  peak_ = std::max(Peak(now), std::min(share, 1.0));
   peak_at_ = now;
 }
 
--- a/servers/releases/rolling_release_test.cc
+++ b/servers/releases/rolling_release_test.cc
@@ -70,7 +70,7 @@
 TEST(RollingRelease, WithoutTheMechanismGangsAreLost) {
   const std::vector<SimulatedWorker> workers = Racks(2, "1");
   PoolSimulation simulation(workers, SampleOperatorState(0), {}, nullptr,
-                            {Mechanism::kPreferReplacedWorkers});
+                            {Mechanism::kAvoidOutdatedWorkers});
   simulation.RunFor(seconds(4));
   Release(&simulation, workers, "2");
   EXPECT_GE(LostRuns(simulation), 4);
@@ -82,7 +82,7 @@
   for (const bool off : {false, true}) {
     const std::vector<SimulatedWorker> workers = Racks(2, "");
     const DisabledMechanisms disabled =
-        off ? DisabledMechanisms{Mechanism::kPreferReplacedWorkers} : DisabledMechanisms{};
+        off ? DisabledMechanisms{Mechanism::kAvoidOutdatedWorkers} : DisabledMechanisms{};
     PoolSimulation simulation(workers, SampleOperatorState(0), {}, nullptr, disabled);
     simulation.RunFor(seconds(4));
     Release(&simulation, workers, "");
--- a/servers/shares/decaying_shares.cc
+++ b/servers/shares/decaying_shares.cc
@@ -26,7 +26,6 @@
 // workspace without a guarantee is above 0.
 constexpr double kMinCommonPart = 0.1;
 
-constexpr int kMaxLevel = 3;
 // Limits the weight, because the cost of preemption also decides whether an urgent unit preempts at
 // all.
 constexpr double kMaxWeight = 3;
@@ -306,7 +305,7 @@
 
 int OveruseLevel(double overuse) {
   int level = 0;
-  for (double bound = 2; overuse >= bound && level < kMaxLevel; bound *= 2) ++level;
+  for (double bound = 2; overuse >= bound && level < kMaxOveruseLevel; bound *= 2) ++level;
   return level;
 }
 
--- a/servers/shares/workspace_shares.h
+++ b/servers/shares/workspace_shares.h
@@ -56,7 +56,10 @@
   int over_share = 0;
 };
 
-// Level of overuse, from 0 (below twice the fair share) to 3. Each doubling adds one level.
+inline constexpr int kMaxOveruseLevel = 3;
+
+// Level of overuse, from 0 (below twice the fair share) to kMaxOveruseLevel. Each doubling adds one
+// level.
 int OveruseLevel(double overuse);
 
 class WorkspaceShares : public learned::LearnedPart {
--- a/servers/speeds/learned_speeds.cc
+++ b/servers/speeds/learned_speeds.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "servers/learned/saved_rows.h"
 #include "servers/speeds/run_meter.h"
 #include "servers/speeds/worker_speeds.h"
 
@@ -56,12 +57,10 @@
 constexpr int kFormat = 1;
 constexpr Duration kMaxAge = std::chrono::minutes(10);
 constexpr double kMilli = 1000;
-// A worker of which less is known is saved as if this were known.
+// A worker of which less is known is not saved.
 constexpr double kMinSavedPrecision = 0.1;
 // Largest effect that a saved worker may have; e to this power is a factor of 20.
 constexpr double kMaxSavedEffect = 3;
-// Bytes of a saved worker: its name, a start time, two numbers, a class and a service.
-constexpr size_t kBytesPerWorker = 96;
 
 constexpr std::array<std::pair<SpeedClass, const char*>, 3> kClassNames = {{
     {SpeedClass::kSlow, "slow"},
@@ -84,7 +83,10 @@
   nlohmann::json Save(size_t max_bytes, Time now) const override;
   void Load(const nlohmann::json& data, Duration age, Time now) override;
 
-  void SetSlowFactor(double factor) override { slow_effect_ = std::log(factor); }
+  void SetSlowFactor(double factor) override {
+    changed_ = changed_ || std::log(factor) != slow_effect_;
+    slow_effect_ = std::log(factor);
+  }
   double slow_factor() const override { return std::exp(slow_effect_); }
   void BeginIncarnation(const std::string& worker, int64_t start_time_ms) override;
   RunHandle BeginRun(const RunInfo& run, Time now) override;
@@ -107,6 +109,9 @@
     // Sums over the runs of steps that are no longer kept.
     double residuals = 0;
     double precision = 0;
+    // The same over all runs, as of the last update.
+    double all_residuals = 0;
+    double all_precision = 0;
     double effect = 0;
     double deviation = kInitialWorkerSpread;
     bool known = false;
@@ -355,8 +360,10 @@
   }
   for (auto& [name, worker] : workers_) {
     const auto [effects, precision] = sums[worker.get()];
-    const double total = worker->precision + precision + 1 / worker_variance_;
-    worker->effect = (worker->residuals + effects) / total;
+    worker->all_residuals = worker->residuals + effects;
+    worker->all_precision = worker->precision + precision;
+    const double total = worker->all_precision + 1 / worker_variance_;
+    worker->effect = worker->all_residuals / total;
     worker->deviation = 1 / std::sqrt(total);
   }
 }
@@ -441,12 +448,18 @@
   for (const RunHandle run : step->runs) runs_.erase(run);
 }
 
+// The incarnation stays known, since it is announced only once.
 void LearnedSpeeds::ForgetUnusedWorkers(Time now) {
-  const auto is_unused = [now](const Worker& worker) {
-    return worker.used_at && now - *worker.used_at > kMaxAge;
-  };
-  std::erase_if(runs_, [&](const auto& run) { return is_unused(*run.second.worker); });
-  std::erase_if(workers_, [&](const auto& worker) { return is_unused(*worker.second); });
+  for (auto& [name, worker] : workers_) {
+    if (!worker->used_at || now - *worker->used_at <= kMaxAge) continue;
+    std::erase_if(runs_, [&](const auto& run) { return run.second.worker == worker.get(); });
+    Worker unused;
+    unused.name = name;
+    unused.service = worker->service;
+    unused.start_time_ms = worker->start_time_ms;
+    *worker = unused;
+    changed_ = true;
+  }
 }
 
 double LearnedSpeeds::TimeFactor(const std::string& name, Time) const {
@@ -485,17 +498,17 @@
   std::stable_sort(
       best_known.begin(), best_known.end(),
       [](const Worker* left, const Worker* right) { return left->deviation < right->deviation; });
-  best_known.resize(std::min(best_known.size(), max_bytes / kBytesPerWorker));
-  nlohmann::json rows = nlohmann::json::object();
+  learned::SavedRows rows(max_bytes);
   for (const Worker* worker : best_known) {
     // Without the assumption that workers are typical, which the loading planner adds itself.
-    const double total = 1 / (worker->deviation * worker->deviation);
-    const double precision = std::max(total - 1 / worker_variance_, kMinSavedPrecision);
-    rows[worker->name] = {
-        worker->start_time_ms, std::lround(worker->effect * total / precision * kMilli),
-        std::lround(kMilli / std::sqrt(precision)), SpeedClassName(worker->speed), worker->service};
+    const double precision = worker->all_precision;
+    const double effect = precision > 0 ? worker->all_residuals / precision : 0;
+    if (precision < kMinSavedPrecision || std::abs(effect) >= kMaxSavedEffect) continue;
+    rows.Add(worker->name, {worker->start_time_ms, std::lround(effect * kMilli),
+                            std::lround(kMilli / std::sqrt(precision)),
+                            SpeedClassName(worker->speed), worker->service});
   }
-  return {{"workers", rows}};
+  return {{"workers", rows.rows()}};
 }
 
 void LearnedSpeeds::Load(const nlohmann::json& data, Duration, Time now) {
@@ -512,6 +525,8 @@
       }
       worker->precision = std::min(kMaxPrecision, 1 / (deviation * deviation));
       worker->residuals = effect * worker->precision;
+      worker->all_residuals = worker->residuals;
+      worker->all_precision = worker->precision;
       const double total = worker->precision + 1 / worker_variance_;
       worker->effect = worker->residuals / total;
       worker->deviation = 1 / std::sqrt(total);
--- a/servers/speeds/worker_speeds_test.cc
+++ b/servers/speeds/worker_speeds_test.cc
@@ -240,6 +240,40 @@
   EXPECT_NEAR(speeds->TimeFactor(NameOf(2), kStart), before, 0.1);
 }
 
+// A worker of which little is known must not be saved as an extreme, which would make the whole
+// record unreadable.
+TEST(WorkerSpeeds, SavesOnlyWhatItCanLoad) {
+  const auto speeds = MakeLearnedSpeeds();
+  const RunHandle weak =
+      speeds->BeginRun({"alone", "queue", "service", "weak", seconds(5)}, kStart);
+  speeds->RecordProgress(weak, 10, kStart);
+  speeds->RecordProgress(weak, 20, kStart + seconds(4));
+  std::vector<RunHandle> runs;
+  for (int index = 0; index < 60; ++index) {
+    runs.push_back(speeds->BeginRun({"a", "queue", "service", NameOf(index), seconds(5)}, kStart));
+  }
+  for (int second = 1; second < 8; ++second) {
+    for (const RunHandle run : runs)
+      speeds->RecordProgress(run, 12 * second, kStart + seconds(second));
+    speeds->Update(kStart + seconds(second));
+    const auto successor = MakeLearnedSpeeds();
+    EXPECT_NO_THROW(successor->Load(speeds->Save(kManyBytes, kStart), seconds(1), kStart));
+  }
+}
+
+// A worker that has no work for long stays the incarnation that it was.
+TEST(WorkerSpeeds, KeepsTheIncarnationOfAnUnusedWorker) {
+  const auto speeds = MakeLearnedSpeeds();
+  for (int index = 0; index < 12; ++index) speeds->BeginIncarnation(NameOf(index), 1000);
+  RunStep(speeds.get(), "a", 12, seconds(10), seconds(5), kStart);
+  const Time later = kStart + std::chrono::minutes(11);
+  speeds->Update(later);
+  RunStep(speeds.get(), "b", 12, seconds(10), seconds(5), later);
+  ASSERT_GT(speeds->TimeFactor(NameOf(2), later), 1.3);
+  speeds->BeginIncarnation(NameOf(2), 1000);
+  EXPECT_GT(speeds->TimeFactor(NameOf(2), later), 1.3);
+}
+
 // A pool whose planner has the mechanism switched off.
 TEST(WorkerSpeeds, EqualSpeedsLearnNothing) {
   const auto speeds = MakeEqualSpeeds();
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -320,16 +320,15 @@
   return present >= StepOf(run.task)->tasks;
 }
 
-double PoolSimulation::TimeFactorOf(const Worker& worker, const RunId& run) const {
-  double factor = worker.spec.time_factor;
-  if (!StepOf(run.task)->gang) return factor;
+bool PoolSimulation::IsDone(const RunId& run) const {
+  const bool gang = StepOf(run.task)->gang;
   for (const auto& row : workers_) {
-    if (row.second->spec.time_factor <= factor) continue;
-    for (const auto& live : row.second->model->live()) {
-      if (OfOneGang(live.first, run)) factor = row.second->spec.time_factor;
+    for (const auto& [id, live] : row.second->model->live()) {
+      const bool counts = gang ? OfOneGang(id, run) : id == run;
+      if (counts && live.worked < DurationOf(id.task)) return false;
     }
   }
-  return factor;
+  return true;
 }
 
 void PoolSimulation::SetTimeFactor(const std::string& node, double factor) {
@@ -352,10 +351,10 @@
         ended_runs.push_back({run, EndKind::kPartialGang});
       }
     } else {
-      if (!worker->stuck) live.worked += Scaled(kTick, 1 / TimeFactorOf(*worker, run));
-      live.percent = static_cast<int>(100 * live.worked / DurationOf(run.task));
+      if (!worker->stuck) live.worked += Scaled(kTick, 1 / worker->spec.time_factor);
+      live.percent = std::min(100, static_cast<int>(100 * live.worked / DurationOf(run.task)));
       live.incomplete_since = now_;
-      if (live.worked < DurationOf(run.task)) continue;
+      if (live.worked < DurationOf(run.task) || !IsDone(run)) continue;
       const bool failed = fails && fails(run, worker->spec.node);
       ended_runs.push_back({run, failed ? EndKind::kFailed : EndKind::kDone});
     }
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -24,7 +24,8 @@
   std::string rack;
   std::string zone = "a";
   Room capacity = {64'000, 131'072, 8};
-  // Factor on the run time of its tasks; a gang is as slow as its slowest member.
+  // Factor on the run time of its tasks. The members of a gang progress at the speeds of their
+  // workers, and end together once the slowest one is done.
   double time_factor = 1;
   // Empty: the worker announces no version.
   std::string version = {};
@@ -167,8 +168,8 @@
   // The task that stands for all tasks that end together: for a gang its first one.
   TaskId UnitOf(const TaskId& task) const;
   bool GangComplete(const RunId& run) const;
-  // Factor on the run time of a run on the worker.
-  double TimeFactorOf(const Worker& worker, const RunId& run) const;
+  // Whether the run, and for a gang each member, has done its work.
+  bool IsDone(const RunId& run) const;
   const StepSpec* StepOf(const TaskId& task) const;
   Duration DurationOf(const TaskId& task) const;
   int64_t wall_ms() const;
