Speeds: Satisfy the linter

Cause: lambdas captured structured bindings, which clang 14 does not accept, and tests grew vectors in loops. Change: named references instead; no decision changes.

--- a/servers/speeds/learned_speeds.cc
+++ b/servers/speeds/learned_speeds.cc
@@ -308,7 +308,8 @@
 
 void LearnedSpeeds::UpdateSteps() {
   constexpr double kExpectedPrecision = 1 / (kExpectedSpread * kExpectedSpread);
-  for (auto& [id, step] : steps_) {
+  for (auto& row : steps_) {
+    Step& step = row.second;
     double sum = kExpectedPrecision * step.log_expected;
     double precision = kExpectedPrecision;
     ForMeasured(&step, [&](const Worker* worker, const Measurement& measurement) {
@@ -450,11 +451,12 @@
 
 // The incarnation stays known, since it is announced only once.
 void LearnedSpeeds::ForgetUnusedWorkers(Time now) {
-  for (auto& [name, worker] : workers_) {
+  for (auto& row : workers_) {
+    Worker* worker = row.second.get();
     if (!worker->used_at || now - *worker->used_at <= kMaxAge) continue;
-    std::erase_if(runs_, [&](const auto& run) { return run.second.worker == worker.get(); });
+    std::erase_if(runs_, [&](const auto& run) { return run.second.worker == worker; });
     Worker unused;
-    unused.name = name;
+    unused.name = worker->name;
     unused.service = worker->service;
     unused.start_time_ms = worker->start_time_ms;
     *worker = unused;
--- a/servers/speeds/worker_speeds_test.cc
+++ b/servers/speeds/worker_speeds_test.cc
@@ -14,6 +14,7 @@
 
 constexpr Time kStart = Time(std::chrono::hours(1));
 constexpr size_t kManyBytes = 48 * 1024;
+constexpr size_t kReservedRuns = 100;
 
 // Factor of worker `index`: thirds of a pool are fast, typical and slow.
 double FactorOf(int index) {
@@ -28,6 +29,7 @@
 void RunStep(WorkerSpeeds* speeds, const std::string& step, int workers, Duration work,
              Duration time, Time begin, double spread = 0) {
   std::vector<RunHandle> runs;
+  runs.reserve(kReservedRuns);
   for (int run = 0; run < 2 * workers; ++run) {
     runs.push_back(
         speeds->BeginRun({step, "queue", "service", NameOf(run % workers), seconds(5)}, begin));
@@ -71,6 +73,7 @@
 TEST(WorkerSpeeds, EqualWorkersKeepTheFactorOne) {
   const auto speeds = MakeLearnedSpeeds();
   std::vector<RunHandle> runs;
+  runs.reserve(kReservedRuns);
   for (int index = 0; index < 40; ++index) {
     runs.push_back(speeds->BeginRun({"a", "queue", "service", NameOf(index), seconds(5)}, kStart));
   }
@@ -90,6 +93,7 @@
 TEST(WorkerSpeeds, ATaskWithMuchMoreWorkDoesNotMakeItsWorkerSlow) {
   const auto speeds = MakeLearnedSpeeds();
   std::vector<RunHandle> runs;
+  runs.reserve(kReservedRuns);
   for (int run = 0; run < 30; ++run) {
     runs.push_back(
         speeds->BeginRun({"a", "queue", "service", NameOf(run % 10), seconds(5)}, kStart));
@@ -249,12 +253,14 @@
   speeds->RecordProgress(weak, 10, kStart);
   speeds->RecordProgress(weak, 20, kStart + seconds(4));
   std::vector<RunHandle> runs;
+  runs.reserve(kReservedRuns);
   for (int index = 0; index < 60; ++index) {
     runs.push_back(speeds->BeginRun({"a", "queue", "service", NameOf(index), seconds(5)}, kStart));
   }
   for (int second = 1; second < 8; ++second) {
-    for (const RunHandle run : runs)
+    for (const RunHandle run : runs) {
       speeds->RecordProgress(run, 12 * second, kStart + seconds(second));
+    }
     speeds->Update(kStart + seconds(second));
     const auto successor = MakeLearnedSpeeds();
     EXPECT_NO_THROW(successor->Load(speeds->Save(kManyBytes, kStart), seconds(1), kStart));
