--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -6,6 +6,7 @@
 #include "main/commands.h"
 #include "main/settings/process_settings.h"
 #include "rpc/pool_session.h"
+#include "servers/platform/counted_keyed_log.h"
 #include "servers/pool/advice_fetcher.h"
 #include "servers/pool/pool_agent.h"
 #include "servers/pool/pool_bounds.h"
@@ -41,7 +42,8 @@
   LogToStandardOutput();
   signal.EndDuringStart();
   MetricsRegistry metrics;
-  const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
+  const auto store = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
+  CountedKeyedLog log(store.get(), &metrics);
   const auto endpoint = pool::CallerEndpointRegistry::Instance().Create(settings.adapter);
   RpcPlannerConnector connector;
   pool::PoolEntryOptions entry_options;
@@ -58,7 +60,7 @@
     LogEvent(LogLevel::kWarning, "bound_unmet", {{"reason", unmet}});
   }
   signal.BeginServing();
-  pool::PoolEntry entry(entry_options, log.get(),
+  pool::PoolEntry entry(entry_options, &log,
                         pool::OperatorDecoderRegistry::Instance().Create(settings.adapter),
                         endpoint.get(), &connector, &metrics);
   std::unique_ptr<pool::AdviceService> advice;
@@ -98,7 +100,8 @@
   LogToStandardOutput();
   signal.EndDuringStart();
   MetricsRegistry metrics;
-  const auto log = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
+  const auto store = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
+  CountedKeyedLog log(store.get(), &metrics);
   const auto worker =
       pool::PoolWorkerRegistry::Instance().Create(settings.adapter, settings.worker_address);
   const auto endpoint = pool::WorkerEndpointRegistry::Instance().Create(settings.adapter);
@@ -108,7 +111,7 @@
   agent_options.zone = settings.availability_zone;
   agent_options.incarnation = RandomHex(kIncarnationBytes);
   signal.BeginServing();
-  pool::PoolAgent agent(agent_options, log.get(), worker.get(), &connector, &metrics);
+  pool::PoolAgent agent(agent_options, &log, worker.get(), &connector, &metrics);
   HttpServer announcements(HttpAt(settings.announcements), [&](const HttpRequest& request) {
     if (request.path == "/metrics") return HttpResponse{200, metrics.Expose(), {}};
     return endpoint->Handle(request, &agent);
