--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -84,7 +84,7 @@
           }};
 }
 
-std::vector<IniKey> VmKeys(pool::VmResources* vm) {
+std::vector<IniKey> VmKeys(membership::VmResources* vm) {
   return {VmKey("processor_share", kMaxProcessorShare, &vm->processor_share),
           VmKey("processor_speed", kMaxProcessorSpeed, &vm->processor_speed),
           VmKey("link_mbit_s", kMaxLinkMbit, &vm->link_mbit_s)};
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -8,8 +8,8 @@
 #include "core/clock.h"
 #include "core/ini.h"
 #include "servers/jobs/job.h"
+#include "servers/membership/planning_capacity.h"
 #include "servers/pool/mechanism.h"
-#include "servers/pool/planning_capacity.h"
 #include "servers/pool/pool_bounds.h"
 
 namespace turmericshift {
@@ -98,7 +98,7 @@
   // Address of the advice service; empty if there is none.
   std::string advice_address;
   // Resources of this VM; the election of the pool's planner compares them.
-  pool::VmResources vm;
+  membership::VmResources vm;
   pool::PoolBounds bounds;
   // Mechanisms of the planning policy that are switched off.
   pool::DisabledMechanisms mechanisms_off;
--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -105,6 +105,9 @@
   yield @3 (epoch :Int64, node :Text, address :Text) -> (failure :Peer.Failure);
   offer @4 () -> (failure :Peer.Failure);
   # Returns the gate of the planner of this epoch or a newer one, for callers that can't connect to
-  # the planner themselves.
-  planner @5 (epoch :Int64) -> (failure :Peer.Failure, gate :PoolGate);
+  # the planner themselves. `address` is where the planner of `epoch` is reached, for entries that
+  # have not read of it yet; empty from older callers.
+  planner @5 (epoch :Int64, address :Text) -> (failure :Peer.Failure, gate :PoolGate);
+  # The newest planner that this process knows of; epoch 0 if it knows none.
+  knownPlanner @6 () -> (epoch :Int64, node :Text, address :Text);
 }
--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -43,8 +43,10 @@
   PoolGateService(pool::PlannerGate* gate, PlannerRelay* relay) : gate_(gate), relay_(relay) {}
 
   kj::Promise<void> planner(PlannerContext context) override {
-    const pool::PlannerRecord known = gate_->KnownPlanner();
-    if (known.epoch < context.getParams().getEpoch() || known.address.empty()) {
+    pool::PlannerRecord known = gate_->KnownPlanner();
+    auto params = context.getParams();
+    if (known.epoch < params.getEpoch()) known = {params.getEpoch(), "", params.getAddress()};
+    if (known.address.empty()) {
       const Error error(ErrorKind::kUnavailable, Outcome::kNotRun, "no such planner is known here");
       Write(error, context.getResults().initFailure());
       return kj::READY_NOW;
@@ -54,6 +56,15 @@
     });
   }
 
+  kj::Promise<void> knownPlanner(KnownPlannerContext context) override {
+    const pool::PlannerRecord known = gate_->KnownPlanner();
+    auto results = context.getResults();
+    results.setEpoch(known.epoch);
+    results.setNode(known.node);
+    results.setAddress(known.address);
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> exchange(ExchangeContext context) override {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Result<pool::AgentOrders>>();
     const ResultCallback<pool::AgentOrders> done(kj::mv(pair.fulfiller));
@@ -119,13 +130,13 @@
 
 class RpcPlannerClient final : public pool::PlannerClient {
  public:
-  // If `relayed_epoch` is set, the session leads to an entry that relays calls to the planner of
-  // this epoch or a newer one; otherwise it leads to the planner itself.
-  RpcPlannerClient(std::shared_ptr<Session> session, std::optional<int64_t> relayed_epoch)
-      : session_(std::move(session)), relayed_epoch_(relayed_epoch) {}
+  // If `relayed` is set, the session leads to an entry that relays calls to this planner or a newer
+  // one; otherwise it leads to the planner itself.
+  RpcPlannerClient(std::shared_ptr<Session> session, std::optional<pool::PlannerRecord> relayed)
+      : session_(std::move(session)), relayed_(std::move(relayed)) {}
   ~RpcPlannerClient() override { session_->Close(); }
 
-  bool relayed() const override { return relayed_epoch_.has_value(); }
+  bool relayed() const override { return relayed_.has_value(); }
 
   // Throws Error if the relaying entry can't reach the planner.
   void CheckRelay(Duration timeout) {
@@ -193,6 +204,21 @@
         .Take();
   }
 
+  pool::PlannerRecord KnownPlanner(Duration timeout) override {
+    return session_
+        ->Call(
+            [&] {
+              return Gate().knownPlannerRequest().send().then([](auto&& response) {
+                return ResultOf<pool::PlannerRecord>([&] {
+                  return pool::PlannerRecord{response.getEpoch(), response.getNode().cStr(),
+                                             response.getAddress().cStr()};
+                });
+              });
+            },
+            timeout)
+        .Take();
+  }
+
   void Yield(const pool::PlannerRecord& successor, Duration timeout) override {
     session_
         ->Call(
@@ -211,14 +237,15 @@
   capnp::Request<wire::PoolGate::PlannerParams, wire::PoolGate::PlannerResults>
   MakePlannerRequest() {
     auto request = session_->Bootstrap().castAs<wire::PoolGate>().plannerRequest();
-    request.setEpoch(*relayed_epoch_);
+    request.setEpoch(relayed_->epoch);
+    request.setAddress(relayed_->address);
     return request;
   }
 
   // The relayed gate is used before the response with it has arrived (promise pipelining), so that
   // a relayed call costs no extra round trip.
   wire::PoolGate::Client Gate() {
-    if (relayed_epoch_) return MakePlannerRequest().send().getGate();
+    if (relayed_) return MakePlannerRequest().send().getGate();
     return session_->Bootstrap().castAs<wire::PoolGate>();
   }
 
@@ -231,7 +258,7 @@
   }
 
   const std::shared_ptr<Session> session_;
-  const std::optional<int64_t> relayed_epoch_;
+  const std::optional<pool::PlannerRecord> relayed_;
 };
 
 }  // namespace
@@ -345,10 +372,9 @@
   return std::make_shared<RpcPlannerClient>(OpenSession(address, limit), std::nullopt);
 }
 
-std::shared_ptr<pool::PlannerClient> RpcPlannerConnector::ConnectThrough(const std::string& relay,
-                                                                         int64_t epoch,
-                                                                         Duration limit) {
-  auto port = std::make_shared<RpcPlannerClient>(OpenSession(relay, limit), epoch);
+std::shared_ptr<pool::PlannerClient> RpcPlannerConnector::ConnectThrough(
+    const std::string& relay, const pool::PlannerRecord& planner, Duration limit) {
+  auto port = std::make_shared<RpcPlannerClient>(OpenSession(relay, limit), planner);
   port->CheckRelay(limit);
   return port;
 }
--- a/rpc/pool_session.h
+++ b/rpc/pool_session.h
@@ -61,7 +61,8 @@
 class RpcPlannerConnector : public pool::PlannerConnector {
  public:
   std::shared_ptr<pool::PlannerClient> Connect(const std::string& address, Duration limit) override;
-  std::shared_ptr<pool::PlannerClient> ConnectThrough(const std::string& relay, int64_t epoch,
+  std::shared_ptr<pool::PlannerClient> ConnectThrough(const std::string& relay,
+                                                      const pool::PlannerRecord& planner,
                                                       Duration limit) override;
 };
 
--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -74,6 +74,8 @@
   const pool::PlannerRecord planner_;
 };
 
+const pool::PlannerRecord kRelayedPlanner = {RelayingGate::kEpoch, "planner", ""};
+
 class CountingGate : public EmptyGate {
  public:
   void Cancel(const std::string& /*id*/, std::function<void(Result<pool::Done>)> done) override {
@@ -94,7 +96,7 @@
   RelayingGate gate(AddressOf(planner));
   const PoolListener relay({}, &gate);
   const auto port =
-      RpcPlannerConnector().ConnectThrough(AddressOf(relay), RelayingGate::kEpoch, kCallTimeout);
+      RpcPlannerConnector().ConnectThrough(AddressOf(relay), kRelayedPlanner, kCallTimeout);
   EXPECT_TRUE(port->relayed());
   for (int call = 0; call < 3; ++call) port->Cancel("j", kCallTimeout);
   EXPECT_EQ(planner_gate.cancels.load(), 3);
@@ -109,9 +111,35 @@
   const PoolListener planner({}, &planner_gate);
   RelayingGate gate(AddressOf(planner));
   const PoolListener relay({}, &gate);
-  EXPECT_THROW(RpcPlannerConnector().ConnectThrough(AddressOf(relay), RelayingGate::kEpoch + 1,
-                                                    kCallTimeout),
-               Error);
+  EXPECT_THROW(
+      RpcPlannerConnector().ConnectThrough(
+          AddressOf(relay), pool::PlannerRecord{RelayingGate::kEpoch + 1, "", ""}, kCallTimeout),
+      Error);
+}
+
+// An entry that reads the store rarely learns of a new planner seconds after the caller. Without
+// the address in the call it would refuse to relay until then, and the caller's leases would
+// expire.
+TEST(PlannerRelay, RelaysToAPlannerThatOnlyTheCallerKnows) {
+  CountingGate planner_gate;
+  const PoolListener planner({}, &planner_gate);
+  RelayingGate gate("127.0.0.1:1");
+  const PoolListener relay({}, &gate);
+  const pool::PlannerRecord newer = {RelayingGate::kEpoch + 1, "newer", AddressOf(planner)};
+  const auto port = RpcPlannerConnector().ConnectThrough(AddressOf(relay), newer, kCallTimeout);
+  port->Cancel("j", kCallTimeout);
+  EXPECT_EQ(planner_gate.cancels.load(), 1);
+}
+
+// An entry that the store turns away asks the former planner who plans now.
+TEST(PoolSession, NamesThePlannerThatTheEntryKnows) {
+  RelayingGate gate("127.0.0.1:1");
+  const PoolListener listener({}, &gate);
+  const auto port = RpcPlannerConnector().Connect(AddressOf(listener), kCallTimeout);
+  const pool::PlannerRecord known = port->KnownPlanner(kCallTimeout);
+  EXPECT_EQ(known.epoch, RelayingGate::kEpoch);
+  EXPECT_EQ(known.node, "planner");
+  EXPECT_EQ(known.address, "127.0.0.1:1");
 }
 
 // The planner's process ends and another process listens at its address. The relay must replace its
@@ -124,7 +152,7 @@
   const PoolListener relay({}, &gate);
   RpcPlannerConnector connector;
   const auto through = [&] {
-    return connector.ConnectThrough(AddressOf(relay), RelayingGate::kEpoch, kCallTimeout);
+    return connector.ConnectThrough(AddressOf(relay), kRelayedPlanner, kCallTimeout);
   };
   through()->Cancel("j", kCallTimeout);
   planner.reset();
@@ -251,7 +279,7 @@
     RelayingGate gate("127.0.0.1:" + std::to_string(BoundPort(planner)));
     auto relay = std::make_unique<PoolListener>(PoolListenerOptions(), &gate);
     const auto port =
-        RpcPlannerConnector().ConnectThrough(AddressOf(*relay), RelayingGate::kEpoch, kCallTimeout);
+        RpcPlannerConnector().ConnectThrough(AddressOf(*relay), kRelayedPlanner, kCallTimeout);
     Thread caller("caller", [&] {
       try {
         port->Cancel("j", kCallTimeout);
--- /dev/null
+++ b/servers/membership/member_records.h
@@ -0,0 +1,41 @@
+// Records of the members topic: the active planner and the entries. The work topic contains the
+// planner's record as well.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace turmericshift::membership {
+
+// The pool's active planner.
+struct PlannerRecord {
+  int64_t epoch = 0;
+  std::string node;
+  // Address for the planner's sessions, "ip:port"; empty once the planner has stepped down.
+  std::string address;
+  // Former planners that are not known to have stepped down and may still grant leases. Their own
+  // lists are empty.
+  std::vector<PlannerRecord> former = {};
+};
+
+// An entry's announcement to the other entries.
+struct EntryRecord {
+  std::string node;
+  std::string zone;
+  // Address for the entry's sessions, "ip:port".
+  std::string address;
+  // Number of agents that the entry can plan for; see planning_capacity.h.
+  int planning_capacity = 0;
+
+  bool operator==(const EntryRecord&) const = default;
+};
+
+std::string EncodePlanner(const PlannerRecord& planner);
+std::string EncodeEntry(const EntryRecord& entry);
+
+// Decodes a record. Throws Error(kInvalidInput) for malformed bytes.
+PlannerRecord DecodePlanner(const std::string& bytes);
+EntryRecord DecodeEntry(const std::string& bytes);
+
+}  // namespace turmericshift::membership
--- a/servers/pool/planning_capacity.cc
+++ b/servers/membership/planning_capacity.cc
@@ -1,8 +1,8 @@
-#include "servers/pool/planning_capacity.h"
+#include "servers/membership/planning_capacity.h"
 
 #include <algorithm>
 
-namespace turmericshift::pool {
+namespace turmericshift::membership {
 namespace {
 
 // Cost of an agent to its planner: polls, reports, orders and its share of the planning rounds,
@@ -23,4 +23,4 @@
 
 bool ShouldYieldTo(int other, int own, int agents) { return own < agents && other > own; }
 
-}  // namespace turmericshift::pool
+}  // namespace turmericshift::membership
--- a/servers/pool/planning_capacity.h
+++ b/servers/membership/planning_capacity.h
@@ -7,7 +7,7 @@
 
 #include <limits>
 
-namespace turmericshift::pool {
+namespace turmericshift::membership {
 
 // Resources of an entry's VM; zero: not known.
 struct VmResources {
@@ -28,4 +28,4 @@
 // one with capacity `other`: its own VM is too weak, and the other is stronger.
 bool ShouldYieldTo(int other, int own, int agents);
 
-}  // namespace turmericshift::pool
+}  // namespace turmericshift::membership
--- a/servers/pool/planning_capacity_test.cc
+++ b/servers/membership/planning_capacity_test.cc
@@ -1,8 +1,8 @@
-#include "servers/pool/planning_capacity.h"
+#include "servers/membership/planning_capacity.h"
 
 #include <gtest/gtest.h>
 
-namespace turmericshift::pool {
+namespace turmericshift::membership {
 namespace {
 
 constexpr VmResources kWeak = {0.12, 1, 20};
@@ -35,4 +35,4 @@
 }
 
 }  // namespace
-}  // namespace turmericshift::pool
+}  // namespace turmericshift::membership
--- a/servers/pool/topic_follower_test.cc
+++ b/servers/membership/topic_follower_test.cc
@@ -1,4 +1,4 @@
-#include "servers/pool/topic_follower.h"
+#include "servers/membership/topic_follower.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 
 #include "modules/stand_ins/memory_keyed_log.h"
 
-namespace turmericshift::pool {
+namespace turmericshift::membership {
 namespace {
 
 using std::chrono::milliseconds;
@@ -122,5 +122,90 @@
   EXPECT_EQ(seen.back(), "two");
 }
 
+// A view that is not followed closely, of a topic with one record.
+class IdleView {
+ public:
+  explicit IdleView(KeyedLog* log, Duration idle_interval = std::chrono::hours(1)) {
+    FollowerOptions options;
+    options.topic = "t";
+    options.poll_wait = milliseconds(50);
+    options.idle_interval = idle_interval;
+    follower = std::make_unique<TopicFollower>(
+        options, log,
+        [this](const KeyedRecord& record) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          newest_ = record.value;
+        },
+        [this](Offset /*end*/, Time /*requested_at*/) { reads_.fetch_add(1); }, [] {});
+    // The newest record of each key, and the first read after it.
+    while (reads_.load() < 2) std::this_thread::yield();
+  }
+
+  std::string newest() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return newest_;
+  }
+  int reads() const { return reads_.load(); }
+
+  std::unique_ptr<TopicFollower> follower;
+
+ private:
+  std::mutex mutex_;
+  std::string newest_;
+  std::atomic<int> reads_{0};
+};
+
+// Hundreds of processes have a view of a topic that changes several times a second. If each read
+// every change, the calls to the store would grow with the product of processes and changes.
+TEST(TopicFollower, ReadsNoRecordsWhileIdle) {
+  MemoryKeyedLog log;
+  IdleView view(&log);
+  for (int record = 0; record < 20; ++record) log.Append("t", {{"k", "v"}}, {}, kWait);
+  view.follower->Refresh(Duration::zero(), std::chrono::seconds(30), LeaseClock().Now());
+  EXPECT_EQ(view.reads(), 3);
+}
+
+// A caller asks for the state of a job that has ended since the last read.
+TEST(TopicFollower, RefreshReadsWhatWasAppended) {
+  MemoryKeyedLog log;
+  IdleView view(&log);
+  log.Append("t", {{"k", "new"}}, {}, kWait);
+  view.follower->Refresh(Duration::zero(), std::chrono::seconds(30), LeaseClock().Now());
+  EXPECT_EQ(view.newest(), "new");
+}
+
+// Guards against a read for each caller: calls within the maximum age share one.
+TEST(TopicFollower, RefreshUsesAViewThatIsRecentEnough) {
+  MemoryKeyedLog log;
+  IdleView view(&log);
+  for (int call = 0; call < 10; ++call) {
+    view.follower->Refresh(std::chrono::hours(1), std::chrono::seconds(30), LeaseClock().Now());
+  }
+  EXPECT_EQ(view.reads(), 2);
+}
+
+// Callers must not be held up by a store that does not answer.
+TEST(TopicFollower, RefreshDoesNotWaitWhileTheStoreIsLost) {
+  MemoryKeyedLog log;
+  FaultyKeyedLog link(&log);
+  IdleView view(&link);
+  link.SetFaults({true, false});
+  // The first call finds out.
+  view.follower->Refresh(Duration::zero(), std::chrono::seconds(30), LeaseClock().Now());
+  const Time begin = LeaseClock().Now();
+  view.follower->Refresh(Duration::zero(), std::chrono::hours(1), begin);
+  EXPECT_LT(LeaseClock().Now() - begin, std::chrono::seconds(30));
+}
+
+// An entry whose planner fails looks for the next one at once, not at its next rare read.
+TEST(TopicFollower, FollowsCloselyFromNowOn) {
+  MemoryKeyedLog log;
+  IdleView view(&log);
+  const Time now = LeaseClock().Now();
+  view.follower->FollowCloselyUntil(now + std::chrono::hours(1), now);
+  log.Append("t", {{"k", "new"}}, {}, kWait);
+  while (view.newest() != "new") std::this_thread::yield();
+}
+
 }  // namespace
-}  // namespace turmericshift::pool
+}  // namespace turmericshift::membership
--- a/servers/pool/job_api.cc
+++ b/servers/pool/job_api.cc
@@ -16,10 +16,16 @@
 // A record becomes durable and is acknowledged in some 20 ms; an attempt with less time than this
 // is pointless.
 constexpr Duration kMinAttemptTime = std::chrono::milliseconds(60);
+// A slow store takes up to 0.25 s for a read.
+constexpr Duration kRefreshTimeout = std::chrono::milliseconds(300);
+// How long the work topic is followed closely after a call has failed at the planner.
+constexpr Duration kCloseFollowPeriod = std::chrono::seconds(2);
+// A view older than this while the topic is followed closely shows that the store does not answer.
+constexpr Duration kStoreLostAge = std::chrono::milliseconds(1500);
 
 }  // namespace
 
-JobApi::JobApi(const JobApiOptions& options, const WorkView* work, const OperatorView* operators,
+JobApi::JobApi(const JobApiOptions& options, WorkView* work, const OperatorView* operators,
                PlannerGate* local, PlannerRouter* router, MetricsRegistry* metrics)
     : options_(options),
       work_(work),
@@ -95,7 +101,8 @@
       answer.message = "a job's id is missing";
       return answer;
     }
-    if (!work_->freshness().within(options_.view_age_limit, now)) {
+    work_->Refresh(options_.waiting_age_limit, kRefreshTimeout, now);
+    if (!work_->freshness().within(options_.view_age_limit, LeaseClock().Now())) {
       return NotAccepted("the store does not answer");
     }
     JobAnswer answer;
@@ -114,8 +121,10 @@
   return NotAccepted("");
 }
 
-JobAnswer JobApi::State(const std::string& id, Time now) const {
+JobAnswer JobApi::State(const std::string& id, Time now) {
   JobAnswer answer;
+  const std::optional<JobState> seen = work_->StateOf(id);
+  if (!seen || !IsOver(*seen)) work_->Refresh(options_.state_age_limit, kRefreshTimeout, now);
   // The freshness is read before the state. In the other order, the view could catch up in between,
   // and the newer freshness would not apply to the older state.
   const Freshness freshness = work_->freshness();
@@ -127,7 +136,7 @@
   }
   // A job that is missing from an outdated view may exist, so "no such job" is answered only from a
   // recent view.
-  if (!freshness.within(options_.view_age_limit, now)) {
+  if (!freshness.within(options_.view_age_limit, LeaseClock().Now())) {
     return NotAccepted("the store does not answer");
   }
   answer.kind = JobAnswerKind::kNoSuchJob;
@@ -204,10 +213,11 @@
 
 std::shared_ptr<PlannerClient> JobApi::ConnectToPlanner(Duration limit) {
   // If this entry has lost contact with the store, it can't read the record of a newer planner but
-  // may have been notified by that planner.
-  const PlannerRecord recorded = work_->leadership().planner;
+  // may have been notified by that planner, or told of it by others.
+  const LeadershipView leadership = work_->leadership();
+  const PlannerRecord known = router_->Newest(leadership.planner, leadership.freshness);
   const PlannerRecord announced = local_->Successor();
-  const PlannerRecord& planner = announced.epoch > recorded.epoch ? announced : recorded;
+  const PlannerRecord& planner = announced.epoch > known.epoch ? announced : known;
   if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "no planner");
   if (planner.node == options_.node) return std::make_shared<LocalPlannerClient>(local_);
   {
@@ -227,6 +237,16 @@
   if (client_ == client) client_.reset();
 }
 
+bool JobApi::FindNewerPlanner(const std::shared_ptr<PlannerClient>& client, const Error& error,
+                              Duration limit) {
+  const Time now = LeaseClock().Now();
+  work_->FollowCloselyUntil(now + kCloseFollowPeriod, now);
+  const bool refused = error.kind() == ErrorKind::kConflict && error.outcome() == Outcome::kNotRun;
+  if (client && refused && router_->AskFormerPlanner(client.get(), limit, now)) return true;
+  if (!work_->freshness().within(kStoreLostAge, now)) router_->AskStandbys(limit, now);
+  return false;
+}
+
 JobAnswer JobApi::CallPlanner(const std::function<void(PlannerClient*, Duration)>& call,
                               const std::function<bool()>& already_done, JobAnswerKind done,
                               Time until) {
@@ -270,7 +290,9 @@
         refused.retry_after = error.retry_after().value_or(options_.retry_after);
         return refused;
       }
+      const bool found = FindNewerPlanner(client, error, end - now);
       if (client) DiscardClient(client);
+      if (found) continue;
     }
     std::this_thread::sleep_for(kRetryInterval);
   }
--- a/servers/pool/job_api.h
+++ b/servers/pool/job_api.h
@@ -75,6 +75,10 @@
   Duration response_margin = std::chrono::milliseconds(250);
   // Timeout of one attempt at the planner.
   Duration attempt_timeout = std::chrono::milliseconds(1500);
+  // Age up to which the view of the work topic is used without reading the topic again: for the
+  // state of a job that is not over, and for the number of waiting jobs.
+  Duration state_age_limit = std::chrono::milliseconds(100);
+  Duration waiting_age_limit = std::chrono::milliseconds(800);
   // Default retry delay suggested to callers, for example during a change of planner or a short
   // outage of the store.
   Duration retry_after = std::chrono::seconds(1);
@@ -83,7 +87,7 @@
 class JobApi {
  public:
   // `local`: this process's planner, used while it is the active one.
-  JobApi(const JobApiOptions& options, const WorkView* work, const OperatorView* operators,
+  JobApi(const JobApiOptions& options, WorkView* work, const OperatorView* operators,
          PlannerGate* local, PlannerRouter* router, MetricsRegistry* metrics);
 
   JobAnswer Handle(const JobCall& call, Time now);
@@ -99,7 +103,7 @@
                          Time now);
   JobAnswer Submit(const JobCall& call, const Queue& queue, const std::string& id,
                    const std::string& workspace, Time now);
-  JobAnswer State(const std::string& id, Time now) const;
+  JobAnswer State(const std::string& id, Time now);
   JobAnswer Cancel(const std::string& id, Duration timeout, Time now);
   // Repeats `call` at the active planner until it is answered or `until` is reached; `already_done`
   // tells whether the view shows that the call has taken effect.
@@ -107,10 +111,14 @@
                         const std::function<bool()>& already_done, JobAnswerKind done, Time until);
   std::shared_ptr<PlannerClient> ConnectToPlanner(Duration limit);
   void DiscardClient(const std::shared_ptr<PlannerClient>& client);
+  // Finds out about a newer planner after a call has failed. `client`: the planner that was called,
+  // null if it could not be reached. Returns whether a newer one is known now.
+  bool FindNewerPlanner(const std::shared_ptr<PlannerClient>& client, const Error& error,
+                        Duration limit);
   JobAnswer NotAccepted(const std::string& message) const;
 
   const JobApiOptions options_;
-  const WorkView* const work_;
+  WorkView* const work_;
   const OperatorView* const operators_;
   PlannerGate* const local_;
   PlannerRouter* const router_;
--- a/servers/pool/job_api_test.cc
+++ b/servers/pool/job_api_test.cc
@@ -96,6 +96,26 @@
   }
 };
 
+// A planner that has been replaced, and whose refusals name its successor at "there".
+class ReplacedPlannerClient : public AcceptingClient {
+ public:
+  void Submit(const JobSpec& /*spec*/, Duration /*timeout*/) override {
+    throw Error(ErrorKind::kConflict, Outcome::kNotRun, "this process does not plan the pool");
+  }
+  PlannerRecord KnownPlanner(Duration /*timeout*/) override { return {2, "e2", "there"}; }
+};
+
+// Reaches the planner at "there" and, at all other addresses, replaced ones.
+class ReplacedPlannerConnector : public PlannerConnector {
+ public:
+  std::shared_ptr<PlannerClient> Connect(const std::string& address, Duration /*limit*/) override {
+    if (address == "there") return std::make_shared<AcceptingClient>();
+    ++refusals;
+    return std::make_shared<ReplacedPlannerClient>();
+  }
+  std::atomic<int> refusals{0};
+};
+
 class FailingConnector : public PlannerConnector {
  public:
   std::shared_ptr<PlannerClient> Connect(const std::string& /*address*/,
@@ -108,13 +128,13 @@
   ApiFixture()
       : ApiFixture(std::make_unique<UnresponsiveGate>(), std::make_unique<FailingConnector>()) {}
   ApiFixture(std::unique_ptr<PlannerGate> planner,
-             std::unique_ptr<PlannerConnector> planner_connector)
+             std::unique_ptr<PlannerConnector> planner_connector, const std::string& node = "e1")
       : gate(std::move(planner)), connector(std::move(planner_connector)) {
     log.Append("documents", {{"document", "1"}}, {}, std::chrono::seconds(1));
     log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "e1", "here"})}}, {},
                std::chrono::seconds(1));
     JobApiOptions options;
-    options.node = "e1";
+    options.node = node;
     api = std::make_unique<JobApi>(options, &work, &operators, gate.get(), &router, &metrics);
     while (operators.state()->config.version == 0 || work.leadership().planner.epoch == 0) {
       std::this_thread::yield();
@@ -166,6 +186,18 @@
   EXPECT_EQ(fixture.Submit("j", milliseconds(1000)), JobAnswerKind::kAccepted);
 }
 
+// The store turns this entry away while the planner is replaced, so that the entry can't read of
+// the successor. Its callers would wait at the former planner until their time is over.
+TEST(JobApi, FollowsTheFormerPlannersWord) {
+  auto connector = std::make_unique<ReplacedPlannerConnector>();
+  const ReplacedPlannerConnector& replaced = *connector;
+  ApiFixture fixture(std::make_unique<UnresponsiveGate>(), std::move(connector), "e3");
+  EXPECT_EQ(fixture.Submit("j", milliseconds(1000)), JobAnswerKind::kAccepted);
+  EXPECT_EQ(replaced.refusals.load(), 1);
+  EXPECT_EQ(fixture.Submit("k", milliseconds(1000)), JobAnswerKind::kAccepted);
+  EXPECT_EQ(replaced.refusals.load(), 1);
+}
+
 // The process ends before the caller's timeout: the call must be answered rather than cut off, and
 // a job that was never passed to a planner does not run.
 TEST(JobApi, AnswersBeforeTheProcessEnds) {
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -82,15 +82,6 @@
   }
 }
 
-json PlannerFields(const PlannerRecord& planner) {
-  return {{"epoch", planner.epoch}, {"node", planner.node}, {"address", planner.address}};
-}
-
-PlannerRecord PlannerFrom(const json& in) {
-  return {in.at("epoch").get<int64_t>(), in.at("node").get<std::string>(),
-          in.at("address").get<std::string>()};
-}
-
 }  // namespace
 
 std::string EncodeSpec(const JobSpec& spec) {
@@ -170,39 +161,4 @@
   });
 }
 
-std::string EncodePlanner(const PlannerRecord& planner) {
-  json out = PlannerFields(planner);
-  for (const PlannerRecord& former : planner.former) {
-    out["former"].push_back(PlannerFields(former));
-  }
-  return out.dump();
-}
-
-PlannerRecord DecodePlanner(const std::string& bytes) {
-  return Decoded("planner record", [&] {
-    const json in = json::parse(bytes);
-    PlannerRecord planner = PlannerFrom(in);
-    for (const json& former : in.value("former", json::array())) {
-      planner.former.push_back(PlannerFrom(former));
-    }
-    return planner;
-  });
-}
-
-std::string EncodeEntry(const EntryRecord& entry) {
-  return json({{"node", entry.node},
-               {"zone", entry.zone},
-               {"address", entry.address},
-               {"planning_capacity", entry.planning_capacity}})
-      .dump();
-}
-
-EntryRecord DecodeEntry(const std::string& bytes) {
-  return Decoded("entry record", [&] {
-    const json in = json::parse(bytes);
-    return EntryRecord{in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
-                       in.at("address").get<std::string>(), in.at("planning_capacity").get<int>()};
-  });
-}
-
 }  // namespace turmericshift::pool
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -19,8 +19,12 @@
 // How often a removal of agents is repeated until the store has answered.
 constexpr Duration kRemovalRetryInterval = std::chrono::seconds(1);
 constexpr Duration kListedCheckInterval = std::chrono::seconds(2);
-// A poll of the members topic takes up to 4 s.
-constexpr Duration kMaxMembersAge = std::chrono::seconds(6);
+// The members topic is read every 10 s while this entry does not plan.
+constexpr Duration kMaxMembersAge = std::chrono::seconds(15);
+// How long a topic is followed closely after the last reason for it.
+constexpr Duration kCloseFollowPeriod = std::chrono::seconds(1);
+// All entries register within this time after a start of the whole system.
+constexpr Duration kStartPeriod = std::chrono::seconds(3);
 // A planner does not hand over its leadership earlier than this. All agents have switched to the
 // new planner by then.
 constexpr Duration kMinLeadershipBeforeOffer = std::chrono::seconds(1);
@@ -62,16 +66,17 @@
   return former;
 }
 
-PlannerElector::PlannerElector(const ElectorOptions& options, KeyedLog* log, WorkView* work,
-                               const MembersView* members, PlannerConnector* connector,
-                               PlannerService* service)
+PlannerElector::PlannerElector(const ElectorOptions& options, KeyedLog* log, const PoolViews& views,
+                               PlannerConnector* connector, PlannerService* service)
     : options_(options),
       silence_timeout_(options.silence_timeout + JitterOf(options.node, options.claim_jitter)),
       log_(log),
-      work_(work),
-      members_(members),
+      work_(views.work),
+      operators_(views.operators),
+      members_(views.members),
       connector_(connector),
       service_(service),
+      started_at_(LeaseClock().Now()),
       connected_since_(LeaseClock().Now()),
       thread_(ThreadRole::kEssential, "duty", [this] { Run(); }) {}
 
@@ -82,7 +87,11 @@
     std::this_thread::sleep_for(kTickInterval);
     const Time now = LeaseClock().Now();
     const LeadershipView leadership = work_->leadership();
-    if (!leadership.freshness.within(options_.max_view_age, now)) connected_since_ = now;
+    // Silence can be told only from a view that is followed closely.
+    const bool follows = FollowTopics(leadership, now);
+    if (!follows || !leadership.freshness.within(options_.max_view_age, now)) {
+      connected_since_ = now;
+    }
     const bool would_claim =
         !leaving_.load() && leadership.freshness.within(options_.max_view_age, now);
     service_->SetLeadershipView(leadership.planner, would_claim);
@@ -101,6 +110,24 @@
   }
 }
 
+bool PlannerElector::FollowTopics(const LeadershipView& leadership, Time now) {
+  const bool planning = service_->epoch() > 0;
+  if (planning || now - started_at_ < kStartPeriod) {
+    members_->FollowCloselyUntil(now + kCloseFollowPeriod, now);
+  }
+  const bool silent =
+      leadership.freshness.requested_at && leadership.newest_record_at &&
+      membership::PlannerSeemsSilent(*leadership.freshness.requested_at,
+                                     *leadership.newest_record_at, silence_timeout_);
+  // A planner that has released the leadership has no address.
+  const bool vacant = leadership.planner.address.empty();
+  const bool stands_by = planning || membership::IsStandby(rank_);
+  if (stands_by) operators_->FollowCloselyUntil(now + kCloseFollowPeriod, now);
+  const bool follows = stands_by || silent || vacant;
+  if (follows) work_->FollowCloselyUntil(now + kCloseFollowPeriod, now);
+  return follows;
+}
+
 bool PlannerElector::ShouldClaimNow(const LeadershipView& leadership, Time now) const {
   if (!members_->freshness().requested_at) return false;
   // The newest record names this entry, which is not the active planner: the record is of a
@@ -110,7 +137,7 @@
       leadership.planner.node == options_.node && !leadership.planner.address.empty();
   if (own_record) return leadership.freshness.within(options_.max_view_age, now);
   const Duration claim_delay =
-      BetterSuitedEntries().empty() ? Duration::zero() : options_.claim_delay;
+      BetterSuitedEntries().empty() ? membership::ClaimTurn(rank_) : options_.claim_delay;
   return ShouldClaim(leadership, connected_since_, silence_timeout_, options_.max_view_age, now,
                      claim_delay);
 }
@@ -121,7 +148,8 @@
   if (options_.planning_capacity >= agents) return better_suited;
   for (const auto& [node, entry] : members_->entries()) {
     if (node == options_.node) continue;
-    if (!ShouldYieldTo(entry.planning_capacity, options_.planning_capacity, agents)) continue;
+    if (!membership::ShouldYieldTo(entry.planning_capacity, options_.planning_capacity, agents))
+      continue;
     better_suited.push_back(entry);
   }
   std::stable_sort(better_suited.begin(), better_suited.end(),
@@ -131,14 +159,18 @@
   return better_suited;
 }
 
+EntryRecord PlannerElector::OwnEntry() const {
+  return {options_.node, options_.zone, options_.address, options_.planning_capacity};
+}
+
 void PlannerElector::EnsureListed(Time now) {
   if (now - listed_checked_at_ < kListedCheckInterval) return;
   if (!members_->freshness().within(kMaxMembersAge, now)) return;
   listed_checked_at_ = now;
-  const EntryRecord self = {options_.node, options_.zone, options_.address,
-                            options_.planning_capacity};
+  const EntryRecord self = OwnEntry();
   const std::map<std::string, EntryRecord> entries = members_->entries();
   work_->SetReaders(entries.size());
+  rank_ = membership::RankInZone(self, entries);
   const auto listed = entries.find(options_.node);
   if (listed != entries.end() && listed->second == self) return;
   try {
--- a/servers/pool/planner_elector.h
+++ b/servers/pool/planner_elector.h
@@ -13,8 +13,9 @@
 #include <vector>
 
 #include "core/thread.h"
+#include "servers/membership/planning_capacity.h"
+#include "servers/membership/standby.h"
 #include "servers/pool/planner_service.h"
-#include "servers/pool/planning_capacity.h"
 #include "servers/pool/pool_view.h"
 
 namespace turmericshift::pool {
@@ -25,7 +26,7 @@
   std::string address;
   std::string zone;
   // Number of agents that this entry's VM can plan for; see planning_capacity.h.
-  int planning_capacity = kUnlimitedCapacity;
+  int planning_capacity = membership::kUnlimitedCapacity;
   // A planner that has written nothing for this long is considered failed. A planner writes every
   // 0.25 s; a slow store takes up to 0.4 s for an append and as much for the read that returns it.
   Duration silence_timeout = std::chrono::milliseconds(1200);
@@ -60,8 +61,8 @@
 
 class PlannerElector {
  public:
-  PlannerElector(const ElectorOptions& options, KeyedLog* log, WorkView* work,
-                 const MembersView* members, PlannerConnector* connector, PlannerService* service);
+  PlannerElector(const ElectorOptions& options, KeyedLog* log, const PoolViews& views,
+                 PlannerConnector* connector, PlannerService* service);
   ~PlannerElector();
   PlannerElector(const PlannerElector&) = delete;
   PlannerElector& operator=(const PlannerElector&) = delete;
@@ -74,6 +75,11 @@
   bool ShouldClaimNow(const LeadershipView& leadership, Time now) const;
   // Entries whose VMs are better suited to the pool than this one, best first.
   std::vector<EntryRecord> BetterSuitedEntries() const;
+  // Keeps the views as close to the store as this entry's part in the leadership requires. Returns
+  // whether the work topic is followed closely.
+  bool FollowTopics(const LeadershipView& leadership, Time now);
+  // This entry's record in the members topic.
+  EntryRecord OwnEntry() const;
   // Registers this entry in the members topic if it is missing there.
   void EnsureListed(Time now);
   // Releases the leadership if a better suited entry accepts it.
@@ -99,11 +105,15 @@
   const Duration silence_timeout_;
   KeyedLog* const log_;
   WorkView* const work_;
-  const MembersView* const members_;
+  OperatorView* const operators_;
+  MembersView* const members_;
   PlannerConnector* const connector_;
   PlannerService* const service_;
   std::atomic<bool> stopping_{false};
+  const Time started_at_;
   std::atomic<bool> leaving_{false};
+  // Rank among the listed entries of the zone; see membership/standby.h.
+  size_t rank_ = 0;
   int64_t announced_epoch_ = 0;
   // Epoch that the store rejected as too low although no newer one could be read.
   int64_t rejected_epoch_ = 0;
--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -116,7 +116,8 @@
     if (connected_entries != nullptr) connected_entries->Add(options.address, &service);
     PlannerConnector* reached = &connector;
     if (connected_entries != nullptr) reached = connected_entries;
-    elector = std::make_unique<PlannerElector>(options, log, &work, &members, reached, &service);
+    elector = std::make_unique<PlannerElector>(options, log, PoolViews{&work, &operators, &members},
+                                               reached, &service);
   }
 
   MetricsRegistry metrics;
@@ -204,7 +205,7 @@
 TEST(PlannerElector, PlansOnWeakVmIfBetterSuitedVmIsGone) {
   MemoryKeyedLog log;
   ListAgents(&log);
-  const EntryRecord missing_entry = {"gone", "a", "gone:1", kUnlimitedCapacity};
+  const EntryRecord missing_entry = {"gone", "a", "gone:1", membership::kUnlimitedCapacity};
   log.Append(kMembersTopic, {{"entry/gone", EncodeEntry(missing_entry), kNoOffset}}, {},
              std::chrono::seconds(1));
   Candidate weak(&log, "a", nullptr, {}, WeakVm());
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -53,6 +53,8 @@
   virtual void Cancel(const std::string& id, Duration timeout) = 0;
   virtual void Yield(const PlannerRecord& successor, Duration timeout) = 0;
   virtual void Offer(Duration timeout) = 0;
+  // The newest planner that the process at the other end knows of; epoch 0 if it knows none.
+  virtual PlannerRecord KnownPlanner(Duration /*timeout*/) { return {}; }
 };
 
 // Connects to planners by address, within `limit`. Throws Error(kUnavailable).
@@ -60,8 +62,9 @@
  public:
   virtual ~PlannerConnector() = default;
   virtual std::shared_ptr<PlannerClient> Connect(const std::string& address, Duration limit) = 0;
-  // Connects through the entry at `relay` to the planner of `epoch` or a newer one.
-  virtual std::shared_ptr<PlannerClient> ConnectThrough(const std::string& relay, int64_t /*epoch*/,
+  // Connects through the entry at `relay` to `planner` or a newer one.
+  virtual std::shared_ptr<PlannerClient> ConnectThrough(const std::string& relay,
+                                                        const PlannerRecord& /*planner*/,
                                                         Duration /*limit*/) {
     throw Error(ErrorKind::kUnavailable, Outcome::kNotRun,
                 "connections through a relay are not supported: " + relay);
--- a/servers/pool/planner_router.cc
+++ b/servers/pool/planner_router.cc
@@ -5,6 +5,7 @@
 
 #include "core/error.h"
 #include "core/logging.h"
+#include "servers/membership/standby.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -14,6 +15,11 @@
 // After a time-out the direct path is not tried again for this long.
 constexpr Duration kDirectRetryInterval = std::chrono::seconds(3);
 
+// Standbys are asked in turn, two at a time, since some of them may be out of reach as well.
+constexpr size_t kStandbysPerQuestion = 2;
+constexpr Duration kQuestionInterval = std::chrono::milliseconds(300);
+constexpr Duration kQuestionTimeout = std::chrono::milliseconds(150);
+
 }  // namespace
 
 std::vector<EntryRecord> RelayCandidates(const PlannerRecord& planner,
@@ -71,6 +77,40 @@
   return ConnectThroughRelays(planner, limit);
 }
 
+bool PlannerRouter::AskFormerPlanner(PlannerClient* client, Duration limit, Time now) {
+  try {
+    return hints_.Learn(client->KnownPlanner(std::min(limit, kQuestionTimeout)), now);
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kInfo, "planner_not_named", {{"error", error.what()}});
+    return false;
+  }
+}
+
+void PlannerRouter::AskStandbys(Duration limit, Time now) {
+  size_t first = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (now - standbys_asked_at_ < kQuestionInterval) return;
+    standbys_asked_at_ = now;
+    first = standbys_asked_;
+    standbys_asked_ += kStandbysPerQuestion;
+  }
+  std::vector<EntryRecord> standbys = membership::Standbys(members_->entries());
+  std::erase_if(standbys, [this](const EntryRecord& each) { return each.node == node_; });
+  const Duration timeout =
+      std::min<Duration>(limit / static_cast<int64_t>(2 * kStandbysPerQuestion), kQuestionTimeout);
+  for (size_t i = 0; i < std::min(kStandbysPerQuestion, standbys.size()); ++i) {
+    const EntryRecord& standby = standbys[(first + i) % standbys.size()];
+    try {
+      const std::shared_ptr<PlannerClient> client = connector_->Connect(standby.address, timeout);
+      if (hints_.Learn(client->KnownPlanner(timeout), now)) return;
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kInfo, "planner_not_named",
+               {{"node", standby.node}, {"error", error.what()}});
+    }
+  }
+}
+
 std::shared_ptr<PlannerClient> PlannerRouter::ConnectThroughRelays(const PlannerRecord& planner,
                                                                    Duration limit) {
   std::vector<EntryRecord> relays = RelayCandidates(planner, members_->entries(), zone_, node_);
@@ -81,7 +121,7 @@
     if (members_->planner().epoch > planner.epoch) break;
     try {
       std::shared_ptr<PlannerClient> port =
-          connector_->ConnectThrough(relay.address, planner.epoch, std::min(limit, kRelayTimeout));
+          connector_->ConnectThrough(relay.address, planner, std::min(limit, kRelayTimeout));
       LogEvent(LogLevel::kInfo, "planner_reached_through",
                {{"epoch", planner.epoch}, {"relay", relay.node}});
       return port;
--- a/servers/pool/planner_router.h
+++ b/servers/pool/planner_router.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "servers/membership/planner_hints.h"
 #include "servers/pool/planner_gate.h"
 #include "servers/pool/pool_view.h"
 
@@ -33,6 +34,17 @@
   // Error(kUnavailable) if neither path works.
   std::shared_ptr<PlannerClient> Connect(const PlannerRecord& planner, Duration limit, Time now);
 
+  // Asks the process behind `client`, which has refused a call, which planner it knows of. Returns
+  // whether it names a newer one than was known before. Takes at most `limit`.
+  bool AskFormerPlanner(PlannerClient* client, Duration limit, Time now);
+  // Asks standbys which planner they know of, for a process that can't read the store; not more
+  // often than each 0.3 s. Takes at most `limit`.
+  void AskStandbys(Duration limit, Time now);
+  // Returns the newer of `recorded` and the planner that others have named; see PlannerHints.
+  PlannerRecord Newest(const PlannerRecord& recorded, const Freshness& freshness) {
+    return hints_.Newest(recorded, freshness.requested_at);
+  }
+
  private:
   std::shared_ptr<PlannerClient> ConnectThroughRelays(const PlannerRecord& planner, Duration limit);
   bool DirectPathTimedOut(const PlannerRecord& planner, Time now) const;
@@ -41,7 +53,11 @@
   const std::string zone_;
   const MembersView* const members_;
   PlannerConnector* const connector_;
+  membership::PlannerHints hints_;
   mutable std::mutex mutex_;
+  // When standbys were asked last, and how many have been asked so far.
+  Time standbys_asked_at_{};
+  size_t standbys_asked_ = 0;
   // Epoch of the newest planner for which the direct path timed out, and when it did.
   int64_t timed_out_epoch_ = 0;
   Time timed_out_at_{};
--- a/servers/pool/planner_router_test.cc
+++ b/servers/pool/planner_router_test.cc
@@ -59,9 +59,11 @@
     if (direct_path_cut) throw Error(ErrorKind::kDeadlineExceeded, Outcome::kNotRun, "no path");
     return std::make_shared<LocalPlannerClient>(nullptr);
   }
-  std::shared_ptr<PlannerClient> ConnectThrough(const std::string& relay, int64_t epoch,
+  std::shared_ptr<PlannerClient> ConnectThrough(const std::string& relay,
+                                                const PlannerRecord& planner,
                                                 Duration /*limit*/) override {
-    EXPECT_EQ(epoch, kPlanner.epoch);
+    EXPECT_EQ(planner.epoch, kPlanner.epoch);
+    EXPECT_EQ(planner.address, kPlanner.address);
     relays_tried.push_back(relay);
     if (relays_cut) throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "no path either");
     return std::make_shared<LocalPlannerClient>(nullptr);
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -20,6 +20,9 @@
 constexpr Duration kHoldGracePeriod = std::chrono::milliseconds(800);
 constexpr Duration kUpdateTimeout = std::chrono::milliseconds(700);
 constexpr Duration kMemberCheckInterval = std::chrono::seconds(2);
+// How long the members topic is followed closely after the last reason for it.
+constexpr Duration kCloseFollowPeriod = std::chrono::seconds(1);
+constexpr Duration kMembersRefreshTimeout = std::chrono::milliseconds(400);
 // A relayed connection is replaced after this time, in case the direct path works again.
 constexpr Duration kDirectRetryInterval = std::chrono::seconds(5);
 // An overloaded planner is given this multiple of its stated lag as additional time, up to the
@@ -52,7 +55,7 @@
       starts_(metrics->counter("agent_starts")),
       start_failures_(metrics->counter("agent_start_failures")),
       start_seconds_(metrics->distribution("agent_start_seconds")),
-      members_(log, options.members_wait),
+      members_(log, options.members_wait, options.members_idle_interval),
       router_(options.node, options.zone, &members_, connector),
       state_(options.node, options.zone, options.incarnation),
       orders_("orders", kOrderThreads) {
@@ -82,6 +85,10 @@
   changed_.wait_for(lock, pause, [this] { return stopping_; });
 }
 
+void PoolAgent::FollowMembers(Time now) {
+  members_.FollowCloselyUntil(now + kCloseFollowPeriod, now);
+}
+
 void PoolAgent::RequestUpdate() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -201,6 +208,7 @@
       }
       ExchangeOnce(client.get(), options_.poll_wait);
     } catch (const Error& error) {
+      FollowMembers(LeaseClock().Now());
       bool was_connected = false;
       {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -260,6 +268,7 @@
     throw Error(ErrorKind::kConflict, Outcome::kNotRun, "the pool is planned elsewhere now");
   }
   AgentOrders new_orders;
+  bool members_doubtful = false;
   bool read_needed = false;
   bool report_needed = false;
   {
@@ -267,9 +276,14 @@
     state_.ReportDelivered(report);
     new_orders = state_.HandleOrders(orders, sent, LeaseClock().Now());
     planner_lag_ = orders.lag;
+    // A planner that no longer permits starts can't confirm its leadership, or has removed this
+    // agent from the members. A planner that has never permitted any has not read the members yet.
+    if (orders.start_window > Duration::zero()) starts_permitted_ = true;
+    members_doubtful = starts_permitted_ && orders.start_window <= Duration::zero();
     read_needed = !state_.is_read();
     report_needed = state_.is_read() && report.epoch != state_.epoch();
   }
+  if (members_doubtful) FollowMembers(LeaseClock().Now());
   // The planner uses the worker only after the worker has been read under the token that this
   // planner has assigned.
   if (read_needed) SubmitOrder([this] { HoldAndReport(); });
@@ -445,6 +459,7 @@
   RequestUpdate();
   Duration delay = FirstRemovalDelay(options_.node);
   for (int attempt = 1;; ++attempt) {
+    members_.Refresh(Duration::zero(), kMembersRefreshTimeout, LeaseClock().Now());
     const std::shared_ptr<const Membership> membership = members_.membership();
     if (!WorkerIsGone() || membership->agents.count(options_.node) == 0) return;
     if (!RemoveAt(membership->end) || attempt == kRemovalAttempts) return;
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -34,8 +34,10 @@
   Duration poll_grace_period = std::chrono::milliseconds(700);
   // How long a hold waits for a run to end.
   Duration hold_wait = std::chrono::milliseconds(1000);
-  // How long a poll of the members topic waits for a change.
-  Duration members_wait = std::chrono::seconds(4);
+  // How long a poll of the members topic waits for a change while it is followed closely.
+  Duration members_wait = std::chrono::milliseconds(500);
+  // How often the members topic is read while a planner that has confirmed its leadership answers.
+  Duration members_idle_interval = std::chrono::seconds(10);
   // Time-out of one attempt of an order to the worker, which runs beside the agent and answers in
   // milliseconds. Three attempts fit into the time that a gang is given to start (1.3 s).
   Duration order_timeout = std::chrono::milliseconds(270);
@@ -65,6 +67,9 @@
   // The newest planner known from the store or from a redirect.
   PlannerRecord NewestPlanner() const;
   void ExchangeOnce(PlannerClient* client, Duration wait);
+  // Follows the members topic closely for a while: a new planner, or this agent's removal, may be
+  // announced there.
+  void FollowMembers(Time now);
   // Time-out of an exchange whose answer the planner may hold back for `wait`.
   Duration ExchangeTimeout(Duration wait) const;
   // Runs `work` on the pool for orders. Returns false if no thread can be started for it.
@@ -105,6 +110,8 @@
   PlannerRecord redirected_planner_;
   // Lag that the planner stated in its newest orders.
   Duration planner_lag_{};
+  // Whether any planner has permitted starts since this process began.
+  bool starts_permitted_ = false;
   bool update_requested_ = false;
   bool stopping_ = false;
   // Held while the membership is checked and written.
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -21,9 +21,9 @@
       endpoint_(endpoint),
       connector_(connector),
       metrics_(metrics),
-      work_(log),
-      operators_(log, std::move(decoder)),
-      members_(log, options.members_wait),
+      work_(log, options.work_idle_interval),
+      operators_(log, std::move(decoder), options.operators_idle_wait),
+      members_(log, options.members_wait, options.members_idle_interval),
       router_(options.node, options.zone, &members_, connector),
       service_(options.planner, log, &operators_, &members_, metrics),
       job_api_(options.job_api, &work_, &operators_, &service_, &router_, metrics) {
@@ -44,9 +44,9 @@
   elector.node = options_.node;
   elector.address = address;
   elector.zone = options_.zone;
-  elector.planning_capacity = PlanningCapacity(options_.vm);
-  elector_ =
-      std::make_unique<PlannerElector>(elector, log_, &work_, &members_, connector_, &service_);
+  elector.planning_capacity = membership::PlanningCapacity(options_.vm);
+  elector_ = std::make_unique<PlannerElector>(
+      elector, log_, PoolViews{&work_, &operators_, &members_}, connector_, &service_);
 }
 
 HttpResponse PoolEntry::AnswerReadiness(const HttpRequest& request) const {
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -18,14 +18,25 @@
 struct PoolEntryOptions {
   std::string node;
   std::string zone;
-  VmResources vm;
+  membership::VmResources vm;
   HttpServerOptions callers;
   HttpServerOptions readiness;
   PlannerServiceOptions planner;
   ElectorOptions elector;
   JobApiOptions job_api;
-  // How long a poll of the members topic waits for a change.
-  Duration members_wait = std::chrono::seconds(4);
+  // How long a poll of the members topic waits for a change while it is followed closely. A planner
+  // starts nothing before it has read its own announcement, so a poll that the announcement fails to
+  // end must not take long.
+  Duration members_wait = std::chrono::milliseconds(500);
+  // How long a poll of the operators' topic waits for a change while the entry neither plans nor
+  // stands by. A change ends the wait; the age of the view, which decides whether keys are
+  // accepted, stays below this and a poll's time-out.
+  Duration operators_idle_wait = std::chrono::seconds(2);
+  // How often the members topic is read while the entry does not plan.
+  Duration members_idle_interval = std::chrono::seconds(10);
+  // How often the work topic is read while the entry neither plans nor stands by. Planners write
+  // every 0.25 s, so that one read without a record shows a planner's silence.
+  Duration work_idle_interval = std::chrono::seconds(2);
   // How long a leaving entry continues to accept callers, so that the balancer notices first: it
   // checks readiness each second and drops an entry after two failed checks.
   Duration balancer_notice = std::chrono::milliseconds(2300);
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -8,8 +8,9 @@
 namespace turmericshift::pool {
 namespace {
 
-// Limits all entries together to about 500 reads per second of a topic that changes constantly,
-// regardless of their number.
+// Spaces out the reads of a topic that changes constantly. Up to 60 entries this limits them to
+// about 500 reads per second together; beyond that the number of entries that follow the topic
+// closely has to be limited (membership/standby.h).
 constexpr Duration kReadIntervalPerReader = std::chrono::milliseconds(2);
 // Delays the observation of a planner's heartbeat by at most this, so it must stay well below the
 // silence time-out.
@@ -31,9 +32,10 @@
 
 }  // namespace
 
-WorkView::WorkView(KeyedLog* log) {
+WorkView::WorkView(KeyedLog* log, Duration idle_interval) {
   FollowerOptions options;
   options.topic = kWorkTopic;
+  options.idle_interval = idle_interval;
   options.read_gap = [this] {
     return ReadIntervalFor(readers_.load(), kReadIntervalPerReader, kMaxReadInterval);
   };
@@ -102,10 +104,12 @@
   return freshness_;
 }
 
-OperatorView::OperatorView(KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder)
+OperatorView::OperatorView(KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder,
+                           Duration idle_wait)
     : decoder_(std::move(decoder)), state_(std::make_shared<OperatorState>()) {
   FollowerOptions options;
   options.topic = decoder_->topic();
+  options.idle_wait = idle_wait;
   follower_ = std::make_unique<TopicFollower>(
       options, log, [this](const KeyedRecord& record) { ApplyRecord(record); },
       [this](Offset end, Time requested_at) { CaughtUp(end, requested_at); },
@@ -155,9 +159,10 @@
   return freshness_;
 }
 
-MembersView::MembersView(KeyedLog* log, Duration wait) {
+MembersView::MembersView(KeyedLog* log, Duration wait, Duration idle_interval) {
   FollowerOptions options;
   options.topic = kMembersTopic;
+  options.idle_interval = idle_interval;
   options.poll_wait = wait;
   options.read_gap = [this] {
     return ReadIntervalFor(size(), kReadIntervalPerMember, kMaxMembersReadInterval);
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -10,12 +10,15 @@
 #include <set>
 #include <string>
 
+#include "servers/membership/topic_follower.h"
 #include "servers/pool/job_table.h"
 #include "servers/pool/pool_config.h"
-#include "servers/pool/topic_follower.h"
 
 namespace turmericshift::pool {
 
+using membership::FollowerOptions;
+using membership::TopicFollower;
+
 inline constexpr const char* kWorkTopic = "keyed.work";
 inline constexpr const char* kMembersTopic = "keyed.members";
 // Keys of the members topic: "agent/NODE" for each agent whose worker may run something,
@@ -49,8 +52,9 @@
 
 class WorkView {
  public:
-  // Starts following the work topic.
-  explicit WorkView(KeyedLog* log);
+  // Starts following the work topic. `idle_interval`: how often it is read while it is not followed
+  // closely; zero: it is always followed closely.
+  explicit WorkView(KeyedLog* log, Duration idle_interval = {});
 
   LeadershipView leadership() const;
   // Returns a copy of all jobs, and sets `leadership` to the state at the same moment.
@@ -62,6 +66,11 @@
   // Sets the number of entries that read the topic. The more there are, the less often each of them
   // reads, which bounds the load on the store.
   void SetReaders(size_t entries) { readers_.store(entries); }
+  // See TopicFollower.
+  void FollowCloselyUntil(Time until, Time now) { follower_->FollowCloselyUntil(until, now); }
+  void Refresh(Duration max_age, Duration limit, Time now) {
+    follower_->Refresh(max_age, limit, now);
+  }
 
  private:
   void ApplyRecord(const KeyedRecord& record);
@@ -83,11 +92,15 @@
 
 class OperatorView {
  public:
-  OperatorView(KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder);
+  // `idle_wait`: how long a poll waits for a change while the topic is not followed closely; zero:
+  // it is always followed closely.
+  OperatorView(KeyedLog* log, std::unique_ptr<OperatorDecoder> decoder, Duration idle_wait = {});
 
   // Shared instead of copied, because documents with hundreds of routes are read on every call.
   std::shared_ptr<const OperatorState> state() const;
   Freshness freshness() const;
+  // See TopicFollower.
+  void FollowCloselyUntil(Time until, Time now) { follower_->FollowCloselyUntil(until, now); }
 
  private:
   void ApplyRecord(const KeyedRecord& record);
@@ -119,7 +132,9 @@
 
 class MembersView {
  public:
-  explicit MembersView(KeyedLog* log, Duration wait);
+  // `wait`: how long a poll waits for a change. `idle_interval`: how often the topic is read while
+  // it is not followed closely; zero: it is always followed closely.
+  explicit MembersView(KeyedLog* log, Duration wait, Duration idle_interval = {});
 
   std::shared_ptr<const Membership> membership() const;
 
@@ -131,6 +146,11 @@
   // Entries by node. An entry that is gone stays listed.
   std::map<std::string, EntryRecord> entries() const;
   Freshness freshness() const;
+  // See TopicFollower.
+  void FollowCloselyUntil(Time until, Time now) { follower_->FollowCloselyUntil(until, now); }
+  void Refresh(Duration max_age, Duration limit, Time now) {
+    follower_->Refresh(max_age, limit, now);
+  }
 
  private:
   void ApplyRecord(const KeyedRecord& record);
@@ -147,4 +167,11 @@
   std::unique_ptr<TopicFollower> follower_;
 };
 
+// The views of one process. All must outlive their users.
+struct PoolViews {
+  WorkView* work = nullptr;
+  OperatorView* operators = nullptr;
+  MembersView* members = nullptr;
+};
+
 }  // namespace turmericshift::pool
