Membership: Let agents find the planner in a topic of its own, and rely on its list of agents

Cause: after a loss of power each of 983 processes read the whole members topic, and each of 800 agents registered again, one append after the other at 2 ms each. Reads of the topic waited behind the appends and timed out; the new planner stood 1.8 s after the processes were back.

Change: planners announce themselves in keyed.planner first, with the standbys that relay for those that can't reach them. Agents follow that topic and read the members only when in doubt. An agent whose planner began after it and has listed it counts as registered without an append; otherwise it registers as before, after 2 s at the latest. A planner tells agents at once that they are listed. An agent that is refused by a VM that does not plan waits for news up to 0.5 s instead of calling it each 0.1 s.

--- a/servers/membership/member_records.cc
+++ b/servers/membership/member_records.cc
@@ -19,6 +19,18 @@
   }
 }
 
+json EntryToJson(const EntryRecord& entry) {
+  return {{"node", entry.node},
+          {"zone", entry.zone},
+          {"address", entry.address},
+          {"planning_capacity", entry.planning_capacity}};
+}
+
+EntryRecord EntryFrom(const json& in) {
+  return {in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
+          in.at("address").get<std::string>(), in.at("planning_capacity").get<int>()};
+}
+
 json PlannerFields(const PlannerRecord& planner) {
   return {{"epoch", planner.epoch}, {"node", planner.node}, {"address", planner.address}};
 }
@@ -35,6 +47,7 @@
   for (const PlannerRecord& former : planner.former) {
     out["former"].push_back(PlannerFields(former));
   }
+  for (const EntryRecord& relay : planner.relays) out["relays"].push_back(EntryToJson(relay));
   return out.dump();
 }
 
@@ -45,24 +58,17 @@
     for (const json& former : in.value("former", json::array())) {
       planner.former.push_back(PlannerFrom(former));
     }
+    for (const json& relay : in.value("relays", json::array())) {
+      planner.relays.push_back(EntryFrom(relay));
+    }
     return planner;
   });
 }
 
-std::string EncodeEntry(const EntryRecord& entry) {
-  return json({{"node", entry.node},
-               {"zone", entry.zone},
-               {"address", entry.address},
-               {"planning_capacity", entry.planning_capacity}})
-      .dump();
-}
+std::string EncodeEntry(const EntryRecord& entry) { return EntryToJson(entry).dump(); }
 
 EntryRecord DecodeEntry(const std::string& bytes) {
-  return Decoded("entry record", [&] {
-    const json in = json::parse(bytes);
-    return EntryRecord{in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
-                       in.at("address").get<std::string>(), in.at("planning_capacity").get<int>()};
-  });
+  return Decoded("entry record", [&] { return EntryFrom(json::parse(bytes)); });
 }
 
 }  // namespace turmericshift::membership
--- a/servers/membership/member_records.h
+++ b/servers/membership/member_records.h
@@ -1,5 +1,5 @@
-// Records of the members topic: the active planner and the entries. The work topic contains the
-// planner's record as well.
+// Records of the active planner and of the entries. The members topic contains both; the work topic
+// and the planner topic contain the planner's record.
 #pragma once
 
 #include <cstdint>
@@ -8,17 +8,6 @@
 
 namespace turmericshift::membership {
 
-// The pool's active planner.
-struct PlannerRecord {
-  int64_t epoch = 0;
-  std::string node;
-  // Address for the planner's sessions, "ip:port"; empty once the planner has stepped down.
-  std::string address;
-  // Former planners that are not known to have stepped down and may still grant leases. Their own
-  // lists are empty.
-  std::vector<PlannerRecord> former = {};
-};
-
 // An entry's announcement to the other entries.
 struct EntryRecord {
   std::string node;
@@ -31,6 +20,19 @@
   bool operator==(const EntryRecord&) const = default;
 };
 
+// The pool's active planner.
+struct PlannerRecord {
+  int64_t epoch = 0;
+  std::string node;
+  // Address for the planner's sessions, "ip:port"; empty once the planner has stepped down.
+  std::string address;
+  // Former planners that are not known to have stepped down and may still grant leases. Their own
+  // lists are empty.
+  std::vector<PlannerRecord> former = {};
+  // Entries that may reach the planner for those that can't. Only in the planner topic.
+  std::vector<EntryRecord> relays = {};
+};
+
 std::string EncodePlanner(const PlannerRecord& planner);
 std::string EncodeEntry(const EntryRecord& entry);
 
--- a/servers/membership/topic_follower.cc
+++ b/servers/membership/topic_follower.cc
@@ -60,7 +60,16 @@
   return stopping_;
 }
 
+void TopicFollower::AwaitFirstRead() {
+  if (options_.first_read == FirstRead::kAtOnce) return;
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait(lock, [this] {
+    return stopping_ || refresh_requested_ || IsFollowedCloselyLocked(LeaseClock().Now());
+  });
+}
+
 void TopicFollower::Run() {
+  AwaitFirstRead();
   Offset from = kNoOffset;
   while (!IsStopping()) {
     try {
--- a/servers/membership/topic_follower.h
+++ b/servers/membership/topic_follower.h
@@ -18,6 +18,13 @@
 
 namespace turmericshift::membership {
 
+// When a follower reads its topic for the first time.
+enum class FirstRead {
+  kAtOnce,
+  // When the topic is to be followed closely, or refreshed.
+  kOnDemand,
+};
+
 struct FollowerOptions {
   std::string topic;
   // How long a poll waits for new records. Freshness is known with this precision.
@@ -35,6 +42,7 @@
   // the topic is always followed closely.
   Duration idle_wait{};
   Duration idle_interval{};
+  FirstRead first_read = FirstRead::kAtOnce;
 };
 
 class TopicFollower {
@@ -62,6 +70,8 @@
 
  private:
   void Run();
+  // Waits until the first read is due.
+  void AwaitFirstRead();
   // Reads the newest record of each key. Returns the offset to continue from.
   Offset ReadNewest();
   // Reads from `from` on: by a long poll while the topic is followed closely. Then pauses. Returns
--- a/servers/pool/job_api_test.cc
+++ b/servers/pool/job_api_test.cc
@@ -161,7 +161,8 @@
   std::unique_ptr<PlannerGate> gate;
   std::unique_ptr<PlannerConnector> connector;
   MembersView members{&log, std::chrono::milliseconds(200)};
-  PlannerRouter router{"e1", "a", &members, connector.get()};
+  PlannerRouter router{"e1", "a", &members, [this] { return members.planner().epoch; },
+                       connector.get()};
   MetricsRegistry metrics;
   std::unique_ptr<JobApi> api;
 };
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -99,7 +99,7 @@
     const int64_t epoch = service_->epoch();
     if (epoch > 0) {
       if (leadership.planner.epoch > epoch) service_->StepDown("a newer planner is active");
-      if (announced_epoch_ < epoch) Announce();
+      Announce();
       if (waiting_for_predecessors_) NotifyPredecessors(now);
       RemoveSilentAgents(now);
       OfferLeadership(now);
@@ -259,15 +259,28 @@
 }
 
 void PlannerElector::Announce() {
-  const int64_t epoch = service_->epoch();
+  const PlannerRecord self = Self(service_->epoch());
+  // First in the planner topic: an agent that has read an older planner there knows that all
+  // removals of its former process are void (PoolAgent::ListedByPlanner).
+  PlannerRecord with_relays = self;
+  with_relays.relays = membership::Standbys(members_->entries());
+  if (AnnounceIn(kPlannerTopic, with_relays)) AnnounceIn(kMembersTopic, self);
+}
+
+bool PlannerElector::AnnounceIn(const char* topic, const PlannerRecord& self) {
+  int64_t& announced_epoch = announced_epochs_[topic];
+  if (announced_epoch >= self.epoch) return true;
   try {
-    log_->Append(kMembersTopic, {{kPlannerKey, EncodePlanner(Self(epoch)), kNoOffset}},
-                 {std::nullopt, kPlannerProducer, epoch, 1}, kClaimTimeout);
-    announced_epoch_ = epoch;
+    log_->Append(topic, {{kPlannerKey, EncodePlanner(self), kNoOffset}},
+                 {std::nullopt, kPlannerProducer, self.epoch, 1}, kClaimTimeout);
+    announced_epoch = self.epoch;
+    return true;
   } catch (const Error& error) {
-    LogEvent(LogLevel::kWarning, "announce_failed", {{"epoch", epoch}, {"error", error.what()}});
+    LogEvent(LogLevel::kWarning, "announce_failed",
+             {{"topic", topic}, {"epoch", self.epoch}, {"error", error.what()}});
     // A newer planner has already announced itself.
-    if (error.kind() == ErrorKind::kFenced) announced_epoch_ = epoch;
+    if (error.kind() == ErrorKind::kFenced) announced_epoch = self.epoch;
+    return announced_epoch == self.epoch;
   }
 }
 
--- a/servers/pool/planner_elector.h
+++ b/servers/pool/planner_elector.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <atomic>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -88,9 +89,12 @@
   // Error(kLogUnavailable).
   std::set<std::string> ReadAgents() const;
   void Claim(Time now);
-  // Writes this planner's address to the members topic, where agents look it up. Repeated until it
-  // succeeds.
+  // Writes this planner's address to the planner topic, where agents look it up, and to the members
+  // topic, whose end then tells which agents this planner has to know of. Tried again with each
+  // call until both have succeeded.
   void Announce();
+  // Returns whether the topic contains the announcement, or a newer one.
+  bool AnnounceIn(const char* topic, const PlannerRecord& self);
   void RemoveSilentAgents(Time now);
   // Notifies the former planners that they have been succeeded, so that they step down. Unless all
   // of them confirm, inherited work has to wait for as long as agents may still follow one of them,
@@ -114,7 +118,8 @@
   std::atomic<bool> leaving_{false};
   // Rank among the listed entries of the zone; see membership/standby.h.
   size_t rank_ = 0;
-  int64_t announced_epoch_ = 0;
+  // Epoch that each topic contains an announcement of.
+  std::map<std::string, int64_t> announced_epochs_;
   // Epoch that the store rejected as too low although no newer one could be read.
   int64_t rejected_epoch_ = 0;
   Time connected_since_{};
--- a/servers/pool/planner_router.cc
+++ b/servers/pool/planner_router.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr size_t kMaxRelayAttempts = 2;
+constexpr Duration kMaxEntriesAge = std::chrono::seconds(10);
+constexpr Duration kEntriesReadTimeout = std::chrono::milliseconds(400);
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(300);
 // After a time-out the direct path is not tried again for this long.
 constexpr Duration kDirectRetryInterval = std::chrono::seconds(3);
@@ -43,9 +45,13 @@
   return third_zones;
 }
 
-PlannerRouter::PlannerRouter(const std::string& node, const std::string& zone,
-                             const MembersView* members, PlannerConnector* connector)
-    : node_(node), zone_(zone), members_(members), connector_(connector) {}
+PlannerRouter::PlannerRouter(const std::string& node, const std::string& zone, MembersView* members,
+                             NewestEpoch newest_epoch, PlannerConnector* connector)
+    : node_(node),
+      zone_(zone),
+      members_(members),
+      newest_epoch_(std::move(newest_epoch)),
+      connector_(connector) {}
 
 bool PlannerRouter::DirectPathTimedOut(const PlannerRecord& planner, Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -111,14 +117,27 @@
   }
 }
 
+std::map<std::string, EntryRecord> PlannerRouter::RelaysFor(const PlannerRecord& planner) {
+  if (planner.relays.empty()) {
+    members_->Refresh(kMaxEntriesAge, kEntriesReadTimeout, LeaseClock().Now());
+    return members_->entries();
+  }
+  std::map<std::string, EntryRecord> relays;
+  for (const EntryRecord& relay : planner.relays) relays[relay.node] = relay;
+  return relays;
+}
+
 std::shared_ptr<PlannerClient> PlannerRouter::ConnectThroughRelays(const PlannerRecord& planner,
                                                                    Duration limit) {
-  std::vector<EntryRecord> relays = RelayCandidates(planner, members_->entries(), zone_, node_);
+  // Most planners that time out have failed and are succeeded within two seconds.
+  if (newest_epoch_() > planner.epoch) {
+    throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "the planner has been replaced");
+  }
+  std::vector<EntryRecord> relays = RelayCandidates(planner, RelaysFor(planner), zone_, node_);
   if (relays.size() > kMaxRelayAttempts) relays.resize(kMaxRelayAttempts);
   std::string failure = "no entry is known that might reach the planner";
   for (const EntryRecord& relay : relays) {
-    // Most planners that time out have failed and are succeeded within two seconds.
-    if (members_->planner().epoch > planner.epoch) break;
+    if (newest_epoch_() > planner.epoch) break;
     try {
       std::shared_ptr<PlannerClient> port =
           connector_->ConnectThrough(relay.address, planner, std::min(limit, kRelayTimeout));
--- a/servers/pool/planner_router.h
+++ b/servers/pool/planner_router.h
@@ -4,6 +4,7 @@
 // entries on the far side of the planner would lose their leases although a path exists.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -25,9 +26,12 @@
 
 class PlannerRouter {
  public:
-  // `members` must outlive it.
-  PlannerRouter(const std::string& node, const std::string& zone, const MembersView* members,
-                PlannerConnector* connector);
+  // Returns the epoch of the newest planner in the store.
+  using NewestEpoch = std::function<int64_t()>;
+
+  // `members` must outlive it. It is read only if a planner's record names no relays.
+  PlannerRouter(const std::string& node, const std::string& zone, MembersView* members,
+                NewestEpoch newest_epoch, PlannerConnector* connector);
 
   // Connects directly, or through other entries if the planner's address does not answer; a refused
   // connection is not retried through others. Takes about twice `limit` at most. Throws
@@ -46,12 +50,15 @@
   }
 
  private:
+  // Entries that may relay, by node: those that the planner's record names, or else all.
+  std::map<std::string, EntryRecord> RelaysFor(const PlannerRecord& planner);
   std::shared_ptr<PlannerClient> ConnectThroughRelays(const PlannerRecord& planner, Duration limit);
   bool DirectPathTimedOut(const PlannerRecord& planner, Time now) const;
 
   const std::string node_;
   const std::string zone_;
-  const MembersView* const members_;
+  MembersView* const members_;
+  const NewestEpoch newest_epoch_;
   PlannerConnector* const connector_;
   membership::PlannerHints hints_;
   mutable std::mutex mutex_;
--- a/servers/pool/planner_router_test.cc
+++ b/servers/pool/planner_router_test.cc
@@ -89,7 +89,8 @@
   MemoryKeyedLog log_;
   MembersView members_{&log_, milliseconds(200)};
   UnreachablePlannerConnector connector_;
-  PlannerRouter router_{"agent", "c", &members_, &connector_};
+  PlannerRouter router_{"agent", "c", &members_, [this] { return members_.planner().epoch; },
+                        &connector_};
 };
 
 TEST_F(PlannerRouterTest, ConnectsDirectlyIfPossible) {
@@ -144,5 +145,18 @@
   EXPECT_EQ(connector_.relays_tried.size(), 2U);
 }
 
+// When a zone is cut off, the agents of another would all read the whole members topic at once.
+TEST_F(PlannerRouterTest, UsesRelaysOfThePlannersRecordWithoutTheMembers) {
+  MemoryKeyedLog empty;
+  MembersView members(&empty, milliseconds(200), std::chrono::hours(1), FirstRead::kOnDemand);
+  PlannerRouter router(
+      "agent", "c", &members, [] { return kPlanner.epoch; }, &connector_);
+  PlannerRecord planner = kPlanner;
+  planner.relays = {{"b9", "b", "b9:1", 100}};
+  router.Connect(planner, milliseconds(700), kNow);
+  EXPECT_EQ(connector_.relays_tried, std::vector<std::string>({"b9:1"}));
+  EXPECT_FALSE(members.freshness().requested_at);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -23,6 +23,16 @@
 // How long the members topic is followed closely after the last reason for it.
 constexpr Duration kCloseFollowPeriod = std::chrono::seconds(1);
 constexpr Duration kMembersRefreshTimeout = std::chrono::milliseconds(400);
+// An agent that no planner has answered for this long also looks in the members topic: older
+// planners announce themselves only there.
+constexpr Duration kPlannerSearchPeriod = std::chrono::seconds(4);
+// A planner that begins after a loss of power finds the agents listed, and lists them again within
+// this time. If all of them registered anew instead, their appends would hold up its announcement:
+// the store carries the appends to a topic out one after the other.
+constexpr Duration kRegistrationDelay = std::chrono::seconds(2);
+// Delay before the same planner is called again after it has refused a call because it does not
+// plan. Hundreds of agents would otherwise keep a VM busy that may be about to plan.
+constexpr Duration kRefusedRetryInterval = std::chrono::milliseconds(500);
 // A relayed connection is replaced after this time, in case the direct path works again.
 constexpr Duration kDirectRetryInterval = std::chrono::seconds(5);
 // An overloaded planner is given this multiple of its stated lag as additional time, up to the
@@ -49,14 +59,18 @@
 PoolAgent::PoolAgent(const PoolAgentOptions& options, KeyedLog* log, PoolWorker* worker,
                      PlannerConnector* connector, MetricsRegistry* metrics)
     : options_(options),
+      started_at_(LeaseClock().Now()),
       log_(log),
       worker_(worker),
       sender_(worker, options.order_timeout),
       starts_(metrics->counter("agent_starts")),
       start_failures_(metrics->counter("agent_start_failures")),
       start_seconds_(metrics->distribution("agent_start_seconds")),
-      members_(log, options.members_wait, options.members_idle_interval),
-      router_(options.node, options.zone, &members_, connector),
+      planner_view_(log, options.members_wait, options.idle_interval),
+      members_(log, options.members_wait, options.idle_interval, FirstRead::kOnDemand),
+      router_(
+          options.node, options.zone, &members_, [this] { return NewestPlanner().epoch; },
+          connector),
       state_(options.node, options.zone, options.incarnation),
       orders_("orders", kOrderThreads) {
   try {
@@ -85,6 +99,10 @@
   changed_.wait_for(lock, pause, [this] { return stopping_; });
 }
 
+void PoolAgent::FollowPlanner(Time now) {
+  planner_view_.FollowCloselyUntil(now + kCloseFollowPeriod, now);
+}
+
 void PoolAgent::FollowMembers(Time now) {
   members_.FollowCloselyUntil(now + kCloseFollowPeriod, now);
 }
@@ -180,6 +198,7 @@
 void PoolAgent::RunPlannerLoop() {
   int64_t connected_epoch = 0;
   Time connected_at{};
+  Time answered_at = LeaseClock().Now();
   while (true) {
     std::shared_ptr<PlannerClient> client;
     {
@@ -207,8 +226,11 @@
                   {"relayed", client->relayed()}});
       }
       ExchangeOnce(client.get(), options_.poll_wait);
+      answered_at = LeaseClock().Now();
     } catch (const Error& error) {
-      FollowMembers(LeaseClock().Now());
+      const Time now = LeaseClock().Now();
+      FollowPlanner(now);
+      if (now - answered_at > kPlannerSearchPeriod) FollowMembers(now);
       bool was_connected = false;
       {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -219,13 +241,22 @@
         LogEvent(LogLevel::kWarning, "planner_lost",
                  {{"epoch", connected_epoch}, {"error", error.what()}});
       }
-      Pause(kRetryInterval);
+      PauseAfterPlannerFailure(planner.epoch, error);
     }
   }
 }
 
+void PoolAgent::PauseAfterPlannerFailure(int64_t epoch, const Error& error) {
+  const bool refused = error.kind() == ErrorKind::kConflict && error.outcome() == Outcome::kNotRun;
+  if (!refused) return Pause(kRetryInterval);
+  if (NewestPlanner().epoch > epoch) return;
+  planner_view_.AwaitNewerThan(epoch, kRefusedRetryInterval);
+}
+
 PlannerRecord PoolAgent::NewestPlanner() const {
-  const PlannerRecord read = members_.planner();
+  const PlannerRecord announced = planner_view_.planner();
+  const PlannerRecord listed = members_.planner();
+  const PlannerRecord& read = listed.epoch > announced.epoch ? listed : announced;
   const std::lock_guard<std::mutex> lock(mutex_);
   return redirected_planner_.epoch > read.epoch ? redirected_planner_ : read;
 }
@@ -279,11 +310,17 @@
     // A planner that no longer permits starts can't confirm its leadership, or has removed this
     // agent from the members. A planner that has never permitted any has not read the members yet.
     if (orders.start_window > Duration::zero()) starts_permitted_ = true;
+    answering_epoch_ = std::max(answering_epoch_, orders.epoch);
     members_doubtful = starts_permitted_ && orders.start_window <= Duration::zero();
     read_needed = !state_.is_read();
     report_needed = state_.is_read() && report.epoch != state_.epoch();
   }
-  if (members_doubtful) FollowMembers(LeaseClock().Now());
+  if (!registered_.load()) AdoptListing(orders);
+  if (members_doubtful) {
+    const Time now = LeaseClock().Now();
+    FollowPlanner(now);
+    FollowMembers(now);
+  }
   // The planner uses the worker only after the worker has been read under the token that this
   // planner has assigned.
   if (read_needed) SubmitOrder([this] { HoldAndReport(); });
@@ -418,13 +455,15 @@
   }
   // A process that has just started does not know its worker yet, which is no reason to deregister.
   if (!wanted && !gone) return;
+  // An earlier process of this agent may have left it listed.
+  if (gone && !wanted) members_.Refresh(kMemberCheckInterval, kMembersRefreshTimeout, now);
   const std::shared_ptr<const Membership> membership = members_.membership();
   const bool listed = membership->agents.count(options_.node) > 0;
   // Planners remove agents from which nothing has been received for
   // ElectorOptions::agent_silence_limit.
   if (registered_.load() && !listed && membership->end > registered_at_) SetRegistered(false);
   if (wanted) {
-    if (!registered_.load()) Register();
+    if (!registered_.load() && RegistersItself(now)) Register();
     return;
   }
   if (!registered_.load() && !listed) return;
@@ -433,6 +472,34 @@
   Deregister();
 }
 
+void PoolAgent::AdoptListing(const AgentOrders& orders) {
+  // Whoever registers or deregisters the agent at this moment decides; the next answer tells again.
+  const std::unique_lock<std::mutex> member_lock(member_mutex_, std::try_to_lock);
+  if (!member_lock.owns_lock() || !ListedByPlanner(orders.epoch, orders.start_window)) return;
+  LogEvent(LogLevel::kInfo, "agent_listed", {{"node", options_.node}, {"epoch", orders.epoch}});
+  registered_at_ = 0;
+  SetRegistered(true);
+}
+
+// The planner permits starts only to agents that are listed after its announcement. A removal that
+// the agent's former process sent before this process began holds only if the topic has not changed
+// since, so the announcement has voided it.
+bool PoolAgent::ListedByPlanner(int64_t planner_epoch, Duration start_window) const {
+  const std::optional<int64_t> first_epoch = planner_view_.first_epoch();
+  // A planner that announces itself only in the members topic leaves the planner topic empty.
+  if (!first_epoch || *first_epoch == 0 || planner_epoch <= *first_epoch) return false;
+  return start_window > Duration::zero() && deregistered_at_ == Time{};
+}
+
+bool PoolAgent::RegistersItself(Time now) const {
+  if (now - started_at_ > kRegistrationDelay || deregistered_at_ != Time{}) return true;
+  const std::optional<int64_t> first_epoch = planner_view_.first_epoch();
+  if (!first_epoch) return false;
+  if (*first_epoch == 0) return true;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return answering_epoch_ == *first_epoch;
+}
+
 void PoolAgent::SetRegistered(bool registered) {
   registered_.store(registered);
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -34,10 +34,11 @@
   Duration poll_grace_period = std::chrono::milliseconds(700);
   // How long a hold waits for a run to end.
   Duration hold_wait = std::chrono::milliseconds(1000);
-  // How long a poll of the members topic waits for a change while it is followed closely.
+  // How long a poll of these topics waits for a change while they are followed closely.
   Duration members_wait = std::chrono::milliseconds(500);
-  // How often the members topic is read while a planner that has confirmed its leadership answers.
-  Duration members_idle_interval = std::chrono::seconds(10);
+  // How often the planner topic, and the members topic once it was needed, is read while a planner
+  // that has confirmed its leadership answers.
+  Duration idle_interval = std::chrono::seconds(10);
   // Time-out of one attempt of an order to the worker, which runs beside the agent and answers in
   // milliseconds. Three attempts fit into the time that a gang is given to start (1.3 s).
   Duration order_timeout = std::chrono::milliseconds(270);
@@ -67,8 +68,10 @@
   // The newest planner known from the store or from a redirect.
   PlannerRecord NewestPlanner() const;
   void ExchangeOnce(PlannerClient* client, Duration wait);
-  // Follows the members topic closely for a while: a new planner, or this agent's removal, may be
-  // announced there.
+  // Follows the planner topic closely for a while, because the planner may have been replaced.
+  void FollowPlanner(Time now);
+  // Follows the members topic closely for a while, because this agent may have been removed from
+  // it, or its planner is not in the planner topic.
   void FollowMembers(Time now);
   // Time-out of an exchange whose answer the planner may hold back for `wait`.
   Duration ExchangeTimeout(Duration wait) const;
@@ -81,6 +84,13 @@
   // Registers the agent in the members topic, so that a new planner waits for its report, or
   // removes it when its worker is gone.
   void EnsureMember(Time now);
+  // Counts the agent as registered if the orders' planner has listed it.
+  void AdoptListing(const AgentOrders& orders);
+  // Whether a planner that began after this process did has listed the agent, so that it need not
+  // register.
+  bool ListedByPlanner(int64_t planner_epoch, Duration start_window) const;
+  // Whether the agent may register without waiting for the planner to list it.
+  bool RegistersItself(Time now) const;
   void SetRegistered(bool registered);
   void Register();
   // Removes the agent from the members topic. Tries again as long as other records get in between.
@@ -90,14 +100,19 @@
   // makes sense because the topic ends elsewhere.
   bool RemoveAt(Offset expected_end);
   void Pause(Duration pause);
+  // Pauses after a call to the planner of `epoch` has failed: until a newer planner is announced if
+  // the call was refused.
+  void PauseAfterPlannerFailure(int64_t epoch, const Error& error);
 
   const PoolAgentOptions options_;
+  const Time started_at_;
   KeyedLog* const log_;
   PoolWorker* const worker_;
   const OrderSender sender_;
   Counter& starts_;
   Counter& start_failures_;
   Distribution& start_seconds_;
+  PlannerView planner_view_;
   MembersView members_;
   PlannerRouter router_;
 
@@ -110,6 +125,8 @@
   PlannerRecord redirected_planner_;
   // Lag that the planner stated in its newest orders.
   Duration planner_lag_{};
+  // Epoch of the newest planner that has answered; 0: none.
+  int64_t answering_epoch_ = 0;
   // Whether any planner has permitted starts since this process began.
   bool starts_permitted_ = false;
   bool update_requested_ = false;
@@ -118,7 +135,7 @@
   std::mutex member_mutex_;
   // Whether the agent is listed in the members topic beyond doubt. Nothing is started otherwise.
   std::atomic<bool> registered_{false};
-  // Offset of the newest registration.
+  // Offset of the newest registration; 0 if a planner had listed the agent already.
   Offset registered_at_ = kNoOffset;
   Time deregistered_at_{};
   ThreadPool orders_;
--- a/servers/pool/pool_agent_test.cc
+++ b/servers/pool/pool_agent_test.cc
@@ -65,10 +65,11 @@
                                          Duration /*limit*/) override {
     return {this, [](PlannerClient*) {}};
   }
-  AgentOrders Exchange(const AgentReport& /*report*/, Duration /*timeout*/) override {
+  AgentOrders Exchange(const AgentReport& report, Duration /*timeout*/) override {
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       ++exchanges_;
+      names_worker_ = !report.worker.id.empty();
     }
     changed_.notify_all();
     return orders_;
@@ -78,6 +79,12 @@
   void Yield(const PlannerRecord& /*successor*/, Duration /*timeout*/) override {}
   void Offer(Duration /*timeout*/) override {}
 
+  // Whether the newest report named the agent's worker.
+  bool names_worker() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return names_worker_;
+  }
+
   bool WaitForExchanges(int count) {
     std::unique_lock<std::mutex> lock(mutex_);
     return changed_.wait_for(lock, kLimit, [&] { return exchanges_ >= count; });
@@ -88,6 +95,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   int exchanges_ = 0;
+  bool names_worker_ = false;
 };
 
 WorkerAnnouncement Announcement() {
@@ -266,5 +274,86 @@
   EXPECT_FALSE(log.Lists("agent"));
 }
 
+// Counts the appends of agents, and knows the planner of `kEpoch`.
+class RegistrationLog : public MemoryKeyedLog {
+ public:
+  RegistrationLog() {
+    MemoryKeyedLog::Append(kPlannerTopic,
+                           {{kPlannerKey, EncodePlanner({kEpoch, "planner", "127.0.0.1:1"})}}, {},
+                           kLimit);
+  }
+  AppendResult Append(const std::string& topic, const std::vector<KeyedRecord>& records,
+                      const AppendGuard& guard, Duration timeout) override {
+    registrations_.fetch_add(1);
+    return MemoryKeyedLog::Append(topic, records, guard, timeout);
+  }
+  KeyedPage Newest(const std::string& topic, const std::string& after, Duration timeout) override {
+    if (topic == kMembersTopic) members_reads_.fetch_add(1);
+    return MemoryKeyedLog::Newest(topic, after, timeout);
+  }
+  int registrations() const { return registrations_.load(); }
+  int members_reads() const { return members_reads_.load(); }
+
+ private:
+  std::atomic<int> registrations_{0};
+  std::atomic<int> members_reads_{0};
+};
+
+// Orders of a planner of `epoch` that permits starts.
+AgentOrders OrdersOfPlanner(int64_t epoch) {
+  AgentOrders orders;
+  orders.epoch = epoch;
+  orders.lease = std::chrono::seconds(4);
+  orders.start_window = std::chrono::seconds(1);
+  return orders;
+}
+
+PoolAgentOptions AgentOptions() {
+  PoolAgentOptions options;
+  options.node = "agent";
+  options.zone = "zone-a";
+  options.members_wait = std::chrono::milliseconds(50);
+  return options;
+}
+
+// After a loss of power 800 agents registered again, one append after the other, and the new
+// planner's announcement waited behind them.
+TEST(PoolAgentTest, DoesNotRegisterAgainWhereANewPlannerListsIt) {
+  RegistrationLog log;
+  StopWatchWorker worker;
+  RepeatingPlanner planner(OrdersOfPlanner(kEpoch + 1));
+  MetricsRegistry metrics;
+  PoolAgent agent(AgentOptions(), &log, &worker, &planner, &metrics);
+  agent.WorkerAnnounced(Announcement());
+  // The agent names its worker only once it counts as registered.
+  ASSERT_TRUE(Eventually([&] { return planner.names_worker(); }));
+  EXPECT_EQ(log.registrations(), 0);
+}
+
+// The planner that an agent finds may have listed its former process, whose removal may still be
+// carried out. If the agent relied on that, a successor would not wait for its runs.
+TEST(PoolAgentTest, RegistersWhereThePlannerIsOlderThanItsProcess) {
+  RegistrationLog log;
+  StopWatchWorker worker;
+  RepeatingPlanner planner(OrdersOfPlanner(kEpoch));
+  MetricsRegistry metrics;
+  PoolAgent agent(AgentOptions(), &log, &worker, &planner, &metrics);
+  agent.WorkerAnnounced(Announcement());
+  ASSERT_TRUE(Eventually([&] { return planner.names_worker(); }));
+  EXPECT_EQ(log.registrations(), 1);
+}
+
+// All agents read the whole members topic when they started, and the store took two seconds for it.
+TEST(PoolAgentTest, DoesNotReadTheMembersWhileThePlannerAnswers) {
+  RegistrationLog log;
+  StopWatchWorker worker;
+  RepeatingPlanner planner(OrdersOfPlanner(kEpoch));
+  MetricsRegistry metrics;
+  PoolAgent agent(AgentOptions(), &log, &worker, &planner, &metrics);
+  agent.WorkerAnnounced(Announcement());
+  ASSERT_TRUE(planner.WaitForExchanges(5));
+  EXPECT_EQ(log.members_reads(), 0);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -24,7 +24,9 @@
       work_(log, options.work_idle_interval),
       operators_(log, std::move(decoder), options.operators_idle_wait),
       members_(log, options.members_wait, options.members_idle_interval),
-      router_(options.node, options.zone, &members_, connector),
+      router_(
+          options.node, options.zone, &members_, [this] { return members_.planner().epoch; },
+          connector),
       service_(options.planner, log, &operators_, &members_, metrics),
       job_api_(options.job_api, &work_, &operators_, &service_, &router_, metrics) {
   callers_ = std::make_unique<HttpServer>(options.callers, [this](const HttpRequest& request) {
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -25,8 +25,8 @@
   ElectorOptions elector;
   JobApiOptions job_api;
   // How long a poll of the members topic waits for a change while it is followed closely. A planner
-  // starts nothing before it has read its own announcement, so a poll that the announcement fails to
-  // end must not take long.
+  // starts nothing before it has read its own announcement, so a poll that the announcement fails
+  // to end must not take long.
   Duration members_wait = std::chrono::milliseconds(500);
   // How long a poll of the operators' topic waits for a change while the entry neither plans nor
   // stands by. A change ends the wait; the age of the view, which decides whether keys are
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -81,8 +81,11 @@
   listed_now_ = nodes;
   for (auto& [node, worker] : workers_) {
     const bool listed = IsListed(node);
-    needs_planning_ = needs_planning_ || listed != worker.listed;
+    if (listed == worker.listed) continue;
     worker.listed = listed;
+    needs_planning_ = true;
+    // Agents learn of it at once, and not when their polls end: until then they report no worker.
+    NotePendingOrders(&worker);
   }
 }
 
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -717,5 +717,20 @@
   EXPECT_TRUE(one.has_run());
 }
 
+// An agent that has just been listed would name its worker only with its next poll, half a second
+// later.
+TEST(PoolPlanner, TellsAnAgentAtOnceThatItIsListed) {
+  PoolPlanner planner(PlannerOptions(), 1, JobTable(), {}, Time(), 0);
+  planner.SetListedAgents({});
+  planner.ApplyReport(Report("first", 1), 0, Time());
+  planner.Orders("n", Time());
+  AgentReport next = Report("first", 2);
+  next.orders_seen = planner.Orders("n", Time()).version;
+  planner.ApplyReport(next, 0, Time());
+  ASSERT_FALSE(planner.HasPendingOrders("n"));
+  planner.SetListedAgents({"n"});
+  EXPECT_TRUE(planner.HasPendingOrders("n"));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -159,8 +159,10 @@
   return freshness_;
 }
 
-MembersView::MembersView(KeyedLog* log, Duration wait, Duration idle_interval) {
+MembersView::MembersView(KeyedLog* log, Duration wait, Duration idle_interval,
+                         FirstRead first_read) {
   FollowerOptions options;
+  options.first_read = first_read;
   options.topic = kMembersTopic;
   options.idle_interval = idle_interval;
   options.poll_wait = wait;
@@ -260,4 +262,50 @@
   return freshness_;
 }
 
+PlannerView::PlannerView(KeyedLog* log, Duration wait, Duration idle_interval) {
+  FollowerOptions options;
+  options.topic = kPlannerTopic;
+  options.poll_wait = wait;
+  options.idle_interval = idle_interval;
+  follower_ = std::make_unique<TopicFollower>(
+      options, log, [this](const KeyedRecord& record) { ApplyRecord(record); },
+      [this](Offset /*end*/, Time /*requested_at*/) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!first_epoch_) first_epoch_ = planner_.epoch;
+      },
+      [] {});
+}
+
+std::optional<int64_t> PlannerView::first_epoch() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return first_epoch_;
+}
+
+void PlannerView::ApplyRecord(const KeyedRecord& record) {
+  if (record.key != kPlannerKey || record.value.empty()) return;
+  try {
+    PlannerRecord planner = DecodePlanner(record.value);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (planner.epoch <= planner_.epoch) return;
+    planner_ = std::move(planner);
+  } catch (const Error& error) {
+    LogSkippedRecord(kPlannerTopic, record, error);
+    return;
+  }
+  const PlannerRecord known = planner();
+  LogEvent(LogLevel::kInfo, "planner_heard",
+           {{"epoch", known.epoch}, {"node", known.node}, {"address", known.address}});
+  changed_.notify_all();
+}
+
+PlannerRecord PlannerView::planner() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return planner_;
+}
+
+void PlannerView::AwaitNewerThan(int64_t epoch, Duration limit) const {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait_for(lock, limit, [&] { return planner_.epoch > epoch; });
+}
+
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -16,11 +17,15 @@
 
 namespace turmericshift::pool {
 
+using membership::FirstRead;
 using membership::FollowerOptions;
 using membership::TopicFollower;
 
 inline constexpr const char* kWorkTopic = "keyed.work";
 inline constexpr const char* kMembersTopic = "keyed.members";
+// Contains the planner's announcement and nothing else, so that hundreds of agents that look for
+// the planner at the same time do not read the whole members topic.
+inline constexpr const char* kPlannerTopic = "keyed.planner";
 // Keys of the members topic: "agent/NODE" for each agent whose worker may run something,
 // "entry/NODE" for each entry, and kPlannerKey.
 inline constexpr const char* kAgentPrefix = "agent/";
@@ -134,7 +139,8 @@
  public:
   // `wait`: how long a poll waits for a change. `idle_interval`: how often the topic is read while
   // it is not followed closely; zero: it is always followed closely.
-  explicit MembersView(KeyedLog* log, Duration wait, Duration idle_interval = {});
+  explicit MembersView(KeyedLog* log, Duration wait, Duration idle_interval = {},
+                       FirstRead first_read = FirstRead::kAtOnce);
 
   std::shared_ptr<const Membership> membership() const;
 
@@ -167,6 +173,31 @@
   std::unique_ptr<TopicFollower> follower_;
 };
 
+// The planner topic.
+class PlannerView {
+ public:
+  // See MembersView.
+  PlannerView(KeyedLog* log, Duration wait, Duration idle_interval);
+
+  PlannerRecord planner() const;
+  // The epoch that the first read of the topic showed, 0 if there was no planner; empty until the
+  // topic has been read.
+  std::optional<int64_t> first_epoch() const;
+  // Waits up to `limit` for a planner with a higher epoch.
+  void AwaitNewerThan(int64_t epoch, Duration limit) const;
+  // See TopicFollower.
+  void FollowCloselyUntil(Time until, Time now) { follower_->FollowCloselyUntil(until, now); }
+
+ private:
+  void ApplyRecord(const KeyedRecord& record);
+
+  mutable std::mutex mutex_;
+  mutable std::condition_variable changed_;
+  PlannerRecord planner_;
+  std::optional<int64_t> first_epoch_;
+  std::unique_ptr<TopicFollower> follower_;
+};
+
 // The views of one process. All must outlive their users.
 struct PoolViews {
   WorkView* work = nullptr;
--- a/tests/thread_shortage_test.cc
+++ b/tests/thread_shortage_test.cc
@@ -108,9 +108,9 @@
   NoWorker worker;
   NoPlanner connector;
   MetricsRegistry metrics;
-  // The members' view, the worker, the planner and the updates.
+  // The views of the planner and of the members, the worker, the planner and the updates.
   ExpectUnavailableBelow(
-      4, [&] { const pool::PoolAgent agent(options, &log, &worker, &connector, &metrics); });
+      5, [&] { const pool::PoolAgent agent(options, &log, &worker, &connector, &metrics); });
 }
 
 }  // namespace
