Leadership: Hand over at once while the store rejects the planner

Until the others noticed its silence (1.3 s) the planner refused jobs with workers free, and urgent jobs were late.

Change: a planner whose appends have been rejected for 0.25 s asks standbys to take over; one that the store answers claims at once. An entry that was told of a newer planner claims nothing from its outdated view.

Ruled out: handing over when answers are lost or late; a slow store is slow for all.

--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -110,4 +110,6 @@
   planner @5 (epoch :Int64, address :Text) -> (failure :Peer.Failure, gate :PoolGate);
   # The newest planner that this process knows of; epoch 0 if it knows none.
   knownPlanner @6 () -> (epoch :Int64, node :Text, address :Text);
+  # From a planner whose appends the store rejects: asks this process to claim the leadership now.
+  takeOver @7 (epoch :Int64, node :Text, address :Text) -> (failure :Peer.Failure);
 }
--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -113,6 +113,16 @@
     });
   }
 
+  kj::Promise<void> takeOver(TakeOverContext context) override {
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<Result<pool::Done>>();
+    auto params = context.getParams();
+    gate_->TakeOver({params.getEpoch(), params.getNode().cStr(), params.getAddress().cStr()},
+                    ResultCallback<pool::Done>(kj::mv(pair.fulfiller)));
+    return pair.promise.then([context](Result<pool::Done>&& result) mutable {
+      if (result.error) Write(*result.error, context.getResults().initFailure());
+    });
+  }
+
   kj::Promise<void> yield(YieldContext context) override {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Result<pool::Done>>();
     auto params = context.getParams();
@@ -219,6 +229,20 @@
         .Take();
   }
 
+  void TakeOver(const pool::PlannerRecord& planner, Duration timeout) override {
+    session_
+        ->Call(
+            [&] {
+              auto call = Gate().takeOverRequest();
+              call.setEpoch(planner.epoch);
+              call.setNode(planner.node);
+              call.setAddress(planner.address);
+              return call.send().then([](auto&& response) { return DoneOf(response); });
+            },
+            timeout)
+        .Take();
+  }
+
   void Yield(const pool::PlannerRecord& successor, Duration timeout) override {
     session_
         ->Call(
--- a/servers/pool/local_planner_client.cc
+++ b/servers/pool/local_planner_client.cc
@@ -37,6 +37,10 @@
   WaitFor<Done>([&](auto done) { gate_->Yield(successor, done); }, timeout);
 }
 
+void LocalPlannerClient::TakeOver(const PlannerRecord& planner, Duration timeout) {
+  WaitFor<Done>([&](auto done) { gate_->TakeOver(planner, done); }, timeout);
+}
+
 void LocalPlannerClient::Offer(Duration timeout) {
   WaitFor<Done>([&](auto done) { gate_->Offer(done); }, timeout);
 }
--- a/servers/pool/local_planner_client.h
+++ b/servers/pool/local_planner_client.h
@@ -13,6 +13,7 @@
   void Cancel(const std::string& id, Duration timeout) override;
   void Yield(const PlannerRecord& successor, Duration timeout) override;
   void Offer(Duration timeout) override;
+  void TakeOver(const PlannerRecord& planner, Duration timeout) override;
   PlannerRecord KnownPlanner(Duration /*timeout*/) override { return gate_->KnownPlanner(); }
 
  private:
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -30,6 +30,9 @@
 constexpr Duration kMinLeadershipBeforeOffer = std::chrono::seconds(1);
 constexpr Duration kOfferTimeout = std::chrono::milliseconds(150);
 constexpr size_t kMaxOffersPerRound = 2;
+constexpr size_t kTakeoverRequestsPerRound = 2;
+// A standby takes over on request only if the store has answered it this recently.
+constexpr Duration kMaxTakeoverViewAge = std::chrono::milliseconds(500);
 
 // This entry's share of the claim jitter: constant over time, different between entries.
 Duration JitterOf(const std::string& node, Duration claim_jitter) {
@@ -103,6 +106,7 @@
       if (waiting_for_predecessors_) NotifyPredecessors(now);
       RemoveSilentAgents(now);
       OfferLeadership(now);
+      AskForTakeover(now);
       continue;
     }
     if (leaving_.load()) continue;
@@ -130,12 +134,17 @@
 
 bool PlannerElector::ShouldClaimNow(const LeadershipView& leadership, Time now) const {
   if (!members_->freshness().requested_at) return false;
+  // This entry has been told of a planner that it has not read of: its view is outdated.
+  if (service_->Successor().epoch > leadership.planner.epoch) return false;
   // The newest record names this entry, which is not the active planner: the record is of a
   // previous process or of a claim whose answer was lost. So there is no planner, and no need to
   // wait for the time-out.
   const bool own_record =
       leadership.planner.node == options_.node && !leadership.planner.address.empty();
   if (own_record) return leadership.freshness.within(options_.max_view_age, now);
+  if (service_->takeover_epoch() == leadership.planner.epoch && leadership.planner.epoch > 0) {
+    return leadership.freshness.within(kMaxTakeoverViewAge, now);
+  }
   const Duration claim_delay =
       BetterSuitedEntries().empty() ? membership::ClaimTurn(rank_) : options_.claim_delay;
   return ShouldClaim(leadership, connected_since_, silence_timeout_, options_.max_view_age, now,
@@ -209,6 +218,29 @@
   }
 }
 
+void PlannerElector::AskForTakeover(Time now) {
+  const std::optional<Time> rejected_since = service_->rejected_since();
+  if (!rejected_since || now - *rejected_since < options_.rejection_limit) return;
+  std::vector<EntryRecord> standbys = membership::Standbys(members_->entries());
+  std::erase_if(standbys, [this](const EntryRecord& each) { return each.node == options_.node; });
+  const PlannerRecord self = Self(service_->epoch());
+  for (size_t i = 0; i < std::min(kTakeoverRequestsPerRound, standbys.size()); ++i) {
+    const EntryRecord& standby = standbys[takeovers_asked_++ % standbys.size()];
+    try {
+      connector_->Connect(standby.address, kOfferTimeout)->TakeOver(self, kOfferTimeout);
+    } catch (const Error& error) {
+      LogEvent(LogLevel::kInfo, "takeover_refused",
+               {{"node", standby.node}, {"error", error.what()}});
+      continue;
+    }
+    LogEvent(LogLevel::kInfo, "takeover_accepted",
+             {{"epoch", self.epoch},
+              {"node", standby.node},
+              {"rejected_s", Seconds(now - *rejected_since)}});
+    return;
+  }
+}
+
 void PlannerElector::Claim(Time now) {
   LeadershipView basis;
   const JobTable table = work_->table(&basis);
--- a/servers/pool/planner_elector.h
+++ b/servers/pool/planner_elector.h
@@ -39,6 +39,8 @@
   Duration claim_delay = std::chrono::milliseconds(600);
   // How often a planner on a weak VM looks for a better suited entry that can take over.
   Duration offer_interval = std::chrono::seconds(1);
+  // A planner whose appends the store has rejected for this long asks standbys to take over.
+  Duration rejection_limit = std::chrono::milliseconds(250);
   // Maximum age of the view on which a claim may be based.
   Duration max_view_age = std::chrono::milliseconds(1500);
   // Agents from which nothing has been received for this long are removed from the members, so that
@@ -85,6 +87,8 @@
   void EnsureListed(Time now);
   // Releases the leadership if a better suited entry accepts it.
   void OfferLeadership(Time now);
+  // Asks standbys to take over while the store rejects this planner's appends and serves others.
+  void AskForTakeover(Time now);
   // Reads from the store the nodes of all agents whose workers may have runs. Throws
   // Error(kLogUnavailable).
   std::set<std::string> ReadAgents() const;
@@ -128,6 +132,8 @@
   bool removal_unresolved_ = false;
   Time listed_checked_at_{};
   Time last_offer_at_{};
+  // Number of standbys asked to take over.
+  size_t takeovers_asked_ = 0;
   Time active_since_{};
   // Former planners that are not known to have stepped down.
   std::vector<PlannerRecord> predecessors_;
--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -680,5 +680,37 @@
   EXPECT_EQ(planner.service.epoch(), kFirstEpoch);
 }
 
+// The store turns the planner's VM away and serves the others. Callers were refused until the
+// others noticed the planner's silence.
+TEST(PlannerElector, TakesOverFromAPlannerThatTheStoreRejects) {
+  MemoryKeyedLog log;
+  FaultyKeyedLog link(&log);
+  LocalConnector connector;
+  ElectorOptions options;
+  // Silence plays no part.
+  options.silence_timeout = std::chrono::hours(1);
+  Candidate planner(&link, "a", &connector, {}, options);
+  ASSERT_TRUE(Eventually([&] { return planner.service.epoch() > 0; }));
+  Candidate standby(&log, "b", &connector, {}, options);
+  ASSERT_TRUE(Eventually([&] { return planner.members.entries().size() == 2; }));
+  link.SetFaults({true, false});
+  EXPECT_TRUE(Eventually([&] { return standby.service.epoch() > 0; }));
+  EXPECT_TRUE(Eventually([&] { return planner.service.epoch() == 0; }));
+}
+
+// Only a rejection proves that the store serves others. A slow store serves nobody better, and each
+// change of planner costs time.
+TEST(PlannerElector, KeepsAPlannerWhoseAnswersAreLost) {
+  MemoryKeyedLog log;
+  FaultyKeyedLog link(&log);
+  Candidate planner(&link, "a");
+  ASSERT_TRUE(Eventually([&] { return planner.service.epoch() > 0; }));
+  const int64_t before = planner.metrics.counter("store_append_failures").value();
+  link.SetFaults({false, true});
+  ASSERT_TRUE(Eventually(
+      [&] { return planner.metrics.counter("store_append_failures").value() > before + 2; }));
+  EXPECT_FALSE(planner.service.rejected_since());
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -35,6 +35,12 @@
   // Sent by a planner whose VM is too weak for the pool: asks whether this process would take over
   // once the leadership is vacant. Calls `done` with kConflict if this process would not.
   virtual void Offer(std::function<void(Result<Done>)> done) = 0;
+  // Sent by `planner` while the store rejects its appends: asks this process to claim the
+  // leadership without waiting for the silence time-out. Calls `done` with kConflict if this
+  // process would not.
+  virtual void TakeOver(const PlannerRecord& /*planner*/, std::function<void(Result<Done>)> done) {
+    done({std::nullopt, Error(ErrorKind::kConflict, Outcome::kNotRun, "takes over from nobody")});
+  }
   // The newest planner that this process knows of; epoch 0 if no planner is known.
   virtual PlannerRecord KnownPlanner() const { return {}; }
   // The newest planner that has notified this process of its takeover; epoch 0 if there is none.
@@ -53,6 +59,9 @@
   virtual void Cancel(const std::string& id, Duration timeout) = 0;
   virtual void Yield(const PlannerRecord& successor, Duration timeout) = 0;
   virtual void Offer(Duration timeout) = 0;
+  virtual void TakeOver(const PlannerRecord& /*planner*/, Duration /*timeout*/) {
+    throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "takeovers are not supported");
+  }
   // The newest planner that the process at the other end knows of; epoch 0 if it knows none.
   virtual PlannerRecord KnownPlanner(Duration /*timeout*/) { return {}; }
 };
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -95,6 +95,7 @@
     UpdateListedAgentsLocked();
     epoch_gauge_.Set(static_cast<double>(epoch));
     sequence_ = sequence;
+    rejected_since_.reset();
     releasing_ = false;
     last_write_ = requested_at;
     append_started_at_.reset();
@@ -360,6 +361,36 @@
   RunAll(replies);
 }
 
+// The claim itself decides whether the planner is replaced, so a request that is late, or from a
+// planner that has been replaced since, does no harm.
+void PlannerService::TakeOver(const PlannerRecord& planner,
+                              std::function<void(Result<Done>)> done) {
+  Replies replies;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (would_claim_ && stored_planner_.epoch == planner.epoch) {
+      takeover_epoch_ = planner.epoch;
+      replies.push_back(Succeeded(std::move(done), Done{}));
+    } else {
+      const Error refusal(ErrorKind::kConflict, Outcome::kNotRun, "this entry claims no duty now");
+      replies.push_back(Failed(std::move(done), refusal));
+    }
+  }
+  LogEvent(LogLevel::kInfo, "takeover_requested",
+           {{"epoch", planner.epoch}, {"node", planner.node}});
+  RunAll(replies);
+}
+
+std::optional<Time> PlannerService::rejected_since() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return planner_ ? rejected_since_ : std::nullopt;
+}
+
+int64_t PlannerService::takeover_epoch() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return takeover_epoch_;
+}
+
 void PlannerService::SetLeadershipView(const PlannerRecord& planner, bool would_claim) {
   const std::lock_guard<std::mutex> lock(mutex_);
   stored_planner_ = planner;
@@ -476,6 +507,7 @@
     append_seconds_.Record(Seconds(LeaseClock().Now() - requested_at));
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!planner_ || planner_->epoch() != epoch) return true;
+    rejected_since_.reset();
     planner_->outbox().MarkDurable();
     planner_->ConfirmLeadership(requested_at);
     append_started_at_.reset();
@@ -494,6 +526,14 @@
                  {{"epoch", epoch}, {"sequence", sequence}, {"error", error.what()}});
       }
       logged_failed_sequence_ = sequence;
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const bool rejected =
+          error.kind() == ErrorKind::kLogUnavailable && error.outcome() == Outcome::kNotRun;
+      if (!rejected) {
+        rejected_since_.reset();
+      } else if (!rejected_since_) {
+        rejected_since_ = requested_at;
+      }
       return false;
     }
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -77,6 +77,11 @@
   // Sets the newest planner read from the store, and whether this entry would claim the leadership
   // if it were vacant.
   void SetLeadershipView(const PlannerRecord& planner, bool would_claim);
+  // Since when the store has rejected each append of this planner; empty if it has not, or if this
+  // process is not active. A rejected append was not carried out.
+  std::optional<Time> rejected_since() const;
+  // Epoch of the planner that has asked this process to take over from it; 0: none.
+  int64_t takeover_epoch() const;
   // Epoch of this process while it is the active planner; 0 otherwise.
   int64_t epoch() const;
   // Returns the removal of all listed agents from which no report has been received for `limit`, or
@@ -89,6 +94,7 @@
   void Cancel(const std::string& id, std::function<void(Result<Done>)> done) override;
   void Yield(const PlannerRecord& successor, std::function<void(Result<Done>)> done) override;
   void Offer(std::function<void(Result<Done>)> done) override;
+  void TakeOver(const PlannerRecord& planner, std::function<void(Result<Done>)> done) override;
   PlannerRecord KnownPlanner() const override;
   PlannerRecord Successor() const override;
 
@@ -167,6 +173,8 @@
   JobIntake intake_{options_.append_stall_timeout};
   PlannerRecord stored_planner_;
   bool would_claim_ = false;
+  int64_t takeover_epoch_ = 0;
+  std::optional<Time> rejected_since_;
   bool replan_needed_ = false;
   bool releasing_ = false;
   bool stopping_ = false;
