Planner: Place a job before it is durable, so that one append accepts and begins it

Change: a submitted job is placed at once. Its record and the record that it runs go into one append, which its starts wait for. A withdrawn job takes its unsent runs along; a job that is not durable preempts nothing.

--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -104,6 +104,7 @@
   job.accepted_ticket = job.newest_ticket;
   pending_submissions_.insert(job.accepted_ticket);
   AddJobToLoads(job);
+  needs_planning_ = true;
   return job.newest_ticket;
 }
 
@@ -115,10 +116,22 @@
   if (IsOver(found->second.progress.state)) return false;
   if (!outbox_.Withdraw(kSpecPrefix + id)) return false;
   outbox_.Withdraw(kProgressPrefix + id);
+  DropUnsentRuns(found->second);
   jobs_.erase(found);
   return true;
 }
 
+// None of the job's starts has been sent, since each waits for the job's records.
+void PoolPlanner::DropUnsentRuns(const Job& job) {
+  for (const auto& [place, run] : job.runs) {
+    const auto worker = workers_.find(run.node);
+    if (worker == workers_.end()) continue;
+    const TaskId task = {job.spec.id, place.occurrence, place.step, place.index};
+    worker->second.live.erase({task, run.number});
+    needs_planning_ = true;
+  }
+}
+
 CancelResult PoolPlanner::Cancel(const std::string& id, int64_t wall_ms) {
   Job* job = FindJob(id);
   if (job == nullptr) return {false, 0};
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -311,6 +311,8 @@
   bool MayGrantLease(const std::string& node, Time now) const;
   bool MayStart(Time now) const;
   bool MayStartInherited(Time now) const;
+  // Forgets the runs of a job whose records have not been sent.
+  void DropUnsentRuns(const Job& job);
   void ExpireLeases(Time now);
   void RevokeOverdueStarts(Time now);
   // How long a start may stay unanswered, extended by the planner's own lag.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -245,7 +245,7 @@
 std::vector<PoolPlanner::Unit> PoolPlanner::CollectUnits(int64_t wall_ms, Time now) {
   std::vector<Unit> units;
   for (auto& [id, job] : jobs_) {
-    if (IsOver(job.progress.state) || job.accepted_ticket > outbox_.durable()) continue;
+    if (IsOver(job.progress.state)) continue;
     if (job.inherited && !MayStartInherited(now)) continue;
     const Schedule& schedule = job.spec.schedule;
     for (int occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
--- a/servers/pool/pool_planner_reclaiming.cc
+++ b/servers/pool/pool_planner_reclaiming.cc
@@ -99,6 +99,8 @@
   const bool tried_recently =
       state.last_reclaim_attempt && now - *state.last_reclaim_attempt < kReclaimInterval;
   if (reclaims_left_ == 0 || tried_recently) return false;
+  // A job that is not durable may still be withdrawn, and the work of others would be lost for it.
+  if (unit.job->accepted_ticket > outbox_.durable()) return false;
   if (planner_lag_.overloaded() && !unit.within_guarantee) return false;
   --reclaims_left_;
   state.last_reclaim_attempt = now;
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -732,5 +732,65 @@
   EXPECT_TRUE(planner.HasPendingOrders("n"));
 }
 
+// A planner with one worker of eight accelerators and one job that is not durable yet.
+struct NewJob {
+  explicit NewJob(bool pool_is_full = false) : planner(PlannerOptions(), 1, JobTable(), {}, now) {
+    planner.ConfirmLeadership(now);
+    planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+    planner.ApplyReport(Report("first", 1), 0, now);
+    if (pool_is_full) {
+      planner.Submit(SampleJob("earlier", "batch", "one", SampleStep(8, 1, seconds(60))));
+      StoreAnswers();
+      planner.Plan(0, now);
+      StoreAnswers();
+    }
+    planner.Submit(SampleJob("j", "urgent", "one", SampleStep(1, 8, seconds(2))));
+    planner.Plan(0, now);
+  }
+
+  // Makes everything durable that is queued. Returns the keys of the append.
+  std::vector<std::string> StoreAnswers() {
+    std::vector<std::string> keys;
+    for (const KeyedRecord& record : planner.outbox().Take()) keys.push_back(record.key);
+    planner.outbox().MarkDurable();
+    planner.NoteDurable();
+    return keys;
+  }
+  size_t starts() { return planner.Orders("n", now).starts.size(); }
+  size_t stops() { return planner.Orders("n", now).stops.size(); }
+
+  Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner;
+};
+
+// With a store that answers after a quarter of a second, an urgent job waited for one answer until
+// it was accepted and for another until it began.
+TEST(PoolPlanner, OneAppendAcceptsAndBeginsAJob) {
+  NewJob job;
+  EXPECT_EQ(job.starts(), 0U);
+  EXPECT_EQ(job.StoreAnswers(), std::vector<std::string>({"j/j", "p/j"}));
+  EXPECT_EQ(job.starts(), 1U);
+  EXPECT_TRUE(job.planner.outbox().empty());
+}
+
+// A job whose caller is told that it does not run must not run.
+TEST(PoolPlanner, StartsNothingOfAWithdrawnJobThatWasPlaced) {
+  NewJob job;
+  ASSERT_TRUE(job.planner.WithdrawSubmission("j"));
+  job.planner.Plan(0, job.now);
+  EXPECT_TRUE(job.StoreAnswers().empty());
+  EXPECT_EQ(job.starts(), 0U);
+  EXPECT_TRUE(job.planner.workers().at("n").live.empty());
+}
+
+// The store does not answer: the work of others must not be stopped for a job that will be refused.
+TEST(PoolPlanner, PreemptsNothingForAJobThatIsNotDurable) {
+  NewJob job(true);
+  EXPECT_EQ(job.stops(), 0U);
+  job.StoreAnswers();
+  job.planner.Plan(0, job.now);
+  EXPECT_GT(job.stops(), 0U);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
