Releases: See a release whose workers announce the same version

The new worker starts on a new VM; the old one drains 1.5 s later.

Change: two additional workers that start, each followed by the departure of another worker within 10 s, begin a release. The line worker_reported names the worker's version.

--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -68,7 +68,8 @@
     LogEvent(LogLevel::kInfo, change.began ? "release_began" : "release_ended",
              {{"service", change.service},
               {"version", change.version},
-              {"reason", change.began ? "new_version" : releases::ReleaseEndName(change.end)},
+              {"reason", change.began ? releases::ReleaseSignName(change.sign)
+                                      : releases::ReleaseEndName(change.end)},
               {"outdated", change.outdated},
               {"updated", change.updated},
               {"evidence_age_s", Seconds(change.evidence_age)},
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -193,6 +193,7 @@
             {"before_ms", former.start_time_ms},
             {"runs_before", worker->live.size()},
             {"fence", worker->fence},
+            {"version", facts.version},
             {"rack", facts.rack},
             {"accelerators", facts.capacity.accelerators},
             {"processor_millis", facts.capacity.processor_millis}});
--- a/servers/releases/observed_releases.cc
+++ b/servers/releases/observed_releases.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -15,6 +16,10 @@
 // A release in which no worker starts or leaves for this long has stopped. Replacing a worker takes
 // seconds: it drains, and its successor starts.
 constexpr Duration kReleasePause = std::chrono::seconds(30);
+// A worker that leaves within this time after an additional one has started is replaced by it.
+constexpr Duration kReplacementTime = std::chrono::seconds(10);
+// A single additional worker and a single departure may have nothing to do with each other.
+constexpr int kMinReplacements = 2;
 // Versions remembered per service; the oldest are dropped.
 constexpr size_t kMaxVersions = 100;
 // Order of workers that have not announced a version.
@@ -26,6 +31,19 @@
     {ReleaseEnd::kRolledBack, "rolled_back"},
 }};
 
+constexpr std::array<std::pair<ReleaseSign, const char*>, 2> kSignNames = {{
+    {ReleaseSign::kNewVersion, "new_version"},
+    {ReleaseSign::kReplacement, "replacement"},
+}};
+
+// An additional worker of a version that is known.
+struct AdditionalStart {
+  std::string node;
+  Time at{};
+  // Whether another worker has left since.
+  bool replaces = false;
+};
+
 struct Service {
   // Order of each version: 0 for the versions that were found, higher for newer ones.
   std::map<std::string, int> orders;
@@ -38,6 +56,9 @@
   // When the release of the newest version was last observed to go on; empty if there is none.
   std::optional<Time> evidence;
   bool rolled_back = false;
+  ReleaseSign sign = ReleaseSign::kNewVersion;
+  // Those of the last 10 s, oldest first, while no release is in progress.
+  std::deque<AdditionalStart> additional;
   // Whether the release was in progress at the last Update.
   bool announced = false;
 
@@ -89,6 +110,9 @@
     in.newest_start_ms = std::max(in.newest_start_ms, start_time_ms);
     const bool replaces = !is_new && former.service == &in;
     if (starts) RecordStart(&in, worker.order, !known, replaces ? &former : nullptr, now);
+    if (starts && is_new && known && !version.empty() && !in.in_progress(now)) {
+      in.additional.push_back({node, now});
+    }
   }
 
   void RecordGone(const std::string& node, Time now) override {
@@ -99,6 +123,7 @@
     if (outdated && worker.service->in_progress(now)) RecordEvidence(worker.service, now);
     worker.gone = true;
     Count(*worker.service, worker.order, -1);
+    if (!worker.service->in_progress(now)) RecordDeparture(node, worker, now);
   }
 
   bool IsOutdated(const std::string& node, Time now) const override {
@@ -124,6 +149,7 @@
       change.service = name;
       change.version = service.newest_version;
       change.began = in_progress;
+      change.sign = service.sign;
       change.end = EndOf(service);
       change.outdated = service.outdated();
       change.updated = service.updated();
@@ -169,6 +195,7 @@
     if (starts) {
       ++service->newest;
       service->newest_version = version;
+      service->sign = ReleaseSign::kNewVersion;
     }
     return service->orders[version] = starts ? service->newest : 0;
   }
@@ -185,10 +212,47 @@
     }
     // Workers that restart in the newest version show nothing. Nor do additional ones once a
     // release has stopped: it may never go on.
-    const bool goes_on = replaced != nullptr ? replaced->order < order : service->in_progress(now);
+    const bool goes_on = replaced != nullptr
+                             ? replaced->order < order && service->sign == ReleaseSign::kNewVersion
+                             : service->in_progress(now);
     if (first_of_version || goes_on) RecordEvidence(service, now);
   }
 
+  // A worker has left while no release is in progress.
+  void RecordDeparture(const std::string& node, const Worker& worker, Time now) {
+    std::deque<AdditionalStart>& additional = worker.service->additional;
+    while (!additional.empty() && now - additional.front().at > kReplacementTime) {
+      additional.pop_front();
+    }
+    const auto is_start = [&](const AdditionalStart& start) { return start.node == node; };
+    if (std::any_of(additional.begin(), additional.end(), is_start)) return;
+    const auto start = std::find_if(additional.begin(), additional.end(),
+                                    [](const AdditionalStart& each) { return !each.replaces; });
+    if (start == additional.end()) return;
+    start->replaces = true;
+    const auto replacements =
+        std::count_if(additional.begin(), additional.end(),
+                      [](const AdditionalStart& each) { return each.replaces; });
+    if (replacements >= kMinReplacements) BeginReplacement(worker.service, worker.version, now);
+  }
+
+  // Counts the additional workers, and all that start from now on, as a newer version.
+  void BeginReplacement(Service* service, const std::string& version, Time now) {
+    ++service->newest;
+    service->newest_version = version;
+    service->sign = ReleaseSign::kReplacement;
+    service->orders[version] = service->newest;
+    for (const AdditionalStart& start : service->additional) {
+      Worker& worker = workers_[start.node];
+      if (worker.gone || worker.service != service) continue;
+      Count(*service, worker.order, -1);
+      worker.order = service->newest;
+      Count(*service, worker.order, 1);
+    }
+    service->additional.clear();
+    RecordEvidence(service, now);
+  }
+
   void RecordEvidence(Service* service, Time now) {
     service->rolled_back = false;
     service->evidence = now;
@@ -204,6 +268,13 @@
 
 }  // namespace
 
+const char* ReleaseSignName(ReleaseSign sign) {
+  for (const auto& [known, name] : kSignNames) {
+    if (sign == known) return name;
+  }
+  return "";
+}
+
 const char* ReleaseEndName(ReleaseEnd end) {
   for (const auto& [known, name] : kEndNames) {
     if (end == known) return name;
--- a/servers/releases/release_tracker.h
+++ b/servers/releases/release_tracker.h
@@ -25,12 +25,22 @@
 };
 const char* ReleaseEndName(ReleaseEnd end);
 
+// What shows that a release has begun.
+enum class ReleaseSign {
+  // A worker started in a version that was not seen before.
+  kNewVersion,
+  // Additional workers of the same version start while others leave, one after the other.
+  kReplacement,
+};
+const char* ReleaseSignName(ReleaseSign sign);
+
 // The begin of a release, or its end.
 struct ReleaseChange {
   std::string service;
   // The version that is being released.
   std::string version;
   bool began = false;
+  ReleaseSign sign = ReleaseSign::kNewVersion;
   // Unused if the release began.
   ReleaseEnd end = ReleaseEnd::kStopped;
   // Workers of the service that are outdated, and those of the new version.
@@ -43,7 +53,9 @@
 
 // A release of a service is in progress while workers of its newest version start in short
 // intervals and workers of older versions are left. A version is newer if it was first seen later;
-// the versions that were seen while the planner learned the pool count as one.
+// the versions that were seen while the planner learned the pool count as one. Workers that
+// announce the same version before and after count as replaced from the first additional one on,
+// once two such starts have each been followed by the departure of another worker.
 class ReleaseTracker {
  public:
   virtual ~ReleaseTracker() = default;
--- a/servers/releases/release_tracker_test.cc
+++ b/servers/releases/release_tracker_test.cc
@@ -215,5 +215,78 @@
   EXPECT_TRUE(pool.tracker->Update(pool.now).empty());
 }
 
+// Replaces workers of the pool by additional ones of the same version.
+struct ReplacedPool : Pool {
+  // An additional worker starts, and a second later another one leaves.
+  void ReplaceByAdditional(int additional, int leaves) {
+    tracker->RecordWorker(Node(additional), "plans", "1", kStartMs + additional, now);
+    now += seconds(1);
+    tracker->RecordGone(Node(leaves), now);
+  }
+};
+
+// A release whose workers announce the same version as before: gangs were placed on workers that
+// left before they ended, with nine tenths of the pool free.
+TEST(ReleaseTracker, SeesReplacementsWithinOneVersion) {
+  ReplacedPool pool;
+  pool.ReplaceByAdditional(10, 0);
+  EXPECT_EQ(pool.Outdated(), "cccc");
+  pool.ReplaceByAdditional(11, 1);
+  EXPECT_EQ(pool.Outdated(), "ccoo");
+  EXPECT_FALSE(pool.tracker->IsOutdated("w10", pool.now));
+  EXPECT_FALSE(pool.tracker->IsOutdated("w11", pool.now));
+  const std::vector<ReleaseChange> began = pool.tracker->Update(pool.now);
+  ASSERT_EQ(began.size(), 1U);
+  EXPECT_EQ(began[0].sign, ReleaseSign::kReplacement);
+  EXPECT_EQ(began[0].outdated, 2);
+  EXPECT_EQ(began[0].updated, 2);
+  pool.ReplaceByAdditional(12, 2);
+  EXPECT_FALSE(pool.tracker->IsOutdated("w12", pool.now));
+  pool.ReplaceByAdditional(13, 3);
+  const std::vector<ReleaseChange> ended = pool.tracker->Update(pool.now);
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_EQ(ended[0].end, ReleaseEnd::kAllReplaced);
+}
+
+// Workers are taken away, and none is added: those that stay will not be replaced.
+TEST(ReleaseTracker, DeparturesAloneAreNoRelease) {
+  Pool pool;
+  for (int worker = 0; worker < 3; ++worker) {
+    pool.now += seconds(1);
+    pool.tracker->RecordGone(Pool::Node(worker), pool.now);
+  }
+  EXPECT_EQ(pool.Outdated(), "cccc");
+}
+
+// The pool grows.
+TEST(ReleaseTracker, AdditionalWorkersAloneAreNoRelease) {
+  Pool pool;
+  for (int worker = 10; worker < 14; ++worker) {
+    pool.now += seconds(1);
+    pool.tracker->RecordWorker(Pool::Node(worker), "plans", "1", kStartMs + worker, pool.now);
+  }
+  EXPECT_EQ(pool.Outdated(), "cccc");
+}
+
+// A worker that was added and leaves again replaces nothing.
+TEST(ReleaseTracker, AnAdditionalWorkerThatLeavesReplacesNoOther) {
+  ReplacedPool pool;
+  pool.ReplaceByAdditional(10, 10);
+  pool.ReplaceByAdditional(11, 11);
+  EXPECT_EQ(pool.Outdated(), "cccc");
+}
+
+// After a release that has stopped halfway, a crashed worker starts again in the same version. That
+// must not count as the release going on.
+TEST(ReleaseTracker, ARestartDoesNotContinueAReplacement) {
+  ReplacedPool pool;
+  pool.ReplaceByAdditional(10, 0);
+  pool.ReplaceByAdditional(11, 1);
+  pool.now += seconds(31);
+  ASSERT_EQ(pool.Outdated(), "cccc");
+  pool.Record(2, "1", 5);
+  EXPECT_EQ(pool.Outdated(), "cccc");
+}
+
 }  // namespace
 }  // namespace turmericshift::releases
