Releases: Move gangs off workers that leave before the gangs end

Cause: a gang of 33 whole workers was placed 0.2 s before one of them announced that it leaves in 6.5 s.

Change: when a worker announces that it leaves, each run on it that can't be resumed is stopped and starts again elsewhere if that is expected to lose less than letting it go on, and if another worker has room. Switch: move_from_leaving.

--- a/servers/pool/mechanism.cc
+++ b/servers/pool/mechanism.cc
@@ -8,7 +8,7 @@
 namespace turmericshift::pool {
 namespace {
 
-constexpr std::array<std::pair<Mechanism, const char*>, 21> kNames = {{
+constexpr std::array<std::pair<Mechanism, const char*>, 22> kNames = {{
     {Mechanism::kLearnedTimes, "learned_times"},
     {Mechanism::kWideInWaves, "wide_in_goes"},
     {Mechanism::kOnTimeProbability, "likelihood"},
@@ -30,6 +30,7 @@
     {Mechanism::kAdmission, "admission"},
     {Mechanism::kFairShares, "fair_shares"},
     {Mechanism::kAvoidOutdatedWorkers, "avoid_outdated"},
+    {Mechanism::kMoveFromLeavingWorkers, "move_from_leaving"},
 }};
 
 }  // namespace
--- a/servers/pool/mechanism.h
+++ b/servers/pool/mechanism.h
@@ -53,6 +53,8 @@
   kFairShares,
   // Work that can't be resumed avoids workers that a release is about to replace.
   kAvoidOutdatedWorkers,
+  // Work that can't be resumed is started again elsewhere when its worker announces that it leaves.
+  kMoveFromLeavingWorkers,
 };
 // Throws Error(kInvalidInput) with the list of known names if the name is unknown.
 Mechanism MechanismFromName(const std::string& name);
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -370,6 +370,13 @@
   int64_t GuaranteedFor(const std::string& workspace) const;
   // Accelerators in use by the workspace's urgent jobs, as of this round.
   int64_t UrgentUse(const std::string& workspace) const;
+  // Stops runs on workers that have announced since the last round that they leave, where more
+  // would be lost with the worker.
+  void MoveRunsOfLeavingWorkers(Time now);
+  void MoveRunsFrom(WorkerState* worker, Time now);
+  // Whether a worker other than `from` could take over a task of the step now.
+  bool HasRoomElsewhere(const WorkerState& from, const Job& job, const StepSpec& step,
+                        Time now) const;
   // Whether a round of planning is due at `now`.
   bool RoundIsDue(Time now) const;
   void BeginRound(Time now);
@@ -468,6 +475,8 @@
   JobEstimator estimator_;
   std::unique_ptr<speeds::WorkerSpeeds> speeds_;
   std::unique_ptr<releases::ReleaseTracker> releases_;
+  // Workers that have announced since the last round that they leave.
+  std::set<std::string> newly_leaving_;
   std::unique_ptr<shares::WorkspaceShares> shares_;
   std::unique_ptr<admission::AdmissionPolicy> admission_;
   // Load by service, and when it was computed.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -101,6 +101,7 @@
   if (!MayStart(now) || !RoundIsDue(now)) return;
   BeginRound(now);
   last_round_wall_ms_ = wall_ms;
+  MoveRunsOfLeavingWorkers(now);
   const std::vector<Unit> units = CollectUnits(wall_ms, now);
   LogQueue(units, now);
   for (const Unit& unit : units) {
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -145,6 +145,7 @@
   if (facts.draining && !worker->facts.draining) {
     LogEvent(LogLevel::kInfo, "worker_draining",
              {{"node", report.node}, {"leaves_in_s", Seconds(facts.leaves_in)}});
+    newly_leaving_.insert(report.node);
   }
   needs_planning_ = needs_planning_ || facts.draining != worker->facts.draining ||
                     facts.reachable != worker->facts.reachable;
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -792,5 +792,67 @@
   EXPECT_GT(job.stops(), 0U);
 }
 
+// A planner of the workers "n" and, if it has room, "m". A gang of one task has started on "n".
+struct LeavingWorker {
+  explicit LeavingWorker(bool room_elsewhere = true, const DisabledMechanisms& off = {})
+      : planner(OptionsWithout(off), 1, JobTable(), {}, now) {
+    planner.ConfirmLeadership(now);
+    planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+    planner.ApplyReport(Report("first", 1), 0, now);
+    planner.Submit(SampleJob("j", "batch", "one", Gang(SampleStep(1, 8, seconds(7)))));
+    planner.Plan(0, now);
+    planner.outbox().Take();
+    planner.outbox().MarkDurable();
+    planner.NoteDurable();
+    if (!room_elsewhere) return;
+    AgentReport other = Report("first", 1);
+    other.node = "m";
+    other.worker.id = "k";
+    planner.ApplyReport(other, 0, now);
+  }
+
+  static PlannerOptions OptionsWithout(const DisabledMechanisms& off) {
+    PlannerOptions options;
+    options.disabled_mechanisms = off;
+    return options;
+  }
+
+  // The worker of "n" announces that it leaves. Returns whether the run is being stopped.
+  bool MovesWhenItLeavesIn(Duration leaves_in) {
+    AgentReport report = Report("first", 2);
+    report.worker.draining = true;
+    report.worker.leaves_in = leaves_in;
+    for (const auto& [id, run] : planner.workers().at("n").live) {
+      report.running.push_back({id, ""});
+    }
+    planner.ApplyReport(report, 0, now);
+    planner.Plan(0, now);
+    return !planner.Orders("n", now).stops.empty();
+  }
+
+  Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner;
+};
+
+// A gang went on for seven seconds on a worker that had announced its end right after the start,
+// and was lost with all its members.
+TEST(PoolPlanner, MovesAGangOffAWorkerThatLeavesBeforeItsEnd) {
+  EXPECT_TRUE(LeavingWorker().MovesWhenItLeavesIn(milliseconds(6500)));
+}
+
+TEST(PoolPlanner, LeavesAGangThatEndsBeforeItsWorkerLeaves) {
+  EXPECT_FALSE(LeavingWorker().MovesWhenItLeavesIn(seconds(30)));
+}
+
+// Stopped without a place to go to, the gang would lose its work and wait.
+TEST(PoolPlanner, LeavesAGangWhereThereIsNoRoomElsewhere) {
+  EXPECT_FALSE(LeavingWorker(false).MovesWhenItLeavesIn(milliseconds(6500)));
+}
+
+TEST(PoolPlanner, LeavesGangsIfMovingIsSwitchedOff) {
+  LeavingWorker worker(true, {Mechanism::kMoveFromLeavingWorkers});
+  EXPECT_FALSE(worker.MovesWhenItLeavesIn(milliseconds(6500)));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
