Leadership: Test the loss of all standbys, and rare reads of a planner that works

Agents read the planner topic each 30 s while a planner answers (10 s before): a planner that can't confirm its leadership, an error and a refusal each make them follow it closely, so that the idle reads only back those up.

--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 #include <map>
 #include <memory>
@@ -106,8 +107,9 @@
   Candidate(KeyedLog* log, const std::string& node) : Candidate(log, node, nullptr) {}
   // `connected_entries`: the entries that this candidate can reach; null: none.
   Candidate(KeyedLog* log, const std::string& node, LocalConnector* connected_entries,
-            const PlannerServiceOptions& service_options = {}, ElectorOptions options = {})
-      : work(log),
+            const PlannerServiceOptions& service_options = {}, ElectorOptions options = {},
+            Duration work_idle_interval = {})
+      : work(log, work_idle_interval),
         operators(log, std::make_unique<platform::OperatorRecordDecoder>()),
         members(log, milliseconds(200)),
         service(service_options, log, &operators, &members, &metrics) {
@@ -712,5 +714,59 @@
   EXPECT_FALSE(planner.service.rejected_since());
 }
 
+// Two stronger entries of the zone are listed, so that a weak one does not stand by.
+void ListStandbys(KeyedLog* log) {
+  for (const char* node : {"s1", "s2"}) {
+    const EntryRecord entry = {node, "", std::string(node) + ":1", membership::kUnlimitedCapacity};
+    log->Append(kMembersTopic, {{kEntryPrefix + std::string(node), EncodeEntry(entry)}}, {},
+                std::chrono::seconds(1));
+  }
+}
+
+ElectorOptions OptionsOfRankTwo() {
+  ElectorOptions options = WeakVm();
+  options.silence_timeout = milliseconds(300);
+  options.claim_delay = Duration::zero();
+  return options;
+}
+
+// The planner and all standbys are lost at the same moment. The other entries look at the work
+// topic rarely, but one of them must take over.
+TEST(PlannerElector, TakesOverWhereAllStandbysAreLost) {
+  MemoryKeyedLog log;
+  ListStandbys(&log);
+  log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "s1", "s1:1"})}}, {},
+             std::chrono::seconds(1));
+  Candidate entry(&log, "w", nullptr, {}, OptionsOfRankTwo(), milliseconds(400));
+  EXPECT_TRUE(Eventually([&] { return entry.service.epoch() > 0; }));
+}
+
+// An entry that looks rarely sees records that are as old as its interval. If it took their age for
+// silence, it would depose a planner that works.
+TEST(PlannerElector, LeavesAPlannerWhoseRecordsItReadsRarely) {
+  MemoryKeyedLog log;
+  ListStandbys(&log);
+  log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "s1", "s1:1"})}}, {},
+             std::chrono::seconds(1));
+  std::atomic<bool> stopping{false};
+  Thread planner("planner", [&] {
+    while (!stopping.load()) {
+      log.Append(kWorkTopic, {{kHeartbeatKey, "1"}}, {}, std::chrono::seconds(1));
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  });
+  {
+    Candidate entry(&log, "w", nullptr, {}, OptionsOfRankTwo(), milliseconds(1200));
+    // Three reads of the topic.
+    const Time begin = LeaseClock().Now();
+    ASSERT_TRUE(Eventually([&] {
+      return entry.work.freshness().requested_at.value_or(begin) > begin + milliseconds(2400);
+    }));
+    EXPECT_EQ(entry.service.epoch(), 0);
+  }
+  stopping.store(true);
+  planner.Join();
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -38,7 +38,7 @@
   Duration members_wait = std::chrono::milliseconds(500);
   // How often the planner topic, and the members topic once it was needed, is read while a planner
   // that has confirmed its leadership answers.
-  Duration idle_interval = std::chrono::seconds(10);
+  Duration idle_interval = std::chrono::seconds(30);
   // Time-out of one attempt of an order to the worker, which runs beside the agent and answers in
   // milliseconds. Three attempts fit into the time that a gang is given to start (1.3 s).
   Duration order_timeout = std::chrono::milliseconds(270);
