Membership: Keep agents from reading the members at each change of planner; let takeover requests lapse

Change: an agent looks whether it is listed after 3 s without permission. Requests to take over lapse after 1 s.

--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -142,7 +142,7 @@
   const bool own_record =
       leadership.planner.node == options_.node && !leadership.planner.address.empty();
   if (own_record) return leadership.freshness.within(options_.max_view_age, now);
-  if (service_->takeover_epoch() == leadership.planner.epoch && leadership.planner.epoch > 0) {
+  if (service_->takeover_epoch(now) == leadership.planner.epoch && leadership.planner.epoch > 0) {
     return leadership.freshness.within(kMaxTakeoverViewAge, now);
   }
   const Duration claim_delay =
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -18,6 +18,9 @@
 // After a planning round, the planning thread pauses for this multiple of the round's duration.
 constexpr int kRoundPauseFactor = 2;
 constexpr Duration kMaxRoundPause = std::chrono::milliseconds(50);
+// A planner repeats its request as long as the store rejects it. An older request must not depose a
+// planner that the store serves again.
+constexpr Duration kTakeoverRequestLifetime = std::chrono::seconds(1);
 // No pause follows a round shorter than this.
 constexpr Duration kShortRound = std::chrono::milliseconds(1);
 
@@ -370,6 +373,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     if (would_claim_ && stored_planner_.epoch == planner.epoch) {
       takeover_epoch_ = planner.epoch;
+      takeover_requested_at_ = LeaseClock().Now();
       replies.push_back(Succeeded(std::move(done), Done{}));
     } else {
       const Error refusal(ErrorKind::kConflict, Outcome::kNotRun, "this entry claims no duty now");
@@ -386,9 +390,9 @@
   return planner_ ? rejected_since_ : std::nullopt;
 }
 
-int64_t PlannerService::takeover_epoch() const {
+int64_t PlannerService::takeover_epoch(Time now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
-  return takeover_epoch_;
+  return now - takeover_requested_at_ < kTakeoverRequestLifetime ? takeover_epoch_ : 0;
 }
 
 void PlannerService::SetLeadershipView(const PlannerRecord& planner, bool would_claim) {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -80,8 +80,9 @@
   // Since when the store has rejected each append of this planner; empty if it has not, or if this
   // process is not active. A rejected append was not carried out.
   std::optional<Time> rejected_since() const;
-  // Epoch of the planner that has asked this process to take over from it; 0: none.
-  int64_t takeover_epoch() const;
+  // Epoch of the planner that has asked this process within the last second to take over from it;
+  // 0: none.
+  int64_t takeover_epoch(Time now) const;
   // Epoch of this process while it is the active planner; 0 otherwise.
   int64_t epoch() const;
   // Returns the removal of all listed agents from which no report has been received for `limit`, or
@@ -174,6 +175,7 @@
   PlannerRecord stored_planner_;
   bool would_claim_ = false;
   int64_t takeover_epoch_ = 0;
+  Time takeover_requested_at_{};
   std::optional<Time> rejected_since_;
   bool replan_needed_ = false;
   bool releasing_ = false;
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -308,5 +308,25 @@
   EXPECT_EQ(stored.count("l/speeds"), 0U);
 }
 
+// The store serves the planner again before the standby has claimed. Much later the standby must
+// not depose it on the strength of the old request.
+TEST_F(PlannerServiceTest, ForgetsARequestToTakeOver) {
+  const PlannerRecord planner = {service_.epoch() + 7, "other", "other:1"};
+  service_.SetLeadershipView(planner, true);
+  LocalPlannerClient(&service_).TakeOver(planner, kAnswerLimit);
+  const Time now = LeaseClock().Now();
+  EXPECT_EQ(service_.takeover_epoch(now), planner.epoch);
+  EXPECT_EQ(service_.takeover_epoch(now + seconds(2)), 0);
+}
+
+// The request is late, or this entry does not see the planner in the store.
+TEST_F(PlannerServiceTest, RefusesToTakeOverFromAPlannerThatItDoesNotSee) {
+  const PlannerRecord planner = {service_.epoch() + 7, "other", "other:1"};
+  EXPECT_THROW(LocalPlannerClient(&service_).TakeOver(planner, kAnswerLimit), Error);
+  service_.SetLeadershipView(planner, false);
+  EXPECT_THROW(LocalPlannerClient(&service_).TakeOver(planner, kAnswerLimit), Error);
+  EXPECT_EQ(service_.takeover_epoch(LeaseClock().Now()), 0);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -23,6 +23,10 @@
 // How long the members topic is followed closely after the last reason for it.
 constexpr Duration kCloseFollowPeriod = std::chrono::seconds(1);
 constexpr Duration kMembersRefreshTimeout = std::chrono::milliseconds(400);
+// A registered agent whose planner permits no starts for this long looks whether it is still
+// listed. New planners have read the members by then; hundreds of agents that read them as well
+// would hold the planner up.
+constexpr Duration kStartsRefusedLimit = std::chrono::seconds(3);
 // An agent that no planner has answered for this long also looks in the members topic: older
 // planners announce themselves only there.
 constexpr Duration kPlannerSearchPeriod = std::chrono::seconds(4);
@@ -299,6 +303,7 @@
     throw Error(ErrorKind::kConflict, Outcome::kNotRun, "the pool is planned elsewhere now");
   }
   AgentOrders new_orders;
+  bool starts_refused = false;
   bool members_doubtful = false;
   bool read_needed = false;
   bool report_needed = false;
@@ -307,20 +312,19 @@
     state_.ReportDelivered(report);
     new_orders = state_.HandleOrders(orders, sent, LeaseClock().Now());
     planner_lag_ = orders.lag;
-    // A planner that no longer permits starts can't confirm its leadership, or has removed this
-    // agent from the members. A planner that has never permitted any has not read the members yet.
-    if (orders.start_window > Duration::zero()) starts_permitted_ = true;
     answering_epoch_ = std::max(answering_epoch_, orders.epoch);
-    members_doubtful = starts_permitted_ && orders.start_window <= Duration::zero();
+    const Time now = LeaseClock().Now();
+    starts_refused = orders.start_window <= Duration::zero();
+    if (!starts_refused) starts_permitted_at_ = now;
+    members_doubtful = now - starts_permitted_at_ > kStartsRefusedLimit;
     read_needed = !state_.is_read();
     report_needed = state_.is_read() && report.epoch != state_.epoch();
   }
   if (!registered_.load()) AdoptListing(orders);
-  if (members_doubtful) {
-    const Time now = LeaseClock().Now();
-    FollowPlanner(now);
-    FollowMembers(now);
-  }
+  // The planner can't confirm its leadership, has not read the members yet, or has removed this
+  // agent from them.
+  if (starts_refused) FollowPlanner(LeaseClock().Now());
+  if (members_doubtful && registered_.load()) FollowMembers(LeaseClock().Now());
   // The planner uses the worker only after the worker has been read under the token that this
   // planner has assigned.
   if (read_needed) SubmitOrder([this] { HoldAndReport(); });
@@ -504,6 +508,7 @@
   registered_.store(registered);
   const std::lock_guard<std::mutex> lock(mutex_);
   state_.SetMember(registered);
+  if (registered) starts_permitted_at_ = LeaseClock().Now();
 }
 
 void PoolAgent::Register() {
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -127,8 +127,8 @@
   Duration planner_lag_{};
   // Epoch of the newest planner that has answered; 0: none.
   int64_t answering_epoch_ = 0;
-  // Whether any planner has permitted starts since this process began.
-  bool starts_permitted_ = false;
+  // When a planner last permitted starts, or the agent last became registered.
+  Time starts_permitted_at_{};
   bool update_requested_ = false;
   bool stopping_ = false;
   // Held while the membership is checked and written.
--- a/servers/pool/pool_agent_test.cc
+++ b/servers/pool/pool_agent_test.cc
@@ -355,5 +355,21 @@
   EXPECT_EQ(log.members_reads(), 0);
 }
 
+// A planner removes an agent that has been silent, and the agent comes back while the removal is
+// under way. If it did not look, its worker would not be used any more.
+TEST(PoolAgentTest, RegistersAgainOnceItHasBeenRemoved) {
+  AgentOrders orders = OrdersOfPlanner(kEpoch);
+  orders.start_window = Duration::zero();
+  RegistrationLog log;
+  StopWatchWorker worker;
+  RepeatingPlanner planner(orders);
+  MetricsRegistry metrics;
+  PoolAgent agent(AgentOptions(), &log, &worker, &planner, &metrics);
+  agent.WorkerAnnounced(Announcement());
+  ASSERT_TRUE(Eventually([&] { return log.registrations() == 1; }));
+  log.Append(kMembersTopic, {{std::string(kAgentPrefix) + "agent", "", kNoOffset}}, {}, kLimit);
+  EXPECT_TRUE(Eventually([&] { return log.registrations() == 3; }));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
