Callers: Repeat a call that waits at a planner as soon as its successor is known

Change: calls that wait for 0.3 s make the entry follow the work topic closely; once it shows a newer planner, the connection to the older one is closed and the calls are repeated at the newer one.

--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -146,6 +146,7 @@
       : session_(std::move(session)), relayed_(std::move(relayed)) {}
   ~RpcPlannerClient() override { session_->Close(); }
 
+  void Close() override { session_->Close(); }
   bool relayed() const override { return relayed_.has_value(); }
 
   // Throws Error if the relaying entry can't reach the planner.
--- a/servers/pool/job_api.cc
+++ b/servers/pool/job_api.cc
@@ -20,6 +20,8 @@
 constexpr Duration kRefreshTimeout = std::chrono::milliseconds(300);
 // How long the work topic is followed closely after a call has failed at the planner.
 constexpr Duration kCloseFollowPeriod = std::chrono::seconds(2);
+// The planner answers most calls within 20 ms, and in 0.5 s with a slow store.
+constexpr Duration kLongCall = std::chrono::milliseconds(300);
 // A view older than this while the topic is followed closely shows that the store does not answer.
 constexpr Duration kStoreLostAge = std::chrono::milliseconds(1500);
 
@@ -237,6 +239,40 @@
   if (client_ == client) client_.reset();
 }
 
+void JobApi::CallOnce(const std::function<void(PlannerClient*, Duration)>& call,
+                      PlannerClient* client, Duration limit) {
+  std::multiset<Time>::iterator waiting;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    waiting = waiting_since_.insert(LeaseClock().Now());
+  }
+  const auto end_wait = [&] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    waiting_since_.erase(waiting);
+  };
+  try {
+    call(client, limit);
+  } catch (...) {
+    end_wait();
+    throw;
+  }
+  end_wait();
+}
+
+// A planner that has lost power answers nothing and does not refuse connections either. Its
+// successor stands before calls to it time out.
+void JobApi::WatchCalls(int64_t newest_epoch, Time now) {
+  std::shared_ptr<PlannerClient> outdated;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!waiting_since_.empty() && now - *waiting_since_.begin() > kLongCall) {
+      work_->FollowCloselyUntil(now + kCloseFollowPeriod, now);
+    }
+    if (client_ && client_epoch_ < newest_epoch) outdated = std::move(client_);
+  }
+  if (outdated) outdated->Close();
+}
+
 bool JobApi::FindNewerPlanner(const std::shared_ptr<PlannerClient>& client, const Error& error,
                               Duration limit) {
   const Time now = LeaseClock().Now();
@@ -264,7 +300,7 @@
     std::shared_ptr<PlannerClient> client;
     try {
       client = ConnectToPlanner(end - now);
-      call(client.get(), std::min(end - now, options_.attempt_timeout));
+      CallOnce(call, client.get(), std::min(end - now, options_.attempt_timeout));
       answer.kind = done;
       answer.message = "";
       return answer;
--- a/servers/pool/job_api.h
+++ b/servers/pool/job_api.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 
 #include "core/http_server.h"
@@ -94,6 +95,10 @@
   // Sets the time by which every call is answered, also if its caller would wait longer, because
   // the process ends.
   void SetAnswerDeadline(Time deadline) { answer_deadline_.store(deadline); }
+  // Ends calls that wait at a planner older than the one of `newest_epoch`, so that they are
+  // repeated at the newer one, and looks for a newer one while calls wait long. To be called
+  // several times a second.
+  void WatchCalls(int64_t newest_epoch, Time now);
   // Whether this entry can serve callers: its views of the store are recent.
   bool Ready(Time now) const;
 
@@ -115,6 +120,9 @@
   // null if it could not be reached. Returns whether a newer one is known now.
   bool FindNewerPlanner(const std::shared_ptr<PlannerClient>& client, const Error& error,
                         Duration limit);
+  // Carries out one call at the planner, so that WatchCalls sees it.
+  void CallOnce(const std::function<void(PlannerClient*, Duration)>& call, PlannerClient* client,
+                Duration limit);
   JobAnswer NotAccepted(const std::string& message) const;
 
   const JobApiOptions options_;
@@ -131,6 +139,8 @@
   std::mutex mutex_;
   std::shared_ptr<PlannerClient> client_;
   int64_t client_epoch_ = 0;
+  // When the calls that wait at the planner began.
+  std::multiset<Time> waiting_since_;
 };
 
 // Translates between a platform's HTTP calls and the JobApi.
--- a/servers/pool/job_api_test.cc
+++ b/servers/pool/job_api_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <thread>
 
 #include "core/error.h"
@@ -116,6 +117,34 @@
   std::atomic<int> refusals{0};
 };
 
+// Planners of epoch 1 at "here" that answer nothing until their connection is closed, and one at
+// "there" that accepts every call.
+class SilentPlannerConnector : public PlannerConnector {
+ public:
+  std::shared_ptr<PlannerClient> Connect(const std::string& address, Duration /*limit*/) override {
+    if (address == "there") return std::make_shared<AcceptingClient>();
+    return std::make_shared<SilentClient>(&calls);
+  }
+
+  std::atomic<int> calls{0};
+
+ private:
+  class SilentClient : public AcceptingClient {
+   public:
+    explicit SilentClient(std::atomic<int>* calls) : calls_(calls) {}
+    void Submit(const JobSpec& /*spec*/, Duration timeout) override {
+      calls_->fetch_add(1);
+      closed_.get_future().wait_for(timeout);
+      throw Error(ErrorKind::kConnectionLost, Outcome::kUnknown, "closed");
+    }
+    void Close() override { closed_.set_value(); }
+
+   private:
+    std::atomic<int>* const calls_;
+    std::promise<void> closed_;
+  };
+};
+
 class FailingConnector : public PlannerConnector {
  public:
   std::shared_ptr<PlannerClient> Connect(const std::string& /*address*/,
@@ -128,13 +157,15 @@
   ApiFixture()
       : ApiFixture(std::make_unique<UnresponsiveGate>(), std::make_unique<FailingConnector>()) {}
   ApiFixture(std::unique_ptr<PlannerGate> planner,
-             std::unique_ptr<PlannerConnector> planner_connector, const std::string& node = "e1")
+             std::unique_ptr<PlannerConnector> planner_connector, const std::string& node = "e1",
+             Duration attempt_timeout = JobApiOptions().attempt_timeout)
       : gate(std::move(planner)), connector(std::move(planner_connector)) {
     log.Append("documents", {{"document", "1"}}, {}, std::chrono::seconds(1));
     log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "e1", "here"})}}, {},
                std::chrono::seconds(1));
     JobApiOptions options;
     options.node = node;
+    options.attempt_timeout = attempt_timeout;
     api = std::make_unique<JobApi>(options, &work, &operators, gate.get(), &router, &metrics);
     while (operators.state()->config.version == 0 || work.leadership().planner.epoch == 0) {
       std::this_thread::yield();
@@ -199,6 +230,23 @@
   EXPECT_EQ(replaced.refusals.load(), 1);
 }
 
+// The planner has lost power. Calls waited there for 1.5 s although its successor was known.
+TEST(JobApi, RepeatsAWaitingCallAtANewerPlanner) {
+  auto connector = std::make_unique<SilentPlannerConnector>();
+  const SilentPlannerConnector& silent = *connector;
+  ApiFixture fixture(std::make_unique<UnresponsiveGate>(), std::move(connector), "e3",
+                     std::chrono::hours(1));
+  std::future<JobAnswerKind> answer =
+      std::async(std::launch::async, [&] { return fixture.Submit("j", std::chrono::hours(1)); });
+  while (silent.calls.load() == 0) std::this_thread::yield();
+  fixture.log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({2, "e2", "there"})}}, {},
+                     std::chrono::seconds(1));
+  while (fixture.work.leadership().planner.epoch < 2) std::this_thread::yield();
+  fixture.api->WatchCalls(2, LeaseClock().Now());
+  EXPECT_EQ(answer.get(), JobAnswerKind::kAccepted);
+  EXPECT_EQ(silent.calls.load(), 1);
+}
+
 // The process ends before the caller's timeout: the call must be answered rather than cut off, and
 // a job that was never passed to a planner does not run.
 TEST(JobApi, AnswersBeforeTheProcessEnds) {
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -90,6 +90,7 @@
     std::this_thread::sleep_for(kTickInterval);
     const Time now = LeaseClock().Now();
     const LeadershipView leadership = work_->leadership();
+    if (options_.on_leadership) options_.on_leadership(leadership.planner.epoch, now);
     // Silence can be told only from a view that is followed closely.
     const bool follows = FollowTopics(leadership, now);
     if (!follows || !leadership.freshness.within(options_.max_view_age, now)) {
--- a/servers/pool/planner_elector.h
+++ b/servers/pool/planner_elector.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -22,6 +23,8 @@
 namespace turmericshift::pool {
 
 struct ElectorOptions {
+  // Called several times a second with the epoch of the newest planner that the store shows.
+  std::function<void(int64_t newest_epoch, Time now)> on_leadership;
   std::string node;
   // Address at which agents and entries open sessions to this entry, "ip:port".
   std::string address;
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -59,6 +59,8 @@
   virtual void Cancel(const std::string& id, Duration timeout) = 0;
   virtual void Yield(const PlannerRecord& successor, Duration timeout) = 0;
   virtual void Offer(Duration timeout) = 0;
+  // Lets calls in flight fail, with outcome unknown. May be called from any thread.
+  virtual void Close() {}
   virtual void TakeOver(const PlannerRecord& /*planner*/, Duration /*timeout*/) {
     throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "takeovers are not supported");
   }
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -46,6 +46,9 @@
   elector.node = options_.node;
   elector.address = address;
   elector.zone = options_.zone;
+  elector.on_leadership = [this](int64_t newest_epoch, Time now) {
+    job_api_.WatchCalls(newest_epoch, now);
+  };
   elector.planning_capacity = membership::PlanningCapacity(options_.vm);
   elector_ = std::make_unique<PlannerElector>(
       elector, log_, PoolViews{&work_, &operators_, &members_}, connector_, &service_);
--- a/servers/pool/pool_entry.h
+++ b/servers/pool/pool_entry.h
@@ -77,8 +77,9 @@
   MembersView members_;
   PlannerRouter router_;
   PlannerService service_;
-  std::unique_ptr<PlannerElector> elector_;
   JobApi job_api_;
+  // Calls the job API.
+  std::unique_ptr<PlannerElector> elector_;
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> readiness_;
 };
