--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -44,6 +44,10 @@
   void Offer(std::function<void(Result<pool::Done>)> done) override {
     done({pool::Done(), std::nullopt});
   }
+  void TakeOver(const pool::PlannerRecord& /*planner*/,
+                std::function<void(Result<pool::Done>)> done) override {
+    done({pool::Done(), std::nullopt});
+  }
 };
 
 // If a brief lack of descriptors ended the accept loop for good, agents could no longer reach a
--- a/servers/pool/job_api_test.cc
+++ b/servers/pool/job_api_test.cc
@@ -42,6 +42,8 @@
   void Yield(const PlannerRecord& /*successor*/,
              std::function<void(Result<Done>)> /*done*/) override {}
   void Offer(std::function<void(Result<Done>)> /*done*/) override {}
+  void TakeOver(const PlannerRecord& /*planner*/,
+                std::function<void(Result<Done>)> /*done*/) override {}
 
  private:
   std::atomic<int> submissions_{0};
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -158,8 +158,8 @@
   if (options_.planning_capacity >= agents) return better_suited;
   for (const auto& [node, entry] : members_->entries()) {
     if (node == options_.node) continue;
-    if (!membership::ShouldYieldTo(entry.planning_capacity, options_.planning_capacity, agents))
-      continue;
+    const int capacity = entry.planning_capacity;
+    if (!membership::ShouldYieldTo(capacity, options_.planning_capacity, agents)) continue;
     better_suited.push_back(entry);
   }
   std::stable_sort(better_suited.begin(), better_suited.end(),
--- a/servers/pool/planner_gate.h
+++ b/servers/pool/planner_gate.h
@@ -38,9 +38,7 @@
   // Sent by `planner` while the store rejects its appends: asks this process to claim the
   // leadership without waiting for the silence time-out. Calls `done` with kConflict if this
   // process would not.
-  virtual void TakeOver(const PlannerRecord& /*planner*/, std::function<void(Result<Done>)> done) {
-    done({std::nullopt, Error(ErrorKind::kConflict, Outcome::kNotRun, "takes over from nobody")});
-  }
+  virtual void TakeOver(const PlannerRecord& planner, std::function<void(Result<Done>)> done) = 0;
   // The newest planner that this process knows of; epoch 0 if no planner is known.
   virtual PlannerRecord KnownPlanner() const { return {}; }
   // The newest planner that has notified this process of its takeover; epoch 0 if there is none.
