Membership: Let agents that leave together be removed at different times; refuse takeovers without the store

Standbys that the store had just turned away agreed to take over and could not: 1.0 s until a claim where 0.3 s were expected.

A standby refuses to take over while its own reads fail, and four are asked in a round instead of two. An agent that has not registered yet does not follow the planner topic closely.

--- a/servers/membership/topic_follower.cc
+++ b/servers/membership/topic_follower.cc
@@ -55,6 +55,11 @@
   return always || now < followed_closely_until_;
 }
 
+bool TopicFollower::store_lost() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return lost_since_.has_value();
+}
+
 bool TopicFollower::IsStopping() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return stopping_;
--- a/servers/membership/topic_follower.h
+++ b/servers/membership/topic_follower.h
@@ -67,6 +67,8 @@
   // after `limit` at the latest. Returns at once while the topic is followed closely, as each
   // record is read anyway, and while the store does not answer.
   void Refresh(Duration max_age, Duration limit, Time now);
+  // Whether the newest call to the store has failed.
+  bool store_lost() const;
 
  private:
   void Run();
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -30,7 +30,7 @@
 constexpr Duration kMinLeadershipBeforeOffer = std::chrono::seconds(1);
 constexpr Duration kOfferTimeout = std::chrono::milliseconds(150);
 constexpr size_t kMaxOffersPerRound = 2;
-constexpr size_t kTakeoverRequestsPerRound = 2;
+constexpr size_t kTakeoverRequestsPerRound = 4;
 // A standby takes over on request only if the store has answered it this recently.
 constexpr Duration kMaxTakeoverViewAge = std::chrono::milliseconds(500);
 
@@ -50,6 +50,10 @@
   return std::stoll(RandomHex(kBytes), nullptr, 16) + 1;
 }
 
+bool CanTakeOver(const LeadershipView& view, Time now) {
+  return view.freshness.within(kMaxTakeoverViewAge, now);
+}
+
 }  // namespace
 
 bool ShouldClaim(const LeadershipView& view, Time since, Duration silence_timeout,
@@ -98,7 +102,10 @@
     }
     const bool would_claim =
         !leaving_.load() && leadership.freshness.within(options_.max_view_age, now);
-    service_->SetLeadershipView(leadership.planner, would_claim);
+    // The store may turn this VM away as well.
+    const bool would_take_over =
+        would_claim && CanTakeOver(leadership, now) && !work_->store_lost();
+    service_->SetLeadershipView(leadership.planner, would_claim, would_take_over);
     if (!leaving_.load()) EnsureListed(now);
     const int64_t epoch = service_->epoch();
     if (epoch > 0) {
@@ -144,7 +151,7 @@
       leadership.planner.node == options_.node && !leadership.planner.address.empty();
   if (own_record) return leadership.freshness.within(options_.max_view_age, now);
   if (service_->takeover_epoch(now) == leadership.planner.epoch && leadership.planner.epoch > 0) {
-    return leadership.freshness.within(kMaxTakeoverViewAge, now);
+    return CanTakeOver(leadership, now);
   }
   const Duration claim_delay =
       BetterSuitedEntries().empty() ? membership::ClaimTurn(rank_) : options_.claim_delay;
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -371,7 +371,7 @@
   Replies replies;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (would_claim_ && stored_planner_.epoch == planner.epoch) {
+    if (would_take_over_ && stored_planner_.epoch == planner.epoch) {
       takeover_epoch_ = planner.epoch;
       takeover_requested_at_ = LeaseClock().Now();
       replies.push_back(Succeeded(std::move(done), Done{}));
@@ -395,10 +395,12 @@
   return now - takeover_requested_at_ < kTakeoverRequestLifetime ? takeover_epoch_ : 0;
 }
 
-void PlannerService::SetLeadershipView(const PlannerRecord& planner, bool would_claim) {
+void PlannerService::SetLeadershipView(const PlannerRecord& planner, bool would_claim,
+                                       bool would_take_over) {
   const std::lock_guard<std::mutex> lock(mutex_);
   stored_planner_ = planner;
   would_claim_ = would_claim;
+  would_take_over_ = would_take_over;
 }
 
 PlannerRecord PlannerService::KnownPlanner() const {
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -75,8 +75,8 @@
                     Time requested_at);
   void AdviceFailed(Time now);
   // Sets the newest planner read from the store, and whether this entry would claim the leadership
-  // if it were vacant.
-  void SetLeadershipView(const PlannerRecord& planner, bool would_claim);
+  // if it were vacant, and on request by a planner that the store rejects.
+  void SetLeadershipView(const PlannerRecord& planner, bool would_claim, bool would_take_over);
   // Since when the store has rejected each append of this planner; empty if it has not, or if this
   // process is not active. A rejected append was not carried out.
   std::optional<Time> rejected_since() const;
@@ -174,6 +174,7 @@
   JobIntake intake_{options_.append_stall_timeout};
   PlannerRecord stored_planner_;
   bool would_claim_ = false;
+  bool would_take_over_ = false;
   int64_t takeover_epoch_ = 0;
   Time takeover_requested_at_{};
   std::optional<Time> rejected_since_;
--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -312,7 +312,7 @@
 // not depose it on the strength of the old request.
 TEST_F(PlannerServiceTest, ForgetsARequestToTakeOver) {
   const PlannerRecord planner = {service_.epoch() + 7, "other", "other:1"};
-  service_.SetLeadershipView(planner, true);
+  service_.SetLeadershipView(planner, true, true);
   LocalPlannerClient(&service_).TakeOver(planner, kAnswerLimit);
   const Time now = LeaseClock().Now();
   EXPECT_EQ(service_.takeover_epoch(now), planner.epoch);
@@ -323,7 +323,7 @@
 TEST_F(PlannerServiceTest, RefusesToTakeOverFromAPlannerThatItDoesNotSee) {
   const PlannerRecord planner = {service_.epoch() + 7, "other", "other:1"};
   EXPECT_THROW(LocalPlannerClient(&service_).TakeOver(planner, kAnswerLimit), Error);
-  service_.SetLeadershipView(planner, false);
+  service_.SetLeadershipView(planner, true, false);
   EXPECT_THROW(LocalPlannerClient(&service_).TakeOver(planner, kAnswerLimit), Error);
   EXPECT_EQ(service_.takeover_epoch(LeaseClock().Now()), 0);
 }
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -4,6 +4,7 @@
 
 #include "core/error.h"
 #include "core/logging.h"
+#include "servers/membership/removal_delay.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -44,19 +45,6 @@
 constexpr int kLagTimeoutFactor = 2;
 constexpr Duration kMaxLagTimeout = std::chrono::milliseconds(1300);
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(1200);
-// Agents whose workers leave together all want to be removed at the same offset, and all but one
-// are refused. They try again after increasing delays that differ between agents; an agent has
-// about a second before its own VM goes.
-constexpr int kRemovalAttempts = 6;
-constexpr Duration kMinRemovalDelay = std::chrono::milliseconds(10);
-constexpr size_t kRemovalDelaySteps = 16;
-
-// Delay of this agent after its first refused removal: one to three times the minimum.
-Duration FirstRemovalDelay(const std::string& node) {
-  const size_t step = std::hash<std::string>()(node) % kRemovalDelaySteps;
-  return kMinRemovalDelay + 2 * kMinRemovalDelay * static_cast<int64_t>(step) /
-                                static_cast<int64_t>(kRemovalDelaySteps);
-}
 
 }  // namespace
 
@@ -323,7 +311,7 @@
   if (!registered_.load()) AdoptListing(orders);
   // The planner can't confirm its leadership, has not read the members yet, or has removed this
   // agent from them.
-  if (starts_refused) FollowPlanner(LeaseClock().Now());
+  if (starts_refused && registered_.load()) FollowPlanner(LeaseClock().Now());
   if (members_doubtful && registered_.load()) FollowMembers(LeaseClock().Now());
   // The planner uses the worker only after the worker has been read under the token that this
   // planner has assigned.
@@ -529,15 +517,13 @@
 void PoolAgent::Deregister() {
   SetRegistered(false);
   RequestUpdate();
-  Duration delay = FirstRemovalDelay(options_.node);
   for (int attempt = 1;; ++attempt) {
     members_.Refresh(Duration::zero(), kMembersRefreshTimeout, LeaseClock().Now());
     const std::shared_ptr<const Membership> membership = members_.membership();
     if (!WorkerIsGone() || membership->agents.count(options_.node) == 0) return;
-    if (!RemoveAt(membership->end) || attempt == kRemovalAttempts) return;
+    if (!RemoveAt(membership->end) || attempt == membership::kRemovalAttempts) return;
     // Not shortened by a stop: a planner waits for a listed agent, whether it still runs or not.
-    std::this_thread::sleep_for(delay);
-    delay *= 2;
+    std::this_thread::sleep_for(membership::RemovalDelay(options_.node, attempt));
   }
 }
 
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -72,6 +72,7 @@
   // reads, which bounds the load on the store.
   void SetReaders(size_t entries) { readers_.store(entries); }
   // See TopicFollower.
+  bool store_lost() const { return follower_->store_lost(); }
   void FollowCloselyUntil(Time until, Time now) { follower_->FollowCloselyUntil(until, now); }
   void Refresh(Duration max_age, Duration limit, Time now) {
     follower_->Refresh(max_age, limit, now);
