Leadership: Let standbys take over whose poll has not ended

Change: a standby takes over unless its own reads fail; two are asked to in each round, of which one wins.

--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -31,8 +31,8 @@
 constexpr Duration kOfferTimeout = std::chrono::milliseconds(150);
 constexpr size_t kMaxOffersPerRound = 2;
 constexpr size_t kTakeoverRequestsPerRound = 4;
-// A standby takes over on request only if the store has answered it this recently.
-constexpr Duration kMaxTakeoverViewAge = std::chrono::milliseconds(500);
+// A standby that agrees may find that the store rejects it as well.
+constexpr size_t kTakeoversPerRound = 2;
 
 // This entry's share of the claim jitter: constant over time, different between entries.
 Duration JitterOf(const std::string& node, Duration claim_jitter) {
@@ -50,10 +50,6 @@
   return std::stoll(RandomHex(kBytes), nullptr, 16) + 1;
 }
 
-bool CanTakeOver(const LeadershipView& view, Time now) {
-  return view.freshness.within(kMaxTakeoverViewAge, now);
-}
-
 }  // namespace
 
 bool ShouldClaim(const LeadershipView& view, Time since, Duration silence_timeout,
@@ -103,8 +99,7 @@
     const bool would_claim =
         !leaving_.load() && leadership.freshness.within(options_.max_view_age, now);
     // The store may turn this VM away as well.
-    const bool would_take_over =
-        would_claim && CanTakeOver(leadership, now) && !work_->store_lost();
+    const bool would_take_over = would_claim && !work_->store_lost();
     service_->SetLeadershipView(leadership.planner, would_claim, would_take_over);
     if (!leaving_.load()) EnsureListed(now);
     const int64_t epoch = service_->epoch();
@@ -151,7 +146,7 @@
       leadership.planner.node == options_.node && !leadership.planner.address.empty();
   if (own_record) return leadership.freshness.within(options_.max_view_age, now);
   if (service_->takeover_epoch(now) == leadership.planner.epoch && leadership.planner.epoch > 0) {
-    return CanTakeOver(leadership, now);
+    return leadership.freshness.within(options_.max_view_age, now) && !work_->store_lost();
   }
   const Duration claim_delay =
       BetterSuitedEntries().empty() ? membership::ClaimTurn(rank_) : options_.claim_delay;
@@ -232,6 +227,7 @@
   std::vector<EntryRecord> standbys = membership::Standbys(members_->entries());
   std::erase_if(standbys, [this](const EntryRecord& each) { return each.node == options_.node; });
   const PlannerRecord self = Self(service_->epoch());
+  size_t accepted = 0;
   for (size_t i = 0; i < std::min(kTakeoverRequestsPerRound, standbys.size()); ++i) {
     const EntryRecord& standby = standbys[takeovers_asked_++ % standbys.size()];
     try {
@@ -245,7 +241,7 @@
              {{"epoch", self.epoch},
               {"node", standby.node},
               {"rejected_s", Seconds(now - *rejected_since)}});
-    return;
+    if (++accepted == kTakeoversPerRound) return;
   }
 }
 
