--- a/servers/pool/planner_router_test.cc
+++ b/servers/pool/planner_router_test.cc
@@ -158,5 +158,57 @@
   EXPECT_FALSE(members.freshness().requested_at);
 }
 
+// Names the planner of epoch 4 at all entries but those that are lost.
+class NamingConnector : public PlannerConnector {
+ public:
+  std::shared_ptr<PlannerClient> Connect(const std::string& address, Duration /*limit*/) override {
+    asked.push_back(address);
+    if (lost.count(address) > 0) throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "lost");
+    return std::make_shared<NamingClient>();
+  }
+
+  std::vector<std::string> asked;
+  std::set<std::string> lost;
+
+ private:
+  class NamingClient : public LocalPlannerClient {
+   public:
+    NamingClient() : LocalPlannerClient(nullptr) {}
+    PlannerRecord KnownPlanner(Duration /*timeout*/) override { return {4, "b9", "b9:1"}; }
+  };
+};
+
+class PlannerQuestionTest : public PlannerRouterTest {
+ protected:
+  PlannerRecord Newest() { return router_.Newest(kPlanner, {}); }
+
+  NamingConnector naming_;
+  PlannerRouter router_{"c1", "c", &members_, [this] { return members_.planner().epoch; },
+                        &naming_};
+};
+
+// The store turns this entry away, and the former planner's VM has lost power.
+TEST_F(PlannerQuestionTest, LearnsOfThePlannerFromAStandby) {
+  router_.AskStandbys(milliseconds(700), kNow);
+  EXPECT_EQ(Newest().epoch, 4);
+  EXPECT_EQ(naming_.asked.size(), 1U);
+}
+
+TEST_F(PlannerQuestionTest, AsksTheNextStandbyWhereOneIsLost) {
+  naming_.lost = {"a1:1"};
+  router_.AskStandbys(milliseconds(700), kNow);
+  EXPECT_EQ(Newest().epoch, 4);
+  EXPECT_EQ(naming_.asked, std::vector<std::string>({"a1:1", "a2:1"}));
+}
+
+// Each caller that waits would otherwise have all standbys asked.
+TEST_F(PlannerQuestionTest, AsksNotMoreOftenThanEachInterval) {
+  naming_.lost = {"a1:1", "a2:1", "b1:1", "b2:1", "c2:1"};
+  for (int call = 0; call < 10; ++call) router_.AskStandbys(milliseconds(700), kNow);
+  EXPECT_EQ(naming_.asked.size(), 2U);
+  router_.AskStandbys(milliseconds(700), kNow + std::chrono::seconds(1));
+  EXPECT_EQ(naming_.asked.size(), 4U);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
