--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standin/*.cc; do
-  name=$(basename "$source" .cc)
+for source in review/standin/*.cpp; do
+  name=$(basename "$source" .cpp)
   g++ -std=c++20 -O2 -Wall -Wextra -pthread "$source" -o "target/review/$name"
 done
--- a/review/standin/ends_at_takeover.cc
+++ b/review/standin/ends_at_takeover.cpp
@@ -1,6 +1,6 @@
 // A planner is killed while the tasks of one job end, more than 200 of them on one worker. Checks
 // the rule TWICE.
-#include "lab.h"
+#include "lab.hpp"
 
 using namespace lab;
 
--- a/review/standin/spec_cut.cc
+++ b/review/standin/spec_cut.cpp
@@ -1,6 +1,6 @@
 // Jobs whose spec contains a zero character, as fields that are separated by one. Checks the rule
 // UNASKED: the spec that a worker is told to start.
-#include "lab.h"
+#include "lab.hpp"
 
 using namespace lab;
 
@@ -50,9 +50,9 @@
       const std::string separator(1, Trouble() ? '\0' : ';');
       const std::string spec = "box=" + std::to_string(4100 + i) + separator + "swap=peanut:pear" +
                                separator + "child=" + std::to_string(i);
-      const Json job = {{"spec", spec},
-                        {"steps",
-                         {{{"count", 2}, {"cpu", 2000}, {"memMb", 1024}, {"estimateMs", 500}}}}};
+      const Json job = {
+          {"spec", spec},
+          {"steps", {{{"count", 2}, {"cpu", 2000}, {"memMb", 1024}, {"estimateMs", 500}}}}};
       if (Submit(&deployment, "/pufi791/", id, job) == 200) sent[id] = spec;
       record.Line("spec of " + std::string(id) + " as sent: " + Shown(spec));
     }
