Pool: Tell when a list of ends is cut; start no inherited task before all are known

Cause: a list that was cut was taken for a whole one. An agent puts 200 ends into a report and did not tell that there are more; the next planner took the agent for heard by its first report and started every inherited task that was neither reported as running nor known as done. A worker's own list is cut at 500 ends, which the agent did not heed either, and an agent that had stopped a run reported it as never begun if such a list did not contain it.

Raising either limit was ruled out: the fault moves to a larger worker.

Change: lists and reports tell whether they leave out ends. Inherited work waits until each agent whose first lists left out ends has sent a report that leaves out none, has been silent for longer than its leases, or has a worker that started anew. Runs that end after the first lists were read are known from these lists or ordered by the planner itself, so that nothing else has to wait. A stop is settled by a whole list only. Reports of older agents, which do not tell, count as cut if they hold 200 ends.

--- a/rpc/pool.capnp
+++ b/rpc/pool.capnp
@@ -52,6 +52,16 @@
   version @12 :Text;
 }
 
+# Which of the worker's ends a report contains.
+enum ReportedEnds {
+  # From older agents, which put at most 200 ends into a report and do not tell whether there are
+  # more.
+  unstated @0;
+  all @1;
+  # There are further ends, which follow once these have been acknowledged.
+  some @2;
+}
+
 struct PoolReport {
   node @0 :Text;
   zone @1 :Text;
@@ -69,6 +79,7 @@
   fence @12 :Int64;
   # How long before the report was sent `running` was read from the worker; 0 or missing means now.
   listsAgeNanos @13 :Int64;
+  reportedEnds @14 :ReportedEnds;
 }
 
 struct PoolStart {
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -53,6 +53,21 @@
   return facts;
 }
 
+// Older agents put at most this many ends into a report.
+constexpr unsigned kMaxUnstatedEnds = 200;
+
+bool HasMoreEnds(wire::PoolReport::Reader report) {
+  switch (report.getReportedEnds()) {
+    case wire::ReportedEnds::ALL:
+      return false;
+    case wire::ReportedEnds::SOME:
+      return true;
+    case wire::ReportedEnds::UNSTATED:
+      break;
+  }
+  return report.getEnded().size() >= kMaxUnstatedEnds;
+}
+
 pool::StartOutcome StartOutcomeFromNumber(int number) {
   switch (number) {
     case static_cast<int>(pool::StartOutcome::kStarted):
@@ -106,6 +121,7 @@
   to.setWaitNanos(from.wait.count());
   to.setFence(from.fence);
   to.setListsAgeNanos(from.lists_age.count());
+  to.setReportedEnds(from.more_ends ? wire::ReportedEnds::SOME : wire::ReportedEnds::ALL);
 }
 
 pool::AgentReport Read(wire::PoolReport::Reader from) {
@@ -134,6 +150,7 @@
   report.wait = Duration(from.getWaitNanos());
   report.fence = from.getFence();
   report.lists_age = Duration(from.getListsAgeNanos());
+  report.more_ends = HasMoreEnds(from);
   return report;
 }
 
--- a/rpc/pool_convert_test.cc
+++ b/rpc/pool_convert_test.cc
@@ -35,5 +35,27 @@
   EXPECT_EQ(report.worker.version, "");
 }
 
+// A planner that does not learn that a report leaves out ends starts their tasks again.
+TEST(PoolConvert, KeepsWhetherAReportLeavesOutEnds) {
+  for (const bool more_ends : {false, true}) {
+    pool::AgentReport report;
+    report.ended.resize(200);
+    report.more_ends = more_ends;
+    capnp::MallocMessageBuilder message;
+    Write(report, message.initRoot<wire::PoolReport>());
+    EXPECT_EQ(Read(message.getRoot<wire::PoolReport>().asReader()).more_ends, more_ends);
+  }
+}
+
+// Agents of a former version cut their reports at 200 ends without telling.
+TEST(PoolConvert, ExpectsFurtherEndsAfterAFullReportOfAFormerVersion) {
+  capnp::MallocMessageBuilder message;
+  auto report = message.initRoot<wire::PoolReport>();
+  for (auto ended : report.initEnded(199)) ended.setKind("done");
+  EXPECT_FALSE(Read(report.asReader()).more_ends);
+  for (auto ended : report.initEnded(200)) ended.setKind("done");
+  EXPECT_TRUE(Read(report.asReader()).more_ends);
+}
+
 }  // namespace
 }  // namespace turmericshift
--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -10,7 +10,7 @@
 
 // A worker's monotonic clock may run 2% slow, so a lease may last that much longer than stated.
 constexpr double kClockDriftFactor = 1.02;
-// Limits the size of a report; further ends are sent with the next report.
+// Limits the size of a report. Further ends are sent once these have been acknowledged.
 constexpr size_t kMaxEndsPerReport = 200;
 // The planner repeats an order until it knows the outcome, which takes seconds at most. An order
 // forgotten earlier could be carried out twice.
@@ -52,6 +52,7 @@
   announced_draining_ = false;
   running_.clear();
   ended_.clear();
+  lists_leave_out_ends_ = false;
   acked_ends_ = 0;
   starts_.clear();
   stops_.clear();
@@ -110,7 +111,8 @@
               {"fence", lists_fence_},
               {"clock_ms", lists.clock},
               {"running", lists.running.size()},
-              {"ended", lists.ended.size()}});
+              {"ended", lists.ended.size()},
+              {"more_ends", lists.more_ends}});
   }
   for (const EndedTask& end : lists.ended) {
     if (end.number <= acked_ends_) continue;
@@ -128,6 +130,7 @@
   worker_clock_ = lists.clock;
   worker_clock_read_at_ = now;
   running_ = lists.running;
+  lists_leave_out_ends_ = lists.more_ends;
   // Both answers may carry the same millisecond of the worker's clock; an end then takes
   // precedence.
   std::erase_if(running_, [&](const RunningTask& task) { return has_ended(task.run); });
@@ -139,12 +142,14 @@
     report_needed = true;
   }
   for (auto stop = stopped_at_.begin(); stop != stopped_at_.end();) {
-    if (sent < stop->second) {
+    const bool listed = Contains(running_, stop->first) || has_ended(stop->first);
+    // A run that is not listed may be among the ends that the lists leave out.
+    if (sent < stop->second || (!listed && lists.more_ends)) {
       ++stop;
       continue;
     }
     // The run neither runs nor has ended, and the worker will refuse it from now on.
-    if (!Contains(running_, stop->first) && !has_ended(stop->first)) {
+    if (!listed) {
       SetResult(stop->first, StartOutcome::kNotRun, "stopped before it began");
       starts_[stop->first].phase = StartPhase::kNotRunning;
       report_needed = true;
@@ -278,6 +283,7 @@
     if (report.ended.size() >= kMaxEndsPerReport) break;
     report.ended.push_back(end);
   }
+  report.more_ends = lists_leave_out_ends_ || report.ended.size() < ended_.size();
   for (const auto& [run, result] : results_) report.results.push_back(result);
   report.wait = wait;
   return report;
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -145,6 +145,8 @@
 
   std::vector<RunningTask> running_;
   std::map<int64_t, EndedTask> ended_;
+  // Whether the newest lists leave out ends of the worker.
+  bool lists_leave_out_ends_ = false;
   int64_t acked_ends_ = 0;
   // When the newest lists were requested, and when the newest start was sent.
   Time lists_requested_at_{};
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -414,5 +414,59 @@
   EXPECT_EQ(agent.state.Report(Duration::zero(), agent.now).lists_age, Duration::zero());
 }
 
+// Lists in which `count` runs have ended, with the numbers from `first` on.
+WorkerLists EndedLists(const Agent& agent, int first, int count) {
+  WorkerLists lists = agent.Lists({});
+  for (int i = 0; i < count; ++i) {
+    lists.ended.push_back({first + i, {{"j", 0, 0, first + i}, 1}, EndKind::kDone, ""});
+  }
+  return lists;
+}
+
+// A new planner took a report that had no room for all ends for a complete one and ran the tasks
+// whose ends were left out again.
+TEST(AgentState, TellsThatAReportLeavesOutEnds) {
+  Agent agent;
+  agent.state.HandleLists(EndedLists(agent, 1, 300), 1, agent.now, agent.now);
+  const AgentReport first = agent.state.Report(Duration::zero(), agent.now);
+  EXPECT_TRUE(first.more_ends);
+  AgentOrders orders = agent.Orders();
+  orders.acked_ends = first.ended.back().number;
+  agent.state.HandleOrders(orders, agent.now, agent.now);
+  const AgentReport second = agent.state.Report(Duration::zero(), agent.now);
+  EXPECT_EQ(second.ended.back().number, 300);
+  EXPECT_FALSE(second.more_ends);
+}
+
+// The same fault where the worker's own list has no room: the agent has reported and acknowledged
+// all ends that it knows, but the worker has further ones.
+TEST(AgentState, TellsThatTheWorkersListLeavesOutEnds) {
+  Agent agent;
+  WorkerLists lists = EndedLists(agent, 1, 3);
+  lists.more_ends = true;
+  agent.state.HandleLists(lists, 1, agent.now, agent.now);
+  EXPECT_TRUE(agent.state.Report(Duration::zero(), agent.now).more_ends);
+  AgentOrders orders = agent.Orders();
+  orders.acked_ends = 3;
+  agent.state.HandleOrders(orders, agent.now, agent.now);
+  EXPECT_TRUE(agent.state.Report(Duration::zero(), agent.now).more_ends);
+  agent.state.HandleLists(EndedLists(agent, 4, 3), 1, agent.now, agent.now);
+  EXPECT_FALSE(agent.state.Report(Duration::zero(), agent.now).more_ends);
+}
+
+// A stop finds a run that has ended, and the worker's list has no room for the end. Reported as not
+// begun, the task ran again.
+TEST(AgentState, SettlesNoStopByAListThatLeavesOutEnds) {
+  Agent agent;
+  agent.state.HandleStopAnswer(kRun, OrderAnswer::kStaleRun, agent.now);
+  WorkerLists lists = EndedLists(agent, 1, 3);
+  lists.more_ends = true;
+  agent.state.HandleLists(lists, 1, agent.now, agent.now);
+  EXPECT_FALSE(agent.ReportsResult(kRun, StartOutcome::kNotRun));
+  lists = EndedLists(agent, 1, 3);
+  agent.state.HandleLists(lists, 1, agent.now, agent.now);
+  EXPECT_TRUE(agent.ReportsResult(kRun, StartOutcome::kNotRun));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -108,6 +108,9 @@
   // do not report it.
   Duration lists_age{};
   std::vector<EndedTask> ended;
+  // Whether the worker has further ends, which the agent reports once these have been acknowledged.
+  // Until then, a run that is reported neither as running nor as ended may have ended.
+  bool more_ends = false;
   std::vector<StartResult> results;
   // How long the planner may hold the answer back while it has no new orders.
   Duration wait{};
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -269,7 +269,10 @@
   // Gives up the runs of a former incarnation if the current one has not been read for so long that
   // no order for the former one can have kept a run going.
   void DropRunsOfUnreadWorker(WorkerState* worker, Time now);
-  // Gives up the runs of a former incarnation that the report does not list as running.
+  // Records whether all ends that preceded the worker's first lists have been reported.
+  void RecordReportedEnds(const AgentReport& report, bool first_lists);
+  // Gives up the runs of a former incarnation that the report does not list as running. If the
+  // report leaves out ends, those runs become uncertain instead.
   void DropUnlistedRuns(const AgentReport& report, WorkerState* worker, Time now);
   void ApplyRunning(const AgentReport& report, WorkerState* worker, Time now);
   void StopUncertainRuns(WorkerState* worker);
@@ -465,6 +468,9 @@
   std::optional<std::set<std::string>> listed_now_;
   // Listed agents that must report before inherited work is started.
   std::set<std::string> unreported_agents_;
+  // Agents whose first lists left out ends of their workers, until a report leaves out none. A task
+  // of inherited work that seems not to run may be among those ends.
+  std::set<std::string> agents_with_more_ends_;
   AdviceCache advice_;
   Time inherited_start_time_{};
   std::shared_ptr<const OperatorState> operator_state_ = std::make_shared<OperatorState>();
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -89,6 +89,7 @@
 }
 
 bool PoolPlanner::MayStartInherited(Time now) const {
+  if (!agents_with_more_ends_.empty()) return false;
   return unreported_agents_.empty() || now >= inherited_start_time_;
 }
 
@@ -212,6 +213,7 @@
     const bool known = worker.lists_received || !worker.live.empty();
     if (!known || !expired) continue;
     worker.lists_received = false;
+    agents_with_more_ends_.erase(node);
     worker.former_lease_until = Time{};
     DropLostRuns(&worker, "no report from the agent within its lease", now);
   }
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -74,9 +74,12 @@
               {"born_ms", worker.facts.start_time_ms},
               {"running", report.running.size()},
               {"unheard", unreported_agents_.size()},
+              {"ended", report.ended.size()},
+              {"more_ends", report.more_ends},
               {"fence", worker.fence},
               {"epoch", epoch_}});
   }
+  RecordReportedEnds(report, first_lists);
   // A new process of the agent does not know the leases that its predecessor has passed on.
   const bool leases_known =
       now > worker.incarnation_since + options_.lease_duration + options_.lease_margin;
@@ -180,6 +183,7 @@
   worker->facts = facts;
   if (!facts.id.empty()) worker->newest_id = facts.id;
   needs_planning_ = true;
+  agents_with_more_ends_.erase(worker->node);
   worker->ends.clear();
   worker->ends_seen = 0;
   worker->acked_ends = 0;
@@ -217,6 +221,21 @@
   return agent_uses_epoch || report.fence >= worker.fence;
 }
 
+// Runs that end after the first lists were read are known from these lists or from the planner's
+// own orders, so only the ends before them matter.
+void PoolPlanner::RecordReportedEnds(const AgentReport& report, bool first_lists) {
+  if (report.more_ends) {
+    if (first_lists) agents_with_more_ends_.insert(report.node);
+    return;
+  }
+  if (agents_with_more_ends_.erase(report.node) == 0) return;
+  needs_planning_ = true;
+  LogEvent(LogLevel::kInfo, "worker_ends_known",
+           {{"node", report.node},
+            {"agents_with_more_ends", agents_with_more_ends_.size()},
+            {"epoch", epoch_}});
+}
+
 void PoolPlanner::ApplyRunning(const AgentReport& report, WorkerState* worker, Time now) {
   // A report that was in transit for less time than the one before may seem to have older lists.
   worker->lists_read_at = std::max(worker->lists_read_at, now - ListsAge(report));
@@ -459,6 +478,13 @@
                     [&id = id](const RunningTask& running) { return running.run == id; });
     if (!listed) unlisted.push_back(id);
   }
+  if (report.more_ends) {
+    for (const RunId& id : unlisted) {
+      LiveRun& run = worker->live.at(id);
+      if (run.phase != RunPhase::kStopping) run.phase = RunPhase::kUncertain;
+    }
+    return;
+  }
   DropRuns(unlisted, worker, "the worker has restarted", now);
 }
 
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -176,6 +176,114 @@
   FAIL() << "the task was never started";
 }
 
+// A planner that has inherited the running job "j" and the agents "n" and "other".
+struct InheritedJob {
+  InheritedJob()
+      : planner(PlannerOptions(), 1, TableOfRunningJob(seconds(2)), {"n", "other"}, now) {
+    planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+  }
+
+  // The agent "other", whose worker is idle, reports, and a round is planned. Returns whether the
+  // task of the job has been started.
+  bool StartsTask() {
+    planner.ConfirmLeadership(now);
+    planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+    AgentReport idle = Report("first", ++sequence);
+    idle.node = "other";
+    planner.ApplyReport(idle, 0, now);
+    planner.Plan(0, now);
+    const auto& workers = planner.workers();
+    return std::any_of(workers.begin(), workers.end(),
+                       [](const auto& row) { return !row.second.live.empty(); });
+  }
+
+  // A report of the agent "n" with the end of a run of another job.
+  AgentReport ReportWithEnd() {
+    AgentReport report = Report("first", ++sequence);
+    report.ended = {{++ends, {{"ended", 0, 0, 0}, ends}, EndKind::kDone, ""}};
+    return report;
+  }
+
+  Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner;
+  int64_t sequence = 0;
+  int64_t ends = 0;
+};
+
+// A worker has more ends than a report holds, also the one of the inherited task. Its agent was
+// taken for heard with the first report, and tasks that were done ran again.
+TEST(PoolPlanner, StartsNoInheritedTaskWhileReportsLeaveOutEnds) {
+  InheritedJob one;
+  for (int poll = 0; poll < 40; ++poll) {
+    one.now += milliseconds(500);
+    AgentReport partial = one.ReportWithEnd();
+    partial.more_ends = true;
+    one.planner.ApplyReport(partial, 0, one.now);
+    ASSERT_FALSE(one.StartsTask());
+    ASSERT_GT(one.planner.Orders("n", one.now).lease, Duration::zero());
+  }
+  AgentReport last = one.ReportWithEnd();
+  last.ended.front().run = {{"j", 0, 0, 0}, 1};
+  one.planner.ApplyReport(last, 0, one.now);
+  EXPECT_FALSE(one.StartsTask());
+  const std::vector<KeyedRecord> records = one.planner.outbox().Take();
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(DecodeProgress(records[0].value).state, JobState::kCompleted);
+}
+
+// The same with an end that used up the task's last attempt.
+TEST(PoolPlanner, StartsNoTaskWhoseLastFailureAReportLeftOut) {
+  InheritedJob one;
+  AgentReport report = one.ReportWithEnd();
+  report.more_ends = true;
+  one.planner.ApplyReport(report, 0, one.now);
+  EXPECT_FALSE(one.StartsTask());
+  report = one.ReportWithEnd();
+  for (int64_t run = 1; run <= 3; ++run) {
+    report.ended.push_back({++one.ends, {{"j", 0, 0, 0}, run}, EndKind::kFailed, ""});
+  }
+  one.planner.ApplyReport(report, 0, one.now);
+  EXPECT_FALSE(one.StartsTask());
+}
+
+TEST(PoolPlanner, StartsInheritedTasksOnceAllEndsAreReported) {
+  InheritedJob one;
+  AgentReport partial = one.ReportWithEnd();
+  partial.more_ends = true;
+  one.planner.ApplyReport(partial, 0, one.now);
+  EXPECT_FALSE(one.StartsTask());
+  one.planner.ApplyReport(one.ReportWithEnd(), 0, one.now);
+  EXPECT_TRUE(one.StartsTask());
+}
+
+// An agent that falls silent before it has reported all ends must not hold inherited work up for
+// longer than its leases last.
+TEST(PoolPlanner, StartsInheritedTasksOnceLeasesOfAnAgentWithFurtherEndsHaveExpired) {
+  InheritedJob one;
+  AgentReport partial = one.ReportWithEnd();
+  partial.more_ends = true;
+  one.planner.ApplyReport(partial, 0, one.now);
+  const PlannerOptions options;
+  one.now += options.lease_duration + options.lease_margin;
+  EXPECT_FALSE(one.StartsTask());
+  one.now += milliseconds(100);
+  EXPECT_TRUE(one.StartsTask());
+}
+
+// The ends of a worker are gone with its incarnation, and no longer reported.
+TEST(PoolPlanner, StartsInheritedTasksOnceAWorkerWithFurtherEndsHasRestarted) {
+  InheritedJob one;
+  AgentReport partial = one.ReportWithEnd();
+  partial.more_ends = true;
+  one.planner.ApplyReport(partial, 0, one.now);
+  AgentReport restarted = Report("first", ++one.sequence);
+  restarted.epoch = 0;
+  restarted.worker.id = "i2";
+  restarted.worker.start_time_ms = 2;
+  one.planner.ApplyReport(restarted, 0, one.now);
+  EXPECT_TRUE(one.StartsTask());
+}
+
 // An agent is gone while the planner changes, and a job waits of which nothing has begun. The job
 // need not wait for that agent's leases to expire: if any of it had begun, the store would show it.
 TEST(PoolPlanner, StartsAnInheritedQueuedJobImmediately) {
@@ -686,6 +794,20 @@
   EXPECT_FALSE(one.has_run());
 }
 
+// The first lists of a worker's next incarnation leave out ends, perhaps that of a run which they
+// do not contain. Given up at once, its task ran again.
+TEST(PoolPlanner, StopsUnlistedRunsIfTheReportLeavesOutEnds) {
+  OneWorker one;
+  const RunId run = one.run();
+  AgentReport restarted = Report("first", 2);
+  restarted.worker.start_time_ms = 2;
+  restarted.fence = 2;
+  restarted.more_ends = true;
+  one.planner.ApplyReport(restarted, 0, one.now);
+  ASSERT_TRUE(one.has_run());
+  EXPECT_EQ(one.planner.Orders("n", one.now).stops, std::vector<RunId>{run});
+}
+
 // An agent that uses the epoch as the token passes a start on to the next incarnation after its
 // lists were read: that token does not tell the two apart. The run has to be stopped first.
 TEST(PoolPlanner, StopsAnUncertainStartWhoseTokenTheNextIncarnationShares) {
--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -24,6 +24,13 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), DrawFaultKinds(GetParam())));
 }
 
+// Tasks whose ends a worker's list had no room for ran again after a change of planner.
+TEST_P(PoolHistory, KeepsItsRulesWhereListsLeaveOutEnds) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert(FaultKind::kShortLists);
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
--- a/servers/pool/pool_worker.h
+++ b/servers/pool/pool_worker.h
@@ -73,6 +73,9 @@
   WorkerMillis clock = 0;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  // Whether the worker has further ends, which it lists once these have been acknowledged. Until
+  // then, a run that is listed neither as running nor as ended may have ended.
+  bool more_ends = false;
 };
 
 struct HoldAnswer {
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -33,9 +33,12 @@
   // A call of a worker's former life is executed before the first call of an agent that knows the
   // new life. Nothing that a scheduler sends can prevent it.
   kCallsBeforeTheFirst,
+  // Workers list one end at a time.
+  kShortLists,
 };
 const char* FaultKindName(FaultKind kind);
-// All kinds but kCallsBeforeTheFirst: the faults under which a scheduler can keep its rules.
+// The faults under which a scheduler can keep its rules: all kinds but kCallsBeforeTheFirst. Leaves
+// out kShortLists too, so that histories which do not name it draw the same faults as before.
 std::set<FaultKind> ToleratedFaultKinds();
 // The tolerated kinds that occur together in the history of `seed`.
 std::set<FaultKind> DrawFaultKinds(unsigned seed);
@@ -81,6 +84,8 @@
   // Called for each tick: for how long the agent is cut off from its worker from now on, if at all.
   virtual std::optional<Duration> CutOff(const std::string& /*node*/) { return {}; }
   virtual double ClockRate(const std::string& /*node*/) { return 1.0; }
+  // Most ends that the worker lists at a time, if fewer than real workers list.
+  virtual std::optional<size_t> MaxListedEnds(const std::string& /*node*/) { return {}; }
   // Called when a call of a former life would be executed before the first call of an agent that
   // knows the worker's life. Returns whether it is executed; otherwise it waits for that first
   // call.
@@ -109,6 +114,7 @@
   bool ReplacesAgentInCall(const std::string& node) override;
   std::optional<Duration> CutOff(const std::string& node) override;
   double ClockRate(const std::string& node) override;
+  std::optional<size_t> MaxListedEnds(const std::string& node) override;
   bool ExecutesBeforeTheFirst(const std::string& node) override;
 
  private:
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -99,6 +99,9 @@
   model.longest_lease = bounds_.longest_lease;
   model.stop_time = bounds_.stop / kStopTimeDivisor;
   model.clock_rate = faults_->ClockRate(spec.node);
+  if (const std::optional<size_t> most = faults_->MaxListedEnds(spec.node)) {
+    model.max_listed_ends = *most;
+  }
   const bool at_begin = planner_ == nullptr;
   worker->model = std::make_unique<PoolWorkerModel>(
       model, spec.node + "/1", at_begin ? kWallStartMs : wall_ms(), at_begin ? Time{} : now_);
--- a/tests/stand_ins/pool_worker_model.h
+++ b/tests/stand_ins/pool_worker_model.h
@@ -18,6 +18,8 @@
   Duration stop_time{};
   // Speed of the worker's clock; a worker's clock may be 2% slow.
   double clock_rate = 1.0;
+  // Most ends that an answer to a hold lists.
+  size_t max_listed_ends = 500;
 };
 
 // What the worker knows about a task beyond the call that starts it.
