Rpc: Convert texts by their size, not up to the first zero character

Cause: std::string converts to a Cap'n Proto text by its C string, and cStr() ends at a zero too. Every message between the project's processes was written so.

The same cause on related paths, all mended: checkpoints in orders and reports, ids of jobs in calls to the planner, payloads and checkpoints of gangs, paths and keys of requests, the configuration's text, the names of processes.

Change: rpc/text.h has the two conversions, which go by size, and all of rpc/ uses them.

--- a/rpc/agent_service.cc
+++ b/rpc/agent_service.cc
@@ -2,6 +2,7 @@
 
 #include "rpc/convert.h"
 #include "rpc/offload.h"
+#include "rpc/text.h"
 
 namespace turmericshift {
 namespace {
@@ -27,7 +28,7 @@
   }
 
   kj::Promise<void> cancel(CancelContext context) override {
-    const std::string id = context.getParams().getRequestId().cStr();
+    const std::string id = Text(context.getParams().getRequestId());
     AgentPort* agent = agent_;
     return Offload<bool>(&pools_->control,
                          [agent, id] {
--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -2,11 +2,11 @@
 
 #include <kj/array.h>
 
+#include "rpc/text.h"
+
 namespace turmericshift {
 namespace {
 
-std::string Text(capnp::Text::Reader reader) { return {reader.cStr(), reader.size()}; }
-
 std::string Bytes(capnp::Data::Reader reader) {
   return {reinterpret_cast<const char*>(reader.begin()), reader.size()};
 }
@@ -36,16 +36,16 @@
 }
 
 void Write(const TaskReport& from, wire::TaskReport::Builder to) {
-  to.setJob(from.id.job);
+  to.setJob(AsText(from.id.job));
   to.setAttempt(from.id.attempt);
   to.setTask(from.id.task);
   to.setPhase(static_cast<uint16_t>(from.phase));
   to.setAccelerators(from.accelerators);
   Write(from.shape, to.initShape());
   to.setProgress(from.progress);
-  to.setCheckpoint(from.checkpoint);
+  to.setCheckpoint(AsText(from.checkpoint));
   to.setEpoch(from.epoch);
-  to.setWorkspace(from.workspace);
+  to.setWorkspace(AsText(from.workspace));
   to.setGuaranteed(from.guaranteed);
   to.setCheckpoints(from.checkpoints);
   to.setLeaseLeftNanos(from.lease_left.count());
@@ -73,11 +73,11 @@
 }  // namespace
 
 void Write(const AgentHello& from, wire::AgentHello::Builder to) {
-  to.setProcess(from.process);
-  to.setIncarnation(from.incarnation);
-  to.setZone(from.zone);
-  to.setRack(from.rack);
-  to.setService(from.service);
+  to.setProcess(AsText(from.process));
+  to.setIncarnation(AsText(from.incarnation));
+  to.setZone(AsText(from.zone));
+  to.setRack(AsText(from.rack));
+  to.setService(AsText(from.service));
   Write(from.worker, to.initWorker());
 }
 
@@ -87,18 +87,18 @@
 }
 
 void Write(const ServiceRequest& from, wire::ServiceRequest::Builder to) {
-  to.setRequestId(from.request_id);
-  to.setWorkspace(from.workspace);
-  to.setService(from.service);
-  to.setPath(from.path);
-  to.setContentType(from.content_type);
+  to.setRequestId(AsText(from.request_id));
+  to.setWorkspace(AsText(from.workspace));
+  to.setService(AsText(from.service));
+  to.setPath(AsText(from.path));
+  to.setContentType(AsText(from.content_type));
   to.setBody(AsData(from.body));
-  to.setBodyDigest(from.body_digest);
+  to.setBodyDigest(AsText(from.body_digest));
   to.setTimeLeftNanos(from.time_left.count());
-  to.setIdempotencyKey(from.idempotency_key);
+  to.setIdempotencyKey(AsText(from.idempotency_key));
   to.setAttempt(from.attempt);
   to.setFence(from.fence);
-  to.setIncarnation(from.incarnation);
+  to.setIncarnation(AsText(from.incarnation));
 }
 
 ServiceRequest Read(wire::ServiceRequest::Reader from) {
@@ -119,11 +119,11 @@
 }
 
 void Write(const ServiceAnswer& from, wire::ServiceAnswer::Builder to) {
-  to.setRequestId(from.request_id);
+  to.setRequestId(AsText(from.request_id));
   to.setStatus(from.status);
-  to.setContentType(from.content_type);
+  to.setContentType(AsText(from.content_type));
   to.setBody(AsData(from.body));
-  to.setBodyDigest(from.body_digest);
+  to.setBodyDigest(AsText(from.body_digest));
   Write(from.load, to.initLoad());
 }
 
@@ -139,12 +139,12 @@
 }
 
 void Write(const RequestStatusQuery& from, wire::SeenQuestion::Builder to) {
-  to.setWorkspace(from.workspace);
-  to.setIdempotencyKey(from.idempotency_key);
+  to.setWorkspace(AsText(from.workspace));
+  to.setIdempotencyKey(AsText(from.idempotency_key));
   to.setAttempt(from.attempt);
   to.setFence(from.fence);
-  to.setRequestId(from.request_id);
-  to.setIncarnation(from.incarnation);
+  to.setRequestId(AsText(from.request_id));
+  to.setIncarnation(AsText(from.incarnation));
   to.setAgeNanos(from.age.count());
 }
 
@@ -172,8 +172,8 @@
 
 void Write(const GangReserve& from, wire::GangReserve::Builder to) {
   to.setEpoch(from.epoch);
-  to.setJob(from.job);
-  to.setWorkspace(from.workspace);
+  to.setJob(AsText(from.job));
+  to.setWorkspace(AsText(from.workspace));
   to.setAttempt(from.attempt);
   Write(from.shape, to.initShape());
   auto tasks = to.initTasks(static_cast<unsigned>(from.tasks.size()));
@@ -204,10 +204,10 @@
 
 void Write(const GangStart& from, wire::GangStart::Builder to) {
   to.setEpoch(from.epoch);
-  to.setJob(from.job);
+  to.setJob(AsText(from.job));
   to.setAttempt(from.attempt);
-  to.setPayload(from.payload);
-  to.setCheckpoint(from.checkpoint);
+  to.setPayload(AsText(from.payload));
+  to.setCheckpoint(AsText(from.checkpoint));
 }
 
 GangStart Read(wire::GangStart::Reader from) {
@@ -217,7 +217,7 @@
 
 void Write(const GangAction& from, wire::GangAction::Builder to) {
   to.setEpoch(from.epoch);
-  to.setJob(from.job);
+  to.setJob(AsText(from.job));
   to.setAttempt(from.attempt);
   to.setLeaseNanos(from.lease.count());
   to.setCheckpoint(from.checkpoint);
@@ -231,9 +231,9 @@
 }
 
 void Write(const EntryMember& from, wire::EntryMember::Builder to) {
-  to.setProcess(from.process);
-  to.setZone(from.zone);
-  to.setAddress(from.address);
+  to.setProcess(AsText(from.process));
+  to.setZone(AsText(from.zone));
+  to.setAddress(AsText(from.address));
 }
 
 EntryMember Read(wire::EntryMember::Reader from) {
@@ -282,15 +282,16 @@
 
 void Write(const HeartbeatReply& from, wire::EntryBeat::Builder to) {
   to.setConfigVersion(from.config_version);
-  to.setConfigText(from.config_text);
+  to.setConfigText(AsText(from.config_text));
   to.setFreshnessAgeNanos(from.freshness.age.count());
   to.setLogFailing(from.freshness.failing);
   auto entries = to.initEntries(static_cast<unsigned>(from.entries.size()));
-  for (unsigned index = 0; index < entries.size(); ++index) entries.set(index, from.entries[index]);
-  to.setPlannerAddress(from.planner_address);
+  for (unsigned index = 0; index < entries.size(); ++index)
+    entries.set(index, AsText(from.entries[index]));
+  to.setPlannerAddress(AsText(from.planner_address));
   Write(from.self, to.initSelf());
-  to.setEnvironment(from.environment);
-  to.setConfigDigest(from.config_digest);
+  to.setEnvironment(AsText(from.environment));
+  to.setConfigDigest(AsText(from.config_digest));
   auto members = to.initMembers(static_cast<unsigned>(from.members.size()));
   for (unsigned index = 0; index < members.size(); ++index) {
     Write(from.members[index], members[index]);
--- a/rpc/gate_listener.cc
+++ b/rpc/gate_listener.cc
@@ -17,6 +17,7 @@
 #include "rpc/offload.h"
 #include "rpc/rpc_agent_port.h"
 #include "rpc/sockets.h"
+#include "rpc/text.h"
 
 namespace turmericshift {
 namespace {
@@ -59,10 +60,10 @@
   kj::Promise<void> challenge(ChallengeContext context) override {
     nonce_ = RandomHex(kNonceBytes);
     auto results = context.getResults();
-    results.setNonce(nonce_);
+    results.setNonce(AsText(nonce_));
     // The proof covers the role as well as the peer's nonce, so that it can't be reflected to the
     // process that made it.
-    const std::string peer_nonce = context.getParams().getNonce().cStr();
+    const std::string peer_nonce = Text(context.getParams().getNonce());
     results.setProof(Prove(keys_.keys.front(), "entry:" + peer_nonce));
     return kj::READY_NOW;
   }
@@ -70,7 +71,7 @@
   kj::Promise<void> openAgent(OpenAgentContext context) override {
     auto params = context.getParams();
     auto results = context.getResults();
-    if (!VerifyProof(params.getProof().cStr())) {
+    if (!VerifyProof(Text(params.getProof()))) {
       LogEvent(LogLevel::kWarning, "session_refused", {{"reason", "wrong key"}});
       Write(Error(ErrorKind::kUnauthenticated, "the proof does not fit any shared key"),
             results.initFailure());
--- a/rpc/pool_convert.cc
+++ b/rpc/pool_convert.cc
@@ -1,14 +1,13 @@
 #include "rpc/pool_convert.h"
 
 #include "core/error.h"
+#include "rpc/text.h"
 
 namespace turmericshift {
 namespace {
 
-std::string Text(capnp::Text::Reader reader) { return {reader.cStr(), reader.size()}; }
-
 void Write(const pool::RunId& from, wire::PoolRun::Builder to) {
-  to.setJob(from.task.job);
+  to.setJob(AsText(from.task.job));
   to.setOccurrence(from.task.occurrence);
   to.setStep(from.task.step);
   to.setIndex(from.task.index);
@@ -21,20 +20,20 @@
 }
 
 void Write(const pool::WorkerFacts& from, wire::PoolWorker::Builder to) {
-  to.setId(from.id);
+  to.setId(AsText(from.id));
   to.setBornMs(from.start_time_ms);
-  to.setService(from.service);
-  to.setMachine(from.machine);
-  to.setRack(from.rack);
+  to.setService(AsText(from.service));
+  to.setMachine(AsText(from.machine));
+  to.setRack(AsText(from.rack));
   auto labels = to.initLabels(static_cast<unsigned>(from.labels.size()));
-  for (unsigned i = 0; i < from.labels.size(); ++i) labels.set(i, from.labels[i]);
+  for (unsigned i = 0; i < from.labels.size(); ++i) labels.set(i, AsText(from.labels[i]));
   to.setProcessorMillis(from.capacity.processor_millis);
   to.setMemoryMib(from.capacity.memory_mib);
   to.setAccelerators(from.capacity.accelerators);
   to.setDraining(from.draining);
   to.setLeavesInNanos(from.leaves_in.count());
   to.setReachable(from.reachable);
-  to.setVersion(from.version);
+  to.setVersion(AsText(from.version));
 }
 
 pool::WorkerFacts Read(wire::PoolWorker::Reader from) {
@@ -91,9 +90,9 @@
 }  // namespace
 
 void Write(const pool::AgentReport& from, wire::PoolReport::Builder to) {
-  to.setNode(from.node);
-  to.setZone(from.zone);
-  to.setIncarnation(from.incarnation);
+  to.setNode(AsText(from.node));
+  to.setZone(AsText(from.zone));
+  to.setIncarnation(AsText(from.incarnation));
   to.setSequence(from.sequence);
   to.setEpoch(from.epoch);
   to.setOrdersSeen(from.orders_seen);
@@ -102,7 +101,7 @@
   auto running = to.initRunning(Count(from.running));
   for (unsigned i = 0; i < from.running.size(); ++i) {
     Write(from.running[i].run, running[i].initRun());
-    running[i].setCheckpoint(from.running[i].checkpoint);
+    running[i].setCheckpoint(AsText(from.running[i].checkpoint));
     running[i].setPercent(from.running[i].percent);
   }
   auto ended = to.initEnded(Count(from.ended));
@@ -110,13 +109,13 @@
     ended[i].setNumber(from.ended[i].number);
     Write(from.ended[i].run, ended[i].initRun());
     ended[i].setKind(pool::EndKindName(from.ended[i].kind));
-    ended[i].setCheckpoint(from.ended[i].checkpoint);
+    ended[i].setCheckpoint(AsText(from.ended[i].checkpoint));
   }
   auto results = to.initResults(Count(from.results));
   for (unsigned i = 0; i < from.results.size(); ++i) {
     Write(from.results[i].run, results[i].initRun());
     results[i].setOutcome(static_cast<int>(from.results[i].outcome));
-    results[i].setReason(from.results[i].reason);
+    results[i].setReason(AsText(from.results[i].reason));
   }
   to.setWaitNanos(from.wait.count());
   to.setFence(from.fence);
@@ -166,12 +165,12 @@
   auto starts = to.initStarts(Count(from.starts));
   for (unsigned i = 0; i < from.starts.size(); ++i) {
     Write(from.starts[i].run, starts[i].initRun());
-    starts[i].setPayload(from.starts[i].payload);
-    starts[i].setCheckpoint(from.starts[i].checkpoint);
-    starts[i].setTicket(from.starts[i].ticket);
+    starts[i].setPayload(AsText(from.starts[i].payload));
+    starts[i].setCheckpoint(AsText(from.starts[i].checkpoint));
+    starts[i].setTicket(AsText(from.starts[i].ticket));
   }
   to.setPlannerEpoch(from.planner_epoch);
-  to.setPlannerAddress(from.planner_address);
+  to.setPlannerAddress(AsText(from.planner_address));
   auto stops = to.initStops(Count(from.stops));
   for (unsigned i = 0; i < from.stops.size(); ++i) Write(from.stops[i], stops[i]);
 }
--- a/rpc/pool_session.cc
+++ b/rpc/pool_session.cc
@@ -14,6 +14,7 @@
 #include "rpc/pool_convert.h"
 #include "rpc/rpc_entry_connector.h"
 #include "rpc/sockets.h"
+#include "rpc/text.h"
 #include "servers/pool/job_records.h"
 
 namespace turmericshift {
@@ -60,8 +61,8 @@
     const pool::PlannerRecord known = gate_->KnownPlanner();
     auto results = context.getResults();
     results.setEpoch(known.epoch);
-    results.setNode(known.node);
-    results.setAddress(known.address);
+    results.setNode(AsText(known.node));
+    results.setAddress(AsText(known.address));
     return kj::READY_NOW;
   }
 
@@ -86,7 +87,7 @@
     const ResultCallback<pool::Done> done(kj::mv(pair.fulfiller));
     try {
       auto params = context.getParams();
-      gate_->Submit(pool::DecodeSpec(params.getId().cStr(), params.getSpec().cStr()), done);
+      gate_->Submit(pool::DecodeSpec(Text(params.getId()), Text(params.getSpec())), done);
     } catch (const Error& error) {
       Write(error, context.getResults().initFailure());
       return kj::READY_NOW;
@@ -98,7 +99,7 @@
 
   kj::Promise<void> cancel(CancelContext context) override {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Result<pool::Done>>();
-    gate_->Cancel(context.getParams().getId().cStr(),
+    gate_->Cancel(Text(context.getParams().getId()),
                   ResultCallback<pool::Done>(kj::mv(pair.fulfiller)));
     return pair.promise.then([context](Result<pool::Done>&& result) mutable {
       if (result.error) Write(*result.error, context.getResults().initFailure());
@@ -116,7 +117,7 @@
   kj::Promise<void> takeOver(TakeOverContext context) override {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Result<pool::Done>>();
     auto params = context.getParams();
-    gate_->TakeOver({params.getEpoch(), params.getNode().cStr(), params.getAddress().cStr()},
+    gate_->TakeOver({params.getEpoch(), Text(params.getNode()), Text(params.getAddress())},
                     ResultCallback<pool::Done>(kj::mv(pair.fulfiller)));
     return pair.promise.then([context](Result<pool::Done>&& result) mutable {
       if (result.error) Write(*result.error, context.getResults().initFailure());
@@ -126,7 +127,7 @@
   kj::Promise<void> yield(YieldContext context) override {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Result<pool::Done>>();
     auto params = context.getParams();
-    gate_->Yield({params.getEpoch(), params.getNode().cStr(), params.getAddress().cStr()},
+    gate_->Yield({params.getEpoch(), Text(params.getNode()), Text(params.getAddress())},
                  ResultCallback<pool::Done>(kj::mv(pair.fulfiller)));
     return pair.promise.then([context](Result<pool::Done>&& result) mutable {
       if (result.error) Write(*result.error, context.getResults().initFailure());
@@ -184,8 +185,8 @@
         ->Call(
             [&] {
               auto call = Gate().submitRequest();
-              call.setId(spec.id);
-              call.setSpec(bytes);
+              call.setId(AsText(spec.id));
+              call.setSpec(AsText(bytes));
               return call.send().then([](auto&& response) { return DoneOf(response); });
             },
             timeout)
@@ -197,7 +198,7 @@
         ->Call(
             [&] {
               auto call = Gate().cancelRequest();
-              call.setId(id);
+              call.setId(AsText(id));
               return call.send().then([](auto&& response) { return DoneOf(response); });
             },
             timeout)
@@ -221,8 +222,8 @@
             [&] {
               return Gate().knownPlannerRequest().send().then([](auto&& response) {
                 return ResultOf<pool::PlannerRecord>([&] {
-                  return pool::PlannerRecord{response.getEpoch(), response.getNode().cStr(),
-                                             response.getAddress().cStr()};
+                  return pool::PlannerRecord{response.getEpoch(), Text(response.getNode()),
+                                             Text(response.getAddress())};
                 });
               });
             },
@@ -236,8 +237,8 @@
             [&] {
               auto call = Gate().takeOverRequest();
               call.setEpoch(planner.epoch);
-              call.setNode(planner.node);
-              call.setAddress(planner.address);
+              call.setNode(AsText(planner.node));
+              call.setAddress(AsText(planner.address));
               return call.send().then([](auto&& response) { return DoneOf(response); });
             },
             timeout)
@@ -250,8 +251,8 @@
             [&] {
               auto call = Gate().yieldRequest();
               call.setEpoch(successor.epoch);
-              call.setNode(successor.node);
-              call.setAddress(successor.address);
+              call.setNode(AsText(successor.node));
+              call.setAddress(AsText(successor.address));
               return call.send().then([](auto&& response) { return DoneOf(response); });
             },
             timeout)
@@ -263,7 +264,7 @@
   MakePlannerRequest() {
     auto request = session_->Bootstrap().castAs<wire::PoolGate>().plannerRequest();
     request.setEpoch(relayed_->epoch);
-    request.setAddress(relayed_->address);
+    request.setAddress(AsText(relayed_->address));
     return request;
   }
 
--- a/rpc/pool_session_test.cc
+++ b/rpc/pool_session_test.cc
@@ -146,6 +146,46 @@
   EXPECT_EQ(known.address, "127.0.0.1:1");
 }
 
+// Records what it is called with.
+class RecordingGate : public EmptyGate {
+ public:
+  void Submit(const pool::JobSpec& spec, std::function<void(Result<pool::Done>)> done) override {
+    submitted = spec;
+    done({pool::Done(), std::nullopt});
+  }
+  void Cancel(const std::string& id, std::function<void(Result<pool::Done>)> done) override {
+    cancelled = id;
+    done({pool::Done(), std::nullopt});
+  }
+  void Yield(const pool::PlannerRecord& record,
+             std::function<void(Result<pool::Done>)> done) override {
+    successor = record;
+    done({pool::Done(), std::nullopt});
+  }
+  pool::JobSpec submitted;
+  std::string cancelled;
+  pool::PlannerRecord successor;
+};
+
+// A job known by a cut ID is another job: a cancellation would end a job that nobody cancelled.
+TEST(PoolSession, KeepsZeroCharactersInCalls) {
+  const std::string text("j\0x\0", 4);
+  RecordingGate gate;
+  const PoolListener listener({}, &gate);
+  const auto port = RpcPlannerConnector().Connect(AddressOf(listener), kCallTimeout);
+  pool::JobSpec spec;
+  spec.id = spec.payload = spec.workspace = text;
+  port->Submit(spec, kCallTimeout);
+  EXPECT_EQ(gate.submitted.id, text);
+  EXPECT_EQ(gate.submitted.payload, text);
+  EXPECT_EQ(gate.submitted.workspace, text);
+  port->Cancel(text, kCallTimeout);
+  EXPECT_EQ(gate.cancelled, text);
+  port->Yield({1, text, text}, kCallTimeout);
+  EXPECT_EQ(gate.successor.node, text);
+  EXPECT_EQ(gate.successor.address, text);
+}
+
 // The planner's process ends and another process listens at its address. The relay must replace its
 // lost connection by a new one.
 TEST(PlannerRelay, ReconnectsAfterTheConnectionToThePlannerWasLost) {
--- a/rpc/rpc_agent_port.cc
+++ b/rpc/rpc_agent_port.cc
@@ -4,6 +4,7 @@
 
 #include "core/result.h"
 #include "rpc/convert.h"
+#include "rpc/text.h"
 
 namespace turmericshift {
 namespace {
@@ -55,7 +56,7 @@
   session_->Call(
       [&]() -> kj::Promise<bool> {
         auto call = client_->cancelRequest();
-        call.setRequestId(request_id);
+        call.setRequestId(AsText(request_id));
         return call.send().then([](auto&&) { return true; });
       },
       kCancelTimeout);
--- a/rpc/rpc_entry_connector.cc
+++ b/rpc/rpc_entry_connector.cc
@@ -10,6 +10,7 @@
 #include "rpc/convert.h"
 #include "rpc/session.h"
 #include "rpc/sockets.h"
+#include "rpc/text.h"
 
 namespace turmericshift {
 namespace {
@@ -76,16 +77,16 @@
   auto gate = session->Bootstrap().castAs<wire::Gate>();
   const std::string nonce = RandomHex(kNonceBytes);
   auto challenge = gate.challengeRequest();
-  challenge.setNonce(nonce);
+  challenge.setNonce(AsText(nonce));
   return challenge.send().then([gate, nonce, keys, hello,
                                 agent](auto&& answer) mutable -> kj::Promise<OpenResult> {
-    if (!VerifyEntryProof(keys, nonce, answer.getProof().cStr())) {
+    if (!VerifyEntryProof(keys, nonce, Text(answer.getProof()))) {
       OpenResult refused;
       refused.error.emplace(ErrorKind::kUnauthenticated, "the entry does not know the shared key");
       return kj::mv(refused);
     }
     auto open = gate.openAgentRequest();
-    open.setProof(Prove(keys.keys.front(), std::string("agent:") + answer.getNonce().cStr()));
+    open.setProof(Prove(keys.keys.front(), std::string("agent:") + Text(answer.getNonce())));
     Write(hello, open.initHello());
     open.setAgent(kj::mv(agent));
     return open.send().then([](auto&& opened) { return ReadOpened(opened); });
