HTTP server: Do not cut paths and arguments at an escaped zero character

A caller that sent DELETE /queue/ID%00x had the job ID cancelled, another one than it named; likewise for GET and POST, and for a worker's announcement under such an id.

Change: text that holds an escaped zero character is left as it was sent. No job has such an id, so that the caller learns that there is none.

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -15,6 +15,7 @@
 #include <cerrno>
 #include <condition_variable>
 #include <cstdint>
+#include <cstring>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -81,6 +82,13 @@
   return MHD_YES;
 }
 
+// Decodes a path, or the name or value of an argument, in place. The library passes the result on
+// as a C string, so text with an escaped zero character stays as it is: it would end there.
+size_t Unescape(void* /*user*/, MHD_Connection* /*connection*/, char* text) {
+  if (std::strstr(text, "%00") != nullptr) return std::strlen(text);
+  return MHD_http_unescape(text);
+}
+
 MHD_Result Send(MHD_Connection* connection, const HttpResponse& response, bool close) {
   MHD_Response* raw = MHD_create_response_from_buffer(
       response.body.size(), const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
@@ -312,7 +320,7 @@
       MHD_OPTION_NOTIFY_CONNECTION, &State::OnConnection, state_.get(), MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned>(options.max_connections), MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(options.idle_timeout.count()), MHD_OPTION_THREAD_STACK_SIZE,
-      options.stack_bytes, MHD_OPTION_END);
+      options.stack_bytes, MHD_OPTION_UNESCAPE_CALLBACK, &Unescape, nullptr, MHD_OPTION_END);
   if (state_->daemon == nullptr) {
     close(listener);
     throw Error(ErrorKind::kUnavailable, "libmicrohttpd could not start the HTTP server");
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -333,6 +333,20 @@
                                          PausePoint::kBeforeListenerShutdown,
                                          PausePoint::kAfterListenerShutdown));
 
+// The library passes paths on as C strings. Cut at an escaped zero character, the path of one job
+// was taken for that of another.
+TEST(HttpServerTest, DoesNotCutPathsAndQueriesAtAZeroCharacter) {
+  HttpRequest received;
+  const HttpServer server({}, [&](const HttpRequest& request) {
+    received = request;
+    return HttpResponse();
+  });
+  EXPECT_EQ(PerformHttp(CallTo(server, "/a%20b%00c?x=1%002&y=%31")).status, 200);
+  EXPECT_EQ(received.path, "/a%20b%00c");
+  EXPECT_EQ(received.argument("x"), "1%002");
+  EXPECT_EQ(received.argument("y"), "1");
+}
+
 TEST(HttpServerTest, RejectsMalformedRequestsAndKeepsServing) {
   const HttpServer server({}, &Echo);
   SendRaw(server.port(), "GET\r\n\r\n");
