--- a/rpc/convert.cc
+++ b/rpc/convert.cc
@@ -286,8 +286,9 @@
   to.setFreshnessAgeNanos(from.freshness.age.count());
   to.setLogFailing(from.freshness.failing);
   auto entries = to.initEntries(static_cast<unsigned>(from.entries.size()));
-  for (unsigned index = 0; index < entries.size(); ++index)
+  for (unsigned index = 0; index < entries.size(); ++index) {
     entries.set(index, AsText(from.entries[index]));
+  }
   to.setPlannerAddress(AsText(from.planner_address));
   Write(from.self, to.initSelf());
   to.setEnvironment(AsText(from.environment));
--- a/rpc/text_test.cc
+++ b/rpc/text_test.cc
@@ -22,7 +22,7 @@
 
 // Checks that each text in `value`, at any depth, is `text`. Lists must not be empty, and a text
 // that the test leaves out is a failure too, so that new fields are covered.
-void ExpectTexts(capnp::DynamicValue::Reader value, const std::string& text,
+void ExpectTexts(const capnp::DynamicValue::Reader& value, const std::string& text,
                  const std::string& name) {
   switch (value.getType()) {
     case capnp::DynamicValue::TEXT:
