Pool: Store the progress of large jobs in parts; refuse jobs that the store can't hold

Cause: a job's progress is one record, which grows with its tasks, and a planner repeats a refused append before all later ones, as it must in an outage. Over 262,144 bytes the store refuses the record for good. The same on related paths: specifications, which name each number that is zero and take up to 1.8 times the body; the done tasks of jobs that repeat; ids of over 253 bytes, which make a key that can't be encoded, so that one call with a long id stopped the planner.

Change: jobs of more than 512 tasks have their progress stored in parts of 512 tasks with keys of their own, so that no record grows with the job and an end rewrites one part. Records that checkpoints still make too large leave out the largest of them. Large specifications leave out zeros. An entry refuses a job at once whose id or specification the store can't hold; the limit is a setting, record_bytes. Smaller jobs are stored as before, so that entries of the former version read them.

Ruled out: a larger limit, which is the store's; dropping a record that the store refuses, which would acknowledge ends that are not stored.

--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -43,6 +43,7 @@
 constexpr double kMaxProcessorSpeed = 1024;
 constexpr double kMaxLinkMbit = 1e6;
 constexpr double kMaxStrayFactor = 1000;
+constexpr int64_t kMaxRecordBytes = int64_t{1} << 30;
 
 // Reads a duration that a platform gives as a number without a unit, in units of `unit`; fractions
 // are allowed.
@@ -73,6 +74,11 @@
           BoundKey("restore_ms", &bounds->restore),
           PlatformTimeKey("status_kept_s", 0, kMaxSeconds, std::chrono::seconds(1),
                           &bounds->status_kept),
+          {"record_bytes", false,
+           [bounds](const std::string& bytes) {
+             bounds->max_record_bytes =
+                 static_cast<size_t>(ParseInteger(bytes, 1, kMaxRecordBytes));
+           }},
           {"stray_factor", false, [bounds](const std::string& factor) {
              bounds->off_rack_slowdown = ParseNumber(factor, 1, kMaxStrayFactor);
            }}};
--- a/main/settings/process_settings_test.cc
+++ b/main/settings/process_settings_test.cc
@@ -62,7 +62,7 @@
                        "[limits]\nlongest_lease_ms = 10000\nstray_factor = 2.5\n"
                        "cancel_ms = 3100\nzone_out_ms = 5100\nkey_withdrawn_ms = 5200\n"
                        "visible_ms = 3300\ngang_wait_ms = 3400\nstop_ms = 900\n"
-                       "reclaim_ms = 3500\nrestore_ms = 250\n");
+                       "reclaim_ms = 3500\nrestore_ms = 250\nrecord_bytes = 131072\n");
   EXPECT_EQ(settings.bounds.cancel, std::chrono::milliseconds(3100));
   EXPECT_EQ(settings.bounds.zone_out, std::chrono::milliseconds(5100));
   EXPECT_EQ(settings.bounds.key_withdrawn, std::chrono::milliseconds(5200));
@@ -72,6 +72,7 @@
   EXPECT_EQ(settings.bounds.reclaim, std::chrono::milliseconds(3500));
   EXPECT_EQ(settings.bounds.restore, std::chrono::milliseconds(250));
   EXPECT_EQ(settings.bounds.off_rack_slowdown, 2.5);
+  EXPECT_EQ(settings.bounds.max_record_bytes, 131'072U);
   EXPECT_EQ(settings.callers.port, 80);
   EXPECT_EQ(settings.sessions.address, "10.0.0.1");
   EXPECT_EQ(settings.stop_limit, std::chrono::milliseconds(6500));
--- a/servers/pool/job_api.cc
+++ b/servers/pool/job_api.cc
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "core/logging.h"
+#include "servers/pool/job_records.h"
 #include "servers/pool/local_planner_client.h"
 
 namespace turmericshift::pool {
@@ -25,6 +26,19 @@
 // A view older than this while the topic is followed closely shows that the store does not answer.
 constexpr Duration kStoreLostAge = std::chrono::milliseconds(1500);
 
+// Throws Error(kTooLarge) if the store can't hold the job's records: they would be refused for
+// ever, and all later ones with them.
+void CheckStorable(const JobSpec& spec, size_t max_value_bytes) {
+  if (spec.id.size() > kMaxJobIdBytes) {
+    throw Error(ErrorKind::kTooLarge,
+                "the job's id is longer than " + std::to_string(kMaxJobIdBytes) + " bytes");
+  }
+  if (EncodeSpec(spec).size() > max_value_bytes) {
+    throw Error(ErrorKind::kTooLarge,
+                "the job takes more than " + std::to_string(max_value_bytes) + " bytes to store");
+  }
+}
+
 }  // namespace
 
 JobApi::JobApi(const JobApiOptions& options, WorkView* work, const OperatorView* operators,
@@ -161,6 +175,7 @@
                   "the body is larger than " + std::to_string(most) + " bytes");
     }
     call.read_body(&spec);
+    CheckStorable(spec, options_.max_value_bytes);
   } catch (const Error& error) {
     answer.kind = JobAnswerKind::kBadRequest;
     answer.message = error.what();
--- a/servers/pool/job_api.h
+++ b/servers/pool/job_api.h
@@ -83,6 +83,8 @@
   // Default retry delay suggested to callers, for example during a change of planner or a short
   // outage of the store.
   Duration retry_after = std::chrono::seconds(1);
+  // Largest specification that can be stored, as encoded by EncodeSpec.
+  size_t max_value_bytes = size_t{128} << 10;
 };
 
 class JobApi {
--- a/servers/pool/job_api_test.cc
+++ b/servers/pool/job_api_test.cc
@@ -178,13 +178,16 @@
     return AnswerTo(id, timeout).kind;
   }
 
-  JobAnswer AnswerTo(const std::string& id, Duration timeout) {
+  JobAnswer AnswerTo(const std::string& id, Duration timeout, size_t payload_bytes = 0) {
     JobCall call;
     call.kind = JobCall::Kind::kSubmit;
     call.host = "plans.example";
     call.path = "/jobs/" + id;
     call.timeout = timeout;
-    call.read_body = [](JobSpec* spec) { spec->steps.emplace_back(); };
+    call.read_body = [payload_bytes](JobSpec* spec) {
+      spec->steps.emplace_back();
+      spec->payload = std::string(payload_bytes, 'x');
+    };
     return api->Handle(call, LeaseClock().Now());
   }
 
@@ -211,6 +214,20 @@
   EXPECT_EQ(fixture.Submit("other", milliseconds(100)), JobAnswerKind::kNotAccepted);
 }
 
+// The store refuses a record for ever whose key or value is too large, and the planner repeated the
+// append before all later ones: one such job stopped the whole system.
+TEST(JobApi, RefusesAJobThatTheStoreCannotHold) {
+  ApiFixture fixture(std::make_unique<UnresponsiveGate>(), std::make_unique<FailingConnector>());
+  const size_t most = JobApiOptions().max_value_bytes;
+  const JobAnswer refused = fixture.AnswerTo("j", milliseconds(500), most);
+  EXPECT_EQ(refused.kind, JobAnswerKind::kBadRequest);
+  EXPECT_NE(refused.message.find(std::to_string(most)), std::string::npos);
+  const std::string long_id(kMaxJobIdBytes + 1, 'f');
+  EXPECT_EQ(fixture.Submit(long_id, milliseconds(500)), JobAnswerKind::kBadRequest);
+  EXPECT_EQ(static_cast<UnresponsiveGate*>(fixture.gate.get())->submissions(), 0);
+  EXPECT_EQ(fixture.AnswerTo("k", milliseconds(500), most / 2).kind, JobAnswerKind::kUnknown);
+}
+
 // This entry's planner has lost the store and been superseded, but the entry's view still shows it
 // as active. Guards against a call that waits there until its timeout and leaves no time to try
 // another entry.
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -1,14 +1,23 @@
 #include "servers/pool/job_records.h"
 
+#include <cstring>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "core/error.h"
+#include "core/units.h"
 
 namespace turmericshift::pool {
 namespace {
 
 using nlohmann::json;
 
+// Larger specifications leave out numbers that are zero. Former versions can't read those, but
+// could not store them either.
+constexpr size_t kMaxFullSpecBytes = size_t{128} << 10;
+
+constexpr int64_t kMaxPart = int64_t{1} << 53;
+
 json StepToJson(const StepSpec& step) {
   json out = {{"tasks", step.tasks},
               {"cpu", step.need.processor_millis},
@@ -32,10 +41,10 @@
 StepSpec StepFromJson(const json& in) {
   StepSpec step;
   step.tasks = in.at("tasks").get<int>();
-  step.need.processor_millis = in.at("cpu").get<int64_t>();
-  step.need.memory_mib = in.at("mem").get<int64_t>();
-  step.need.accelerators = in.at("acc").get<int64_t>();
-  step.estimate = std::chrono::milliseconds(in.at("estimate_ms").get<int64_t>());
+  step.need.processor_millis = in.value("cpu", int64_t{0});
+  step.need.memory_mib = in.value("mem", int64_t{0});
+  step.need.accelerators = in.value("acc", int64_t{0});
+  step.estimate = std::chrono::milliseconds(in.value("estimate_ms", int64_t{0}));
   step.after = in.value("after", std::vector<int>());
   step.gang = in.value("gang", false);
   step.one_rack = in.value("one_rack", false);
@@ -50,6 +59,12 @@
   return step;
 }
 
+void RemoveZeros(json* object) {
+  for (auto row = object->begin(); row != object->end();) {
+    row = *row == 0 ? object->erase(row) : std::next(row);
+  }
+}
+
 json TermsToJson(const QueueTerms& terms) {
   json out = {
       {"service", terms.service},
@@ -84,6 +99,20 @@
 
 }  // namespace
 
+std::string PartKey(const std::string& id, int64_t part) {
+  return kPartPrefix + id + "/" + std::to_string(part);
+}
+
+PartName ParsePartKey(const std::string& key) {
+  const size_t prefix = std::strlen(kPartPrefix);
+  const size_t separator = key.rfind('/');
+  if (key.rfind(kPartPrefix, 0) != 0 || separator < prefix) {
+    throw Error(ErrorKind::kInvalidInput, "not the key of a part: " + key);
+  }
+  const int64_t part = ParseInteger(key.substr(separator + 1), 0, kMaxPart);
+  return {key.substr(prefix, separator - prefix), part};
+}
+
 std::string EncodeSpec(const JobSpec& spec) {
   json steps = json::array();
   for (const StepSpec& step : spec.steps) steps.push_back(StepToJson(step));
@@ -98,6 +127,9 @@
     out["first_due_ms"] = spec.schedule.first_due_ms;
     out["interval_ms"] = spec.schedule.interval_ms;
   }
+  std::string bytes = out.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (bytes.size() <= kMaxFullSpecBytes) return bytes;
+  for (json& step : out["steps"]) RemoveZeros(&step);
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -140,6 +172,10 @@
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+size_t EncodedBytes(const std::string& text) {
+  return json(text).dump(-1, ' ', false, json::error_handler_t::replace).size();
+}
+
 JobProgress DecodeProgress(const std::string& bytes) {
   return Decoded("progress", [&] {
     const json in = json::parse(bytes);
--- a/servers/pool/job_table.cc
+++ b/servers/pool/job_table.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "servers/learned/learned_state.h"
+#include "servers/pool/progress_parts.h"
 
 namespace turmericshift::pool {
 
@@ -32,6 +33,8 @@
       ApplySpec(record.key.substr(2), record);
     } else if (record.key.rfind(kProgressPrefix, 0) == 0) {
       ApplyProgress(record.key.substr(2), record);
+    } else if (record.key.rfind(kPartPrefix, 0) == 0) {
+      ApplyPart(record);
     } else if (record.key.rfind(learned::kKeyPrefix, 0) == 0) {
       ApplyLearned(record.key.substr(2), record);
     }
@@ -51,22 +54,39 @@
   entry.spec = std::move(spec);
   const auto orphan = orphaned_progress_.find(id);
   if (orphan == orphaned_progress_.end()) return;
-  entry.progress = std::move(orphan->second);
+  static_cast<StoredProgress&>(entry) = std::move(orphan->second);
   orphaned_progress_.erase(orphan);
 }
 
+StoredProgress& JobTable::ProgressOf(const std::string& id) {
+  const auto found = jobs_.find(id);
+  return found != jobs_.end() ? found->second : orphaned_progress_[id];
+}
+
 void JobTable::ApplyProgress(const std::string& id, const KeyedRecord& record) {
   if (record.value.empty()) {
     orphaned_progress_.erase(id);
     return;
   }
   JobProgress progress = DecodeProgress(record.value);
-  const auto found = jobs_.find(id);
-  if (found == jobs_.end()) {
-    orphaned_progress_[id] = std::move(progress);
+  StoredProgress& stored = ProgressOf(id);
+  stored.has_own_tasks =
+      !progress.done.empty() || !progress.failures.empty() || !progress.checkpoints.empty();
+  if (!stored.parts.empty()) MergeTasks(stored.progress, &progress);
+  stored.progress = std::move(progress);
+}
+
+void JobTable::ApplyPart(const KeyedRecord& record) {
+  const PartName name = ParsePartKey(record.key);
+  if (record.value.empty()) {
+    const auto found = jobs_.find(name.id);
+    if (found != jobs_.end()) found->second.parts.erase(name.part);
     return;
   }
-  found->second.progress = std::move(progress);
+  const JobProgress tasks = DecodeProgress(record.value);
+  StoredProgress& stored = ProgressOf(name.id);
+  stored.parts.insert(name.part);
+  MergeTasks(tasks, &stored.progress);
 }
 
 void JobTable::ApplyLearned(const std::string& name, const KeyedRecord& record) {
--- a/servers/pool/job_table.h
+++ b/servers/pool/job_table.h
@@ -2,7 +2,9 @@
 // active planner. It is the same on every entry that has read up to the same offset.
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "servers/platform/keyed_log.h"
@@ -10,9 +12,17 @@
 
 namespace turmericshift::pool {
 
-struct StoredJob {
-  JobSpec spec;
+struct StoredProgress {
+  // Contains the tasks of all parts.
   JobProgress progress;
+  // Numbers of the parts that are stored; see progress_parts.h.
+  std::set<int64_t> parts;
+  // Whether the record of the job itself contains tasks.
+  bool has_own_tasks = false;
+};
+
+struct StoredJob : StoredProgress {
+  JobSpec spec;
 };
 
 class JobTable {
@@ -40,11 +50,14 @@
   bool UpdateOffsetIfNewer(const KeyedRecord& record);
   void ApplySpec(const std::string& id, const KeyedRecord& record);
   void ApplyProgress(const std::string& id, const KeyedRecord& record);
+  void ApplyPart(const KeyedRecord& record);
+  // The progress of a job, whether or not its specification has been read.
+  StoredProgress& ProgressOf(const std::string& id);
   void ApplyLearned(const std::string& name, const KeyedRecord& record);
 
   std::map<std::string, StoredJob> jobs_;
   // Progress of jobs whose specification has not been read yet: pages come in the order of keys.
-  std::map<std::string, JobProgress> orphaned_progress_;
+  std::map<std::string, StoredProgress> orphaned_progress_;
   std::map<std::string, std::string> learned_;
   std::map<std::string, Offset> offsets_;
   PlannerRecord planner_;
--- a/servers/pool/job_table_test.cc
+++ b/servers/pool/job_table_test.cc
@@ -2,7 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstring>
+
 #include "core/error.h"
+#include "servers/pool/progress_parts.h"
 #include "tests/stand_ins/pool_simulation.h"
 
 namespace turmericshift::pool {
@@ -85,6 +89,87 @@
   EXPECT_EQ(table.Find("x"), nullptr);
 }
 
+// A job whose tasks are stored in parts, with one task done in each of its two parts.
+struct JobInParts {
+  JobInParts() {
+    spec = SampleJob("a/b", "batch", "one",
+                     SampleStep(2 * kTasksPerPart, 1, std::chrono::milliseconds(700)));
+    first.done[{0, 0}] = {1};
+    second.done[{0, 0}] = {kTasksPerPart + 1};
+    state.state = JobState::kRunning;
+    records = {{"j/a/b", EncodeSpec(spec), 1},
+               {PartKey("a/b", 0), EncodeProgress(first), 2},
+               {PartKey("a/b", 1), EncodeProgress(second), 3},
+               {"p/a/b", EncodeProgress(state), 4}};
+  }
+  JobSpec spec;
+  JobProgress first;
+  JobProgress second;
+  JobProgress state;
+  std::vector<KeyedRecord> records;
+};
+
+// Pages of the newest records come in the order of keys, the history in that of offsets. A part
+// that were lost in one of them would run its tasks again.
+TEST(JobTable, JoinsThePartsOfAJobInAnyOrder) {
+  JobInParts job;
+  std::sort(job.records.begin(), job.records.end(),
+            [](const auto& left, const auto& right) { return left.key < right.key; });
+  do {
+    JobTable table;
+    for (const KeyedRecord& record : job.records) table.Apply(record);
+    ASSERT_NE(table.Find("a/b"), nullptr);
+    const StoredJob& stored = *table.Find("a/b");
+    EXPECT_EQ(stored.progress.state, JobState::kRunning);
+    EXPECT_EQ(stored.progress.done_count({0, 0}), 2);
+    EXPECT_EQ(stored.parts, (std::set<int64_t>{0, 1}));
+    EXPECT_FALSE(stored.has_own_tasks);
+  } while (std::next_permutation(
+      job.records.begin(), job.records.end(),
+      [](const auto& left, const auto& right) { return left.key < right.key; }));
+}
+
+// A job that is handed in again under its id after it was forgotten must not inherit old parts.
+TEST(JobTable, RemovesTheParts) {
+  JobInParts job;
+  JobTable table;
+  for (const KeyedRecord& record : job.records) table.Apply(record);
+  Offset offset = 10;
+  for (const char* key : {"t/a/b/0", "t/a/b/1", "j/a/b", "p/a/b"}) table.Apply({key, "", ++offset});
+  EXPECT_EQ(table.Find("a/b"), nullptr);
+  table.Apply({"j/a/b", EncodeSpec(job.spec), 20});
+  EXPECT_EQ(table.Find("a/b")->progress.done_count({0, 0}), 0);
+  EXPECT_TRUE(table.Find("a/b")->parts.empty());
+}
+
+TEST(JobTable, RejectsMalformedPartKeys) {
+  for (const char* key : {"t/", "t/x", "t/x/", "t/x/y", "t/x/-1"}) {
+    EXPECT_THROW(JobTable().Apply({key, EncodeProgress({}), 1}), Error) << key;
+  }
+}
+
+// The record of a job within the limit on bodies was up to 1.8 times as large as its body, too
+// large for the store, which refused it for ever.
+TEST(JobRecords, StoreAJobInNoMoreSpaceThanItsBodyTook) {
+  JobSpec spec = SampleJob("j", "batch", "one", StepSpec());
+  spec.steps.clear();
+  StepSpec step;
+  step.tasks = 1;
+  step.need.processor_millis = 5;
+  size_t body = 0;
+  while (body < 260'000) {
+    spec.steps.push_back(step);
+    body += std::strlen(R"({"count":1,"cpu":5},)");
+  }
+  const std::string bytes = EncodeSpec(spec);
+  EXPECT_LT(bytes.size(), 262'144 - kRecordKeyBytes);
+  const JobSpec read = DecodeSpec("j", bytes);
+  EXPECT_EQ(read.steps.size(), spec.steps.size());
+  EXPECT_EQ(read.steps[0].need.processor_millis, 5);
+  EXPECT_EQ(read.steps[0].need.accelerators, 0);
+  EXPECT_EQ(read.steps[0].tasks, 1);
+}
+
 // Records of learned state may be malformed or written by a planner of another version. They must
 // throw away no job, and the newest one counts.
 TEST(JobTable, KeepsTheNewestLearnedRecordsBesideJobs) {
--- a/servers/pool/pool_bounds.cc
+++ b/servers/pool/pool_bounds.cc
@@ -63,8 +63,20 @@
                                             std::to_string(Seconds(minimum)) + " s are required");
 }
 
+// The progress of kTasksPerPart tasks without checkpoints, and records of learned state, take less.
+constexpr size_t kMinRecordBytes = size_t{64} << 10;
+
 }  // namespace
 
+size_t MaxValueBytes(const PoolBounds& bounds) {
+  if (bounds.max_record_bytes < kMinRecordBytes) {
+    throw Error(ErrorKind::kInvalidInput,
+                "the largest record has " + std::to_string(bounds.max_record_bytes) +
+                    " bytes, but " + std::to_string(kMinRecordBytes) + " are required");
+  }
+  return bounds.max_record_bytes - kRecordKeyBytes;
+}
+
 PlannerOptions PlannerOptionsFor(const PoolBounds& bounds) {
   PlannerOptions options;
   options.lease_duration = CheckedLimit(
@@ -98,12 +110,14 @@
   options.restore_time = bounds.restore;
   options.ended_job_retention = bounds.status_kept + kStatusReserve;
   options.off_rack_slowdown = bounds.off_rack_slowdown;
+  options.max_value_bytes = MaxValueBytes(bounds);
   return options;
 }
 
 void ApplyBounds(const PoolBounds& bounds, JobApiOptions* options) {
   options->key_age_limit =
       CheckedLimit("the bound on withdrawn keys", bounds.key_withdrawn - kCallReserve, kMinLimit);
+  options->max_value_bytes = MaxValueBytes(bounds);
   options->view_age_limit = CheckedLimit("the bound on visibility of accepted jobs",
                                          bounds.visible - kCallReserve, kMinLimit);
 }
--- a/servers/pool/pool_bounds.h
+++ b/servers/pool/pool_bounds.h
@@ -3,6 +3,7 @@
 // code.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -36,8 +37,13 @@
   Duration status_kept = std::chrono::seconds(120);
   // Slowdown of tasks off their data's rack, and of gangs spread over racks.
   double off_rack_slowdown = 3;
+  // Largest record that the store accepts, with its key.
+  size_t max_record_bytes = size_t{256} << 10;
 };
 
+// Largest value of a record whose key may have any length. Throws Error(kInvalidInput) if records
+// are too small for what the planner stores.
+size_t MaxValueBytes(const PoolBounds& bounds);
 // Returns limits that keep the bounds. Throws Error(kInvalidInput) if a bound leaves too little
 // time: an entry that may never start a task would look healthy and serve nobody.
 PlannerOptions PlannerOptionsFor(const PoolBounds& bounds);
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/logging.h"
+#include "servers/pool/progress_parts.h"
 
 namespace turmericshift::pool {
 
@@ -32,7 +33,9 @@
     Job& job = jobs_[id];
     job.spec = entry.spec;
     job.progress = entry.progress;
+    job.parts = entry.parts;
     RefreshTerms(&job);
+    if (entry.has_own_tasks && IsStoredInParts(job.spec)) SaveAllParts(&job);
     // The record that a job is running is durable before its first start is ordered, so nothing of
     // a queued job can be running anywhere.
     job.inherited = entry.progress.state != JobState::kQueued;
@@ -222,7 +225,46 @@
 }
 
 void PoolPlanner::SaveProgress(Job* job) {
-  job->newest_ticket = outbox_.Put(kProgressPrefix + job->spec.id, EncodeProgress(job->progress));
+  JobProgress progress = job->progress;
+  if (IsStoredInParts(job->spec)) {
+    progress = JobProgress();
+    progress.state = job->progress.state;
+    progress.ended_ms = job->progress.ended_ms;
+  }
+  PutProgress(kProgressPrefix + job->spec.id, std::move(progress), job);
+}
+
+void PoolPlanner::SaveTasks(Job* job, const StepPlace& step, int first, int last) {
+  if (!IsStoredInParts(job->spec)) return SaveProgress(job);
+  const int64_t last_part = PartOf(job->spec, {step.occurrence, step.step, last});
+  for (int64_t part = PartOf(job->spec, {step.occurrence, step.step, first}); part <= last_part;
+       ++part) {
+    job->parts.insert(part);
+    PutProgress(PartKey(job->spec.id, part), ProgressOfPart(job->spec, job->progress, part), job);
+  }
+}
+
+void PoolPlanner::SaveAllParts(Job* job) {
+  const JobSpec& spec = job->spec;
+  for (int occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+    for (size_t step = 0; step < spec.steps.size(); ++step) {
+      SaveTasks(job, {occurrence, static_cast<int>(step)}, 0, spec.steps[step].tasks - 1);
+    }
+  }
+}
+
+void PoolPlanner::PutProgress(const std::string& key, JobProgress progress, Job* job) {
+  std::string value = EncodeProgress(progress);
+  if (value.size() > options_.max_value_bytes) {
+    const size_t removed = RemoveCheckpointsOver(options_.max_value_bytes, &progress);
+    value = EncodeProgress(progress);
+    LogEvent(LogLevel::kWarning, "checkpoints_not_stored",
+             {{"job", job->spec.id},
+              {"record", key},
+              {"checkpoints", removed},
+              {"max_bytes", options_.max_value_bytes}});
+  }
+  job->newest_ticket = outbox_.Put(key, value);
 }
 
 void PoolPlanner::EndJob(Job* job, JobState state, int64_t wall_ms) {
@@ -292,6 +334,8 @@
       ++job;
       continue;
     }
+    // The job goes last: as long as it is stored, a successor knows which parts are left.
+    for (const int64_t part : job->second.parts) outbox_.Put(PartKey(job->first, part), "");
     outbox_.Put(kSpecPrefix + job->first, "");
     outbox_.Put(kProgressPrefix + job->first, "");
     // Advice may have arrived after the job had ended.
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -43,6 +43,9 @@
 
 namespace turmericshift::pool {
 
+// Room in a record for the length of the key, one byte, and a key of up to 255 bytes.
+inline constexpr size_t kRecordKeyBytes = 256;
+
 // Limits and timings of a planner. PlannerOptionsFor in pool_bounds.h derives them from the
 // platform's bounds.
 struct PlannerOptions {
@@ -97,6 +100,8 @@
   DisabledMechanisms disabled_mechanisms;
   // Largest size of one append to the store.
   size_t max_append_bytes = size_t{1} << 20;
+  // Largest value of a record.
+  size_t max_value_bytes = (size_t{256} << 10) - kRecordKeyBytes;
 };
 
 struct CancelResult {
@@ -217,6 +222,8 @@
     Ticket running_ticket = 0;
     // The job's newest record.
     Ticket newest_ticket = 0;
+    // Numbers of the stored parts of the progress; see progress_parts.h.
+    std::set<int64_t> parts;
     // A previous planner may have parts of the job running.
     bool inherited = false;
     // The current terms of the job's queue.
@@ -301,7 +308,16 @@
   void StopGang(const Job& job, const RunId& member);
   void StopJob(const Job& job);
   void MarkRunning(Job* job);
+  // Saves the state of the job, and its tasks too unless they are stored in parts.
   void SaveProgress(Job* job);
+  // Saves the progress of the step's tasks from `first` to `last`.
+  void SaveTasks(Job* job, const StepPlace& step, int first, int last);
+  void SaveTask(Job* job, const TaskPlace& task) {
+    SaveTasks(job, {task.occurrence, task.step}, task.index, task.index);
+  }
+  // Saves all parts of a job whose tasks a former version has stored with its state.
+  void SaveAllParts(Job* job);
+  void PutProgress(const std::string& key, JobProgress progress, Job* job);
   void EndJob(Job* job, JobState state, int64_t wall_ms);
 
   bool IsEnabled(Mechanism mechanism) const {
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -426,19 +426,17 @@
   const TaskId& task = end.run.task;
   const StepSpec& step = *FindStep(*job, task);
   if (step.long_running) return;
+  const int first = step.gang ? 0 : task.index;
+  const int last = step.gang ? step.tasks - 1 : task.index;
   std::set<int>& done = job->progress.done[{task.occurrence, task.step}];
-  if (step.gang) {
-    for (int index = 0; index < step.tasks; ++index) done.insert(index);
-  } else {
-    done.insert(task.index);
-  }
+  for (int index = first; index <= last; ++index) done.insert(index);
   job->progress.checkpoints.erase(StoredAt(step, task));
   if (job->progress.all_done(job->spec)) {
     EndJob(job, JobState::kCompleted, wall_ms);
     return;
   }
-  if (job->progress.state == JobState::kQueued) job->progress.state = JobState::kRunning;
-  SaveProgress(job);
+  MarkRunning(job);
+  SaveTasks(job, {task.occurrence, task.step}, first, last);
 }
 
 void PoolPlanner::ApplyFailure(const EndedTask& end, Job* job, int64_t wall_ms) {
@@ -452,7 +450,7 @@
     EndJob(job, JobState::kFailed, wall_ms);
     return;
   }
-  SaveProgress(job);
+  SaveTask(job, StoredAt(step, task));
 }
 
 void PoolPlanner::SaveCheckpoint(const RunId& run, const std::string& checkpoint, Job* job) {
@@ -461,7 +459,7 @@
   std::string& saved = job->progress.checkpoints[StoredAt(step, run.task)];
   if (saved == checkpoint) return;
   saved = checkpoint;
-  SaveProgress(job);
+  SaveTask(job, StoredAt(step, run.task));
 }
 
 void PoolPlanner::DropRunsOfUnreadWorker(WorkerState* worker, Time now) {
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -639,6 +639,114 @@
   EXPECT_EQ(DecodeProgress(records[0].value).state, JobState::kFailed);
 }
 
+// Largest record that the users' store accepts.
+constexpr size_t kRecordBytes = 262'144;
+
+// The stored records of job "j" of `tasks` tasks, which is running.
+JobTable TableOfLargeJob(int tasks) {
+  StepSpec step = SampleStep(tasks, 0, seconds(40));
+  step.checkpoints = true;
+  JobTable table;
+  table.Apply({"j/j", EncodeSpec(SampleJob("j", "batch", "one", step)), 1});
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  table.Apply({"p/j", EncodeProgress(progress), 2});
+  return table;
+}
+
+// A report with the ends of the runs of `tasks` tasks of job "j", with these checkpoints.
+AgentReport ReportOfEnds(int tasks, EndKind kind, const std::string& checkpoint) {
+  AgentReport report = Report("first", 1);
+  for (int index = 0; index < tasks; ++index) {
+    report.ended.push_back({index + 1, {{"j", 0, 0, index}, 7}, kind, checkpoint});
+  }
+  return report;
+}
+
+// Stores the planner's records and checks their sizes. Returns the number of bytes.
+size_t StoreRecords(PoolPlanner* planner, JobTable* table) {
+  size_t bytes = 0;
+  while (!planner->outbox().empty()) {
+    for (KeyedRecord& record : planner->outbox().Take()) {
+      EXPECT_LE(1 + record.key.size() + record.value.size(), kRecordBytes) << record.key;
+      bytes += record.key.size() + record.value.size();
+      record.offset = table->newest_offset() + 1;
+      table->Apply(record);
+    }
+    planner->outbox().MarkDurable();
+  }
+  return bytes;
+}
+
+// All tasks of a large job lapse, each with a checkpoint. The job's record grew beyond what the
+// store accepts, and the planner repeated the refused append for ever: nothing of any job was
+// recorded any more.
+TEST(PoolPlanner, StoresTheProgressOfALargeJobInRecordsThatTheStoreAccepts) {
+  constexpr int kTasks = 3630;
+  JobTable table = TableOfLargeJob(kTasks);
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(PlannerOptions(), 1, table, {"n"}, now);
+  planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+  const std::string checkpoint(64, 'c');
+  planner.ApplyReport(ReportOfEnds(kTasks, EndKind::kLeaseExpired, checkpoint), 0, now);
+  StoreRecords(&planner, &table);
+  AgentReport done = Report("first", 2);
+  done.ended = {{kTasks + 1, {{"j", 0, 0, 77}, 8}, EndKind::kDone, ""}};
+  planner.ApplyReport(done, 0, now);
+  EXPECT_LT(StoreRecords(&planner, &table), kRecordBytes / 4);
+  const JobProgress& stored = table.Find("j")->progress;
+  EXPECT_EQ(stored.checkpoints.size(), static_cast<size_t>(kTasks - 1));
+  EXPECT_EQ(stored.checkpoints.at({0, 0, kTasks - 1}), checkpoint);
+  EXPECT_TRUE(stored.task_done({0, 0, 77}));
+  planner.NoteDurable();
+  EXPECT_EQ(planner.workers().at("n").acked_ends, kTasks + 1);
+}
+
+// The same with checkpoints that are too large for any record.
+TEST(PoolPlanner, StoresEndsWhoseCheckpointsNoRecordHolds) {
+  JobTable table = TableOfLargeJob(3);
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(PlannerOptions(), 1, table, {"n"}, now);
+  planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+  planner.ApplyReport(ReportOfEnds(2, EndKind::kFailed, std::string(kRecordBytes, 'c')), 0, now);
+  StoreRecords(&planner, &table);
+  EXPECT_EQ(table.Find("j")->progress.failures.size(), 2U);
+}
+
+// A former version has stored all tasks in one record, which the next change of the job's state
+// replaces.
+TEST(PoolPlanner, KeepsProgressThatAFormerVersionStoredInOneRecord) {
+  constexpr int kTasks = 1300;
+  JobTable table = TableOfLargeJob(kTasks);
+  JobProgress whole;
+  whole.state = JobState::kRunning;
+  for (int index = 0; index < kTasks; index += 2) whole.done[{0, 0}].insert(index);
+  table.Apply({"p/j", EncodeProgress(whole), 3});
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(PlannerOptions(), 1, table, {"n"}, now);
+  planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+  planner.Cancel("j", 1);
+  StoreRecords(&planner, &table);
+  EXPECT_EQ(table.Find("j")->progress.state, JobState::kCancelled);
+  EXPECT_EQ(table.Find("j")->progress.done_count({0, 0}), kTasks / 2);
+}
+
+// Parts that stay in the store would be the progress of a later job with the same id.
+TEST(PoolPlanner, RemovesThePartsOfAJobThatIsForgotten) {
+  JobTable table = TableOfLargeJob(1300);
+  const Time now = Time(std::chrono::hours(1));
+  PoolPlanner planner(PlannerOptions(), 1, table, {"n"}, now);
+  planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), now);
+  planner.ApplyReport(ReportOfEnds(1200, EndKind::kDone, ""), 0, now);
+  planner.Cancel("j", 1);
+  planner.Plan(1'000'000, now);
+  StoreRecords(&planner, &table);
+  EXPECT_EQ(table.Find("j"), nullptr);
+  const std::string spec = EncodeSpec(SampleJob("j", "batch", "one", SampleStep(1, 1, seconds(1))));
+  table.Apply({"j/j", spec, table.newest_offset() + 1});
+  EXPECT_EQ(table.Find("j")->progress.done_count({0, 0}), 0);
+}
+
 // The store is unavailable for nine seconds. Runs go on, nothing is started that could not be
 // recorded, and no job is reported as done before its record is durable.
 TEST(PoolPlanner, KeepsRunsWhileTheStoreIsUnavailable) {
