Pool: Count a job as waiting while each of its starts is refused

Cause: "running" is stored before a job's first start is ordered, since a successor of the planner must not start what may be running; callers were shown the same field, whether or not the start was taken.

Change: the first refusal is stored beside the state, and taken back when a task is known to have begun. Callers see the job as queued meanwhile, a successor as running. Jobs whose first start is accepted cost no further record.

PoolPlanner.CountsAJobAsWaitingWhoseStartsWereRefused failed before (0 waiting).

--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -154,6 +154,7 @@
 std::string EncodeProgress(const JobProgress& progress) {
   json out = {{"state", JobStateName(progress.state)}};
   if (progress.ended_ms > 0) out["ended_ms"] = progress.ended_ms;
+  if (progress.starts_refused) out["starts_refused"] = true;
   json done = json::array();
   for (const auto& [place, indices] : progress.done) {
     done.push_back({place.occurrence, place.step, indices});
@@ -182,6 +183,7 @@
     JobProgress progress;
     progress.state = JobStateFromName(in.at("state").get<std::string>());
     progress.ended_ms = in.value("ended_ms", int64_t{0});
+    progress.starts_refused = in.value("starts_refused", false);
     for (const json& row : in.value("done", json::array())) {
       progress.done[{row.at(0).get<int>(), row.at(1).get<int>()}] = row.at(2).get<std::set<int>>();
     }
--- a/servers/pool/job_table.cc
+++ b/servers/pool/job_table.cc
@@ -104,7 +104,8 @@
 
 int JobTable::Waiting(const std::string& queue) const {
   return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& row) {
-    return row.second.spec.queue == queue && row.second.progress.state == JobState::kQueued;
+    return row.second.spec.queue == queue &&
+           row.second.progress.visible_state() == JobState::kQueued;
   }));
 }
 
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -39,6 +39,7 @@
     // The record that a job is running is durable before its first start is ordered, so nothing of
     // a queued job can be running anywhere.
     job.inherited = entry.progress.state != JobState::kQueued;
+    job.begun = entry.progress.visible_state() != JobState::kQueued;
   }
   // The previous planner may not know yet that it has been replaced. It may grant leases to agents
   // that are partitioned together with it, as long as those agents accept a planner whose
@@ -230,6 +231,7 @@
     progress = JobProgress();
     progress.state = job->progress.state;
     progress.ended_ms = job->progress.ended_ms;
+    progress.starts_refused = job->progress.starts_refused;
   }
   PutProgress(kProgressPrefix + job->spec.id, std::move(progress), job);
 }
@@ -291,6 +293,21 @@
   job->running_ticket = job->newest_ticket;
 }
 
+void PoolPlanner::MarkBegun(Job* job) {
+  MarkRunning(job);
+  if (job->begun) return;
+  job->begun = true;
+  if (!job->progress.starts_refused) return;
+  job->progress.starts_refused = false;
+  SaveProgress(job);
+}
+
+void PoolPlanner::MarkRefused(Job* job) {
+  if (job->begun || job->progress.starts_refused || IsOver(job->progress.state)) return;
+  job->progress.starts_refused = true;
+  SaveProgress(job);
+}
+
 void PoolPlanner::StopRun(WorkerState* worker, LiveRun* run) {
   if (run->phase == RunPhase::kStopping) return;
   run->phase = RunPhase::kStopping;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -226,6 +226,8 @@
     std::set<int64_t> parts;
     // A previous planner may have parts of the job running.
     bool inherited = false;
+    // Whether a task is known to have begun, or may have under a previous planner.
+    bool begun = false;
     // The current terms of the job's queue.
     const QueueTerms* terms = nullptr;
     std::map<TaskPlace, TaskRun> runs;
@@ -308,6 +310,10 @@
   void StopGang(const Job& job, const RunId& member);
   void StopJob(const Job& job);
   void MarkRunning(Job* job);
+  // Called when a task of the job is known to have begun.
+  void MarkBegun(Job* job);
+  // Called when a start of the job was refused.
+  void MarkRefused(Job* job);
   // Saves the state of the job, and its tasks too unless they are stored in parts.
   void SaveProgress(Job* job);
   // Saves the progress of the step's tasks from `first` to `last`.
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -252,7 +252,7 @@
     if (phase != RunPhase::kOrdered && phase != RunPhase::kUncertain) continue;
     known->second.phase = RunPhase::kRunning;
     Job* job = FindJob(running.run.task.job);
-    if (job != nullptr) MarkRunning(job);
+    if (job != nullptr) MarkBegun(job);
   }
 }
 
@@ -308,7 +308,7 @@
   live.phase = wanted ? RunPhase::kRunning : RunPhase::kStopping;
   if (wanted) {
     job->runs[place] = {running.run.number, worker->node};
-    MarkRunning(job);
+    MarkBegun(job);
   }
   NotePendingOrders(worker);
   needs_planning_ = true;
@@ -328,7 +328,7 @@
   Job* job = FindJob(result.run.task.job);
   if (result.outcome == StartOutcome::kStarted) {
     if (live->second.phase == RunPhase::kOrdered) live->second.phase = RunPhase::kRunning;
-    if (job != nullptr) MarkRunning(job);
+    if (job != nullptr) MarkBegun(job);
     return;
   }
   const bool was_ordered = live->second.phase == RunPhase::kOrdered;
@@ -338,6 +338,7 @@
   const TaskId& task = result.run.task;
   const StepSpec* step = FindStep(*job, task);
   RemoveRun(result.run, job);
+  MarkRefused(job);
   if (!was_ordered) return;
   if (result.outcome == StartOutcome::kTicketRefused) {
     advice_.TicketRefused({task.job, {task.occurrence, task.step}}, AdvisedWorkerOf(*worker));
@@ -380,6 +381,7 @@
     const auto current = job->runs.find({task.occurrence, task.step, task.index});
     const bool replaced = current != job->runs.end() && current->second.number != end.run.number;
     RemoveRun(end.run, job);
+    MarkBegun(job);
     if (end.kind == EndKind::kDone) {
       health_tracker_.RunDone(worker->node);
       if (clean_time) {
@@ -435,7 +437,6 @@
     EndJob(job, JobState::kCompleted, wall_ms);
     return;
   }
-  MarkRunning(job);
   SaveTasks(job, {task.occurrence, task.step}, first, last);
 }
 
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -916,6 +916,43 @@
   EXPECT_EQ(one.planner.Orders("n", one.now).stops, std::vector<RunId>{run});
 }
 
+// The only worker of a job refuses its starts. The job was counted as begun as soon as its start
+// was decided, and the queue's callers were told that nothing waits.
+TEST(PoolPlanner, CountsAJobAsWaitingWhoseStartsWereRefused) {
+  OneWorker one;
+  JobTable table;
+  const auto store = [&] {
+    for (KeyedRecord& record : one.planner.outbox().Take()) {
+      record.offset = table.newest_offset() + 1;
+      table.Apply(record);
+    }
+    one.planner.outbox().MarkDurable();
+  };
+  table.Apply({"j/j", EncodeSpec(SampleJob("j", "batch", "one", SampleStep(1, 1, seconds(2)))), 1});
+  const auto answer = [&](int64_t sequence, StartOutcome outcome) {
+    AgentReport report = Report("first", sequence);
+    report.results = {{one.run(), outcome, ""}};
+    one.planner.ApplyReport(report, 0, one.now);
+    store();
+    one.now += seconds(1);
+    one.planner.ConfirmLeadership(one.now);
+    one.planner.SetOperatorState(std::make_shared<OperatorState>(SampleOperatorState(0)), one.now);
+    one.planner.Plan(0, one.now);
+  };
+  answer(2, StartOutcome::kRefused);
+  EXPECT_EQ(table.Waiting("batch"), 1);
+  EXPECT_EQ(table.Find("j")->progress.visible_state(), JobState::kQueued);
+  // A successor must wait for what may run, although the job is shown as queued.
+  EXPECT_EQ(table.Find("j")->progress.state, JobState::kRunning);
+  ASSERT_TRUE(one.has_run());
+  answer(3, StartOutcome::kRefused);
+  EXPECT_EQ(table.Waiting("batch"), 1);
+  ASSERT_TRUE(one.has_run());
+  answer(4, StartOutcome::kStarted);
+  EXPECT_EQ(table.Waiting("batch"), 0);
+  EXPECT_EQ(table.Find("j")->progress.visible_state(), JobState::kRunning);
+}
+
 // An agent that uses the epoch as the token passes a start on to the next incarnation after its
 // lists were read: that token does not tell the two apart. The run has to be stopped first.
 TEST(PoolPlanner, StopsAnUncertainStartWhoseTokenTheNextIncarnationShares) {
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -91,7 +91,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   const StoredJob* entry = table_.Find(id);
   if (entry == nullptr) return std::nullopt;
-  return entry->progress.state;
+  return entry->progress.visible_state();
 }
 
 int WorkView::Waiting(const std::string& queue) const {
