Pool: Leave zeros out of specifications only where former versions stored none

Specifications of 128 to 255 KiB are stored with all numbers, as before, since entries of the former version could store and read those; the limit of the commit on large jobs was lower without need.

--- a/servers/pool/job_api.h
+++ b/servers/pool/job_api.h
@@ -84,7 +84,7 @@
   // outage of the store.
   Duration retry_after = std::chrono::seconds(1);
   // Largest specification that can be stored, as encoded by EncodeSpec.
-  size_t max_value_bytes = size_t{128} << 10;
+  size_t max_value_bytes = size_t{255} << 10;
 };
 
 class JobApi {
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -13,8 +13,8 @@
 using nlohmann::json;
 
 // Larger specifications leave out numbers that are zero. Former versions can't read those, but
-// could not store them either.
-constexpr size_t kMaxFullSpecBytes = size_t{128} << 10;
+// could not store them either: stores accept records of about this size.
+constexpr size_t kMaxFullSpecBytes = size_t{255} << 10;
 
 constexpr int64_t kMaxPart = int64_t{1} << 53;
 
