--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -574,8 +574,11 @@
   for (int left = reports_per_tick_.value_or(0); left > 0 && !unread_reports_.empty(); --left) {
     SentReport sent = std::move(unread_reports_.front());
     unread_reports_.pop_front();
-    planner_->ApplyReport(sent.report, wall_ms(), now_);
-    if (sent.report.wait == Duration::zero()) {
+    if (!planner_->ApplyReport(sent.report, wall_ms(), now_)) {
+      // The agent learns that the call has failed.
+      Worker& sender = worker(sent.node);
+      if (sender.poll_sent == sent.sent) sender.poll_sent.reset();
+    } else if (sent.report.wait == Duration::zero()) {
       Answer(sent);
     } else {
       const std::string node = sent.node;
@@ -607,6 +610,7 @@
   HandleOrders(&to, orders, sent.sent);
 }
 
+// A planner that refuses a report gives the agent neither orders nor a lease, as in PlannerService.
 void PoolSimulation::SendSlowReport(Worker* worker) {
   std::erase_if(worker->slow_exchanges,
                 [this](const auto& row) { return now_ - row.second > kSlowExchangeTimeout; });
@@ -629,7 +633,10 @@
   const AgentReport report = worker->agent->Report(Duration::zero(), now_);
   Schedule(delays.report, [=, this] {
     if (isolated_.count(node) > 0 || planner_paused_) return;
-    planner_->ApplyReport(report, wall_ms(), now_);
+    if (!planner_->ApplyReport(report, wall_ms(), now_)) {
+      Schedule(delays.answer, [=] { worker->slow_exchanges.erase(number); });
+      return;
+    }
     const AgentOrders orders = planner_->Orders(node, now_);
     Schedule(delays.answer, [=] { read_answer(report, orders); });
   });
@@ -644,10 +651,11 @@
     SendReport(worker);
   } else if (isolated_.count(worker->spec.node) == 0) {
     const AgentReport report = agent.Report(Duration::zero(), now_);
-    planner_->ApplyReport(report, wall_ms(), now_);
-    agent.ReportDelivered(report);
-    const AgentOrders orders = planner_->Orders(worker->spec.node, now_);
-    HandleOrders(worker, orders, now_);
+    if (planner_->ApplyReport(report, wall_ms(), now_)) {
+      agent.ReportDelivered(report);
+      const AgentOrders orders = planner_->Orders(worker->spec.node, now_);
+      HandleOrders(worker, orders, now_);
+    }
   }
   TickHold(worker);
 }
