--- a/tests/fuzz/fuzz_test.sh
+++ b/tests/fuzz/fuzz_test.sh
@@ -17,7 +17,8 @@
   platform/*.cc servers/pool/job_model.cc servers/pool/job_progress.cc servers/pool/job_records.cc
   servers/pool/pool_config.cc servers/pool/pool_messages.cc servers/pool/job_api.cc servers/pool/unresolved_calls.cc
   servers/pool/local_planner_client.cc servers/pool/pool_view.cc servers/membership/*.cc
-  servers/pool/job_table.cc servers/pool/pool_worker.cc servers/pool/planner_router.cc)
+  servers/pool/job_table.cc servers/pool/progress_parts.cc servers/pool/pool_worker.cc
+  servers/pool/planner_router.cc)
 # Leaves out tests, and the adapter's plug-in registration, which no parser needs.
 mapfile -t units < <(printf '%s\n' "${units[@]}" | grep -v -e '_test.cc$' -e register_types)
 # Compiles only the files of the parsers; add further dependencies to the list above.
