--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -75,6 +75,8 @@
   std::map<std::string, std::string> query;
   std::map<std::string, std::string> headers;  // names in lower case
   std::string body;
+  // When the connection was opened.
+  int64_t connected_ms = 0;
 };
 
 struct Response {
@@ -82,6 +84,8 @@
   std::string body;
   // The connection ends without an answer.
   bool dropped = false;
+  // The connection stays open and says nothing any more.
+  bool silent = false;
 };
 
 inline std::string Lower(std::string text) {
@@ -186,8 +190,10 @@
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     std::string buffer;
+    const int64_t connected_ms = SteadyMs();
     while (true) {
       Request request;
+      request.connected_ms = connected_ms;
       const std::string head = ReadMessage(fd, &buffer, &request.body);
       if (head.empty()) break;
       ParseHead(head, &request);
@@ -197,6 +203,7 @@
       } catch (const std::exception& error) {
         response = {400, Json({{"error", error.what()}}).dump()};
       }
+      if (response.silent) return;
       if (response.dropped) break;
       if (!SendAll(fd, "HTTP/1.1 " + std::to_string(response.status) +
                            " x\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -264,6 +271,62 @@
   return response;
 }
 
+// A way between two processes. While it is cut, what is sent over connections of the node `cut_off`
+// is held back; a connection is known by the node's name in what its client has sent. An empty name
+// stands for all connections.
+class Way {
+ public:
+  Way(int target, std::string cut_off) : target_(target), cut_off_(std::move(cut_off)) {
+    listener_ = Bound(&port_);
+    listen(listener_, 512);
+    std::thread([this] {
+      while (true) {
+        const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd >= 0) std::thread([this, fd] { Forward(fd); }).detach();
+      }
+    }).detach();
+  }
+  int port() const { return port_; }
+  void SetCut(bool cut) { cut_ = cut; }
+
+ private:
+  void Forward(int client) {
+    const int on = 1;
+    const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in to = Loopback(target_);
+    setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(server, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const bool connected = connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) == 0;
+    auto known = std::make_shared<std::atomic<bool>>(cut_off_.empty());
+    if (connected) {
+      std::thread back([this, client, server, known] { Copy(server, client, false, known); });
+      Copy(client, server, true, known);
+      back.join();
+    }
+    close(client);
+    close(server);
+  }
+
+  void Copy(int from, int to, bool from_client, const std::shared_ptr<std::atomic<bool>>& known) {
+    char chunk[65536];
+    while (true) {
+      const ssize_t got = recv(from, chunk, sizeof(chunk), 0);
+      if (got <= 0) break;
+      const std::string bytes(chunk, static_cast<size_t>(got));
+      if (from_client && bytes.find(cut_off_) != std::string::npos) *known = true;
+      while (cut_ && *known) SleepMs(5);
+      if (!SendAll(to, bytes)) break;
+    }
+    shutdown(to, SHUT_RDWR);
+  }
+
+  const int target_;
+  const std::string cut_off_;
+  std::atomic<bool> cut_{false};
+  int port_ = 0;
+  int listener_ = -1;
+};
+
 // The platform's store: a log with topics, of which those named `keyed.` keep the newest record of
 // each key.
 class Store {
@@ -504,6 +567,10 @@
   void AnnounceTo(int agent_port) {
     std::thread([this, agent_port] {
       while (true) {
+        if (SteadyMs() < announces_from_) {
+          SleepMs(10);
+          continue;
+        }
         const Response answer =
             Call(agent_port, "PUT", "/turmericshift/instances/" + options_.id, "Host: a\r\n",
                  Announcement().dump(), 1000);
@@ -512,6 +579,23 @@
     }).detach();
   }
 
+  // Loses power and starts again at once under its id: it holds and knows nothing of before, its
+  // counts and its clock start anew, and connections of before say nothing any more. It announces
+  // itself after `first_heartbeat_ms`.
+  void Restart(int64_t first_heartbeat_ms) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& [task, run] : active_) runs_->End(run.index, "lost");
+    active_.clear();
+    newest_over_.clear();
+    ends_.clear();
+    born_ = WallMs();
+    begun_ = SteadyMs();
+    announces_from_ = begun_ + first_heartbeat_ms;
+    sequence_ = fence_ = lease_until_ = end_count_ = 0;
+    record_->Note(options_.id + " loses power and starts again under its id");
+    changed_.notify_all();
+  }
+
   Json Announcement() {
     const std::lock_guard<std::mutex> lock(mutex_);
     return {{"service", options_.service},
@@ -586,6 +670,11 @@
   Response Handle(const Request& request) {
     const auto expected = request.headers.find("expect-instance");
     std::unique_lock<std::mutex> lock(mutex_);
+    if (request.connected_ms < begun_) {
+      Response reset;
+      reset.dropped = true;
+      return reset;
+    }
     if (expected != request.headers.end() && expected->second != options_.id) {
       return {421, Json({{"clockMs", Clock()}}).dump()};
     }
@@ -649,8 +738,14 @@
     TakeLease(body);
     const int64_t acked = body.value("ackedUpto", int64_t{0});
     ends_.erase(ends_.begin(), ends_.upper_bound(acked));
+    const int64_t life = begun_;
     changed_.wait_for(*lock, milliseconds(body.value("waitMs", int64_t{0})),
-                      [this] { return !ends_.empty(); });
+                      [&] { return !ends_.empty() || begun_ != life; });
+    if (begun_ != life) {
+      Response silent;
+      silent.silent = true;
+      return silent;
+    }
     Json running = Json::array();
     for (const auto& [task, run] : active_) {
       const int64_t age = SteadyMs() - run.begun_ms;
@@ -681,8 +776,9 @@
   Runs* const runs_;
   const std::function<Room(const std::string&)> needs_;
   const std::function<Behaviour(const std::string&, const std::string&)> behaves_;
-  const int64_t born_;
-  const int64_t begun_;
+  int64_t born_;
+  int64_t begun_;
+  std::atomic<int64_t> announces_from_{0};
   std::mutex mutex_;
   std::condition_variable changed_;
   int64_t sequence_ = 0;
@@ -767,6 +863,7 @@
         "[process]\nname = " + name + "\navailability_zone = " + zone +
             "\nadapter = users\nstop_limit_s = 6\n[listen]\ncallers = " + at(entry.callers) +
             "\nreadiness = " + at(entry.ready) + "\nsessions = " + at(entry.sessions) +
+            (cut_off.empty() ? "" : "\nsessions_reached_at = " + at(WayTo(entry.sessions, cut_off))) +
             "\n[store]\naddress = " + at(store.port()) +
             "\n[vm]\nprocessor_share = 0.25\nprocessor_speed = 1\nlink_mbit_s = 1000\n" + more +
             "[limits]\nrecord_bytes = 262144\nlongest_lease_ms = 6000\nstray_factor = 3\n"
@@ -787,7 +884,7 @@
             "\nadapter = users\n[listen]\nannouncements = 127.0.0.1:" +
             std::to_string(agent_ports.back()) + "\n[worker]\naddress = 127.0.0.1:" +
             std::to_string(workers.back()->port()) + "\n[store]\naddress = 127.0.0.1:" +
-            std::to_string(store.port()) + "\n"));
+            std::to_string(name == cut_off ? WayTo(store.port(), "") : store.port()) + "\n"));
     workers.back()->AnnounceTo(agent_ports.back());
   }
 
@@ -848,6 +945,15 @@
   }
   const std::string& folder() const { return folder_; }
 
+  // Cuts the agent `cut_off` off from the store and all entries, or ends the cut.
+  void SetCut(bool cut) {
+    for (const auto& way : ways_) way->SetCut(cut);
+    record.Note(cut_off + (cut ? " is cut off from the store and the entries" : " is cut off no more"));
+  }
+
+  // The agent that SetCut cuts off; to be set before processes are added.
+  std::string cut_off;
+
   Record record;
   Store store;
   Runs runs;
@@ -857,8 +963,14 @@
   std::vector<int> agent_ports;
 
  private:
+  int WayTo(int port, const std::string& node) {
+    ways_.push_back(std::make_unique<Way>(port, node));
+    return ways_.back()->port();
+  }
+
   const std::string binary_;
   std::string folder_;
+  std::vector<std::unique_ptr<Way>> ways_;
 };
 
 // The configuration: one service and a queue for each priority, named p0 to p2.
