--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/standin-2/*.cc; do
-  name=$(basename "$source" .cc)
+for source in review/standin-2/*.cpp; do
+  name=$(basename "$source" .cpp)
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-2/$name" "$source" &
 done
 status=0
