Tests: Show leases that a planner grants after its release is stored

A planner that hands over writes its release to the store and steps down when the append is answered.

--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -235,6 +235,28 @@
   release.Join();
 }
 
+// A planner releases the leadership, and the store's answer is lost. The successor counts on leases
+// that were granted before its claim only, so that later ones let runs go on while it starts their
+// tasks elsewhere.
+TEST_F(PlannerServiceTest, GrantsNoLeaseOnceItsReleaseMayBeStored) {
+  AgentReport report;
+  report.node = "n";
+  report.incarnation = "1";
+  LocalPlannerClient client(&service_);
+  EXPECT_GT(client.Exchange(report, kAnswerLimit).lease, Duration::zero());
+  faulty_log_.SetFaults({false, true});
+  Thread release("release", [this] { service_.Release(kReleaseLimit); });
+  while (!RejectsCalls()) std::this_thread::yield();
+  const Time end = LeaseClock().Now() + kReleaseLimit / 2;
+  while (LeaseClock().Now() < end) {
+    ++report.sequence;
+    ASSERT_EQ(client.Exchange(report, kAnswerLimit).lease, Duration::zero());
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  faulty_log_.SetFaults({});
+  release.Join();
+}
+
 // The first report of an agent's former process is read after the first one of its current process,
 // so that the planner takes the current one for the former. It gives the runs up that it hears
 // nothing of any more; if the answers granted leases all the same, these runs would go on while
