Pool: Grant no leases once the release of the leadership may be stored

What callers could see: a task that runs twice for up to a second after a planned change of planner, where the store's answer to the release is late or lost and an agent that the former planner still answers is then lost.

Cause: a planner that releases the leadership steps down when the store has answered the append. The release takes effect for a successor when it is stored: it names no former planner, so the successor counts on no lease that is granted after its claim. With a lost answer the former planner went on granting leases of 4 s for 0.6 s and more.

The planner now grants none from the moment at which the release is put into its outbox. Leases granted before last 4 s, a handover takes some hundred milliseconds.

--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -183,6 +183,7 @@
   if (!handover_allowed(LeaseClock().Now()) && stored_planner_.epoch == planner_->epoch()) {
     former.push_back({stored_planner_.epoch, stored_planner_.node, stored_planner_.address});
   }
+  planner_->EndLeases();
   planner_->outbox().Put(kPlannerKey, EncodePlanner({planner_->epoch(), "", "", former}));
   releasing_ = true;
   write_ready_.notify_all();
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -176,7 +176,7 @@
 // start the same tasks once inherited work may start. Leases granted here must have expired by
 // then.
 bool PoolPlanner::MayGrantLease(const std::string& node, Time now) const {
-  if (!leadership_confirmed_) return false;
+  if (!grants_leases_ || !leadership_confirmed_) return false;
   if (now - *leadership_confirmed_ >= options_.unconfirmed_limit) return false;
   if (unreported_agents_.count(node) == 0) return true;
   return now + options_.lease_duration + options_.lease_margin <= inherited_start_time_;
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -137,6 +137,9 @@
   // Call before the leadership is released in the store. Nothing is started from then on: a
   // successor may already have read the agents, and waits for those only.
   void BeginRelease(int64_t wall_ms, Time now);
+  // Call before the record that releases the leadership is sent. A successor may have read that
+  // record long before this planner learns so, and does not wait for leases granted after it.
+  void EndLeases() { grants_leases_ = false; }
   void SetOperatorState(std::shared_ptr<const OperatorState> state, Time sent);
   // Sets the agents that are listed in the store beyond doubt. A successor waits for these only, so
   // nothing is started on the worker of any other agent. Until the first call, all are listed.
@@ -514,6 +517,7 @@
   std::optional<Time> operator_state_read_;
   std::optional<Time> leadership_confirmed_;
   bool releasing_ = false;
+  bool grants_leases_ = true;
   WorkerHealthTracker health_tracker_;
   std::set<std::string> services_without_healthy_workers_;
   JobEstimator estimator_;
