Tests: Count a relayed connection as idle before its answer is passed on

Cause, in the rig: the relay passed an answer on and marked the connection as idle afterwards. A relay thread that was held up between the two left the connection looking busy, so that CloseEndedIdleConnections did not close it. A further failure of the test, a crash, has another cause.

--- a/tests/stand_ins/tcp_relay.cc
+++ b/tests/stand_ins/tcp_relay.cc
@@ -32,12 +32,19 @@
   return address;
 }
 
-// Copies one chunk from one end to the other; false once the sending end has closed.
-bool CopyChunk(int from, int to) {
-  std::array<char, kChunkBytes> chunk{};
-  const ssize_t size = recv(from, chunk.data(), chunk.size(), 0);
-  if (size <= 0) return false;
-  return send(to, chunk.data(), static_cast<size_t>(size), MSG_NOSIGNAL) == size;
+struct Chunk {
+  std::array<char, kChunkBytes> bytes{};
+  ssize_t size = 0;
+};
+
+// Returns false once the sending end has closed.
+bool Receive(int from, Chunk* chunk) {
+  chunk->size = recv(from, chunk->bytes.data(), chunk->bytes.size(), 0);
+  return chunk->size > 0;
+}
+
+bool Send(const Chunk& chunk, int to) {
+  return send(to, chunk.bytes.data(), static_cast<size_t>(chunk.size), MSG_NOSIGNAL) == chunk.size;
 }
 
 // Makes close() send a reset instead of an orderly shutdown.
@@ -225,6 +232,7 @@
 
 void TcpRelay::Forward(Pair* pair) {
   bool open = true;
+  Chunk chunk;
   while (open && !stopping_.load()) {
     const RelayFault fault = fault_.load();
     if (fault == RelayFault::kReset) {
@@ -246,12 +254,14 @@
         LogClosedByTarget(*pair);
         break;
       }
-      open = CopyChunk(pair->near, pair->far);
+      open = Receive(pair->near, &chunk) && Send(chunk, pair->far);
       pair->unanswered_since.store(LeaseClock().Now());
     }
     if (open && ends[1].revents != 0) {
-      open = CopyChunk(pair->far, pair->near);
+      open = Receive(pair->far, &chunk);
+      // Before the caller has the answer, since its next request needs to know.
       if (open) pair->unanswered_since.store(Time{});
+      open = open && Send(chunk, pair->near);
       if (!open) LogClosedByTarget(*pair);
     }
   }
