--- a/tests/soak_callers_test.cc
+++ b/tests/soak_callers_test.cc
@@ -110,7 +110,11 @@
     if (name == "relay-pair") newest_ = *handle;
     return failure;
   }
-  pthread_t newest() const { return newest_; }
+  // Waits until the thread is known: it may run before its starter has the handle.
+  pthread_t newest() const {
+    while (newest_.load() == 0) std::this_thread::yield();
+    return newest_;
+  }
 
  private:
   std::atomic<pthread_t> newest_{0};
