Agent: Refuse starts of a planner that has been replaced

What callers could see: a task that runs twice after a change of planner.

Cause: a start that waits for one of the agent's four order threads was not bound to the planner that had ordered it. If the agent obeys a successor and has read its worker by the time a thread is free, the start is sent under the successor's token, although that planner may have started the task elsewhere.

A start now carries the epoch of its planner from its arrival on and is refused once the agent obeys a newer one. AgentState.SendsNoStartOfAPlannerThatHasBeenReplaced failed before in 3 of 3 runs; AgentState, WorkerLife and PoolAgentTest (59 tests) pass with the change.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -288,6 +288,7 @@
     if (!starts_.try_emplace(start.run, StartState{StartPhase::kSending, now}).second) continue;
     new_orders.starts.push_back(start);
     new_orders.starts.back().worker_start_time_ms = facts_.start_time_ms;
+    new_orders.starts.back().epoch = orders.epoch;
   }
   for (const RunId& stop : orders.stops) {
     if (stops_.insert(stop).second) new_orders.stops.push_back(stop);
@@ -412,6 +413,10 @@
   const std::optional<WorkerMillis> lease = LeaseUntil(now);
   if (now >= until) {
     *reason = "the order is too old";
+  } else if (order.epoch != 0 && order.epoch != epoch_) {
+    // The worker would accept it under the newer planner's token, and that planner may have started
+    // the task elsewhere.
+    *reason = "a newer planner has taken over";
   } else if (order.worker_start_time_ms != 0 &&
              order.worker_start_time_ms != facts_.start_time_ms) {
     *reason = "the worker has restarted";
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -356,6 +356,26 @@
                                         &reason, agent.now));
 }
 
+// The start waits for a thread while a new planner takes over and reads the worker, which does not
+// run the task yet. Sent under the new planner's token, the start would run the task a second time.
+TEST(AgentState, SendsNoStartOfAPlannerThatHasBeenReplaced) {
+  Agent agent;
+  AgentOrders orders = agent.Orders();
+  orders.starts = {{kRun, "payload", "", ""}};
+  const AgentOrders accepted = agent.state.HandleOrders(orders, agent.now, agent.now);
+  ASSERT_EQ(accepted.starts.size(), 1U);
+  AgentOrders of_successor = agent.Orders();
+  of_successor.epoch = 2;
+  agent.state.HandleOrders(of_successor, agent.now, agent.now);
+  agent.state.HandleLists(agent.Lists({}), 2, agent.now, agent.now);
+  agent.state.HandleOrders(of_successor, agent.now, agent.now);
+  ASSERT_TRUE(agent.state.is_read());
+  std::string reason;
+  EXPECT_FALSE(agent.state.PrepareStart(accepted.starts[0], agent.now + milliseconds(1500), &reason,
+                                        agent.now));
+  EXPECT_EQ(reason, "a newer planner has taken over");
+}
+
 // A start without the worker's ID is carried out by whichever incarnation listens at the address.
 TEST(AgentState, SendsNoStartWithoutTheWorkersId) {
   Agent agent;
--- a/servers/pool/pool_messages.h
+++ b/servers/pool/pool_messages.h
@@ -125,6 +125,8 @@
   // Start time of the worker incarnation that the order is for; set by the agent on arrival. 0:
   // any.
   int64_t worker_start_time_ms = 0;
+  // Epoch of the planner that has ordered the start; set by the agent on arrival. 0: any.
+  int64_t epoch = 0;
 };
 
 struct AgentOrders {
