Tests: Show runs that outlast the leases their planner waits for

- A worker refuses its agent's connections and runs on.
The agent reaches the planner and reports that no lease is left; the planner gives the runs up at once, while the worker is still ending them.
- The agent's calls arrive and their answers are lost for 40 s.
It computes leases from a reading of the worker's clock that is as old; on a clock 2% slow they end 0.8 s later than the planner assumes once the agent is cut off.

For that the worker model can take time to end the runs of an expired lease (none by default), workers can refuse connections, and answers can be lost for many seconds before the agent is cut off from the planner. The random faults have a kind for each, which only histories that name it draw: without them no further number is drawn. Histories with lost answers have some tasks of 25 s, as shorter ones end before the leases do, and wait longer for their jobs.

--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -77,5 +77,17 @@
   EXPECT_GE(starts_for_former_lives, kMinFaults);
 }
 
+// The same for kinds that only some histories name.
+TEST(PoolHistoryFaults, HappenInTheKindsThatEndRunsLate) {
+  const std::set<FaultKind> kinds = {FaultKind::kSlowLapses, FaultKind::kRefusedConnections,
+                                     FaultKind::kOldReadings};
+  constexpr unsigned kHistories = 4;
+  std::map<FaultKind, int> counts;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    for (const auto& [kind, count] : RunPoolHistory(seed, kinds).faults) counts[kind] += count;
+  }
+  for (const FaultKind kind : kinds) EXPECT_GE(counts[kind], kHistories) << FaultKindName(kind);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -35,6 +35,10 @@
   void CutOffNode(const std::string& node, Duration time) { next_cuts_[node] = time; }
   // In a cut, workers execute the calls and only their answers are lost.
   void LoseOnlyAnswersInCuts() { fate_in_cut_ = {Duration::zero(), false}; }
+  // The worker refuses connections from the next tick on, and runs on.
+  void RefuseConnections(const std::string& node, Duration time) { next_refusals_[node] = time; }
+  void SetLapseTime(Duration time) { lapse_time_ = time; }
+  void SetClockRate(double rate) { clock_rate_ = rate; }
   void DelayAnnouncements(Duration delay) { announcement_delay_ = delay; }
   // Workers that restart announce that they have left, and that arrives late.
   void DelayDepartures(Duration delay) { departure_delay_ = delay; }
@@ -72,10 +76,24 @@
     next_cuts_.erase(found);
     return time;
   }
+  std::optional<Duration> RefusesConnectionsFor(const std::string& node) override {
+    const auto found = next_refusals_.find(node);
+    if (found == next_refusals_.end()) return std::nullopt;
+    const Duration time = found->second;
+    next_refusals_.erase(found);
+    return time;
+  }
+  Duration LapseTime(const std::string& /*node*/, Duration /*longest*/) override {
+    return lapse_time_;
+  }
+  double ClockRate(const std::string& /*node*/) override { return clock_rate_; }
 
  private:
   std::map<std::pair<std::string, WorkerCall>, CallFate> next_fates_;
   std::map<std::string, Duration> next_cuts_;
+  std::map<std::string, Duration> next_refusals_;
+  Duration lapse_time_{};
+  double clock_rate_ = 1.0;
   CallFate fate_in_cut_ = {std::nullopt, false};
   std::optional<Duration> announcement_delay_;
   std::optional<Duration> departure_delay_;
@@ -91,9 +109,9 @@
 
 class WorkerLife : public testing::Test {
  protected:
-  void Begin(size_t workers) {
+  void Begin(size_t workers, const PoolBounds& bounds = {}) {
     simulation_ = std::make_unique<PoolSimulation>(SampleWorkers(workers), SampleOperatorState(0),
-                                                   PoolBounds{}, &faults_);
+                                                   bounds, &faults_);
     for (const SimulatedWorker& worker : SampleWorkers(workers)) nodes_.push_back(worker.node);
     simulation_->RunFor(seconds(1));
   }
@@ -370,5 +388,43 @@
   EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
 }
 
+// The agent, which reaches the planner, is refused by a worker that runs on. The planner gave the
+// runs up as soon as their lease had expired, while the worker was still ending them.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhileAWorkerThatRefusesConnectionsEndsLapsedRuns) {
+  PoolBounds bounds;
+  bounds.stop = milliseconds(1000);
+  faults_.SetLapseTime(bounds.stop);
+  Begin(2, bounds);
+  Submit("j", seconds(20));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  faults_.RefuseConnections(simulation_->RunsOf("j")[0].node, seconds(20));
+  simulation_->RunFor(seconds(8));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+  EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
+}
+
+// The agent's calls arrive, but it reads no answer. Leases that it computed from the worker's clock
+// of long ago ended later than the planner assumed, because that clock is slow.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenTheReadingOfASlowClockIsOld) {
+  PoolBounds bounds;
+  bounds.stop = milliseconds(400);
+  faults_.SetLapseTime(bounds.stop);
+  faults_.SetClockRate(0.98);
+  faults_.LoseOnlyAnswersInCuts();
+  Begin(2, bounds);
+  Submit("j", seconds(100));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  const std::string node = simulation_->RunsOf("j")[0].node;
+  faults_.CutOffNode(node, seconds(60));
+  simulation_->RunFor(seconds(40));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  simulation_->Isolate(node);
+  simulation_->RunFor(seconds(10));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+  EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/tests/pool_worker_model_test.cc
+++ b/tests/pool_worker_model_test.cc
@@ -52,6 +52,23 @@
   EXPECT_EQ(worker_.live().size(), 1U);
 }
 
+// A worker kills what runs when the lease expires, and a later lease does not undo that.
+TEST(PoolWorkerModelLapse, EndsRunsOfAnExpiredLeaseAfterTheLapseTime) {
+  WorkerModelOptions options = Options();
+  options.lapse_time = milliseconds(300);
+  PoolWorkerModel worker(options, "i", 1, kStarted);
+  const RunId run = RunOf(0, 1);
+  ASSERT_EQ(worker.Start(StartOf(run, 5, 4000), SmallTask(), kStarted), OrderAnswer::kAccepted);
+  worker.BeginLapse(kStarted + milliseconds(3999));
+  EXPECT_FALSE(worker.live().at(run).lapse_at);
+  const Time expired = kStarted + milliseconds(4000);
+  worker.BeginLapse(expired);
+  EXPECT_EQ(worker.live().at(run).lapse_at, expired + milliseconds(300));
+  worker.Hold(HoldOf(5, 0, 9000), expired + milliseconds(100));
+  worker.BeginLapse(expired + milliseconds(200));
+  EXPECT_EQ(worker.live().at(run).lapse_at, expired + milliseconds(300));
+}
+
 TEST_F(PoolWorkerModelTest, KeepsTheFenceOfARefusedStart) {
   EXPECT_EQ(worker_.Start(StartOf(RunOf(0, 1), 5, 0), SmallTask(), kStarted),
             OrderAnswer::kExpired);
--- a/tests/stand_ins/pool_faults.cc
+++ b/tests/stand_ins/pool_faults.cc
@@ -10,7 +10,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 13> kKindNames = {{
+constexpr std::array<KindName, 16> kKindNames = {{
     {FaultKind::kLateCalls, "late_calls"},
     {FaultKind::kLostAnswers, "lost_answers"},
     {FaultKind::kKeptIds, "kept_ids"},
@@ -24,6 +24,9 @@
     {FaultKind::kOtherWriters, "other_writers"},
     {FaultKind::kUnnoticedRestarts, "unnoticed_restarts"},
     {FaultKind::kHandovers, "handovers"},
+    {FaultKind::kSlowLapses, "slow_lapses"},
+    {FaultKind::kRefusedConnections, "refused_connections"},
+    {FaultKind::kOldReadings, "old_readings"},
 }};
 
 // One in this many kinds of fault is left out of a history.
@@ -50,6 +53,12 @@
 constexpr int kLateAnnouncementMaxMs = 2500;
 constexpr int kCutMinMs = 200;
 constexpr int kCutMaxMs = 8000;
+constexpr int kTicksPerRefusal = 1500;
+constexpr int kRefusalMinMs = 1000;
+constexpr int kRefusalMaxMs = 10'000;
+constexpr int kTicksPerLostAnswers = 3000;
+constexpr int kAnswersLostMinMs = 8000;
+constexpr int kAnswersLostMaxMs = 20'000;
 constexpr double kSlowClockRate = 0.98;
 
 }  // namespace
@@ -69,6 +78,9 @@
   kinds.erase(FaultKind::kOtherWriters);
   kinds.erase(FaultKind::kUnnoticedRestarts);
   kinds.erase(FaultKind::kHandovers);
+  kinds.erase(FaultKind::kSlowLapses);
+  kinds.erase(FaultKind::kRefusedConnections);
+  kinds.erase(FaultKind::kOldReadings);
   return kinds;
 }
 
@@ -166,6 +178,21 @@
   return 1;
 }
 
+std::optional<Duration> RandomFaults::RefusesConnectionsFor(const std::string& /*node*/) {
+  if (!Happens(FaultKind::kRefusedConnections, kTicksPerRefusal)) return std::nullopt;
+  return Between(kRefusalMinMs, kRefusalMaxMs);
+}
+
+std::optional<LostAnswers> RandomFaults::LosesAnswers(const std::string& /*node*/) {
+  if (!Happens(FaultKind::kOldReadings, kTicksPerLostAnswers)) return std::nullopt;
+  const Duration before_isolation = Between(kAnswersLostMinMs, kAnswersLostMaxMs);
+  return LostAnswers{before_isolation, Between(0, kIsolationMaxMs)};
+}
+
+Duration RandomFaults::LapseTime(const std::string& /*node*/, Duration longest) {
+  return Happens(FaultKind::kSlowLapses, 2) ? longest : Duration::zero();
+}
+
 double RandomFaults::ClockRate(const std::string& /*node*/) {
   return Happens(FaultKind::kSlowClocks, 2) ? kSlowClockRate : 1.0;
 }
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -41,6 +41,13 @@
   kUnnoticedRestarts,
   // Planners hand over to their successors, also when an agent is cut off.
   kHandovers,
+  // Workers take as long as a stop may take to end the runs of an expired lease.
+  kSlowLapses,
+  // Workers refuse their agents' connections for seconds and run on.
+  kRefusedConnections,
+  // Workers execute their agents' calls, but all answers are lost for many seconds, and then the
+  // agent is also cut off from the planner.
+  kOldReadings,
 };
 const char* FaultKindName(FaultKind kind);
 // The faults under which a scheduler can keep its rules: all kinds but kCallsBeforeTheFirst. Leaves
@@ -57,6 +64,14 @@
   // When the worker executes the call, counted from when it is sent; unset: never.
   std::optional<Duration> executed_after = Duration::zero();
   bool answered = true;
+  // The worker refuses the connection and receives nothing.
+  bool refused = false;
+};
+
+// An agent gets no answers of its worker for some time, and is then also cut off from the planner.
+struct LostAnswers {
+  Duration before_isolation{};
+  Duration isolation{};
 };
 
 // Times in transit of an agent's report and of the planner's answer.
@@ -100,6 +115,12 @@
   virtual bool ReplacesAgentInCall(const std::string& /*node*/) { return false; }
   // Called for each tick: for how long the agent is cut off from its worker from now on, if at all.
   virtual std::optional<Duration> CutOff(const std::string& /*node*/) { return {}; }
+  // Called for each tick: for how long the worker refuses connections from now on, if at all.
+  virtual std::optional<Duration> RefusesConnectionsFor(const std::string& /*node*/) { return {}; }
+  // Called for each tick: whether the worker's answers are lost from now on, and for how long.
+  virtual std::optional<LostAnswers> LosesAnswers(const std::string& /*node*/) { return {}; }
+  // How long the worker takes to end the runs of an expired lease. `longest`: the bound on stops.
+  virtual Duration LapseTime(const std::string& /*node*/, Duration /*longest*/) { return {}; }
   virtual double ClockRate(const std::string& /*node*/) { return 1.0; }
   // Most ends that the worker lists at a time, if fewer than real workers list.
   virtual std::optional<size_t> MaxListedEnds(const std::string& /*node*/) { return {}; }
@@ -134,6 +155,9 @@
   bool ReplacesAgentAtRestart(const std::string& node) override;
   bool ReplacesAgentInCall(const std::string& node) override;
   std::optional<Duration> CutOff(const std::string& node) override;
+  std::optional<Duration> RefusesConnectionsFor(const std::string& node) override;
+  std::optional<LostAnswers> LosesAnswers(const std::string& node) override;
+  Duration LapseTime(const std::string& node, Duration longest) override;
   double ClockRate(const std::string& node) override;
   std::optional<size_t> MaxListedEnds(const std::string& node) override;
   bool ExecutesBeforeTheFirst(const std::string& node) override;
--- a/tests/stand_ins/pool_history.cc
+++ b/tests/stand_ins/pool_history.cc
@@ -1,6 +1,7 @@
 #include "tests/stand_ins/pool_history.h"
 
 #include <random>
+#include <string>
 
 #include "tests/stand_ins/pool_simulation.h"
 
@@ -27,14 +28,23 @@
   return bounds;
 }
 
+// Tasks of this length are still running when an agent has had no answers for long.
+constexpr Duration kLongRunTime = seconds(25);
+// Further time for such tasks that have to run again.
+constexpr int kLongJobsSeconds = 120;
+constexpr int kJobsPerLongJob = 4;
+
 class History {
  public:
   History(unsigned seed, const std::set<FaultKind>& kinds)
       : random_(seed),
         faults_(seed, kinds),
-        simulation_(SampleRacks(2), SampleOperatorState(8), RandomBounds(seed), &faults_) {
+        simulation_(SampleRacks(2), SampleOperatorState(8), RandomBounds(seed), &faults_),
+        has_long_jobs_(kinds.count(FaultKind::kOldReadings) > 0) {
     for (const SimulatedWorker& worker : SampleRacks(2)) nodes_.push_back(worker.node);
-    simulation_.actual_duration = [](const TaskId& task) {
+    simulation_.actual_duration = [this](const TaskId& task) -> Duration {
+      const bool long_job = std::stoi(task.job.substr(1)) % kJobsPerLongJob == 0;
+      if (has_long_jobs_ && long_job && task.index == 0 && task.step == 0) return kLongRunTime;
       return milliseconds(300 + 700 * ((task.index * 7 + task.step * 3) % 5));
     };
     simulation_.fails = [this](const RunId& /*run*/, const std::string& /*node*/) {
@@ -53,6 +63,11 @@
     faults_.Stop();
     // Ended jobs are retained for 130 s, so all of them are still known.
     simulation_.RunFor(seconds(90));
+    if (!has_long_jobs_) return;
+    for (int second = 0; second < kLongJobsSeconds; ++second) {
+      NoteEndedJobs();
+      simulation_.RunFor(seconds(1));
+    }
   }
 
   PoolHistoryResult Result() const {
@@ -60,7 +75,8 @@
     result.violations = simulation_.violations();
     for (const std::string& id : jobs_) {
       const JobState state = simulation_.StateOf(id);
-      if (!IsOver(state)) result.unfinished_jobs.push_back(id + " is " + JobStateName(state));
+      if (IsOver(state) || ended_.count(id) > 0) continue;
+      result.unfinished_jobs.push_back(id + " is " + JobStateName(state));
     }
     result.faults = faults_.counts();
     result.calls_of_former_lives = simulation_.calls_of_former_lives();
@@ -95,6 +111,12 @@
     simulation_.RunFor(milliseconds(20));
   }
 
+  void NoteEndedJobs() {
+    for (const std::string& id : jobs_) {
+      if (IsOver(simulation_.StateOf(id))) ended_.insert(id);
+    }
+  }
+
   void InjectFault() {
     const std::string& node = nodes_[static_cast<size_t>(Below(static_cast<int>(nodes_.size())))];
     switch (Below(8)) {
@@ -120,6 +142,9 @@
   PoolSimulation simulation_;
   std::vector<std::string> nodes_;
   std::vector<std::string> jobs_;
+  // Jobs that have ended and may have been forgotten since.
+  std::set<std::string> ended_;
+  const bool has_long_jobs_;
 };
 
 }  // namespace
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -64,6 +64,9 @@
   Time cut_until{};
   // Until when holds are lost, so that the agent does not learn of a restart.
   Time holds_lost_until{};
+  // Until when the worker refuses connections, and until when all its answers are lost.
+  Time refused_until{};
+  Time answers_lost_until{};
   // When the next announcement is sent, if announcements take time.
   Time next_announcement{};
   bool hold_in_flight = false;
@@ -103,6 +106,7 @@
   model.capacity = spec.capacity;
   model.longest_lease = bounds_.longest_lease;
   model.stop_time = bounds_.stop / kStopTimeDivisor;
+  model.lapse_time = faults_->LapseTime(spec.node, bounds_.stop);
   model.clock_rate = faults_->ClockRate(spec.node);
   if (const std::optional<size_t> most = faults_->MaxListedEnds(spec.node)) {
     model.max_listed_ends = *most;
@@ -300,6 +304,14 @@
   }
   const std::optional<Duration> cut = faults_->CutOff(worker->spec.node);
   if (cut) worker->cut_until = std::max(worker->cut_until, now_ + *cut);
+  const std::optional<Duration> refusal = faults_->RefusesConnectionsFor(worker->spec.node);
+  if (refusal) worker->refused_until = std::max(worker->refused_until, now_ + *refusal);
+  const std::optional<LostAnswers> lost = faults_->LosesAnswers(worker->spec.node);
+  if (!lost) return;
+  const Duration total = lost->before_isolation + lost->isolation;
+  worker->answers_lost_until = std::max(worker->answers_lost_until, now_ + total);
+  Schedule(lost->before_isolation, [this, node = worker->spec.node] { Isolate(node); });
+  Schedule(total, [this, node = worker->spec.node] { Heal(node); });
 }
 
 void PoolSimulation::TickAdvice() {
@@ -382,16 +394,18 @@
 }
 
 void PoolSimulation::TickWorker(Worker* worker) {
-  const bool lease_expired = worker->model->LeaseExpired(now_);
-  if (lease_expired) ForgetUnreportedEnds(*worker);
+  if (worker->model->LeaseExpired(now_)) ForgetUnreportedEnds(*worker);
+  worker->model->BeginLapse(now_);
   std::vector<std::pair<RunId, EndKind>> ended_runs;
   for (auto& [run, live] : worker->model->live()) {
     const StepSpec& step = *StepOf(run.task);
-    if (lease_expired) {
+    if (live.lapse_at && now_ >= *live.lapse_at) {
       ended_runs.push_back({run, EndKind::kLeaseExpired});
     } else if (live.stop_at && now_ >= *live.stop_at) {
       if (step.checkpoints) live.checkpoint = std::to_string(live.worked.count());
       ended_runs.push_back({run, EndKind::kStopped});
+    } else if (live.lapse_at) {
+      continue;
     } else if (step.gang && !GangComplete(run)) {
       if (now_ - live.incomplete_since > bounds_.gang_wait) {
         ended_runs.push_back({run, EndKind::kPartialGang});
@@ -449,6 +463,8 @@
   CallFate fate =
       now_ < worker->cut_until ? faults_->FateOfCallInCut(node) : faults_->FateOfCall(node, kind);
   if (kind == WorkerCall::kHold && now_ < worker->holds_lost_until) fate = {std::nullopt, false};
+  if (now_ < worker->answers_lost_until) fate = {Duration::zero(), false};
+  if (now_ < worker->refused_until) fate = {std::nullopt, false, true};
   const AgentState& agent = *worker->agent;
   const auto run = [worker, execute,
                     knows_life = agent.worker().start_time_ms == worker->model->start_time_ms(),
@@ -463,6 +479,7 @@
     *completed = true;
     complete(answer);
   };
+  if (fate.refused) return reply(OrderAnswer::kNotListening);
   if (fate.executed_after == Duration::zero()) {
     const OrderAnswer result = run();
     if (fate.answered) return reply(result);
--- a/tests/stand_ins/pool_worker_model.cc
+++ b/tests/stand_ins/pool_worker_model.cc
@@ -102,6 +102,13 @@
   return answer;
 }
 
+void PoolWorkerModel::BeginLapse(Time now) {
+  if (!LeaseExpired(now)) return;
+  for (auto& [run, state] : live_) {
+    if (!state.lapse_at) state.lapse_at = now + options_.lapse_time;
+  }
+}
+
 void PoolWorkerModel::End(const RunId& run, EndKind kind) {
   const auto live = live_.find(run);
   const EndedTask end = {++end_count_, run, kind, live->second.checkpoint};
--- a/tests/stand_ins/pool_worker_model.h
+++ b/tests/stand_ins/pool_worker_model.h
@@ -16,6 +16,8 @@
   Duration longest_lease{};
   // How long a stop takes.
   Duration stop_time{};
+  // How long it takes to end the runs of an expired lease.
+  Duration lapse_time{};
   // Speed of the worker's clock; a worker's clock may be 2% slow.
   double clock_rate = 1.0;
   // Most ends that an answer to a hold lists.
@@ -40,6 +42,8 @@
     Time incomplete_since{};
     // When a stop under way ends the run.
     std::optional<Time> stop_at;
+    // When the expiry of its lease ends the run, also if the lease is extended in the meantime.
+    std::optional<Time> lapse_at;
   };
 
   PoolWorkerModel(const WorkerModelOptions& options, const std::string& id, int64_t start_time_ms,
@@ -53,6 +57,8 @@
   // Answers immediately: HoldCall::wait is not modelled.
   HoldAnswer Hold(const HoldCall& call, Time now);
 
+  // Begins to end all runs if their lease has expired.
+  void BeginLapse(Time now);
   // Ends a run that is live.
   void End(const RunId& run, EndKind kind);
   // Called for each end that a hold has acknowledged, before the end is forgotten.
