Pool: Wait until a worker has ended its lapsed runs before starting them again

What callers could see: a task that runs twice for as long as a worker takes to end runs whose lease has expired, where the agent reaches its planner and not its worker, which runs on.

Cause: the planner gave up the runs of a worker as soon as its agent reported it as unreachable with no lease left. That end of the leases allows for a slow clock, but not for the time in which the worker ends the runs, which the planner waits for where an agent is silent (lease_margin).

The planner now remembers by when all leases had ended and gives the runs up after lease_margin (0.6 s with the default bounds), in its rounds as well, so that nothing waits for a further report. A lease that is renewed later does not count: it keeps no run alive whose lease has ended. A run that began between two reports does; its start is among their results.

Cost: the runs of a worker that its agent alone has lost start elsewhere lease_margin later than before (0.6 s; with a bound of 1 s on stops 1.2 s), also if the worker is in fact dead. If the agent is silent nothing changes, nor does it for a worker that restarts.

--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -311,7 +311,14 @@
   void DropLostRuns(WorkerState* worker, const char* why, Time now);
   // Gives up the runs of a worker that does not answer and whose leases have expired. A run with an
   // order that the agent has not received yet is stopped first.
-  void DropRunsOfUnreachableWorker(const AgentReport& report, WorkerState* worker, Time now);
+  void DropRunsOfUnreachableWorker(WorkerState* worker, Time now);
+  // Records since when the agent has had no lease left for a worker that it can't reach.
+  // `known_leases_until`: AllLeasesUntil before this report.
+  void RecordEndOfLeases(const AgentReport& report, Time known_leases_until, WorkerState* worker,
+                         Time now);
+  // Whether the runs whose leases ended while the agent could not reach the worker have ended too,
+  // which takes the time of a stop.
+  bool LapsedRunsHaveEnded(const WorkerState& worker, Time now) const;
   // Removes these runs, because they are known to be over.
   void DropRuns(const std::vector<RunId>& runs, WorkerState* worker, const char* why, Time now);
   // Removes a run that is over or never began, so that its task may start again.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -211,6 +211,9 @@
     // Reports that a lagging planner has not read yet do not mean that the agent is silent.
     const Time lease_until = worker.AllLeasesUntil(options_.longest_lease);
     const bool expired = now > lease_until + options_.lease_margin + planner_lag_.lag();
+    if (worker.lists_received && LapsedRunsHaveEnded(worker, now)) {
+      DropRunsOfUnreachableWorker(&worker, now);
+    }
     const bool known = worker.lists_received || !worker.live.empty();
     if (!known || !expired) continue;
     worker.lists_received = false;
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -52,6 +52,9 @@
   planner_lag_.NoteReportRead(report.node, now);
   if (report.wait > Duration::zero()) planner_lag_.NotePollHeld(report.node, now + report.wait);
   worker.zone = report.zone;
+  const bool first_report = worker.last_report == Time{};
+  const Time known_leases_until =
+      first_report ? now : worker.AllLeasesUntil(options_.longest_lease);
   worker.last_report = now;
   // The answer will grant a lease that counts from now, and a previous planner may just have
   // granted one.
@@ -81,12 +84,8 @@
               {"epoch", epoch_}});
   }
   RecordReportedEnds(report, first_lists);
-  // A new process of the agent does not know the leases that its predecessor has passed on.
-  const bool leases_known =
-      now > worker.incarnation_since + options_.lease_duration + options_.lease_margin;
-  const bool runs_over = !worker.facts.reachable && leases_known &&
-                         report.lease_left <= Duration::zero() &&
-                         now > worker.former_lease_until + options_.lease_margin;
+  RecordEndOfLeases(report, known_leases_until, &worker, now);
+  const bool runs_over = LapsedRunsHaveEnded(worker, now);
   // The list of a worker that is gone is outdated. If it were applied, each report would stop the
   // runs again, be answered immediately and be followed by the next one within milliseconds.
   if (!runs_over) ApplyRunning(report, &worker, now);
@@ -100,7 +99,7 @@
   }
   StopUncertainRuns(&worker);
   CheckForStall(worker, now);
-  if (runs_over) DropRunsOfUnreachableWorker(report, &worker, now);
+  if (runs_over) DropRunsOfUnreachableWorker(&worker, now);
   return true;
 }
 
@@ -123,6 +122,7 @@
   // A new process of the agent has seen none of the orders.
   worker->incarnation = report.incarnation;
   worker->incarnation_since = now;
+  worker->leases_ended_at.reset();
   worker->sequence = -1;
   NotePendingOrders(worker);
   for (auto& [id, run] : worker->live) {
@@ -181,6 +181,7 @@
       if (run.phase == RunPhase::kOrdered) run.phase = RunPhase::kUncertain;
     }
   }
+  worker->leases_ended_at.reset();
   worker->facts = facts;
   if (!facts.id.empty()) worker->newest_id = facts.id;
   needs_planning_ = true;
@@ -497,11 +498,32 @@
   DropRuns(runs, worker, why, now);
 }
 
-void PoolPlanner::DropRunsOfUnreachableWorker(const AgentReport& report, WorkerState* worker,
-                                              Time now) {
+void PoolPlanner::RecordEndOfLeases(const AgentReport& report, Time known_leases_until,
+                                    WorkerState* worker, Time now) {
+  const bool may_have_lease = worker->facts.reachable || report.lease_left > Duration::zero();
+  // The run may have begun, and its lease have ended, since the former report.
+  const bool has_started = std::any_of(
+      report.results.begin(), report.results.end(),
+      [](const StartResult& result) { return result.outcome == StartOutcome::kStarted; });
+  if (may_have_lease || has_started) worker->leases_ended_at.reset();
+  // A renewed lease does not keep runs alive whose lease has ended, so the first time counts.
+  if (may_have_lease || worker->leases_ended_at) return;
+  worker->leases_ended_at = std::min(now, known_leases_until);
+}
+
+bool PoolPlanner::LapsedRunsHaveEnded(const WorkerState& worker, Time now) const {
+  // A new process of the agent does not know the leases that its predecessor has passed on.
+  const bool leases_known =
+      now > worker.incarnation_since + options_.lease_duration + options_.lease_margin;
+  return leases_known && worker.leases_ended_at &&
+         now > *worker.leases_ended_at + options_.lease_margin &&
+         now > worker.former_lease_until + options_.lease_margin;
+}
+
+void PoolPlanner::DropRunsOfUnreachableWorker(WorkerState* worker, Time now) {
   std::vector<RunId> over;
   for (auto& [id, run] : worker->live) {
-    if (run.phase == RunPhase::kRunning || run.order_version <= report.orders_seen) {
+    if (run.phase == RunPhase::kRunning || run.order_version <= worker->acked_version) {
       over.push_back(id);
     } else {
       StopRun(worker, &run);
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -502,6 +502,55 @@
   EXPECT_FALSE(one.has_run());
 }
 
+// The worker ends runs whose lease has expired within the time of a stop. Started elsewhere as soon
+// as no lease was left, the task ran twice.
+TEST(PoolPlanner, GivesUpRunsOfAnUnreachableWorkerOnceItHasEndedThem) {
+  const Duration margin = PlannerOptions().lease_margin;
+  OneWorker one;
+  AgentReport report = Report("first", 2);
+  report.running = {{one.run(), ""}};
+  report.worker.reachable = false;
+  report.lease_left = milliseconds(300);
+  const Time later = one.now + seconds(10);
+  one.planner.ApplyReport(report, 0, later);
+  report.sequence = 3;
+  report.lease_left = Duration::zero();
+  const Time ended = later + milliseconds(400);
+  one.planner.ApplyReport(report, 0, ended);
+  EXPECT_TRUE(one.has_run());
+  report.sequence = 4;
+  one.planner.ApplyReport(report, 0, ended + margin);
+  one.planner.Plan(0, ended + margin);
+  EXPECT_TRUE(one.has_run());
+  // Needs no further report.
+  one.planner.Plan(0, ended + margin + milliseconds(1));
+  EXPECT_FALSE(one.has_run());
+  report.sequence = 5;
+  one.planner.ApplyReport(report, 0, ended + margin + milliseconds(2));
+  EXPECT_FALSE(one.has_run());
+}
+
+// The worker was reached again, started a run and was lost, all between two reports. The new run
+// was given up by the end of the older leases.
+TEST(PoolPlanner, WaitsForARunThatBeganAfterTheOlderLeasesHadEnded) {
+  OneWorker one;
+  AgentReport report = Report("first", 2);
+  report.worker.reachable = false;
+  report.lease_left = milliseconds(300);
+  const Time later = one.now + seconds(10);
+  one.planner.ApplyReport(report, 0, later);
+  report.sequence = 3;
+  report.lease_left = Duration::zero();
+  one.planner.ApplyReport(report, 0, later + milliseconds(400));
+  report.sequence = 4;
+  report.results = {{one.run(), StartOutcome::kStarted, ""}};
+  one.planner.ApplyReport(report, 0, later + seconds(3));
+  one.planner.Plan(0, later + seconds(3));
+  EXPECT_TRUE(one.has_run());
+  one.planner.Plan(0, later + seconds(4));
+  EXPECT_FALSE(one.has_run());
+}
+
 // A new process of an agent cannot reach its worker and does not know the leases that its
 // predecessor passed on. The runs count as over only after those leases must have expired.
 TEST(PoolPlanner, WaitsForLeasesOfAnAgentsFormerProcess) {
--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -53,6 +53,13 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
 }
 
+// Runs on workers that refused their agents' connections were given up while they were being ended.
+TEST_P(PoolHistory, KeepsItsRulesWhereWorkersThatRefuseConnectionsEndRunsLate) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kSlowLapses, FaultKind::kRefusedConnections});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
--- a/servers/pool/worker_state.h
+++ b/servers/pool/worker_state.h
@@ -101,6 +101,9 @@
   Time former_lease_until{};
   // The same for the leases that the agent has granted, as of its newest report.
   Time reported_lease_until{};
+  // Set while the agent can't reach the worker and has no lease left: all leases of its runs had
+  // ended by this time.
+  std::optional<Time> leases_ended_at;
   std::map<RunId, LiveRun> live;
   // Processed ends, each with the ticket of the record that makes it durable.
   std::deque<RecordedEnd> ends;
