Pool: Allow for a slow clock since the worker's last answer in leases

What callers could see: a task that runs twice for up to 2% of the time for which an agent got no answer of its worker, if the worker received the agent's calls and the agent was then cut off from the planner.

Cause: the agent took the worker's clock to run like its own since the last answer, however old. On a clock 2% slow the leases that it passed on ended later than the planner's, and it reported ends that were as early.

The reading is now a lower bound of the worker's clock: it runs on at 0.98 of the agent's. All uses err to the safe side: holds and starts grant less (LeaseUntil, PrepareStart), reports state a later end (LeaseExpiry).

Cost: while a worker's answers are lost, its leases get shorter by 2% of that time if its clock is exact, and end after some 200 s without an answer. With an answer each second they are 20 ms shorter.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -10,6 +10,7 @@
 
 // A worker's monotonic clock may run 2% slow, so a lease may last that much longer than stated.
 constexpr double kClockDriftFactor = 1.02;
+constexpr double kSlowestClockRate = 0.98;
 // Limits the size of a report. Further ends are sent once these have been acknowledged.
 constexpr size_t kMaxEndsPerReport = 200;
 // The planner repeats an order until it knows the outcome, which takes seconds at most. An order
@@ -327,13 +328,15 @@
 }
 
 WorkerMillis AgentState::WorkerClock(Time now) const {
-  return worker_clock_ ? *worker_clock_ + Millis(now - worker_clock_read_at_) : 0;
+  if (!worker_clock_) return 0;
+  return *worker_clock_ + Millis(Scaled(now - worker_clock_read_at_, kSlowestClockRate));
 }
 
 std::optional<WorkerMillis> AgentState::LeaseUntil(Time now) const {
   if (!worker_clock_ || lease_until_ <= now) return std::nullopt;
   // The worker's clock showed `worker_clock_` no later than `worker_clock_read_at_`, so the
-  // returned time is no later than `lease_until_`, except for the drift of the worker's clock.
+  // returned time is no later than `lease_until_`, except for the drift of the worker's clock from
+  // now on.
   return WorkerClock(now) + Millis(lease_until_ - now);
 }
 
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -128,7 +128,8 @@
   Time LeaseExpiry(WorkerMillis lease_until, Time now) const;
   // Time by which all leases have expired that this agent has granted.
   Time LastLeaseExpiry(Time now) const;
-  // Lower bound of the worker's clock at `now`.
+  // Lower bound of the worker's clock at `now`, also if its newest answer is old. What is computed
+  // from it grants no lease for too long and states no end of a lease too early.
   WorkerMillis WorkerClock(Time now) const;
   std::optional<WorkerMillis> LeaseUntil(Time now) const;
 
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -201,6 +201,26 @@
   EXPECT_GT(agent.state.Report(Duration::zero(), agent.now).lease_left, milliseconds(3900));
 }
 
+// Nothing has been read from the worker for long, while its calls arrive. Its clock may have run
+// slow all the time, and a lease by a clock that had not ended later than the planner assumed.
+TEST(AgentState, GrantsNoLongerLeasesByAnOldReadingOfASlowClock) {
+  constexpr WorkerMillis kClock = 1000;
+  constexpr WorkerMillis kAgeMs = 50'000;
+  constexpr WorkerMillis kSlowClock = kClock + kAgeMs * 98 / 100;
+  Agent agent;
+  agent.now += milliseconds(kAgeMs);
+  const StartCall start = agent.PrepareCall(kRun);
+  const HoldCall hold = agent.state.NextHold(Duration::zero(), agent.now);
+  EXPECT_LE(*hold.lease_until, kSlowClock + 4000);
+  EXPECT_LE(start.lease_until, kSlowClock + 1600);
+  // The worker's clock may be as slow as the agent assumes from now on, and no slower.
+  agent.state.StartNotSent(kRun, "not sent");
+  agent.state.NoteLeaseSent(hold.lease_until);
+  const Duration left = agent.state.Report(Duration::zero(), agent.now).lease_left;
+  EXPECT_GE(left, milliseconds(*hold.lease_until - kSlowClock) / 0.9805);
+  EXPECT_LE(left, milliseconds(4100));
+}
+
 // A message of another writer that the worker has left made the agent report no runs. A planner
 // that began in that moment would have started their tasks again.
 TEST(AgentState, ReportsTheRunsOfAWorkerThatHasNotAnnouncedThatItLeaves) {
--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -60,6 +60,13 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
 }
 
+// An agent that got no answers for long granted leases that ended later than the planner assumed.
+TEST_P(PoolHistory, KeepsItsRulesWhereReadingsOfSlowClocksAreOld) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kSlowClocks, FaultKind::kSlowLapses, FaultKind::kOldReadings});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
