--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -53,6 +53,20 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
 }
 
+// Runs on workers that refused their agents' connections were given up while they were being ended.
+TEST_P(PoolHistory, KeepsItsRulesWhereWorkersThatRefuseConnectionsEndRunsLate) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kSlowLapses, FaultKind::kRefusedConnections});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
+// An agent that got no answers for long granted leases that ended later than the planner assumed.
+TEST_P(PoolHistory, KeepsItsRulesWhereReadingsOfSlowClocksAreOld) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kSlowClocks, FaultKind::kSlowLapses, FaultKind::kOldReadings});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
@@ -77,5 +91,17 @@
   EXPECT_GE(starts_for_former_lives, kMinFaults);
 }
 
+// The same for kinds that only some histories name.
+TEST(PoolHistoryFaults, HappenInTheKindsThatEndRunsLate) {
+  const std::set<FaultKind> kinds = {FaultKind::kSlowLapses, FaultKind::kRefusedConnections,
+                                     FaultKind::kOldReadings};
+  constexpr unsigned kHistories = 4;
+  std::map<FaultKind, int> counts;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    for (const auto& [kind, count] : RunPoolHistory(seed, kinds).faults) counts[kind] += count;
+  }
+  for (const FaultKind kind : kinds) EXPECT_GE(counts[kind], kHistories) << FaultKindName(kind);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
