Tests: Put the refusal of a worker's connections after a change of planner

Loops over the moment of the refusal in steps of 20 ms, with the site's time of a stop and the slowest clock that was measured. Passes on the present code.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -404,6 +404,27 @@
   EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
 }
 
+// An agent's first report to a new planner opens the path on which runs are given up by its word, so
+// that the first runs of that planner on all workers of a zone ran twice at the same moment.
+TEST_F(WorkerLife, RunsNoTaskTwiceOnWorkersThatRefuseConnectionsAfterAPlannerChange) {
+  PoolBounds bounds;
+  bounds.stop = milliseconds(400);
+  faults_.SetLapseTime(bounds.stop);
+  faults_.SetClockRate(0.982);
+  for (Duration refused_after{}; refused_after < seconds(2); refused_after += milliseconds(20)) {
+    Begin(2, bounds);
+    simulation_->HandOverPlanner();
+    Submit("j", seconds(20));
+    simulation_->RunFor(milliseconds(100));
+    ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+    simulation_->RunFor(refused_after);
+    faults_.RefuseConnections(simulation_->RunsOf("j")[0].node, seconds(20));
+    simulation_->RunFor(seconds(8));
+    EXPECT_EQ(simulation_->violations(), kNoViolations) << Seconds(refused_after);
+    EXPECT_EQ(simulation_->RunsOf("j").size(), 2U) << Seconds(refused_after);
+  }
+}
+
 // The agent's calls arrive, but it reads no answer. Leases that it computed from the worker's clock
 // of long ago ended later than the planner assumed, because that clock is slow.
 TEST_F(WorkerLife, RunsNoTaskTwiceWhenTheReadingOfASlowClockIsOld) {
