Pool: Follow no record under the planner's key that no planner stands behind

Callers saw no accepted job end any more once another writer had put a record under the planner's key into the planner's and the members' topic. Readers took the record with the highest epoch for the planner for good. Agents dropped the planner that answered and called the other address, and the planner itself took the members topic for one that did not name it, so that it permitted no start. With the address of an entry, workers also got the foreign epoch as their fencing token.

- Epochs that run numbers and tokens can't carry, and ports out of range, are not believed, and no claim is made beyond the highest epoch.
- Readers of the copies take the newest readable record by its offset.
The store keeps the announcement of an older planner from following one of a newer planner, as planners announce under their epoch.
- The planner looks at the copies (the members topic it follows anyway, the planner topic once a second) and announces itself again where they don't name it.
The work topic alone tells who plans: a planner announces itself after its claim, so an announcement that a later read of the work topic does not show as a claim is not a planner's.
The append holds only if the topic still ends where the foreign record was read.
So it can't follow the announcement of a planner that has claimed since, also when the store carries it out late.
It has no producer epoch, since the other writer may have used the producer's name with an epoch above all.
- An agent leaves a planner that answers only for one that it can reach, and obeys an epoch only once a planner of that epoch has answered.

An older planner can't be obeyed again: an agent drops orders below the highest epoch that has answered it, as before, and a new planner counts an agent as its own only once the agent reports under its epoch, which the agent now does after the first answer instead of the connection. An agent that stays with a replaced planner because it can't reach the new one does what an agent does that has not heard of the new one: the old planner's leases end with the store's confirmation of its leadership, and its successor waits for that time.

The tests of calls used the addresses "here" and "there", which have no port; they have one now.

--- a/servers/membership/member_records.cc
+++ b/servers/membership/member_records.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/error.h"
+#include "core/units.h"
 
 namespace turmericshift::membership {
 namespace {
@@ -19,6 +20,13 @@
   }
 }
 
+constexpr int64_t kMaxPort = 65535;
+
+// Throws Error(kInvalidInput) unless the address ends with a port.
+void CheckAddress(const std::string& address) {
+  ParseInteger(address.substr(address.rfind(':') + 1), 1, kMaxPort);
+}
+
 json EntryToJson(const EntryRecord& entry) {
   return {{"node", entry.node},
           {"zone", entry.zone},
@@ -27,8 +35,10 @@
 }
 
 EntryRecord EntryFrom(const json& in) {
-  return {in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
-          in.at("address").get<std::string>(), in.at("planning_capacity").get<int>()};
+  EntryRecord entry = {in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
+                       in.at("address").get<std::string>(), in.at("planning_capacity").get<int>()};
+  CheckAddress(entry.address);
+  return entry;
 }
 
 json PlannerFields(const PlannerRecord& planner) {
@@ -36,8 +46,14 @@
 }
 
 PlannerRecord PlannerFrom(const json& in) {
-  return {in.at("epoch").get<int64_t>(), in.at("node").get<std::string>(),
-          in.at("address").get<std::string>()};
+  const json& epoch = in.at("epoch");
+  // Larger and fractional numbers would be converted to other ones.
+  const bool in_range = epoch.is_number_integer() && epoch > 0 && epoch < kEpochLimit;
+  if (!in_range) throw Error(ErrorKind::kInvalidInput, "no planner can have this epoch");
+  PlannerRecord planner = {epoch.get<int64_t>(), in.at("node").get<std::string>(),
+                           in.at("address").get<std::string>()};
+  if (!planner.address.empty()) CheckAddress(planner.address);
+  return planner;
 }
 
 }  // namespace
--- a/servers/membership/member_records.h
+++ b/servers/membership/member_records.h
@@ -8,6 +8,10 @@
 
 namespace turmericshift::membership {
 
+// Planners' epochs are below this: run numbers and fencing tokens that contain a higher one would
+// not be exact in JSON (pool/worker_fence.h).
+inline constexpr int64_t kEpochLimit = int64_t{1} << 29;
+
 // An entry's announcement to the other entries.
 struct EntryRecord {
   std::string node;
@@ -31,12 +35,17 @@
   std::vector<PlannerRecord> former = {};
   // Entries that may reach the planner for those that can't. Only in the planner topic.
   std::vector<EntryRecord> relays = {};
+
+  bool SamePlannerAs(const PlannerRecord& other) const {
+    return epoch == other.epoch && node == other.node && address == other.address;
+  }
 };
 
 std::string EncodePlanner(const PlannerRecord& planner);
 std::string EncodeEntry(const EntryRecord& entry);
 
-// Decodes a record. Throws Error(kInvalidInput) for malformed bytes.
+// Decodes a record. Throws Error(kInvalidInput) for malformed bytes, an epoch that no planner can
+// have and an address that nothing can listen at.
 PlannerRecord DecodePlanner(const std::string& bytes);
 EntryRecord DecodeEntry(const std::string& bytes);
 
--- a/servers/pool/job_api_test.cc
+++ b/servers/pool/job_api_test.cc
@@ -52,7 +52,7 @@
 // A planner that has lost contact with the store and has been notified by its successor.
 class SupersededGate : public UnresponsiveGate {
  public:
-  PlannerRecord Successor() const override { return {2, "e2", "there"}; }
+  PlannerRecord Successor() const override { return {2, "e2", "there:1"}; }
   void Submit(const JobSpec& /*spec*/, std::function<void(Result<Done>)> done) override {
     Result<Done> result;
     result.error = Error(ErrorKind::kConflict, Outcome::kNotRun, "this process does not plan");
@@ -90,41 +90,43 @@
   void Offer(Duration /*timeout*/) override {}
 };
 
-// Connects to the planner at "there" only.
+// Connects to the planner at "there:1" only.
 class SinglePlannerConnector : public PlannerConnector {
  public:
   std::shared_ptr<PlannerClient> Connect(const std::string& address, Duration /*limit*/) override {
-    if (address != "there") throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "nobody there");
+    if (address != "there:1") {
+      throw Error(ErrorKind::kUnavailable, Outcome::kNotRun, "nobody there");
+    }
     return std::make_shared<AcceptingClient>();
   }
 };
 
-// A planner that has been replaced, and whose refusals name its successor at "there".
+// A planner that has been replaced, and whose refusals name its successor at "there:1".
 class ReplacedPlannerClient : public AcceptingClient {
  public:
   void Submit(const JobSpec& /*spec*/, Duration /*timeout*/) override {
     throw Error(ErrorKind::kConflict, Outcome::kNotRun, "this process does not plan the pool");
   }
-  PlannerRecord KnownPlanner(Duration /*timeout*/) override { return {2, "e2", "there"}; }
+  PlannerRecord KnownPlanner(Duration /*timeout*/) override { return {2, "e2", "there:1"}; }
 };
 
-// Reaches the planner at "there" and, at all other addresses, replaced ones.
+// Reaches the planner at "there:1" and, at all other addresses, replaced ones.
 class ReplacedPlannerConnector : public PlannerConnector {
  public:
   std::shared_ptr<PlannerClient> Connect(const std::string& address, Duration /*limit*/) override {
-    if (address == "there") return std::make_shared<AcceptingClient>();
+    if (address == "there:1") return std::make_shared<AcceptingClient>();
     ++refusals;
     return std::make_shared<ReplacedPlannerClient>();
   }
   std::atomic<int> refusals{0};
 };
 
-// Planners of epoch 1 at "here" that answer nothing until their connection is closed, and one at
-// "there" that accepts every call.
+// Planners of epoch 1 at "here:1" that answer nothing until their connection is closed, and one at
+// "there:1" that accepts every call.
 class SilentPlannerConnector : public PlannerConnector {
  public:
   std::shared_ptr<PlannerClient> Connect(const std::string& address, Duration /*limit*/) override {
-    if (address == "there") return std::make_shared<AcceptingClient>();
+    if (address == "there:1") return std::make_shared<AcceptingClient>();
     return std::make_shared<SilentClient>(&calls);
   }
 
@@ -163,7 +165,7 @@
              Duration attempt_timeout = JobApiOptions().attempt_timeout)
       : gate(std::move(planner)), connector(std::move(planner_connector)) {
     log.Append("documents", {{"document", "1"}}, {}, std::chrono::seconds(1));
-    log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "e1", "here"})}}, {},
+    log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({1, "e1", "here:1"})}}, {},
                std::chrono::seconds(1));
     JobApiOptions options;
     options.node = node;
@@ -258,7 +260,7 @@
   std::future<JobAnswerKind> answer =
       std::async(std::launch::async, [&] { return fixture.Submit("j", std::chrono::hours(1)); });
   while (silent.calls.load() == 0) std::this_thread::yield();
-  fixture.log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({2, "e2", "there"})}}, {},
+  fixture.log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({2, "e2", "there:1"})}}, {},
                      std::chrono::seconds(1));
   while (fixture.work.leadership().planner.epoch < 2) std::this_thread::yield();
   fixture.api->WatchCalls(2, LeaseClock().Now());
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -18,6 +18,9 @@
 constexpr Duration kAgentCheckInterval = std::chrono::seconds(5);
 // How often a removal of agents is repeated until the store has answered.
 constexpr Duration kRemovalRetryInterval = std::chrono::seconds(1);
+// Agents that look for the planner meanwhile are without one for this long, and their leases last
+// four times as long.
+constexpr Duration kAnnouncementCheckInterval = std::chrono::seconds(1);
 constexpr Duration kListedCheckInterval = std::chrono::seconds(2);
 // The members topic is read every 10 s while this entry does not plan.
 constexpr Duration kMaxMembersAge = std::chrono::seconds(15);
@@ -106,6 +109,7 @@
     if (epoch > 0) {
       if (leadership.planner.epoch > epoch) service_->StepDown("a newer planner is active");
       Announce();
+      CheckAnnouncements(leadership, now);
       if (waiting_for_predecessors_) NotifyPredecessors(now);
       RemoveSilentAgents(now);
       OfferLeadership(now);
@@ -253,6 +257,10 @@
   // symptom is two planners within one tick, and callers that are told "unknown" twice.
   if (!ShouldClaimNow(basis, now)) return;
   const int64_t epoch = NextEpoch(std::max(table.planner().epoch, rejected_epoch_));
+  if (epoch >= membership::kEpochLimit) {
+    LogEvent(LogLevel::kError, "claim_impossible", {{"epoch", epoch}});
+    return;
+  }
   const int64_t sequence = RandomSequence();
   PlannerRecord record = Self(epoch);
   record.former = FormerPlanners(table.planner(), options_.node);
@@ -302,25 +310,102 @@
   const PlannerRecord self = Self(service_->epoch());
   // First in the planner topic: an agent that has read an older planner there knows that all
   // removals of its former process are void (PoolAgent::ListedByPlanner).
-  PlannerRecord with_relays = self;
+  if (AnnounceIn(kPlannerTopic, SelfWithRelays())) AnnounceIn(kMembersTopic, self);
+}
+
+PlannerRecord PlannerElector::SelfWithRelays() const {
+  PlannerRecord with_relays = Self(service_->epoch());
   with_relays.relays = membership::Standbys(members_->entries());
-  if (AnnounceIn(kPlannerTopic, with_relays)) AnnounceIn(kMembersTopic, self);
+  return with_relays;
 }
 
 bool PlannerElector::AnnounceIn(const char* topic, const PlannerRecord& self) {
-  int64_t& announced_epoch = announced_epochs_[topic];
-  if (announced_epoch >= self.epoch) return true;
+  Announcement& announcement = announcements_[topic];
+  if (announcement.epoch >= self.epoch) return true;
+  announcement.foreign.reset();
   try {
-    log_->Append(topic, {{kPlannerKey, EncodePlanner(self), kNoOffset}},
-                 {std::nullopt, kPlannerProducer, self.epoch, 1}, kClaimTimeout);
-    announced_epoch = self.epoch;
+    const AppendResult result =
+        log_->Append(topic, {{kPlannerKey, EncodePlanner(self), kNoOffset}},
+                     {std::nullopt, kPlannerProducer, self.epoch, 1}, kClaimTimeout);
+    announcement.epoch = self.epoch;
+    announcement.offset = result.first;
     return true;
   } catch (const Error& error) {
     LogEvent(LogLevel::kWarning, "announce_failed",
              {{"topic", topic}, {"epoch", self.epoch}, {"error", error.what()}});
-    // A newer planner has already announced itself.
-    if (error.kind() == ErrorKind::kFenced) announced_epoch = self.epoch;
-    return announced_epoch == self.epoch;
+    // A newer planner has already announced itself, or another writer has used its name.
+    if (error.kind() == ErrorKind::kFenced) announcement.epoch = self.epoch;
+    return announcement.epoch == self.epoch;
+  }
+}
+
+// The work topic alone tells who plans, since the store accepts only the highest epoch's claims and
+// appends there. A planner announces itself after its claim. So if the work topic, as read after an
+// announcement, shows no newer claim, then the announcement is not a planner's. The new one holds
+// only if the topic still ends where that was found, so that it can't replace the announcement of a
+// planner that has claimed since. It carries no epoch, because the other writer may have used one
+// above all planners'.
+void PlannerElector::CheckAnnouncements(const LeadershipView& leadership, Time now) {
+  const PlannerRecord self = Self(service_->epoch());
+  if (self.epoch == 0 || !leadership.freshness.within(options_.max_view_age, now)) return;
+  for (const char* topic : {kPlannerTopic, kMembersTopic}) {
+    const Announcement& announcement = announcements_[topic];
+    if (announcement.epoch != self.epoch) return;
+    if (!announcement.foreign) continue;
+    const bool still_plans = leadership.planner.SamePlannerAs(self) &&
+                             *leadership.freshness.requested_at > announcement.foreign->read_at;
+    if (!still_plans) continue;
+    const bool for_agents = std::string(topic) == kPlannerTopic;
+    ReplaceForeignAnnouncement(topic, for_agents ? SelfWithRelays() : self);
+  }
+  FindForeignAnnouncements(now);
+}
+
+void PlannerElector::FindForeignAnnouncements(Time now) {
+  Announcement& listed = announcements_[kMembersTopic];
+  const std::shared_ptr<const Membership> membership = members_->membership();
+  const bool has_read_own = membership->end > listed.offset;
+  if (!listed.foreign && has_read_own && !membership->Announces(Self(listed.epoch))) {
+    listed.foreign = {membership->end, LeaseClock().Now()};
+    // Whoever has written this may have written to the planner topic as well.
+    announcement_checked_at_ = {};
+  }
+  Announcement& announced = announcements_[kPlannerTopic];
+  if (announced.foreign || now - announcement_checked_at_ < kAnnouncementCheckInterval) return;
+  announcement_checked_at_ = now;
+  try {
+    const KeyedPage page = log_->Newest(kPlannerTopic, "", kCallTimeout);
+    if (!IsAnnouncedIn(page)) announced.foreign = {page.end, LeaseClock().Now()};
+  } catch (const Error&) {
+    // The next check is soon enough; the followers log that the store is lost.
+  }
+}
+
+bool PlannerElector::IsAnnouncedIn(const KeyedPage& page) const {
+  for (const KeyedRecord& record : page.records) {
+    if (record.key != kPlannerKey) continue;
+    try {
+      return DecodePlanner(record.value).SamePlannerAs(Self(service_->epoch()));
+    } catch (const Error&) {
+      return false;
+    }
+  }
+  return false;
+}
+
+void PlannerElector::ReplaceForeignAnnouncement(const char* topic, const PlannerRecord& self) {
+  Announcement& announcement = announcements_[topic];
+  const Offset end = announcement.foreign->end;
+  announcement.foreign.reset();
+  try {
+    const AppendResult result = log_->Append(topic, {{kPlannerKey, EncodePlanner(self), kNoOffset}},
+                                             {end, "", 0, 0}, kCallTimeout);
+    announcement.offset = result.first;
+    LogEvent(LogLevel::kWarning, "foreign_planner_replaced",
+             {{"topic", topic}, {"epoch", self.epoch}, {"offset", result.first}});
+  } catch (const Error& error) {
+    LogEvent(LogLevel::kWarning, "foreign_planner_not_replaced",
+             {{"topic", topic}, {"epoch", self.epoch}, {"error", error.what()}});
   }
 }
 
--- a/servers/pool/planner_elector.h
+++ b/servers/pool/planner_elector.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -102,6 +103,15 @@
   void Announce();
   // Returns whether the topic contains the announcement, or a newer one.
   bool AnnounceIn(const char* topic, const PlannerRecord& self);
+  // Announces this planner again where a record of another writer stands in place of its
+  // announcement; see planner_elector.cc.
+  void CheckAnnouncements(const LeadershipView& leadership, Time now);
+  // Looks for such records.
+  void FindForeignAnnouncements(Time now);
+  bool IsAnnouncedIn(const KeyedPage& page) const;
+  void ReplaceForeignAnnouncement(const char* topic, const PlannerRecord& self);
+  // This planner's record with the entries that may relay.
+  PlannerRecord SelfWithRelays() const;
   void RemoveSilentAgents(Time now);
   // Notifies the former planners that they have been succeeded, so that they step down. Unless all
   // of them confirm, inherited work has to wait for as long as agents may still follow one of them,
@@ -125,8 +135,22 @@
   std::atomic<bool> leaving_{false};
   // Rank among the listed entries of the zone; see membership/standby.h.
   size_t rank_ = 0;
-  // Epoch that each topic contains an announcement of.
-  std::map<std::string, int64_t> announced_epochs_;
+  // A record in place of this planner's announcement, as read at `read_at` from a topic that ended
+  // at `end`.
+  struct ForeignAnnouncement {
+    Offset end = kNoOffset;
+    Time read_at{};
+  };
+  struct Announcement {
+    // Epoch that the topic contains an announcement of.
+    int64_t epoch = 0;
+    Offset offset = kNoOffset;
+    std::optional<ForeignAnnouncement> foreign;
+  };
+  // By topic.
+  std::map<std::string, Announcement> announcements_;
+  // When the planner topic was last read.
+  Time announcement_checked_at_{};
   // Epoch that the store rejected as too low although no newer one could be read.
   int64_t rejected_epoch_ = 0;
   Time connected_since_{};
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -44,6 +44,9 @@
 // maximum below. Runs continue for 4 s without its answer.
 constexpr int kLagTimeoutFactor = 2;
 constexpr Duration kMaxLagTimeout = std::chrono::milliseconds(1300);
+// Delay before an agent whose planner answers tries again to reach the one that has been announced
+// since.
+constexpr Duration kNewPlannerRetryInterval = std::chrono::seconds(1);
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(1200);
 
 }  // namespace
@@ -249,6 +252,9 @@
 void PoolAgent::RunPlannerLoop() {
   int64_t connected_epoch = 0;
   Time connected_at{};
+  // The newest planner that this agent has tried to reach, and when.
+  int64_t tried_epoch = 0;
+  Time tried_at{};
   Time answered_at = LeaseClock().Now();
   while (true) {
     std::shared_ptr<PlannerClient> client;
@@ -261,27 +267,31 @@
     const PlannerRecord planner = NewestPlanner();
     try {
       const Time now = LeaseClock().Now();
-      if (client && planner.epoch > connected_epoch) client.reset();
       if (client && client->relayed() && now - connected_at > kDirectRetryInterval) client.reset();
-      if (!client) {
-        if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, "no planner is known");
-        client = router_.Connect(planner, kConnectTimeout, now);
+      const bool tried = planner.epoch == tried_epoch && now - tried_at < kNewPlannerRetryInterval;
+      std::shared_ptr<PlannerClient> other;
+      if (!client || (planner.epoch > connected_epoch && !tried)) {
+        tried_epoch = planner.epoch;
+        tried_at = now;
+        other = ConnectTo(planner, client != nullptr, now);
+      }
+      if (other) {
+        client = other;
         connected_at = now;
         connected_epoch = planner.epoch;
         const std::lock_guard<std::mutex> lock(mutex_);
         client_ = client;
-        state_.RaiseEpoch(planner.epoch);
-        LogEvent(LogLevel::kInfo, "planner_connected",
-                 {{"epoch", planner.epoch},
-                  {"address", planner.address},
-                  {"relayed", client->relayed()}});
       }
-      ExchangeOnce(client.get(), options_.poll_wait);
+      // The first answer of a planner is not held back: its epoch is obeyed from then on.
+      const AgentOrders orders =
+          ExchangeOnce(client.get(), other ? Duration::zero() : options_.poll_wait);
+      connected_epoch = orders.epoch;
       answered_at = LeaseClock().Now();
     } catch (const Error& error) {
       const Time now = LeaseClock().Now();
       FollowPlanner(now);
-      if (now - answered_at > kPlannerSearchPeriod) FollowMembers(now);
+      const bool only_listed = members_.planner().epoch > planner_view_.planner().epoch;
+      if (only_listed || now - answered_at > kPlannerSearchPeriod) FollowMembers(now);
       bool was_connected = false;
       {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -297,6 +307,28 @@
   }
 }
 
+// Another writer may have announced a planner that does not exist, so an agent leaves a planner
+// that answers only for one that it can reach. If the former planner has been replaced, its leases
+// end with the store's confirmation of its leadership, on which its successor waits.
+std::shared_ptr<PlannerClient> PoolAgent::ConnectTo(const PlannerRecord& planner,
+                                                    bool other_answers, Time now) {
+  if (planner.address.empty()) throw Error(ErrorKind::kUnavailable, "no planner is known");
+  std::shared_ptr<PlannerClient> client;
+  try {
+    client = router_.Connect(planner, kConnectTimeout, now);
+  } catch (const Error& error) {
+    if (!other_answers) throw;
+    FollowPlanner(now);
+    LogEvent(LogLevel::kInfo, "new_planner_not_reached",
+             {{"epoch", planner.epoch}, {"address", planner.address}, {"error", error.what()}});
+    return nullptr;
+  }
+  LogEvent(
+      LogLevel::kInfo, "planner_connected",
+      {{"epoch", planner.epoch}, {"address", planner.address}, {"relayed", client->relayed()}});
+  return client;
+}
+
 void PoolAgent::PauseAfterPlannerFailure(int64_t epoch, const Error& error) {
   const bool refused = error.kind() == ErrorKind::kConflict && error.outcome() == Outcome::kNotRun;
   if (!refused) return Pause(kRetryInterval);
@@ -333,7 +365,7 @@
   }
 }
 
-void PoolAgent::ExchangeOnce(PlannerClient* client, Duration wait) {
+AgentOrders PoolAgent::ExchangeOnce(PlannerClient* client, Duration wait) {
   AgentReport report;
   Time sent{};
   {
@@ -377,6 +409,7 @@
   if (read_needed) SubmitOrder([this] { HoldAndReport(); });
   if (report_needed) RequestUpdate();
   ExecuteOrders(new_orders, sent + orders.start_window);
+  return orders;
 }
 
 // An overloaded planner has not lost this agent: a repeated request over a new connection would
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -76,7 +76,11 @@
   void HoldAndReport();
   // The newest planner known from the store or from a redirect.
   PlannerRecord NewestPlanner() const;
-  void ExchangeOnce(PlannerClient* client, Duration wait);
+  // Connects to `planner`. Returns null if that fails while another planner answers.
+  std::shared_ptr<PlannerClient> ConnectTo(const PlannerRecord& planner, bool other_answers,
+                                           Time now);
+  // Sends a report and carries out the orders that answer it, which it returns.
+  AgentOrders ExchangeOnce(PlannerClient* client, Duration wait);
   // Follows the planner topic closely for a while, because the planner may have been replaced.
   void FollowPlanner(Time now);
   // Follows the members topic closely for a while, because this agent may have been removed from
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -183,8 +183,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   freshness_.requested_at = requested_at;
   if (membership_->end == end && end > 0) return;
-  membership_ =
-      std::make_shared<const Membership>(Membership{planner_, planner_announced_at_, agents_, end});
+  membership_ = std::make_shared<const Membership>(
+      Membership{planner_, planner_announced_at_, newest_announcement_at_, agents_, end});
 }
 
 std::shared_ptr<const Membership> MembersView::membership() const {
@@ -218,11 +218,12 @@
     return;
   }
   if (record.key.rfind(kEntryPrefix, 0) == 0) return ApplyEntry(record);
-  if (record.key != kPlannerKey || record.value.empty()) return;
+  // Pages of the newest records overlap with the history.
+  if (record.key != kPlannerKey || record.offset <= newest_announcement_at_) return;
+  newest_announcement_at_ = record.offset;
+  if (record.value.empty()) return;
   try {
-    PlannerRecord planner = DecodePlanner(record.value);
-    if (planner.epoch < planner_.epoch) return;
-    planner_ = std::move(planner);
+    planner_ = DecodePlanner(record.value);
     planner_announced_at_ = record.offset;
   } catch (const Error& error) {
     LogSkippedRecord(kMembersTopic, record, error);
@@ -286,7 +287,9 @@
   try {
     PlannerRecord planner = DecodePlanner(record.value);
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (planner.epoch <= planner_.epoch) return;
+    // Pages of the newest records overlap with the history.
+    if (record.offset <= newest_announcement_at_) return;
+    newest_announcement_at_ = record.offset;
     planner_ = std::move(planner);
   } catch (const Error& error) {
     LogSkippedRecord(kPlannerTopic, record, error);
--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -124,9 +124,11 @@
 
 // The members topic as of one offset.
 struct Membership {
-  // The newest planner that has announced itself, and the offset of its announcement.
+  // The planner that the newest readable announcement names, and the offset of the announcement.
   PlannerRecord planner;
   Offset announced_at = kNoOffset;
+  // Offset of the newest record under the planner's key, readable or not.
+  Offset newest_announcement_at = kNoOffset;
   std::set<std::string> agents;
   // All records before this offset are reflected.
   Offset end = 0;
@@ -134,6 +136,10 @@
   // Whether the planner of `epoch` is the newest one and all that was written before its
   // announcement is reflected. Conditional appends of former planners fail from then on.
   bool IsCurrentFor(int64_t epoch) const { return planner.epoch == epoch && end > announced_at; }
+  // Whether a process that starts to read the topic now would find the planner `self`.
+  bool Announces(const PlannerRecord& self) const {
+    return planner.SamePlannerAs(self) && newest_announcement_at == announced_at;
+  }
 };
 
 class MembersView {
@@ -168,13 +174,16 @@
   std::shared_ptr<const Membership> membership_ = std::make_shared<const Membership>();
   PlannerRecord planner_;
   Offset planner_announced_at_ = kNoOffset;
+  Offset newest_announcement_at_ = kNoOffset;
   std::set<std::string> agents_;
   std::map<std::string, EntryRecord> entries_;
   Freshness freshness_;
   std::unique_ptr<TopicFollower> follower_;
 };
 
-// The planner topic.
+// The planner topic. Its newest readable record names the planner, whatever its epoch: the store
+// keeps a planner's announcement from following one of a newer planner, and a record of another
+// writer is followed by an announcement of the planner.
 class PlannerView {
  public:
   // See MembersView.
@@ -195,6 +204,7 @@
   mutable std::mutex mutex_;
   mutable std::condition_variable changed_;
   PlannerRecord planner_;
+  Offset newest_announcement_at_ = kNoOffset;
   std::optional<int64_t> first_epoch_;
   std::unique_ptr<TopicFollower> follower_;
 };
--- a/servers/pool/worker_fence.h
+++ b/servers/pool/worker_fence.h
@@ -6,13 +6,16 @@
 
 #include <cstdint>
 
+#include "servers/membership/member_records.h"
+
 namespace turmericshift::pool {
 
 // Number of tokens of an epoch. Together with the bits of a run number that count starts, 2^15
 // epochs fit into the 53 bits that JSON numbers keep exactly.
 constexpr int64_t kFencesPerEpoch = int64_t{1} << 14;
+static_assert(membership::kEpochLimit / kFencesPerEpoch == int64_t{1} << 15);
 
-// Returns the epoch that follows `epoch`.
+// Returns the epoch that follows `epoch`; no planner can have it if it reaches kEpochLimit.
 constexpr int64_t NextEpoch(int64_t epoch) {
   return (epoch / kFencesPerEpoch + 1) * kFencesPerEpoch;
 }
