Pool: Check only announcements for impossible epochs; Wait for unknown planners

- The range checks refused records in the work topic too.
A record there with a believable epoch in the last step let nobody claim any more, and one that was refused let an entry that starts later take the pool for vacant.
The checks apply to the announcements now.
A claim over an epoch that can have no successor starts from the lowest and rises with each refusal of the store, which alone knows the highest epoch.
- A claim over such a record, or above an epoch that the store has seen and the record does not show, knows nothing of the real predecessor.
The claim names an unknown planner among the former ones, which nobody can confirm to have stepped down, so inherited work waits for the full time.
- An agent that keeps its planner counts the retry interval from the end of a failed attempt, and reads the members if the record stands there.
- A refusal for the sequence number ends the first announcement as one for the epoch does, so that the check of the copies takes over.
- Former planners and relays in a record are not checked, so that one odd item hides no genuine record.
Numbers that are no whole ones are refused instead of converted.

No test of its own shows the two cases of the work topic.

--- a/servers/membership/member_records.cc
+++ b/servers/membership/member_records.cc
@@ -35,10 +35,12 @@
 }
 
 EntryRecord EntryFrom(const json& in) {
-  EntryRecord entry = {in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
-                       in.at("address").get<std::string>(), in.at("planning_capacity").get<int>()};
-  CheckAddress(entry.address);
-  return entry;
+  const json& capacity = in.at("planning_capacity");
+  if (!capacity.is_number_integer()) {
+    throw Error(ErrorKind::kInvalidInput, "planning_capacity is not a whole number");
+  }
+  return {in.at("node").get<std::string>(), in.at("zone").get<std::string>(),
+          in.at("address").get<std::string>(), capacity.get<int>()};
 }
 
 json PlannerFields(const PlannerRecord& planner) {
@@ -47,13 +49,11 @@
 
 PlannerRecord PlannerFrom(const json& in) {
   const json& epoch = in.at("epoch");
-  // Larger and fractional numbers would be converted to other ones.
-  const bool in_range = epoch.is_number_integer() && epoch > 0 && epoch < kEpochLimit;
-  if (!in_range) throw Error(ErrorKind::kInvalidInput, "no planner can have this epoch");
-  PlannerRecord planner = {epoch.get<int64_t>(), in.at("node").get<std::string>(),
-                           in.at("address").get<std::string>()};
-  if (!planner.address.empty()) CheckAddress(planner.address);
-  return planner;
+  if (!epoch.is_number_integer()) {
+    throw Error(ErrorKind::kInvalidInput, "epoch is not a whole number");
+  }
+  return {epoch.get<int64_t>(), in.at("node").get<std::string>(),
+          in.at("address").get<std::string>()};
 }
 
 }  // namespace
@@ -84,7 +84,11 @@
 std::string EncodeEntry(const EntryRecord& entry) { return EntryToJson(entry).dump(); }
 
 EntryRecord DecodeEntry(const std::string& bytes) {
-  return Decoded("entry record", [&] { return EntryFrom(json::parse(bytes)); });
+  return Decoded("entry record", [&] {
+    EntryRecord entry = EntryFrom(json::parse(bytes));
+    CheckAddress(entry.address);
+    return entry;
+  });
 }
 
 }  // namespace turmericshift::membership
--- a/servers/membership/member_records.h
+++ b/servers/membership/member_records.h
@@ -44,8 +44,8 @@
 std::string EncodePlanner(const PlannerRecord& planner);
 std::string EncodeEntry(const EntryRecord& entry);
 
-// Decodes a record. Throws Error(kInvalidInput) for malformed bytes, an epoch that no planner can
-// have and an address that nothing can listen at.
+// Decodes a record. Throws Error(kInvalidInput) for malformed bytes, and for an entry's address
+// without a port in range.
 PlannerRecord DecodePlanner(const std::string& bytes);
 EntryRecord DecodeEntry(const std::string& bytes);
 
--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -53,6 +53,14 @@
   return std::stoll(RandomHex(kBytes), nullptr, 16) + 1;
 }
 
+// Epoch that a claim has to exceed according to the record, 0 if none could: then another writer
+// has put it there, and the store refuses claims that are too low.
+int64_t RecordedEpoch(const PlannerRecord& recorded) {
+  const bool has_successor =
+      recorded.epoch > 0 && recorded.epoch < membership::kEpochLimit - kFencesPerEpoch;
+  return has_successor ? recorded.epoch : 0;
+}
+
 }  // namespace
 
 bool ShouldClaim(const LeadershipView& view, Time since, Duration silence_timeout,
@@ -256,21 +264,23 @@
   // succeed, being based on the newest view, and depose a planner that has just started. The
   // symptom is two planners within one tick, and callers that are told "unknown" twice.
   if (!ShouldClaimNow(basis, now)) return;
-  const int64_t epoch = NextEpoch(std::max(table.planner().epoch, rejected_epoch_));
-  if (epoch >= membership::kEpochLimit) {
-    LogEvent(LogLevel::kError, "claim_impossible", {{"epoch", epoch}});
-    return;
-  }
+  const int64_t recorded_epoch = RecordedEpoch(table.planner());
+  const int64_t epoch = NextEpoch(std::max(recorded_epoch, rejected_epoch_));
   const int64_t sequence = RandomSequence();
   PlannerRecord record = Self(epoch);
   record.former = FormerPlanners(table.planner(), options_.node);
+  // The store has seen a planner that the record does not name.
+  if (rejected_epoch_ > recorded_epoch) record.former.push_back({rejected_epoch_, "", ""});
   std::set<std::string> agents;
   try {
     log_->Append(kWorkTopic, {{kPlannerKey, EncodePlanner(record), kNoOffset}},
                  {basis.end, kPlannerProducer, epoch, sequence}, kClaimTimeout);
     agents = ReadAgents();
   } catch (const Error& error) {
-    if (error.kind() == ErrorKind::kFenced) rejected_epoch_ = epoch;
+    // Without a recorded epoch, a conflict may be with the sequence numbers of a planner of
+    // `epoch`.
+    const bool may_be_taken = error.kind() == ErrorKind::kConflict && recorded_epoch == 0;
+    if (error.kind() == ErrorKind::kFenced || may_be_taken) rejected_epoch_ = epoch;
     LogEvent(LogLevel::kInfo, "claim_failed",
              {{"epoch", epoch}, {"end", basis.end}, {"error", error.what()}});
     return;
@@ -334,7 +344,8 @@
     LogEvent(LogLevel::kWarning, "announce_failed",
              {{"topic", topic}, {"epoch", self.epoch}, {"error", error.what()}});
     // A newer planner has already announced itself, or another writer has used its name.
-    if (error.kind() == ErrorKind::kFenced) announcement.epoch = self.epoch;
+    const bool taken = error.kind() == ErrorKind::kFenced || error.kind() == ErrorKind::kConflict;
+    if (taken) announcement.epoch = self.epoch;
     return announcement.epoch == self.epoch;
   }
 }
@@ -424,6 +435,7 @@
 }
 
 bool PlannerElector::StepsDown(const PlannerRecord& former) {
+  if (former.address.empty()) return false;
   try {
     connector_->Connect(former.address, kCallTimeout)->Yield(Self(service_->epoch()), kCallTimeout);
   } catch (const Error& error) {
--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -272,8 +272,8 @@
       std::shared_ptr<PlannerClient> other;
       if (!client || (planner.epoch > connected_epoch && !tried)) {
         tried_epoch = planner.epoch;
-        tried_at = now;
         other = ConnectTo(planner, client != nullptr, now);
+        tried_at = LeaseClock().Now();
       }
       if (other) {
         client = other;
@@ -283,8 +283,10 @@
         client_ = client;
       }
       // The first answer of a planner is not held back: its epoch is obeyed from then on.
+      // It gets as much time as any poll, because a new planner has all agents to answer.
       const AgentOrders orders =
-          ExchangeOnce(client.get(), other ? Duration::zero() : options_.poll_wait);
+          ExchangeOnce(client.get(), other ? Duration::zero() : options_.poll_wait,
+                       ExchangeTimeout(options_.poll_wait));
       connected_epoch = orders.epoch;
       answered_at = LeaseClock().Now();
     } catch (const Error& error) {
@@ -319,6 +321,7 @@
   } catch (const Error& error) {
     if (!other_answers) throw;
     FollowPlanner(now);
+    if (members_.planner().epoch > planner_view_.planner().epoch) FollowMembers(now);
     LogEvent(LogLevel::kInfo, "new_planner_not_reached",
              {{"epoch", planner.epoch}, {"address", planner.address}, {"error", error.what()}});
     return nullptr;
@@ -357,7 +360,7 @@
     // Without a connection to a planner, the update is sent with the first poll.
     if (!client) continue;
     try {
-      ExchangeOnce(client.get(), Duration::zero());
+      ExchangeOnce(client.get(), Duration::zero(), ExchangeTimeout(Duration::zero()));
     } catch (const Error& error) {
       // The next poll includes the same information.
       LogEvent(LogLevel::kWarning, "news_not_sent", {{"error", error.what()}});
@@ -365,7 +368,7 @@
   }
 }
 
-AgentOrders PoolAgent::ExchangeOnce(PlannerClient* client, Duration wait) {
+AgentOrders PoolAgent::ExchangeOnce(PlannerClient* client, Duration wait, Duration limit) {
   AgentReport report;
   Time sent{};
   {
@@ -373,7 +376,7 @@
     sent = LeaseClock().Now();
     report = state_.Report(wait, sent);
   }
-  const AgentOrders orders = client->Exchange(report, ExchangeTimeout(wait));
+  const AgentOrders orders = client->Exchange(report, limit);
   if (!orders.planner_address.empty()) {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (orders.planner_epoch > redirected_planner_.epoch) {
--- a/servers/pool/pool_agent.h
+++ b/servers/pool/pool_agent.h
@@ -79,8 +79,9 @@
   // Connects to `planner`. Returns null if that fails while another planner answers.
   std::shared_ptr<PlannerClient> ConnectTo(const PlannerRecord& planner, bool other_answers,
                                            Time now);
-  // Sends a report and carries out the orders that answer it, which it returns.
-  AgentOrders ExchangeOnce(PlannerClient* client, Duration wait);
+  // Sends a report and carries out the orders that answer it within `limit`, which it returns. The
+  // planner may hold the answer back for `wait`.
+  AgentOrders ExchangeOnce(PlannerClient* client, Duration wait, Duration limit);
   // Follows the planner topic closely for a while, because the planner may have been replaced.
   void FollowPlanner(Time now);
   // Follows the members topic closely for a while, because this agent may have been removed from
--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/logging.h"
+#include "core/units.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -24,6 +25,20 @@
   return std::min(each * static_cast<int64_t>(count), longest);
 }
 
+constexpr int64_t kMaxPort = 65535;
+
+// Decodes a planner's announcement. Throws Error(kInvalidInput) as well for an epoch that no
+// planner can have and an address that nothing can listen at. Records of the work topic are not
+// checked so: a claim over one is better than none.
+PlannerRecord DecodeAnnouncement(const std::string& bytes) {
+  PlannerRecord planner = DecodePlanner(bytes);
+  if (planner.epoch <= 0 || planner.epoch >= membership::kEpochLimit) {
+    throw Error(ErrorKind::kInvalidInput, "no planner can have this epoch");
+  }
+  ParseInteger(planner.address.substr(planner.address.rfind(':') + 1), 1, kMaxPort);
+  return planner;
+}
+
 void LogSkippedRecord(const char* topic, const KeyedRecord& record, const Error& error) {
   LogEvent(
       LogLevel::kWarning, "record_skipped",
@@ -223,7 +238,7 @@
   newest_announcement_at_ = record.offset;
   if (record.value.empty()) return;
   try {
-    planner_ = DecodePlanner(record.value);
+    planner_ = DecodeAnnouncement(record.value);
     planner_announced_at_ = record.offset;
   } catch (const Error& error) {
     LogSkippedRecord(kMembersTopic, record, error);
@@ -285,7 +300,7 @@
 void PlannerView::ApplyRecord(const KeyedRecord& record) {
   if (record.key != kPlannerKey || record.value.empty()) return;
   try {
-    PlannerRecord planner = DecodePlanner(record.value);
+    PlannerRecord planner = DecodeAnnouncement(record.value);
     const std::lock_guard<std::mutex> lock(mutex_);
     // Pages of the newest records overlap with the history.
     if (record.offset <= newest_announcement_at_) return;
