Pool: Decode lists of records without copying them

A record with some ten thousand nested lists in former, relays, done, failures or checkpoints ended the process that read it, again after each restart: the decoder copied the list before it looked at it, a copy of nested lists recurses, and the followers' threads have a stack of 256 KB. The decoders look at the lists where they are now; nested ones are refused by their type.

--- a/servers/membership/member_records.cc
+++ b/servers/membership/member_records.cc
@@ -27,6 +27,14 @@
   ParseInteger(address.substr(address.rfind(':') + 1), 1, kMaxPort);
 }
 
+// Returns the list `field` of `object`, or an empty list if there is none. Not copied: a copy of
+// nested lists recurses, and a record of another writer may nest them deeper than a stack allows.
+const json& ListIn(const json& object, const char* field) {
+  static const json empty = json::array();
+  const auto found = object.find(field);
+  return found == object.end() ? empty : *found;
+}
+
 json EntryToJson(const EntryRecord& entry) {
   return {{"node", entry.node},
           {"zone", entry.zone},
@@ -71,10 +79,10 @@
   return Decoded("planner record", [&] {
     const json in = json::parse(bytes);
     PlannerRecord planner = PlannerFrom(in);
-    for (const json& former : in.value("former", json::array())) {
+    for (const json& former : ListIn(in, "former")) {
       planner.former.push_back(PlannerFrom(former));
     }
-    for (const json& relay : in.value("relays", json::array())) {
+    for (const json& relay : ListIn(in, "relays")) {
       planner.relays.push_back(EntryFrom(relay));
     }
     return planner;
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -18,6 +18,14 @@
 
 constexpr int64_t kMaxPart = int64_t{1} << 53;
 
+// Returns the list `field` of `object`, or an empty list if there is none. Not copied: a copy of
+// nested lists recurses, and a record of another writer may nest them deeper than a stack allows.
+const json& ListIn(const json& object, const char* field) {
+  static const json empty = json::array();
+  const auto found = object.find(field);
+  return found == object.end() ? empty : *found;
+}
+
 json StepToJson(const StepSpec& step) {
   json out = {{"tasks", step.tasks},
               {"cpu", step.need.processor_millis},
@@ -199,14 +207,14 @@
     progress.state = JobStateFromName(in.at("state").get<std::string>());
     progress.ended_ms = in.value("ended_ms", int64_t{0});
     progress.starts_refused = in.value("starts_refused", false);
-    for (const json& row : in.value("done", json::array())) {
+    for (const json& row : ListIn(in, "done")) {
       progress.done[{row.at(0).get<int>(), row.at(1).get<int>()}] = row.at(2).get<std::set<int>>();
     }
-    for (const json& row : in.value("failures", json::array())) {
+    for (const json& row : ListIn(in, "failures")) {
       progress.failures[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
           row.at(3).get<std::set<int64_t>>();
     }
-    for (const json& row : in.value("checkpoints", json::array())) {
+    for (const json& row : ListIn(in, "checkpoints")) {
       progress.checkpoints[{row.at(0).get<int>(), row.at(1).get<int>(), row.at(2).get<int>()}] =
           row.at(3).get<std::string>();
     }
