--- a/servers/pool/pool_view.cc
+++ b/servers/pool/pool_view.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/logging.h"
+#include "core/units.h"
 
 namespace turmericshift::pool {
 namespace {
@@ -24,6 +25,20 @@
   return std::min(each * static_cast<int64_t>(count), longest);
 }
 
+constexpr int64_t kMaxPort = 65535;
+
+// Decodes a planner's announcement. Throws Error(kInvalidInput) as well for an epoch that no
+// planner can have and an address that nothing can listen at. Records of the work topic are not
+// checked so: a claim over one is better than none.
+PlannerRecord DecodeAnnouncement(const std::string& bytes) {
+  PlannerRecord planner = DecodePlanner(bytes);
+  if (planner.epoch <= 0 || planner.epoch >= membership::kEpochLimit) {
+    throw Error(ErrorKind::kInvalidInput, "no planner can have this epoch");
+  }
+  ParseInteger(planner.address.substr(planner.address.rfind(':') + 1), 1, kMaxPort);
+  return planner;
+}
+
 void LogSkippedRecord(const char* topic, const KeyedRecord& record, const Error& error) {
   LogEvent(
       LogLevel::kWarning, "record_skipped",
@@ -183,8 +198,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   freshness_.requested_at = requested_at;
   if (membership_->end == end && end > 0) return;
-  membership_ =
-      std::make_shared<const Membership>(Membership{planner_, planner_announced_at_, agents_, end});
+  membership_ = std::make_shared<const Membership>(
+      Membership{planner_, planner_announced_at_, newest_announcement_at_, agents_, end});
 }
 
 std::shared_ptr<const Membership> MembersView::membership() const {
@@ -218,11 +233,12 @@
     return;
   }
   if (record.key.rfind(kEntryPrefix, 0) == 0) return ApplyEntry(record);
-  if (record.key != kPlannerKey || record.value.empty()) return;
+  // Pages of the newest records overlap with the history.
+  if (record.key != kPlannerKey || record.offset <= newest_announcement_at_) return;
+  newest_announcement_at_ = record.offset;
+  if (record.value.empty()) return;
   try {
-    PlannerRecord planner = DecodePlanner(record.value);
-    if (planner.epoch < planner_.epoch) return;
-    planner_ = std::move(planner);
+    planner_ = DecodeAnnouncement(record.value);
     planner_announced_at_ = record.offset;
   } catch (const Error& error) {
     LogSkippedRecord(kMembersTopic, record, error);
@@ -284,9 +300,11 @@
 void PlannerView::ApplyRecord(const KeyedRecord& record) {
   if (record.key != kPlannerKey || record.value.empty()) return;
   try {
-    PlannerRecord planner = DecodePlanner(record.value);
+    PlannerRecord planner = DecodeAnnouncement(record.value);
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (planner.epoch <= planner_.epoch) return;
+    // Pages of the newest records overlap with the history.
+    if (record.offset <= newest_announcement_at_) return;
+    newest_announcement_at_ = record.offset;
     planner_ = std::move(planner);
   } catch (const Error& error) {
     LogSkippedRecord(kPlannerTopic, record, error);
