--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -47,6 +47,8 @@
   int Signal(int signal);
   // Number of the current incarnation; each restart increments it.
   int incarnation() const { return incarnation_.load(); }
+  // Id of the running process; 0 if none runs.
+  pid_t pid() const { return pid_.load(); }
   bool runs(int incarnation) const { return incarnation_.load() == incarnation && pid_.load() > 0; }
   // Whether the current incarnation received SIGTERM or SIGKILL, even if it has not yet reacted.
   bool end_requested() const { return end_requested_.load(); }
