HTTP server: Refuse bodies announced over the limit before reading them

Clients that sent 24 bodies of 16 MB took 576 to 813 MiB of an entry whose VM has 260, and ended it. Each of 600 connections could keep 16 MiB; a longer body was read to its end, and dropping it with clear() kept its memory.

Each listener of the pool's processes has a limit now: 1 MiB for callers, 4 MiB for announcements (body_bytes in [limits]), 4 KiB for probes. A body announced over it is answered 413 at once, with outcome not_run, and its connection is closed. A body without a length is freed once it passes the limit, and its connection is closed after 64 KiB more. http_bodies_too_large counts them, and a log line tells of them at most every 10 s.

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -13,12 +13,14 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <condition_variable>
 #include <cstdint>
 #include <cstring>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <system_error>
 #include <thread>
@@ -37,6 +39,11 @@
 // refused, so the period is kept short.
 constexpr Duration kHandshakeGracePeriod = std::chrono::milliseconds(1);
 
+// A body over the limit is read to its end, so that its sender sees the answer, if no more than
+// this is left of it.
+constexpr size_t kMaxDroppedBytes = size_t{64} << 10;
+constexpr Duration kRefusalLogInterval = std::chrono::seconds(10);
+
 // Attaches a packet filter to the listening socket that drops SYN packets, which open a connection.
 // Handshakes in progress can complete. Returns whether the system accepted the filter.
 bool DropNewHandshakes(int listener) {
@@ -72,10 +79,44 @@
 struct Exchange {
   HttpRequest request;
   Time start{};
-  bool too_large = false;
+  // Why the request is not handed to the handler.
+  std::optional<Error> refusal;
+  size_t dropped_bytes = 0;
   bool counted = false;
 };
 
+// Counts refusals of one kind, and logs them now and then: their number is up to the clients.
+class RefusalLog {
+ public:
+  RefusalLog(std::string event, Counter* counter) : event_(std::move(event)), counter_(counter) {}
+
+  void Record(Time now) {
+    if (counter_ != nullptr) counter_->Add();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++unlogged_;
+    if (logged_at_ && now - *logged_at_ < kRefusalLogInterval) return;
+    LogEvent(LogLevel::kWarning, event_, {{"count", unlogged_}});
+    logged_at_ = now;
+    unlogged_ = 0;
+  }
+
+ private:
+  const std::string event_;
+  Counter* const counter_;
+  std::mutex mutex_;
+  std::optional<Time> logged_at_;
+  int64_t unlogged_ = 0;
+};
+
+// Returns the announced length of a body; 0 if none is announced, SIZE_MAX if it is no size.
+size_t AnnouncedBytes(const HttpRequest& request) {
+  const std::string text = request.header("Content-Length");
+  if (text.empty()) return 0;
+  size_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  return error == std::errc() && end == text.data() + text.size() ? length : SIZE_MAX;
+}
+
 MHD_Result AppendValue(void* user, MHD_ValueKind /*kind*/, const char* key, const char* value) {
   auto* list = static_cast<std::vector<HttpHeader>*>(user);
   list->push_back({key, value == nullptr ? "" : value});
@@ -107,6 +148,16 @@
   return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
 }
 
+// Answers a request in the middle of its body, which the library can't. The connection must be
+// closed then.
+void SendBare(int fd, int status) {
+  const std::string answer = "HTTP/1.1 " + std::to_string(status) + " " +
+                             MHD_get_reason_phrase_for(static_cast<unsigned>(status)) +
+                             "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  // A failed call leaves the client with a closed connection, as if it had been refused.
+  (void)send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 std::string Find(const std::vector<HttpHeader>& list, const std::string& name) {
   for (const HttpHeader& each : list) {
     if (strcasecmp(each.name.c_str(), name.c_str()) == 0) return each.value;
@@ -132,10 +183,11 @@
   std::map<int, uint64_t> answered_bytes;
   // Descriptors of connections that AddToDaemon passed on and that the daemon has not started yet.
   std::set<int> not_started;
+  std::optional<RefusalLog> too_large;
 
   HttpResponse Answer(const Exchange& exchange) const {
     try {
-      if (exchange.too_large) throw Error(ErrorKind::kTooLarge, "the body is too large");
+      if (exchange.refusal) throw *exchange.refusal;
       return handler(exchange.request);
     } catch (const Error& error) {
       return ProblemResponse(error, "");
@@ -173,6 +225,41 @@
     for (const auto& [fd, answered] : answered_bytes) shutdown(fd, SHUT_RDWR);
   }
 
+  // Frees what has been received of the body; the request is answered with `error`.
+  void Refuse(const Error& error, RefusalLog* log, Exchange* exchange) const {
+    std::string().swap(exchange->request.body);
+    if (exchange->refusal) return;
+    exchange->refusal = error;
+    log->Record(DefaultClock().Now());
+  }
+
+  void RefuseTooLarge(Exchange* exchange) {
+    Refuse(Error(ErrorKind::kTooLarge, "the body is too large"), &*too_large, exchange);
+  }
+
+  // Decides about a request whose headers have arrived. Returns whether the body is to be read.
+  bool BeginBody(Exchange* exchange) {
+    const size_t announced = AnnouncedBytes(exchange->request);
+    if (announced > options.max_body_bytes) {
+      RefuseTooLarge(exchange);
+      return announced <= kMaxDroppedBytes;
+    }
+    exchange->request.body.reserve(announced);
+    return true;
+  }
+
+  // Takes a part of a body. Returns whether the rest is to be read.
+  bool TakeBody(const char* data, size_t bytes, Exchange* exchange) {
+    std::string& body = exchange->request.body;
+    if (!exchange->refusal && body.size() + bytes <= options.max_body_bytes) {
+      body.append(data, bytes);
+      return true;
+    }
+    RefuseTooLarge(exchange);
+    exchange->dropped_bytes += bytes;
+    return exchange->dropped_bytes <= kMaxDroppedBytes;
+  }
+
   static MHD_Result OnAccess(void* self, MHD_Connection* connection, const char* url,
                              const char* method, const char* /*version*/, const char* data,
                              size_t* data_size, void** user) {
@@ -188,19 +275,19 @@
                                 &exchange->request.headers);
       MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AppendValue,
                                 &exchange->request.query);
-      const std::lock_guard<std::mutex> lock(state->mutex);
-      ++state->in_flight;
-      exchange->counted = true;
-      return MHD_YES;
+      {
+        const std::lock_guard<std::mutex> lock(state->mutex);
+        ++state->in_flight;
+        exchange->counted = true;
+      }
+      if (state->BeginBody(exchange)) return MHD_YES;
+      return Send(connection, state->Answer(*exchange), true);
     }
     if (*data_size > 0) {
       if (DefaultClock().Now() - exchange->start > state->options.receive_timeout) return MHD_NO;
-      std::string& body = exchange->request.body;
-      if (body.size() + *data_size > state->options.max_body_bytes) {
-        exchange->too_large = true;
-        body.clear();
-      } else if (!exchange->too_large) {
-        body.append(data, *data_size);
+      if (!state->TakeBody(data, *data_size, exchange)) {
+        SendBare(DescriptorOf(connection), ErrorInfoFor(exchange->refusal->kind()).http_status);
+        return MHD_NO;
       }
       *data_size = 0;
       return MHD_YES;
@@ -311,6 +398,10 @@
     : state_(std::make_unique<State>()) {
   state_->options = options;
   state_->handler = std::move(handler);
+  const auto counter = [&](const char* name) {
+    return options.metrics == nullptr ? nullptr : &options.metrics->counter(name);
+  };
+  state_->too_large.emplace("bodies_too_large", counter("http_bodies_too_large"));
   const int listener = ListenSocket(options.address, options.port);
   const unsigned flags =
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
--- a/core/http_server.h
+++ b/core/http_server.h
@@ -11,6 +11,7 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/http_client.h"
+#include "core/metrics.h"
 
 namespace turmericshift {
 
@@ -45,6 +46,8 @@
   std::string address = "127.0.0.1";
   // 0 lets the system choose a port; see HttpServer::port().
   int port = 0;
+  // A request that announces a longer body is refused before the body is read. A body without a
+  // length is dropped once it is longer.
   size_t max_body_bytes = size_t{16} << 20;
   int max_connections = 1024;
   // A connection without any traffic for this time is closed.
@@ -53,6 +56,8 @@
   // arriving.
   Duration receive_timeout = std::chrono::seconds(60);
   size_t stack_bytes = size_t{256} * 1024;
+  // Counts refusals, if not null. Must outlive the server.
+  MetricsRegistry* metrics = nullptr;
 };
 
 class HttpServer {
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -119,6 +119,15 @@
   EXPECT_EQ(PerformHttp(call).status, 200);
 }
 
+// The server read an announced body to its end, however long it was, before it refused it.
+TEST(HttpServerTest, RefusesABodyAnnouncedOverTheLimitBeforeReadingIt) {
+  const HttpServer server({}, &Echo);
+  const std::string answer =
+      SendRaw(server.port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000000\r\n\r\n");
+  EXPECT_NE(answer.find("HTTP/1.1 413"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("\"outcome\":\"not_run\""), std::string::npos) << answer;
+}
+
 // A caller sends half a request and then nothing. Without an idle timeout such connections would
 // accumulate until no other caller can connect.
 TEST(HttpServerTest, DisconnectsStalledSenders) {
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -19,15 +19,20 @@
 // Each caller connection takes a thread; an entry has a few dozen clients.
 constexpr int kMaxConnections = 600;
 constexpr size_t kConnectionStackBytes = size_t{128} * 1024;
+// Readiness probes have no body.
+constexpr size_t kMaxProbeBytes = size_t{4} << 10;
 // Part of the stop limit that is reserved for ending the process.
 constexpr Duration kExitReserve = std::chrono::milliseconds(700);
 
-HttpServerOptions HttpAt(const ListenSettings& listen) {
+HttpServerOptions HttpAt(const ListenSettings& listen, size_t max_body_bytes,
+                         MetricsRegistry* metrics) {
   HttpServerOptions options;
   options.address = listen.address;
   options.port = listen.port;
   options.max_connections = kMaxConnections;
   options.stack_bytes = kConnectionStackBytes;
+  options.max_body_bytes = max_body_bytes;
+  options.metrics = metrics;
   return options;
 }
 
@@ -51,8 +56,8 @@
   entry_options.zone = settings.availability_zone;
   entry_options.vm = settings.vm;
   entry_options.job_api.node = settings.name;
-  entry_options.callers = HttpAt(settings.callers);
-  entry_options.readiness = HttpAt(settings.readiness);
+  entry_options.callers = HttpAt(settings.callers, settings.max_body_bytes, &metrics);
+  entry_options.readiness = HttpAt(settings.readiness, kMaxProbeBytes, &metrics);
   entry_options.planner.planner = pool::PlannerOptionsFor(settings.bounds);
   entry_options.planner.planner.disabled_mechanisms = settings.mechanisms_off;
   pool::ApplyBounds(settings.bounds, &entry_options.job_api);
@@ -113,7 +118,9 @@
   agent_options.longest_lease = settings.longest_lease;
   signal.BeginServing();
   pool::PoolAgent agent(agent_options, &log, worker.get(), &connector, &metrics);
-  HttpServer announcements(HttpAt(settings.announcements), [&](const HttpRequest& request) {
+  const HttpServerOptions server_options =
+      HttpAt(settings.announcements, settings.max_body_bytes, &metrics);
+  HttpServer announcements(server_options, [&](const HttpRequest& request) {
     if (request.path == "/metrics") return HttpResponse{200, metrics.Expose(), {}};
     return endpoint->Handle(request, &agent);
   });
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -43,6 +43,7 @@
 constexpr double kMaxProcessorSpeed = 1024;
 constexpr double kMaxLinkMbit = 1e6;
 constexpr double kMaxStrayFactor = 1000;
+constexpr int64_t kMaxBodyBytes = int64_t{1} << 30;
 constexpr int64_t kMaxRecordBytes = int64_t{1} << 30;
 
 // Reads a duration that a platform gives as a number without a unit, in units of `unit`; fractions
@@ -66,6 +67,17 @@
                          std::chrono::milliseconds(1), longest_lease);
 }
 
+IniKey BodyBytesKey(size_t* max_body_bytes) {
+  return {"body_bytes", false, [max_body_bytes](const std::string& bytes) {
+            *max_body_bytes = static_cast<size_t>(ParseInteger(bytes, 1, kMaxBodyBytes));
+          }};
+}
+
+std::vector<IniKey> WithBodyBytes(std::vector<IniKey> keys, size_t* max_body_bytes) {
+  keys.push_back(BodyBytesKey(max_body_bytes));
+  return keys;
+}
+
 std::vector<IniKey> BoundKeys(pool::PoolBounds* bounds) {
   return {LongestLeaseKey(&bounds->longest_lease),
           BoundKey("cancel_ms", &bounds->cancel),
@@ -248,7 +260,7 @@
        {"advice", false, {TextKey("address", kRequired, &settings.advice_address)}},
        {"vm", false, VmKeys(&settings.vm)},
        {"policy", false, {MechanismsKey("off", &settings.mechanisms_off)}},
-       {"limits", false, BoundKeys(&settings.bounds)}});
+       {"limits", false, WithBodyBytes(BoundKeys(&settings.bounds), &settings.max_body_bytes)}});
   return settings;
 }
 
@@ -263,7 +275,9 @@
             {"listen", true, {EndpointKey("announcements", &settings.announcements)}},
             {"worker", true, {TextKey("address", kRequired, &settings.worker_address)}},
             {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
-            {"limits", false, {LongestLeaseKey(&settings.longest_lease)}}});
+            {"limits",
+             false,
+             {LongestLeaseKey(&settings.longest_lease), BodyBytesKey(&settings.max_body_bytes)}}});
   return settings;
 }
 
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -100,6 +100,8 @@
   // Resources of this VM; the election of the pool's planner compares them.
   membership::VmResources vm;
   pool::PoolBounds bounds;
+  // Longest body of a call that is read. The operators' document may set a lower limit for jobs.
+  size_t max_body_bytes = size_t{1} << 20;
   // Mechanisms of the planning policy that are switched off.
   pool::DisabledMechanisms mechanisms_off;
   // Time between the stop signal and the platform's kill of the process.
@@ -117,6 +119,8 @@
   std::string store_address;
   // Longest lease that the worker grants.
   Duration longest_lease = pool::PoolBounds().longest_lease;
+  // Longest body of an announcement that is read.
+  size_t max_body_bytes = size_t{4} << 20;
 };
 
 // Parse the settings file of a role. Throw Error(kInvalidInput) that lists every problem with file,
