HTTP server: Bound the memory of all bodies of a process together

Bodies within the limit still added up: each connection could hold one, and nothing bounded their sum. 12 bodies without a length took 86 to 113 MiB of an agent whose VM has 128.

The first 16 KiB of a request are not counted, so that ordinary calls are served while large ones use the budget up. Bodies being received take half of it at most. A request that the budget does not hold is answered 503 with not_run and Retry-After before its body is read, or with 504 if an earlier submission to the address may have been accepted, since a 503 promises that the job never runs. http_bodies_over_budget counts them.

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -42,6 +42,7 @@
 // A body over the limit is read to its end, so that its sender sees the answer, if no more than
 // this is left of it.
 constexpr size_t kMaxDroppedBytes = size_t{64} << 10;
+constexpr Duration kRefusalRetryAfter = std::chrono::seconds(1);
 constexpr Duration kRefusalLogInterval = std::chrono::seconds(10);
 
 // Attaches a packet filter to the listening socket that drops SYN packets, which open a connection.
@@ -77,7 +78,10 @@
 
 // State of the request that a connection is receiving or answering.
 struct Exchange {
+  explicit Exchange(ByteBudget* budget) : claim(budget) {}
+
   HttpRequest request;
+  ByteClaim claim;
   Time start{};
   // Why the request is not handed to the handler.
   std::optional<Error> refusal;
@@ -184,11 +188,15 @@
   // Descriptors of connections that AddToDaemon passed on and that the daemon has not started yet.
   std::set<int> not_started;
   std::optional<RefusalLog> too_large;
+  std::optional<RefusalLog> over_budget;
 
-  HttpResponse Answer(const Exchange& exchange) const {
+  HttpResponse Answer(Exchange* exchange) {
     try {
-      if (exchange.refusal) throw *exchange.refusal;
-      return handler(exchange.request);
+      if (!exchange->refusal) ClaimForHandling(exchange);
+      if (exchange->refusal) return AnswerRefusal(*exchange);
+      HttpResponse response = handler(exchange->request);
+      FreeBody(exchange);
+      return response;
     } catch (const Error& error) {
       return ProblemResponse(error, "");
     } catch (const std::exception& error) {
@@ -197,6 +205,16 @@
     }
   }
 
+  HttpResponse AnswerRefusal(const Exchange& exchange) const {
+    const Error& refusal = *exchange.refusal;
+    if (refusal.kind() == ErrorKind::kTooLarge) return ProblemResponse(refusal, "");
+    if (options.may_have_run && options.may_have_run(exchange.request)) {
+      return ProblemResponse(Error(ErrorKind::kDeadlineExceeded, Outcome::kUnknown, refusal.what()),
+                             "");
+    }
+    return ProblemResponse(refusal, "", kRefusalRetryAfter);
+  }
+
   void EndRequest(int fd) {
     const std::lock_guard<std::mutex> lock(mutex);
     --in_flight;
@@ -225,9 +243,14 @@
     for (const auto& [fd, answered] : answered_bytes) shutdown(fd, SHUT_RDWR);
   }
 
-  // Frees what has been received of the body; the request is answered with `error`.
-  void Refuse(const Error& error, RefusalLog* log, Exchange* exchange) const {
+  static void FreeBody(Exchange* exchange) {
     std::string().swap(exchange->request.body);
+    exchange->claim.Release();
+  }
+
+  // Frees what has been received of the body; the request is answered with `error`.
+  static void Refuse(const Error& error, RefusalLog* log, Exchange* exchange) {
+    FreeBody(exchange);
     if (exchange->refusal) return;
     exchange->refusal = error;
     log->Record(DefaultClock().Now());
@@ -237,13 +260,41 @@
     Refuse(Error(ErrorKind::kTooLarge, "the body is too large"), &*too_large, exchange);
   }
 
+  // Takes memory for a request that needs `bytes` in all, of which the budget keeps `left` for
+  // others. Refuses the request if the budget does not have it.
+  void Claim(size_t bytes, size_t left, Exchange* exchange) {
+    const size_t counted = bytes - std::min(bytes, options.uncounted_bytes);
+    if (exchange->claim.GrowTo(counted, left)) return;
+    Refuse(Error(ErrorKind::kUnavailable, "too many requests are being received"), &*over_budget,
+           exchange);
+  }
+
+  // Bodies that are being received may take half of the budget, so that complete ones are handled.
+  void ClaimForReceiving(size_t bytes, Exchange* exchange) {
+    if (options.body_budget == nullptr) return;
+    Claim(bytes, options.body_budget->bytes() / 2, exchange);
+  }
+
+  void ClaimForHandling(Exchange* exchange) {
+    const std::string& body = exchange->request.body;
+    if (options.body_budget == nullptr || !options.handling_bytes || body.empty()) return;
+    const size_t bytes = body.size() + options.handling_bytes(body);
+    if (bytes > options.body_budget->bytes()) {
+      RefuseTooLarge(exchange);
+    } else {
+      Claim(bytes, 0, exchange);
+    }
+  }
+
   // Decides about a request whose headers have arrived. Returns whether the body is to be read.
   bool BeginBody(Exchange* exchange) {
     const size_t announced = AnnouncedBytes(exchange->request);
     if (announced > options.max_body_bytes) {
       RefuseTooLarge(exchange);
-      return announced <= kMaxDroppedBytes;
+    } else {
+      ClaimForReceiving(announced, exchange);
     }
+    if (exchange->refusal) return announced <= kMaxDroppedBytes;
     exchange->request.body.reserve(announced);
     return true;
   }
@@ -251,11 +302,14 @@
   // Takes a part of a body. Returns whether the rest is to be read.
   bool TakeBody(const char* data, size_t bytes, Exchange* exchange) {
     std::string& body = exchange->request.body;
-    if (!exchange->refusal && body.size() + bytes <= options.max_body_bytes) {
+    const size_t size = body.size() + bytes;
+    if (!exchange->refusal && size > options.max_body_bytes) RefuseTooLarge(exchange);
+    // A body without an announced length doubles its capacity while it grows.
+    if (!exchange->refusal && size > body.capacity()) ClaimForReceiving(2 * size, exchange);
+    if (!exchange->refusal) {
       body.append(data, bytes);
       return true;
     }
-    RefuseTooLarge(exchange);
     exchange->dropped_bytes += bytes;
     return exchange->dropped_bytes <= kMaxDroppedBytes;
   }
@@ -266,7 +320,7 @@
     auto* state = static_cast<State*>(self);
     auto* exchange = static_cast<Exchange*>(*user);
     if (exchange == nullptr) {
-      exchange = new Exchange;  // freed by OnCompleted
+      exchange = new Exchange(state->options.body_budget);  // freed by OnCompleted
       *user = exchange;
       exchange->start = DefaultClock().Now();
       exchange->request.method = method;
@@ -281,18 +335,18 @@
         exchange->counted = true;
       }
       if (state->BeginBody(exchange)) return MHD_YES;
-      return Send(connection, state->Answer(*exchange), true);
+      return Send(connection, state->Answer(exchange), true);
     }
     if (*data_size > 0) {
       if (DefaultClock().Now() - exchange->start > state->options.receive_timeout) return MHD_NO;
       if (!state->TakeBody(data, *data_size, exchange)) {
-        SendBare(DescriptorOf(connection), ErrorInfoFor(exchange->refusal->kind()).http_status);
+        SendBare(DescriptorOf(connection), state->AnswerRefusal(*exchange).status);
         return MHD_NO;
       }
       *data_size = 0;
       return MHD_YES;
     }
-    return Send(connection, state->Answer(*exchange), state->stopping.load());
+    return Send(connection, state->Answer(exchange), state->stopping.load());
   }
 
   static void OnConnection(void* self, MHD_Connection* connection, void** /*context*/,
@@ -402,6 +456,7 @@
     return options.metrics == nullptr ? nullptr : &options.metrics->counter(name);
   };
   state_->too_large.emplace("bodies_too_large", counter("http_bodies_too_large"));
+  state_->over_budget.emplace("bodies_over_budget", counter("http_bodies_over_budget"));
   const int listener = ListenSocket(options.address, options.port);
   const unsigned flags =
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
--- a/core/http_server.h
+++ b/core/http_server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/byte_budget.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/http_client.h"
@@ -49,6 +50,17 @@
   // A request that announces a longer body is refused before the body is read. A body without a
   // length is dropped once it is longer.
   size_t max_body_bytes = size_t{16} << 20;
+  // Memory for the bodies of all requests, which several servers may share; null: unlimited. Must
+  // outlive the server. A request that finds it used up is answered 503 and was not run.
+  ByteBudget* body_budget = nullptr;
+  // Part of a request that is not taken from the budget, so that small requests are served while
+  // large ones use it up.
+  size_t uncounted_bytes = size_t{16} << 10;
+  // Returns the memory that the handler takes for a body, if not null.
+  std::function<size_t(const std::string&)> handling_bytes;
+  // Returns whether an earlier copy of the request may have been run, if not null. Its refusal then
+  // leaves the outcome open.
+  std::function<bool(const HttpRequest&)> may_have_run;
   int max_connections = 1024;
   // A connection without any traffic for this time is closed.
   std::chrono::seconds idle_timeout = std::chrono::seconds(60);
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -128,6 +128,44 @@
   EXPECT_NE(answer.find("\"outcome\":\"not_run\""), std::string::npos) << answer;
 }
 
+// Each body was within the limit, but all of them together took more memory than the process had.
+TEST(HttpServerTest, RefusesABodyThatTheBudgetDoesNotHold) {
+  ByteBudget budget(100'000);
+  HttpServerOptions options;
+  options.body_budget = &budget;
+  options.uncounted_bytes = 1000;
+  const HttpServer server(options, &Echo);
+  HttpCall call = CallTo(server, "/");
+  call.method = "POST";
+  call.body = std::string(60'000, 'x');
+  const HttpReply refused = PerformHttp(call);
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_EQ(refused.header("Retry-After"), "1");
+  EXPECT_NE(refused.body.find("\"outcome\":\"not_run\""), std::string::npos);
+  ASSERT_TRUE(budget.Take(50'000, 0));
+  call.body = std::string(1000, 'x');
+  EXPECT_EQ(PerformHttp(call).status, 200);
+  call.body = std::string(2000, 'x');
+  EXPECT_EQ(PerformHttp(call).status, 503);
+  budget.Return(50'000);
+  EXPECT_EQ(PerformHttp(call).status, 200);
+  EXPECT_EQ(budget.taken(), 0U);
+}
+
+// A refusal means that a request never runs, which is not known if an earlier copy may have.
+TEST(HttpServerTest, LeavesTheOutcomeOpenIfAnEarlierCopyMayHaveRun) {
+  ByteBudget budget(0);
+  HttpServerOptions options;
+  options.body_budget = &budget;
+  options.uncounted_bytes = 0;
+  options.may_have_run = [](const HttpRequest& request) { return request.path == "/earlier"; };
+  const HttpServer server(options, &Echo);
+  HttpCall call = CallTo(server, "/earlier");
+  call.method = "POST";
+  call.body = "x";
+  EXPECT_EQ(PerformHttp(call).status, 504);
+}
+
 // A caller sends half a request and then nothing. Without an idle timeout such connections would
 // accumulate until no other caller can connect.
 TEST(HttpServerTest, DisconnectsStalledSenders) {
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -1,5 +1,6 @@
 // turmericshift pool entry, pool agent: processes of a pool on a platform reached through an
 // adapter.
+#include "core/byte_budget.h"
 #include "core/logging.h"
 #include "core/secret.h"
 #include "core/shutdown.h"
@@ -19,12 +20,14 @@
 // Each caller connection takes a thread; an entry has a few dozen clients.
 constexpr int kMaxConnections = 600;
 constexpr size_t kConnectionStackBytes = size_t{128} * 1024;
+// Requests may take this part of the VM's memory; threads and buffers of connections take another.
+constexpr size_t kBodyShareOfMemory = 4;
 // Readiness probes have no body.
 constexpr size_t kMaxProbeBytes = size_t{4} << 10;
 // Part of the stop limit that is reserved for ending the process.
 constexpr Duration kExitReserve = std::chrono::milliseconds(700);
 
-HttpServerOptions HttpAt(const ListenSettings& listen, size_t max_body_bytes,
+HttpServerOptions HttpAt(const ListenSettings& listen, size_t max_body_bytes, ByteBudget* budget,
                          MetricsRegistry* metrics) {
   HttpServerOptions options;
   options.address = listen.address;
@@ -32,6 +35,7 @@
   options.max_connections = kMaxConnections;
   options.stack_bytes = kConnectionStackBytes;
   options.max_body_bytes = max_body_bytes;
+  options.body_budget = budget;
   options.metrics = metrics;
   return options;
 }
@@ -47,6 +51,7 @@
   LogToStandardOutput();
   signal.EndDuringStart();
   MetricsRegistry metrics;
+  ByteBudget body_budget(settings.vm_memory_bytes / kBodyShareOfMemory);
   const auto store = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   CountedKeyedLog log(store.get(), &metrics);
   const auto endpoint = pool::CallerEndpointRegistry::Instance().Create(settings.adapter);
@@ -56,8 +61,8 @@
   entry_options.zone = settings.availability_zone;
   entry_options.vm = settings.vm;
   entry_options.job_api.node = settings.name;
-  entry_options.callers = HttpAt(settings.callers, settings.max_body_bytes, &metrics);
-  entry_options.readiness = HttpAt(settings.readiness, kMaxProbeBytes, &metrics);
+  entry_options.callers = HttpAt(settings.callers, settings.max_body_bytes, &body_budget, &metrics);
+  entry_options.readiness = HttpAt(settings.readiness, kMaxProbeBytes, &body_budget, &metrics);
   entry_options.planner.planner = pool::PlannerOptionsFor(settings.bounds);
   entry_options.planner.planner.disabled_mechanisms = settings.mechanisms_off;
   pool::ApplyBounds(settings.bounds, &entry_options.job_api);
@@ -105,6 +110,7 @@
   LogToStandardOutput();
   signal.EndDuringStart();
   MetricsRegistry metrics;
+  ByteBudget body_budget(settings.vm_memory_bytes / kBodyShareOfMemory);
   const auto store = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   CountedKeyedLog log(store.get(), &metrics);
   const auto worker =
@@ -119,7 +125,7 @@
   signal.BeginServing();
   pool::PoolAgent agent(agent_options, &log, worker.get(), &connector, &metrics);
   const HttpServerOptions server_options =
-      HttpAt(settings.announcements, settings.max_body_bytes, &metrics);
+      HttpAt(settings.announcements, settings.max_body_bytes, &body_budget, &metrics);
   HttpServer announcements(server_options, [&](const HttpRequest& request) {
     if (request.path == "/metrics") return HttpResponse{200, metrics.Expose(), {}};
     return endpoint->Handle(request, &agent);
--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -43,6 +43,8 @@
 constexpr double kMaxProcessorSpeed = 1024;
 constexpr double kMaxLinkMbit = 1e6;
 constexpr double kMaxStrayFactor = 1000;
+constexpr int64_t kMinVmMemoryMb = 1;
+constexpr int64_t kMaxVmMemoryMb = int64_t{1} << 30;
 constexpr int64_t kMaxBodyBytes = int64_t{1} << 30;
 constexpr int64_t kMaxRecordBytes = int64_t{1} << 30;
 
@@ -67,6 +69,18 @@
                          std::chrono::milliseconds(1), longest_lease);
 }
 
+IniKey VmMemoryKey(size_t* bytes) {
+  return {"memory_mb", false, [bytes](const std::string& megabytes) {
+            *bytes = static_cast<size_t>(ParseInteger(megabytes, kMinVmMemoryMb, kMaxVmMemoryMb))
+                     << 20;
+          }};
+}
+
+std::vector<IniKey> WithVmMemory(std::vector<IniKey> keys, size_t* bytes) {
+  keys.push_back(VmMemoryKey(bytes));
+  return keys;
+}
+
 IniKey BodyBytesKey(size_t* max_body_bytes) {
   return {"body_bytes", false, [max_body_bytes](const std::string& bytes) {
             *max_body_bytes = static_cast<size_t>(ParseInteger(bytes, 1, kMaxBodyBytes));
@@ -258,7 +272,7 @@
          TextKey("sessions_reached_at", kOptional, &settings.sessions_reached_at)}},
        {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
        {"advice", false, {TextKey("address", kRequired, &settings.advice_address)}},
-       {"vm", false, VmKeys(&settings.vm)},
+       {"vm", false, WithVmMemory(VmKeys(&settings.vm), &settings.vm_memory_bytes)},
        {"policy", false, {MechanismsKey("off", &settings.mechanisms_off)}},
        {"limits", false, WithBodyBytes(BoundKeys(&settings.bounds), &settings.max_body_bytes)}});
   return settings;
--- a/main/settings/process_settings.h
+++ b/main/settings/process_settings.h
@@ -21,6 +21,9 @@
   int port = 0;
 };
 
+// Memory that the VM of a pool's process is taken to have if its settings do not tell.
+inline constexpr size_t kDefaultVmMemoryBytes = size_t{128} << 20;
+
 struct EntrySettings {
   std::string name;
   std::string availability_zone;
@@ -99,6 +102,7 @@
   std::string advice_address;
   // Resources of this VM; the election of the pool's planner compares them.
   membership::VmResources vm;
+  size_t vm_memory_bytes = kDefaultVmMemoryBytes;
   pool::PoolBounds bounds;
   // Longest body of a call that is read. The operators' document may set a lower limit for jobs.
   size_t max_body_bytes = size_t{1} << 20;
@@ -119,6 +123,7 @@
   std::string store_address;
   // Longest lease that the worker grants.
   Duration longest_lease = pool::PoolBounds().longest_lease;
+  size_t vm_memory_bytes = kDefaultVmMemoryBytes;
   // Longest body of an announcement that is read.
   size_t max_body_bytes = size_t{4} << 20;
 };
--- a/servers/pool/job_api.h
+++ b/servers/pool/job_api.h
@@ -93,6 +93,11 @@
   JobApi(const JobApiOptions& options, WorkView* work, const OperatorView* operators,
          PlannerGate* local, PlannerRouter* router, MetricsRegistry* metrics);
 
+  // Whether a submission to this address has ended with an unknown outcome, so that no later copy
+  // of it may be refused as not accepted.
+  bool MayBeAccepted(const std::string& host, const std::string& path, Time now) const {
+    return unresolved_.Contains(host + path, now);
+  }
   JobAnswer Handle(const JobCall& call, Time now);
   // Sets the time by which every call is answered, also if its caller would wait longer, because
   // the process ends.
--- a/servers/pool/pool_entry.cc
+++ b/servers/pool/pool_entry.cc
@@ -29,7 +29,12 @@
           connector),
       service_(options.planner, log, &operators_, &members_, metrics),
       job_api_(options.job_api, &work_, &operators_, &service_, &router_, metrics) {
-  callers_ = std::make_unique<HttpServer>(options.callers, [this](const HttpRequest& request) {
+  HttpServerOptions callers = options.callers;
+  callers.may_have_run = [this](const HttpRequest& request) {
+    return request.method == "POST" &&
+           job_api_.MayBeAccepted(request.header("Host"), request.path, LeaseClock().Now());
+  };
+  callers_ = std::make_unique<HttpServer>(callers, [this](const HttpRequest& request) {
     return endpoint_->Handle(request, &job_api_, LeaseClock().Now());
   });
   readiness_ = std::make_unique<HttpServer>(
