--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -1,6 +1,7 @@
 // turmericshift pool entry, pool agent: processes of a pool on a platform reached through an
 // adapter.
 #include "core/byte_budget.h"
+#include "core/json_shape.h"
 #include "core/logging.h"
 #include "core/secret.h"
 #include "core/shutdown.h"
@@ -36,6 +37,7 @@
   options.stack_bytes = kConnectionStackBytes;
   options.max_body_bytes = max_body_bytes;
   options.body_budget = budget;
+  options.handling_bytes = [](const std::string& body) { return ShapeOf(body).parsed_bytes; };
   options.metrics = metrics;
   return options;
 }
