HTTP server: Close the connections that wait longest when places run out

640 connections that sent nothing, or a byte now and then, took all 600 places of an entry or an agent, and a caller that opened a connection was refused for as long as they stayed: a connection was closed only after 60 s without any traffic.

An eighth of the places is kept free for new connections: when it is used, the connections that have waited longest for a complete request are shut down. One whose request is being answered is never among them. http_connections_evicted counts them.

--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -42,6 +42,8 @@
 // A body over the limit is read to its end, so that its sender sees the answer, if no more than
 // this is left of it.
 constexpr size_t kMaxDroppedBytes = size_t{64} << 10;
+// This part of the connections is kept free for new ones.
+constexpr size_t kFreeConnectionsPart = 8;
 constexpr Duration kRefusalRetryAfter = std::chrono::seconds(1);
 constexpr Duration kRefusalLogInterval = std::chrono::seconds(10);
 
@@ -185,10 +187,15 @@
   // Open connections: descriptor, and number of bytes received up to the end of the last request.
   // The library closes a descriptor only after it has reported the end of the connection.
   std::map<int, uint64_t> answered_bytes;
+  // Open connections without a complete request, and since when.
+  std::map<int, Time> waiting_since;
+  // Open connections that were shut down to free their places.
+  std::set<int> evicted;
   // Descriptors of connections that AddToDaemon passed on and that the daemon has not started yet.
   std::set<int> not_started;
   std::optional<RefusalLog> too_large;
   std::optional<RefusalLog> over_budget;
+  std::optional<RefusalLog> evictions;
 
   HttpResponse Answer(Exchange* exchange) {
     try {
@@ -225,10 +232,34 @@
     const auto connection = answered_bytes.find(fd);
     if (connection != answered_bytes.end()) {
       connection->second = received - std::min(received, unread);
+      if (!evicted.contains(fd)) waiting_since[fd] = DefaultClock().Now();
     }
     drained.notify_all();
   }
 
+  // Begins to answer a complete request. Returns false if its connection was shut down meanwhile.
+  bool EndWait(int fd) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    waiting_since.erase(fd);
+    return !evicted.contains(fd);
+  }
+
+  // Shuts down the connections that have waited longest for a complete request if too few places
+  // are left. Requires `mutex`.
+  void FreePlaces() {
+    const auto places = static_cast<size_t>(options.max_connections);
+    const size_t most = places - places / kFreeConnectionsPart;
+    while (answered_bytes.size() - evicted.size() > most && !waiting_since.empty()) {
+      const auto longest =
+          std::min_element(waiting_since.begin(), waiting_since.end(),
+                           [](const auto& a, const auto& b) { return a.second < b.second; });
+      shutdown(longest->first, SHUT_RDWR);
+      evicted.insert(longest->first);
+      waiting_since.erase(longest);
+      evictions->Record(DefaultClock().Now());
+    }
+  }
+
   // Whether a request, or the first part of one, has arrived that has not been answered. The thread
   // of its connection may not have read it yet. Requires `mutex`.
   bool HasUnansweredRequest() const {
@@ -335,6 +366,7 @@
         exchange->counted = true;
       }
       if (state->BeginBody(exchange)) return MHD_YES;
+      if (!state->EndWait(DescriptorOf(connection))) return MHD_NO;
       return Send(connection, state->Answer(exchange), true);
     }
     if (*data_size > 0) {
@@ -346,6 +378,7 @@
       *data_size = 0;
       return MHD_YES;
     }
+    if (!state->EndWait(DescriptorOf(connection))) return MHD_NO;
     return Send(connection, state->Answer(exchange), state->stopping.load());
   }
 
@@ -356,9 +389,13 @@
     const std::lock_guard<std::mutex> lock(state->mutex);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
       state->answered_bytes[fd] = 0;
+      state->waiting_since[fd] = DefaultClock().Now();
       state->not_started.erase(fd);
+      state->FreePlaces();
     } else {
       state->answered_bytes.erase(fd);
+      state->waiting_since.erase(fd);
+      state->evicted.erase(fd);
     }
     state->drained.notify_all();
   }
@@ -457,6 +494,7 @@
   };
   state_->too_large.emplace("bodies_too_large", counter("http_bodies_too_large"));
   state_->over_budget.emplace("bodies_over_budget", counter("http_bodies_over_budget"));
+  state_->evictions.emplace("connections_evicted", counter("http_connections_evicted"));
   const int listener = ListenSocket(options.address, options.port);
   const unsigned flags =
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -178,6 +178,35 @@
   EXPECT_EQ(PerformHttp(CallTo(server, "/")).status, 200);
 }
 
+// Connections that sent nothing took all places, and new callers were refused.
+TEST(HttpServerTest, ClosesTheConnectionsThatWaitLongestWhenPlacesRunOut) {
+  HttpServerOptions options;
+  options.max_connections = 8;
+  std::promise<void> handling;
+  std::promise<void> release;
+  const HttpServer server(options, [&](const HttpRequest& request) {
+    if (request.path == "/slow") {
+      handling.set_value();
+      release.get_future().wait();
+    }
+    return HttpResponse{200, "", {}};
+  });
+  std::thread slow([&] { EXPECT_EQ(PerformHttp(CallTo(server, "/slow")).status, 200); });
+  handling.get_future().wait();
+  std::vector<int> silent;
+  for (int i = 0; i < 20; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = SocketAddress("127.0.0.1", server.port());
+    ASSERT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+    silent.push_back(fd);
+  }
+  char byte = 0;
+  EXPECT_EQ(recv(silent.front(), &byte, 1, 0), 0);
+  release.set_value();
+  slow.join();
+  for (const int fd : silent) close(fd);
+}
+
 // A sender that sends a byte now and then is never idle, so only the receive timeout can close its
 // connection.
 TEST(HttpServerTest, DisconnectsSlowSenders) {
