--- a/core/http_server.cc
+++ b/core/http_server.cc
@@ -13,12 +13,14 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <condition_variable>
 #include <cstdint>
 #include <cstring>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <system_error>
 #include <thread>
@@ -37,6 +39,14 @@
 // refused, so the period is kept short.
 constexpr Duration kHandshakeGracePeriod = std::chrono::milliseconds(1);
 
+// A body over the limit is read to its end, so that its sender sees the answer, if no more than
+// this is left of it.
+constexpr size_t kMaxDroppedBytes = size_t{64} << 10;
+// This part of the connections is kept free for new ones.
+constexpr size_t kFreeConnectionsPart = 8;
+constexpr Duration kRefusalRetryAfter = std::chrono::seconds(1);
+constexpr Duration kRefusalLogInterval = std::chrono::seconds(10);
+
 // Attaches a packet filter to the listening socket that drops SYN packets, which open a connection.
 // Handshakes in progress can complete. Returns whether the system accepted the filter.
 bool DropNewHandshakes(int listener) {
@@ -70,12 +80,49 @@
 
 // State of the request that a connection is receiving or answering.
 struct Exchange {
+  explicit Exchange(ByteBudget* budget) : claim(budget) {}
+
   HttpRequest request;
+  ByteClaim claim;
   Time start{};
-  bool too_large = false;
+  // Why the request is not handed to the handler.
+  std::optional<Error> refusal;
+  size_t dropped_bytes = 0;
   bool counted = false;
 };
 
+// Counts refusals of one kind, and logs them now and then: their number is up to the clients.
+class RefusalLog {
+ public:
+  RefusalLog(std::string event, Counter* counter) : event_(std::move(event)), counter_(counter) {}
+
+  void Record(Time now) {
+    if (counter_ != nullptr) counter_->Add();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++unlogged_;
+    if (logged_at_ && now - *logged_at_ < kRefusalLogInterval) return;
+    LogEvent(LogLevel::kWarning, event_, {{"count", unlogged_}});
+    logged_at_ = now;
+    unlogged_ = 0;
+  }
+
+ private:
+  const std::string event_;
+  Counter* const counter_;
+  std::mutex mutex_;
+  std::optional<Time> logged_at_;
+  int64_t unlogged_ = 0;
+};
+
+// Returns the announced length of a body; 0 if none is announced, SIZE_MAX if it is no size.
+size_t AnnouncedBytes(const HttpRequest& request) {
+  const std::string text = request.header("Content-Length");
+  if (text.empty()) return 0;
+  size_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  return error == std::errc() && end == text.data() + text.size() ? length : SIZE_MAX;
+}
+
 MHD_Result AppendValue(void* user, MHD_ValueKind /*kind*/, const char* key, const char* value) {
   auto* list = static_cast<std::vector<HttpHeader>*>(user);
   list->push_back({key, value == nullptr ? "" : value});
@@ -107,6 +154,16 @@
   return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
 }
 
+// Answers a request in the middle of its body, which the library can't. The connection must be
+// closed then.
+void SendBare(int fd, int status) {
+  const std::string answer = "HTTP/1.1 " + std::to_string(status) + " " +
+                             MHD_get_reason_phrase_for(static_cast<unsigned>(status)) +
+                             "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  // A failed call leaves the client with a closed connection, as if it had been refused.
+  (void)send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 std::string Find(const std::vector<HttpHeader>& list, const std::string& name) {
   for (const HttpHeader& each : list) {
     if (strcasecmp(each.name.c_str(), name.c_str()) == 0) return each.value;
@@ -130,13 +187,23 @@
   // Open connections: descriptor, and number of bytes received up to the end of the last request.
   // The library closes a descriptor only after it has reported the end of the connection.
   std::map<int, uint64_t> answered_bytes;
+  // Open connections without a complete request, and since when.
+  std::map<int, Time> waiting_since;
+  // Open connections that were shut down to free their places.
+  std::set<int> evicted;
   // Descriptors of connections that AddToDaemon passed on and that the daemon has not started yet.
   std::set<int> not_started;
+  std::optional<RefusalLog> too_large;
+  std::optional<RefusalLog> over_budget;
+  std::optional<RefusalLog> evictions;
 
-  HttpResponse Answer(const Exchange& exchange) const {
+  HttpResponse Answer(Exchange* exchange) {
     try {
-      if (exchange.too_large) throw Error(ErrorKind::kTooLarge, "the body is too large");
-      return handler(exchange.request);
+      if (!exchange->refusal) ClaimForHandling(exchange);
+      if (exchange->refusal) return AnswerRefusal(*exchange);
+      HttpResponse response = handler(exchange->request);
+      FreeBody(exchange);
+      return response;
     } catch (const Error& error) {
       return ProblemResponse(error, "");
     } catch (const std::exception& error) {
@@ -145,6 +212,16 @@
     }
   }
 
+  HttpResponse AnswerRefusal(const Exchange& exchange) const {
+    const Error& refusal = *exchange.refusal;
+    if (refusal.kind() == ErrorKind::kTooLarge) return ProblemResponse(refusal, "");
+    if (options.may_have_run && options.may_have_run(exchange.request)) {
+      return ProblemResponse(Error(ErrorKind::kDeadlineExceeded, Outcome::kUnknown, refusal.what()),
+                             "");
+    }
+    return ProblemResponse(refusal, "", kRefusalRetryAfter);
+  }
+
   void EndRequest(int fd) {
     const std::lock_guard<std::mutex> lock(mutex);
     --in_flight;
@@ -155,10 +232,34 @@
     const auto connection = answered_bytes.find(fd);
     if (connection != answered_bytes.end()) {
       connection->second = received - std::min(received, unread);
+      if (!evicted.contains(fd)) waiting_since[fd] = DefaultClock().Now();
     }
     drained.notify_all();
   }
 
+  // Begins to answer a complete request. Returns false if its connection was shut down meanwhile.
+  bool EndWait(int fd) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    waiting_since.erase(fd);
+    return !evicted.contains(fd);
+  }
+
+  // Shuts down the connections that have waited longest for a complete request if too few places
+  // are left. Requires `mutex`.
+  void FreePlaces() {
+    const auto places = static_cast<size_t>(options.max_connections);
+    const size_t most = places - places / kFreeConnectionsPart;
+    while (answered_bytes.size() - evicted.size() > most && !waiting_since.empty()) {
+      const auto longest =
+          std::min_element(waiting_since.begin(), waiting_since.end(),
+                           [](const auto& a, const auto& b) { return a.second < b.second; });
+      shutdown(longest->first, SHUT_RDWR);
+      evicted.insert(longest->first);
+      waiting_since.erase(longest);
+      evictions->Record(DefaultClock().Now());
+    }
+  }
+
   // Whether a request, or the first part of one, has arrived that has not been answered. The thread
   // of its connection may not have read it yet. Requires `mutex`.
   bool HasUnansweredRequest() const {
@@ -173,13 +274,84 @@
     for (const auto& [fd, answered] : answered_bytes) shutdown(fd, SHUT_RDWR);
   }
 
+  static void FreeBody(Exchange* exchange) {
+    std::string().swap(exchange->request.body);
+    exchange->claim.Release();
+  }
+
+  // Frees what has been received of the body; the request is answered with `error`.
+  static void Refuse(const Error& error, RefusalLog* log, Exchange* exchange) {
+    FreeBody(exchange);
+    if (exchange->refusal) return;
+    exchange->refusal = error;
+    log->Record(DefaultClock().Now());
+  }
+
+  void RefuseTooLarge(Exchange* exchange) {
+    Refuse(Error(ErrorKind::kTooLarge, "the body is too large"), &*too_large, exchange);
+  }
+
+  // Takes memory for a request that needs `bytes` in all, of which the budget keeps `left` for
+  // others. Refuses the request if the budget does not have it.
+  void Claim(size_t bytes, size_t left, Exchange* exchange) {
+    const size_t counted = bytes - std::min(bytes, options.uncounted_bytes);
+    if (exchange->claim.GrowTo(counted, left)) return;
+    Refuse(Error(ErrorKind::kUnavailable, "too many requests are being received"), &*over_budget,
+           exchange);
+  }
+
+  // Bodies that are being received may take half of the budget, so that complete ones are handled.
+  void ClaimForReceiving(size_t bytes, Exchange* exchange) {
+    if (options.body_budget == nullptr) return;
+    Claim(bytes, options.body_budget->bytes() / 2, exchange);
+  }
+
+  void ClaimForHandling(Exchange* exchange) {
+    const std::string& body = exchange->request.body;
+    if (options.body_budget == nullptr || !options.handling_bytes || body.empty()) return;
+    const size_t bytes = body.size() + options.handling_bytes(body);
+    if (bytes > options.body_budget->bytes()) {
+      RefuseTooLarge(exchange);
+    } else {
+      Claim(bytes, 0, exchange);
+    }
+  }
+
+  // Decides about a request whose headers have arrived. Returns whether the body is to be read.
+  bool BeginBody(Exchange* exchange) {
+    const size_t announced = AnnouncedBytes(exchange->request);
+    if (announced > options.max_body_bytes) {
+      RefuseTooLarge(exchange);
+    } else {
+      ClaimForReceiving(announced, exchange);
+    }
+    if (exchange->refusal) return announced <= kMaxDroppedBytes;
+    exchange->request.body.reserve(announced);
+    return true;
+  }
+
+  // Takes a part of a body. Returns whether the rest is to be read.
+  bool TakeBody(const char* data, size_t bytes, Exchange* exchange) {
+    std::string& body = exchange->request.body;
+    const size_t size = body.size() + bytes;
+    if (!exchange->refusal && size > options.max_body_bytes) RefuseTooLarge(exchange);
+    // A body without an announced length doubles its capacity while it grows.
+    if (!exchange->refusal && size > body.capacity()) ClaimForReceiving(2 * size, exchange);
+    if (!exchange->refusal) {
+      body.append(data, bytes);
+      return true;
+    }
+    exchange->dropped_bytes += bytes;
+    return exchange->dropped_bytes <= kMaxDroppedBytes;
+  }
+
   static MHD_Result OnAccess(void* self, MHD_Connection* connection, const char* url,
                              const char* method, const char* /*version*/, const char* data,
                              size_t* data_size, void** user) {
     auto* state = static_cast<State*>(self);
     auto* exchange = static_cast<Exchange*>(*user);
     if (exchange == nullptr) {
-      exchange = new Exchange;  // freed by OnCompleted
+      exchange = new Exchange(state->options.body_budget);  // freed by OnCompleted
       *user = exchange;
       exchange->start = DefaultClock().Now();
       exchange->request.method = method;
@@ -188,24 +360,26 @@
                                 &exchange->request.headers);
       MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AppendValue,
                                 &exchange->request.query);
-      const std::lock_guard<std::mutex> lock(state->mutex);
-      ++state->in_flight;
-      exchange->counted = true;
-      return MHD_YES;
+      {
+        const std::lock_guard<std::mutex> lock(state->mutex);
+        ++state->in_flight;
+        exchange->counted = true;
+      }
+      if (state->BeginBody(exchange)) return MHD_YES;
+      if (!state->EndWait(DescriptorOf(connection))) return MHD_NO;
+      return Send(connection, state->Answer(exchange), true);
     }
     if (*data_size > 0) {
       if (DefaultClock().Now() - exchange->start > state->options.receive_timeout) return MHD_NO;
-      std::string& body = exchange->request.body;
-      if (body.size() + *data_size > state->options.max_body_bytes) {
-        exchange->too_large = true;
-        body.clear();
-      } else if (!exchange->too_large) {
-        body.append(data, *data_size);
+      if (!state->TakeBody(data, *data_size, exchange)) {
+        SendBare(DescriptorOf(connection), state->AnswerRefusal(*exchange).status);
+        return MHD_NO;
       }
       *data_size = 0;
       return MHD_YES;
     }
-    return Send(connection, state->Answer(*exchange), state->stopping.load());
+    if (!state->EndWait(DescriptorOf(connection))) return MHD_NO;
+    return Send(connection, state->Answer(exchange), state->stopping.load());
   }
 
   static void OnConnection(void* self, MHD_Connection* connection, void** /*context*/,
@@ -215,9 +389,13 @@
     const std::lock_guard<std::mutex> lock(state->mutex);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
       state->answered_bytes[fd] = 0;
+      state->waiting_since[fd] = DefaultClock().Now();
       state->not_started.erase(fd);
+      state->FreePlaces();
     } else {
       state->answered_bytes.erase(fd);
+      state->waiting_since.erase(fd);
+      state->evicted.erase(fd);
     }
     state->drained.notify_all();
   }
@@ -311,6 +489,12 @@
     : state_(std::make_unique<State>()) {
   state_->options = options;
   state_->handler = std::move(handler);
+  const auto counter = [&](const char* name) {
+    return options.metrics == nullptr ? nullptr : &options.metrics->counter(name);
+  };
+  state_->too_large.emplace("bodies_too_large", counter("http_bodies_too_large"));
+  state_->over_budget.emplace("bodies_over_budget", counter("http_bodies_over_budget"));
+  state_->evictions.emplace("connections_evicted", counter("http_connections_evicted"));
   const int listener = ListenSocket(options.address, options.port);
   const unsigned flags =
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
--- a/core/http_server_test.cc
+++ b/core/http_server_test.cc
@@ -119,6 +119,53 @@
   EXPECT_EQ(PerformHttp(call).status, 200);
 }
 
+// The server read an announced body to its end, however long it was, before it refused it.
+TEST(HttpServerTest, RefusesABodyAnnouncedOverTheLimitBeforeReadingIt) {
+  const HttpServer server({}, &Echo);
+  const std::string answer =
+      SendRaw(server.port(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000000\r\n\r\n");
+  EXPECT_NE(answer.find("HTTP/1.1 413"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("\"outcome\":\"not_run\""), std::string::npos) << answer;
+}
+
+// Each body was within the limit, but all of them together took more memory than the process had.
+TEST(HttpServerTest, RefusesABodyThatTheBudgetDoesNotHold) {
+  ByteBudget budget(100'000);
+  HttpServerOptions options;
+  options.body_budget = &budget;
+  options.uncounted_bytes = 1000;
+  const HttpServer server(options, &Echo);
+  HttpCall call = CallTo(server, "/");
+  call.method = "POST";
+  call.body = std::string(60'000, 'x');
+  const HttpReply refused = PerformHttp(call);
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_EQ(refused.header("Retry-After"), "1");
+  EXPECT_NE(refused.body.find("\"outcome\":\"not_run\""), std::string::npos);
+  ASSERT_TRUE(budget.Take(50'000, 0));
+  call.body = std::string(1000, 'x');
+  EXPECT_EQ(PerformHttp(call).status, 200);
+  call.body = std::string(2000, 'x');
+  EXPECT_EQ(PerformHttp(call).status, 503);
+  budget.Return(50'000);
+  EXPECT_EQ(PerformHttp(call).status, 200);
+  EXPECT_EQ(budget.taken(), 0U);
+}
+
+// A refusal means that a request never runs, which is not known if an earlier copy may have.
+TEST(HttpServerTest, LeavesTheOutcomeOpenIfAnEarlierCopyMayHaveRun) {
+  ByteBudget budget(0);
+  HttpServerOptions options;
+  options.body_budget = &budget;
+  options.uncounted_bytes = 0;
+  options.may_have_run = [](const HttpRequest& request) { return request.path == "/earlier"; };
+  const HttpServer server(options, &Echo);
+  HttpCall call = CallTo(server, "/earlier");
+  call.method = "POST";
+  call.body = "x";
+  EXPECT_EQ(PerformHttp(call).status, 504);
+}
+
 // A caller sends half a request and then nothing. Without an idle timeout such connections would
 // accumulate until no other caller can connect.
 TEST(HttpServerTest, DisconnectsStalledSenders) {
@@ -131,6 +178,35 @@
   EXPECT_EQ(PerformHttp(CallTo(server, "/")).status, 200);
 }
 
+// Connections that sent nothing took all places, and new callers were refused.
+TEST(HttpServerTest, ClosesTheConnectionsThatWaitLongestWhenPlacesRunOut) {
+  HttpServerOptions options;
+  options.max_connections = 8;
+  std::promise<void> handling;
+  std::promise<void> release;
+  const HttpServer server(options, [&](const HttpRequest& request) {
+    if (request.path == "/slow") {
+      handling.set_value();
+      release.get_future().wait();
+    }
+    return HttpResponse{200, "", {}};
+  });
+  std::thread slow([&] { EXPECT_EQ(PerformHttp(CallTo(server, "/slow")).status, 200); });
+  handling.get_future().wait();
+  std::vector<int> silent;
+  for (int i = 0; i < 20; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = SocketAddress("127.0.0.1", server.port());
+    ASSERT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+    silent.push_back(fd);
+  }
+  char byte = 0;
+  EXPECT_EQ(recv(silent.front(), &byte, 1, 0), 0);
+  release.set_value();
+  slow.join();
+  for (const int fd : silent) close(fd);
+}
+
 // A sender that sends a byte now and then is never idle, so only the receive timeout can close its
 // connection.
 TEST(HttpServerTest, DisconnectsSlowSenders) {
--- a/main/commands/pool_commands.cc
+++ b/main/commands/pool_commands.cc
@@ -1,5 +1,7 @@
 // turmericshift pool entry, pool agent: processes of a pool on a platform reached through an
 // adapter.
+#include "core/byte_budget.h"
+#include "core/json_shape.h"
 #include "core/logging.h"
 #include "core/secret.h"
 #include "core/shutdown.h"
@@ -19,15 +21,24 @@
 // Each caller connection takes a thread; an entry has a few dozen clients.
 constexpr int kMaxConnections = 600;
 constexpr size_t kConnectionStackBytes = size_t{128} * 1024;
+// Requests may take this part of the VM's memory; threads and buffers of connections take another.
+constexpr size_t kBodyShareOfMemory = 4;
+// Readiness probes have no body.
+constexpr size_t kMaxProbeBytes = size_t{4} << 10;
 // Part of the stop limit that is reserved for ending the process.
 constexpr Duration kExitReserve = std::chrono::milliseconds(700);
 
-HttpServerOptions HttpAt(const ListenSettings& listen) {
+HttpServerOptions HttpAt(const ListenSettings& listen, size_t max_body_bytes, ByteBudget* budget,
+                         MetricsRegistry* metrics) {
   HttpServerOptions options;
   options.address = listen.address;
   options.port = listen.port;
   options.max_connections = kMaxConnections;
   options.stack_bytes = kConnectionStackBytes;
+  options.max_body_bytes = max_body_bytes;
+  options.body_budget = budget;
+  options.handling_bytes = [](const std::string& body) { return ShapeOf(body).parsed_bytes; };
+  options.metrics = metrics;
   return options;
 }
 
@@ -42,6 +53,7 @@
   LogToStandardOutput();
   signal.EndDuringStart();
   MetricsRegistry metrics;
+  ByteBudget body_budget(settings.vm_memory_bytes / kBodyShareOfMemory);
   const auto store = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   CountedKeyedLog log(store.get(), &metrics);
   const auto endpoint = pool::CallerEndpointRegistry::Instance().Create(settings.adapter);
@@ -51,8 +63,8 @@
   entry_options.zone = settings.availability_zone;
   entry_options.vm = settings.vm;
   entry_options.job_api.node = settings.name;
-  entry_options.callers = HttpAt(settings.callers);
-  entry_options.readiness = HttpAt(settings.readiness);
+  entry_options.callers = HttpAt(settings.callers, settings.max_body_bytes, &body_budget, &metrics);
+  entry_options.readiness = HttpAt(settings.readiness, kMaxProbeBytes, &body_budget, &metrics);
   entry_options.planner.planner = pool::PlannerOptionsFor(settings.bounds);
   entry_options.planner.planner.disabled_mechanisms = settings.mechanisms_off;
   pool::ApplyBounds(settings.bounds, &entry_options.job_api);
@@ -100,6 +112,7 @@
   LogToStandardOutput();
   signal.EndDuringStart();
   MetricsRegistry metrics;
+  ByteBudget body_budget(settings.vm_memory_bytes / kBodyShareOfMemory);
   const auto store = KeyedLogRegistry::Instance().Create(settings.adapter, settings.store_address);
   CountedKeyedLog log(store.get(), &metrics);
   const auto worker =
@@ -113,7 +126,9 @@
   agent_options.longest_lease = settings.longest_lease;
   signal.BeginServing();
   pool::PoolAgent agent(agent_options, &log, worker.get(), &connector, &metrics);
-  HttpServer announcements(HttpAt(settings.announcements), [&](const HttpRequest& request) {
+  const HttpServerOptions server_options =
+      HttpAt(settings.announcements, settings.max_body_bytes, &body_budget, &metrics);
+  HttpServer announcements(server_options, [&](const HttpRequest& request) {
     if (request.path == "/metrics") return HttpResponse{200, metrics.Expose(), {}};
     return endpoint->Handle(request, &agent);
   });
