Pool: Acknowledge no ends while a start may be sent again

What callers could see: a task that starts again after it was done (a TWICE).

Cause: an agent acknowledges no ends between a start and the next lists, as the start may have reached a new incarnation of the worker, whose ends are counted anew. It took the first attempt for the time of the start. An attempt that is left unanswered is repeated up to twice; if the lists in between show the former incarnation and a repeat reaches the next one, the agent acknowledges an end of it that nobody has read, and the task starts again.

No ends are acknowledged now while a start is under way, and from its answer until lists that were requested later.

Cost: while a start is under way, holds return at once, one each 20 ms, in place of waiting for an end.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -373,6 +373,8 @@
 
 void AgentState::NoteStartAnswered(const StartCall& call, const StartAnswer& answer, Time now) {
   --starts_in_flight_;
+  // It may have been sent again until now.
+  start_sent_at_ = std::max(start_sent_at_, now);
   const bool grants_lease = answer.answer == OrderAnswer::kAccepted ||
                             answer.answer == OrderAnswer::kStaleRun ||
                             answer.answer == OrderAnswer::kNoRoom;
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -109,7 +109,9 @@
   void ResetForIncarnation(int64_t start_time_ms);
   // Whether the worker's ends have the numbers that this agent knows. A start that was sent after
   // the newest lists were requested may have reached a new incarnation, which counts its ends anew.
+  // A start in flight may be sent several times.
   bool end_numbers_verified() const {
+    if (starts_in_flight_ > 0) return false;
     return start_sent_at_ == Time{} || lists_requested_at_ > start_sent_at_;
   }
   // Uses the token that the planner assigned to this incarnation of the worker.
@@ -187,7 +189,7 @@
   // Whether the newest lists leave out ends of the worker.
   bool lists_leave_out_ends_ = false;
   int64_t acked_ends_ = 0;
-  // When the newest lists were requested, and when the newest start was sent.
+  // When the newest lists were requested, and when the newest start was sent or answered.
   Time lists_requested_at_{};
   Time start_sent_at_{};
 
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -30,6 +30,10 @@
   void LoseNextCall(const std::vector<std::string>& nodes, WorkerCall call) {
     for (const std::string& node : nodes) next_fates_[{node, call}] = {std::nullopt, false};
   }
+  // Each node executes its next call of this kind, but the answer is lost.
+  void LoseNextAnswer(const std::vector<std::string>& nodes, WorkerCall call) {
+    for (const std::string& node : nodes) next_fates_[{node, call}] = {Duration::zero(), false};
+  }
   bool HasHappened() const { return next_fates_.empty(); }
   // Cuts the node's agent off from its worker at the next tick.
   void CutOffNode(const std::string& node, Duration time) { next_cuts_[node] = time; }
@@ -230,6 +234,27 @@
   EXPECT_EQ(simulation_->violations(), kNoViolations);
 }
 
+// The same for a start that was sent again, after lists that were requested since its first attempt
+// had shown the former life.
+TEST_F(WorkerLife, RunsNoTaskAgainWhenARepeatedStartReachesTheNextLife) {
+  Begin(1);
+  Submit("first", milliseconds(500));
+  ASSERT_TRUE(simulation_->RunUntil("first", JobState::kCompleted, seconds(5)));
+  simulation_->RunFor(seconds(1));
+  faults_.DelayAnnouncements(seconds(3));
+  faults_.LoseNextAnswer(nodes_, WorkerCall::kStart);
+  Submit("second", milliseconds(300));
+  simulation_->RunFor(milliseconds(150));
+  ASSERT_TRUE(faults_.HasHappened());
+  faults_.LoseNextCall(nodes_, WorkerCall::kHold);
+  simulation_->RunFor(milliseconds(50));
+  ASSERT_TRUE(faults_.HasHappened());
+  RestartAll();
+  EXPECT_TRUE(simulation_->RunUntil("second", JobState::kCompleted, seconds(10)));
+  EXPECT_EQ(simulation_->RunsOf("second").size(), 2U);
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 // The answer carries a start for the former life and is read after the new life's first list.
 TEST_F(WorkerLife, RunsNoTaskTwiceWhenAnAnswerWithStartsArrivesInTheNextLife) {
   Begin(1);
