--- a/main/settings/process_settings_test.cc
+++ b/main/settings/process_settings_test.cc
@@ -138,5 +138,16 @@
   EXPECT_EQ(settings.longest_lease, std::chrono::seconds(10));
 }
 
+TEST(PoolEntrySettings, ReadsMemoryAndBodyLimit) {
+  const PoolEntrySettings settings = ParsePoolEntrySettings(
+      "entry.ini",
+      std::string(kPoolEntry) + "[vm]\nmemory_mb = 260\n[limits]\nbody_bytes = 5000\n");
+  EXPECT_EQ(settings.vm_memory_bytes, size_t{260} << 20);
+  EXPECT_EQ(settings.max_body_bytes, 5000U);
+  const PoolEntrySettings defaults = ParsePoolEntrySettings("entry.ini", kPoolEntry);
+  EXPECT_EQ(defaults.vm_memory_bytes, kDefaultVmMemoryBytes);
+  EXPECT_EQ(defaults.max_body_bytes, size_t{1} << 20);
+}
+
 }  // namespace
 }  // namespace turmericshift
