Tests: Show claims over records of the work topic that can have no successor

With an epoch in the last step, with 2^62 and with an unreadable record under the planner's key, an entry that starts afterwards claims the epoch after the former planner's, and names an unknown planner among the former ones.

--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -247,6 +247,28 @@
   EXPECT_EQ(AnnouncedIn(kMembersTopic, &log).node, "b");
 }
 
+// Guards against a pool that nobody plans any more because of a record in the work topic whose
+// epoch can have no successor, or that can't be read. The planner before is unknown to whoever
+// claims.
+TEST(PlannerElector, ClaimsOverARecordWithoutASuccessor) {
+  const PlannerRecord last = {membership::kEpochLimit - 1, "ghost", "127.0.0.1:9"};
+  const PlannerRecord impossible = {int64_t{1} << 62, "ghost", "127.0.0.1:99999"};
+  for (const std::string& foreign :
+       {EncodePlanner(last), EncodePlanner(impossible), std::string("{")}) {
+    MemoryKeyedLog log;
+    {
+      const Candidate former(&log, "a");
+      ASSERT_TRUE(Eventually([&] { return AnnouncedIn(kMembersTopic, &log).node == "a"; }));
+    }
+    log.Append(kWorkTopic, {{kPlannerKey, foreign, kNoOffset}}, {}, std::chrono::seconds(1));
+    const Candidate next(&log, "b");
+    EXPECT_TRUE(Eventually([&] { return AnnouncedIn(kMembersTopic, &log).node == "b"; }));
+    const PlannerRecord claim = AnnouncedIn(kWorkTopic, &log);
+    EXPECT_EQ(claim.epoch, kSecondEpoch);
+    EXPECT_FALSE(claim.former.empty());
+  }
+}
+
 ElectorOptions WeakVm() {
   ElectorOptions options;
   options.planning_capacity = 1;
