--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -429,8 +429,8 @@
   EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
 }
 
-// An agent's first report to a new planner opens the path on which runs are given up by its word, so
-// that the first runs of that planner on all workers of a zone ran twice at the same moment.
+// An agent's first report to a new planner opens the path on which runs are given up by its word,
+// so that the first runs of that planner on all workers of a zone ran twice at the same moment.
 TEST_F(WorkerLife, RunsNoTaskTwiceOnWorkersThatRefuseConnectionsAfterAPlannerChange) {
   PoolBounds bounds;
   bounds.stop = milliseconds(400);
