Settings: Accept the memory of an agent's VM

The settings type had the field, the parser did not, and no test put the templates and the parsers together.

--- a/main/settings/process_settings.cc
+++ b/main/settings/process_settings.cc
@@ -289,6 +289,7 @@
             {"listen", true, {EndpointKey("announcements", &settings.announcements)}},
             {"worker", true, {TextKey("address", kRequired, &settings.worker_address)}},
             {"store", true, {TextKey("address", kRequired, &settings.store_address)}},
+            {"vm", false, {VmMemoryKey(&settings.vm_memory_bytes)}},
             {"limits",
              false,
              {LongestLeaseKey(&settings.longest_lease), BodyBytesKey(&settings.max_body_bytes)}}});
