--- a/tests/fuzz/fuzz_test.sh
+++ b/tests/fuzz/fuzz_test.sh
@@ -10,7 +10,7 @@
 cd "$source"
 units=(tests/fuzz/parsers_fuzz.cc core/error.cc core/ini.cc core/ini_keys.cc core/units.cc
   core/logging.cc core/log_writer.cc core/thread.cc core/shutdown.cc core/http_client.cc core/http_server.cc
-  core/listen_socket.cc
+  core/listen_socket.cc core/json_shape.cc
   core/metrics.cc core/clock.cc core/secret.cc core/digest.cc servers/config/environment.cc
   servers/jobs/job.cc servers/state/record.cc
   servers/replay/trace.cc servers/replay/synthetic_document.cc servers/replay/trace_generator.cc servers/platform/log_service.cc
