--- a/servers/pool/foreign_records_test.cc
+++ b/servers/pool/foreign_records_test.cc
@@ -107,8 +107,11 @@
   return false;
 }
 
+std::string OperatorsTopic() { return platform::OperatorRecordDecoder().topic(); }
+
 // Writes each foreign value under each of `keys`.
-void AppendForeignValues(const char* topic, const std::vector<std::string>& keys, KeyedLog* log) {
+void AppendForeignValues(const std::string& topic, const std::vector<std::string>& keys,
+                         KeyedLog* log) {
   for (const std::string& key : keys) {
     for (const std::string& value : ForeignValues()) {
       log->Append(topic, {{key, value, kNoOffset}}, {}, kTimeout);
@@ -125,7 +128,7 @@
     AppendForeignValues(
         kWorkTopic, {"planner", "j/ghost", "p/ghost", "t/ghost/0", "t/ghost", "l/speeds", "odd"},
         &log);
-    AppendForeignValues("keyed.op", {"config", "evacuate/", "odd"}, &log);
+    AppendForeignValues(OperatorsTopic(), {"config", "evacuate/", "odd"}, &log);
     const std::string planner = EncodePlanner({16384, "sound", "127.0.0.1:9"});
     const EntryRecord entry = {"sound", "a", "127.0.0.1:9", 1};
     log.Append(kMembersTopic, {{"agent/sound", "a"}, {"planner", planner}}, {}, kTimeout);
@@ -135,7 +138,7 @@
     job.id = "sound";
     job.steps.emplace_back();
     log.Append(kWorkTopic, {{"j/sound", EncodeSpec(job)}, {"planner", planner}}, {}, kTimeout);
-    log.Append("keyed.op", {{"config", R"({"version":7})"}}, {}, kTimeout);
+    log.Append(OperatorsTopic(), {{"config", R"({"version":7})"}}, {}, kTimeout);
   }
   MemoryKeyedLog log;
 };
@@ -153,7 +156,8 @@
     WorkView work(log);
     OperatorView operators(log, std::make_unique<platform::OperatorRecordDecoder>());
     if (from_history) {
-      for (const char* topic : {kMembersTopic, kPlannerTopic, kWorkTopic, "keyed.op"}) {
+      for (const std::string& topic : {std::string(kMembersTopic), std::string(kPlannerTopic),
+                                       std::string(kWorkTopic), OperatorsTopic()}) {
         const KeyedBatch batch = topics.log.Read(topic, 0, Duration::zero(), kTimeout);
         for (const KeyedRecord& record : batch.records) log->Append(topic, {record}, {}, kTimeout);
       }
