--- a/servers/pool/pool_view.h
+++ b/servers/pool/pool_view.h
@@ -133,8 +133,9 @@
   // All records before this offset are reflected.
   Offset end = 0;
 
-  // Whether the planner of `epoch` is the newest one and all that was written before its
-  // announcement is reflected. Conditional appends of former planners fail from then on.
+  // Whether the newest readable announcement is that of the planner of `epoch`, and all that was
+  // written before it is reflected. Conditional appends of former planners fail from then on. Does
+  // not prove that there is no newer planner: another writer's record may hide its announcement.
   bool IsCurrentFor(int64_t epoch) const { return planner.epoch == epoch && end > announced_at; }
   // Whether a process that starts to read the topic now would find the planner `self`.
   bool Announces(const PlannerRecord& self) const {
