--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,10 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
+builds=
 for source in review/standin-3/*.cpp; do
   name=$(basename "$source" .cpp)
-  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review-3/$name"
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review-3/$name" &
+  builds="$builds $!"
 done
+for build in $builds; do wait "$build"; done
--- a/review/standin-3/lab.hpp
+++ b/review/standin-3/lab.hpp
@@ -947,23 +947,33 @@
     side->worker->Lose();
   }
 
-  // The configuration, as the operator writes it. Routes: name and priority.
-  void Configure(int version, const std::vector<std::pair<std::string, int>>& routes,
-                 int64_t guaranteed = 0) {
+  struct Route {
+    std::string name;
+    int priority = 1;
+    std::string service = "plans";
+  };
+  // The configuration, as the operator writes it.
+  void Configure(int version, const std::vector<Route>& routes, int64_t guaranteed = 0) {
     Json list = Json::array();
-    for (const auto& [name, priority] : routes) {
-      list.push_back({{"name", name},
+    std::set<std::string> names;
+    for (const Route& route : routes) {
+      names.insert(route.service);
+      list.push_back({{"name", route.name},
                       {"host", "plans.example"},
-                      {"pathPrefix", "/" + name + "/"},
-                      {"service", "plans"},
-                      {"priority", priority},
+                      {"pathPrefix", "/" + route.name + "/"},
+                      {"service", route.service},
+                      {"priority", route.priority},
                       {"maxAttempts", 3},
                       {"stretch", 3.0},
                       {"targetLatencyMs", 1000}});
     }
+    Json services = Json::array();
+    for (const std::string& name : names) {
+      services.push_back({{"name", name}, {"admissionControl", true}});
+    }
     const Json document = {{"version", version},
                            {"routes", list},
-                           {"services", {{{"name", "plans"}, {"admissionControl", true}}}},
+                           {"services", services},
                            {"tenants",
                             {{{"name", "tenant"},
                               {"apiKeys", {"key-of-the-tenant"}},
