Pool: Give up workers that an agent's new process never reads

The planner placed one job after the other on the lost worker.

Cause: the new process of an agent has read no worker, so its reports name none. The planner kept what the former process had said, that the worker is reachable, while each report renewed the worker's lease and its last sign of life.

A report of an agent that has not read the worker now makes it unreachable, also where the agent has heard only a delayed announcement of a former start. Its runs are given up on the agent's word that no lease is left: a new process says so only when the longest lease has passed since it began, so that no run can outlive it.

Four tests failed before. Two more, which passed before too, guard against giving the runs of a sound worker up too early.

--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -280,6 +280,8 @@
   // and describe an earlier state. Applied, they would make current runs look lost.
   bool AcceptIncarnation(const AgentReport& report, WorkerState* worker, Time now);
   void ApplyWorkerFacts(const AgentReport& report, WorkerState* worker, Time now);
+  // Records whether the agent's current process gets answers from the worker.
+  void SetReachable(WorkerState* worker, bool reachable);
   // A newer incarnation of the worker has been reported. What ran on the former one stays known
   // until the worker has been read under a new token: an order for the former incarnation may still
   // be executed.
@@ -312,8 +314,8 @@
   // Gives up the runs of a worker that does not answer and whose leases have expired. A run with an
   // order that the agent has not received yet is stopped first.
   void DropRunsOfUnreachableWorker(WorkerState* worker, Time now);
-  // Records since when the agent has had no lease left for a worker that it can't reach.
-  // `known_leases_until`: AllLeasesUntil before this report.
+  // Records since when the agent has had no lease left for a worker that it can't reach, or that
+  // its current process has never read. `known_leases_until`: AllLeasesUntil before this report.
   void RecordEndOfLeases(const AgentReport& report, Time known_leases_until, WorkerState* worker,
                          Time now);
   // Whether the runs whose leases ended while the agent could not reach the worker have ended too,
--- a/servers/pool/pool_planner_admission.cc
+++ b/servers/pool/pool_planner_admission.cc
@@ -126,8 +126,11 @@
       listed_now_ ? listed_now_->size() : std::max(listed_agents_, workers_.size());
   if (listed == 0) return 0;
   const auto known = std::count_if(workers_.begin(), workers_.end(), [&](const auto& row) {
-    return IsListed(row.first) && row.second.lists_received &&
-           now - row.second.last_report < kKnownWithin;
+    const WorkerState& worker = row.second;
+    // A new process of an agent reads its worker within this time, unless the worker is lost.
+    const bool begins = !worker.facts.reachable && now - worker.incarnation_since < kKnownWithin;
+    return IsListed(row.first) && worker.lists_received && !begins &&
+           now - worker.last_report < kKnownWithin;
   });
   return static_cast<double>(known) / static_cast<double>(listed);
 }
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -64,6 +64,7 @@
   ApplyWorkerFacts(report, &worker, now);
   RecordFence(report, &worker);
   if (!ContainsLists(report, worker)) {
+    if (worker.lists_received) RecordEndOfLeases(report, known_leases_until, &worker, now);
     DropRunsOfUnreadWorker(&worker, now);
     return true;
   }
@@ -134,18 +135,16 @@
 void PoolPlanner::ApplyWorkerFacts(const AgentReport& report, WorkerState* worker, Time now) {
   const WorkerFacts& facts = report.worker;
   if (facts.start_time_ms != worker->facts.start_time_ms) {
-    // An agent that has just started does not know its worker yet; nothing has changed on the
-    // worker.
-    if (facts.start_time_ms == 0) return;
-    // Nor has it if the agent has heard only a delayed announcement of a former start.
-    if (facts.start_time_ms < worker->facts.start_time_ms && report.epoch != epoch_) return;
+    // An agent that has just started does not know its worker yet, or has heard only a delayed
+    // announcement of a former start. Nothing has changed on the worker, but that it answered a
+    // former process of the agent does not show that it still runs.
+    const bool names_former_start =
+        facts.start_time_ms < worker->facts.start_time_ms && report.epoch != epoch_;
+    if (facts.start_time_ms == 0 || names_former_start) return SetReachable(worker, false);
     BeginIncarnation(facts, worker, now);
     return;
   }
-  if (facts.id.empty()) {
-    worker->facts.reachable = facts.reachable;
-    return;
-  }
+  if (facts.id.empty()) return SetReachable(worker, facts.reachable);
   if (facts.draining && !worker->facts.draining) {
     LogEvent(LogLevel::kInfo, "worker_draining",
              {{"node", report.node}, {"leaves_in_s", Seconds(facts.leaves_in)}});
@@ -158,6 +157,20 @@
   RecordVersion(report.node, facts, releases_.get(), now);
 }
 
+void PoolPlanner::SetReachable(WorkerState* worker, bool reachable) {
+  if (worker->facts.reachable == reachable) return;
+  worker->facts.reachable = reachable;
+  needs_planning_ = true;
+  LogEvent(LogLevel::kInfo, reachable ? "worker_read_again" : "worker_not_read",
+           {{"node", worker->node},
+            {"incarnation", worker->incarnation},
+            {"worker", worker->facts.id},
+            {"born_ms", worker->facts.start_time_ms},
+            {"runs", worker->live.size()},
+            {"lease_left_s", Seconds(worker->reported_lease_until - worker->last_report)},
+            {"epoch", epoch_}});
+}
+
 void PoolPlanner::BeginIncarnation(const WorkerFacts& facts, WorkerState* worker, Time now) {
   const WorkerFacts former = worker->facts;
   if (former.start_time_ms != 0) {
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -567,6 +567,54 @@
   EXPECT_FALSE(one.has_run());
 }
 
+// A new process of an agent has not read its worker, so that its reports name none. The worker kept
+// counting as usable, and its runs as going on, for as long as the agent reported.
+TEST(PoolPlanner, GivesUpRunsOfAWorkerThatTheAgentsNewProcessNeverReads) {
+  const Duration longest_lease = PlannerOptions().longest_lease;
+  const Duration margin = PlannerOptions().lease_margin;
+  OneWorker one;
+  AgentReport started = Report("first", 2);
+  started.running = {{one.run(), ""}};
+  one.planner.ApplyReport(started, 0, one.now);
+  AgentReport unread = Report("second", 0);
+  unread.epoch = 0;
+  unread.worker = WorkerFacts();
+  const auto report_after = [&](Duration time) {
+    ++unread.sequence;
+    unread.lease_left = std::max(Duration::zero(), longest_lease - time);
+    unread.orders_seen = one.planner.Orders("n", one.now + time).version;
+    one.planner.ApplyReport(unread, 0, one.now + time);
+    one.planner.Plan(0, one.now + time);
+  };
+  report_after(Duration::zero());
+  EXPECT_FALSE(one.planner.workers().at("n").usable(one.now));
+  report_after(longest_lease - milliseconds(100));
+  report_after(longest_lease);
+  report_after(longest_lease + margin);
+  EXPECT_TRUE(one.has_run());
+  one.planner.Plan(0, one.now + longest_lease + margin + milliseconds(1));
+  EXPECT_FALSE(one.has_run());
+}
+
+// The same where the new process has heard only a delayed announcement of a former start.
+TEST(PoolPlanner, PlacesNothingOnAWorkerOfWhichOnlyAFormerStartWasAnnounced) {
+  OneWorker one;
+  AgentReport reborn = Report("first", 2);
+  reborn.worker.start_time_ms = 2;
+  reborn.fence = 2;
+  one.planner.ApplyReport(reborn, 0, one.now);
+  ASSERT_TRUE(one.planner.workers().at("n").usable(one.now));
+  AgentReport delayed = Report("second", 1);
+  delayed.epoch = 0;
+  one.planner.ApplyReport(delayed, 0, one.now);
+  EXPECT_FALSE(one.planner.workers().at("n").usable(one.now));
+  AgentReport read = Report("second", 2);
+  read.worker.start_time_ms = 2;
+  read.fence = 2;
+  one.planner.ApplyReport(read, 0, one.now);
+  EXPECT_TRUE(one.planner.workers().at("n").usable(one.now));
+}
+
 // After a stall of the planner, a report of an agent's former process is read after the first
 // report of the new process, whose worker has restarted meanwhile. Applied, the old report would
 // look like another restart of the worker, and its current run would be started elsewhere as well.
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -472,5 +472,77 @@
   EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
 }
 
+// The new process of an agent never reads its worker, which is lost. The planner kept what the
+// former process had reported: runs were not given up, and more tasks were placed on the worker.
+TEST_F(WorkerLife, StartsTasksElsewhereWhenANewAgentNeverReadsItsWorker) {
+  Begin(2);
+  Submit("j", seconds(3));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  const std::string node = simulation_->RunsOf("j")[0].node;
+  faults_.RefuseConnections(node, seconds(600));
+  simulation_->RunFor(milliseconds(500));
+  simulation_->RestartAgent(node);
+  simulation_->RunFor(milliseconds(100));
+  Submit("next", seconds(1));
+  EXPECT_TRUE(simulation_->RunUntil("next", JobState::kCompleted, seconds(3)));
+  EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(12)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// The same with a member of a gang on the lost worker, and an agent that is replaced repeatedly.
+TEST_F(WorkerLife, StartsAGangElsewhereWhenNewAgentsNeverReadTheWorkerOfAMember) {
+  Begin(3);
+  StepSpec step = SampleStep(2, 8, seconds(9));
+  step.gang = true;
+  simulation_->Submit(SampleJob("gang", "batch", "one", step));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("gang").size(), 2U);
+  const std::string node = simulation_->RunsOf("gang")[0].node;
+  faults_.RefuseConnections(node, seconds(600));
+  for (int restart = 0; restart < 4; ++restart) {
+    simulation_->RunFor(milliseconds(1200));
+    simulation_->RestartAgent(node);
+  }
+  EXPECT_TRUE(simulation_->RunUntil("gang", JobState::kCompleted, seconds(20)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// The worker is sound and read again before its lease ends. A planner that gave its runs up at the
+// new process's first report would run the task twice.
+TEST_F(WorkerLife, KeepsARunWhoseWorkerTheNewAgentReadsBeforeItsLeaseEnds) {
+  Begin(2);
+  Submit("j", seconds(12));
+  simulation_->RunFor(seconds(1));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  const std::string node = simulation_->RunsOf("j")[0].node;
+  faults_.CutOffNode(node, milliseconds(3000));
+  simulation_->RunFor(milliseconds(500));
+  simulation_->RestartAgent(node);
+  EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(15)));
+  EXPECT_EQ(simulation_->RunsOf("j").size(), 1U);
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// The worker is sound and cut off from the new process for any time around the end of its lease.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenANewAgentReadsItsWorkerLate) {
+  PoolBounds bounds;
+  bounds.stop = milliseconds(400);
+  faults_.SetLapseTime(bounds.stop);
+  faults_.SetClockRate(0.98);
+  for (Duration cut = seconds(3); cut < seconds(14); cut += milliseconds(100)) {
+    Begin(2, bounds);
+    Submit("j", seconds(20));
+    simulation_->RunFor(seconds(1));
+    ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+    const std::string node = simulation_->RunsOf("j")[0].node;
+    faults_.CutOffNode(node, cut);
+    simulation_->RunFor(milliseconds(500));
+    simulation_->RestartAgent(node);
+    EXPECT_TRUE(simulation_->RunUntil("j", JobState::kCompleted, seconds(60))) << Seconds(cut);
+    EXPECT_EQ(simulation_->violations(), kNoViolations) << Seconds(cut);
+  }
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
