Pool: Show jobs as queued until a worker has begun a task

Cause: the record that keeps a successor from starting a task twice is stored before the first start is ordered, and was shown to callers as well. Only a refused start was taken back. A run that is given up with its worker, revoked, left out by the lists after a restart, or ordered by a former planner was not.

That record now says that no task has begun; MarkBegun, which only the word of a worker reaches, takes this back. The job is shown as queued and counts as waiting until then, and stays running for a successor. It costs one more record a job.

--- a/servers/pool/job_progress.h
+++ b/servers/pool/job_progress.h
@@ -43,13 +43,14 @@
   std::map<TaskPlace, std::string> checkpoints;
   // Milliseconds since 1970 when the job ended; 0 if the job has not ended.
   int64_t ended_ms = 0;
-  // Each start so far was refused, so that no task has begun. The state is kRunning nevertheless:
-  // it says that tasks may be running, and is stored before the first start is ordered.
-  bool starts_refused = false;
+  // No worker has reported yet that it has begun a task of the job. The state is kRunning
+  // nevertheless: it says that tasks may be running, and is stored before the first start is
+  // ordered.
+  bool none_begun = false;
 
-  // The state as callers see it: a job whose starts were refused is still queued.
+  // The state as callers see it: a job of which no task is known to have begun is still queued.
   JobState visible_state() const {
-    return state == JobState::kRunning && starts_refused ? JobState::kQueued : state;
+    return state == JobState::kRunning && none_begun ? JobState::kQueued : state;
   }
   int done_count(const StepPlace& place) const;
   bool task_done(const TaskPlace& place) const;
--- a/servers/pool/job_records.cc
+++ b/servers/pool/job_records.cc
@@ -12,6 +12,10 @@
 
 using nlohmann::json;
 
+// Former versions stored the field only for jobs whose starts had been refused. They read it in the
+// same way.
+constexpr const char* kNoneBegunField = "starts_refused";
+
 // Larger specifications leave out numbers that are zero. Former versions can't read those, but
 // could not store them either: stores accept records of about this size.
 constexpr size_t kMaxFullSpecBytes = size_t{255} << 10;
@@ -177,7 +181,7 @@
 std::string EncodeProgress(const JobProgress& progress) {
   json out = {{"state", JobStateName(progress.state)}};
   if (progress.ended_ms > 0) out["ended_ms"] = progress.ended_ms;
-  if (progress.starts_refused) out["starts_refused"] = true;
+  if (progress.none_begun) out[kNoneBegunField] = true;
   json done = json::array();
   for (const auto& [place, indices] : progress.done) {
     done.push_back({place.occurrence, place.step, indices});
@@ -206,7 +210,7 @@
     JobProgress progress;
     progress.state = JobStateFromName(in.at("state").get<std::string>());
     progress.ended_ms = in.value("ended_ms", int64_t{0});
-    progress.starts_refused = in.value("starts_refused", false);
+    progress.none_begun = in.value(kNoneBegunField, false);
     for (const json& row : ListIn(in, "done")) {
       progress.done[{row.at(0).get<int>(), row.at(1).get<int>()}] = row.at(2).get<std::set<int>>();
     }
--- a/servers/pool/job_table_test.cc
+++ b/servers/pool/job_table_test.cc
@@ -48,7 +48,7 @@
   progress.done[{0, 0}] = {0, 2};
   progress.failures[{0, 0, 1}] = {54, 77};
   progress.checkpoints[{0, 0, 1}] = "00ab";
-  progress.starts_refused = true;
+  progress.none_begun = true;
   const JobProgress read = DecodeProgress(EncodeProgress(progress));
   EXPECT_EQ(EncodeProgress(read), EncodeProgress(progress));
   EXPECT_TRUE(read.task_done({0, 0, 2}));
--- a/servers/pool/pool_planner.cc
+++ b/servers/pool/pool_planner.cc
@@ -249,7 +249,7 @@
     progress = JobProgress();
     progress.state = job->progress.state;
     progress.ended_ms = job->progress.ended_ms;
-    progress.starts_refused = job->progress.starts_refused;
+    progress.none_begun = job->progress.none_begun;
   }
   PutProgress(kProgressPrefix + job->spec.id, std::move(progress), job);
 }
@@ -307,22 +307,17 @@
 void PoolPlanner::MarkRunning(Job* job) {
   if (job->progress.state != JobState::kQueued) return;
   job->progress.state = JobState::kRunning;
+  job->progress.none_begun = !job->begun;
   SaveProgress(job);
   job->running_ticket = job->newest_ticket;
 }
 
 void PoolPlanner::MarkBegun(Job* job) {
-  MarkRunning(job);
-  if (job->begun) return;
+  if (job->begun || IsOver(job->progress.state)) return;
   job->begun = true;
-  if (!job->progress.starts_refused) return;
-  job->progress.starts_refused = false;
-  SaveProgress(job);
-}
-
-void PoolPlanner::MarkRefused(Job* job) {
-  if (job->begun || job->progress.starts_refused || IsOver(job->progress.state)) return;
-  job->progress.starts_refused = true;
+  MarkRunning(job);
+  if (!job->progress.none_begun) return;
+  job->progress.none_begun = false;
   SaveProgress(job);
 }
 
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -239,7 +239,7 @@
     std::set<int64_t> parts;
     // A previous planner may have parts of the job running.
     bool inherited = false;
-    // Whether a task is known to have begun, or may have under a previous planner.
+    // Whether a task is known to have begun.
     bool begun = false;
     // The current terms of the job's queue.
     const QueueTerms* terms = nullptr;
@@ -331,11 +331,11 @@
   // Stops the other members of the gang's run.
   void StopGang(const Job& job, const RunId& member);
   void StopJob(const Job& job);
+  // Called before the first start of the job is ordered. Callers see the job as queued until
+  // MarkBegun: a start that is ordered may still be refused or lost.
   void MarkRunning(Job* job);
   // Called when a task of the job is known to have begun.
   void MarkBegun(Job* job);
-  // Called when a start of the job was refused.
-  void MarkRefused(Job* job);
   // Saves the state of the job, and its tasks too unless they are stored in parts.
   void SaveProgress(Job* job);
   // Saves the progress of the step's tasks from `first` to `last`.
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -264,9 +264,9 @@
     known->second.checkpoint = running.checkpoint;
     known->second.progress.Update(running.percent, worker->lists_read_at);
     speeds_->RecordProgress(known->second.speed_run, running.percent, worker->lists_read_at);
-    const RunPhase phase = known->second.phase;
-    if (phase != RunPhase::kOrdered && phase != RunPhase::kUncertain) continue;
-    known->second.phase = RunPhase::kRunning;
+    RunPhase& phase = known->second.phase;
+    if (phase == RunPhase::kRunning) continue;
+    if (phase != RunPhase::kStopping) phase = RunPhase::kRunning;
     Job* job = FindJob(running.run.task.job);
     if (job != nullptr) MarkBegun(job);
   }
@@ -356,7 +356,6 @@
   const TaskId& task = result.run.task;
   const StepSpec* step = FindStep(*job, task);
   RemoveRun(result.run, job);
-  MarkRefused(job);
   if (!was_ordered) return;
   if (result.outcome == StartOutcome::kTicketRefused) {
     advice_.TicketRefused({task.job, {task.occurrence, task.step}}, AdvisedWorkerOf(*worker));
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -1050,6 +1050,88 @@
   EXPECT_EQ(table.Find("j")->progress.visible_state(), JobState::kRunning);
 }
 
+// A planner with one worker, to which the only task of job "j" has been assigned, and the records
+// that it has stored.
+struct AssignedJob : OneWorker {
+  AssignedJob() {
+    table.Apply(
+        {"j/j", EncodeSpec(SampleJob("j", "batch", "one", SampleStep(1, 1, seconds(2)))), 1});
+    Store(&planner);
+  }
+
+  void Store(PoolPlanner* from) {
+    for (KeyedRecord& record : from->outbox().Take()) {
+      record.offset = table.newest_offset() + 1;
+      table.Apply(record);
+    }
+    from->outbox().MarkDurable();
+  }
+  void ExpectWaits() const {
+    EXPECT_EQ(table.Waiting("batch"), 1);
+    EXPECT_EQ(table.Find("j")->progress.visible_state(), JobState::kQueued);
+    // A successor must wait for what may run.
+    EXPECT_EQ(table.Find("j")->progress.state, JobState::kRunning);
+  }
+  void ExpectHasBegun() const {
+    EXPECT_EQ(table.Waiting("batch"), 0);
+    EXPECT_EQ(table.Find("j")->progress.visible_state(), JobState::kRunning);
+  }
+
+  JobTable table;
+};
+
+// The worker of a job that has just been placed is lost. The job was shown as running, and not
+// counted as waiting, for as long as no other worker had room.
+TEST(PoolPlanner, CountsAJobAsWaitingWhoseWorkerIsLostBeforeItBegins) {
+  AssignedJob one;
+  one.now += seconds(30);
+  one.planner.Plan(0, one.now);
+  ASSERT_FALSE(one.has_run());
+  one.Store(&one.planner);
+  one.ExpectWaits();
+}
+
+// The same while it is not known whether the worker has begun it: its agent has a new process.
+TEST(PoolPlanner, CountsAJobAsWaitingWhileItsStartIsUncertain) {
+  AssignedJob one;
+  AgentReport unread = Report("second", 1);
+  unread.epoch = 0;
+  unread.worker = WorkerFacts();
+  one.planner.ApplyReport(unread, 0, one.now);
+  ASSERT_TRUE(one.has_run());
+  one.Store(&one.planner);
+  one.ExpectWaits();
+}
+
+// The planner is replaced between the order of a start and its answer. Its successor took the
+// record that the job may be running for one of a job that has begun.
+TEST(PoolPlanner, CountsAJobAsWaitingThatAFormerPlannerHasOnlyPlaced) {
+  AssignedJob one;
+  PoolPlanner successor(PlannerOptions(), 2, one.table, {"n"}, one.now);
+  one.Store(&successor);
+  one.ExpectWaits();
+  AgentReport listed = Report("first", 1);
+  listed.epoch = 2;
+  listed.running = {{one.run(), ""}};
+  successor.ApplyReport(listed, 0, one.now);
+  one.Store(&successor);
+  one.ExpectHasBegun();
+}
+
+// Once a task has begun, its job does not wait again, however the task ends.
+TEST(PoolPlanner, CountsAJobAsBegunWhoseWorkerIsLostAfterItBegan) {
+  AssignedJob one;
+  AgentReport started = Report("first", 2);
+  started.results = {{one.run(), StartOutcome::kStarted, ""}};
+  one.planner.ApplyReport(started, 0, one.now);
+  one.Store(&one.planner);
+  one.ExpectHasBegun();
+  one.planner.Plan(0, one.now + seconds(30));
+  ASSERT_FALSE(one.has_run());
+  one.Store(&one.planner);
+  one.ExpectHasBegun();
+}
+
 // An agent that uses the epoch as the token passes a start on to the next incarnation after its
 // lists were read: that token does not tell the two apart. The run has to be stopped first.
 TEST(PoolPlanner, StopsAnUncertainStartWhoseTokenTheNextIncarnationShares) {
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -360,10 +360,21 @@
   for (KeyedRecord& record : planner_->outbox().Take()) {
     record.offset = offset_++;
     job_table_.Apply(record);
+    NoteShownState(record.key);
   }
   planner_->outbox().MarkDurable();
 }
 
+void PoolSimulation::NoteShownState(const std::string& key) {
+  if (key.rfind(kProgressPrefix, 0) != 0) return;
+  const std::string id = key.substr(std::string(kProgressPrefix).size());
+  const StoredJob* stored = job_table_.Find(id);
+  if (stored == nullptr || stored->progress.visible_state() != JobState::kRunning) return;
+  const bool has_begun = std::any_of(
+      runs_.begin(), runs_.end(), [&](const SimulatedRun& run) { return run.run.task.job == id; });
+  if (!has_begun) violations_.push_back(id + " is shown as running before a task has begun");
+}
+
 TaskId PoolSimulation::UnitOf(const TaskId& task) const {
   TaskId unit = task;
   if (StepOf(task)->gang) unit.index = 0;
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -145,6 +145,8 @@
   void Schedule(Duration delay, Event event);
   void TickFaults(Worker* worker);
   void TickStore();
+  // Checks what callers are shown of the job whose progress has been stored under `key`.
+  void NoteShownState(const std::string& key);
   void TickAdvice();
   bool TicketIsValid(const Worker& worker, const StartCall& call) const;
   void TickWorker(Worker* worker);
