Pool: Keep room for urgent jobs for each service

Cause: the demand of urgent jobs, the room that is kept free for them and the exception for a half idle pool were sums over the workers of all services.

All of them are kept for each service now, in placement and admission, as is the rule that gangs may leave their rack while much is idle. Deployments with one service decide as before. The learned demand has a new version.

--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -143,6 +143,29 @@
   EXPECT_TRUE(simulation.RunUntil("batch", JobState::kCompleted, seconds(46)));
 }
 
+// Urgent jobs fill one service. A job of another service, all of whose workers were idle, waited
+// for as long as they ran.
+TEST(PoolLoad, ReservesNoRoomForUrgentJobsOfAnotherService) {
+  std::vector<SimulatedWorker> workers = SampleRacks(1);
+  workers[2].service = "labels";
+  OperatorState operators = SampleOperatorState(0);
+  Queue labels = operators.config.queues[1];
+  labels.name = "labels";
+  labels.path_prefix = "/labels/";
+  labels.terms.service = "labels";
+  operators.config.queues.push_back(labels);
+  PoolSimulation simulation(workers, operators);
+  simulation.RunFor(milliseconds(100));
+  simulation.Submit(SampleJob("urgent", "urgent", "one", SampleStep(2, 8, seconds(60))));
+  simulation.RunFor(seconds(1));
+  ASSERT_EQ(simulation.RunsOf("urgent").size(), 2U);
+  const Time submitted = simulation.now();
+  simulation.Submit(SampleJob("idle", "labels", "two", SampleStep(1, 1, seconds(30))));
+  simulation.RunFor(seconds(3));
+  ASSERT_EQ(simulation.RunsOf("idle").size(), 1U);
+  EXPECT_LE(StartDelay(simulation, "idle", submitted), milliseconds(200));
+}
+
 // A customer's service runs until it is cancelled. If the service were delayed to leave room for
 // urgent jobs, its users would be without it.
 TEST(PoolLoad, DelaysNoLongRunningTaskForUrgentJobs) {
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -271,6 +271,15 @@
     // Leaves out workers on which the job would be late.
     bool only_in_time = false;
   };
+  // The workers of one service, as of this round.
+  struct ServiceRoom {
+    // Room on the usable workers that are fast enough for urgent jobs, where the reserve is kept.
+    PoolRoom fast;
+    // Whether so much of the service is free that no unit may wait for a better place.
+    bool mostly_idle = false;
+    // Since when nearly half of all its workers, including currently unusable ones, have been idle.
+    std::optional<Time> half_idle_since;
+  };
   static UnitKey KeyOf(const Unit& unit) { return {unit.job->spec.id, unit.place}; }
 
   // Processing of reports; defined in pool_planner_reports.cc.
@@ -432,6 +441,10 @@
   // Whether a round of planning is due at `now`.
   bool RoundIsDue(Time now) const;
   void BeginRound(Time now);
+  // Computes the room of each service, as of the begin of the round.
+  void ComputeServiceRooms(Time now);
+  // Empty if no worker of the service is known.
+  const ServiceRoom& ServiceRoomOf(const std::string& service) const;
   static Occupancy OccupancyOf(const WorkerState& worker);
   void LogQueue(const std::vector<Unit>& units, Time now);
   // Logs why the unit waits if the reason has changed; determines the reason unless `known`:
@@ -496,7 +509,8 @@
   // Whether all tasks of the steps that the job begins with fit on free room, and the room isn't
   // needed by waiting jobs of the same or a more urgent priority.
   bool HasFreeRoom(const JobSpec& spec, const QueueTerms& terms, Time now) const;
-  bool StepFits(const StepSpec& step, int priority,
+  // `candidates`: the workers of `service` that may be used.
+  bool StepFits(const StepSpec& step, int priority, const std::string& service,
                 const std::vector<const WorkerState*>& candidates, Time now) const;
   admission::AdmissionRequest RequestFor(const JobSpec& spec, const QueueTerms& terms,
                                          Time now) const;
@@ -565,17 +579,13 @@
   std::map<std::string, int64_t> urgent_use_;
   // Accelerators that all unfinished urgent jobs of a workspace need.
   std::map<std::string, int64_t> urgent_need_;
-  // Room on the usable workers that are fast enough for urgent jobs.
-  PoolRoom pool_room_;
+  // By service.
+  std::map<std::string, ServiceRoom> service_rooms_;
   // Free room on all usable workers at the begin of the round.
   Room free_room_;
   UrgentReserve reserve_;
   // Declared after the parts that it writes and loads.
   learned::LearnedState learned_state_;
-  // Whether so much of the pool is free that no unit may wait for a better place.
-  bool mostly_idle_ = false;
-  // Since when nearly half of all workers, including currently unusable ones, have been idle.
-  std::optional<Time> half_idle_since_;
   // Moving average of the time that stops take.
   Duration mean_stop_time_;
   BackfillReservations backfill_reservations_;
--- a/servers/pool/pool_planner_admission.cc
+++ b/servers/pool/pool_planner_admission.cc
@@ -233,11 +233,12 @@
   }
   return free.Holds(PeakNeed(spec)) &&
          std::all_of(spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
-           return !step.after.empty() || StepFits(step, terms.priority, candidates, now);
+           return !step.after.empty() ||
+                  StepFits(step, terms.priority, terms.service, candidates, now);
          });
 }
 
-bool PoolPlanner::StepFits(const StepSpec& step, int priority,
+bool PoolPlanner::StepFits(const StepSpec& step, int priority, const std::string& service,
                            const std::vector<const WorkerState*>& candidates, Time now) const {
   int fitting = 0;
   int on_slow_workers = 0;
@@ -249,9 +250,11 @@
     if (!IsFastEnough(worker->node, now)) on_slow_workers += count;
   }
   if (fitting < step.tasks) return false;
-  if (priority == 0 || !IsEnabled(Mechanism::kUrgentReserve) || half_idle_since_) return true;
-  return on_slow_workers + reserve_.TasksOutsideReserve(pool_room_, step.need, step.tasks, now) >=
-         step.tasks;
+  if (priority == 0 || !IsEnabled(Mechanism::kUrgentReserve)) return true;
+  const ServiceRoom& room = ServiceRoomOf(service);
+  if (room.half_idle_since) return true;
+  const int outside = reserve_.TasksOutsideReserve(service, room.fast, step.need, step.tasks, now);
+  return on_slow_workers + outside >= step.tasks;
 }
 
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner_backfilling.cc
+++ b/servers/pool/pool_planner_backfilling.cc
@@ -72,7 +72,8 @@
   const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
   if (NeedsFitGuarantee(unit) && waited > options_.guaranteed_off_rack_delay) return true;
   if (!KnowsMostAgents(now)) return false;
-  if (mostly_idle_ && waited > kIdleOffRackDelay) return true;
+  if (ServiceRoomOf(Terms(*unit.job).service).mostly_idle && waited > kIdleOffRackDelay)
+    return true;
   // Not even an empty rack can hold the unit, so waiting for one is pointless.
   if (!FitsOneRack(strict, RoomsFor(unit, true, now))) return true;
   if (!IsEnabled(Mechanism::kOffRackByForecast) || planner_lag_.overloaded()) return false;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -153,10 +153,7 @@
   advice_.BeginRound();
   UpdateSpeeds(now);
   LogReleases(releases_->Update(now), epoch_);
-  pool_room_ = PoolRoom();
-  PoolRoom fast_room;
   Room all;
-  Room all_left;
   std::map<std::string, Room> capacity;
   starts_in_flight_ = 0;
   for (auto& [node, worker] : workers_) {
@@ -167,34 +164,18 @@
     worker.occupancy = OccupancyOf(worker);
     capacity[worker.facts.service] += worker.facts.capacity;
     all += worker.facts.capacity;
-    all_left += worker.remaining_room;
-    if (!worker.usable(now)) continue;
-    pool_room_.total += worker.facts.capacity;
-    pool_room_.free += worker.remaining_room;
-    worker.fast_enough = IsFastEnough(node, now);
-    if (!worker.fast_enough) continue;
-    fast_room.total += worker.facts.capacity;
-    fast_room.free += worker.remaining_room;
-  }
-  mostly_idle_ = FreeShare(pool_room_.free, pool_room_.total) > kMostlyIdleShare;
-  free_room_ = pool_room_.free;
-  // The reserve is kept where urgent jobs can end in time.
-  pool_room_ = fast_room;
-  if (FreeShare(all_left, all) <= kHalfIdleShare) {
-    half_idle_since_.reset();
-  } else if (!half_idle_since_) {
-    half_idle_since_ = now;
   }
+  ComputeServiceRooms(now);
   estimator_.SetCapacity(capacity);
   estimator_.ResetJobs();
   for (const auto& [id, job] : jobs_) estimator_.RecordJob(job.spec);
   urgent_use_.clear();
   urgent_need_.clear();
-  Room demand;
+  std::map<std::string, Room> demand;
   for (const auto& [id, job] : jobs_) {
     if (Terms(job).priority != 0 || IsOver(job.progress.state)) continue;
     const Room need = PeakNeed(job.spec);
-    demand += need;
+    demand[Terms(job).service] += need;
     urgent_need_[job.spec.workspace] += need.accelerators;
     int64_t& use = urgent_use_[job.spec.workspace];
     for (const auto& [place, run] : job.runs) {
@@ -202,10 +183,52 @@
     }
   }
   // The demand of all jobs is too large a share of the few workers that a new planner knows.
-  if (KnowsMostAgents(now)) reserve_.RecordDemand(pool_room_, demand, now);
+  if (KnowsMostAgents(now)) {
+    for (const auto& [service, room] : service_rooms_) {
+      reserve_.RecordDemand(service, room.fast, demand[service], now);
+    }
+  }
   RecordWorkspaceUse(all, now);
 }
 
+void PoolPlanner::ComputeServiceRooms(Time now) {
+  struct Sums {
+    PoolRoom all;
+    PoolRoom usable;
+    PoolRoom fast;
+  };
+  const auto add = [](const WorkerState& worker, PoolRoom* sum) {
+    sum->total += worker.facts.capacity;
+    sum->free += worker.remaining_room;
+  };
+  std::map<std::string, Sums> sums;
+  free_room_ = Room();
+  for (auto& [node, worker] : workers_) {
+    Sums& service = sums[worker.facts.service];
+    add(worker, &service.all);
+    if (!worker.usable(now)) continue;
+    add(worker, &service.usable);
+    free_room_ += worker.remaining_room;
+    worker.fast_enough = IsFastEnough(node, now);
+    if (worker.fast_enough) add(worker, &service.fast);
+  }
+  std::map<std::string, ServiceRoom> rooms;
+  for (const auto& [service, sum] : sums) {
+    ServiceRoom& room = rooms[service];
+    room.fast = sum.fast;
+    room.mostly_idle = FreeShare(sum.usable.free, sum.usable.total) > kMostlyIdleShare;
+    if (FreeShare(sum.all.free, sum.all.total) <= kHalfIdleShare) continue;
+    room.half_idle_since = ServiceRoomOf(service).half_idle_since.value_or(now);
+  }
+  service_rooms_ = std::move(rooms);
+}
+
+const PoolPlanner::ServiceRoom& PoolPlanner::ServiceRoomOf(const std::string& service) const {
+  static const ServiceRoom kNone;
+  const auto found = service_rooms_.find(service);
+  return found == service_rooms_.end() ? kNone : found->second;
+}
+
 void PoolPlanner::ExpireLeases(Time now) {
   for (auto& [node, worker] : workers_) {
     // Reports that a lagging planner has not read yet do not mean that the agent is silent.
@@ -471,12 +494,14 @@
   if (step.long_running || !CanWait(unit.timing)) return all;
   // A job that waits longer beside idle workers is counted as forgotten by the scheduler.
   const Time ready_since = *unit.job->steps.at(unit.place).ready_since;
-  if (half_idle_since_ && unit.job->runs.empty() &&
-      now - std::max(*half_idle_since_, ready_since) > kMaxWaitWhenIdle) {
+  const std::string& service = Terms(*unit.job).service;
+  const ServiceRoom& room = ServiceRoomOf(service);
+  if (room.half_idle_since && unit.job->runs.empty() &&
+      now - std::max(*room.half_idle_since, ready_since) > kMaxWaitWhenIdle) {
     return all;
   }
   return std::min(all, TasksOnSlowWorkers(unit, now) +
-                           reserve_.TasksOutsideReserve(pool_room_, step.need, all, now));
+                           reserve_.TasksOutsideReserve(service, room.fast, step.need, all, now));
 }
 
 int64_t PoolPlanner::GuaranteedFor(const std::string& workspace) const {
@@ -545,7 +570,7 @@
     run.order_version = waits ? std::numeric_limits<int64_t>::max() : worker.version + 1;
     worker.live[run.run] = run;
     worker.remaining_room -= run.need;
-    if (worker.fast_enough) pool_room_.free -= run.need;
+    if (worker.fast_enough) service_rooms_[worker.facts.service].fast.free -= run.need;
     if (run.best_effort) worker.remaining_room.processor_millis += run.need.processor_millis;
     if (waits) {
       pending_starts_.emplace(run.start_after, worker.node);
--- a/servers/pool/urgent_reserve.cc
+++ b/servers/pool/urgent_reserve.cc
@@ -32,37 +32,53 @@
 
 }  // namespace
 
-double UrgentReserve::Peak(Time now) const {
-  return peak_at_ ? peak_ * std::exp2(-Seconds(now - *peak_at_) / Seconds(kHalfLife)) : 0.0;
+double UrgentReserve::ShareAt(const Peak& peak, Time now) {
+  return peak.share * std::exp2(-Seconds(now - peak.at) / Seconds(kHalfLife));
 }
 
-void UrgentReserve::RecordDemand(const PoolRoom& pool, const Room& demand, Time now) {
+double UrgentReserve::PeakOf(const std::string& service, Time now) const {
+  const auto found = peaks_.find(service);
+  return found == peaks_.end() ? 0.0 : ShareAt(found->second, now);
+}
+
+void UrgentReserve::RecordDemand(const std::string& service, const PoolRoom& pool,
+                                 const Room& demand, Time now) {
   const double share = std::max(ShareOf(demand.accelerators, pool.total.accelerators),
                                 ShareOf(demand.processor_millis, pool.total.processor_millis));
-  peak_ = std::max(Peak(now), std::min(share, 1.0));
-  peak_at_ = now;
+  peaks_[service] = {std::max(PeakOf(service, now), std::min(share, 1.0)), now};
 }
 
-int UrgentReserve::TasksOutsideReserve(const PoolRoom& pool, const Room& need, int tasks,
-                                       Time now) const {
+int UrgentReserve::TasksOutsideReserve(const std::string& service, const PoolRoom& pool,
+                                       const Room& need, int tasks, Time now) const {
   // The same share of processors and accelerators is reserved: urgent tasks need both.
-  const double reserved = std::min(Peak(now), kMaxReservedShare);
+  const double reserved = std::min(PeakOf(service, now), kMaxReservedShare);
   Room available = pool.free;
   available -=
       {Part(pool.total.processor_millis, reserved), 0, Part(pool.total.accelerators, reserved)};
   return FitCount(available, need, tasks);
 }
 
-nlohmann::json UrgentReserve::Save(size_t, Time now) const {
-  return {{"peak_percent", std::lround(std::min(Peak(now), kMaxSavedShare) * kSavedSteps)}};
+nlohmann::json UrgentReserve::Save(size_t max_bytes, Time now) const {
+  learned::SavedRows rows(max_bytes);
+  for (const auto& [service, peak] : peaks_) {
+    const double share = std::min(ShareAt(peak, now), kMaxSavedShare);
+    const int64_t percent = std::lround(share * kSavedSteps);
+    if (percent > 0) rows.Add(service, percent);
+  }
+  return {{"peak_percent", rows.rows()}};
 }
 
 void UrgentReserve::Load(const nlohmann::json& data, Duration age, Time now) {
-  peak_ = learned::ReadSaved([&] {
-    return learned::NumberIn(data.at("peak_percent"), 0, kMaxSavedShare * kSavedSteps) /
-           kSavedSteps;
+  peaks_ = learned::ReadSaved([&] {
+    std::map<std::string, Peak> peaks;
+    const auto rows = data.at("peak_percent").get<std::map<std::string, nlohmann::json>>();
+    for (const auto& [service, percent] : rows) {
+      const double share =
+          learned::NumberIn(percent, 0, kMaxSavedShare * kSavedSteps) / kSavedSteps;
+      peaks[service] = {share, now - age};
+    }
+    return peaks;
   });
-  peak_at_ = now - age;
 }
 
 bool CanWait(const JobTiming& timing) {
--- a/servers/pool/urgent_reserve.h
+++ b/servers/pool/urgent_reserve.h
@@ -4,10 +4,12 @@
 // jobs with tens of seconds to spare. Preempting the jobs with more slack takes most of that second
 // and discards their work. Those jobs are therefore delayed before they start, as long as the delay
 // costs them next to nothing. The size of the reserve follows the observed demand of urgent jobs,
-// so a pool without such jobs reserves nothing.
+// so a service without such jobs reserves nothing. Each service has workers of its own, and so a
+// reserve of its own.
 #pragma once
 
-#include <optional>
+#include <map>
+#include <string>
 
 #include "core/clock.h"
 #include "servers/learned/learned_part.h"
@@ -16,7 +18,7 @@
 
 namespace turmericshift::pool {
 
-// Total and free room of the usable workers.
+// Total and free room of the usable workers of a service.
 struct PoolRoom {
   Room total;
   Room free;
@@ -24,24 +26,32 @@
 
 class UrgentReserve : public learned::LearnedPart {
  public:
-  // Records that all unfinished urgent jobs together need `demand`.
-  void RecordDemand(const PoolRoom& pool, const Room& demand, Time now);
+  // Records that all unfinished urgent jobs of the service, whose workers are `pool`, together need
+  // `demand`.
+  void RecordDemand(const std::string& service, const PoolRoom& pool, const Room& demand, Time now);
 
-  // Number of the `tasks`, each of size `need`, that may start without using the reserve.
-  int TasksOutsideReserve(const PoolRoom& pool, const Room& need, int tasks, Time now) const;
+  // Number of the `tasks`, each of size `need`, that may start without using the service's reserve.
+  int TasksOutsideReserve(const std::string& service, const PoolRoom& pool, const Room& need,
+                          int tasks, Time now) const;
 
   std::string name() const override { return "urgent_demand"; }
-  int version() const override { return 1; }
+  int version() const override { return 2; }
   Duration max_age() const override { return std::chrono::minutes(2); }
   nlohmann::json Save(size_t max_bytes, Time now) const override;
   void Load(const nlohmann::json& data, Duration age, Time now) override;
 
  private:
-  // The highest observed share of the pool that urgent jobs needed, decaying with time.
-  double Peak(Time now) const;
+  // The highest observed share of a service's room that urgent jobs needed, as of `at`. It decays
+  // with time.
+  struct Peak {
+    double share = 0;
+    Time at{};
+  };
 
-  double peak_ = 0;
-  std::optional<Time> peak_at_;
+  static double ShareAt(const Peak& peak, Time now);
+  double PeakOf(const std::string& service, Time now) const;
+
+  std::map<std::string, Peak> peaks_;
 };
 
 // Whether starting the job some seconds later costs next to nothing.
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -611,7 +611,7 @@
   announcement.sequence = ++worker->sequence;
   announcement.facts.id = worker->model->id();
   announcement.facts.start_time_ms = worker->model->start_time_ms();
-  announcement.facts.service = "plans";
+  announcement.facts.service = worker->spec.service;
   announcement.facts.rack = worker->spec.rack;
   announcement.facts.labels = {"plain", worker->spec.rack};
   announcement.facts.capacity = worker->spec.capacity;
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -24,6 +24,7 @@
   std::string node;
   std::string rack;
   std::string zone = "a";
+  std::string service = "plans";
   Room capacity = {64'000, 131'072, 8};
   // Factor on the run time of its tasks. The members of a gang progress at the speeds of their
   // workers, and end together once the slowest one is done.
