Pool: Start long-running tasks off their data's rack after a second

Cause: a step waits for its rack as long as a run elsewhere would end later, by the estimate of its run time. A long-running task has no end, and its users are without it while it waits.

--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -201,6 +201,34 @@
   EXPECT_GE(simulation.RunsOf("service").size(), 4U);
 }
 
+// The rack with the data of a service is full, or lost. The service waited for room there for twice
+// the estimate of its tasks, which says nothing about a task without end.
+TEST(PoolLoad, RestartsALongRunningTaskOutsideItsDatasRack) {
+  PoolSimulation simulation(SampleRacks(2), SampleOperatorState(0));
+  simulation.actual_duration = [](const TaskId& /*task*/) { return seconds(1000); };
+  simulation.RunFor(milliseconds(100));
+  StepSpec service = SampleStep(1, 1, seconds(30));
+  service.long_running = true;
+  service.data_rack = "r0";
+  simulation.Submit(SampleJob("service", "batch", "one", service));
+  simulation.RunFor(seconds(1));
+  ASSERT_EQ(simulation.RunsOf("service").size(), 1U);
+  StepSpec rest = SampleStep(23, 1, seconds(50));
+  rest.data_rack = "r0";
+  simulation.Submit(SampleJob("rest", "batch", "two", rest));
+  // Leaves less than two fifths of the pool free.
+  StepSpec other = SampleStep(10, 1, seconds(50));
+  other.data_rack = "r1";
+  simulation.Submit(SampleJob("other", "batch", "two", other));
+  simulation.RunFor(seconds(4));
+  ASSERT_EQ(simulation.RunsOf("rest").size(), 23U);
+  ASSERT_EQ(simulation.RunsOf("other").size(), 10U);
+  simulation.Isolate(simulation.RunsOf("service")[0].node);
+  simulation.RunFor(seconds(8));
+  ASSERT_EQ(simulation.RunsOf("service").size(), 2U);
+  EXPECT_EQ(simulation.violations(), std::vector<std::string>());
+}
+
 // The same tasks failed on each worker in turn. All workers were quarantined at the same time, for
 // up to 12 s, and none of the tasks was restarted.
 TEST(PoolLoad, RestartsLongRunningTasksThatFailOnAllWorkers) {
--- a/servers/pool/pool_planner_backfilling.cc
+++ b/servers/pool/pool_planner_backfilling.cc
@@ -15,6 +15,8 @@
 // Gangs are spread over several racks after this time while much of the pool is free: a job that
 // waits for 3 s beside idle workers is counted as forgotten by the scheduler.
 constexpr Duration kIdleOffRackDelay = std::chrono::milliseconds(2200);
+// Long-running tasks begin outside their data's rack after this time.
+constexpr Duration kLongRunningOffRackDelay = std::chrono::seconds(1);
 // All healthy agents have reported to a new planner after this time. Until then, or until no more
 // than one in kUnreportedDivisor agents is missing, the planner cannot tell whether any rack can
 // hold a gang.
@@ -72,6 +74,8 @@
   const Duration waited = now - *unit.job->steps.at(unit.place).ready_since;
   if (NeedsFitGuarantee(unit) && waited > options_.guaranteed_off_rack_delay) return true;
   if (!KnowsMostAgents(now)) return false;
+  // A service is missed for as long as it waits, and the estimate is no run time.
+  if (strict.step->long_running && waited > kLongRunningOffRackDelay) return true;
   if (ServiceRoomOf(Terms(*unit.job).service).mostly_idle && waited > kIdleOffRackDelay)
     return true;
   // Not even an empty rack can hold the unit, so waiting for one is pointless.
