Pool: Count no run as stalled before its next percent is due

Cause: a run counts as stalled after a twentieth of its expected time without a further percent, and a worker with stalled runs only gets no tasks. Such a run takes longer than that for each percent.

The time for a percent that the run has shown last counts as well, twice.

RunProgress.CountsNoLongRunAsStalledBetweenTwoPercents failed before.

--- a/servers/pool/run_progress.cc
+++ b/servers/pool/run_progress.cc
@@ -13,9 +13,11 @@
 constexpr Duration kMinProgressTime = std::chrono::milliseconds(400);
 // A run counts as stalled if it makes no progress for kMinStall and for a twentieth of its expected
 // run time. A worker is read once a second and reports whole percents: a run of some ten seconds
-// changes with every reading, while a run of minutes takes a few seconds per percent.
+// changes with every reading, while a run of minutes takes a few seconds per percent. Estimates may
+// be ten times too low, so the time that kStallPercents percents took last is waited for as well.
 constexpr Duration kMinStall = std::chrono::milliseconds(2500);
 constexpr int kStallDivisor = 20;
+constexpr int kStallPercents = 2;
 // Remaining time of a run that is past its expected end: a share of the time that it has taken
 // already, so that nobody waits for a stalled run, and at least kMinRemainingTime.
 constexpr Duration kMinRemainingTime = std::chrono::milliseconds(100);
@@ -26,13 +28,17 @@
 void RunProgress::Update(int percent, Time now) {
   if (last_report_ && percent <= last_report_->percent) return;
   if (last_report_ && !baseline_) baseline_ = Mark{percent, now};
+  if (last_report_) {
+    time_per_percent_ = (now - last_report_->at) / (percent - last_report_->percent);
+  }
   last_report_ = Mark{percent, now};
   latest_ = *last_report_;
 }
 
 bool RunProgress::IsStalled(Duration expected, Time now) const {
   if (!baseline_ || latest_.percent >= kAllDone) return false;
-  return now - latest_.at > std::max(kMinStall, expected / kStallDivisor);
+  return now - latest_.at >
+         std::max({kMinStall, expected / kStallDivisor, kStallPercents * time_per_percent_});
 }
 
 Duration RunProgress::RemainingTime(Duration estimate, Time since, Time now) const {
--- a/servers/pool/run_progress.h
+++ b/servers/pool/run_progress.h
@@ -16,7 +16,8 @@
   void Update(int percent, Time now);
 
   // Whether the run, whose expected run time is `expected`, has begun and made no progress for
-  // longer than the usual time between two changes of its percentage.
+  // longer than the usual time between two changes of its percentage, both as expected and as
+  // observed.
   bool IsStalled(Duration expected, Time now) const;
 
   // Remaining time of the run. `estimate`: its whole run time, used until progress gives a better
@@ -34,6 +35,8 @@
   std::optional<Mark> last_report_;
   std::optional<Mark> baseline_;
   Mark latest_;
+  // Time for each percent of the newest progress.
+  Duration time_per_percent_{};
 };
 
 }  // namespace turmericshift::pool
--- a/servers/pool/run_progress_test.cc
+++ b/servers/pool/run_progress_test.cc
@@ -54,5 +54,27 @@
   EXPECT_FALSE(progress.IsStalled(seconds(600), kStart + seconds(13)));
 }
 
+// A task takes ten times its estimate. Between two percents, half a minute apart, its worker was
+// taken for stalled and got no other task.
+TEST(RunProgress, CountsNoLongRunAsStalledBetweenTwoPercents) {
+  RunProgress progress;
+  progress.Update(0, kStart);
+  progress.Update(1, kStart + seconds(30));
+  EXPECT_FALSE(progress.IsStalled(seconds(300), kStart + seconds(59)));
+  progress.Update(2, kStart + seconds(60));
+  EXPECT_FALSE(progress.IsStalled(seconds(300), kStart + seconds(119)));
+  EXPECT_TRUE(progress.IsStalled(seconds(300), kStart + seconds(121)));
+}
+
+// A stall that is over says nothing about the speed of the run.
+TEST(RunProgress, DetectsAStallAfterAnEarlierOne) {
+  RunProgress progress;
+  progress.Update(0, kStart);
+  progress.Update(10, kStart + seconds(1));
+  progress.Update(11, kStart + seconds(31));
+  progress.Update(21, kStart + seconds(32));
+  EXPECT_TRUE(progress.IsStalled(seconds(10), kStart + seconds(35)));
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
