Pool: Start best-effort tasks on processors that others leave unused

Cause: only running best-effort tasks were left out of a worker's room. The placer and the urgent reserve decided with the task's whole need.

After 2.2 s without a worker that has all of them free, such a task goes to the worker with the most unused processors, but not beside a long-running task.

PoolLoad.StartsBestEffortTasksBesideTasksThatTakeHalfOfAWorker failed before.

--- a/servers/pool/job_model.h
+++ b/servers/pool/job_model.h
@@ -51,6 +51,11 @@
   // Upper limit on tasks of the step on one worker; 0: no limit.
   int max_per_worker = 0;
   std::string image;
+
+  // What a task of the step takes from the capacity of its worker.
+  Room counted_need() const {
+    return {best_effort ? 0 : need.processor_millis, need.memory_mib, need.accelerators};
+  }
 };
 
 // Schedule of a job whose steps run more than once.
--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -45,7 +45,8 @@
 
 // Fills the group's workers one after the other. The placement is shorter than `tasks` if room runs
 // out.
-Placement Fill(Group group, const StepSpec& step, int tasks) {
+Placement Fill(const Group& workers, const StepSpec& step, int tasks) {
+  Group group = workers;
   std::sort(group.begin(), group.end(), [&](const WorkerRoom* left, const WorkerRoom* right) {
     return ComesFirst(step, left, right);
   });
@@ -58,6 +59,37 @@
   return placement;
 }
 
+// Places the tasks one by one on the worker with the most free processors, less those that the
+// tasks placed before want. The placement is shorter than `tasks` if other room runs out.
+Placement FillUnusedProcessors(const Group& group, const StepSpec& step, int tasks) {
+  struct Candidate {
+    const WorkerRoom* worker = nullptr;
+    int fits = 0;
+    int64_t processors = 0;
+  };
+  const Room counted = step.counted_need();
+  std::vector<Candidate> candidates;
+  for (const WorkerRoom* worker : group) {
+    const int fits = FitCount(worker->free, counted, std::min(tasks, worker->max_tasks));
+    candidates.push_back({worker, fits, worker->free.processor_millis});
+  }
+  const auto rank = [](const Candidate& each) {
+    return std::make_tuple(each.fits == 0, each.worker->suspect, -each.processors,
+                           each.worker->node);
+  };
+  Placement placement;
+  while (static_cast<int>(placement.size()) < tasks) {
+    const auto best = std::min_element(
+        candidates.begin(), candidates.end(),
+        [&](const Candidate& left, const Candidate& right) { return rank(left) < rank(right); });
+    if (best == candidates.end() || best->fits == 0) break;
+    placement.emplace_back(best->worker->node);
+    --best->fits;
+    best->processors -= step.need.processor_millis;
+  }
+  return placement;
+}
+
 // Places the tasks on as few workers as possible: repeatedly on the worker that takes most of the
 // remaining tasks, and among equals on the one with the least room. The placement is shorter than
 // `tasks` if room runs out.
@@ -199,16 +231,17 @@
 }
 
 Placement PlaceSingles(const PlacementRequest& request, const std::vector<WorkerRoom>& workers) {
-  if (request.step->data_rack.empty()) return Fill(All(workers), *request.step, request.tasks);
+  const auto fill = request.ignore_processors ? FillUnusedProcessors : Fill;
+  if (request.step->data_rack.empty()) return fill(All(workers), *request.step, request.tasks);
   Group in_data_rack;
   Group off_rack;
   for (const WorkerRoom& worker : workers) {
     (worker.rack == request.step->data_rack ? in_data_rack : off_rack).push_back(&worker);
   }
-  Placement placement = Fill(in_data_rack, *request.step, request.tasks);
+  Placement placement = fill(in_data_rack, *request.step, request.tasks);
   if (!request.allow_off_rack) return placement;
   const int rest = request.tasks - static_cast<int>(placement.size());
-  const Placement placed_off_rack = Fill(off_rack, *request.step, rest);
+  const Placement placed_off_rack = fill(off_rack, *request.step, rest);
   placement.insert(placement.end(), placed_off_rack.begin(), placed_off_rack.end());
   return placement;
 }
--- a/servers/pool/placer.h
+++ b/servers/pool/placer.h
@@ -52,6 +52,9 @@
   // Places a gang on the fewest workers. For gangs with little time beyond their run time: each
   // further worker may be slow, fail or leave, and any of that holds for the whole gang.
   bool few_workers = false;
+  // Places single tasks by their other needs only, on the workers with the most free processors.
+  // For best-effort steps, which may use processors that others leave unused.
+  bool ignore_processors = false;
 };
 
 // The node of each placed task, in the order of the tasks.
--- a/servers/pool/pool_load_test.cc
+++ b/servers/pool/pool_load_test.cc
@@ -253,6 +253,52 @@
   }
 }
 
+// A step whose processors are not counted against the workers' capacity waited for a worker on
+// which they would have fitted if they were.
+TEST(PoolLoad, StartsBestEffortTasksBesideTasksThatTakeHalfOfAWorker) {
+  PoolSimulation simulation(SampleRacks(1), SampleOperatorState(0));
+  simulation.actual_duration = [](const TaskId& /*task*/) { return seconds(1000); };
+  simulation.RunFor(milliseconds(100));
+  StepSpec half = SampleStep(3, 1, seconds(100));
+  half.need.processor_millis = 30'000;
+  half.max_per_worker = 1;
+  simulation.Submit(SampleJob("half", "batch", "one", half));
+  simulation.RunFor(seconds(1));
+  ASSERT_EQ(simulation.RunsOf("half").size(), 3U);
+  const Time submitted = simulation.now();
+  StepSpec rest = SampleStep(3, 1, seconds(100));
+  rest.need.processor_millis = 40'000;
+  rest.best_effort = true;
+  simulation.Submit(SampleJob("rest", "bulk", "two", rest));
+  simulation.RunFor(seconds(4));
+  ASSERT_EQ(simulation.RunsOf("rest").size(), 3U);
+  EXPECT_LE(StartDelay(simulation, "rest", submitted), seconds(3));
+  // Each gets the processors that one worker's other tasks leave unused.
+  std::set<std::string> nodes;
+  for (const SimulatedRun& run : simulation.RunsOf("rest")) nodes.insert(run.node);
+  EXPECT_EQ(nodes.size(), 3U);
+}
+
+// Such tasks disturb what serves on their worker, so that they stay off workers that would not have
+// held them anyway.
+TEST(PoolLoad, StartsNoBestEffortTaskBesideALongRunningTaskForWantOfProcessors) {
+  PoolSimulation simulation(SampleRacks(1), SampleOperatorState(0));
+  simulation.RunFor(milliseconds(100));
+  StepSpec service = SampleStep(3, 1, seconds(100));
+  service.need.processor_millis = 30'000;
+  service.max_per_worker = 1;
+  service.long_running = true;
+  simulation.Submit(SampleJob("service", "batch", "one", service));
+  simulation.RunFor(seconds(1));
+  ASSERT_EQ(simulation.RunsOf("service").size(), 3U);
+  StepSpec rest = SampleStep(1, 1, seconds(100));
+  rest.need.processor_millis = 40'000;
+  rest.best_effort = true;
+  simulation.Submit(SampleJob("rest", "bulk", "two", rest));
+  simulation.RunFor(seconds(6));
+  EXPECT_EQ(simulation.RunsOf("rest").size(), 0U);
+}
+
 // Without urgent work, reserved room would only make other jobs wait.
 TEST(PoolLoad, ReservesNoRoomWithoutUrgentJobs) {
   PoolSimulation simulation(SampleRacks(2), SampleOperatorState(0));
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -392,6 +392,9 @@
   void RequestAdvice(const Unit& unit, Time now);
   static AdvisedWorker AdvisedWorkerOf(const WorkerState& worker);
   Placement PlaceUnit(const Unit& unit, PlacementRequest* request, Time now) const;
+  // Places tasks of a best-effort step that has waited, beside others that use part of the
+  // processors, but not beside long-running tasks: it would disturb what they serve.
+  Placement PlaceOnUnusedProcessors(const Unit& unit, PlacementRequest request, Time now) const;
   int TasksOnWorker(const Job& job, const StepPlace& place, const std::string& node) const;
   // Whether a unit that wants one rack, or its data's rack, ends sooner when placed off-rack now
   // than when it waits.
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -32,6 +32,9 @@
 // all workers, including currently unusable ones, are idle.
 constexpr double kHalfIdleShare = 0.45;
 constexpr Duration kMaxWaitWhenIdle = std::chrono::milliseconds(2300);
+// A best-effort task waits this long for a worker with all processors that it can use; then it
+// begins with those that it gets.
+constexpr Duration kMaxWaitForProcessors = std::chrono::milliseconds(2200);
 // Choosing victims is the most expensive decision: with 600 runs on 67 workers it takes 2 ms of a
 // processor of which an entry may have an eighth. It is therefore made for few units per round, and
 // for each unit only every kReclaimInterval; units left out are tried again within the bound on
@@ -456,11 +459,28 @@
 Placement PoolPlanner::PlaceUnit(const Unit& unit, PlacementRequest* request, Time now) const {
   const std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
   Placement placement = Place(*request, rooms);
+  if (static_cast<int>(placement.size()) == request->tasks) return placement;
   const bool needs_rack = request->step->one_rack || !request->step->data_rack.empty();
-  if (static_cast<int>(placement.size()) == request->tasks || !needs_rack) return placement;
-  if (!ShouldGoOffRack(unit, *request, now)) return placement;
-  request->allow_off_rack = true;
-  return Place(*request, rooms);
+  if (needs_rack && ShouldGoOffRack(unit, *request, now)) {
+    request->allow_off_rack = true;
+    placement = Place(*request, rooms);
+  }
+  return placement.empty() ? PlaceOnUnusedProcessors(unit, *request, now) : placement;
+}
+
+Placement PoolPlanner::PlaceOnUnusedProcessors(const Unit& unit, PlacementRequest request,
+                                               Time now) const {
+  const Time ready_since = *unit.job->steps.at(unit.place).ready_since;
+  if (!request.step->best_effort || request.step->gang) return {};
+  if (now - ready_since <= kMaxWaitForProcessors) return {};
+  std::vector<WorkerRoom> rooms = StartRoomsFor(unit, now);
+  std::erase_if(rooms, [this](const WorkerRoom& room) {
+    const WorkerState& worker = workers_.at(std::string(room.node));
+    return std::any_of(worker.live.begin(), worker.live.end(),
+                       [](const auto& row) { return row.second.long_running; });
+  });
+  request.ignore_processors = true;
+  return Place(request, rooms);
 }
 
 void PoolPlanner::TryUnit(const Unit& unit, int64_t wall_ms, Time now) {
@@ -500,8 +520,9 @@
       now - std::max(*room.half_idle_since, ready_since) > kMaxWaitWhenIdle) {
     return all;
   }
-  return std::min(all, TasksOnSlowWorkers(unit, now) +
-                           reserve_.TasksOutsideReserve(service, room.fast, step.need, all, now));
+  const int outside =
+      reserve_.TasksOutsideReserve(service, room.fast, step.counted_need(), all, now);
+  return std::min(all, TasksOnSlowWorkers(unit, now) + outside);
 }
 
 int64_t PoolPlanner::GuaranteedFor(const std::string& workspace) const {
@@ -569,9 +590,10 @@
     const bool waits = run.start_after > outbox_.durable();
     run.order_version = waits ? std::numeric_limits<int64_t>::max() : worker.version + 1;
     worker.live[run.run] = run;
-    worker.remaining_room -= run.need;
-    if (worker.fast_enough) service_rooms_[worker.facts.service].fast.free -= run.need;
-    if (run.best_effort) worker.remaining_room.processor_millis += run.need.processor_millis;
+    worker.remaining_room -= step.counted_need();
+    if (worker.fast_enough) {
+      service_rooms_[worker.facts.service].fast.free -= step.counted_need();
+    }
     if (waits) {
       pending_starts_.emplace(run.start_after, worker.node);
     } else {
