--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -67,6 +67,13 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
 }
 
+// The agent of a lost worker had a new process, and the planner went on to place jobs on the worker.
+TEST_P(PoolHistory, KeepsItsRulesWhereWorkersAreLostAndTheirAgentsRestart) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert(FaultKind::kLostWorkers);
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
@@ -103,5 +110,15 @@
   for (const FaultKind kind : kinds) EXPECT_GE(counts[kind], kHistories) << FaultKindName(kind);
 }
 
+// The same for the loss of a worker, of which a history has at most one.
+TEST(PoolHistoryFaults, LoseWorkersInMostHistories) {
+  constexpr unsigned kHistories = 8;
+  int lost = 0;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    lost += RunPoolHistory(seed, {FaultKind::kLostWorkers}).faults[FaultKind::kLostWorkers];
+  }
+  EXPECT_GE(lost, kHistories / 2);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/tests/stand_ins/pool_faults.cc
+++ b/tests/stand_ins/pool_faults.cc
@@ -10,7 +10,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 16> kKindNames = {{
+constexpr std::array<KindName, 17> kKindNames = {{
     {FaultKind::kLateCalls, "late_calls"},
     {FaultKind::kLostAnswers, "lost_answers"},
     {FaultKind::kKeptIds, "kept_ids"},
@@ -27,6 +27,7 @@
     {FaultKind::kSlowLapses, "slow_lapses"},
     {FaultKind::kRefusedConnections, "refused_connections"},
     {FaultKind::kOldReadings, "old_readings"},
+    {FaultKind::kLostWorkers, "lost_workers"},
 }};
 
 // One in this many kinds of fault is left out of a history.
@@ -59,6 +60,11 @@
 constexpr int kTicksPerLostAnswers = 3000;
 constexpr int kAnswersLostMinMs = 8000;
 constexpr int kAnswersLostMaxMs = 20'000;
+constexpr int kTicksPerLoss = 4000;
+// Pools of six workers have room for all jobs of a history without one of them.
+constexpr int kMaxLostWorkers = 1;
+constexpr unsigned kLossesPerAgentLeft = 4;
+constexpr int kAgentBackMaxMs = 6000;
 constexpr double kSlowClockRate = 0.98;
 
 }  // namespace
@@ -81,6 +87,7 @@
   kinds.erase(FaultKind::kSlowLapses);
   kinds.erase(FaultKind::kRefusedConnections);
   kinds.erase(FaultKind::kOldReadings);
+  kinds.erase(FaultKind::kLostWorkers);
   return kinds;
 }
 
@@ -156,6 +163,17 @@
   return Between(0, kIsolationMaxMs);
 }
 
+bool RandomFaults::LosesWorker(const std::string& /*node*/) {
+  const auto losses = counts_.find(FaultKind::kLostWorkers);
+  if (losses != counts_.end() && losses->second >= kMaxLostWorkers) return false;
+  return Happens(FaultKind::kLostWorkers, kTicksPerLoss);
+}
+
+std::optional<Duration> RandomFaults::ReplacesAgentAfterLoss(const std::string& /*node*/) {
+  if (random_() % kLossesPerAgentLeft == 0) return std::nullopt;
+  return Between(0, kAgentBackMaxMs);
+}
+
 bool RandomFaults::RestartsWorker(const std::string& /*node*/) {
   return kinds_.count(FaultKind::kKeptIds) > 0 && random_() % kTicksPerRestart == 0;
 }
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -48,6 +48,8 @@
   // Workers execute their agents' calls, but all answers are lost for many seconds, and then the
   // agent is also cut off from the planner.
   kOldReadings,
+  // One worker is lost for good, and mostly its agent has a new process within seconds.
+  kLostWorkers,
 };
 const char* FaultKindName(FaultKind kind);
 // The faults under which a scheduler can keep its rules: all kinds but kCallsBeforeTheFirst. Leaves
@@ -107,6 +109,10 @@
   // Called when the planner is replaced, and when an agent is isolated after an unnoticed restart:
   // whether the planner hands over.
   virtual bool HandsOver() { return false; }
+  // Called for each tick: whether the worker is lost for good.
+  virtual bool LosesWorker(const std::string& /*node*/) { return false; }
+  // Called when a worker is lost: after what time its agent's process is replaced, if at all.
+  virtual std::optional<Duration> ReplacesAgentAfterLoss(const std::string& /*node*/) { return {}; }
   // Called for each tick: whether the worker restarts.
   virtual bool RestartsWorker(const std::string& /*node*/) { return false; }
   // Whether the agent's process is replaced when its worker restarts, or while a call that is not
@@ -150,6 +156,8 @@
   bool AnotherWriterAnnounces(const std::string& node) override;
   std::optional<Duration> GoesUnnoticedFor(const std::string& node) override;
   Duration IsolationAfterRestart(const std::string& node) override;
+  bool LosesWorker(const std::string& node) override;
+  std::optional<Duration> ReplacesAgentAfterLoss(const std::string& node) override;
   bool RestartsWorker(const std::string& node) override;
   bool HandsOver() override { return Happens(FaultKind::kHandovers, 2); }
   bool ReplacesAgentAtRestart(const std::string& node) override;
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -61,6 +61,7 @@
   int64_t sequence = 0;
   bool draining = false;
   bool stuck = false;
+  bool lost = false;
   Time cut_until{};
   // Until when holds are lost, so that the agent does not learn of a restart.
   Time holds_lost_until{};
@@ -196,11 +197,22 @@
   planner_->PredecessorGone(gone_at);
 }
 
+void PoolSimulation::EndAllRuns(Worker* worker) {
+  const std::map<RunId, PoolWorkerModel::Run> lost = worker->model->live();
+  for (const auto& row : lost) EndRun(worker, row.first, EndKind::kLeaseExpired);
+  ForgetUnreportedEnds(*worker);
+}
+
+void PoolSimulation::LoseWorker(const std::string& node) {
+  Worker& one = worker(node);
+  EndAllRuns(&one);
+  one.lost = true;
+}
+
 void PoolSimulation::RestartWorker(const std::string& node) {
   Worker& one = worker(node);
-  const std::map<RunId, PoolWorkerModel::Run> lost = one.model->live();
-  for (const auto& row : lost) EndRun(&one, row.first, EndKind::kLeaseExpired);
-  ForgetUnreportedEnds(one);
+  if (one.lost) return;
+  EndAllRuns(&one);
   const std::string former_id = one.model->id();
   ++one.life;
   if (!faults_->KeepsId(node)) one.id_life = one.life;
@@ -297,6 +309,11 @@
 }
 
 void PoolSimulation::TickFaults(Worker* worker) {
+  if (faults_->LosesWorker(worker->spec.node)) {
+    LoseWorker(worker->spec.node);
+    const std::optional<Duration> time = faults_->ReplacesAgentAfterLoss(worker->spec.node);
+    if (time) Schedule(*time, [this, node = worker->spec.node] { RestartAgent(node); });
+  }
   if (faults_->RestartsWorker(worker->spec.node)) RestartWorker(worker->spec.node);
   if (faults_->AnotherWriterAnnounces(worker->spec.node)) {
     AnnounceAsOtherWriter(worker->spec.node);
@@ -475,7 +492,7 @@
       now_ < worker->cut_until ? faults_->FateOfCallInCut(node) : faults_->FateOfCall(node, kind);
   if (kind == WorkerCall::kHold && now_ < worker->holds_lost_until) fate = {std::nullopt, false};
   if (now_ < worker->answers_lost_until) fate = {Duration::zero(), false};
-  if (now_ < worker->refused_until) fate = {std::nullopt, false, true};
+  if (worker->lost || now_ < worker->refused_until) fate = {std::nullopt, false, true};
   const AgentState& agent = *worker->agent;
   const auto run = [worker, execute,
                     knows_life = agent.worker().start_time_ms == worker->model->start_time_ms(),
@@ -509,6 +526,7 @@
 }
 
 void PoolSimulation::ExecuteDelayed(Worker* worker, int life, const Event& execute) {
+  if (worker->lost) return;
   const bool before_the_first = life != worker->life && !worker->called_in_life;
   if (before_the_first && !faults_->ExecutesBeforeTheFirst(worker->spec.node)) {
     return Schedule(kTick, [=, this] { ExecuteDelayed(worker, life, execute); });
@@ -622,7 +640,7 @@
 }
 
 void PoolSimulation::Announce(Worker* worker) {
-  if (now_ < worker->next_announcement) return;
+  if (worker->lost || now_ < worker->next_announcement) return;
   const std::optional<Duration> delay = faults_->DelayOfAnnouncement(worker->spec.node);
   if (!delay) return HearAnnouncement(worker, AnnouncementOf(worker));
   worker->next_announcement = now_ + kAnnouncementInterval;
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -100,6 +100,8 @@
   void RestartWorker(const std::string& node);
   // The same, with a worker that does not drain and has this version.
   void ReplaceWorker(const std::string& node, const std::string& version);
+  // The worker is lost for good, with all its runs; its agent goes on.
+  void LoseWorker(const std::string& node);
   // A worker on a VM that is new to the pool starts, with its agent.
   void AddWorker(const SimulatedWorker& spec);
   // Replaces the agent's process; the worker keeps running.
@@ -180,6 +182,8 @@
   void NoteStarted(Worker* worker, const RunId& run);
   void NoteAcknowledged(Worker* worker, const EndedTask& end);
   void EndRun(Worker* worker, const RunId& run, EndKind end_kind);
+  // Ends all runs of a worker that dies, without telling anyone.
+  void EndAllRuns(Worker* worker);
   void EndBrokenGangs();
   void ForgetUnreportedEnds(const Worker& worker);
   // The task that stands for all tasks that end together: for a gang its first one.
