Pool: Raise the token that a worker's known incarnation refuses

A worker was never used again once a delayed call for its former incarnation had raised its token above the one that the planner had assigned: it refused every call, and the agent raised its own token only for an incarnation that it did not know yet.

The agent raises its token after such a refusal in either case. The planner takes it over from the next report; no lease is granted under it before.

AgentState.RaisesTheTokenThatTheKnownIncarnationRefuses failed before.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -202,12 +202,14 @@
 
 void AgentState::HoldFailed(const HoldCall& call, OrderAnswer answer) {
   if (call.worker_start_time_ms == facts_.start_time_ms) WorkerFailed(answer);
+  if (answer != OrderAnswer::kFenced || call.fence != fence_) return;
+  if (call.worker_start_time_ms != facts_.start_time_ms) return;
   // A former process of the agent may have raised the token for an incarnation of which the planner
-  // has not learned.
-  const bool is_unknown = facts_.start_time_ms == 0 && call.worker_start_time_ms == 0;
-  if (answer == OrderAnswer::kFenced && is_unknown && call.fence == fence_) {
-    fence_ = NextFence(fence_);
-  }
+  // has not learned. A delayed call for a former incarnation may have raised it for this one.
+  const bool is_known = facts_.start_time_ms != 0;
+  if (is_known && !planner_assigns_fences_) return;
+  fence_ = NextFence(fence_);
+  fence_confirmed_for_ms_ = 0;
 }
 
 bool AgentState::is_gone(Time now) const {
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -279,6 +279,31 @@
   EXPECT_EQ(state.fence(), NextFence(call.fence));
 }
 
+// A delayed call for a former incarnation has raised the worker's token above the one that the
+// planner assigned. The worker refused every call from then on and was never used again.
+TEST(AgentState, RaisesTheTokenThatTheKnownIncarnationRefuses) {
+  Agent agent;
+  AgentOrders orders = agent.Orders();
+  orders.fence = 5;
+  agent.state.HandleOrders(orders, agent.now, agent.now);
+  agent.state.HandleLists(agent.Lists({}), 5, agent.now, agent.now);
+  const HoldCall refused = agent.state.NextHold({}, agent.now);
+  ASSERT_EQ(refused.fence, 5);
+  ASSERT_TRUE(refused.lease_until);
+  agent.state.HoldFailed(refused, OrderAnswer::kFenced);
+  EXPECT_EQ(agent.state.fence(), 6);
+  // The answer to a call under the former token says nothing about the next one.
+  agent.state.HoldFailed(refused, OrderAnswer::kFenced);
+  EXPECT_EQ(agent.state.fence(), 6);
+  agent.state.HandleLists(agent.Lists({}), 6, agent.now, agent.now);
+  EXPECT_EQ(agent.state.Report({}, agent.now).fence, 6);
+  // No lease before the planner knows the token.
+  EXPECT_FALSE(agent.state.NextHold({}, agent.now).lease_until);
+  orders.fence = 6;
+  agent.state.HandleOrders(orders, agent.now, agent.now);
+  EXPECT_TRUE(agent.state.NextHold({}, agent.now).lease_until);
+}
+
 // An announcement of a previous incarnation arrives after one of the current incarnation.
 TEST(AgentState, IgnoresAnnouncementOfPreviousIncarnation) {
   Agent agent;
