Pool: Stop starts that an agent without tokens may still pass on

A task could run twice where an agent of a former version is in use: it calls all incarnations of its worker under the planner's epoch, so that the next incarnation accepts a start that was meant for the former one, also after its lists were read without it. The planner gave such a start up at once.

Starts without an outcome are stopped first, as they are where lists leave out ends, if the agent uses the epoch as its token.

GivesNoRunsUpForADelayedAnnouncementOfAFormerStart reported no token and so contradicted it: its start would have to be stopped. It reports one now, and asks the same.

--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -304,8 +304,8 @@
   void DropRunsOfUnreadWorker(WorkerState* worker, Time now);
   // Records whether all ends that preceded the worker's first lists have been reported.
   void RecordReportedEnds(const AgentReport& report, bool first_lists);
-  // Gives up the runs of a former incarnation that the report does not list as running. If the
-  // report leaves out ends, those runs become uncertain instead.
+  // Gives up the runs of a former incarnation that the report does not list as running. Those that
+  // may have ended, or may still begin, become uncertain instead.
   void DropUnlistedRuns(const AgentReport& report, WorkerState* worker, Time now);
   void ApplyRunning(const AgentReport& report, WorkerState* worker, Time now);
   void StopUncertainRuns(WorkerState* worker);
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -487,21 +487,23 @@
 }
 
 void PoolPlanner::DropUnlistedRuns(const AgentReport& report, WorkerState* worker, Time now) {
-  std::vector<RunId> unlisted;
-  for (const auto& [id, run] : worker->live) {
+  // An agent that uses the epoch as its token may pass a start on to the next incarnation after it
+  // has read the lists of that one.
+  const bool token_is_shared = report.fence == 0;
+  std::vector<RunId> over;
+  for (auto& [id, run] : worker->live) {
     const bool listed =
         std::any_of(report.running.begin(), report.running.end(),
                     [&id = id](const RunningTask& running) { return running.run == id; });
-    if (!listed) unlisted.push_back(id);
-  }
-  if (report.more_ends) {
-    for (const RunId& id : unlisted) {
-      LiveRun& run = worker->live.at(id);
-      if (run.phase != RunPhase::kStopping) run.phase = RunPhase::kUncertain;
+    if (listed) continue;
+    const bool is_start = run.phase == RunPhase::kOrdered || run.phase == RunPhase::kUncertain;
+    if (!report.more_ends && !(token_is_shared && is_start)) {
+      over.push_back(id);
+    } else if (run.phase != RunPhase::kStopping) {
+      run.phase = RunPhase::kUncertain;
     }
-    return;
   }
-  DropRuns(unlisted, worker, "the worker has restarted", now);
+  DropRuns(over, worker, "the worker has restarted", now);
 }
 
 void PoolPlanner::DropLostRuns(WorkerState* worker, const char* why, Time now) {
--- a/servers/pool/pool_planner_test.cc
+++ b/servers/pool/pool_planner_test.cc
@@ -638,6 +638,7 @@
   OneWorker one;
   AgentReport reborn = Report("first", 2);
   reborn.worker.start_time_ms = 2;
+  reborn.fence = 2;
   one.planner.ApplyReport(reborn, 0, one.now);
   reborn.sequence = 3;
   one.planner.ApplyReport(reborn, 0, one.now);
@@ -650,6 +651,7 @@
   EXPECT_EQ(one.planner.workers().at("n").live.count(run), 1U);
   AgentReport read = Report("second", 2);
   read.worker.start_time_ms = 2;
+  read.fence = 2;
   read.running = {{run, ""}};
   one.planner.ApplyReport(read, 0, one.now);
   EXPECT_EQ(one.planner.workers().at("n").live.at(run).phase, RunPhase::kRunning);
--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -67,7 +67,8 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
 }
 
-// The agent of a lost worker had a new process, and the planner went on to place jobs on the worker.
+// The agent of a lost worker had a new process, and the planner went on to place jobs on the
+// worker.
 TEST_P(PoolHistory, KeepsItsRulesWhereWorkersAreLostAndTheirAgentsRestart) {
   std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
   kinds.insert(FaultKind::kLostWorkers);
