--- a/servers/pool/pool_planner_backfilling.cc
+++ b/servers/pool/pool_planner_backfilling.cc
@@ -76,8 +76,8 @@
   if (!KnowsMostAgents(now)) return false;
   // A service is missed for as long as it waits, and the estimate is no run time.
   if (strict.step->long_running && waited > kLongRunningOffRackDelay) return true;
-  if (ServiceRoomOf(Terms(*unit.job).service).mostly_idle && waited > kIdleOffRackDelay)
-    return true;
+  const bool mostly_idle = ServiceRoomOf(Terms(*unit.job).service).mostly_idle;
+  if (mostly_idle && waited > kIdleOffRackDelay) return true;
   // Not even an empty rack can hold the unit, so waiting for one is pointless.
   if (!FitsOneRack(strict, RoomsFor(unit, true, now))) return true;
   if (!IsEnabled(Mechanism::kOffRackByForecast) || planner_lag_.overloaded()) return false;
