--- a/servers/pool/placer.cc
+++ b/servers/pool/placer.cc
@@ -68,24 +68,29 @@
     int64_t processors = 0;
   };
   const Room counted = step.counted_need();
-  std::vector<Candidate> candidates;
+  // The best candidate of a heap is its greatest.
+  const auto is_worse = [](const Candidate& left, const Candidate& right) {
+    if (left.worker->suspect != right.worker->suspect) return left.worker->suspect;
+    if (left.processors != right.processors) return left.processors < right.processors;
+    return left.worker->node > right.worker->node;
+  };
+  std::vector<Candidate> heap;
   for (const WorkerRoom* worker : group) {
     const int fits = FitCount(worker->free, counted, std::min(tasks, worker->max_tasks));
-    candidates.push_back({worker, fits, worker->free.processor_millis});
+    if (fits > 0) heap.push_back({worker, fits, worker->free.processor_millis});
   }
-  const auto rank = [](const Candidate& each) {
-    return std::make_tuple(each.fits == 0, each.worker->suspect, -each.processors,
-                           each.worker->node);
-  };
+  std::make_heap(heap.begin(), heap.end(), is_worse);
   Placement placement;
-  while (static_cast<int>(placement.size()) < tasks) {
-    const auto best = std::min_element(
-        candidates.begin(), candidates.end(),
-        [&](const Candidate& left, const Candidate& right) { return rank(left) < rank(right); });
-    if (best == candidates.end() || best->fits == 0) break;
-    placement.emplace_back(best->worker->node);
-    --best->fits;
-    best->processors -= step.need.processor_millis;
+  while (static_cast<int>(placement.size()) < tasks && !heap.empty()) {
+    std::pop_heap(heap.begin(), heap.end(), is_worse);
+    Candidate& best = heap.back();
+    placement.emplace_back(best.worker->node);
+    best.processors -= step.need.processor_millis;
+    if (--best.fits == 0) {
+      heap.pop_back();
+    } else {
+      std::push_heap(heap.begin(), heap.end(), is_worse);
+    }
   }
   return placement;
 }
--- a/servers/pool/placer_test.cc
+++ b/servers/pool/placer_test.cc
@@ -112,5 +112,23 @@
   EXPECT_EQ(NodesOf(Place(request, workers)), (std::set<std::string>{"a", "b"}));
 }
 
+// Best-effort tasks packed on one worker would share what it leaves unused, beside idle processors
+// elsewhere.
+TEST(Placer, SpreadsBestEffortTasksByUnusedProcessors) {
+  const std::vector<WorkerRoom> workers = {Worker("a", 2), Worker("b", 6), Worker("c", 5)};
+  StepSpec step;
+  step.best_effort = true;
+  step.need = {8 * kMillisPerAccelerator, 1, 1};
+  PlacementRequest request;
+  request.step = &step;
+  request.tasks = 4;
+  EXPECT_TRUE(Place(request, workers).empty());
+  request.ignore_processors = true;
+  EXPECT_EQ(Place(request, workers), (Placement{"b", "c", "a", "b"}));
+  // Its other needs count.
+  request.tasks = 20;
+  EXPECT_EQ(Place(request, workers).size(), 13U);
+}
+
 }  // namespace
 }  // namespace turmericshift::pool
--- a/servers/pool/pool_planner.h
+++ b/servers/pool/pool_planner.h
@@ -397,7 +397,7 @@
   Placement PlaceOnUnusedProcessors(const Unit& unit, PlacementRequest request, Time now) const;
   int TasksOnWorker(const Job& job, const StepPlace& place, const std::string& node) const;
   // Whether a unit that wants one rack, or its data's rack, ends sooner when placed off-rack now
-  // than when it waits.
+  // than when it waits. Units that must not wait go off-rack after a delay.
   bool ShouldGoOffRack(const Unit& unit, const PlacementRequest& strict, Time now) const;
   // Whether nearly all agents have reported to this planner, or have had time to.
   bool KnowsMostAgents(Time now) const;
--- a/servers/pool/pool_planner_backfilling.cc
+++ b/servers/pool/pool_planner_backfilling.cc
@@ -15,7 +15,7 @@
 // Gangs are spread over several racks after this time while much of the pool is free: a job that
 // waits for 3 s beside idle workers is counted as forgotten by the scheduler.
 constexpr Duration kIdleOffRackDelay = std::chrono::milliseconds(2200);
-// Long-running tasks begin outside their data's rack after this time.
+// Long-running tasks begin outside the rack that they want after this time.
 constexpr Duration kLongRunningOffRackDelay = std::chrono::seconds(1);
 // All healthy agents have reported to a new planner after this time. Until then, or until no more
 // than one in kUnreportedDivisor agents is missing, the planner cannot tell whether any rack can
