--- a/servers/pool/urgent_reserve_test.cc
+++ b/servers/pool/urgent_reserve_test.cc
@@ -79,7 +79,8 @@
 TEST(UrgentReserve, KeepsItsStateWhenTheRecordIsMalformed) {
   UrgentReserve reserve;
   for (const char* text :
-       {"1", "{}", R"({"peak_percent":1})", R"({"peak_percent":{"plans":-1}})",
+       {"1", "{}", R"({"peak_percent":-1})", R"({"peak_percent":"1"})", R"({"peak_percent":1e300})",
+        R"({"peak_percent":1})", R"({"peak_percent":{"plans":-1}})",
         R"({"peak_percent":{"plans":"1"}})", R"({"peak_percent":{"plans":1e300}})"}) {
     EXPECT_THROW(reserve.Load(nlohmann::json::parse(text), {}, kStart), Error) << text;
   }
