Pool: Tell by which leases runs are given up, and when a restarted worker takes one

The record of tasks that ran twice after restarts and cuts does not tell by which lease the planner gave the first runs up, nor whether a worker had taken a longer one: a hold that was sent for its former incarnation asks for a lease that ends by a clock which has begun anew.

runs_lost states how long each kind of lease was over. An agent logs a hold that renewed a lease in another incarnation than it was meant for.

--- a/servers/pool/pool_agent.cc
+++ b/servers/pool/pool_agent.cc
@@ -49,6 +49,20 @@
 constexpr Duration kNewPlannerRetryInterval = std::chrono::seconds(1);
 constexpr Duration kAppendTimeout = std::chrono::milliseconds(1200);
 
+// The worker has applied the end of the lease, which refers to the clock of the incarnation that
+// the call was meant for, to its own clock.
+void LogLeaseOfOtherIncarnation(const HoldCall& call, const WorkerLists& lists) {
+  const bool known = call.worker_start_time_ms != 0;
+  if (!known || !call.lease_until || call.worker_start_time_ms == lists.start_time_ms) return;
+  LogEvent(LogLevel::kWarning, "lease_of_other_incarnation",
+           {{"worker", call.worker_id},
+            {"born_ms", call.worker_start_time_ms},
+            {"now_born_ms", lists.start_time_ms},
+            {"fence", call.fence},
+            {"lease_until_ms", *call.lease_until},
+            {"clock_ms", lists.clock}});
+}
+
 }  // namespace
 
 PoolAgent::PoolAgent(const PoolAgentOptions& options, KeyedLog* log, PoolWorker* worker,
@@ -210,6 +224,7 @@
   const Time now = LeaseClock().Now();
   state_.NoteLeaseAnswered(call.lease_until, answer.answer, now);
   if (answer.answer == OrderAnswer::kAccepted) {
+    LogLeaseOfOtherIncarnation(call, answer.lists);
     return state_.HandleLists(answer.lists, call.fence, sent, now);
   }
   const bool was_reachable = state_.worker().reachable;
--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -244,8 +244,8 @@
     if (!known || !expired) continue;
     worker.lists_received = false;
     agents_with_more_ends_.erase(node);
-    worker.former_lease_until = Time{};
     DropLostRuns(&worker, "no report from the agent within its lease", now);
+    worker.former_lease_until = Time{};
   }
 }
 
--- a/servers/pool/pool_planner_reports.cc
+++ b/servers/pool/pool_planner_reports.cc
@@ -32,6 +32,12 @@
   return valid ? report.lists_age : Duration::zero();
 }
 
+// Time since the end of a lease for the log, negative before it; null if there is no such lease.
+nlohmann::json SecondsSince(Time lease_until, Time now) {
+  if (lease_until == Time{}) return nullptr;
+  return Seconds(now - lease_until);
+}
+
 void RecordVersion(const std::string& node, const WorkerFacts& facts,
                    releases::ReleaseTracker* releases, Time now) {
   // An agent that has read a new incarnation before its first announcement knows only its start.
@@ -552,8 +558,14 @@
   LogEvent(LogLevel::kWarning, "runs_lost",
            {{"node", worker->node},
             {"born_ms", worker->facts.start_time_ms},
+            {"fence", worker->fence},
             {"runs", runs.size()},
-            {"reason", why}});
+            {"reason", why},
+            {"unheard_s", Seconds(now - worker->last_report)},
+            {"lease_over_s", Seconds(now - worker->lease_until)},
+            {"reported_lease_over_s", Seconds(now - worker->reported_lease_until)},
+            {"former_lease_over_s", SecondsSince(worker->former_lease_until, now)},
+            {"epoch", epoch_}});
   std::map<RunId, LiveRun> lost;
   for (const RunId& id : runs) lost.insert(worker->live.extract(id));
   needs_planning_ = true;
