Tests: Show leases of a former incarnation's holds that no planner waits for

A worker that restarts under its ID executes holds that were sent for its former incarnation: by an agent that has not noticed the restart yet, or late. By the new clock they ask for the longest lease. Two ways in which the planner counts only the leases that it grants itself:

It has changed since the restart, so that it never knew of a former incarnation, and the agent forgets the lease as soon as it learns of the restart. Needs no late call: the agent's first hold after the restart suffices.

It knew of the restart, but gave the worker's runs up during a silence of the agent, and forgot that the worker had not been read yet.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -43,6 +43,9 @@
   void RefuseConnections(const std::string& node, Duration time) { next_refusals_[node] = time; }
   void SetLapseTime(Duration time) { lapse_time_ = time; }
   void SetClockRate(double rate) { clock_rate_ = rate; }
+  // Calls of a former incarnation are executed before the first call of an agent that knows the
+  // current one.
+  void AllowCallsBeforeTheFirst() { calls_before_the_first_ = true; }
   void DelayAnnouncements(Duration delay) { announcement_delay_ = delay; }
   // Workers that restart announce that they have left, and that arrives late.
   void DelayDepartures(Duration delay) { departure_delay_ = delay; }
@@ -91,6 +94,9 @@
     return lapse_time_;
   }
   double ClockRate(const std::string& /*node*/) override { return clock_rate_; }
+  bool ExecutesBeforeTheFirst(const std::string& /*node*/) override {
+    return calls_before_the_first_;
+  }
 
  private:
   std::map<std::pair<std::string, WorkerCall>, CallFate> next_fates_;
@@ -98,6 +104,7 @@
   std::map<std::string, Duration> next_refusals_;
   Duration lapse_time_{};
   double clock_rate_ = 1.0;
+  bool calls_before_the_first_ = false;
   CallFate fate_in_cut_ = {std::nullopt, false};
   std::optional<Duration> announcement_delay_;
   std::optional<Duration> departure_delay_;
@@ -413,6 +420,61 @@
   EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
 }
 
+// A hold of the former incarnation's agent takes the longest lease in the next one, before the
+// agent learns of the restart. A planner that hears of the worker only afterwards counted only the
+// leases that it grants itself.
+TEST_F(WorkerLife, WaitsForTheLeaseOfAnUnawareAgentsHoldAcrossAHandover) {
+  faults_.DelayAnnouncements(milliseconds(60));
+  for (Duration planned{}; planned < seconds(3); planned += milliseconds(100)) {
+    Begin(2);
+    simulation_->RestartWorker(nodes_[0]);
+    simulation_->RunFor(milliseconds(100) + planned);
+    simulation_->HandOverPlanner();
+    simulation_->RunFor(milliseconds(200));
+    Submit("j", seconds(20));
+    simulation_->RunFor(milliseconds(200));
+    ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+    const std::string node = simulation_->RunsOf("j")[0].node;
+    simulation_->Isolate(node);
+    simulation_->RunFor(seconds(10));
+    EXPECT_EQ(simulation_->violations(), kNoViolations) << Seconds(planned);
+    EXPECT_EQ(simulation_->RunsOf("j").size(), 2U) << Seconds(planned) << node;
+  }
+}
+
+// The planner learned of the restart and heard nothing more until it had given the worker's runs
+// up. It forgot the lease that the next incarnation may still take before its lists are read.
+TEST_F(WorkerLife, WaitsForTheLeaseOfALateHoldAfterASilence) {
+  faults_.DelayAnnouncements(milliseconds(60));
+  faults_.AllowCallsBeforeTheFirst();
+  Begin(2);
+  Submit("first", seconds(60));
+  simulation_->RunFor(milliseconds(500));
+  ASSERT_EQ(simulation_->RunsOf("first").size(), 1U);
+  const std::string node = simulation_->RunsOf("first")[0].node;
+  faults_.DelayNextCall({node}, WorkerCall::kHold, milliseconds(9500));
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_TRUE(faults_.HasHappened());
+  simulation_->RestartWorker(node);
+  simulation_->RunFor(milliseconds(150));
+  faults_.CutOffNode(node, seconds(9));
+  simulation_->Isolate(node);
+  simulation_->RunFor(seconds(9));
+  ASSERT_EQ(simulation_->RunsOf("first").size(), 2U);
+  simulation_->Cancel("first");
+  simulation_->Heal(node);
+  simulation_->RunFor(milliseconds(450));
+  ASSERT_EQ(simulation_->calls_of_former_lives(), 1);
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(200));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, node);
+  simulation_->Isolate(node);
+  simulation_->RunFor(seconds(10));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+  EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
+}
+
 // The agent, which reaches the planner, is refused by a worker that runs on. The planner gave the
 // runs up as soon as their lease had expired, while the worker was still ending them.
 TEST_F(WorkerLife, RunsNoTaskTwiceWhileAWorkerThatRefusesConnectionsEndsLapsedRuns) {
