Pool: Keep in mind that a restarted worker may take the longest lease until it is read

A task ran twice after a worker had restarted under its ID and its agent was silent. A planner that gives up a silent agent's runs cleared the end of the lease that calls for the former incarnation may grant, also where it had not read the new incarnation yet. Such calls are executed until then. When the agent was back, the planner counted only its own lease of 4 s, where a late hold had granted 6 s.

Now the planner clears it only for workers that it has read, and counts the longest lease again from the first lists on.

WorkerLife.WaitsForTheLeaseOfALateHoldAfterASilence failed before, each time, and passes.

--- a/servers/pool/pool_planner_planning.cc
+++ b/servers/pool/pool_planner_planning.cc
@@ -242,10 +242,11 @@
     }
     const bool known = worker.lists_received || !worker.live.empty();
     if (!known || !expired) continue;
+    DropLostRuns(&worker, "no report from the agent within its lease", now);
+    // Calls for a former incarnation are executed until the lists of the present one are read.
+    if (worker.lists_received) worker.former_lease_until = Time{};
     worker.lists_received = false;
     agents_with_more_ends_.erase(node);
-    DropLostRuns(&worker, "no report from the agent within its lease", now);
-    worker.former_lease_until = Time{};
   }
 }
 
