Agent: Count the lease that a restarted worker takes from calls for its former incarnation

Tasks ran twice, for callers doubled work, where a worker had restarted under its ID and its agent was cut off soon after. Until its first call under the new token, a worker executes calls that were sent for its former incarnation. The end of a lease in them refers to the former clock, so that by the new one they ask for the longest lease that workers grant: 6 s where the planner grants 4 s. An ordinary case is the first hold of an agent that has not noticed the restart.

The agent dropped the lease when it learned of the restart. The planner counts it if it has seen the restart itself; one that has taken over since has not, and started the tasks elsewhere 4.6 s after the agent's last report.

The agent now reports the longest lease from the moment at which the lists were read under the new token. From then on the worker refuses the former calls, so the rule does not depend on which calls there were or on who saw the restart. A new process of the agent, which knows no former incarnation, does the same. An incarnation with another ID refuses all former calls, and costs no wait.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -49,6 +49,8 @@
   if (planner_assigns_fences_ && follows_known_incarnation && !has_token) {
     fence_ = NextFence(fence_);
   }
+  if (follows_known_incarnation) former_calls_refused_ = false;
+  former_id_ = facts_.id;
   facts_ = WorkerFacts();
   facts_.start_time_ms = start_time_ms;
   other_service_.clear();
@@ -138,6 +140,7 @@
   lists_requested_at_ = std::max(lists_requested_at_, sent);
   if (start_unanswered_at_ && sent > *start_unanswered_at_) start_unanswered_at_.reset();
   lists_fence_ = lists_fence;
+  if (!former_calls_refused_ && is_read()) NoteFormerCallsRefused(now);
   if (first_lists) {
     LogEvent(LogLevel::kInfo, "worker_read",
              {{"worker", facts_.id},
@@ -193,6 +196,19 @@
   return report_needed;
 }
 
+void AgentState::NoteFormerProcess(Time now) {
+  start_lease_expiry_ = now + longest_lease_;
+  former_calls_refused_ = false;
+}
+
+void AgentState::NoteFormerCallsRefused(Time now) {
+  former_calls_refused_ = true;
+  // An incarnation with another ID refuses all calls for the former one.
+  const bool ids_known = !facts_.id.empty() && !former_id_.empty();
+  if (ids_known && facts_.id != former_id_) return;
+  former_lease_expiry_ = now + longest_lease_;
+}
+
 void AgentState::WorkerFailed(OrderAnswer answer) {
   if (!facts_.reachable) return;
   facts_.reachable = false;
@@ -208,10 +224,16 @@
   // has not learned. A delayed call for a former incarnation may have raised it for this one.
   const bool is_known = facts_.start_time_ms != 0;
   if (is_known && !planner_assigns_fences_) return;
-  fence_ = NextFence(fence_);
+  RaiseFence(NextFence(fence_));
   fence_confirmed_for_ms_ = 0;
 }
 
+void AgentState::RaiseFence(int64_t fence) {
+  if (fence <= fence_) return;
+  fence_ = fence;
+  former_calls_refused_ = false;
+}
+
 bool AgentState::is_gone(Time now) const {
   const bool unknown_left = unknown_worker_left_ && facts_.id.empty();
   if (!departed_ && !unknown_left) return false;
@@ -242,12 +264,12 @@
   }
   if (orders.worker_start_time_ms < facts_.start_time_ms) {
     // The planner does not know this incarnation yet, but has assigned a token to a former one.
-    if (orders.worker_start_time_ms != 0) fence_ = std::max(fence_, NextFence(orders.fence));
+    if (orders.worker_start_time_ms != 0) RaiseFence(NextFence(orders.fence));
     return;
   }
   // An older answer, or an answer to a report without the token in use.
   if (orders.fence < fence_) return;
-  fence_ = orders.fence;
+  RaiseFence(orders.fence);
   fence_confirmed_for_ms_ = orders.worker_start_time_ms;
 }
 
@@ -361,7 +383,7 @@
 }
 
 Time AgentState::LastLeaseExpiry(Time now) const {
-  Time last = std::max(granted_lease_expiry_, start_lease_expiry_);
+  Time last = std::max({granted_lease_expiry_, start_lease_expiry_, former_lease_expiry_});
   if (start_unanswered_at_) last = std::max(last, unanswered_lease_expiry_);
   if (!leases_in_flight_.empty()) {
     last = std::max(last, LeaseExpiry(*leases_in_flight_.rbegin(), now));
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -71,9 +71,9 @@
   // otherwise sets `reason`. `until`: when the order expires.
   std::optional<StartCall> PrepareStart(const StartOrder& order, Time until, std::string* reason,
                                         Time now);
-  // Called when the agent's process begins: a start that its former process sent may have granted
-  // the longest lease.
-  void NoteFormerProcess(Time now) { start_lease_expiry_ = now + longest_lease_; }
+  // Called when the agent's process begins: a call that its former process sent may have granted,
+  // or may still grant, the longest lease.
+  void NoteFormerProcess(Time now);
   // Called before a start is sent, and when it has been answered. The start may reach an
   // incarnation that the agent does not know yet. On the clock of that incarnation, which began
   // anew, the lease ends much later, up to the longest lease.
@@ -116,6 +116,11 @@
   }
   // Uses the token that the planner assigned to this incarnation of the worker.
   void AdoptFence(const AgentOrders& orders);
+  // Sets a higher token for this incarnation of the worker, which then has to be read under it.
+  void RaiseFence(int64_t fence);
+  // Called when the lists have been read under the token in use, so that the worker refuses calls
+  // for its former incarnation from now on. Such a call may have granted the longest lease before.
+  void NoteFormerCallsRefused(Time now);
   bool fence_confirmed() const {
     return facts_.start_time_ms != 0 && fence_confirmed_for_ms_ == facts_.start_time_ms;
   }
@@ -169,6 +174,12 @@
   // The same for the starts that the worker has answered, in whichever incarnation, and for those
   // of the agent's former process.
   Time start_lease_expiry_{};
+  // The same for calls for the worker's former incarnation that this one has executed.
+  Time former_lease_expiry_{};
+  // Whether this incarnation refuses calls for the former one, or there was none.
+  bool former_calls_refused_ = true;
+  // ID of the former incarnation; empty if unknown.
+  std::string former_id_;
   // Starts that are being sent.
   int starts_in_flight_ = 0;
   // When the newest start was given up without an answer, and until when the runs of an unknown
--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -449,6 +449,38 @@
   EXPECT_LE(agent.state.Report(Duration::zero(), agent.now).lease_left, milliseconds(10'000));
 }
 
+// Until its first call under the new token, a worker that has restarted under its ID executes calls
+// for its former incarnation, which may take the longest lease. The agent forgot that lease.
+TEST(AgentState, CountsTheLongestLeaseOfCallsForAFormerIncarnationWithTheSameId) {
+  for (const char* id : {"i", "other"}) {
+    Agent agent;
+    AgentOrders orders = agent.Orders();
+    orders.fence = 1;
+    orders.lease = Duration::zero();
+    agent.state.HandleOrders(orders, agent.now, agent.now);
+    WorkerLists next = agent.Lists({});
+    next.start_time_ms = 2;
+    agent.state.HandleLists(next, 1, agent.now, agent.now);
+    WorkerAnnouncement announcement;
+    announcement.sequence = 1;
+    announcement.facts.id = id;
+    announcement.facts.start_time_ms = 2;
+    agent.state.HandleAnnouncement(announcement);
+    orders.worker_start_time_ms = 2;
+    orders.fence = 2;
+    agent.state.HandleOrders(orders, agent.now, agent.now);
+    agent.now += milliseconds(500);
+    agent.state.HandleLists(next, 2, agent.now, agent.now);
+    const Duration lease_left = agent.state.Report(Duration::zero(), agent.now).lease_left;
+    const bool same_id = announcement.facts.id == "i";
+    EXPECT_EQ(lease_left, same_id ? milliseconds(6120) : Duration::zero()) << id;
+    // Later lists under the same token change nothing.
+    agent.now += milliseconds(500);
+    agent.state.HandleLists(next, 2, agent.now, agent.now);
+    EXPECT_LT(agent.state.Report(Duration::zero(), agent.now).lease_left, milliseconds(6120));
+  }
+}
+
 // A hold to a former incarnation timed out after the next one had been read. Marked as unreachable,
 // the new incarnation lost the runs that were being ordered for it.
 TEST(AgentState, HoldsNoFailureOfAFormerIncarnationAgainstTheNext) {
