Agent: Renew no lease while another incarnation may run the newest start

A task that an agent starts before it has noticed its worker's restart runs in the next incarnation, with the longest lease. Each hold that the agent sends until it notices renews that lease, also for 4 s after it has lost the planner, so that the run may go on for 10 s. The planner goes by the lease that the answer to the start tells and starts the task elsewhere after 6.7 s.

It takes answers that are lost for longer than a restart, beside announcements that do not arrive. After a hold without an answer, holds now renew no lease until lists that were requested since the newest start show which incarnation runs it.

WorkerLife.WaitsForTheLeasesOfUnansweredHoldsAfterAnUnawareAgentsStart failed before, each time, and passes.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -51,6 +51,7 @@
   }
   if (follows_known_incarnation) former_calls_refused_ = false;
   former_id_ = facts_.id;
+  may_be_other_incarnation_ = false;
   facts_ = WorkerFacts();
   facts_.start_time_ms = start_time_ms;
   other_service_.clear();
@@ -139,6 +140,7 @@
   facts_.reachable = true;
   lists_requested_at_ = std::max(lists_requested_at_, sent);
   if (start_unanswered_at_ && sent > *start_unanswered_at_) start_unanswered_at_.reset();
+  if (end_numbers_verified()) may_be_other_incarnation_ = false;
   lists_fence_ = lists_fence;
   if (!former_calls_refused_ && is_read()) NoteFormerCallsRefused(now);
   if (first_lists) {
@@ -218,6 +220,9 @@
 
 void AgentState::HoldFailed(const HoldCall& call, OrderAnswer answer) {
   if (call.worker_start_time_ms == facts_.start_time_ms) WorkerFailed(answer);
+  if (answer == OrderAnswer::kUnanswered && !end_numbers_verified()) {
+    may_be_other_incarnation_ = true;
+  }
   if (answer != OrderAnswer::kFenced || call.fence != fence_) return;
   if (call.worker_start_time_ms != facts_.start_time_ms) return;
   // A former process of the agent may have raised the token for an incarnation of which the planner
@@ -370,7 +375,7 @@
   call.worker_id = facts_.id;
   call.worker_start_time_ms = facts_.start_time_ms;
   call.fence = fence_;
-  const bool may_be_over = successor_announced_ && !facts_.reachable;
+  const bool may_be_over = may_be_other_incarnation_ || (successor_announced_ && !facts_.reachable);
   if (fence_confirmed() && is_read() && !may_be_over) call.lease_until = LeaseUntil(now);
   if (fence_confirmed() && end_numbers_verified()) call.acked_ends = acked_ends_;
   call.wait = end_numbers_verified() ? wait : Duration::zero();
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -178,6 +178,9 @@
   Time former_lease_expiry_{};
   // Whether this incarnation refuses calls for the former one, or there was none.
   bool former_calls_refused_ = true;
+  // Whether a hold was not answered, and no lists requested since the newest start have been read.
+  // If another incarnation runs that start, each hold would renew the longest lease.
+  bool may_be_other_incarnation_ = false;
   // ID of the former incarnation; empty if unknown.
   std::string former_id_;
   // Starts that are being sent.
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -442,6 +442,29 @@
   }
 }
 
+// The next incarnation runs a task that an unaware agent has started, and executes that agent's
+// holds, whose answers are lost. Each renews the longest lease; the planner went by the first one.
+TEST_F(WorkerLife, WaitsForTheLeasesOfUnansweredHoldsAfterAnUnawareAgentsStart) {
+  faults_.DelayAnnouncements(seconds(30));
+  Begin(2);
+  simulation_->RunFor(seconds(30));
+  faults_.LoseNextCall({nodes_[0]}, WorkerCall::kHold);
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_TRUE(faults_.HasHappened());
+  simulation_->RestartWorker(nodes_[0]);
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[0]);
+  faults_.LoseOnlyAnswersInCuts();
+  faults_.CutOffNode(nodes_[0], seconds(20));
+  simulation_->RunFor(milliseconds(1900));
+  simulation_->Isolate(nodes_[0]);
+  simulation_->RunFor(seconds(10));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+  EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
+}
+
 // The planner learned of the restart and heard nothing more until it had given the worker's runs
 // up. It forgot the lease that the next incarnation may still take before its lists are read.
 TEST_F(WorkerLife, WaitsForTheLeaseOfALateHoldAfterASilence) {
