Tests: Show a planner taken for gone on the word of its entry's next process

A successor asks the entry of each former planner whether it has stepped down, by its address. A process that has begun there since knows neither the starts that its former process ordered, nor the leases that agents had reported to it, and answers at once that it plans no more. The successor then counts one lease of 4 s, where a restarted worker may have taken 6 s.

--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -576,6 +576,25 @@
   EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &third.service));
 }
 
+// The planner's process dies, and its entry runs again under its address before the successor asks
+// there. The new process does not know which starts its predecessor has ordered and which leases it
+// was told of, and answered that it plans no more.
+TEST(PlannerElector, WaitsForAPlannerWhoseEntryHasANewProcess) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({kFirstEpoch, "a", "a:1"}), kNoOffset}},
+             {std::nullopt, kPlannerProducer, kFirstEpoch, 1}, std::chrono::seconds(1));
+  MetricsRegistry metrics;
+  OperatorView operators(&log, std::make_unique<platform::OperatorRecordDecoder>());
+  MembersView members(&log, milliseconds(200));
+  PlannerService restarted(ShortLeases(), &log, &operators, &members, &metrics);
+  LocalConnector entries;
+  entries.Add("a:1", &restarted);
+  Candidate successor(&log, "b", &entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return successor.service.epoch() == kSecondEpoch; }));
+  EXPECT_FALSE(task.IsStartedWithin(kLongAfterLeases, &successor.service));
+}
+
 constexpr Duration kAgentSilenceLimit = milliseconds(300);
 
 // Agents are removed from the members soon after they were heard last.
