Planner: Let a new process confirm a former planner's end only once its starts have settled

Tasks could run twice, for callers doubled work, where a planner's process was replaced soon after it had died. Its successor asks at the planner's address whether it has stepped down, and the new process, which knows nothing of its former one, said so at once. The successor then started inherited tasks one lease of 4 s later, while a start of the dead planner could still be under way, or a restarted worker have taken the longest lease of 6 s.

A new process now refuses until all starts that its former process may have ordered have settled, counted from its own begin. A claim that names no planner of this entry shows that there is nothing to wait for. The wait of an entry that follows its own former process uses the same time, which its claim used to restart, and covers former processes that another planner has followed since.

--- a/servers/pool/planner_elector.cc
+++ b/servers/pool/planner_elector.cc
@@ -80,6 +80,12 @@
   return former;
 }
 
+bool NamesPlannerOf(const PlannerRecord& record, const std::string& node) {
+  if (!record.address.empty() && record.node == node) return true;
+  return std::any_of(record.former.begin(), record.former.end(),
+                     [&](const PlannerRecord& each) { return each.node == node; });
+}
+
 PlannerElector::PlannerElector(const ElectorOptions& options, KeyedLog* log, const PoolViews& views,
                                PlannerConnector* connector, PlannerService* service)
     : options_(options),
@@ -287,13 +293,10 @@
   }
   active_since_ = now;
   predecessors_ = record.former;
-  // A former process of this entry can't tell which of its starts are under way.
-  const PlannerRecord& last = table.planner();
-  const bool died_here = !last.address.empty() && last.node == options_.node;
-  former_process_settled_at_ = died_here ? now + service_->start_settle_time() : now;
   waiting_for_predecessors_ = true;
   unreachable_logged_ = false;
-  service_->BecomeActive(epoch, sequence, table, agents, now, record.former);
+  service_->BecomeActive(epoch, sequence, table, agents, now, record.former,
+                         NamesPlannerOf(table.planner(), options_.node));
   // The entry may have begun to leave during the claim, before there was a leadership to release.
   if (leaving_.load()) service_->Release(kReleaseLimit);
 }
@@ -422,7 +425,8 @@
 
 void PlannerElector::NotifyPredecessors(Time now) {
   std::erase_if(predecessors_, [this](const PlannerRecord& former) { return StepsDown(former); });
-  if (predecessors_.empty() && now < former_process_settled_at_) return;
+  // A former process of this entry can't tell which of its starts are under way.
+  if (predecessors_.empty() && now < service_->former_process_settled_at()) return;
   if (predecessors_.empty()) {
     service_->PredecessorGone();
   } else if (now - active_since_ <= options_.agent_forget_grace_period) {
--- a/servers/pool/planner_elector.h
+++ b/servers/pool/planner_elector.h
@@ -65,6 +65,8 @@
 // planner of `record`: that planner, unless it has released the leadership, and those that it was
 // waiting for. A process of `node` itself has ended or is not active.
 std::vector<PlannerRecord> FormerPlanners(const PlannerRecord& record, const std::string& node);
+// Whether one of these planners, or the planner of `record`, is a process of `node`.
+bool NamesPlannerOf(const PlannerRecord& record, const std::string& node);
 
 class PlannerElector {
  public:
@@ -164,8 +166,6 @@
   Time active_since_{};
   // Former planners that are not known to have stepped down.
   std::vector<PlannerRecord> predecessors_;
-  // Until when starts may be under way that a former process of this entry has ordered.
-  Time former_process_settled_at_{};
   // Whether former planners may still grant leases.
   bool waiting_for_predecessors_ = false;
   // Whether it has been logged that a former planner can't be reached.
--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -79,6 +79,18 @@
   EXPECT_TRUE(FormerPlanners({}, "c").empty());
 }
 
+// A new process of an entry has to wait for the starts of its former one, also if another planner
+// has followed that one since, or it has released the leadership while starts were under way.
+TEST(NamesPlannerOf, KnowsAllPlannersThatMayNotBeSettled) {
+  const PlannerRecord oldest = {1, "a", "a:1"};
+  const PlannerRecord record = {2, "b", "b:1", {oldest}};
+  EXPECT_TRUE(NamesPlannerOf(record, "b"));
+  EXPECT_TRUE(NamesPlannerOf(record, "a"));
+  EXPECT_FALSE(NamesPlannerOf(record, "c"));
+  EXPECT_TRUE(NamesPlannerOf({2, "", "", {oldest}}, "a"));
+  EXPECT_FALSE(NamesPlannerOf({2, "", "", {}}, "a"));
+}
+
 // Connector that reaches no address.
 class UnreachableConnector : public PlannerConnector {
  public:
@@ -595,6 +607,29 @@
   EXPECT_FALSE(task.IsStartedWithin(kLongAfterLeases, &successor.service));
 }
 
+// The new process confirms it once no start of its former process can be under way any more.
+TEST(PlannerElector, LearnsFromANewProcessThatItsFormerOneIsGone) {
+  MemoryKeyedLog log;
+  PlannerServiceOptions options = ShortLeases();
+  options.planner.start_window = milliseconds(100);
+  options.planner.order_time = milliseconds(100);
+  options.planner.longest_lease = 2 * kShortLease;
+  MetricsRegistry metrics;
+  OperatorView operators(&log, std::make_unique<platform::OperatorRecordDecoder>());
+  MembersView members(&log, milliseconds(200));
+  PlannerService restarted(options, &log, &operators, &members, &metrics);
+  const Time settled_at = restarted.former_process_settled_at();
+  EXPECT_TRUE(Eventually([&] {
+    try {
+      LocalPlannerClient(&restarted).Yield({kSecondEpoch, "b", "b:1"}, std::chrono::seconds(5));
+      return true;
+    } catch (const Error&) {
+      return false;
+    }
+  }));
+  EXPECT_GE(LeaseClock().Now(), settled_at);
+}
+
 constexpr Duration kAgentSilenceLimit = milliseconds(300);
 
 // Agents are removed from the members soon after they were heard last.
--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -55,7 +55,8 @@
       over_share_(metrics->gauge("workspaces_over_share")),
       rejected_pool_(metrics->counter("jobs_rejected_for_load_pool_overloaded")),
       rejected_workspace_(metrics->counter("jobs_rejected_for_load_workspace_overloaded")),
-      backlog_seconds_(metrics->gauge("admission_backlog_seconds")) {
+      backlog_seconds_(metrics->gauge("admission_backlog_seconds")),
+      former_process_settled_at_(LeaseClock().Now() + StartSettleTime(options.planner)) {
   try {
     planning_thread_ = Thread(ThreadRole::kEssential, "decide", [this] { RunPlanningLoop(); });
     writer_thread_ = Thread(ThreadRole::kEssential, "write", [this] { RunWriteLoop(); });
@@ -87,7 +88,8 @@
 
 void PlannerService::BecomeActive(int64_t epoch, int64_t sequence, const JobTable& table,
                                   const std::set<std::string>& agents, Time requested_at,
-                                  const std::vector<PlannerRecord>& former) {
+                                  const std::vector<PlannerRecord>& former,
+                                  bool follows_former_process) {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     // The successor has been told that this process grants no leases.
@@ -96,6 +98,7 @@
                                              LeaseClock().Now(), LeaseClock().WallMillis());
     CountLearnedLocked();
     planner_->ConfirmLeadership(requested_at);
+    if (!follows_former_process) former_process_settled_at_ = {};
     former_planners_ = former;
     removal_ = {};
     membership_.reset();
@@ -144,6 +147,11 @@
   worker_speed_spread_.Set(summary.spread);
 }
 
+Time PlannerService::former_process_settled_at() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return former_process_settled_at_;
+}
+
 void PlannerService::PredecessorGone() {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (planner_) planner_->PredecessorGone(std::max(LeaseClock().Now(), handover_allowed_at_));
@@ -359,9 +367,9 @@
       const Error refusal(ErrorKind::kConflict, Outcome::kNotRun,
                           "this process plans under a newer epoch");
       replies.push_back(Failed(std::move(done), refusal));
-    } else if (LeaseClock().Now() < handover_allowed_at_) {
+    } else if (LeaseClock().Now() < std::max(handover_allowed_at_, former_process_settled_at_)) {
       const Error refusal(ErrorKind::kConflict, Outcome::kNotRun,
-                          "runs may outlive the leases that this process has granted");
+                          "runs may outlive the leases that this entry has granted");
       replies.push_back(Failed(std::move(done), refusal));
     } else {
       replies.push_back(Succeeded(std::move(done), Done{}));
--- a/servers/pool/planner_service.h
+++ b/servers/pool/planner_service.h
@@ -54,12 +54,15 @@
 
   // Becomes the active planner, unless a newer planner has been in touch. The claim was written
   // under `sequence`; `table` contains everything before the claim. `requested_at` is when the
-  // claim was sent. `former`: the former planners that the claim names.
+  // claim was sent. `former`: the former planners that the claim names. `follows_former_process`:
+  // whether a former process of this entry may have starts under way.
   void BecomeActive(int64_t epoch, int64_t sequence, const JobTable& table,
                     const std::set<std::string>& agents, Time requested_at,
-                    const std::vector<PlannerRecord>& former = {});
-  // How long after the death of a planner its starts may still be under way.
-  Duration start_settle_time() const { return StartSettleTime(options_.planner); }
+                    const std::vector<PlannerRecord>& former = {},
+                    bool follows_former_process = false);
+  // Until then, starts of a former process of this entry may be under way; unset if there can be
+  // none.
+  Time former_process_settled_at() const;
   // Called when all former planners are known to have stepped down.
   void PredecessorGone();
   // Rewrites the record of this planner, `self`, without former planners, since they no longer
@@ -172,6 +175,9 @@
   std::vector<PlannerRecord> former_planners_;
   // PoolPlanner::HandoverAllowedAt() of this process's former duty.
   Time handover_allowed_at_{};
+  // The same for a former process of this entry, which has told this one nothing; unset once a
+  // claim has shown that none may have planned.
+  Time former_process_settled_at_;
   // The newest planner that has notified this process that it took over.
   PlannerRecord successor_;
   std::map<std::string, Poll> polls_;
