Tests: Show a stop that settles while its run's start is still repeated

An agent sends a start up to three times within 0.8 s. If the worker has accepted a stop meanwhile and its list shows no such run, the agent reports that the run is over, and the planner starts the task elsewhere. A worker that restarts under its ID before the next attempt has forgotten the stop and begins the run.

--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -129,6 +129,32 @@
   EXPECT_TRUE(settled);
 }
 
+// The worker has accepted the stop and its list shows no run, while the start is still repeated. If
+// the worker restarts under its ID, it forgets the stop and executes the next attempt, while the
+// planner, told that the run is over, has started the task elsewhere.
+TEST(AgentState, SettlesNoStopWhileTheStartIsBeingSent) {
+  Agent agent;
+  const AgentOrders orders = [&] {
+    AgentOrders result = agent.Orders();
+    result.version = 1;
+    result.starts = {{kRun, "", "", ""}};
+    return result;
+  }();
+  ASSERT_EQ(agent.state.HandleOrders(orders, agent.now, agent.now).starts.size(), 1U);
+  const StartCall call = agent.PrepareCall(kRun);
+  agent.state.NoteStartSent();
+  agent.state.HandleStopAnswer(kRun, OrderAnswer::kAccepted, agent.now);
+  agent.now += milliseconds(10);
+  agent.Hold(agent.now, {});
+  EXPECT_FALSE(agent.ReportsResult(kRun, StartOutcome::kNotRun));
+  agent.now += milliseconds(10);
+  agent.state.NoteStartAnswered(call, {OrderAnswer::kUnanswered, std::nullopt}, agent.now);
+  agent.state.HandleStartAnswer(kRun, OrderAnswer::kUnanswered);
+  agent.now += milliseconds(10);
+  agent.Hold(agent.now, {});
+  EXPECT_TRUE(agent.ReportsResult(kRun, StartOutcome::kNotRun));
+}
+
 // The worker does not answer a start and carries it out seconds later or never. Until its lists or
 // a stop settle the matter, the agent reports neither that the task runs nor that it does not.
 TEST(AgentState, ReportsNoResultForUnansweredStartUntilSettled) {
