Planner: Hand starts of its former process over to the next planner

Tasks could run twice where a planner died, its next process took over and was stopped in order within seconds. Its release named no planner to wait for, although starts of the process that had died could be under way.

The release names the planner until these starts have settled, as it does for its own. Its successor asks at its address, where they are waited for.

--- a/servers/pool/planner_service.cc
+++ b/servers/pool/planner_service.cc
@@ -182,7 +182,9 @@
   planner_->BeginRelease(LeaseClock().WallMillis(), LeaseClock().Now());
   CountLearnedLocked();
   const Time answers_until = LeaseClock().Now() + std::min(limit, kStartAnswerLimit);
-  const auto handover_allowed = [this](Time now) { return now >= planner_->HandoverAllowedAt(); };
+  const auto handover_allowed = [this](Time now) {
+    return now >= std::max(planner_->HandoverAllowedAt(), former_process_settled_at_);
+  };
   while (planner_ && !handover_allowed(LeaseClock().Now()) && LeaseClock().Now() < answers_until) {
     changed_.wait_for(lock, kStartAnswerCheckInterval);
   }
