Agent: Settle a stop only by lists that follow all attempts to start its run

Tasks could run twice where a start was stopped while its agent still repeated it, as for a gang of which another member was refused, and its worker restarted under its ID at that moment. The former incarnation had accepted the stop and listed no run, so that the agent reported it as over, and the planner started the task again. The next incarnation knows no stop and executes the next attempt.

A run that neither runs nor has ended counts as not run only by lists that were requested after the newest attempt. These show the next incarnation, if there is one, and with it the run or a new start time.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -181,7 +181,8 @@
   for (auto stop = stopped_at_.begin(); stop != stopped_at_.end();) {
     const bool listed = Contains(running_, stop->first) || has_ended(stop->first);
     // A run that is not listed may be among the ends that the lists leave out.
-    if (sent < stop->second || (!listed && lists.more_ends)) {
+    const bool may_be_missing = lists.more_ends || !FollowsAllAttempts(stop->first, sent);
+    if (sent < stop->second || (!listed && may_be_missing)) {
       ++stop;
       continue;
     }
@@ -196,6 +197,12 @@
   return report_needed;
 }
 
+bool AgentState::FollowsAllAttempts(const RunId& run, Time sent) const {
+  const auto found = starts_.find(run);
+  if (found == starts_.end()) return true;
+  return found->second.phase != StartPhase::kSending && sent >= found->second.answered;
+}
+
 void AgentState::NoteFormerProcess(Time now) {
   start_lease_expiry_ = now + longest_lease_;
   former_calls_refused_ = false;
@@ -400,6 +407,8 @@
   --starts_in_flight_;
   // It may have been sent again until now.
   start_sent_at_ = std::max(start_sent_at_, now);
+  const auto start = starts_.find(call.run);
+  if (start != starts_.end()) start->second.answered = now;
   const bool grants_lease = answer.answer == OrderAnswer::kAccepted ||
                             answer.answer == OrderAnswer::kStaleRun ||
                             answer.answer == OrderAnswer::kNoRoom;
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -104,6 +104,8 @@
   struct StartState {
     StartPhase phase = StartPhase::kSending;
     Time ordered{};
+    // When the newest attempt was answered or given up.
+    Time answered{};
   };
 
   void ResetForIncarnation(int64_t start_time_ms);
@@ -114,6 +116,9 @@
     if (starts_in_flight_ > 0) return false;
     return start_sent_at_ == Time{} || lists_requested_at_ > start_sent_at_;
   }
+  // Whether lists that were requested at `sent` were read after the last attempt to start `run`.
+  // Until then the next incarnation, which knows nothing of a stop, may execute an attempt.
+  bool FollowsAllAttempts(const RunId& run, Time sent) const;
   // Uses the token that the planner assigned to this incarnation of the worker.
   void AdoptFence(const AgentOrders& orders);
   // Sets a higher token for this incarnation of the worker, which then has to be read under it.
