--- a/servers/pool/planner_elector_test.cc
+++ b/servers/pool/planner_elector_test.cc
@@ -79,6 +79,18 @@
   EXPECT_TRUE(FormerPlanners({}, "c").empty());
 }
 
+// A new process of an entry has to wait for the starts of its former one, also if another planner
+// has followed that one since, or it has released the leadership while starts were under way.
+TEST(NamesPlannerOf, KnowsAllPlannersThatMayNotBeSettled) {
+  const PlannerRecord oldest = {1, "a", "a:1"};
+  const PlannerRecord record = {2, "b", "b:1", {oldest}};
+  EXPECT_TRUE(NamesPlannerOf(record, "b"));
+  EXPECT_TRUE(NamesPlannerOf(record, "a"));
+  EXPECT_FALSE(NamesPlannerOf(record, "c"));
+  EXPECT_TRUE(NamesPlannerOf({2, "", "", {oldest}}, "a"));
+  EXPECT_FALSE(NamesPlannerOf({2, "", "", {}}, "a"));
+}
+
 // Connector that reaches no address.
 class UnreachableConnector : public PlannerConnector {
  public:
@@ -576,6 +588,48 @@
   EXPECT_TRUE(task.IsStartedWithin(std::chrono::seconds(5), &third.service));
 }
 
+// The planner's process dies, and its entry runs again under its address before the successor asks
+// there. The new process does not know which starts its predecessor has ordered and which leases it
+// was told of, and answered that it plans no more.
+TEST(PlannerElector, WaitsForAPlannerWhoseEntryHasANewProcess) {
+  MemoryKeyedLog log;
+  InheritedTask task(&log);
+  log.Append(kWorkTopic, {{kPlannerKey, EncodePlanner({kFirstEpoch, "a", "a:1"}), kNoOffset}},
+             {std::nullopt, kPlannerProducer, kFirstEpoch, 1}, std::chrono::seconds(1));
+  MetricsRegistry metrics;
+  OperatorView operators(&log, std::make_unique<platform::OperatorRecordDecoder>());
+  MembersView members(&log, milliseconds(200));
+  PlannerService restarted(ShortLeases(), &log, &operators, &members, &metrics);
+  LocalConnector entries;
+  entries.Add("a:1", &restarted);
+  Candidate successor(&log, "b", &entries, ShortLeases());
+  ASSERT_TRUE(Eventually([&] { return successor.service.epoch() == kSecondEpoch; }));
+  EXPECT_FALSE(task.IsStartedWithin(kLongAfterLeases, &successor.service));
+}
+
+// The new process confirms it once no start of its former process can be under way any more.
+TEST(PlannerElector, LearnsFromANewProcessThatItsFormerOneIsGone) {
+  MemoryKeyedLog log;
+  PlannerServiceOptions options = ShortLeases();
+  options.planner.start_window = milliseconds(100);
+  options.planner.order_time = milliseconds(100);
+  options.planner.longest_lease = 2 * kShortLease;
+  MetricsRegistry metrics;
+  OperatorView operators(&log, std::make_unique<platform::OperatorRecordDecoder>());
+  MembersView members(&log, milliseconds(200));
+  PlannerService restarted(options, &log, &operators, &members, &metrics);
+  const Time settled_at = restarted.former_process_settled_at();
+  EXPECT_TRUE(Eventually([&] {
+    try {
+      LocalPlannerClient(&restarted).Yield({kSecondEpoch, "b", "b:1"}, std::chrono::seconds(5));
+      return true;
+    } catch (const Error&) {
+      return false;
+    }
+  }));
+  EXPECT_GE(LeaseClock().Now(), settled_at);
+}
+
 constexpr Duration kAgentSilenceLimit = milliseconds(300);
 
 // Agents are removed from the members soon after they were heard last.
