Tests: Check the order of steps and the end of jobs in the simulated pool

Whether a step waits for the steps before it was checked by one test of sound workers. In histories with faults nothing noticed a step that started too early, or a job that was shown as completed while a task had not ended as done, which matters where an end is read after its run was given up.

The simulated pool now checks both at each start and each stored record.

--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -386,12 +386,32 @@
   if (key.rfind(kProgressPrefix, 0) != 0) return;
   const std::string id = key.substr(std::string(kProgressPrefix).size());
   const StoredJob* stored = job_table_.Find(id);
-  if (stored == nullptr || stored->progress.visible_state() != JobState::kRunning) return;
+  if (stored == nullptr) return;
+  const JobState state = stored->progress.visible_state();
+  if (state == JobState::kCompleted) return CheckCompleted(stored->spec);
+  if (state != JobState::kRunning) return;
   const bool has_begun = std::any_of(
       runs_.begin(), runs_.end(), [&](const SimulatedRun& run) { return run.run.task.job == id; });
   if (!has_begun) violations_.push_back(id + " is shown as running before a task has begun");
 }
 
+void PoolSimulation::CheckCompleted(const JobSpec& spec) {
+  for (int occurrence = 0; occurrence < spec.occurrences(); ++occurrence) {
+    for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
+      if (HasEndedDone(spec.id, {occurrence, step})) continue;
+      violations_.push_back(spec.id + " is shown as completed before its tasks are done");
+    }
+  }
+}
+
+bool PoolSimulation::HasEndedDone(const std::string& job, const StepPlace& place) const {
+  const StepSpec& step = specs_.at(job).steps.at(static_cast<size_t>(place.step));
+  for (int index = 0; index < step.tasks; ++index) {
+    if (done_units_.count(UnitOf({job, place.occurrence, place.step, index})) == 0) return false;
+  }
+  return true;
+}
+
 TaskId PoolSimulation::UnitOf(const TaskId& task) const {
   TaskId unit = task;
   if (StepOf(task)->gang) unit.index = 0;
@@ -456,7 +476,10 @@
 
 void PoolSimulation::EndRun(Worker* worker, const RunId& run, EndKind end_kind) {
   worker->model->End(run, end_kind);
-  if (end_kind == EndKind::kDone) done_ends_.push_back({run, worker->spec.node});
+  if (end_kind == EndKind::kDone) {
+    done_ends_.push_back({run, worker->spec.node});
+    done_units_.insert(UnitOf(run.task));
+  }
   for (SimulatedRun& seen : runs_) {
     if (seen.finished || seen.run != run || seen.node != worker->spec.node) continue;
     seen.finished = true;
@@ -600,6 +623,10 @@
 void PoolSimulation::NoteStarted(Worker* worker, const RunId& run) {
   const std::string name = TaskName(run.task);
   const TaskId unit = UnitOf(run.task);
+  for (const int earlier : StepOf(run.task)->after) {
+    if (HasEndedDone(run.task.job, {run.task.occurrence, earlier})) continue;
+    violations_.push_back(name + " started before the tasks that it depends on were done");
+  }
   for (DoneEnd& end : done_ends_) {
     if (UnitOf(end.run.task) != unit) continue;
     end.started_again = true;
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -150,6 +150,10 @@
   void TickStore();
   // Checks what callers are shown of the job whose progress has been stored under `key`.
   void NoteShownState(const std::string& key);
+  // Checks that the job may be shown as completed.
+  void CheckCompleted(const JobSpec& spec);
+  // Whether a run of each task of the step has ended as done.
+  bool HasEndedDone(const std::string& job, const StepPlace& place) const;
   void TickAdvice();
   bool TicketIsValid(const Worker& worker, const StartCall& call) const;
   void TickWorker(Worker* worker);
@@ -242,6 +246,8 @@
     bool started_again = false;
   };
   std::vector<DoneEnd> done_ends_;
+  // The tasks of which a run has ended as done, a gang by its first task.
+  std::set<TaskId> done_units_;
   std::vector<std::string> violations_;
 };
 
