Tests: Restart workers beside changes of planner in random histories

The histories did not find the tasks that ran twice after a restart and a cut. A planner that takes over starts nothing that it inherits while any agent is silent, and often one was; workers that had restarted were refilled before the planner handed over; and few tasks outlast the longest lease.

A new kind of fault restarts the workers of a rack under their IDs within two seconds of a change of planner, before their agents reach the new one. The agents learn of it by their next hold, and are cut off from the planner, or the workers from their agents, within two seconds after that. Histories with it have smaller jobs and tasks of 12 s. Callers submit again what a change of planner lost before it was durable.

--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -75,6 +75,13 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
 }
 
+// Holds that were sent before the agent had noticed the restart took the longest lease, of which a
+// planner that had not seen the former incarnation knew nothing.
+TEST_P(PoolHistory, KeepsItsRulesWhereWorkersRestartBesidePlannerChanges) {
+  // Other kinds make planners wait for longer leases than these, and hide the fault.
+  ExpectRulesKept(RunPoolHistory(GetParam(), {FaultKind::kRestartsBesidePlannerChanges}));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
@@ -111,6 +118,16 @@
   for (const FaultKind kind : kinds) EXPECT_GE(counts[kind], kHistories) << FaultKindName(kind);
 }
 
+TEST(PoolHistoryFaults, HappenInRestartsBesidePlannerChanges) {
+  constexpr unsigned kHistories = 4;
+  const FaultKind kind = FaultKind::kRestartsBesidePlannerChanges;
+  int count = 0;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    count += RunPoolHistory(seed, {kind}).faults[kind];
+  }
+  EXPECT_GE(count, kHistories);
+}
+
 // The same for the loss of a worker, of which a history has at most one.
 TEST(PoolHistoryFaults, LoseWorkersInMostHistories) {
   constexpr unsigned kHistories = 8;
--- a/tests/stand_ins/pool_faults.cc
+++ b/tests/stand_ins/pool_faults.cc
@@ -10,7 +10,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 17> kKindNames = {{
+constexpr std::array<KindName, 18> kKindNames = {{
     {FaultKind::kLateCalls, "late_calls"},
     {FaultKind::kLostAnswers, "lost_answers"},
     {FaultKind::kKeptIds, "kept_ids"},
@@ -28,6 +28,7 @@
     {FaultKind::kRefusedConnections, "refused_connections"},
     {FaultKind::kOldReadings, "old_readings"},
     {FaultKind::kLostWorkers, "lost_workers"},
+    {FaultKind::kRestartsBesidePlannerChanges, "restarts_beside_planner_changes"},
 }};
 
 // One in this many kinds of fault is left out of a history.
@@ -65,6 +66,16 @@
 constexpr int kMaxLostWorkers = 1;
 constexpr unsigned kLossesPerAgentLeft = 4;
 constexpr int kAgentBackMaxMs = 6000;
+constexpr int kTicksPerRestartBesideChange = 3000;
+constexpr int kChangeMaxMs = 2000;
+constexpr int kReconnectMaxMs = 1000;
+constexpr int kCutAfterChangeMaxMs = 2000;
+constexpr int kCutAfterChangeMinLengthMs = 4000;
+constexpr int kCutAfterChangeMaxLengthMs = 12'000;
+constexpr unsigned kChangesPerReplacedPlanner = 8;
+constexpr unsigned kCutsPerCutWorker = 4;
+constexpr int kUnannouncedMinMs = 60;
+constexpr int kUnannouncedMaxMs = 500;
 constexpr double kSlowClockRate = 0.98;
 
 }  // namespace
@@ -88,6 +99,7 @@
   kinds.erase(FaultKind::kRefusedConnections);
   kinds.erase(FaultKind::kOldReadings);
   kinds.erase(FaultKind::kLostWorkers);
+  kinds.erase(FaultKind::kRestartsBesidePlannerChanges);
   return kinds;
 }
 
@@ -110,6 +122,11 @@
   return std::chrono::milliseconds(low_ms + static_cast<int>(random_() % range));
 }
 
+Duration RandomFaults::UpTo(int most_ms) {
+  const int limit_ms = static_cast<int>(random_() % static_cast<unsigned>(most_ms + 1));
+  return Between(0, limit_ms);
+}
+
 CallFate RandomFaults::FateOfCall(const std::string& /*node*/, WorkerCall /*call*/) {
   if (Happens(FaultKind::kLateCalls, kCallsPerLateCall)) {
     const bool executed = random_() % 2 == 0;
@@ -178,6 +195,23 @@
   return kinds_.count(FaultKind::kKeptIds) > 0 && random_() % kTicksPerRestart == 0;
 }
 
+std::optional<RestartBesidePlannerChange> RandomFaults::RestartsBesidePlannerChange(
+    const std::string& /*node*/) {
+  if (!Happens(FaultKind::kRestartsBesidePlannerChanges, kTicksPerRestartBesideChange)) {
+    return std::nullopt;
+  }
+  RestartBesidePlannerChange change;
+  const Duration apart = UpTo(kChangeMaxMs);
+  (random_() % 2 == 0 ? change.restart : change.planner_change) = apart;
+  change.reconnect = apart + UpTo(kReconnectMaxMs);
+  change.cut = change.reconnect + UpTo(kCutAfterChangeMaxMs);
+  change.cut_length = Between(kCutAfterChangeMinLengthMs, kCutAfterChangeMaxLengthMs);
+  change.unannounced = Between(kUnannouncedMinMs, kUnannouncedMaxMs);
+  change.hands_over = random_() % kChangesPerReplacedPlanner != 0;
+  change.cuts_worker = random_() % kCutsPerCutWorker == 0;
+  return change;
+}
+
 bool RandomFaults::ReplacesAgentAtRestart(const std::string& /*node*/) {
   return Happens(FaultKind::kReplacedAgents, 2);
 }
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -50,6 +50,9 @@
   kOldReadings,
   // One worker is lost for good, and mostly its agent has a new process within seconds.
   kLostWorkers,
+  // Workers restart under their IDs shortly before or after a change of planner, agents learn of it
+  // by their next hold, and soon after that a connection is cut for seconds.
+  kRestartsBesidePlannerChanges,
 };
 const char* FaultKindName(FaultKind kind);
 // The faults under which a scheduler can keep its rules: all kinds but kCallsBeforeTheFirst. Leaves
@@ -76,6 +79,25 @@
   Duration isolation{};
 };
 
+// The workers of a rack restart under their IDs, the planner changes, and a connection of each of
+// their agents is cut.
+struct RestartBesidePlannerChange {
+  // Times from now on.
+  Duration restart{};
+  Duration planner_change{};
+  // When the agents reach the new planner.
+  Duration reconnect{};
+  Duration cut{};
+  // How long the cut lasts.
+  Duration cut_length{};
+  // How long the new incarnations take to announce themselves.
+  Duration unannounced{};
+  // Whether the planner hands over.
+  bool hands_over = false;
+  // Whether the agents are cut off from their workers; otherwise from the planner.
+  bool cuts_worker = false;
+};
+
 // Times in transit of an agent's report and of the planner's answer.
 struct ExchangeDelays {
   Duration report{};
@@ -115,6 +137,12 @@
   virtual std::optional<Duration> ReplacesAgentAfterLoss(const std::string& /*node*/) { return {}; }
   // Called for each tick: whether the worker restarts.
   virtual bool RestartsWorker(const std::string& /*node*/) { return false; }
+  // Called for each tick: whether the workers of the node's rack restart beside a change of
+  // planner.
+  virtual std::optional<RestartBesidePlannerChange> RestartsBesidePlannerChange(
+      const std::string& /*node*/) {
+    return {};
+  }
   // Whether the agent's process is replaced when its worker restarts, or while a call that is not
   // answered promptly is in transit.
   virtual bool ReplacesAgentAtRestart(const std::string& /*node*/) { return false; }
@@ -159,6 +187,8 @@
   bool LosesWorker(const std::string& node) override;
   std::optional<Duration> ReplacesAgentAfterLoss(const std::string& node) override;
   bool RestartsWorker(const std::string& node) override;
+  std::optional<RestartBesidePlannerChange> RestartsBesidePlannerChange(
+      const std::string& node) override;
   bool HandsOver() override { return Happens(FaultKind::kHandovers, 2); }
   bool ReplacesAgentAtRestart(const std::string& node) override;
   bool ReplacesAgentInCall(const std::string& node) override;
@@ -174,6 +204,8 @@
   // Draws whether a fault of this kind happens, and counts it.
   bool Happens(FaultKind kind, int one_in);
   Duration Between(int low_ms, int high_ms);
+  // Short times are more likely.
+  Duration UpTo(int most_ms);
 
   std::mt19937 random_;
   std::set<FaultKind> kinds_;
--- a/tests/stand_ins/pool_history.cc
+++ b/tests/stand_ins/pool_history.cc
@@ -33,6 +33,10 @@
 // Further time for such tasks that have to run again.
 constexpr int kLongJobsSeconds = 120;
 constexpr int kJobsPerLongJob = 4;
+// Tasks that outlast the longest lease, and are running when a worker is cut off.
+constexpr Duration kOutlastingRunTime = seconds(12);
+// Leaves room to start the tasks of a lost worker elsewhere at once.
+constexpr int kMaxOutlastingAccelerators = 2;
 
 class History {
  public:
@@ -40,11 +44,14 @@
       : random_(seed),
         faults_(seed, kinds),
         simulation_(SampleRacks(2), SampleOperatorState(8), RandomBounds(seed), &faults_),
-        has_long_jobs_(kinds.count(FaultKind::kOldReadings) > 0) {
+        has_long_jobs_(kinds.count(FaultKind::kOldReadings) > 0),
+        has_outlasting_jobs_(kinds.count(FaultKind::kRestartsBesidePlannerChanges) > 0) {
     for (const SimulatedWorker& worker : SampleRacks(2)) nodes_.push_back(worker.node);
     simulation_.actual_duration = [this](const TaskId& task) -> Duration {
-      const bool long_job = std::stoi(task.job.substr(1)) % kJobsPerLongJob == 0;
-      if (has_long_jobs_ && long_job && task.index == 0 && task.step == 0) return kLongRunTime;
+      const int number = std::stoi(task.job.substr(1));
+      const bool first_task = task.index == 0 && task.step == 0;
+      if (has_long_jobs_ && first_task && number % kJobsPerLongJob == 0) return kLongRunTime;
+      if (has_outlasting_jobs_ && first_task) return kOutlastingRunTime;
       return milliseconds(300 + 700 * ((task.index * 7 + task.step * 3) % 5));
     };
     simulation_.fails = [this](const RunId& /*run*/, const std::string& /*node*/) {
@@ -63,7 +70,7 @@
     faults_.Stop();
     // Ended jobs are retained for 130 s, so all of them are still known.
     simulation_.RunFor(seconds(90));
-    if (!has_long_jobs_) return;
+    if (!has_long_jobs_ && !has_outlasting_jobs_) return;
     for (int second = 0; second < kLongJobsSeconds; ++second) {
       NoteEndedJobs();
       simulation_.RunFor(seconds(1));
@@ -90,7 +97,8 @@
 
   void Submit() {
     const std::string id = "j" + std::to_string(jobs_.size());
-    StepSpec step = SampleStep(1 + Below(4), 1 + Below(8), milliseconds(1000));
+    const int most_accelerators = has_outlasting_jobs_ ? kMaxOutlastingAccelerators : 8;
+    StepSpec step = SampleStep(1 + Below(4), 1 + Below(most_accelerators), milliseconds(1000));
     step.gang = Chance(2);
     step.one_rack = step.gang && Chance(2);
     step.checkpoints = Chance(2);
@@ -104,11 +112,13 @@
       job.steps.push_back(second);
     }
     jobs_.push_back(id);
-    simulation_.Submit(job);
-    // Makes the submission durable; a job that never becomes durable was never acknowledged to its
-    // caller.
+    // A caller submits again what a change of planner has lost before it was durable, as that was
+    // not acknowledged.
     simulation_.SetStoreDown(false);
-    simulation_.RunFor(milliseconds(20));
+    do {
+      simulation_.Submit(job);
+      simulation_.RunFor(milliseconds(20));
+    } while (simulation_.job_table().Find(id) == nullptr);
   }
 
   void NoteEndedJobs() {
@@ -145,6 +155,7 @@
   // Jobs that have ended and may have been forgotten since.
   std::set<std::string> ended_;
   const bool has_long_jobs_;
+  const bool has_outlasting_jobs_;
 };
 
 }  // namespace
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -212,19 +212,7 @@
 void PoolSimulation::RestartWorker(const std::string& node) {
   Worker& one = worker(node);
   if (one.lost) return;
-  EndAllRuns(&one);
-  const std::string former_id = one.model->id();
-  ++one.life;
-  if (!faults_->KeepsId(node)) one.id_life = one.life;
-  one.model->Restart(node + "/" + std::to_string(one.id_life),
-                     std::max(wall_ms(), one.model->start_time_ms() + 1), now_);
-  one.sequence = 0;
-  one.called_in_life = false;
-  one.next_announcement = Time{};
-  if (const std::optional<Duration> delay = faults_->DelayOfDeparture(node)) {
-    Schedule(*delay, [&one, former_id] { one.agent->HandleDeparture(former_id); });
-  }
-  if (faults_->ReplacesAgentAtRestart(node)) RestartAgent(node);
+  BeginNextLife(&one, faults_->KeepsId(node));
   if (const std::optional<Duration> time = faults_->GoesUnnoticedFor(node)) {
     one.next_announcement = now_ + *time;
     one.holds_lost_until = now_ + *time;
@@ -237,6 +225,50 @@
   }
 }
 
+void PoolSimulation::BeginNextLife(Worker* worker, bool keeps_id) {
+  const std::string& node = worker->spec.node;
+  EndAllRuns(worker);
+  const std::string former_id = worker->model->id();
+  ++worker->life;
+  if (!keeps_id) worker->id_life = worker->life;
+  worker->model->Restart(node + "/" + std::to_string(worker->id_life),
+                         std::max(wall_ms(), worker->model->start_time_ms() + 1), now_);
+  worker->sequence = 0;
+  worker->called_in_life = false;
+  worker->next_announcement = Time{};
+  if (const std::optional<Duration> delay = faults_->DelayOfDeparture(node)) {
+    Schedule(*delay, [worker, former_id] { worker->agent->HandleDeparture(former_id); });
+  }
+  if (faults_->ReplacesAgentAtRestart(node)) RestartAgent(node);
+}
+
+void PoolSimulation::RestartBesideChange(const std::string& rack,
+                                         const RestartBesidePlannerChange& change) {
+  std::set<std::string> nodes;
+  for (const auto& [node, worker] : workers_) {
+    if (worker->spec.rack == rack) nodes.insert(node);
+  }
+  Schedule(change.planner_change, [=, this] {
+    change.hands_over ? HandOverPlanner() : ReplacePlanner();
+    // A new planner starts nothing while any other agent is silent.
+    isolated_ = nodes;
+  });
+  for (const std::string& node : nodes) {
+    Worker* const one = &worker(node);
+    Schedule(change.restart, [=, this] {
+      if (one->lost) return;
+      BeginNextLife(one, true);
+      one->next_announcement = now_ + change.unannounced;
+    });
+    Schedule(change.reconnect, [=, this] { Heal(node); });
+    Schedule(change.cut, [=, this] {
+      if (!change.cuts_worker) return Isolate(node);
+      one->cut_until = std::max(one->cut_until, now_ + change.cut_length);
+    });
+    Schedule(change.cut + change.cut_length, [=, this] { Heal(node); });
+  }
+}
+
 void PoolSimulation::ReplaceWorker(const std::string& node, const std::string& version) {
   worker(node).draining = false;
   worker(node).spec.version = version;
@@ -315,6 +347,9 @@
     if (time) Schedule(*time, [this, node = worker->spec.node] { RestartAgent(node); });
   }
   if (faults_->RestartsWorker(worker->spec.node)) RestartWorker(worker->spec.node);
+  if (const auto change = faults_->RestartsBesidePlannerChange(worker->spec.node)) {
+    RestartBesideChange(worker->spec.rack, *change);
+  }
   if (faults_->AnotherWriterAnnounces(worker->spec.node)) {
     AnnounceAsOtherWriter(worker->spec.node);
     AnnounceOtherService(worker->spec.node);
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -147,6 +147,8 @@
   void RunDueEvents();
   void Schedule(Duration delay, Event event);
   void TickFaults(Worker* worker);
+  void RestartBesideChange(const std::string& rack, const RestartBesidePlannerChange& change);
+  void BeginNextLife(Worker* worker, bool keeps_id);
   void TickStore();
   // Checks what callers are shown of the job whose progress has been stored under `key`.
   void NoteShownState(const std::string& key);
