Tests: Draw starts, stops and holds before the first call by themselves

The agent withholds acknowledgements after a start, but a hold that was sent before the start may still arrive: both carry the same token, so that the worker can't tell.

--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -82,6 +82,15 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), {FaultKind::kRestartsBesidePlannerChanges}));
 }
 
+// Holds and stops that were sent for a former incarnation reached the next one before the first
+// call of an agent that knew it: they renewed its lease, acknowledged its ends or raised its token.
+TEST_P(PoolHistory, KeepsItsRulesWhereHoldsAndStopsComeBeforeTheFirstCall) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kLateCalls, FaultKind::kKeptIds, FaultKind::kStopsBeforeTheFirst,
+                FaultKind::kHoldsBeforeTheFirst});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
@@ -118,6 +127,19 @@
   for (const FaultKind kind : kinds) EXPECT_GE(counts[kind], kHistories) << FaultKindName(kind);
 }
 
+// Stops before the first call are too rare for a bound.
+TEST(PoolHistoryFaults, HappenInHoldsBeforeTheFirstCall) {
+  const FaultKind kind = FaultKind::kHoldsBeforeTheFirst;
+  std::set<FaultKind> kinds = ToleratedFaultKinds();
+  kinds.insert(kind);
+  constexpr unsigned kHistories = 8;
+  int count = 0;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    count += RunPoolHistory(seed, kinds).faults[kind];
+  }
+  EXPECT_GE(count, 2);
+}
+
 TEST(PoolHistoryFaults, HappenInRestartsBesidePlannerChanges) {
   constexpr unsigned kHistories = 4;
   const FaultKind kind = FaultKind::kRestartsBesidePlannerChanges;
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -94,7 +94,7 @@
     return lapse_time_;
   }
   double ClockRate(const std::string& /*node*/) override { return clock_rate_; }
-  bool ExecutesBeforeTheFirst(const std::string& /*node*/) override {
+  bool ExecutesBeforeTheFirst(const std::string& /*node*/, WorkerCall /*call*/) override {
     return calls_before_the_first_;
   }
 
@@ -241,6 +241,26 @@
   EXPECT_EQ(simulation_->violations(), kNoViolations);
 }
 
+// The hold was sent before the worker restarted, and arrives after an agent that has not noticed it
+// has started a task there which has ended.
+TEST_F(WorkerLife, RunsNoTaskAgainWhenALateHoldAcknowledgesAnEndOfTheNextLifeUnread) {
+  Begin(1);
+  Submit("first", milliseconds(500));
+  ASSERT_TRUE(simulation_->RunUntil("first", JobState::kCompleted, seconds(5)));
+  simulation_->RunFor(seconds(1));
+  faults_.AllowCallsBeforeTheFirst();
+  faults_.DelayAnnouncements(seconds(3));
+  faults_.DelayNextCall(nodes_, WorkerCall::kHold, milliseconds(700));
+  simulation_->RunFor(milliseconds(60));
+  ASSERT_TRUE(faults_.HasHappened());
+  RestartAll();
+  Submit("second", milliseconds(300));
+  simulation_->RunFor(milliseconds(500));
+  ASSERT_EQ(simulation_->RunsOf("second").size(), 1U);
+  EXPECT_TRUE(simulation_->RunUntil("second", JobState::kCompleted, seconds(10)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 // The same for a start that was sent again, after lists that were requested since its first attempt
 // had shown the former life.
 TEST_F(WorkerLife, RunsNoTaskAgainWhenARepeatedStartReachesTheNextLife) {
--- a/tests/stand_ins/pool_faults.cc
+++ b/tests/stand_ins/pool_faults.cc
@@ -10,7 +10,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 18> kKindNames = {{
+constexpr std::array<KindName, 20> kKindNames = {{
     {FaultKind::kLateCalls, "late_calls"},
     {FaultKind::kLostAnswers, "lost_answers"},
     {FaultKind::kKeptIds, "kept_ids"},
@@ -19,7 +19,7 @@
     {FaultKind::kCutWorkers, "cut_workers"},
     {FaultKind::kSlowClocks, "slow_clocks"},
     {FaultKind::kLateAnnouncements, "late_announcements"},
-    {FaultKind::kCallsBeforeTheFirst, "calls_before_the_first"},
+    {FaultKind::kStartsBeforeTheFirst, "starts_before_the_first"},
     {FaultKind::kShortLists, "short_lists"},
     {FaultKind::kOtherWriters, "other_writers"},
     {FaultKind::kUnnoticedRestarts, "unnoticed_restarts"},
@@ -29,6 +29,8 @@
     {FaultKind::kOldReadings, "old_readings"},
     {FaultKind::kLostWorkers, "lost_workers"},
     {FaultKind::kRestartsBesidePlannerChanges, "restarts_beside_planner_changes"},
+    {FaultKind::kStopsBeforeTheFirst, "stops_before_the_first"},
+    {FaultKind::kHoldsBeforeTheFirst, "holds_before_the_first"},
 }};
 
 // One in this many kinds of fault is left out of a history.
@@ -90,7 +92,7 @@
 std::set<FaultKind> ToleratedFaultKinds() {
   std::set<FaultKind> kinds;
   for (const KindName& row : kKindNames) kinds.insert(row.kind);
-  kinds.erase(FaultKind::kCallsBeforeTheFirst);
+  kinds.erase(FaultKind::kStartsBeforeTheFirst);
   kinds.erase(FaultKind::kShortLists);
   kinds.erase(FaultKind::kOtherWriters);
   kinds.erase(FaultKind::kUnnoticedRestarts);
@@ -100,6 +102,8 @@
   kinds.erase(FaultKind::kOldReadings);
   kinds.erase(FaultKind::kLostWorkers);
   kinds.erase(FaultKind::kRestartsBesidePlannerChanges);
+  kinds.erase(FaultKind::kStopsBeforeTheFirst);
+  kinds.erase(FaultKind::kHoldsBeforeTheFirst);
   return kinds;
 }
 
@@ -249,8 +253,16 @@
   return Happens(FaultKind::kSlowClocks, 2) ? kSlowClockRate : 1.0;
 }
 
-bool RandomFaults::ExecutesBeforeTheFirst(const std::string& /*node*/) {
-  return Happens(FaultKind::kCallsBeforeTheFirst, 1);
+bool RandomFaults::ExecutesBeforeTheFirst(const std::string& /*node*/, WorkerCall call) {
+  switch (call) {
+    case WorkerCall::kStart:
+      return Happens(FaultKind::kStartsBeforeTheFirst, 1);
+    case WorkerCall::kStop:
+      return Happens(FaultKind::kStopsBeforeTheFirst, 1);
+    case WorkerCall::kHold:
+      return Happens(FaultKind::kHoldsBeforeTheFirst, 1);
+  }
+  return false;
 }
 
 }  // namespace turmericshift::pool
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -30,9 +30,9 @@
   kSlowClocks,
   // Announcements and departures arrive late, also in the worker's next life.
   kLateAnnouncements,
-  // A call of a worker's former life is executed before the first call of an agent that knows the
+  // A start of a worker's former life is executed before the first call of an agent that knows the
   // new life. Nothing that a scheduler sends can prevent it.
-  kCallsBeforeTheFirst,
+  kStartsBeforeTheFirst,
   // Workers list one end at a time.
   kShortLists,
   // Agents hear announcements of writers that are no workers.
@@ -53,11 +53,14 @@
   // Workers restart under their IDs shortly before or after a change of planner, agents learn of it
   // by their next hold, and soon after that a connection is cut for seconds.
   kRestartsBesidePlannerChanges,
+  // The same as kStartsBeforeTheFirst for stops and for holds.
+  kStopsBeforeTheFirst,
+  kHoldsBeforeTheFirst,
 };
 const char* FaultKindName(FaultKind kind);
-// The faults under which a scheduler can keep its rules: all kinds but kCallsBeforeTheFirst. Leaves
-// out kShortLists and the kinds after it too, so that histories which do not name them draw the
-// same faults as before.
+// The faults under which a scheduler can keep its rules: all kinds but kStartsBeforeTheFirst.
+// Leaves out kShortLists and the kinds after it too, so that histories which do not name them draw
+// the same faults as before.
 std::set<FaultKind> ToleratedFaultKinds();
 // The tolerated kinds that occur together in the history of `seed`.
 std::set<FaultKind> DrawFaultKinds(unsigned seed);
@@ -161,7 +164,9 @@
   // Called when a call of a former life would be executed before the first call of an agent that
   // knows the worker's life. Returns whether it is executed; otherwise it waits for that first
   // call.
-  virtual bool ExecutesBeforeTheFirst(const std::string& /*node*/) { return false; }
+  virtual bool ExecutesBeforeTheFirst(const std::string& /*node*/, WorkerCall /*call*/) {
+    return false;
+  }
 };
 
 // Draws faults of the given kinds from a seed.
@@ -198,7 +203,7 @@
   Duration LapseTime(const std::string& node, Duration longest) override;
   double ClockRate(const std::string& node) override;
   std::optional<size_t> MaxListedEnds(const std::string& node) override;
-  bool ExecutesBeforeTheFirst(const std::string& node) override;
+  bool ExecutesBeforeTheFirst(const std::string& node, WorkerCall call) override;
 
  private:
   // Draws whether a fault of this kind happens, and counts it.
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -548,7 +548,7 @@
     if (fate.answered) return reply(result);
   } else if (fate.executed_after) {
     Schedule(*fate.executed_after, [=, this, life = worker->life] {
-      ExecuteDelayed(worker, life, [=] {
+      ExecuteDelayed(worker, kind, life, [=] {
         const OrderAnswer result = run();
         if (fate.answered) reply(result);
       });
@@ -560,11 +560,12 @@
   }
 }
 
-void PoolSimulation::ExecuteDelayed(Worker* worker, int life, const Event& execute) {
+void PoolSimulation::ExecuteDelayed(Worker* worker, WorkerCall kind, int life,
+                                    const Event& execute) {
   if (worker->lost) return;
   const bool before_the_first = life != worker->life && !worker->called_in_life;
-  if (before_the_first && !faults_->ExecutesBeforeTheFirst(worker->spec.node)) {
-    return Schedule(kTick, [=, this] { ExecuteDelayed(worker, life, execute); });
+  if (before_the_first && !faults_->ExecutesBeforeTheFirst(worker->spec.node, kind)) {
+    return Schedule(kTick, [=, this] { ExecuteDelayed(worker, kind, life, execute); });
   }
   calls_of_former_lives_ += life != worker->life;
   execute();
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -177,7 +177,7 @@
   void Call(Worker* worker, WorkerCall kind, Duration timeout,
             const std::function<OrderAnswer()>& execute, const AnswerHandler& complete);
   // Executes a call that was sent in the given life of the worker and has been in transit.
-  void ExecuteDelayed(Worker* worker, int life, const Event& execute);
+  void ExecuteDelayed(Worker* worker, WorkerCall kind, int life, const Event& execute);
   // Sends an order as OrderSender does: up to kMaxAttempts times.
   void SendOrder(Worker* worker, WorkerCall kind, int attempt,
                  const std::function<OrderAnswer()>& execute, const AnswerHandler& complete);
