Tests: Begin the clocks of restarted workers at any value

The clock of a simulated worker began at 0 after each restart. That of a real one may show any value, also one above the former clock, so that a deadline by the former clock is over, or soon.

A new kind of fault draws it within 10 s of the former clock, or up to an hour above it.

--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -94,6 +94,18 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
+class PoolHistoryOfClocks : public testing::TestWithParam<unsigned> {};
+
+// A deadline by the former clock may be over in the next incarnation, or soon.
+TEST_P(PoolHistoryOfClocks, KeepsItsRulesWhereRestartedWorkersBeginAtAnyTime) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kKeptIds, FaultKind::kClocksAhead});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistoryOfClocks, testing::Range(1U, 101U),
+                         testing::PrintToStringParamName());
+
 // A history without a fault says nothing about it.
 TEST(PoolHistoryFaults, HappenInAllKinds) {
   constexpr int kHistoriesPerFault = 8;
--- a/tests/stand_ins/pool_faults.cc
+++ b/tests/stand_ins/pool_faults.cc
@@ -1,5 +1,6 @@
 #include "tests/stand_ins/pool_faults.h"
 
+#include <algorithm>
 #include <array>
 
 namespace turmericshift::pool {
@@ -10,7 +11,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 20> kKindNames = {{
+constexpr std::array<KindName, 21> kKindNames = {{
     {FaultKind::kLateCalls, "late_calls"},
     {FaultKind::kLostAnswers, "lost_answers"},
     {FaultKind::kKeptIds, "kept_ids"},
@@ -31,6 +32,7 @@
     {FaultKind::kRestartsBesidePlannerChanges, "restarts_beside_planner_changes"},
     {FaultKind::kStopsBeforeTheFirst, "stops_before_the_first"},
     {FaultKind::kHoldsBeforeTheFirst, "holds_before_the_first"},
+    {FaultKind::kClocksAhead, "clocks_ahead"},
 }};
 
 // One in this many kinds of fault is left out of a history.
@@ -78,6 +80,9 @@
 constexpr unsigned kCutsPerCutWorker = 4;
 constexpr int kUnannouncedMinMs = 60;
 constexpr int kUnannouncedMaxMs = 500;
+// How far the clock of a new life is from that of the former one.
+constexpr int kNearClockMaxMs = 10'000;
+constexpr int kFarClockMaxMs = 3'600'000;
 constexpr double kSlowClockRate = 0.98;
 
 }  // namespace
@@ -104,6 +109,7 @@
   kinds.erase(FaultKind::kRestartsBesidePlannerChanges);
   kinds.erase(FaultKind::kStopsBeforeTheFirst);
   kinds.erase(FaultKind::kHoldsBeforeTheFirst);
+  kinds.erase(FaultKind::kClocksAhead);
   return kinds;
 }
 
@@ -249,6 +255,12 @@
   return Happens(FaultKind::kSlowLapses, 2) ? longest : Duration::zero();
 }
 
+Duration RandomFaults::ClockAtRestart(const std::string& /*node*/, Duration former) {
+  if (!Happens(FaultKind::kClocksAhead, 2)) return Duration::zero();
+  const int most_ms = random_() % 2 == 0 ? kNearClockMaxMs : kFarClockMaxMs;
+  return std::max(Duration::zero(), former + Between(-kNearClockMaxMs, most_ms));
+}
+
 double RandomFaults::ClockRate(const std::string& /*node*/) {
   return Happens(FaultKind::kSlowClocks, 2) ? kSlowClockRate : 1.0;
 }
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -56,6 +56,8 @@
   // The same as kStartsBeforeTheFirst for stops and for holds.
   kStopsBeforeTheFirst,
   kHoldsBeforeTheFirst,
+  // The clocks of restarted workers begin at any value, also above that of the former life.
+  kClocksAhead,
 };
 const char* FaultKindName(FaultKind kind);
 // The faults under which a scheduler can keep its rules: all kinds but kStartsBeforeTheFirst.
@@ -158,6 +160,8 @@
   virtual std::optional<LostAnswers> LosesAnswers(const std::string& /*node*/) { return {}; }
   // How long the worker takes to end the runs of an expired lease. `longest`: the bound on stops.
   virtual Duration LapseTime(const std::string& /*node*/, Duration /*longest*/) { return {}; }
+  // Called when a worker restarts: what its clock shows. `former`: what the former one showed.
+  virtual Duration ClockAtRestart(const std::string& /*node*/, Duration /*former*/) { return {}; }
   virtual double ClockRate(const std::string& /*node*/) { return 1.0; }
   // Most ends that the worker lists at a time, if fewer than real workers list.
   virtual std::optional<size_t> MaxListedEnds(const std::string& /*node*/) { return {}; }
@@ -201,6 +205,7 @@
   std::optional<Duration> RefusesConnectionsFor(const std::string& node) override;
   std::optional<LostAnswers> LosesAnswers(const std::string& node) override;
   Duration LapseTime(const std::string& node, Duration longest) override;
+  Duration ClockAtRestart(const std::string& node, Duration former) override;
   double ClockRate(const std::string& node) override;
   std::optional<size_t> MaxListedEnds(const std::string& node) override;
   bool ExecutesBeforeTheFirst(const std::string& node, WorkerCall call) override;
--- a/tests/stand_ins/pool_simulation.cc
+++ b/tests/stand_ins/pool_simulation.cc
@@ -231,8 +231,10 @@
   const std::string former_id = worker->model->id();
   ++worker->life;
   if (!keeps_id) worker->id_life = worker->life;
+  const Duration clock = faults_->ClockAtRestart(node, milliseconds(worker->model->Clock(now_)));
   worker->model->Restart(node + "/" + std::to_string(worker->id_life),
-                         std::max(wall_ms(), worker->model->start_time_ms() + 1), now_);
+                         std::max(wall_ms(), worker->model->start_time_ms() + 1),
+                         duration_cast<milliseconds>(clock).count(), now_);
   worker->sequence = 0;
   worker->called_in_life = false;
   worker->next_announcement = Time{};
--- a/tests/stand_ins/pool_worker_model.cc
+++ b/tests/stand_ins/pool_worker_model.cc
@@ -8,10 +8,12 @@
                                  int64_t start_time_ms, Time started)
     : options_(options), id_(id), start_time_ms_(start_time_ms), started_(started) {}
 
-void PoolWorkerModel::Restart(const std::string& id, int64_t start_time_ms, Time now) {
+void PoolWorkerModel::Restart(const std::string& id, int64_t start_time_ms, WorkerMillis clock,
+                              Time now) {
   id_ = id;
   start_time_ms_ = start_time_ms;
   started_ = now;
+  clock_at_start_ = clock;
   fence_ = 0;
   lease_until_ = 0;
   end_count_ = 0;
@@ -22,7 +24,7 @@
 
 WorkerMillis PoolWorkerModel::Clock(Time now) const {
   const std::chrono::duration<double, std::milli> age = now - started_;
-  return static_cast<WorkerMillis>(age.count() * options_.clock_rate);
+  return clock_at_start_ + static_cast<WorkerMillis>(age.count() * options_.clock_rate);
 }
 
 bool PoolWorkerModel::IsForOtherIncarnation(const std::string& worker_id) const {
--- a/tests/stand_ins/pool_worker_model.h
+++ b/tests/stand_ins/pool_worker_model.h
@@ -49,8 +49,9 @@
   PoolWorkerModel(const WorkerModelOptions& options, const std::string& id, int64_t start_time_ms,
                   Time started);
 
-  // Begins a new life, under the same or another id, in which nothing of the former one is known.
-  void Restart(const std::string& id, int64_t start_time_ms, Time now);
+  // Begins a new life, under the same or another id, in which nothing of the former one is known
+  // and the clock begins at `clock`.
+  void Restart(const std::string& id, int64_t start_time_ms, WorkerMillis clock, Time now);
 
   OrderAnswer Start(const StartCall& call, const ModelTask& task, Time now);
   OrderAnswer Stop(const std::string& worker_id, const RunId& run, int64_t fence, Time now);
@@ -84,6 +85,8 @@
   std::string id_;
   int64_t start_time_ms_ = 0;
   Time started_{};
+  // What the clock showed at `started_`.
+  WorkerMillis clock_at_start_ = 0;
   int64_t fence_ = 0;
   WorkerMillis lease_until_ = 0;
   int64_t end_count_ = 0;
