--- a/servers/pool/pool_random_test.cc
+++ b/servers/pool/pool_random_test.cc
@@ -75,9 +75,37 @@
   ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
 }
 
+// Holds that were sent before the agent had noticed the restart took the longest lease, of which a
+// planner that had not seen the former incarnation knew nothing.
+TEST_P(PoolHistory, KeepsItsRulesWhereWorkersRestartBesidePlannerChanges) {
+  // Other kinds make planners wait for longer leases than these, and hide the fault.
+  ExpectRulesKept(RunPoolHistory(GetParam(), {FaultKind::kRestartsBesidePlannerChanges}));
+}
+
+// Holds and stops that were sent for a former incarnation reached the next one before the first
+// call of an agent that knew it: they renewed its lease, acknowledged its ends or raised its token.
+TEST_P(PoolHistory, KeepsItsRulesWhereHoldsAndStopsComeBeforeTheFirstCall) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kLateCalls, FaultKind::kKeptIds, FaultKind::kStopsBeforeTheFirst,
+                FaultKind::kHoldsBeforeTheFirst});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistory, testing::Range(1U, 121U),
                          testing::PrintToStringParamName());
 
+class PoolHistoryOfClocks : public testing::TestWithParam<unsigned> {};
+
+// A deadline by the former clock may be over in the next incarnation, or soon.
+TEST_P(PoolHistoryOfClocks, KeepsItsRulesWhereRestartedWorkersBeginAtAnyTime) {
+  std::set<FaultKind> kinds = DrawFaultKinds(GetParam());
+  kinds.insert({FaultKind::kKeptIds, FaultKind::kClocksAhead});
+  ExpectRulesKept(RunPoolHistory(GetParam(), kinds));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, PoolHistoryOfClocks, testing::Range(1U, 101U),
+                         testing::PrintToStringParamName());
+
 // A history without a fault says nothing about it.
 TEST(PoolHistoryFaults, HappenInAllKinds) {
   constexpr int kHistoriesPerFault = 8;
@@ -111,6 +139,29 @@
   for (const FaultKind kind : kinds) EXPECT_GE(counts[kind], kHistories) << FaultKindName(kind);
 }
 
+// Stops before the first call are too rare for a bound.
+TEST(PoolHistoryFaults, HappenInHoldsBeforeTheFirstCall) {
+  const FaultKind kind = FaultKind::kHoldsBeforeTheFirst;
+  std::set<FaultKind> kinds = ToleratedFaultKinds();
+  kinds.insert(kind);
+  constexpr unsigned kHistories = 8;
+  int count = 0;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    count += RunPoolHistory(seed, kinds).faults[kind];
+  }
+  EXPECT_GE(count, 2);
+}
+
+TEST(PoolHistoryFaults, HappenInRestartsBesidePlannerChanges) {
+  constexpr unsigned kHistories = 4;
+  const FaultKind kind = FaultKind::kRestartsBesidePlannerChanges;
+  int count = 0;
+  for (unsigned seed = 1; seed <= kHistories; ++seed) {
+    count += RunPoolHistory(seed, {kind}).faults[kind];
+  }
+  EXPECT_GE(count, kHistories);
+}
+
 // The same for the loss of a worker, of which a history has at most one.
 TEST(PoolHistoryFaults, LoseWorkersInMostHistories) {
   constexpr unsigned kHistories = 8;
--- a/tests/stand_ins/pool_faults.cc
+++ b/tests/stand_ins/pool_faults.cc
@@ -1,5 +1,6 @@
 #include "tests/stand_ins/pool_faults.h"
 
+#include <algorithm>
 #include <array>
 
 namespace turmericshift::pool {
@@ -10,7 +11,7 @@
   const char* name;
 };
 
-constexpr std::array<KindName, 17> kKindNames = {{
+constexpr std::array<KindName, 21> kKindNames = {{
     {FaultKind::kLateCalls, "late_calls"},
     {FaultKind::kLostAnswers, "lost_answers"},
     {FaultKind::kKeptIds, "kept_ids"},
@@ -19,7 +20,7 @@
     {FaultKind::kCutWorkers, "cut_workers"},
     {FaultKind::kSlowClocks, "slow_clocks"},
     {FaultKind::kLateAnnouncements, "late_announcements"},
-    {FaultKind::kCallsBeforeTheFirst, "calls_before_the_first"},
+    {FaultKind::kStartsBeforeTheFirst, "starts_before_the_first"},
     {FaultKind::kShortLists, "short_lists"},
     {FaultKind::kOtherWriters, "other_writers"},
     {FaultKind::kUnnoticedRestarts, "unnoticed_restarts"},
@@ -28,6 +29,10 @@
     {FaultKind::kRefusedConnections, "refused_connections"},
     {FaultKind::kOldReadings, "old_readings"},
     {FaultKind::kLostWorkers, "lost_workers"},
+    {FaultKind::kRestartsBesidePlannerChanges, "restarts_beside_planner_changes"},
+    {FaultKind::kStopsBeforeTheFirst, "stops_before_the_first"},
+    {FaultKind::kHoldsBeforeTheFirst, "holds_before_the_first"},
+    {FaultKind::kClocksAhead, "clocks_ahead"},
 }};
 
 // One in this many kinds of fault is left out of a history.
@@ -65,6 +70,19 @@
 constexpr int kMaxLostWorkers = 1;
 constexpr unsigned kLossesPerAgentLeft = 4;
 constexpr int kAgentBackMaxMs = 6000;
+constexpr int kTicksPerRestartBesideChange = 3000;
+constexpr int kChangeMaxMs = 2000;
+constexpr int kReconnectMaxMs = 1000;
+constexpr int kCutAfterChangeMaxMs = 2000;
+constexpr int kCutAfterChangeMinLengthMs = 4000;
+constexpr int kCutAfterChangeMaxLengthMs = 12'000;
+constexpr unsigned kChangesPerReplacedPlanner = 8;
+constexpr unsigned kCutsPerCutWorker = 4;
+constexpr int kUnannouncedMinMs = 60;
+constexpr int kUnannouncedMaxMs = 500;
+// How far the clock of a new life is from that of the former one.
+constexpr int kNearClockMaxMs = 10'000;
+constexpr int kFarClockMaxMs = 3'600'000;
 constexpr double kSlowClockRate = 0.98;
 
 }  // namespace
@@ -79,7 +97,7 @@
 std::set<FaultKind> ToleratedFaultKinds() {
   std::set<FaultKind> kinds;
   for (const KindName& row : kKindNames) kinds.insert(row.kind);
-  kinds.erase(FaultKind::kCallsBeforeTheFirst);
+  kinds.erase(FaultKind::kStartsBeforeTheFirst);
   kinds.erase(FaultKind::kShortLists);
   kinds.erase(FaultKind::kOtherWriters);
   kinds.erase(FaultKind::kUnnoticedRestarts);
@@ -88,6 +106,10 @@
   kinds.erase(FaultKind::kRefusedConnections);
   kinds.erase(FaultKind::kOldReadings);
   kinds.erase(FaultKind::kLostWorkers);
+  kinds.erase(FaultKind::kRestartsBesidePlannerChanges);
+  kinds.erase(FaultKind::kStopsBeforeTheFirst);
+  kinds.erase(FaultKind::kHoldsBeforeTheFirst);
+  kinds.erase(FaultKind::kClocksAhead);
   return kinds;
 }
 
@@ -110,6 +132,11 @@
   return std::chrono::milliseconds(low_ms + static_cast<int>(random_() % range));
 }
 
+Duration RandomFaults::UpTo(int most_ms) {
+  const int limit_ms = static_cast<int>(random_() % static_cast<unsigned>(most_ms + 1));
+  return Between(0, limit_ms);
+}
+
 CallFate RandomFaults::FateOfCall(const std::string& /*node*/, WorkerCall /*call*/) {
   if (Happens(FaultKind::kLateCalls, kCallsPerLateCall)) {
     const bool executed = random_() % 2 == 0;
@@ -178,6 +205,23 @@
   return kinds_.count(FaultKind::kKeptIds) > 0 && random_() % kTicksPerRestart == 0;
 }
 
+std::optional<RestartBesidePlannerChange> RandomFaults::RestartsBesidePlannerChange(
+    const std::string& /*node*/) {
+  if (!Happens(FaultKind::kRestartsBesidePlannerChanges, kTicksPerRestartBesideChange)) {
+    return std::nullopt;
+  }
+  RestartBesidePlannerChange change;
+  const Duration apart = UpTo(kChangeMaxMs);
+  (random_() % 2 == 0 ? change.restart : change.planner_change) = apart;
+  change.reconnect = apart + UpTo(kReconnectMaxMs);
+  change.cut = change.reconnect + UpTo(kCutAfterChangeMaxMs);
+  change.cut_length = Between(kCutAfterChangeMinLengthMs, kCutAfterChangeMaxLengthMs);
+  change.unannounced = Between(kUnannouncedMinMs, kUnannouncedMaxMs);
+  change.hands_over = random_() % kChangesPerReplacedPlanner != 0;
+  change.cuts_worker = random_() % kCutsPerCutWorker == 0;
+  return change;
+}
+
 bool RandomFaults::ReplacesAgentAtRestart(const std::string& /*node*/) {
   return Happens(FaultKind::kReplacedAgents, 2);
 }
@@ -211,12 +255,26 @@
   return Happens(FaultKind::kSlowLapses, 2) ? longest : Duration::zero();
 }
 
+Duration RandomFaults::ClockAtRestart(const std::string& /*node*/, Duration former) {
+  if (!Happens(FaultKind::kClocksAhead, 2)) return Duration::zero();
+  const int most_ms = random_() % 2 == 0 ? kNearClockMaxMs : kFarClockMaxMs;
+  return std::max(Duration::zero(), former + Between(-kNearClockMaxMs, most_ms));
+}
+
 double RandomFaults::ClockRate(const std::string& /*node*/) {
   return Happens(FaultKind::kSlowClocks, 2) ? kSlowClockRate : 1.0;
 }
 
-bool RandomFaults::ExecutesBeforeTheFirst(const std::string& /*node*/) {
-  return Happens(FaultKind::kCallsBeforeTheFirst, 1);
+bool RandomFaults::ExecutesBeforeTheFirst(const std::string& /*node*/, WorkerCall call) {
+  switch (call) {
+    case WorkerCall::kStart:
+      return Happens(FaultKind::kStartsBeforeTheFirst, 1);
+    case WorkerCall::kStop:
+      return Happens(FaultKind::kStopsBeforeTheFirst, 1);
+    case WorkerCall::kHold:
+      return Happens(FaultKind::kHoldsBeforeTheFirst, 1);
+  }
+  return false;
 }
 
 }  // namespace turmericshift::pool
--- a/tests/stand_ins/pool_faults.h
+++ b/tests/stand_ins/pool_faults.h
@@ -30,9 +30,9 @@
   kSlowClocks,
   // Announcements and departures arrive late, also in the worker's next life.
   kLateAnnouncements,
-  // A call of a worker's former life is executed before the first call of an agent that knows the
+  // A start of a worker's former life is executed before the first call of an agent that knows the
   // new life. Nothing that a scheduler sends can prevent it.
-  kCallsBeforeTheFirst,
+  kStartsBeforeTheFirst,
   // Workers list one end at a time.
   kShortLists,
   // Agents hear announcements of writers that are no workers.
@@ -50,11 +50,19 @@
   kOldReadings,
   // One worker is lost for good, and mostly its agent has a new process within seconds.
   kLostWorkers,
+  // Workers restart under their IDs shortly before or after a change of planner, agents learn of it
+  // by their next hold, and soon after that a connection is cut for seconds.
+  kRestartsBesidePlannerChanges,
+  // The same as kStartsBeforeTheFirst for stops and for holds.
+  kStopsBeforeTheFirst,
+  kHoldsBeforeTheFirst,
+  // The clocks of restarted workers begin at any value, also above that of the former life.
+  kClocksAhead,
 };
 const char* FaultKindName(FaultKind kind);
-// The faults under which a scheduler can keep its rules: all kinds but kCallsBeforeTheFirst. Leaves
-// out kShortLists and the kinds after it too, so that histories which do not name them draw the
-// same faults as before.
+// The faults under which a scheduler can keep its rules: all kinds but kStartsBeforeTheFirst.
+// Leaves out kShortLists and the kinds after it too, so that histories which do not name them draw
+// the same faults as before.
 std::set<FaultKind> ToleratedFaultKinds();
 // The tolerated kinds that occur together in the history of `seed`.
 std::set<FaultKind> DrawFaultKinds(unsigned seed);
@@ -76,6 +84,25 @@
   Duration isolation{};
 };
 
+// The workers of a rack restart under their IDs, the planner changes, and a connection of each of
+// their agents is cut.
+struct RestartBesidePlannerChange {
+  // Times from now on.
+  Duration restart{};
+  Duration planner_change{};
+  // When the agents reach the new planner.
+  Duration reconnect{};
+  Duration cut{};
+  // How long the cut lasts.
+  Duration cut_length{};
+  // How long the new incarnations take to announce themselves.
+  Duration unannounced{};
+  // Whether the planner hands over.
+  bool hands_over = false;
+  // Whether the agents are cut off from their workers; otherwise from the planner.
+  bool cuts_worker = false;
+};
+
 // Times in transit of an agent's report and of the planner's answer.
 struct ExchangeDelays {
   Duration report{};
@@ -115,6 +142,12 @@
   virtual std::optional<Duration> ReplacesAgentAfterLoss(const std::string& /*node*/) { return {}; }
   // Called for each tick: whether the worker restarts.
   virtual bool RestartsWorker(const std::string& /*node*/) { return false; }
+  // Called for each tick: whether the workers of the node's rack restart beside a change of
+  // planner.
+  virtual std::optional<RestartBesidePlannerChange> RestartsBesidePlannerChange(
+      const std::string& /*node*/) {
+    return {};
+  }
   // Whether the agent's process is replaced when its worker restarts, or while a call that is not
   // answered promptly is in transit.
   virtual bool ReplacesAgentAtRestart(const std::string& /*node*/) { return false; }
@@ -127,13 +160,17 @@
   virtual std::optional<LostAnswers> LosesAnswers(const std::string& /*node*/) { return {}; }
   // How long the worker takes to end the runs of an expired lease. `longest`: the bound on stops.
   virtual Duration LapseTime(const std::string& /*node*/, Duration /*longest*/) { return {}; }
+  // Called when a worker restarts: what its clock shows. `former`: what the former one showed.
+  virtual Duration ClockAtRestart(const std::string& /*node*/, Duration /*former*/) { return {}; }
   virtual double ClockRate(const std::string& /*node*/) { return 1.0; }
   // Most ends that the worker lists at a time, if fewer than real workers list.
   virtual std::optional<size_t> MaxListedEnds(const std::string& /*node*/) { return {}; }
   // Called when a call of a former life would be executed before the first call of an agent that
   // knows the worker's life. Returns whether it is executed; otherwise it waits for that first
   // call.
-  virtual bool ExecutesBeforeTheFirst(const std::string& /*node*/) { return false; }
+  virtual bool ExecutesBeforeTheFirst(const std::string& /*node*/, WorkerCall /*call*/) {
+    return false;
+  }
 };
 
 // Draws faults of the given kinds from a seed.
@@ -159,6 +196,8 @@
   bool LosesWorker(const std::string& node) override;
   std::optional<Duration> ReplacesAgentAfterLoss(const std::string& node) override;
   bool RestartsWorker(const std::string& node) override;
+  std::optional<RestartBesidePlannerChange> RestartsBesidePlannerChange(
+      const std::string& node) override;
   bool HandsOver() override { return Happens(FaultKind::kHandovers, 2); }
   bool ReplacesAgentAtRestart(const std::string& node) override;
   bool ReplacesAgentInCall(const std::string& node) override;
@@ -166,14 +205,17 @@
   std::optional<Duration> RefusesConnectionsFor(const std::string& node) override;
   std::optional<LostAnswers> LosesAnswers(const std::string& node) override;
   Duration LapseTime(const std::string& node, Duration longest) override;
+  Duration ClockAtRestart(const std::string& node, Duration former) override;
   double ClockRate(const std::string& node) override;
   std::optional<size_t> MaxListedEnds(const std::string& node) override;
-  bool ExecutesBeforeTheFirst(const std::string& node) override;
+  bool ExecutesBeforeTheFirst(const std::string& node, WorkerCall call) override;
 
  private:
   // Draws whether a fault of this kind happens, and counts it.
   bool Happens(FaultKind kind, int one_in);
   Duration Between(int low_ms, int high_ms);
+  // Short times are more likely.
+  Duration UpTo(int most_ms);
 
   std::mt19937 random_;
   std::set<FaultKind> kinds_;
--- a/tests/stand_ins/pool_simulation.h
+++ b/tests/stand_ins/pool_simulation.h
@@ -147,6 +147,8 @@
   void RunDueEvents();
   void Schedule(Duration delay, Event event);
   void TickFaults(Worker* worker);
+  void RestartBesideChange(const std::string& rack, const RestartBesidePlannerChange& change);
+  void BeginNextLife(Worker* worker, bool keeps_id);
   void TickStore();
   // Checks what callers are shown of the job whose progress has been stored under `key`.
   void NoteShownState(const std::string& key);
@@ -179,7 +181,7 @@
   void Call(Worker* worker, WorkerCall kind, Duration timeout,
             const std::function<OrderAnswer()>& execute, const AnswerHandler& complete);
   // Executes a call that was sent in the given life of the worker and has been in transit.
-  void ExecuteDelayed(Worker* worker, int life, const Event& execute);
+  void ExecuteDelayed(Worker* worker, WorkerCall kind, int life, const Event& execute);
   // Sends an order as OrderSender does: up to kMaxAttempts times.
   void SendOrder(Worker* worker, WorkerCall kind, int attempt,
                  const std::function<OrderAnswer()>& execute, const AnswerHandler& complete);
