Tests: Shorten leases in the fake worker as workers do

The fake pool worker granted any lease that a call asked for. Workers shorten it to their longest one. A call for a former incarnation, whose clock was far ahead, therefore kept runs alive for as long as that incarnation had lived.

It also told the observer of its ends that all numbers up to the acknowledged one are acknowledged, with those of ends that it has not had yet. A late call for a former incarnation does that. The soak would then take the next ends for acknowledged before they were read. They count from their own acknowledgement on.

--- a/modules/stand_ins/fake_pool_worker.cc
+++ b/modules/stand_ins/fake_pool_worker.cc
@@ -60,6 +60,12 @@
   return kInitialClockMillis + static_cast<WorkerMillis>(age.count() * options_.clock_rate);
 }
 
+void FakePoolWorker::ExtendLease(WorkerMillis until, Time now) {
+  const WorkerMillis longest =
+      Clock(now) + duration_cast<std::chrono::milliseconds>(options_.longest_lease).count();
+  lease_until_ = std::max(lease_until_, std::min(until, longest));
+}
+
 Duration FakePoolWorker::WorkDone(const RunId& run, const ActiveRun& active, Time now) const {
   if (!active.gang) return now - active.started;
   const std::optional<Time> complete = gang_tracker_->CompleteSince(run);
@@ -154,7 +160,7 @@
   const bool outdated =
       newest_ended != newest_ended_run_.end() && call.run.number <= newest_ended->second;
   if (!outdated && Clock(now) >= call.lease_until) return OrderAnswer::kExpired;
-  lease_until_ = std::max(lease_until_, call.lease_until);
+  ExtendLease(call.lease_until, now);
   if (outdated) return OrderAnswer::kStaleRun;
   const int size = hooks_ == nullptr ? 0 : hooks_->GangSize(call.run.task);
   const bool gang = gang_tracker_ != nullptr && size > 0;
@@ -192,9 +198,10 @@
   if (crashed_ || call.fence < fence_) return answer;
   fence_ = call.fence;
   EndDueRuns(LeaseClock().Now());
-  if (call.lease_until) lease_until_ = std::max(lease_until_, *call.lease_until);
+  if (call.lease_until) ExtendLease(*call.lease_until, LeaseClock().Now());
   ended_.erase(ended_.begin(), ended_.upper_bound(call.acked_ends));
-  if (hooks_ != nullptr) hooks_->OnEndsAcknowledged(call.acked_ends);
+  // A call for a former incarnation may acknowledge ends that this one has not had yet.
+  if (hooks_ != nullptr) hooks_->OnEndsAcknowledged(std::min(call.acked_ends, end_count_));
   const Time until = LeaseClock().Now() + call.wait;
   while (ended_.empty() && LeaseClock().Now() < until) {
     changed_.wait_for(lock, kPollInterval);
--- a/modules/stand_ins/fake_pool_worker.h
+++ b/modules/stand_ins/fake_pool_worker.h
@@ -70,6 +70,8 @@
   int64_t start_time_ms = 0;
   // Speed of the worker's steady clock, in seconds per real second.
   double clock_rate = 1.0;
+  // A lease that ends later on the worker's clock is shortened to this.
+  Duration longest_lease = std::chrono::seconds(6);
   // Work between two checkpoints. A stop saves a checkpoint too.
   Duration save_interval = std::chrono::milliseconds(200);
   // How long a gang member waits for the other members before it ends with kPartialGang.
@@ -107,6 +109,7 @@
     bool saves_checkpoints = false;
   };
 
+  void ExtendLease(WorkerMillis until, Time now);
   OrderAnswer StartLocked(const StartCall& call, Time now);
   // Ends the runs that are due to end by `now`.
   void EndDueRuns(Time now);
