Soak: Play restarts of a zone's workers that are cut off soon after

Workers that restarted under their IDs took no calls of before: their connections were reset, and their new incarnation announced itself at once. So the soak could not show tasks that run twice after a restart and a cut.

--restarts plays that order of events: half of the calls of the last second are executed by the new incarnation up to 0.5 s after its start, its first announcement comes an interval later, and its zone's agents are cut off 0.3 to 2 s after the start, in half of the cases beside a change of planner. What a seed draws without these options stays as it was.

--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -64,6 +64,18 @@
   return job;
 }
 
+// Gives one in five jobs tasks that run for 15 to 40 s.
+void LengthenSome(SoakJob* job) {
+  const size_t choice = std::hash<std::string>()(job->spec.id + "long");
+  if (choice % 5 != 0) return;
+  const milliseconds time(15'000 + choice / 5 % 25'000);
+  job->spec.payload = FormatDuration(time);
+  job->spec.steps.resize(1);
+  job->spec.steps[0].need.accelerators = 1;
+  job->spec.steps[0].estimate = time;
+  job->failures = 0;
+}
+
 platform::CallOutcome CallEntry(
     SoakEntry* entry, const std::function<platform::CallOutcome(const platform::Caller&)>& call,
     SoakHistory* history) {
@@ -88,8 +100,9 @@
   return platform::CallOutcome::kOutcomeUnknown;
 }
 
-SoakCallers::SoakCallers(uint64_t seed, int callers, SoakSystem* system, SoakHistory* history)
-    : system_(system), history_(history) {
+SoakCallers::SoakCallers(uint64_t seed, int callers, bool long_tasks, SoakSystem* system,
+                         SoakHistory* history)
+    : long_tasks_(long_tasks), system_(system), history_(history) {
   for (int caller = 0; caller < callers; ++caller) {
     threads_.emplace_back(
         "caller", [this, seed, caller] { Submit(seed + static_cast<uint64_t>(caller), caller); });
@@ -112,8 +125,8 @@
 void SoakCallers::Submit(uint64_t seed, int caller) {
   std::mt19937_64 random(seed);
   for (int number = 0; submitting_.load(); ++number) {
-    const SoakJob job =
-        DrawJob("j" + std::to_string(caller) + "x" + std::to_string(number), &random);
+    SoakJob job = DrawJob("j" + std::to_string(caller) + "x" + std::to_string(number), &random);
+    if (long_tasks_) LengthenSome(&job);
     history_->RecordJob(job);
     SubmitOne(job, &random);
     if (OneIn(6, &random)) CancelOne(job, &random);
@@ -121,6 +134,11 @@
   }
 }
 
+void SoakCallers::CancelPending(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  for (const std::string& id : history_->Pending()) CancelOne({history_->SpecOf(id)}, &random);
+}
+
 bool SoakCallers::SubmitOnce(const SoakJob& job, std::mt19937_64* random) {
   const milliseconds timeout = CallTimeoutFor(job);
   const platform::CallOutcome outcome =
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -24,14 +24,18 @@
 
 class SoakCallers {
  public:
-  // Starts the callers immediately; `system` and `history` must outlive them.
-  SoakCallers(uint64_t seed, int callers, SoakSystem* system, SoakHistory* history);
+  // Starts the callers immediately; `system` and `history` must outlive them. `long_tasks`: one in
+  // five jobs has tasks that run for 15 s or more.
+  SoakCallers(uint64_t seed, int callers, bool long_tasks, SoakSystem* system,
+              SoakHistory* history);
   ~SoakCallers();
   SoakCallers(const SoakCallers&) = delete;
   SoakCallers& operator=(const SoakCallers&) = delete;
 
   // Stops submitting new jobs; the states of accepted jobs are still polled.
   void StopSubmitting() { submitting_.store(false); }
+  // Cancels all accepted jobs that have not ended.
+  void CancelPending(uint64_t seed);
 
  private:
   // The loop of one caller, which submits and cancels jobs.
@@ -46,6 +50,7 @@
   bool SubmitOnce(const SoakJob& job, std::mt19937_64* random);
   void CancelOne(const SoakJob& job, std::mt19937_64* random);
 
+  const bool long_tasks_;
   SoakSystem* const system_;
   SoakHistory* const history_;
   std::atomic<bool> submitting_{true};
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<std::pair<FaultKind, const char*>, 31> kNames = {{
+constexpr std::array<std::pair<FaultKind, const char*>, 32> kNames = {{
     {FaultKind::kKillEntry, "kill_entry"},
     {FaultKind::kTermEntry, "term_entry"},
     {FaultKind::kPauseEntry, "pause_entry"},
@@ -46,13 +46,16 @@
     {FaultKind::kCutSessions, "cut_sessions"},
     {FaultKind::kCutStore, "cut_store"},
     {FaultKind::kCutZone, "cut_zone"},
+    {FaultKind::kRestartAndCut, "restart_and_cut"},
 }};
 // DrawFaults draws from the rows of kNames before kFirstSeries, DrawSeries from those before
-// kFirstCut, and DrawCuts from the remaining ones.
+// kFirstCut, and DrawCuts from those before kFirstRestart.
 constexpr size_t kFirstSeries = 22;
 constexpr size_t kFirstCut = 28;
-// Keeps the draws of cuts apart from those of the other faults of the same seed.
+constexpr size_t kFirstRestart = 31;
+// Keep the draws of cuts and of restarts apart from those of the other faults of the same seed.
 constexpr uint64_t kCutSeed = uint64_t{1} << 63;
+constexpr uint64_t kRestartSeed = uint64_t{1} << 62;
 
 constexpr std::array<RelayFault, 5> kRelayFaults = {RelayFault::kSilent, RelayFault::kDropForward,
                                                     RelayFault::kDropBackward, RelayFault::kReset,
@@ -66,6 +69,9 @@
 constexpr milliseconds kAgentRollGap{150};
 constexpr milliseconds kDocumentGap{60};
 constexpr int kDocumentsInSeries = 5;
+// Tasks start, and calls to the workers are delayed, before a zone's workers restart.
+constexpr milliseconds kBeforeRestart{5000};
+constexpr milliseconds kCallsDelayedBefore{1000};
 // Orders of a paused agent may still be executed this long after it resumes.
 constexpr milliseconds kOrderDelayLimit{2000};
 
@@ -121,7 +127,20 @@
 }
 
 std::vector<Fault> DrawCuts(uint64_t seed, Duration length) {
-  return Draw(seed ^ kCutSeed, length, kFirstCut, kNames.size());
+  return Draw(seed ^ kCutSeed, length, kFirstCut, kFirstRestart);
+}
+
+std::vector<Fault> DrawRestarts(uint64_t seed, Duration length) {
+  std::mt19937_64 random(seed ^ kRestartSeed);
+  std::vector<Fault> faults;
+  Fault fault;
+  fault.kind = FaultKind::kRestartAndCut;
+  for (fault.at = kBeforeRestart; fault.at < length; fault.at += fault.lasts + kBeforeRestart) {
+    fault.lasts = milliseconds(5000 + random() % 4000);
+    fault.target = static_cast<uint32_t>(random());
+    faults.push_back(fault);
+  }
+  return faults;
 }
 
 SoakEntry* FaultPlayer::EntryOf(const Fault& fault) const {
@@ -213,6 +232,56 @@
            [this, worker_node, same_id] { system_->StartWorker(worker_node, same_id); }}};
 }
 
+std::vector<FaultPlayer::Step> FaultPlayer::PlannerSteps(Duration at, Duration lasts,
+                                                         uint64_t choice) {
+  // Only a planner that stops in order is followed by another within a second.
+  constexpr std::array<std::pair<int, int>, 4> kSignals = {
+      {{SIGKILL, 0}, {SIGSTOP, SIGCONT}, {SIGTERM, 0}, {SIGTERM, 0}}};
+  if (choice % 2 == 0) return {};
+  const auto planner = std::make_shared<SoakEntry*>();
+  const auto signal = [planner](int number) {
+    if (*planner != nullptr && number != 0) (*planner)->process->Signal(number);
+  };
+  const auto [first, last] = kSignals[choice / 2 % kSignals.size()];
+  return {{at,
+           [this, planner, signal, first = first] {
+             *planner = system_->PlanningEntry();
+             signal(first);
+           }},
+          {at + lasts, [signal, last = last] { signal(last); }}};
+}
+
+std::vector<FaultPlayer::Step> FaultPlayer::RestartAndCutSteps(const Fault& fault) {
+  std::mt19937_64 random(fault.target);
+  const auto between = [&](int low, int high) {
+    return milliseconds(low + static_cast<int>(random() % static_cast<uint64_t>(high - low + 1)));
+  };
+  const std::string zone = SoakSystem::zones()[fault.target % SoakSystem::zones().size()];
+  const Duration delayed_from = fault.at - kCallsDelayedBefore;
+  const Duration back = fault.at + between(100, 1000);
+  const Duration delay = back - delayed_from + between(0, 500);
+  const Duration cut = back + between(300, 2000);
+  const Duration planner_at = cut + between(-1500, 500);
+  const Duration planner_lasts = between(1000, 6000);
+  std::vector<Step> steps = PlannerSteps(planner_at, planner_lasts, random());
+  steps.push_back(
+      {delayed_from, [this, delay] { history_->SuspendTimeLimits(LeaseClock().Now() + delay); }});
+  steps.push_back({cut, [this, zone] { system_->CutAgents(zone, true); }});
+  steps.push_back({cut + fault.lasts, [this, zone] { system_->CutAgents(zone, false); }});
+  for (const auto& each : system_->worker_nodes()) {
+    if (each->zone != zone) continue;
+    SoakWorkerNode* node = each.get();
+    steps.push_back(
+        {delayed_from, [node, delay] { node->worker->DelayCalls(LeaseClock().Now() + delay); }});
+    steps.push_back({fault.at, [this, node] {
+                       node->worker->DelayCalls(Time{});
+                       system_->CrashWorker(node);
+                     }});
+    steps.push_back({back, [this, node] { system_->StartWorker(node, true); }});
+  }
+  return steps;
+}
+
 std::vector<FaultPlayer::Step> FaultPlayer::RollSteps(const Fault& fault,
                                                       const std::vector<SoakProcess*>& processes,
                                                       Duration gap) {
@@ -322,6 +391,8 @@
     case FaultKind::kCutStore:
     case FaultKind::kCutZone:
       return RelaySteps(fault, RelaysAround(fault));
+    case FaultKind::kRestartAndCut:
+      return RestartAndCutSteps(fault);
     default:
       return RelaySteps(fault, {RelayOf(fault)});
   }
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -46,6 +46,8 @@
   kCutSessions,
   kCutStore,
   kCutZone,
+  // A zone's workers restart under their IDs and are cut off; see DrawRestarts.
+  kRestartAndCut,
 };
 const char* FaultKindName(FaultKind kind);
 
@@ -66,6 +68,11 @@
 // Draws cuts between the processes of one zone and the rest. They are played in addition as well.
 std::vector<Fault> DrawCuts(uint64_t seed, Duration length);
 
+// Draws zones whose workers restart under their IDs, execute late calls for their former
+// incarnations and are cut off soon after, half of them beside a change of planner. One ends before
+// the next one begins. They are played in addition as well.
+std::vector<Fault> DrawRestarts(uint64_t seed, Duration length);
+
 class FaultPlayer {
  public:
   // `system` and `history` must outlive the player.
@@ -93,6 +100,9 @@
   std::vector<Step> InterruptedStopSteps(const Fault& fault);
   // A graceful stop, which must end the process within the platform's grace period.
   std::vector<Step> TermSteps(const Fault& fault, SoakProcess* process);
+  std::vector<Step> RestartAndCutSteps(const Fault& fault);
+  // Signals to the entry that plans at the time: kill, pause, stop or in half of the cases none.
+  std::vector<Step> PlannerSteps(Duration at, Duration lasts, uint64_t choice);
   TcpRelay* RelayOf(const Fault& fault) const;
   // The relays between the processes of the fault's zone and the others, as far as its kind goes.
   std::vector<TcpRelay*> RelaysAround(const Fault& fault) const;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -42,6 +42,10 @@
   bool sends_sighup = false;
   // Adds cuts between groups of processes.
   bool cuts = false;
+  // Adds zones that restart and are cut off, beside long tasks.
+  bool restarts = false;
+  // Leaves out the faults that the seed draws without any option.
+  bool calm = false;
 };
 
 bool WaitFor(Duration limit, const std::function<bool()>& condition) {
@@ -81,8 +85,9 @@
     if (!WaitFor(kStartTimeout, [&] { return Serves(&system); })) {
       history.RecordViolation("the entries did not start to serve in time");
     } else {
-      SoakCallers callers(options.seed, options.callers, &system, &history);
-      std::vector<Fault> faults = DrawFaults(options.seed, options.length);
+      SoakCallers callers(options.seed, options.callers, options.restarts, &system, &history);
+      std::vector<Fault> faults;
+      if (!options.calm) faults = DrawFaults(options.seed, options.length);
       if (options.series) {
         std::vector<Fault> series = DrawSeries(options.seed, options.length);
         if (!options.sends_sighup) {
@@ -95,9 +100,14 @@
         const std::vector<Fault> cuts = DrawCuts(options.seed, options.length);
         faults.insert(faults.end(), cuts.begin(), cuts.end());
       }
+      if (options.restarts) {
+        const std::vector<Fault> restarts = DrawRestarts(options.seed, options.length);
+        faults.insert(faults.end(), restarts.begin(), restarts.end());
+      }
       FaultPlayer(&system, &history).Play(faults);
       system.Heal();
       callers.StopSubmitting();
+      if (options.restarts) callers.CancelPending(options.seed);
       WaitFor(options.completion_timeout, [&] { return history.Pending().empty(); });
     }
     history.CheckAtEnd();
@@ -123,6 +133,8 @@
                                                  cxxopts::value<int>()->default_value("3"))(
       "series", "adds series of signals and changes")("hang-ups", "includes SIGHUP in the series")(
       "cuts", "adds cuts between a zone's processes and the others")(
+      "restarts", "adds restarts of a zone's workers that are cut off soon after")(
+      "calm", "leaves out the faults that are drawn without any option")(
       "operators", "runs operators' commands under faults of entries instead")(
       "keep", "keeps the folder of settings and logs");
   const cxxopts::ParseResult parsed = words.parse(argc, argv);
@@ -133,6 +145,8 @@
   options.callers = parsed["callers"].as<int>();
   options.seed = parsed["seed"].as<uint64_t>();
   options.sends_sighup = parsed.count("hang-ups") > 0;
+  options.restarts = parsed.count("restarts") > 0;
+  options.calm = parsed.count("calm") > 0;
   options.cuts = parsed.count("cuts") > 0;
   options.series = parsed.count("series") > 0;
   options.length = seconds(parsed["seconds"].as<int>());
--- a/tests/soak/soak_process.cc
+++ b/tests/soak/soak_process.cc
@@ -6,7 +6,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
+#include <system_error>
 #include <thread>
 
 #include "core/logging.h"
@@ -49,6 +54,29 @@
   return incarnation_.load() == incarnation && sigterm_count_.load() == 1 && !interrupted_.load();
 }
 
+bool SoakProcess::owns_port(int port) const {
+  std::ifstream sockets("/proc/net/tcp");
+  std::set<std::string> links;
+  std::string line;
+  while (std::getline(sockets, line)) {
+    // The fields of a row: number, local address, ..., inode as the tenth.
+    std::istringstream row(line);
+    std::vector<std::string> fields{std::istream_iterator<std::string>(row), {}};
+    const size_t colon = fields.size() < 10 ? std::string::npos : fields[1].find(':');
+    if (colon == std::string::npos) continue;
+    const bool has_port = std::strtol(fields[1].c_str() + colon + 1, nullptr, 16) == port;
+    if (has_port) links.insert("socket:[" + fields[9] + "]");
+  }
+  std::error_code error;
+  std::error_code closed;
+  const std::string folder = "/proc/" + std::to_string(pid_.load()) + "/fd";
+  std::filesystem::directory_iterator file(folder, error);
+  for (; !error && file != std::filesystem::directory_iterator(); file.increment(error)) {
+    if (links.count(std::filesystem::read_symlink(*file, closed).string()) > 0) return true;
+  }
+  return false;
+}
+
 pid_t SoakProcess::Spawn(const std::string& output) const {
   std::vector<char*> arguments;
   for (const std::string& word : options_.command) {
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -49,6 +49,8 @@
   int incarnation() const { return incarnation_.load(); }
   // Id of the running process; 0 if none runs.
   pid_t pid() const { return pid_.load(); }
+  // Whether the running process has a TCP socket with this local port.
+  bool owns_port(int port) const;
   bool runs(int incarnation) const { return incarnation_.load() == incarnation && pid_.load() > 0; }
   // Whether the current incarnation received SIGTERM or SIGKILL, even if it has not yet reacted.
   bool end_requested() const { return end_requested_.load(); }
--- a/tests/soak/soak_system.cc
+++ b/tests/soak/soak_system.cc
@@ -2,9 +2,12 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <fstream>
+#include <functional>
 
 #include "platform/soak/caller.h"
+#include "servers/pool/job_records.h"
 #include "servers/pool/pool_view.h"
 
 namespace turmericshift::soak {
@@ -127,6 +130,31 @@
   worker_node->worker_relay->SetFault(RelayFault::kNone);
 }
 
+SoakEntry* SoakSystem::PlanningEntry() {
+  for (const KeyedRecord& record : log_.Newest(pool::kPlannerTopic, "", kNoTimeout).records) {
+    if (record.key != pool::kPlannerKey) continue;
+    const std::string node = pool::DecodePlanner(record.value).node;
+    for (const auto& entry : entries_) {
+      if (entry->name == node) return entry.get();
+    }
+  }
+  return nullptr;
+}
+
+void SoakSystem::CutAgents(const std::string& zone, bool cut) {
+  const auto affects = [this, zone](int port) {
+    return std::any_of(worker_nodes_.begin(), worker_nodes_.end(), [&](const auto& each) {
+      return each->zone == zone && each->process->owns_port(port);
+    });
+  };
+  for (const auto& entry : entries_) {
+    entry->sessions->SilenceCallers(cut ? affects : std::function<bool(int)>());
+  }
+  for (const auto& each : worker_nodes_) {
+    if (each->zone == zone) each->store->SetFault(cut ? RelayFault::kSilent : RelayFault::kNone);
+  }
+}
+
 void SoakSystem::Append(const KeyedRecord& record) {
   log_.Append(platform::OperatorsTopic(), {record}, {}, kNoTimeout);
 }
@@ -159,7 +187,8 @@
   }
   for (const auto& worker_node : worker_nodes_) {
     worker_node->process->Signal(SIGCONT);
-    worker_node->store->SetFault(RelayFault::kNone);
+    CutAgents(worker_node->zone, false);
+    worker_node->worker->DelayCalls(Time{});
     worker_node->worker->SetDraining(false);
     StartWorker(worker_node.get(), true);
     worker_node->worker_relay->SetFault(RelayFault::kNone);
--- a/tests/soak/soak_system.h
+++ b/tests/soak/soak_system.h
@@ -60,6 +60,10 @@
 
   const std::vector<std::unique_ptr<SoakEntry>>& entries() const { return entries_; }
   const std::vector<std::unique_ptr<SoakWorkerNode>>& worker_nodes() const { return worker_nodes_; }
+  // The entry that plans according to the store; null if there is none.
+  SoakEntry* PlanningEntry();
+  // Cuts the zone's agents off from the store and all entries, or ends this.
+  void CutAgents(const std::string& zone, bool cut);
   platform::FakeStoreServer& store() { return store_server_; }
   static const std::vector<std::string>& zones();
 
--- a/tests/stand_ins/tcp_relay.cc
+++ b/tests/stand_ins/tcp_relay.cc
@@ -65,6 +65,14 @@
   return size == 0 || (size < 0 && errno != EAGAIN);
 }
 
+// Returns the port at the other end of the connection.
+int PeerPort(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getpeername(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
 // Returns the socket's own port.
 int BindLoopbackPort(int fd) {
   sockaddr_in address = AddressOf("127.0.0.1", 0);
@@ -120,6 +128,14 @@
   for (const auto& pair : pairs_) pair->silent.store(true);
 }
 
+void TcpRelay::SilenceCallers(std::function<bool(int)> affects) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  silenced_ = std::move(affects);
+  for (const auto& pair : pairs_) {
+    if (!pair->closed.load()) pair->silent.store(silenced_ && silenced_(PeerPort(pair->near)));
+  }
+}
+
 void TcpRelay::RemoveClosedPairs() {
   // Destroyed without the lock, as this joins their threads.
   std::vector<std::unique_ptr<Pair>> closed;
@@ -152,6 +168,7 @@
   Pair* raw = pair.get();
   connections_.fetch_add(1);
   const std::lock_guard<std::mutex> lock(mutex_);
+  pair->silent.store(silenced_ && silenced_(PeerPort(near)));
   pair->thread = Thread("relay-pair", [this, raw] { Forward(raw); });
   pairs_.push_back(std::move(pair));
 }
--- a/tests/stand_ins/tcp_relay.h
+++ b/tests/stand_ins/tcp_relay.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -50,6 +51,9 @@
   // Permanently stops the data of all connections that are open now.
   void Silence();
   void SetFault(RelayFault fault);
+  // Stops the data of the connections, open and new, from the caller's ports that `affects` names;
+  // data that was stopped arrives once it does not. Null: none.
+  void SilenceCallers(std::function<bool(int)> affects);
   // Whether a fault has been set at any time since `since`, a time of LeaseClock.
   bool HadFaultSince(Time since) const;
   // Relays new connections to port `to`.
@@ -80,6 +84,7 @@
   std::atomic<int> connections_{0};
   std::mutex mutex_;
   std::vector<std::unique_ptr<Pair>> pairs_;
+  std::function<bool(int)> silenced_;
   // Connections made by Open, by the port of the caller's socket.
   std::map<int, int> opened_;
   Thread thread_;
