--- a/tests/pool_worker_model_test.cc
+++ b/tests/pool_worker_model_test.cc
@@ -162,7 +162,7 @@
   worker_.Stop("i", RunOf(1, 3), 7, kStarted);
   worker_.End(RunOf(0, 1), EndKind::kDone);
   const Time restarted = kStarted + seconds(60);
-  worker_.Restart("i", 2, restarted);
+  worker_.Restart("i", 2, 0, restarted);
   EXPECT_EQ(worker_.fence(), 0);
   EXPECT_EQ(worker_.Clock(restarted + seconds(1)), 1000);
   const WorkerLists lists = worker_.Hold(HoldOf(1, 0, 1000), restarted).lists;
@@ -176,7 +176,7 @@
 }
 
 TEST_F(PoolWorkerModelTest, RefusesCallsForAnotherId) {
-  worker_.Restart("k", 2, kStarted);
+  worker_.Restart("k", 2, 0, kStarted);
   EXPECT_EQ(worker_.Start(StartOf(RunOf(0, 1), 1, 2000), SmallTask(), kStarted),
             OrderAnswer::kOtherIncarnation);
   EXPECT_EQ(worker_.Stop("i", RunOf(0, 1), 1, kStarted), OrderAnswer::kOtherIncarnation);
