Tests: Show a late acknowledgement that reaches the worker's next incarnation

The hold that acknowledges ends for the first time may be executed late, in the next incarnation, where it acknowledges an end that nobody has read.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -282,6 +282,23 @@
   EXPECT_EQ(simulation_->violations(), kNoViolations);
 }
 
+// The same for the hold that acknowledges the ends of before for the first time.
+TEST_F(WorkerLife, RunsNoTaskAgainWhenALateAcknowledgementReachesTheNextLife) {
+  faults_.AllowCallsBeforeTheFirst();
+  Begin(1);
+  Submit("first", milliseconds(500));
+  ASSERT_TRUE(simulation_->RunUntil("first", JobState::kCompleted, seconds(5)));
+  faults_.DelayAnnouncements(seconds(3));
+  faults_.DelayNextCall(nodes_, WorkerCall::kHold, milliseconds(750));
+  while (!faults_.HasHappened()) simulation_->RunFor(milliseconds(10));
+  RestartAll();
+  Submit("second", milliseconds(300));
+  simulation_->RunFor(milliseconds(600));
+  ASSERT_EQ(simulation_->RunsOf("second").size(), 1U);
+  EXPECT_TRUE(simulation_->RunUntil("second", JobState::kCompleted, seconds(10)));
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
 // The same for a start that was sent again, after lists that were requested since its first attempt
 // had shown the former life.
 TEST_F(WorkerLife, RunsNoTaskAgainWhenARepeatedStartReachesTheNextLife) {
