Tests: Show leases of holds that an agent counts too short

A hold that was sent before its worker restarted is executed late, while the agent has not noticed the restart and has started a task there. A hold that was sent while the ID was unknown names no incarnation. Both tests fail, each time.

--- a/servers/pool/agent_state_test.cc
+++ b/servers/pool/agent_state_test.cc
@@ -507,6 +507,45 @@
   }
 }
 
+// A hold that was sent while the worker's ID was unknown names no incarnation, so that one with
+// another ID executes it as well and may take the longest lease.
+TEST(AgentState, CountsTheLongestLeaseOfAHoldThatNamedNoId) {
+  AgentState state("n", "a", "first");
+  Time now = Time(std::chrono::hours(1));
+  AgentOrders orders;
+  orders.epoch = 1;
+  orders.fence = 1;
+  orders.lease = milliseconds(4000);
+  orders.worker_start_time_ms = 0;
+  state.HandleOrders(orders, now, now);
+  WorkerLists lists;
+  lists.start_time_ms = 1;
+  lists.clock = 1000;
+  state.HandleLists(lists, 1, now, now);
+  orders.worker_start_time_ms = 1;
+  state.HandleOrders(orders, now, now);
+  const HoldCall call = state.NextHold(Duration::zero(), now);
+  ASSERT_TRUE(call.worker_id.empty());
+  ASSERT_TRUE(call.lease_until);
+  state.NoteLeaseSent(call.lease_until);
+  for (const auto& [id, start] : {std::pair{"i", 1}, std::pair{"other", 2}}) {
+    now += milliseconds(100);
+    WorkerAnnouncement announcement;
+    announcement.sequence = 1;
+    announcement.facts.id = id;
+    announcement.facts.start_time_ms = start;
+    state.HandleAnnouncement(announcement);
+  }
+  state.NoteLeaseAnswered(call.lease_until, OrderAnswer::kUnanswered, now);
+  orders.worker_start_time_ms = 2;
+  orders.fence = 2;
+  state.HandleOrders(orders, now, now);
+  lists.start_time_ms = 2;
+  now += milliseconds(10);
+  state.HandleLists(lists, 2, now, now);
+  EXPECT_EQ(state.Report(Duration::zero(), now).lease_left, milliseconds(6120));
+}
+
 // A hold to a former incarnation timed out after the next one had been read. Marked as unreachable,
 // the new incarnation lost the runs that were being ordered for it.
 TEST(AgentState, HoldsNoFailureOfAFormerIncarnationAgainstTheNext) {
--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -523,6 +523,31 @@
   EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
 }
 
+// The same for a hold that was sent before the restart and is executed late, while the agent still
+// has not noticed: the agent counts no lease for a hold that is unanswered.
+TEST_F(WorkerLife, WaitsForTheLeaseOfALateHoldWhileTheAgentIsUnaware) {
+  faults_.DelayAnnouncements(seconds(30));
+  faults_.AllowCallsBeforeTheFirst();
+  Begin(2);
+  simulation_->RunFor(seconds(30));
+  faults_.DelayNextCall({nodes_[0]}, WorkerCall::kHold, milliseconds(3000));
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_TRUE(faults_.HasHappened());
+  simulation_->RestartWorker(nodes_[0]);
+  Submit("j", seconds(20));
+  simulation_->RunFor(milliseconds(100));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[0]);
+  faults_.LoseOnlyAnswersInCuts();
+  faults_.CutOffNode(nodes_[0], seconds(20));
+  simulation_->RunFor(milliseconds(1900));
+  simulation_->Isolate(nodes_[0]);
+  simulation_->RunFor(seconds(10));
+  EXPECT_EQ(simulation_->calls_of_former_lives(), 1);
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+  EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
+}
+
 // The planner learned of the restart and heard nothing more until it had given the worker's runs
 // up. It forgot the lease that the next incarnation may still take before its lists are read.
 TEST_F(WorkerLife, WaitsForTheLeaseOfALateHoldAfterASilence) {
