Tests: Show late attempts to start a run that the worker's next incarnation executes

The run is done, or its stop was settled by the former incarnation, before the worker restarts and executes an attempt that is 2.5 or 3.5 s late.

--- a/servers/pool/worker_life_test.cc
+++ b/servers/pool/worker_life_test.cc
@@ -548,6 +548,50 @@
   EXPECT_EQ(simulation_->RunsOf("j").size(), 2U);
 }
 
+// An attempt to start the run is under way, and the next one was executed. The run is done and its
+// end acknowledged before the worker restarts and executes the late attempt.
+TEST_F(WorkerLife, RunsNoTaskAgainWhenALateAttemptReachesTheNextLife) {
+  faults_.AllowCallsBeforeTheFirst();
+  faults_.DelayAnnouncements(seconds(30));
+  Begin(1);
+  simulation_->RunFor(seconds(30));
+  faults_.DelayNextCall(nodes_, WorkerCall::kStart, milliseconds(2500));
+  Submit("j", milliseconds(300));
+  while (!faults_.HasHappened()) simulation_->RunFor(milliseconds(10));
+  simulation_->RunFor(milliseconds(2300));
+  ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+  faults_.LoseNextCall(nodes_, WorkerCall::kHold);
+  simulation_->RunFor(milliseconds(140));
+  RestartAll();
+  simulation_->RunFor(seconds(2));
+  EXPECT_EQ(simulation_->calls_of_former_lives(), 1);
+  EXPECT_EQ(simulation_->violations(), kNoViolations);
+}
+
+// All attempts to start a run are lost but one, which is late, and the worker has accepted the stop
+// that follows. It restarts before it executes the late attempt.
+TEST_F(WorkerLife, RunsNoTaskTwiceWhenALateAttemptReachesTheNextLifeAfterAStop) {
+  faults_.AllowCallsBeforeTheFirst();
+  faults_.DelayAnnouncements(seconds(30));
+  for (Duration before{}; before < milliseconds(700); before += milliseconds(100)) {
+    nodes_.clear();
+    Begin(2);
+    simulation_->RunFor(seconds(30));
+    faults_.DelayNextCall({nodes_[0]}, WorkerCall::kStart, milliseconds(3500));
+    Submit("j", seconds(20));
+    while (!faults_.HasHappened()) simulation_->RunFor(milliseconds(10));
+    faults_.CutOffNode(nodes_[0], milliseconds(900));
+    simulation_->RunFor(milliseconds(2700) + before);
+    ASSERT_EQ(simulation_->RunsOf("j").size(), 1U);
+    ASSERT_EQ(simulation_->RunsOf("j")[0].node, nodes_[1]);
+    faults_.LoseNextCall({nodes_[0]}, WorkerCall::kHold);
+    simulation_->RunFor(milliseconds(100));
+    simulation_->RestartWorker(nodes_[0]);
+    simulation_->RunFor(seconds(2));
+    EXPECT_EQ(simulation_->violations(), kNoViolations) << Seconds(before);
+  }
+}
+
 // The planner learned of the restart and heard nothing more until it had given the worker's runs
 // up. It forgot the lease that the next incarnation may still take before its lists are read.
 TEST_F(WorkerLife, WaitsForTheLeaseOfALateHoldAfterASilence) {
