Tests: Show a release right after the claim that names no planner to wait for

Before a planner has read its own claim its newest view names its former process, so that its release leaves itself out, and with it the starts of that process. The test fails, each time.

--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -292,6 +292,24 @@
   EXPECT_EQ(released.former.front().address, "a:1");
 }
 
+// The same for a planner that is stopped before it has read its own claim. Its newest view names its
+// former process.
+TEST_F(PlannerServiceTest, NamesItselfInAReleaseRightAfterItsClaim) {
+  PlannerService restarted(Options(), &log_, &operators_, &members_, &metrics_);
+  restarted.SetLeadershipView({1, "a", "a:1"}, true, true);
+  restarted.BecomeActive(2, 1, JobTable(), {}, LeaseClock().Now(), {}, true);
+  restarted.Release(kReleaseLimit);
+  ASSERT_EQ(restarted.epoch(), 0);
+  const KeyedPage page = log_.Newest(kWorkTopic, "", seconds(1));
+  const auto record = std::find_if(page.records.begin(), page.records.end(),
+                                   [](const KeyedRecord& each) { return each.key == kPlannerKey; });
+  ASSERT_NE(record, page.records.end());
+  const PlannerRecord released = DecodePlanner(record->value);
+  EXPECT_TRUE(released.address.empty());
+  ASSERT_EQ(released.former.size(), 1U);
+  EXPECT_EQ(released.former.front().address, "a:1");
+}
+
 // The worker may have runs under a lease that an order for its former incarnation granted, longer
 // than the silence after which agents are removed. A successor would not wait for that lease.
 TEST_F(PlannerServiceTest, KeepsAnAgentAmongTheMembersWhileALeaseOnItsWorkerMayLast) {
