--- a/servers/pool/planner_service_test.cc
+++ b/servers/pool/planner_service_test.cc
@@ -292,8 +292,8 @@
   EXPECT_EQ(released.former.front().address, "a:1");
 }
 
-// The same for a planner that is stopped before it has read its own claim. Its newest view names its
-// former process.
+// The same for a planner that is stopped before it has read its own claim. Its newest view names
+// its former process.
 TEST_F(PlannerServiceTest, NamesItselfInAReleaseRightAfterItsClaim) {
   PlannerService restarted(Options(), &log_, &operators_, &members_, &metrics_);
   restarted.SetLeadershipView({1, "a", "a:1"}, true, true);
