Agent: Count the lease of a hold without an ID for incarnations with any ID

A hold that an agent sends before it knows its worker's ID names no incarnation. If the worker then restarts under another ID, that incarnation executes the hold too and may take the longest lease. The agent took an incarnation with another ID to refuse all former calls.

--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -221,10 +221,11 @@
 
 void AgentState::NoteFormerCallsRefused(Time now) {
   former_calls_refused_ = true;
-  // An incarnation with another ID refuses all calls for the former one.
+  // An incarnation with another ID refuses all calls that name the former one.
   const bool ids_known = !facts_.id.empty() && !former_id_.empty();
-  if (ids_known && facts_.id != former_id_) return;
-  former_lease_expiry_ = now + longest_lease_;
+  const bool refused_all = ids_known && facts_.id != former_id_ && !lease_sent_without_id_;
+  lease_sent_without_id_ = false;
+  if (!refused_all) former_lease_expiry_ = now + longest_lease_;
 }
 
 void AgentState::WorkerFailed(OrderAnswer answer) {
@@ -446,7 +447,9 @@
 }
 
 void AgentState::NoteLeaseSent(std::optional<WorkerMillis> lease_until) {
-  if (lease_until) leases_in_flight_.insert(*lease_until);
+  if (!lease_until) return;
+  leases_in_flight_.insert(*lease_until);
+  lease_sent_without_id_ = lease_sent_without_id_ || facts_.id.empty();
 }
 
 void AgentState::NoteLeaseAnswered(std::optional<WorkerMillis> lease_until, OrderAnswer answer,
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -187,6 +187,8 @@
   // Whether a hold was not answered, and no lists requested since the newest start have been read.
   // If another incarnation runs that start, each hold would renew the longest lease.
   bool may_be_other_incarnation_ = false;
+  // Whether a hold that renewed a lease named no ID, so that any incarnation executes it.
+  bool lease_sent_without_id_ = false;
   // ID of the former incarnation; empty if unknown.
   std::string former_id_;
   // Starts that are being sent.
