--- a/servers/pool/agent_state.cc
+++ b/servers/pool/agent_state.cc
@@ -148,7 +148,7 @@
   facts_.reachable = true;
   lists_requested_at_ = std::max(lists_requested_at_, sent);
   if (start_unanswered_at_ && sent > *start_unanswered_at_) start_unanswered_at_.reset();
-  if (end_numbers_verified()) may_be_other_incarnation_ = false;
+  if (incarnation_verified()) may_be_other_incarnation_ = false;
   lists_fence_ = lists_fence;
   if (!former_calls_refused_ && is_read()) NoteFormerCallsRefused(now);
   if (first_lists) {
@@ -237,7 +237,7 @@
 
 void AgentState::HoldFailed(const HoldCall& call, OrderAnswer answer) {
   if (call.worker_start_time_ms == facts_.start_time_ms) WorkerFailed(answer);
-  if (answer == OrderAnswer::kUnanswered && !end_numbers_verified()) {
+  if (answer == OrderAnswer::kUnanswered && !incarnation_verified()) {
     may_be_other_incarnation_ = true;
   }
   if (answer != OrderAnswer::kFenced || call.fence != fence_) return;
@@ -395,10 +395,10 @@
   const bool may_be_over = may_be_other_incarnation_ || (successor_announced_ && !facts_.reachable);
   if (fence_confirmed() && is_read() && !may_be_over) call.lease_until = LeaseUntil(now);
   const bool lists_acked_ends = first_listed_end_ && *first_listed_end_ <= acked_ends_;
-  if (lists_acked_ends && fence_confirmed() && end_numbers_verified()) {
+  if (lists_acked_ends && fence_confirmed() && incarnation_verified()) {
     call.acked_ends = acked_ends_;
   }
-  call.wait = end_numbers_verified() ? wait : Duration::zero();
+  call.wait = incarnation_verified() ? wait : Duration::zero();
   return call;
 }
 
--- a/servers/pool/agent_state.h
+++ b/servers/pool/agent_state.h
@@ -110,10 +110,11 @@
   };
 
   void ResetForIncarnation(int64_t start_time_ms);
-  // Whether the worker's ends have the numbers that this agent knows. A start that was sent after
-  // the newest lists were requested may have reached a new incarnation, which counts its ends anew.
-  // A start in flight may be sent several times.
-  bool end_numbers_verified() const {
+  // Whether the newest start has reached the incarnation that this agent knows, so that the
+  // worker's ends have the numbers that it knows. A start that was sent after the newest lists were
+  // requested may have reached a new incarnation, which counts its ends anew. A start in flight may
+  // be sent several times.
+  bool incarnation_verified() const {
     if (starts_in_flight_ > 0) return false;
     return start_sent_at_ == Time{} || lists_requested_at_ > start_sent_at_;
   }
